--- a/Makefile
+++ b/Makefile
@@ -26,10 +26,10 @@
 	ctest --test-dir $(SANITIZED) --output-on-failure -j 4 --timeout 240
 
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: build
 	git ls-files '*.c' | grep -v peer_prog | \
--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -242,8 +242,8 @@
 	g_autofree char *key =
 		g_strconcat(PLT_PREFIX_MEMBER, entry->self.id, NULL);
 	g_autofree char *value = plv_member_build(&entry->self);
-	const struct plt_write write = {key, value, lease};
-	const struct plt_txn txn = {NULL, 0, &write, 1};
+	const struct plt_write write = { key, value, lease };
+	const struct plt_txn txn = { NULL, 0, &write, 1 };
 
 	plt_txn(entry->platform, &txn, on_member_written, entry);
 }
@@ -315,7 +315,7 @@
 static void peers_seed(struct ent_entry *entry)
 {
 	for (char **peer = entry->settings->peers; peer && *peer; peer++) {
-		struct mem_member member = {0};
+		struct mem_member member = { 0 };
 		struct cfg_endpoint endpoint;
 
 		if (!cfg_endpoint_parse(*peer, &endpoint))
--- a/bin/sassafrascartd/gat.c
+++ b/bin/sassafrascartd/gat.c
@@ -109,8 +109,8 @@
 	};
 
 	for (size_t i = 0; i < answer->header_count; i++) {
-		struct clr_header header = {answer->headers[i].name,
-					    answer->headers[i].value};
+		struct clr_header header = { answer->headers[i].name,
+					     answer->headers[i].value };
 
 		if (!att_header_is_hop_by_hop(header.name) &&
 		    strcmp(header.name, OUT_HEADER) != 0)
@@ -299,8 +299,8 @@
 	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct hcl_header));
 
 	for (uint32_t i = 0; i < view->header_count; i++) {
-		struct hcl_header header = {view->headers[i].name,
-					    view->headers[i].value};
+		struct hcl_header header = { view->headers[i].name,
+					     view->headers[i].value };
 
 		if (strcmp(header.name, CLR_HEADER_DEADLINE) != 0)
 			g_array_append_val(headers, header);
@@ -366,8 +366,8 @@
 
 static bool method_is_idempotent(const char *method)
 {
-	static const char *const methods[] = {"GET", "HEAD",   "OPTIONS",
-					      "PUT", "DELETE", "TRACE"};
+	static const char *const methods[] = { "GET", "HEAD",	"OPTIONS",
+					       "PUT", "DELETE", "TRACE" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
 		if (strcmp(method, methods[i]) == 0)
--- a/bin/sassafrascartd/main.c
+++ b/bin/sassafrascartd/main.c
@@ -53,7 +53,7 @@
 
 int main(int argc, char **argv)
 {
-	struct set_settings settings = {0};
+	struct set_settings settings = { 0 };
 	GError *error = NULL;
 	int status;
 
--- a/bin/sassafrascartd/mgr.c
+++ b/bin/sassafrascartd/mgr.c
@@ -60,11 +60,11 @@
 
 static void compete(struct mgr_manager *manager)
 {
-	const struct plt_compare compare = {PLT_KEY_MANAGER,
-					    PLT_TARGET_CREATE_REVISION, 0};
-	const struct plt_write write = {PLT_KEY_MANAGER, manager->config.id,
-					manager->lease};
-	const struct plt_txn txn = {&compare, 1, &write, 1};
+	const struct plt_compare compare = { PLT_KEY_MANAGER,
+					     PLT_TARGET_CREATE_REVISION, 0 };
+	const struct plt_write write = { PLT_KEY_MANAGER, manager->config.id,
+					 manager->lease };
+	const struct plt_txn txn = { &compare, 1, &write, 1 };
 
 	manager->busy = true;
 	plt_txn(manager->config.platform, &txn, on_competed, manager);
@@ -94,15 +94,15 @@
 	g_autofree char *text = NULL;
 	g_autofree char *number = NULL;
 	const struct plt_compare compares[] = {
-		{PLT_KEY_MANAGER, PLT_TARGET_CREATE_REVISION, manager->term},
-		{PLT_KEY_PLACEMENT, PLT_TARGET_MOD_REVISION,
-		 manager->placement_revision},
+		{ PLT_KEY_MANAGER, PLT_TARGET_CREATE_REVISION, manager->term },
+		{ PLT_KEY_PLACEMENT, PLT_TARGET_MOD_REVISION,
+		  manager->placement_revision },
 	};
 	struct plt_write writes[] = {
-		{PLT_KEY_PLACEMENT, NULL, 0},
-		{PLT_KEY_PLACEMENT_NUMBER, NULL, 0},
+		{ PLT_KEY_PLACEMENT, NULL, 0 },
+		{ PLT_KEY_PLACEMENT_NUMBER, NULL, 0 },
 	};
-	const struct plt_txn txn = {compares, 2, writes, 2};
+	const struct plt_txn txn = { compares, 2, writes, 2 };
 
 	view->number++;
 	view->roll = manager->roll;
--- a/bin/sassafrasctl/cmd_bundle.c
+++ b/bin/sassafrasctl/cmd_bundle.c
@@ -160,9 +160,10 @@
 				      const char *envelope)
 {
 	char key[BUNDLE_KEY_MAX_BYTES];
-	const struct plt_compare compare = {key, PLT_TARGET_CREATE_REVISION, 0};
-	const struct plt_write write = {key, envelope, 0};
-	const struct plt_txn txn = {&compare, 1, &write, 1};
+	const struct plt_compare compare = { key, PLT_TARGET_CREATE_REVISION,
+					     0 };
+	const struct plt_write write = { key, envelope, 0 };
+	const struct plt_txn txn = { &compare, 1, &write, 1 };
 	struct dsk_result result;
 	enum err_kind err;
 	bool created;
--- a/bin/sassafrasctl/cmd_roll.c
+++ b/bin/sassafrasctl/cmd_roll.c
@@ -44,7 +44,7 @@
 	struct bfl_mistakes *mistakes = bfl_mistakes_create();
 	struct sgn_trust *trust = NULL;
 	struct bnd_bundle *bundle = NULL;
-	struct dsk_result result = {0};
+	struct dsk_result result = { 0 };
 	char key[ROLL_KEY_MAX_BYTES];
 	enum err_kind err = dsk_trust_load(desk, &trust);
 
@@ -113,10 +113,11 @@
 static enum err_kind head_write(struct roll *roll, struct plv_head *winner)
 {
 	g_autofree char *text = NULL;
-	const struct plt_compare compare = {
-		PLT_KEY_HEAD, PLT_TARGET_MOD_REVISION, roll->before_revision};
-	struct plt_write write = {PLT_KEY_HEAD, NULL, 0};
-	const struct plt_txn txn = {&compare, 1, &write, 1};
+	const struct plt_compare compare = { PLT_KEY_HEAD,
+					     PLT_TARGET_MOD_REVISION,
+					     roll->before_revision };
+	struct plt_write write = { PLT_KEY_HEAD, NULL, 0 };
+	const struct plt_txn txn = { &compare, 1, &write, 1 };
 	struct dsk_result result;
 	enum err_kind err;
 	bool written;
@@ -207,7 +208,7 @@
 
 static int roll_version(struct dsk_desk *desk, const char *text, bool back)
 {
-	struct roll roll = {.desk = desk};
+	struct roll roll = { .desk = desk };
 	enum err_kind err = version_parse(text, &roll.wanted.version);
 
 	if (err != ERR_NONE)
--- a/bin/sassafrasctl/cmd_status.c
+++ b/bin/sassafrasctl/cmd_status.c
@@ -48,7 +48,7 @@
 int cmd_status(struct dsk_desk *desk, char **arguments)
 {
 	g_autoptr(GArray) statuses = NULL;
-	struct dsk_result head = {0};
+	struct dsk_result head = { 0 };
 	enum err_kind err = wtc_statuses_read(desk, &statuses);
 	json_t *list;
 	int status;
--- a/bin/sassafrasctl/dsk.c
+++ b/bin/sassafrasctl/dsk.c
@@ -107,7 +107,7 @@
 enum err_kind dsk_range(struct dsk_desk *desk, const char *key, bool prefix,
 			struct dsk_result *out)
 {
-	struct pending pending = {.loop = desk->loop, .result = out};
+	struct pending pending = { .loop = desk->loop, .result = out };
 	enum err_kind err = platform_open(desk);
 
 	memset(out, 0, sizeof(*out));
@@ -121,7 +121,7 @@
 enum err_kind dsk_txn(struct dsk_desk *desk, const struct plt_txn *txn,
 		      struct dsk_result *out)
 {
-	struct pending pending = {.loop = desk->loop, .result = out};
+	struct pending pending = { .loop = desk->loop, .result = out };
 	enum err_kind err = platform_open(desk);
 
 	memset(out, 0, sizeof(*out));
@@ -153,7 +153,7 @@
 enum err_kind dsk_http_get(struct dsk_desk *desk, const char *ip, uint16_t port,
 			   const char *path, char **out)
 {
-	struct pending pending = {.loop = desk->loop};
+	struct pending pending = { .loop = desk->loop };
 	const struct hcl_request request = {
 		.method = "GET",
 		.path = path,
@@ -176,7 +176,7 @@
 
 void dsk_sleep_ms(struct dsk_desk *desk, uint32_t ms)
 {
-	struct tmr_entry timer = {.cb = on_slept, .data = desk->loop};
+	struct tmr_entry timer = { .cb = on_slept, .data = desk->loop };
 
 	evl_timer_set(desk->loop, &timer, ms);
 	evl_loop_run(desk->loop);
@@ -184,7 +184,7 @@
 
 enum err_kind dsk_trust_load(struct dsk_desk *desk, struct sgn_trust **out)
 {
-	static const char *const none[] = {NULL};
+	static const char *const none[] = { NULL };
 	char **keys = desk->settings->operator_keys;
 
 	return sgn_trust_create(keys ? (const char *const *)keys : none,
--- a/bin/sassafrasctl/main.c
+++ b/bin/sassafrasctl/main.c
@@ -7,27 +7,27 @@
 #define AT(member) offsetof(struct dsk_settings, member)
 
 static const struct cfg_option desk_options[] = {
-	{"platform", CFG_ENDPOINT, AT(platform), "127.0.0.1:2379", 0, 0,
-	 "address of the platform's service", "IP:PORT"},
-	{"platform-adapter", CFG_TEXT, AT(platform_adapter), "etcd", 0, 0,
-	 "wire protocol of the platform's service", "NAME"},
-	{"operator-key", CFG_LIST, AT(operator_keys), NULL, 0, 0,
-	 "public key (PEM) whose signatures are trusted; repeatable", "FILE"},
-	{"signatures-required", CFG_U32, AT(signatures_required), "1", 1, 16,
-	 "different trusted signatures that a bundle needs", "N"},
-	{"output", CFG_TEXT, AT(output), "text", 0, 0, "text or json",
-	 "FORMAT"},
-	{"key", CFG_TEXT, AT(key), "", 0, 0, "private key (PEM) to sign with",
-	 "FILE"},
-	{"out", CFG_TEXT, AT(out), "", 0, 0, "file for the signed bundle",
-	 "FILE"},
-	{"timeout-ms", CFG_U32, AT(timeout_ms), "2000", 10, 600000,
-	 "deadline of one call", "MS"},
-	{"wait-ms", CFG_U32, AT(wait_ms), "10000", 0, 600000,
-	 "how long to wait until a roll is in force everywhere", "MS"},
-	{"version", CFG_BOOL, AT(version), NULL, 0, 0,
-	 "print the version and exit", NULL},
-	{0},
+	{ "platform", CFG_ENDPOINT, AT(platform), "127.0.0.1:2379", 0, 0,
+	  "address of the platform's service", "IP:PORT" },
+	{ "platform-adapter", CFG_TEXT, AT(platform_adapter), "etcd", 0, 0,
+	  "wire protocol of the platform's service", "NAME" },
+	{ "operator-key", CFG_LIST, AT(operator_keys), NULL, 0, 0,
+	  "public key (PEM) whose signatures are trusted; repeatable", "FILE" },
+	{ "signatures-required", CFG_U32, AT(signatures_required), "1", 1, 16,
+	  "different trusted signatures that a bundle needs", "N" },
+	{ "output", CFG_TEXT, AT(output), "text", 0, 0, "text or json",
+	  "FORMAT" },
+	{ "key", CFG_TEXT, AT(key), "", 0, 0, "private key (PEM) to sign with",
+	  "FILE" },
+	{ "out", CFG_TEXT, AT(out), "", 0, 0, "file for the signed bundle",
+	  "FILE" },
+	{ "timeout-ms", CFG_U32, AT(timeout_ms), "2000", 10, 600000,
+	  "deadline of one call", "MS" },
+	{ "wait-ms", CFG_U32, AT(wait_ms), "10000", 0, 600000,
+	  "how long to wait until a roll is in force everywhere", "MS" },
+	{ "version", CFG_BOOL, AT(version), NULL, 0, 0,
+	  "print the version and exit", NULL },
+	{ 0 },
 };
 
 /* A command by its one or two words. */
@@ -40,15 +40,15 @@
 };
 
 static const struct command commands[] = {
-	{"keygen", NULL, 1, cmd_keygen, "keygen NAME"},
-	{"bundle", "check", 1, cmd_bundle_check, "bundle check FILE"},
-	{"bundle", "sign", 1, cmd_bundle_sign,
-	 "bundle sign FILE --key FILE --out FILE"},
-	{"bundle", "publish", 1, cmd_bundle_publish, "bundle publish FILE"},
-	{"roll", NULL, 1, cmd_roll, "roll VERSION"},
-	{"rollback", NULL, 1, cmd_rollback, "rollback VERSION"},
-	{"status", NULL, 0, cmd_status, "status"},
-	{"explain", NULL, 2, cmd_explain, "explain vm|pool|wave|roll NAME"},
+	{ "keygen", NULL, 1, cmd_keygen, "keygen NAME" },
+	{ "bundle", "check", 1, cmd_bundle_check, "bundle check FILE" },
+	{ "bundle", "sign", 1, cmd_bundle_sign,
+	  "bundle sign FILE --key FILE --out FILE" },
+	{ "bundle", "publish", 1, cmd_bundle_publish, "bundle publish FILE" },
+	{ "roll", NULL, 1, cmd_roll, "roll VERSION" },
+	{ "rollback", NULL, 1, cmd_rollback, "rollback VERSION" },
+	{ "status", NULL, 0, cmd_status, "status" },
+	{ "explain", NULL, 2, cmd_explain, "explain vm|pool|wave|roll NAME" },
 };
 
 static char *summary_build(void)
@@ -112,7 +112,7 @@
 
 int main(int argc, char **argv)
 {
-	struct dsk_settings settings = {0};
+	struct dsk_settings settings = { 0 };
 	g_autofree char *summary = summary_build();
 	GError *error = NULL;
 	int status;
--- a/bin/sassafrasctl/wtc.c
+++ b/bin/sassafrasctl/wtc.c
@@ -47,7 +47,7 @@
 	for (guint i = 0; err == ERR_NONE && i < result.kvs->len; i++) {
 		const struct dsk_kv *kv =
 			&g_array_index(result.kvs, struct dsk_kv, i);
-		struct wtc_status status = {0};
+		struct wtc_status status = { 0 };
 
 		if (plv_member_parse(kv->value, kv->value_len,
 				     &status.member) != ERR_NONE)
--- a/packages/backend_server/src/att.c
+++ b/packages/backend_server/src/att.c
@@ -72,7 +72,7 @@
 static GArray *headers_build(const struct att_request *request)
 {
 	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct hcl_header));
-	struct hcl_header id = {ATT_HEADER_REQUEST_ID, request->request_id};
+	struct hcl_header id = { ATT_HEADER_REQUEST_ID, request->request_id };
 
 	for (uint32_t i = 0; i < request->header_count; i++) {
 		const struct hcl_header *header = &request->headers[i];
--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -86,7 +86,7 @@
 	g_autofree char *path =
 		g_strndup(req->path_normalized.base, req->path_normalized.len);
 	GString *body = g_string_new(NULL);
-	struct clr_answer page = {.status = 200};
+	struct clr_answer page = { .status = 200 };
 	bool found = server->ops->on_page(server->data, path, &page, body);
 
 	if (found) {
--- a/packages/core/src/hed.c
+++ b/packages/core/src/hed.c
@@ -10,7 +10,7 @@
 
 struct hed_action hed_pending(const struct hed_state *state)
 {
-	struct hed_action action = {0};
+	struct hed_action action = { 0 };
 
 	action.fetch_bundle = state->known.roll > state->applied_roll;
 	action.fetch_placement =
--- a/packages/operator/src/bfl.c
+++ b/packages/operator/src/bfl.c
@@ -34,71 +34,72 @@
 	const char *const *choices;
 };
 
-static const char *const survive_choices[] = {"none", "rack", "zone", NULL};
-static const char *const idempotence_choices[] = {"method", "yes", "no", NULL};
+static const char *const survive_choices[] = { "none", "rack", "zone", NULL };
+static const char *const idempotence_choices[] = { "method", "yes", "no",
+						   NULL };
 
 #define AT(type, member) .offset = offsetof(struct type, member)
 
 static const struct field vm_fields[] = {
-	{"name", FIELD_NAME, AT(bnd_vm, name)},
-	{"ip", FIELD_TEXT, AT(bnd_vm, ip)},
-	{"port", FIELD_U16, AT(bnd_vm, port), .min = 1, .max = 65535},
-	{"availability_zone", FIELD_NAME, AT(bnd_vm, availability_zone)},
-	{"rack", FIELD_NAME, AT(bnd_vm, rack)},
-	{"slots", FIELD_U32, AT(bnd_vm, slots), .min = 1, .max = 1024},
-	{"connections", FIELD_U32, AT(bnd_vm, connections), .min = 1,
-	 .max = 65535},
-	{0},
+	{ "name", FIELD_NAME, AT(bnd_vm, name) },
+	{ "ip", FIELD_TEXT, AT(bnd_vm, ip) },
+	{ "port", FIELD_U16, AT(bnd_vm, port), .min = 1, .max = 65535 },
+	{ "availability_zone", FIELD_NAME, AT(bnd_vm, availability_zone) },
+	{ "rack", FIELD_NAME, AT(bnd_vm, rack) },
+	{ "slots", FIELD_U32, AT(bnd_vm, slots), .min = 1, .max = 1024 },
+	{ "connections", FIELD_U32, AT(bnd_vm, connections), .min = 1,
+	  .max = 65535 },
+	{ 0 },
 };
 
 static const struct field pool_fields[] = {
-	{"name", FIELD_NAME, AT(bnd_pool, name)},
-	{"spare", FIELD_BOOL, AT(bnd_pool, spare), .optional = true},
-	{"vms", FIELD_VM_LIST, AT(bnd_pool, vms),
-	 .count_offset = offsetof(struct bnd_pool, vm_count)},
-	{"target_vms", FIELD_U32, AT(bnd_pool, target_vms), .min = 0,
-	 .max = BFL_SECTION_MAX_ITEMS},
-	{"floor_vms", FIELD_U32, AT(bnd_pool, floor_vms), .min = 0,
-	 .max = BFL_SECTION_MAX_ITEMS},
-	{"survive", FIELD_CHOICE, AT(bnd_pool, survive),
-	 .choices = survive_choices},
-	{"queue_max_requests", FIELD_U32, AT(bnd_pool, queue_max_requests),
-	 .min = 1, .max = 1000000},
-	{"queue_max_bytes", FIELD_U64, AT(bnd_pool, queue_max_bytes),
-	 .min = 1024, .max = 1ull << 32},
-	{"queue_max_wait_ms", FIELD_U32, AT(bnd_pool, queue_max_wait_ms),
-	 .min = 1, .max = 3600000},
-	{0},
+	{ "name", FIELD_NAME, AT(bnd_pool, name) },
+	{ "spare", FIELD_BOOL, AT(bnd_pool, spare), .optional = true },
+	{ "vms", FIELD_VM_LIST, AT(bnd_pool, vms),
+	  .count_offset = offsetof(struct bnd_pool, vm_count) },
+	{ "target_vms", FIELD_U32, AT(bnd_pool, target_vms), .min = 0,
+	  .max = BFL_SECTION_MAX_ITEMS },
+	{ "floor_vms", FIELD_U32, AT(bnd_pool, floor_vms), .min = 0,
+	  .max = BFL_SECTION_MAX_ITEMS },
+	{ "survive", FIELD_CHOICE, AT(bnd_pool, survive),
+	  .choices = survive_choices },
+	{ "queue_max_requests", FIELD_U32, AT(bnd_pool, queue_max_requests),
+	  .min = 1, .max = 1000000 },
+	{ "queue_max_bytes", FIELD_U64, AT(bnd_pool, queue_max_bytes),
+	  .min = 1024, .max = 1ull << 32 },
+	{ "queue_max_wait_ms", FIELD_U32, AT(bnd_pool, queue_max_wait_ms),
+	  .min = 1, .max = 3600000 },
+	{ 0 },
 };
 
 static const struct field route_fields[] = {
-	{"path", FIELD_TEXT, AT(bnd_route, path)},
-	{"pool", FIELD_POOL, AT(bnd_route, pool)},
-	{"idempotent", FIELD_CHOICE, AT(bnd_route, idempotence),
-	 .choices = idempotence_choices},
-	{"deadline_ms", FIELD_U32, AT(bnd_route, deadline_ms), .min = 10,
-	 .max = 3600000},
-	{0},
+	{ "path", FIELD_TEXT, AT(bnd_route, path) },
+	{ "pool", FIELD_POOL, AT(bnd_route, pool) },
+	{ "idempotent", FIELD_CHOICE, AT(bnd_route, idempotence),
+	  .choices = idempotence_choices },
+	{ "deadline_ms", FIELD_U32, AT(bnd_route, deadline_ms), .min = 10,
+	  .max = 3600000 },
+	{ 0 },
 };
 
 static const struct field wave_fields[] = {
-	{"name", FIELD_NAME, AT(bnd_wave, name)},
-	{"opens", FIELD_MINUTE, AT(bnd_wave, opens_minute)},
-	{"closes", FIELD_MINUTE, AT(bnd_wave, closes_minute)},
-	{"pools", FIELD_POOL_LIST, AT(bnd_wave, pools),
-	 .count_offset = offsetof(struct bnd_wave, pool_count)},
-	{"max_parallel", FIELD_U32, AT(bnd_wave, max_parallel), .min = 1,
-	 .max = 1000},
-	{"max_failures", FIELD_U32, AT(bnd_wave, max_failures), .min = 1,
-	 .max = 1000},
-	{0},
+	{ "name", FIELD_NAME, AT(bnd_wave, name) },
+	{ "opens", FIELD_MINUTE, AT(bnd_wave, opens_minute) },
+	{ "closes", FIELD_MINUTE, AT(bnd_wave, closes_minute) },
+	{ "pools", FIELD_POOL_LIST, AT(bnd_wave, pools),
+	  .count_offset = offsetof(struct bnd_wave, pool_count) },
+	{ "max_parallel", FIELD_U32, AT(bnd_wave, max_parallel), .min = 1,
+	  .max = 1000 },
+	{ "max_failures", FIELD_U32, AT(bnd_wave, max_failures), .min = 1,
+	  .max = 1000 },
+	{ 0 },
 };
 
 static const struct field weight_fields[] = {
-	{"buffer", FIELD_U32, AT(bnd_weights, buffer), .max = 1000},
-	{"moves", FIELD_U32, AT(bnd_weights, moves), .max = 1000},
-	{"roll_out", FIELD_U32, AT(bnd_weights, roll_out), .max = 1000},
-	{0},
+	{ "buffer", FIELD_U32, AT(bnd_weights, buffer), .max = 1000 },
+	{ "moves", FIELD_U32, AT(bnd_weights, moves), .max = 1000 },
+	{ "roll_out", FIELD_U32, AT(bnd_weights, roll_out), .max = 1000 },
+	{ 0 },
 };
 
 static uint32_t node_line(const yaml_node_t *node)
@@ -416,18 +417,18 @@
 
 /* References resolve against sections read earlier: the order matters. */
 static const struct section sections[] = {
-	{"vms", vm_fields, sizeof(struct bnd_vm),
-	 offsetof(struct bnd_bundle, vms),
-	 offsetof(struct bnd_bundle, vm_count)},
-	{"pools", pool_fields, sizeof(struct bnd_pool),
-	 offsetof(struct bnd_bundle, pools),
-	 offsetof(struct bnd_bundle, pool_count)},
-	{"routes", route_fields, sizeof(struct bnd_route),
-	 offsetof(struct bnd_bundle, routes),
-	 offsetof(struct bnd_bundle, route_count)},
-	{"waves", wave_fields, sizeof(struct bnd_wave),
-	 offsetof(struct bnd_bundle, waves),
-	 offsetof(struct bnd_bundle, wave_count)},
+	{ "vms", vm_fields, sizeof(struct bnd_vm),
+	  offsetof(struct bnd_bundle, vms),
+	  offsetof(struct bnd_bundle, vm_count) },
+	{ "pools", pool_fields, sizeof(struct bnd_pool),
+	  offsetof(struct bnd_bundle, pools),
+	  offsetof(struct bnd_bundle, pool_count) },
+	{ "routes", route_fields, sizeof(struct bnd_route),
+	  offsetof(struct bnd_bundle, routes),
+	  offsetof(struct bnd_bundle, route_count) },
+	{ "waves", wave_fields, sizeof(struct bnd_wave),
+	  offsetof(struct bnd_bundle, waves),
+	  offsetof(struct bnd_bundle, wave_count) },
 };
 
 static void section_read(struct bfl_reader *reader,
@@ -470,10 +471,10 @@
 }
 
 static const struct field top_fields[] = {
-	{"version", FIELD_U64, AT(bnd_bundle, version), .min = 1,
-	 .max = INT64_MAX},
-	{"name", FIELD_NAME, AT(bnd_bundle, name)},
-	{0},
+	{ "version", FIELD_U64, AT(bnd_bundle, version), .min = 1,
+	  .max = INT64_MAX },
+	{ "name", FIELD_NAME, AT(bnd_bundle, name) },
+	{ 0 },
 };
 
 static bool top_key_is_known(const char *key)
@@ -571,7 +572,7 @@
 			struct bfl_mistakes *mistakes, struct bnd_bundle **out)
 {
 	yaml_document_t doc;
-	struct bfl_reader reader = {.doc = &doc, .mistakes = mistakes};
+	struct bfl_reader reader = { .doc = &doc, .mistakes = mistakes };
 	uint32_t before = bfl_mistakes_count(mistakes);
 	enum err_kind err;
 
--- a/packages/operator/src/bfl_check.c
+++ b/packages/operator/src/bfl_check.c
@@ -166,7 +166,7 @@
 void bfl_check(const struct bnd_bundle *bundle, const uint32_t *lines,
 	       struct bfl_mistakes *mistakes)
 {
-	const struct checker checker = {bundle, lines, mistakes};
+	const struct checker checker = { bundle, lines, mistakes };
 
 	vms_check(&checker);
 	pools_check(&checker);
--- a/packages/operator/src/bfl_mistakes.c
+++ b/packages/operator/src/bfl_mistakes.c
@@ -44,7 +44,7 @@
 void bfl_mistakes_add(struct bfl_mistakes *mistakes, uint32_t line,
 		      const char *field, const char *format, ...)
 {
-	struct bfl_mistake mistake = {.line = line};
+	struct bfl_mistake mistake = { .line = line };
 	va_list args;
 
 	va_start(args, format);
--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -31,8 +31,8 @@
 void per_send(struct per_node *node, const struct pwr_message *message,
 	      const char *ip, uint16_t port)
 {
-	struct sockaddr_in to = {.sin_family = AF_INET,
-				 .sin_port = htons(port)};
+	struct sockaddr_in to = { .sin_family = AF_INET,
+				  .sin_port = htons(port) };
 	char buffer[PWR_DATAGRAM_MAX_BYTES];
 	size_t len = pwr_encode(message, buffer);
 
@@ -120,8 +120,8 @@
 			    const struct pwr_message *call, const char *ip,
 			    uint16_t port)
 {
-	struct pwr_message reply = {.kind = PWR_HEARTBEAT_REPLY,
-				    .xid = call->xid};
+	struct pwr_message reply = { .kind = PWR_HEARTBEAT_REPLY,
+				     .xid = call->xid };
 
 	heartbeat_fill(node, &reply.heartbeat);
 	per_send(node, &reply, ip, port);
@@ -166,9 +166,9 @@
 {
 	char buffer[PWR_DATAGRAM_MAX_BYTES + 1];
 	char ip[INET_ADDRSTRLEN];
-	struct sockaddr_in from = {0};
+	struct sockaddr_in from = { 0 };
 	socklen_t from_len = sizeof(from);
-	struct pwr_message message = {0};
+	struct pwr_message message = { 0 };
 	ssize_t len =
 		recvfrom(h2o_socket_get_fd(node->sock), buffer, sizeof(buffer),
 			 MSG_DONTWAIT, (struct sockaddr *)&from, &from_len);
@@ -198,7 +198,7 @@
 
 static void heartbeats_send(struct per_node *node, uint32_t count)
 {
-	struct pwr_message call = {.kind = PWR_HEARTBEAT_CALL};
+	struct pwr_message call = { .kind = PWR_HEARTBEAT_CALL };
 
 	heartbeat_fill(node, &call.heartbeat);
 	for (uint32_t i = 0; i < MIN(count, node->order->len); i++) {
@@ -221,8 +221,8 @@
 
 static enum err_kind socket_open(struct per_node *node)
 {
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port = htons(node->config.port)};
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_port = htons(node->config.port) };
 	socklen_t len = sizeof(addr);
 	int fd;
 
--- a/packages/peer/src/per_fetch.c
+++ b/packages/peer/src/per_fetch.c
@@ -49,7 +49,7 @@
 	struct per_node *node = fetch->node;
 	const struct per_peer *peer = g_ptr_array_index(
 		node->order, (fetch->start + fetch->asked) % node->order->len);
-	struct pwr_message call = {.kind = PWR_FETCH_CALL};
+	struct pwr_message call = { .kind = PWR_FETCH_CALL };
 
 	call.fetch.document = fetch->document;
 	call.fetch.number = fetch->number;
@@ -124,7 +124,8 @@
 void per_fetch_answer(struct per_node *node, const struct pwr_message *call,
 		      const char *ip, uint16_t port)
 {
-	struct pwr_message reply = {.kind = PWR_FETCH_REPLY, .xid = call->xid};
+	struct pwr_message reply = { .kind = PWR_FETCH_REPLY,
+				     .xid = call->xid };
 	uint32_t offset = call->fetch.offset;
 	uint32_t total = 0;
 	const char *text = node->ops->document(node->data, call->fetch.document,
--- a/packages/peer/src/per_wire.c
+++ b/packages/peer/src/per_wire.c
@@ -43,7 +43,7 @@
 
 static bool heartbeat_code(XDR *xdrs, struct per_heartbeat *heartbeat)
 {
-	peer_heartbeat wire = {0};
+	peer_heartbeat wire = { 0 };
 	bool ok;
 
 	if (xdrs->x_op == XDR_ENCODE) {
@@ -58,7 +58,7 @@
 
 static bool chunk_code(XDR *xdrs, struct pwr_chunk *chunk)
 {
-	peer_chunk wire = {0};
+	peer_chunk wire = { 0 };
 	bool ok;
 
 	if (xdrs->x_op == XDR_ENCODE) {
@@ -101,7 +101,7 @@
 
 static bool header_encode(XDR *xdrs, const struct pwr_message *message)
 {
-	struct rpc_msg rpc = {.rm_xid = message->xid};
+	struct rpc_msg rpc = { .rm_xid = message->xid };
 
 	if (message->kind == PWR_HEARTBEAT_CALL ||
 	    message->kind == PWR_FETCH_CALL) {
@@ -139,7 +139,7 @@
 {
 	char credentials[MAX_AUTH_BYTES];
 	char verifier[MAX_AUTH_BYTES];
-	struct rpc_msg rpc = {0};
+	struct rpc_msg rpc = { 0 };
 
 	rpc.rm_call.cb_cred.oa_base = credentials;
 	rpc.rm_call.cb_verf.oa_base = verifier;
@@ -159,7 +159,7 @@
 static bool reply_decode(XDR *xdrs, uint32_t procedure, struct pwr_message *out)
 {
 	char verifier[MAX_AUTH_BYTES];
-	struct rpc_msg rpc = {0};
+	struct rpc_msg rpc = { 0 };
 
 	rpc.acpted_rply.ar_verf.oa_base = verifier;
 	rpc.acpted_rply.ar_results.proc = (xdrproc_t)no_results;
--- a/packages/platform/src/plt.c
+++ b/packages/platform/src/plt.c
@@ -4,7 +4,7 @@
 
 #include "plt_etcd.h"
 
-static const struct plt_ops *const plt_adapters[] = {&plt_etcd_ops};
+static const struct plt_ops *const plt_adapters[] = { &plt_etcd_ops };
 
 struct plt_platform {
 	const struct plt_ops *ops;
@@ -136,7 +136,8 @@
 	if (rate_take(platform))
 		platform->ops->range(platform->self, key, prefix, cb, data);
 	else
-		refuse(platform, &(struct plt_refusal){.cb = cb, .data = data});
+		refuse(platform,
+		       &(struct plt_refusal){ .cb = cb, .data = data });
 }
 
 void plt_txn(struct plt_platform *platform, const struct plt_txn *txn,
@@ -145,7 +146,8 @@
 	if (rate_take(platform))
 		platform->ops->txn(platform->self, txn, cb, data);
 	else
-		refuse(platform, &(struct plt_refusal){.cb = cb, .data = data});
+		refuse(platform,
+		       &(struct plt_refusal){ .cb = cb, .data = data });
 }
 
 void plt_lease_grant(struct plt_platform *platform, uint32_t ttl_s,
@@ -155,7 +157,7 @@
 		platform->ops->lease_grant(platform->self, ttl_s, cb, data);
 	else
 		refuse(platform,
-		       &(struct plt_refusal){.lease_cb = cb, .data = data});
+		       &(struct plt_refusal){ .lease_cb = cb, .data = data });
 }
 
 void plt_lease_keep_alive(struct plt_platform *platform, int64_t lease,
@@ -166,7 +168,7 @@
 						data);
 	else
 		refuse(platform,
-		       &(struct plt_refusal){.lease_cb = cb, .data = data});
+		       &(struct plt_refusal){ .lease_cb = cb, .data = data });
 }
 
 void plt_lease_revoke(struct plt_platform *platform, int64_t lease,
@@ -176,7 +178,7 @@
 		platform->ops->lease_revoke(platform->self, lease, cb, data);
 	else
 		refuse(platform,
-		       &(struct plt_refusal){.lease_cb = cb, .data = data});
+		       &(struct plt_refusal){ .lease_cb = cb, .data = data });
 }
 
 void plt_vm_list(struct plt_platform *platform, plt_vms_cb cb, void *data)
@@ -185,7 +187,7 @@
 		platform->ops->vm_list(platform->self, cb, data);
 	else
 		refuse(platform,
-		       &(struct plt_refusal){.vms_cb = cb, .data = data});
+		       &(struct plt_refusal){ .vms_cb = cb, .data = data });
 }
 
 void plt_vm_action(struct plt_platform *platform, const char *vm,
@@ -197,7 +199,7 @@
 					 data);
 	else
 		refuse(platform,
-		       &(struct plt_refusal){.action_cb = cb, .data = data});
+		       &(struct plt_refusal){ .action_cb = cb, .data = data });
 }
 
 const char *plt_action_name(enum plt_action action)
--- a/packages/platform/src/plt_etcd.c
+++ b/packages/platform/src/plt_etcd.c
@@ -152,7 +152,7 @@
 		      const struct etcd_call *model)
 {
 	static const struct hcl_header headers[] = {
-		{"content-type", "application/json"},
+		{ "content-type", "application/json" },
 	};
 	struct etcd_call *call = g_memdup2(model, sizeof(*model));
 	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
@@ -180,14 +180,14 @@
 		       void *data)
 {
 	call_send(self, "/v3/kv/range", plj_range_build(key, prefix),
-		  &(struct etcd_call){.cb = cb, .data = data});
+		  &(struct etcd_call){ .cb = cb, .data = data });
 }
 
 static void etcd_txn(void *self, const struct plt_txn *txn, plt_cb cb,
 		     void *data)
 {
 	call_send(self, "/v3/kv/txn", plj_txn_build(txn),
-		  &(struct etcd_call){.cb = cb, .data = data});
+		  &(struct etcd_call){ .cb = cb, .data = data });
 }
 
 static void etcd_lease_grant(void *self, uint32_t ttl_s, plt_lease_cb cb,
@@ -196,7 +196,7 @@
 	call_send(self, "/v3/lease/grant",
 		  json_pack("{s:o, s:s}", "TTL", plj_int64_build(ttl_s), "ID",
 			    "0"),
-		  &(struct etcd_call){.lease_cb = cb, .data = data});
+		  &(struct etcd_call){ .lease_cb = cb, .data = data });
 }
 
 static void etcd_lease_keep_alive(void *self, int64_t lease, plt_lease_cb cb,
@@ -204,7 +204,7 @@
 {
 	call_send(self, "/v3/lease/keepalive",
 		  json_pack("{s:o}", "ID", plj_int64_build(lease)),
-		  &(struct etcd_call){.lease_cb = cb, .data = data});
+		  &(struct etcd_call){ .lease_cb = cb, .data = data });
 }
 
 static void etcd_lease_revoke(void *self, int64_t lease, plt_lease_cb cb,
@@ -212,13 +212,13 @@
 {
 	call_send(self, "/v3/lease/revoke",
 		  json_pack("{s:o}", "ID", plj_int64_build(lease)),
-		  &(struct etcd_call){.lease_cb = cb, .data = data});
+		  &(struct etcd_call){ .lease_cb = cb, .data = data });
 }
 
 static void etcd_vm_list(void *self, plt_vms_cb cb, void *data)
 {
 	call_send(self, "/vms", NULL,
-		  &(struct etcd_call){.vms_cb = cb, .data = data});
+		  &(struct etcd_call){ .vms_cb = cb, .data = data });
 }
 
 static void etcd_vm_action(void *self, const char *vm, enum plt_action action,
@@ -229,7 +229,7 @@
 	g_snprintf(path, sizeof(path), "/vms/%s/%s", vm,
 		   plt_action_name(action));
 	call_send(self, path, json_pack("{s:s}", "intent", intent),
-		  &(struct etcd_call){.action_cb = cb, .data = data});
+		  &(struct etcd_call){ .action_cb = cb, .data = data });
 }
 
 const struct plt_ops plt_etcd_ops = {
--- a/packages/platform/src/plt_json.c
+++ b/packages/platform/src/plt_json.c
@@ -265,7 +265,7 @@
 			json_string_value(json_object_get(item, "name"));
 		const char *state =
 			json_string_value(json_object_get(item, "state"));
-		struct plt_vm vm = {.name = name};
+		struct plt_vm vm = { .name = name };
 
 		if (!name || !state || !vm_state_parse(state, &vm.state)) {
 			g_clear_pointer(out, g_array_unref);
--- a/packages/runtime/src/evl.c
+++ b/packages/runtime/src/evl.c
@@ -118,8 +118,8 @@
 
 static enum err_kind listen_fd_open(const char *ip, uint16_t port, int *out)
 {
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_port = htons(port)};
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_port = htons(port) };
 	int on = 1;
 	int fd;
 
--- a/packages/runtime/src/lgx.c
+++ b/packages/runtime/src/lgx.c
@@ -28,9 +28,9 @@
 
 static bool field_is_wanted(const char *key)
 {
-	static const char *const internal[] = {"PRIORITY", "CODE_FILE",
-					       "CODE_LINE", "CODE_FUNC",
-					       "GLIB_DOMAIN"};
+	static const char *const internal[] = { "PRIORITY", "CODE_FILE",
+						"CODE_LINE", "CODE_FUNC",
+						"GLIB_DOMAIN" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(internal); i++) {
 		if (strcmp(key, internal[i]) == 0)
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -183,10 +183,10 @@
 	static const struct {
 		const char *name;
 		int signo;
-	} signals[] = {{"KILL", SIGKILL},
-		       {"TERM", SIGTERM},
-		       {"STOP", SIGSTOP},
-		       {"CONT", SIGCONT}};
+	} signals[] = { { "KILL", SIGKILL },
+			{ "TERM", SIGTERM },
+			{ "STOP", SIGSTOP },
+			{ "CONT", SIGCONT } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
 		if (strcmp(signals[i].name, name) == 0)
@@ -452,8 +452,8 @@
 static int verb_free_port(lua_State *lua)
 {
 	bool udp = strcmp(luaL_optstring(lua, 1, "tcp"), "udp") == 0;
-	struct sockaddr_in addr = {.sin_family = AF_INET,
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	socklen_t len = sizeof(addr);
 	int fd = socket(AF_INET, udp ? SOCK_DGRAM : SOCK_STREAM, 0);
 
@@ -513,18 +513,18 @@
 }
 
 static const luaL_Reg verbs[] = {
-	{"spawn", verb_spawn},
-	{"run", verb_run},
-	{"signal", verb_signal},
-	{"exited", verb_exited},
-	{"http_start", verb_http_start},
-	{"http_result", verb_http_result},
-	{"http_drop", verb_http_drop},
-	{"poll", verb_poll},
-	{"now_ms", verb_now_ms},
-	{"free_port", verb_free_port},
-	{"json", verb_json},
-	{NULL, NULL},
+	{ "spawn", verb_spawn },
+	{ "run", verb_run },
+	{ "signal", verb_signal },
+	{ "exited", verb_exited },
+	{ "http_start", verb_http_start },
+	{ "http_result", verb_http_result },
+	{ "http_drop", verb_http_drop },
+	{ "poll", verb_poll },
+	{ "now_ms", verb_now_ms },
+	{ "free_port", verb_free_port },
+	{ "json", verb_json },
+	{ NULL, NULL },
 };
 
 static lua_State *lua_open(struct runner *runner, const char *scenario)
@@ -593,7 +593,7 @@
 
 int main(int argc, char **argv)
 {
-	struct runner runner = {.seed = 1};
+	struct runner runner = { .seed = 1 };
 	g_autofree char *dir = g_dir_make_tmp("sassafrascart-XXXXXX", NULL);
 	int status;
 
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -22,9 +22,9 @@
 #define HEADER_LENGTH "\r\ncontent-length:"
 
 /** What is done with a request; set by POST /control {"mode": ...}. */
-static const char *const modes[] = {"ok",	"fail",	 "silent",  "cut-head",
-				    "cut-body", "twice", "crossed", "reset",
-				    "leaving",	NULL};
+static const char *const modes[] = { "ok",	 "fail",  "silent",  "cut-head",
+				     "cut-body", "twice", "crossed", "reset",
+				     "leaving",	 NULL };
 
 enum mode {
 	MODE_OK,
@@ -301,7 +301,7 @@
 
 int main(int argc, char **argv)
 {
-	struct backend backend = {.slots = 8};
+	struct backend backend = { .slots = 8 };
 	struct cfg_endpoint listen;
 	h2o_socket_t *listener;
 
--- a/tests/standin/kvs.c
+++ b/tests/standin/kvs.c
@@ -249,8 +249,8 @@
 
 static void lease_end(struct kvs_store *store, int64_t lease)
 {
-	struct lease_keys collected = {lease,
-				       g_ptr_array_new_with_free_func(g_free)};
+	struct lease_keys collected = { lease, g_ptr_array_new_with_free_func(
+						       g_free) };
 
 	g_tree_foreach(store->entries, lease_key_collect, &collected);
 	if (collected.keys->len > 0)
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -277,7 +277,7 @@
 
 int main(int argc, char **argv)
 {
-	struct platform platform = {0};
+	struct platform platform = { 0 };
 	struct cfg_endpoint listen;
 	uint16_t port;
 
