--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -1,17 +1,10 @@
-#include "ent.h"
+#include "ent_private.h"
 
-#include <jansson.h>
 #include <string.h>
 #include <time.h>
 
-#include "clr.h"
-#include "gat.h"
 #include "lgx.h"
-#include "lse.h"
-#include "mgr.h"
-#include "per.h"
 #include "plv.h"
-#include "syn.h"
 
 #define ENT_SHUT_DOWN_TICK_MS 50
 /* Bursts of this many seconds' worth of calls are let through. */
@@ -21,25 +14,6 @@
 #define ENT_PEER_FAN_OUT 3
 #define ENT_PEER_GONE_AFTER_MS 8000
 
-struct ent_entry {
-	struct evl_loop *loop;
-	const struct set_settings *settings;
-	struct ctr_set counters;
-	struct mem_member self;
-	struct plt_platform *platform;
-	struct sgn_trust *trust;
-	struct lse_keeper *lease;
-	struct mgr_manager *manager;
-	struct syn_sync *sync;
-	struct gat_gateway *gateway;
-	struct clr_server *server;
-	struct per_node *peers;
-	struct tmr_entry members_timer;
-	bool shutting_down;
-	uint64_t shut_down_by_ms;
-	struct tmr_entry shut_down_timer;
-};
-
 static void on_request(void *data, struct clr_request *request)
 {
 	struct ent_entry *entry = data;
@@ -54,87 +28,17 @@
 	gat_gateway_gone(entry->gateway, request);
 }
 
-static bool may_dispatch(void *data)
+bool ent_may_dispatch(void *data)
 {
 	struct ent_entry *entry = data;
 
 	return hed_may_dispatch(syn_sync_state(entry->sync), evl_now_ms());
 }
 
-static void health_page(struct ent_entry *entry, struct clr_answer *answer,
-			GString *body)
-{
-	const char *text = "ready\n";
-
-	if (entry->shutting_down)
-		text = "shutting down\n";
-	else if (!syn_sync_bundle(entry->sync))
-		text = "no bundle in force\n";
-	else if (!may_dispatch(entry))
-		text = "view of the fleet is stale\n";
-	answer->status = strcmp(text, "ready\n") == 0 ? 200 : 503;
-	g_string_append(body, text);
-}
-
-static void metrics_page(struct ent_entry *entry, GString *body)
-{
-	const struct per_counts *peers = per_node_counts(entry->peers);
-	uint64_t calls;
-	uint64_t limited;
-
-	ctr_render(&entry->counters, body);
-	gat_gateway_render(entry->gateway, body);
-	plt_platform_counts(entry->platform, &calls, &limited);
-	ctr_render_gauge(body, "platform_calls_total", calls);
-	ctr_render_gauge(body, "platform_rate_limited_total", limited);
-	ctr_render_gauge(body, "peers_live", per_node_live_count(entry->peers));
-	ctr_render_gauge(body, "peer_datagrams_sent_total", peers->sent);
-	ctr_render_gauge(body, "peer_datagrams_received_total",
-			 peers->received);
-	ctr_render_gauge(body, "peer_datagrams_dropped_total", peers->dropped);
-}
-
-static void status_page(struct ent_entry *entry, GString *body)
-{
-	const struct hed_state *head = syn_sync_state(entry->sync);
-	const struct bnd_bundle *bundle = syn_sync_bundle(entry->sync);
-	json_t *root = json_pack(
-		"{s:s, s:I, s:I, s:I, s:I, s:b, s:b, s:s}", "id",
-		entry->self.id, "incarnation",
-		(json_int_t)entry->self.incarnation, "roll",
-		(json_int_t)head->applied_roll, "version",
-		(json_int_t)(bundle ? bundle->version : 0), "placement",
-		(json_int_t)head->applied_placement, "manager",
-		mgr_manager_is_active(entry->manager), "may_dispatch",
-		may_dispatch(entry), "availability_zone",
-		entry->settings->availability_zone);
-	char *text = json_dumps(root, JSON_COMPACT);
-
-	g_string_append_printf(body, "%s\n", text);
-	free(text);
-	json_decref(root);
-}
-
-static bool on_page(void *data, const char *path, struct clr_answer *answer,
-		    GString *body)
-{
-	struct ent_entry *entry = data;
-
-	if (strcmp(path, "/healthz") == 0)
-		health_page(entry, answer, body);
-	else if (strcmp(path, "/metrics") == 0)
-		metrics_page(entry, body);
-	else if (strcmp(path, "/status") == 0)
-		status_page(entry, body);
-	else
-		return false;
-	return true;
-}
-
 static const struct clr_ops caller_ops = {
 	.on_request = on_request,
 	.on_gone = on_gone,
-	.on_page = on_page,
+	.on_page = ent_page,
 };
 
 static void heartbeat_fill(void *data, struct per_heartbeat *heartbeat)
@@ -336,7 +240,7 @@
 		.id = entry->self.id,
 		.incarnation = entry->self.incarnation,
 		.answer_max_bytes = settings->answer_max_bytes,
-		.may_dispatch = may_dispatch,
+		.may_dispatch = ent_may_dispatch,
 		.data = entry,
 	};
 	const struct mgr_config manager = {
--- /dev/null
+++ b/bin/sassafrascartd/ent_pages.c
@@ -0,0 +1,74 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "ent_private.h"
+
+static void health_page(struct ent_entry *entry, struct clr_answer *answer,
+			GString *body)
+{
+	const char *text = "ready\n";
+
+	if (entry->shutting_down)
+		text = "shutting down\n";
+	else if (!syn_sync_bundle(entry->sync))
+		text = "no bundle in force\n";
+	else if (!ent_may_dispatch(entry))
+		text = "view of the fleet is stale\n";
+	answer->status = strcmp(text, "ready\n") == 0 ? 200 : 503;
+	g_string_append(body, text);
+}
+
+static void metrics_page(struct ent_entry *entry, GString *body)
+{
+	const struct per_counts *peers = per_node_counts(entry->peers);
+	uint64_t calls;
+	uint64_t limited;
+
+	ctr_render(&entry->counters, body);
+	gat_gateway_render(entry->gateway, body);
+	plt_platform_counts(entry->platform, &calls, &limited);
+	ctr_render_gauge(body, "platform_calls_total", calls);
+	ctr_render_gauge(body, "platform_rate_limited_total", limited);
+	ctr_render_gauge(body, "peers_live", per_node_live_count(entry->peers));
+	ctr_render_gauge(body, "peer_datagrams_sent_total", peers->sent);
+	ctr_render_gauge(body, "peer_datagrams_received_total",
+			 peers->received);
+	ctr_render_gauge(body, "peer_datagrams_dropped_total", peers->dropped);
+}
+
+static void status_page(struct ent_entry *entry, GString *body)
+{
+	const struct hed_state *head = syn_sync_state(entry->sync);
+	const struct bnd_bundle *bundle = syn_sync_bundle(entry->sync);
+	json_t *root = json_pack(
+		"{s:s, s:I, s:I, s:I, s:I, s:b, s:b, s:s}", "id",
+		entry->self.id, "incarnation",
+		(json_int_t)entry->self.incarnation, "roll",
+		(json_int_t)head->applied_roll, "version",
+		(json_int_t)(bundle ? bundle->version : 0), "placement",
+		(json_int_t)head->applied_placement, "manager",
+		mgr_manager_is_active(entry->manager), "may_dispatch",
+		ent_may_dispatch(entry), "availability_zone",
+		entry->settings->availability_zone);
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	g_string_append_printf(body, "%s\n", text);
+	free(text);
+	json_decref(root);
+}
+
+bool ent_page(void *data, const char *path, struct clr_answer *answer,
+		    GString *body)
+{
+	struct ent_entry *entry = data;
+
+	if (strcmp(path, "/healthz") == 0)
+		health_page(entry, answer, body);
+	else if (strcmp(path, "/metrics") == 0)
+		metrics_page(entry, body);
+	else if (strcmp(path, "/status") == 0)
+		status_page(entry, body);
+	else
+		return false;
+	return true;
+}
--- /dev/null
+++ b/bin/sassafrascartd/ent_private.h
@@ -0,0 +1,45 @@
+/**
+ * @file ent_private.h
+ * @brief What the parts of the entry process share.
+ */
+#ifndef ENT_PRIVATE_H
+#define ENT_PRIVATE_H
+
+#include "clr.h"
+#include "ctr.h"
+#include "ent.h"
+#include "gat.h"
+#include "lse.h"
+#include "mem.h"
+#include "mgr.h"
+#include "per.h"
+#include "sgn.h"
+#include "syn.h"
+
+struct ent_entry {
+	struct evl_loop *loop;
+	const struct set_settings *settings;
+	struct ctr_set counters;
+	struct mem_member self;
+	struct plt_platform *platform;
+	struct sgn_trust *trust;
+	struct lse_keeper *lease;
+	struct mgr_manager *manager;
+	struct syn_sync *sync;
+	struct gat_gateway *gateway;
+	struct clr_server *server;
+	struct per_node *peers;
+	struct tmr_entry members_timer;
+	bool shutting_down;
+	uint64_t shut_down_by_ms;
+	struct tmr_entry shut_down_timer;
+};
+
+/** @brief Answers an operator's page; false when there is none. */
+bool ent_page(void *data, const char *path, struct clr_answer *answer,
+	      GString *body);
+
+/** @brief Tells whether requests may be dispatched at this moment. */
+bool ent_may_dispatch(void *data);
+
+#endif
--- /dev/null
+++ b/bin/sassafrascartd/gat_slots.c
@@ -0,0 +1,74 @@
+#include "gat_private.h"
+
+uint32_t gat_pool_slots(const struct gat_gateway *gateway,
+			   const struct gat_pool *pool)
+{
+	if (pool->index == BND_NONE)
+		return 0;
+	return sel_pool_slots(gateway->servers, pool->index, evl_now_ms());
+}
+
+struct sel_server *gat_server_find(const struct gat_gateway *gateway,
+				      const char *vm_name)
+{
+	gpointer index;
+
+	if (!g_hash_table_lookup_extended(gateway->vm_index, vm_name, NULL,
+					  &index))
+		return NULL;
+	return &gateway->servers->servers[GPOINTER_TO_UINT(index)];
+}
+
+uint32_t gat_slot_choose(struct gat_gateway *gateway,
+			 const struct gat_pool *pool, uint32_t avoid)
+{
+	if (pool->index == BND_NONE)
+		return BND_NONE;
+	return sel_choose(gateway->servers, pool->index, avoid, evl_now_ms());
+}
+
+void gat_slot_take(struct gat_work *work, uint32_t vm)
+{
+	struct gat_gateway *gateway = work->gateway;
+
+	work->vm_name = g_strdup(gateway->bundle->vms[vm].name);
+	gateway->servers->servers[vm].in_flight++;
+}
+
+void gat_slot_release(struct gat_work *work)
+{
+	struct sel_server *server = gat_server_find(work->gateway, work->vm_name);
+
+	if (server && server->in_flight > 0)
+		server->in_flight--;
+	g_clear_pointer(&work->vm_name, g_free);
+}
+
+static bool work_can_start(struct gat_work *work)
+{
+	if (work->request && !clr_request_is_connected(work->request)) {
+		/* Nobody is left to read an answer. */
+		gat_work_refuse(work, OUT_CANCELLED);
+		return false;
+	}
+	return true;
+}
+
+void gat_pool_pump(struct gat_gateway *gateway, struct gat_pool *pool)
+{
+	if (pool->index == BND_NONE ||
+	    !gateway->config.may_dispatch(gateway->config.data))
+		return;
+	while (adm_queue_length(pool->queue) > 0) {
+		uint32_t vm = gat_slot_choose(gateway, pool, BND_NONE);
+		struct adm_item *item;
+		struct gat_work *work;
+
+		if (vm == BND_NONE)
+			return;
+		item = adm_queue_pop(pool->queue);
+		work = gat_work_of(item);
+		if (work_can_start(work))
+			gat_work_dispatch(work, vm);
+	}
+}
--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -187,9 +187,15 @@
 		return;
 	h2o_socket_close(server->listener);
 	/*
-	 * h2o 2.2.5 cannot close the connections of a context, so context and
-	 * configuration stay allocated until the process ends.
+	 * h2o 2.2.5 cannot close the connections of a context; with any left
+	 * the context stays allocated until the process ends.
 	 */
+	if (!h2o_linklist_is_empty(&server->ctx.http1._conns) ||
+	    !h2o_linklist_is_empty(&server->ctx.http2._conns))
+		return;
+	h2o_context_dispose(&server->ctx);
+	h2o_config_dispose(&server->config);
+	g_free(server);
 }
 
 uint16_t clr_server_port(const struct clr_server *server)
--- a/packages/runtime/src/evl.c
+++ b/packages/runtime/src/evl.c
@@ -38,6 +38,9 @@
 	/* h2o 2.2.5 frees closed sockets in the turn after their closing. */
 	h2o_evloop_run(loop->h2o, 0);
 	tmr_queue_destroy(loop->timers);
+	/* h2o asserts that no timeout is left when it frees a loop. */
+	if (h2o_linklist_is_empty(&loop->h2o->_timeouts))
+		h2o_evloop_destroy(loop->h2o);
 	g_free(loop);
 }
 
