--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SANITIZED := build-sanitized
 JOBS := $(shell nproc)
 PROGRAMS := $(BUILD)/programs
-SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v peer_prog)
+SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v peer_prog)
 
 .PHONY: all setup build check unit scenarios sanitize format format-check \
 	lint demo proofs bench fuzz clean
@@ -40,7 +40,7 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 
 lint: build
-	git ls-files '*.c' | grep -v peer_prog | \
+	git ls-files -co --exclude-standard '*.c' | grep -v peer_prog | \
 		xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
 
 demo: build
--- a/bin/sassafrascartd/ent_pages.c
+++ b/bin/sassafrascartd/ent_pages.c
@@ -58,7 +58,7 @@
 }
 
 bool ent_page(void *data, const char *path, struct clr_answer *answer,
-		    GString *body)
+	      GString *body)
 {
 	struct ent_entry *entry = data;
 
--- a/bin/sassafrascartd/gat_slots.c
+++ b/bin/sassafrascartd/gat_slots.c
@@ -1,7 +1,7 @@
 #include "gat_private.h"
 
 uint32_t gat_pool_slots(const struct gat_gateway *gateway,
-			   const struct gat_pool *pool)
+			const struct gat_pool *pool)
 {
 	if (pool->index == BND_NONE)
 		return 0;
@@ -9,7 +9,7 @@
 }
 
 struct sel_server *gat_server_find(const struct gat_gateway *gateway,
-				      const char *vm_name)
+				   const char *vm_name)
 {
 	gpointer index;
 
@@ -37,7 +37,8 @@
 
 void gat_slot_release(struct gat_work *work)
 {
-	struct sel_server *server = gat_server_find(work->gateway, work->vm_name);
+	struct sel_server *server =
+		gat_server_find(work->gateway, work->vm_name);
 
 	if (server && server->in_flight > 0)
 		server->in_flight--;
--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -14,8 +14,8 @@
 
 static uint32_t retry_after_s(const struct gat_work *work)
 {
-	return adm_queue_retry_after_s(work->pool->queue,
-				       gat_pool_slots(work->gateway, work->pool));
+	return adm_queue_retry_after_s(
+		work->pool->queue, gat_pool_slots(work->gateway, work->pool));
 }
 
 void gat_work_refuse(struct gat_work *work, enum out_kind outcome)
