--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -231,6 +231,43 @@
 	}
 }
 
+static uint64_t applied_placement(void *data)
+{
+	struct ent_entry *entry = data;
+
+	return syn_sync_state(entry->sync)->applied_placement;
+}
+
+static bool lease_is_valid(void *data)
+{
+	struct ent_entry *entry = data;
+
+	return lse_keeper_lease(entry->lease) != 0;
+}
+
+static struct mgr_manager *manager_create(struct ent_entry *entry)
+{
+	const struct set_settings *settings = entry->settings;
+	const struct mgr_config config = {
+		.loop = entry->loop,
+		.platform = entry->platform,
+		.counters = &entry->counters,
+		.peers = entry->peers,
+		.id = entry->self.id,
+		.tick_ms = settings->manager_tick_ms,
+		.vm_list_ms = settings->vm_list_ms,
+		.vm_list_lag_ms = settings->vm_list_lag_ms,
+		.vm_failed_after_ms = settings->vm_failed_after_ms,
+		.maintenance_timeout_ms = settings->maintenance_timeout_ms,
+		.dispatch_window_ms = settings->dispatch_window_ms,
+		.applied_placement = applied_placement,
+		.lease_is_valid = lease_is_valid,
+		.data = entry,
+	};
+
+	return mgr_manager_create(&config);
+}
+
 static void parts_create(struct ent_entry *entry)
 {
 	const struct set_settings *settings = entry->settings;
@@ -243,12 +280,6 @@
 		.may_dispatch = ent_may_dispatch,
 		.data = entry,
 	};
-	const struct mgr_config manager = {
-		.loop = entry->loop,
-		.platform = entry->platform,
-		.counters = &entry->counters,
-		.id = entry->self.id,
-	};
 	const struct syn_config sync = {
 		.loop = entry->loop,
 		.platform = entry->platform,
@@ -259,7 +290,7 @@
 	};
 
 	entry->gateway = gat_gateway_create(&gateway);
-	entry->manager = mgr_manager_create(&manager);
+	entry->manager = manager_create(entry);
 	entry->sync = syn_sync_create(&sync, on_synced, entry);
 	syn_sync_set_peers(entry->sync, entry->peers, on_head_changed);
 	peers_seed(entry);
--- a/bin/sassafrascartd/mgr.c
+++ b/bin/sassafrascartd/mgr.c
@@ -1,36 +1,56 @@
-#include "mgr.h"
-
 #include <string.h>
+#include <time.h>
 
 #include "lgx.h"
-#include "plv.h"
+#include "mgr_private.h"
+
+void mgr_platform_failed(struct mgr_manager *manager)
+{
+	ctr_add(manager->config.counters, CTR_PLATFORM_ERRORS);
+}
 
-#define MGR_TICK_MS 500
+uint64_t mgr_wall_ms(void)
+{
+	struct timespec now;
 
-struct mgr_manager {
-	struct mgr_config config;
-	int64_t lease;
-	/* create revision of the manager key; 0 while not manager */
-	int64_t term;
-	struct bnd_bundle *bundle;
-	uint64_t roll;
-	bool busy;
-	struct tmr_entry tick_timer;
-	/* placement being written */
-	int64_t placement_revision;
-};
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
 
-static void term_end(struct mgr_manager *manager, const char *why)
+bool mgr_may_act(const struct mgr_manager *manager)
+{
+	return manager->term != 0 &&
+	       manager->config.lease_is_valid(manager->config.data);
+}
+
+void mgr_term_end(struct mgr_manager *manager, const char *why)
 {
 	if (manager->term == 0)
 		return;
 	manager->term = 0;
+	manager->synced = false;
 	lgx_info("manager_term_ended", "no longer manager: %s", why);
 }
 
+static gboolean vm_forget(gpointer name, gpointer value, gpointer data)
+{
+	struct mgr_vm *vm = value;
+
+	/* A call's callback still needs the structure. */
+	if (!vm->calling)
+		return TRUE;
+	g_clear_pointer(&vm->intent, g_free);
+	return FALSE;
+}
+
 static void term_begin(struct mgr_manager *manager, int64_t revision)
 {
 	manager->term = revision;
+	manager->synced = false;
+	memset(&manager->settled, 0, sizeof(manager->settled));
+	manager->list_read_ms = 0;
+	g_hash_table_foreach_remove(manager->vms, vm_forget, NULL);
+	g_hash_table_remove_all(manager->processes);
 	ctr_add(manager->config.counters, CTR_MANAGER_TERMS);
 	lgx_info("manager_term_began", "manager with term %" G_GINT64_FORMAT,
 		 revision);
@@ -43,7 +63,7 @@
 
 	manager->busy = false;
 	if (err != ERR_NONE) {
-		ctr_add(manager->config.counters, CTR_PLATFORM_ERRORS);
+		mgr_platform_failed(manager);
 		return;
 	}
 	if (manager->lease == 0)
@@ -70,106 +90,49 @@
 	plt_txn(manager->config.platform, &txn, on_competed, manager);
 }
 
-static void on_placement_written(void *data, enum err_kind err,
-				 const struct plt_result *result)
+static void on_tick(void *data)
 {
 	struct mgr_manager *manager = data;
 
-	manager->busy = false;
-	if (err != ERR_NONE) {
-		/* The next tick reads back what is there. */
-		ctr_add(manager->config.counters, CTR_PLATFORM_ERRORS);
+	evl_timer_set(manager->config.loop, &manager->tick_timer,
+		      manager->config.tick_ms);
+	if (manager->busy || manager->lease == 0)
 		return;
-	}
-	if (result->succeeded) {
-		ctr_add(manager->config.counters, CTR_MANAGER_WRITES);
+	if (manager->term == 0)
+		compete(manager);
+	else if (!manager->bundle)
 		return;
-	}
-	ctr_add(manager->config.counters, CTR_MANAGER_FENCED);
-	term_end(manager, "a write was fenced");
-}
-
-static void placement_write(struct mgr_manager *manager, struct plc_view *view)
-{
-	g_autofree char *text = NULL;
-	g_autofree char *number = NULL;
-	const struct plt_compare compares[] = {
-		{ PLT_KEY_MANAGER, PLT_TARGET_CREATE_REVISION, manager->term },
-		{ PLT_KEY_PLACEMENT, PLT_TARGET_MOD_REVISION,
-		  manager->placement_revision },
-	};
-	struct plt_write writes[] = {
-		{ PLT_KEY_PLACEMENT, NULL, 0 },
-		{ PLT_KEY_PLACEMENT_NUMBER, NULL, 0 },
-	};
-	const struct plt_txn txn = { compares, 2, writes, 2 };
-
-	view->number++;
-	view->roll = manager->roll;
-	text = plv_placement_build(manager->bundle, view);
-	number = plv_number_build(view->number);
-	writes[0].value = text;
-	writes[1].value = number;
-	manager->busy = true;
-	lgx_info("placement_write", "writing placement %" PRIu64, view->number);
-	plt_txn(manager->config.platform, &txn, on_placement_written, manager);
+	else if (!manager->synced)
+		mgr_read_records(manager);
+	else
+		mgr_read_fleet(manager);
 }
 
-static struct plc_view *placement_read(struct mgr_manager *manager,
-				       const struct plt_result *result)
+static void vm_free(gpointer data)
 {
-	struct plc_view *view = NULL;
+	struct mgr_vm *vm = data;
 
-	manager->placement_revision = 0;
-	if (result->kv_count == 0)
-		return plc_view_create(manager->bundle);
-	manager->placement_revision = result->kvs[0].mod_revision;
-	if (plv_placement_parse(result->kvs[0].value, result->kvs[0].value_len,
-				manager->bundle, &view) != ERR_NONE) {
-		lgx_warning("placement_refused",
-			    "the stored placement cannot be parsed");
-		return NULL;
-	}
-	return view;
+	g_free(vm->name);
+	g_free(vm->intent);
+	g_free(vm);
 }
 
-static void on_placement_read(void *data, enum err_kind err,
-			      const struct plt_result *result)
+struct mgr_vm *mgr_vm_get(struct mgr_manager *manager, const char *name)
 {
-	struct mgr_manager *manager = data;
-	struct plc_view *view;
-
-	manager->busy = false;
-	if (err != ERR_NONE) {
-		ctr_add(manager->config.counters, CTR_PLATFORM_ERRORS);
-		return;
-	}
-	if (manager->term == 0 || !manager->bundle)
-		return;
-	view = placement_read(manager, result);
-	if (!view || view->roll > manager->roll) {
-		plc_view_destroy(view);
-		return;
-	}
-	if (plc_fill(manager->bundle, view) > 0 || view->roll != manager->roll)
-		placement_write(manager, view);
-	plc_view_destroy(view);
+	struct mgr_vm *vm = g_hash_table_lookup(manager->vms, name);
+
+	if (vm)
+		return vm;
+	vm = g_new0(struct mgr_vm, 1);
+	vm->manager = manager;
+	vm->name = g_strdup(name);
+	g_hash_table_insert(manager->vms, vm->name, vm);
+	return vm;
 }
 
-static void on_tick(void *data)
+static void intent_free(gpointer data)
 {
-	struct mgr_manager *manager = data;
-
-	evl_timer_set(manager->config.loop, &manager->tick_timer, MGR_TICK_MS);
-	if (manager->busy || manager->lease == 0)
-		return;
-	if (manager->term == 0) {
-		compete(manager);
-	} else if (manager->bundle) {
-		manager->busy = true;
-		plt_range(manager->config.platform, PLT_KEY_PLACEMENT, false,
-			  on_placement_read, manager);
-	}
+	plr_intent_destroy(data);
 }
 
 struct mgr_manager *mgr_manager_create(const struct mgr_config *config)
@@ -177,9 +140,15 @@
 	struct mgr_manager *manager = g_new0(struct mgr_manager, 1);
 
 	manager->config = *config;
+	manager->vms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vm_free);
+	manager->intents = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 intent_free);
+	manager->processes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	manager->tick_timer.cb = on_tick;
 	manager->tick_timer.data = manager;
-	evl_timer_set(config->loop, &manager->tick_timer, MGR_TICK_MS);
+	evl_timer_set(config->loop, &manager->tick_timer, config->tick_ms);
 	return manager;
 }
 
@@ -188,6 +157,12 @@
 	if (!manager)
 		return;
 	tmr_cancel(&manager->tick_timer);
+	mgr_plan_clear(manager);
+	plc_view_destroy(manager->view);
+	g_free(manager->waves);
+	g_hash_table_unref(manager->processes);
+	g_hash_table_unref(manager->intents);
+	g_hash_table_unref(manager->vms);
 	bnd_bundle_unref(manager->bundle);
 	g_free(manager);
 }
@@ -196,16 +171,20 @@
 {
 	manager->lease = lease;
 	if (lease == 0)
-		term_end(manager, "the lease was lost");
+		mgr_term_end(manager, "the lease was lost");
 }
 
 void mgr_manager_set_bundle(struct mgr_manager *manager,
 			    struct bnd_bundle *bundle, uint64_t roll)
 {
+	if (manager->bundle == bundle && manager->roll == roll)
+		return;
 	bnd_bundle_ref(bundle);
 	bnd_bundle_unref(manager->bundle);
 	manager->bundle = bundle;
 	manager->roll = roll;
+	manager->generation++;
+	manager->synced = false;
 }
 
 bool mgr_manager_is_active(const struct mgr_manager *manager)
--- a/bin/sassafrascartd/mgr.h
+++ b/bin/sassafrascartd/mgr.h
@@ -4,7 +4,10 @@
  *
  * Prefix: mgr_. Every write is a transaction that also compares the create
  * revision of the manager key, so that a manager that was paused past its
- * lease cannot write.
+ * lease cannot write. An action on a VM is called only after its intent was
+ * written together with the VM's row; it carries the intent's identity, so
+ * that the next manager can repeat it. What the platform holds is read once
+ * a term and after each error; in between only this process writes it.
  */
 #ifndef MGR_H
 #define MGR_H
@@ -12,6 +15,7 @@
 #include "bnd.h"
 #include "ctr.h"
 #include "evl.h"
+#include "per.h"
 #include "plc.h"
 #include "plt.h"
 
@@ -23,7 +27,25 @@
 	struct evl_loop *loop;
 	struct plt_platform *platform;
 	struct ctr_set *counters;
+	const struct per_node *peers;
 	const char *id;
+	/** pace of decisions */
+	uint32_t tick_ms;
+	/** pace of reading the platform's list of VMs */
+	uint32_t vm_list_ms;
+	/** bound on how far that list lags behind */
+	uint32_t vm_list_lag_ms;
+	/** how long the list calls a VM down before it counts as failed */
+	uint32_t vm_failed_after_ms;
+	/** time for the maintenance of one VM */
+	uint32_t maintenance_timeout_ms;
+	/** dispatch window of the processes */
+	uint32_t dispatch_window_ms;
+	/** tells the placement that this process has applied */
+	uint64_t (*applied_placement)(void *data);
+	/** tells whether the lease can be relied on at this moment */
+	bool (*lease_is_valid)(void *data);
+	void *data;
 };
 
 /** @brief Creates a manager that does not hold the lease. */
--- /dev/null
+++ b/bin/sassafrascartd/mgr_private.h
@@ -0,0 +1,140 @@
+/**
+ * @file mgr_private.h
+ * @brief What the parts of the manager share.
+ */
+#ifndef MGR_PRIVATE_H
+#define MGR_PRIVATE_H
+
+#include "cnf.h"
+#include "mgr.h"
+#include "plr.h"
+
+/** How far a placement number is confirmed, as this manager saw it. */
+struct mgr_confirm {
+	uint64_t number;
+	uint32_t count;
+	/** monotonic time of the last new confirmation */
+	uint64_t since_ms;
+	/** monotonic time since which it holds, 0 while it does not */
+	uint64_t held_ms;
+};
+
+/** What this manager knows of a VM; forgotten when its term ends. */
+struct mgr_vm {
+	struct mgr_manager *manager;
+	char *name;
+	bool listed;
+	enum plt_vm_state state;
+	/** monotonic time since which the list calls it down, 0 for not */
+	uint64_t down_since_ms;
+	struct mgr_confirm confirm;
+	/** intent that the fields below belong to */
+	char *intent;
+	uint64_t began_up_ms;
+	bool drained;
+	bool rebooted;
+	uint64_t rebooted_ms;
+	/** the list showed it away after the reboot was accepted */
+	bool seen_away;
+	/** the list shows it live after the reboot */
+	bool back;
+	bool resumed;
+	/** grows with each intent */
+	uint32_t serial;
+	/** an action is on its way, for this intent of this term */
+	bool calling;
+	enum plt_action action;
+	int64_t action_term;
+	uint32_t action_serial;
+};
+
+/** A plan until its write has ended. */
+struct mgr_plan {
+	struct plc_view *view;
+	/** array of struct pln_change */
+	GArray *changes;
+	/** one for each wave of the bundle */
+	struct wav_record *waves;
+	/** struct plr_intent to be added */
+	GPtrArray *added;
+	/** identities of intents to be removed */
+	GPtrArray *removed;
+	/** generation of the bundle it was made for */
+	uint64_t generation;
+	/** whether the placement is written */
+	bool placement;
+};
+
+struct mgr_manager {
+	struct mgr_config config;
+	int64_t lease;
+	/** create revision of the manager key; 0 while not manager */
+	int64_t term;
+	struct bnd_bundle *bundle;
+	uint64_t roll;
+	/** grows with each change of the bundle */
+	uint64_t generation;
+	bool busy;
+	struct tmr_entry tick_timer;
+	/** whether the fields below are what the platform holds */
+	bool synced;
+	uint64_t read_generation;
+	struct plc_view *view;
+	int64_t placement_revision;
+	/** one for each wave of the bundle */
+	struct wav_record *waves;
+	/** intent's identity to struct plr_intent */
+	GHashTable *intents;
+	/** VM's name to struct mgr_vm */
+	GHashTable *vms;
+	/** process's identity to struct cnf_process */
+	GHashTable *processes;
+	struct mgr_confirm settled;
+	uint64_t list_read_ms;
+	/** time during which the platform answered, as the list tells */
+	uint64_t up_ms;
+	struct mgr_plan plan;
+};
+
+/** @brief Counts a failed call to the platform. */
+void mgr_platform_failed(struct mgr_manager *manager);
+
+/** @brief Ends this process's term. */
+void mgr_term_end(struct mgr_manager *manager, const char *why);
+
+/** @brief Tells whether writes and actions are allowed at this moment. */
+bool mgr_may_act(const struct mgr_manager *manager);
+
+/** @brief Returns what is known of a VM, created at first use. */
+struct mgr_vm *mgr_vm_get(struct mgr_manager *manager, const char *name);
+
+/** @brief Reads placement, intents and waves, then the fleet. */
+void mgr_read_records(struct mgr_manager *manager);
+
+/** @brief Reads members and VMs, each when due; ends with mgr_decide(). */
+void mgr_read_fleet(struct mgr_manager *manager);
+
+/** @brief Decides what changes next and starts the write, if any. */
+void mgr_decide(struct mgr_manager *manager);
+
+/** @brief Writes the plan; ends with mgr_act(). */
+void mgr_write(struct mgr_manager *manager);
+
+/** @brief Frees the plan. */
+void mgr_plan_clear(struct mgr_manager *manager);
+
+/** @brief Calls the VM actions that recorded intents ask for. */
+void mgr_act(struct mgr_manager *manager);
+
+/** @brief Ties what is known of a VM's actions to its present intent. */
+void mgr_act_track(struct mgr_manager *manager, const struct plr_intent *intent,
+		   struct mgr_vm *vm);
+
+/** @brief Follows how far a placement number is confirmed. */
+bool mgr_confirm_follow(struct mgr_manager *manager,
+			struct mgr_confirm *confirm, uint64_t number);
+
+/** @brief Returns the wall-clock milliseconds since 1970. */
+uint64_t mgr_wall_ms(void);
+
+#endif
--- /dev/null
+++ b/bin/sassafrascartd/mgr_read.c
@@ -0,0 +1,256 @@
+#include <string.h>
+
+#include "lgx.h"
+#include "mgr_private.h"
+#include "plv.h"
+
+/* Whether a reading that was started may go on. */
+static bool reading_holds(struct mgr_manager *manager, enum err_kind err)
+{
+	if (err != ERR_NONE)
+		mgr_platform_failed(manager);
+	if (err != ERR_NONE || manager->term == 0 ||
+	    manager->generation != manager->read_generation) {
+		manager->busy = false;
+		return false;
+	}
+	return true;
+}
+
+static void wave_take(struct mgr_manager *manager, const struct plt_kv *kv)
+{
+	const char *name = kv->key + strlen(PLT_PREFIX_WAVE);
+
+	for (uint32_t i = 0; i < manager->bundle->wave_count; i++) {
+		if (strcmp(manager->bundle->waves[i].name, name) == 0 &&
+		    plr_wave_parse(kv->value, kv->value_len, manager->bundle,
+				   &manager->waves[i]) != ERR_NONE)
+			lgx_warning("wave_malformed",
+				    "the record of wave %s cannot be parsed",
+				    name);
+	}
+}
+
+static void on_waves(void *data, enum err_kind err,
+		     const struct plt_result *result)
+{
+	struct mgr_manager *manager = data;
+
+	if (!reading_holds(manager, err))
+		return;
+	g_free(manager->waves);
+	manager->waves =
+		g_new0(struct wav_record, manager->bundle->wave_count + 1);
+	for (size_t i = 0; i < result->kv_count; i++)
+		wave_take(manager, &result->kvs[i]);
+	manager->synced = true;
+	mgr_read_fleet(manager);
+}
+
+static void intent_take(struct mgr_manager *manager, const struct plt_kv *kv)
+{
+	struct plr_intent *intent = NULL;
+
+	if (plr_intent_parse(kv->value, kv->value_len, &intent) != ERR_NONE) {
+		lgx_warning("intent_malformed", "%s cannot be parsed", kv->key);
+		return;
+	}
+	g_hash_table_replace(manager->intents, intent->id, intent);
+}
+
+static void on_intents(void *data, enum err_kind err,
+		       const struct plt_result *result)
+{
+	struct mgr_manager *manager = data;
+
+	if (!reading_holds(manager, err))
+		return;
+	g_hash_table_remove_all(manager->intents);
+	for (size_t i = 0; i < result->kv_count; i++)
+		intent_take(manager, &result->kvs[i]);
+	plt_range(manager->config.platform, PLT_PREFIX_WAVE, true, on_waves,
+		  manager);
+}
+
+static bool placement_take(struct mgr_manager *manager,
+			   const struct plt_result *result)
+{
+	struct plc_view *view = NULL;
+
+	manager->placement_revision = 0;
+	if (result->kv_count == 0) {
+		view = plc_view_create(manager->bundle);
+	} else {
+		manager->placement_revision = result->kvs[0].mod_revision;
+		if (plv_placement_parse(result->kvs[0].value,
+					result->kvs[0].value_len,
+					manager->bundle, &view) != ERR_NONE) {
+			lgx_warning("placement_refused",
+				    "the stored placement cannot be parsed");
+			return false;
+		}
+	}
+	plc_view_destroy(manager->view);
+	manager->view = view;
+	/* A manager behind the roll in force waits until it has caught up. */
+	return view->roll <= manager->roll;
+}
+
+static void on_placement(void *data, enum err_kind err,
+			 const struct plt_result *result)
+{
+	struct mgr_manager *manager = data;
+
+	if (!reading_holds(manager, err))
+		return;
+	if (!placement_take(manager, result)) {
+		manager->busy = false;
+		return;
+	}
+	plt_range(manager->config.platform, PLT_PREFIX_INTENT, true, on_intents,
+		  manager);
+}
+
+void mgr_read_records(struct mgr_manager *manager)
+{
+	manager->busy = true;
+	manager->read_generation = manager->generation;
+	plt_range(manager->config.platform, PLT_KEY_PLACEMENT, false,
+		  on_placement, manager);
+}
+
+/* Notes when a VM came back from its reboot. */
+static void reboot_follow(struct mgr_vm *vm, uint64_t now_ms)
+{
+	if (!vm->rebooted || vm->back)
+		return;
+	if (vm->state != PLT_VM_LIVE)
+		vm->seen_away = true;
+	else if (vm->seen_away ||
+		 now_ms - vm->rebooted_ms > vm->manager->config.vm_list_lag_ms)
+		vm->back = true;
+}
+
+static void vm_take(struct mgr_manager *manager, const struct plt_vm *listed,
+		    uint64_t now_ms)
+{
+	struct mgr_vm *vm = mgr_vm_get(manager, listed->name);
+
+	vm->listed = true;
+	vm->state = listed->state;
+	if (listed->state != PLT_VM_DOWN)
+		vm->down_since_ms = 0;
+	else if (vm->down_since_ms == 0)
+		vm->down_since_ms = now_ms;
+	reboot_follow(vm, now_ms);
+}
+
+static void up_time_count(struct mgr_manager *manager, uint64_t now_ms)
+{
+	uint64_t most_ms = 2 * (uint64_t)manager->config.vm_list_ms;
+
+	if (manager->list_read_ms != 0)
+		manager->up_ms += MIN(now_ms - manager->list_read_ms, most_ms);
+	manager->list_read_ms = now_ms;
+}
+
+static void on_vms(void *data, enum err_kind err, const struct plt_vm *vms,
+		   size_t count)
+{
+	struct mgr_manager *manager = data;
+	uint64_t now_ms = evl_now_ms();
+
+	if (!reading_holds(manager, err))
+		return;
+	up_time_count(manager, now_ms);
+	for (size_t i = 0; i < count; i++)
+		vm_take(manager, &vms[i], now_ms);
+	mgr_decide(manager);
+}
+
+static void vms_read(struct mgr_manager *manager)
+{
+	if (manager->list_read_ms != 0 &&
+	    evl_now_ms() - manager->list_read_ms < manager->config.vm_list_ms)
+		mgr_decide(manager);
+	else
+		plt_vm_list(manager->config.platform, on_vms, manager);
+}
+
+static struct cnf_process *process_get(struct mgr_manager *manager,
+				       const char *id)
+{
+	struct cnf_process *process =
+		g_hash_table_lookup(manager->processes, id);
+
+	if (!process) {
+		process = g_new0(struct cnf_process, 1);
+		g_hash_table_insert(manager->processes, g_strdup(id), process);
+	}
+	return process;
+}
+
+static void heartbeat_take(void *data, const struct per_heartbeat *last,
+			   uint64_t heard_ms)
+{
+	struct cnf_process *process = process_get(data, last->from.id);
+
+	process->heard_ms = heard_ms;
+	process->applied = heard_ms == 0 ? 0 : last->applied_placement;
+}
+
+static void processes_hear(struct mgr_manager *manager)
+{
+	struct cnf_process *self = process_get(manager, manager->config.id);
+
+	per_node_each(manager->config.peers, heartbeat_take, manager);
+	self->heard_ms = evl_now_ms();
+	self->applied = manager->config.applied_placement(manager->config.data);
+}
+
+static void on_members(void *data, enum err_kind err,
+		       const struct plt_result *result)
+{
+	struct mgr_manager *manager = data;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!reading_holds(manager, err))
+		return;
+	g_hash_table_iter_init(&iter, manager->processes);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct cnf_process *)value)->listed = false;
+	for (size_t i = 0; i < result->kv_count; i++) {
+		struct cnf_process *process =
+			process_get(manager, result->kvs[i].key +
+						     strlen(PLT_PREFIX_MEMBER));
+
+		process->listed = true;
+		process->listed_ms = evl_now_ms();
+	}
+	processes_hear(manager);
+	vms_read(manager);
+}
+
+static bool confirmations_are_awaited(const struct mgr_manager *manager)
+{
+	if (manager->settled.number != manager->view->number ||
+	    manager->settled.held_ms == 0)
+		return true;
+	for (uint32_t i = 0; i < manager->view->row_count; i++) {
+		if (manager->view->rows[i].state == PLC_STATE_DRAINING)
+			return true;
+	}
+	return false;
+}
+
+void mgr_read_fleet(struct mgr_manager *manager)
+{
+	manager->busy = true;
+	manager->read_generation = manager->generation;
+	if (confirmations_are_awaited(manager))
+		plt_range(manager->config.platform, PLT_PREFIX_MEMBER, true,
+			  on_members, manager);
+	else
+		vms_read(manager);
+}
--- /dev/null
+++ b/bin/sassafrascartd/mgr_write.c
@@ -0,0 +1,191 @@
+#include <string.h>
+
+#include "lgx.h"
+#include "mgr_private.h"
+#include "plv.h"
+
+/* The writes of a transaction and the texts that they point to. */
+struct batch {
+	GArray *writes;
+	GPtrArray *texts;
+};
+
+/* Takes key and value over; a NULL value deletes the key. */
+static void batch_add(struct batch *batch, char *key, char *value)
+{
+	const struct plt_write write = { key, value, 0 };
+
+	g_ptr_array_add(batch->texts, key);
+	if (value)
+		g_ptr_array_add(batch->texts, value);
+	g_array_append_val(batch->writes, write);
+}
+
+static void changes_log(const struct mgr_manager *manager)
+{
+	const struct mgr_plan *plan = &manager->plan;
+
+	for (guint i = 0; i < plan->changes->len; i++) {
+		const struct pln_change *change =
+			&g_array_index(plan->changes, struct pln_change, i);
+
+		lgx_info("row_change", "VM %s becomes %s: %s",
+			 manager->bundle->vms[change->vm].name,
+			 plc_state_name(change->after.state),
+			 plc_reason_name(change->after.reason));
+	}
+}
+
+static void placement_add(struct mgr_manager *manager, struct batch *batch)
+{
+	struct mgr_plan *plan = &manager->plan;
+	struct plr_decision decision = {
+		.bundle = manager->bundle,
+		.roll = manager->roll,
+		.manager = manager->config.id,
+		.at_ms = mgr_wall_ms(),
+		.changes = plan->changes,
+	};
+
+	plan->view->number++;
+	plan->view->roll = manager->roll;
+	decision.number = plan->view->number;
+	batch_add(batch, g_strdup(PLT_KEY_PLACEMENT),
+		  plv_placement_build(manager->bundle, plan->view));
+	batch_add(batch, g_strdup(PLT_KEY_PLACEMENT_NUMBER),
+		  plv_number_build(plan->view->number));
+	batch_add(batch, plr_decision_key(decision.number),
+		  plr_decision_build(&decision));
+	lgx_info("placement_write", "writing placement %" PRIu64,
+		 plan->view->number);
+	changes_log(manager);
+}
+
+static void intents_add(struct mgr_manager *manager, struct batch *batch)
+{
+	const struct mgr_plan *plan = &manager->plan;
+
+	for (guint i = 0; i < plan->added->len; i++) {
+		const struct plr_intent *intent =
+			g_ptr_array_index(plan->added, i);
+
+		batch_add(batch,
+			  g_strconcat(PLT_PREFIX_INTENT, intent->id, NULL),
+			  plr_intent_build(intent));
+	}
+	for (guint i = 0; i < plan->removed->len; i++)
+		batch_add(batch,
+			  g_strconcat(PLT_PREFIX_INTENT,
+				      g_ptr_array_index(plan->removed, i),
+				      NULL),
+			  NULL);
+}
+
+static void wave_log(const char *name, const struct wav_record *record)
+{
+	lgx_info("wave", "wave %s: %s, %s, %u of %u VMs maintained, %u failed",
+		 name, wav_status_name(record->status),
+		 wav_reason_name(record->reason), record->maintained,
+		 record->total, record->failed_count);
+}
+
+static void waves_add(struct mgr_manager *manager, struct batch *batch)
+{
+	const struct mgr_plan *plan = &manager->plan;
+
+	for (uint32_t i = 0; i < manager->bundle->wave_count; i++) {
+		const char *name = manager->bundle->waves[i].name;
+
+		if (wav_record_equals(&plan->waves[i], &manager->waves[i]))
+			continue;
+		batch_add(batch, g_strconcat(PLT_PREFIX_WAVE, name, NULL),
+			  plr_wave_build(manager->bundle, &plan->waves[i],
+					 mgr_wall_ms()));
+		wave_log(name, &plan->waves[i]);
+	}
+}
+
+/* What was written is what the platform holds now. */
+static void plan_adopt(struct mgr_manager *manager, int64_t revision)
+{
+	struct mgr_plan *plan = &manager->plan;
+
+	if (plan->placement)
+		manager->placement_revision = revision;
+	plc_view_destroy(manager->view);
+	manager->view = g_steal_pointer(&plan->view);
+	g_free(manager->waves);
+	manager->waves = g_steal_pointer(&plan->waves);
+	for (guint i = 0; i < plan->removed->len; i++)
+		g_hash_table_remove(manager->intents,
+				    g_ptr_array_index(plan->removed, i));
+	while (plan->added->len > 0) {
+		struct plr_intent *intent =
+			g_ptr_array_steal_index(plan->added, 0);
+
+		g_hash_table_replace(manager->intents, intent->id, intent);
+	}
+	ctr_add(manager->config.counters, CTR_MANAGER_WRITES);
+}
+
+/* Tells from the compared keys whether another process is manager now. */
+static bool term_is_lost(const struct mgr_manager *manager,
+			 const struct plt_result *result)
+{
+	for (size_t i = 0; i < result->kv_count; i++) {
+		if (strcmp(result->kvs[i].key, PLT_KEY_MANAGER) == 0)
+			return result->kvs[i].create_revision != manager->term;
+	}
+	return true;
+}
+
+static void on_written(void *data, enum err_kind err,
+		       const struct plt_result *result)
+{
+	struct mgr_manager *manager = data;
+
+	manager->busy = false;
+	/* Unless the write is known to have landed, read what is there. */
+	manager->synced = false;
+	if (err != ERR_NONE) {
+		mgr_platform_failed(manager);
+	} else if (!result->succeeded) {
+		ctr_add(manager->config.counters, CTR_MANAGER_FENCED);
+		if (term_is_lost(manager, result))
+			mgr_term_end(manager, "a write was fenced");
+	} else if (manager->term != 0 &&
+		   manager->plan.generation == manager->generation) {
+		plan_adopt(manager, result->revision);
+		manager->synced = true;
+	}
+	mgr_plan_clear(manager);
+	if (manager->synced)
+		mgr_act(manager);
+}
+
+void mgr_write(struct mgr_manager *manager)
+{
+	g_autoptr(GArray) writes =
+		g_array_new(FALSE, FALSE, sizeof(struct plt_write));
+	g_autoptr(GPtrArray) texts = g_ptr_array_new_with_free_func(g_free);
+	struct batch batch = { writes, texts };
+	const struct plt_compare compares[] = {
+		{ PLT_KEY_MANAGER, PLT_TARGET_CREATE_REVISION, manager->term },
+		{ PLT_KEY_PLACEMENT, PLT_TARGET_MOD_REVISION,
+		  manager->placement_revision },
+	};
+	struct plt_txn txn = { .compares = compares, .compare_count = 2 };
+
+	if (!mgr_may_act(manager)) {
+		manager->busy = false;
+		mgr_plan_clear(manager);
+		return;
+	}
+	if (manager->plan.placement)
+		placement_add(manager, &batch);
+	intents_add(manager, &batch);
+	waves_add(manager, &batch);
+	txn.writes = (const struct plt_write *)writes->data;
+	txn.write_count = writes->len;
+	plt_txn(manager->config.platform, &txn, on_written, manager);
+}
--- a/bin/sassafrascartd/set.h
+++ b/bin/sassafrascartd/set.h
@@ -30,6 +30,11 @@
 	uint32_t platform_rate_per_s;
 	uint32_t drain_ms;
 	uint32_t idle_timeout_ms;
+	uint32_t manager_tick_ms;
+	uint32_t vm_list_ms;
+	uint32_t vm_list_lag_ms;
+	uint32_t vm_failed_after_ms;
+	uint32_t maintenance_timeout_ms;
 	bool check_config;
 	bool version;
 };
--- a/packages/core/include/plc.h
+++ b/packages/core/include/plc.h
@@ -55,6 +55,9 @@
 	enum plc_reason reason;
 	/** placement number at which the row last changed */
 	uint64_t changed;
+	/** minute since 1970 (UTC) at which maintenance last ended, 0 for
+	 *  never */
+	uint64_t maintained_min;
 };
 
 /** A placement: one row for each VM of the bundle, by index. */
@@ -89,18 +92,8 @@
 uint32_t plc_count(const struct plc_view *view, uint32_t pool,
 		   enum plc_state state);
 
-/**
- * @brief Fills pools that are short of their targets with free VMs.
- *
- * Free VMs are those in no pool. Among the VMs that may serve a pool, those
- * of the availability zone with the fewest serving VMs go first, so that the
- * pool spreads over zones.
- *
- * @param bundle the bundle in force
- * @param view modified in place; changed rows carry number + 1
- * @return number of rows changed
- */
-uint32_t plc_fill(const struct bnd_bundle *bundle, struct plc_view *view);
+/** @brief Tells whether a row stands for a VM that nothing holds. */
+bool plc_row_is_free(const struct plc_row *row);
 
 /**
  * @brief Checks that a placement fits the bundle.
--- /dev/null
+++ b/packages/core/src/bud.c
@@ -0,0 +1,108 @@
+#include "bud.h"
+
+#include <string.h>
+
+/* VMs of a pool that remain, and how many rows of it are disrupted. */
+struct remainder {
+	uint32_t *vms;
+	uint32_t count;
+	uint32_t disrupted;
+};
+
+static bool same_domain(const struct bnd_vm *a, const struct bnd_vm *b,
+			enum bnd_survive survive)
+{
+	if (strcmp(a->availability_zone, b->availability_zone) != 0)
+		return false;
+	return survive == BND_SURVIVE_ZONE || strcmp(a->rack, b->rack) == 0;
+}
+
+static uint32_t worst_loss(const struct bnd_bundle *bundle,
+			   const struct remainder *left,
+			   enum bnd_survive survive)
+{
+	uint32_t worst = 0;
+
+	if (survive == BND_SURVIVE_NONE)
+		return 0;
+	for (uint32_t i = 0; i < left->count; i++) {
+		uint32_t loss = 0;
+
+		for (uint32_t j = 0; j < left->count; j++) {
+			if (same_domain(&bundle->vms[left->vms[i]],
+					&bundle->vms[left->vms[j]], survive))
+				loss++;
+		}
+		worst = MAX(worst, loss);
+	}
+	return worst;
+}
+
+/* Collects the pool's VMs but one; with fit only those that serve. */
+static struct remainder remainder_of(const struct plc_view *view,
+				     const bool *fit, uint32_t pool,
+				     uint32_t vm)
+{
+	struct remainder left = { .vms = g_new(uint32_t, view->row_count + 1) };
+
+	for (uint32_t i = 0; i < view->row_count; i++) {
+		const struct plc_row *row = &view->rows[i];
+
+		if (i == vm || row->pool != pool)
+			continue;
+		if (row->state != PLC_STATE_SERVING)
+			left.disrupted++;
+		if (!fit || (row->state == PLC_STATE_SERVING && fit[i]))
+			left.vms[left.count++] = i;
+	}
+	return left;
+}
+
+static bool pool_is_small(const struct bnd_bundle *bundle,
+			  const struct plc_view *view, uint32_t pool,
+			  uint32_t vm)
+{
+	const struct bnd_pool *spec = &bundle->pools[pool];
+	struct remainder all = remainder_of(view, NULL, pool, vm);
+	uint32_t loss = worst_loss(bundle, &all, spec->survive);
+	bool small = all.count < spec->floor_vms + loss;
+
+	g_free(all.vms);
+	return small;
+}
+
+struct bud_room bud_check(const struct bnd_bundle *bundle,
+			  const struct plc_view *view, const bool *fit,
+			  uint32_t pool, uint32_t vm)
+{
+	const struct bnd_pool *spec = &bundle->pools[pool];
+	struct remainder left = remainder_of(view, fit, pool, vm);
+	struct bud_room room = {
+		.ready = left.count,
+		.worst_loss = worst_loss(bundle, &left, spec->survive),
+		.floor = spec->floor_vms,
+	};
+
+	room.allowed = room.ready >= room.floor + room.worst_loss;
+	if (!room.allowed && room.ready >= room.floor && left.disrupted == 0) {
+		room.small = pool_is_small(bundle, view, pool, vm);
+		room.allowed = room.small;
+	}
+	g_free(left.vms);
+	return room;
+}
+
+struct bud_room bud_check_failed(const struct bnd_bundle *bundle,
+				 const struct plc_view *view, uint32_t pool,
+				 uint32_t vm)
+{
+	struct bud_room room = { .floor = bundle->pools[pool].floor_vms };
+
+	for (uint32_t i = 0; i < view->row_count; i++) {
+		if (i != vm && view->rows[i].pool == pool &&
+		    view->rows[i].state == PLC_STATE_SERVING)
+			room.ready++;
+	}
+	room.allowed = room.ready >= room.floor;
+	return room;
+}
--- a/packages/core/src/plc.c
+++ b/packages/core/src/plc.c
@@ -75,82 +75,11 @@
 	return count;
 }
 
-static uint32_t zone_serving(const struct bnd_bundle *bundle,
-			     const struct plc_view *view, uint32_t pool,
-			     const char *zone)
+bool plc_row_is_free(const struct plc_row *row)
 {
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < view->row_count; i++) {
-		if (view->rows[i].pool == pool &&
-		    view->rows[i].state == PLC_STATE_SERVING &&
-		    strcmp(bundle->vms[i].availability_zone, zone) == 0)
-			count++;
-	}
-	return count;
-}
-
-static uint32_t free_vm_choose(const struct bnd_bundle *bundle,
-			       const struct plc_view *view, uint32_t pool)
-{
-	const struct bnd_pool *spec = &bundle->pools[pool];
-	uint32_t best = BND_NONE;
-	uint32_t best_serving = UINT32_MAX;
-
-	for (uint32_t i = 0; i < spec->vm_count; i++) {
-		uint32_t vm = spec->vms[i];
-		uint32_t serving;
-
-		if (view->rows[vm].pool != BND_NONE)
-			continue;
-		serving = zone_serving(bundle, view, pool,
-				       bundle->vms[vm].availability_zone);
-		if (serving < best_serving) {
-			best = vm;
-			best_serving = serving;
-		}
-	}
-	return best;
-}
-
-static uint32_t pool_fill(const struct bnd_bundle *bundle,
-			  struct plc_view *view, uint32_t pool)
-{
-	uint32_t serving = plc_count(view, pool, PLC_STATE_SERVING);
-	uint32_t changed = 0;
-
-	while (serving < bundle->pools[pool].target_vms) {
-		uint32_t vm = free_vm_choose(bundle, view, pool);
-
-		if (vm == BND_NONE)
-			break;
-		view->rows[vm] = (struct plc_row){
-			.pool = pool,
-			.next_pool = BND_NONE,
-			.state = PLC_STATE_SERVING,
-			.reason = PLC_REASON_FILL,
-			.changed = view->number + 1,
-		};
-		serving++;
-		changed++;
-	}
-	return changed;
-}
-
-uint32_t plc_fill(const struct bnd_bundle *bundle, struct plc_view *view)
-{
-	uint32_t changed = 0;
-
-	g_assert(view->row_count == bundle->vm_count);
-	for (uint32_t pool = 0; pool < bundle->pool_count; pool++) {
-		if (!bundle->pools[pool].spare)
-			changed += pool_fill(bundle, view, pool);
-	}
-	for (uint32_t pool = 0; pool < bundle->pool_count; pool++) {
-		if (bundle->pools[pool].spare)
-			changed += pool_fill(bundle, view, pool);
-	}
-	return changed;
+	return row->pool == BND_NONE && row->next_pool == BND_NONE &&
+	       row->state == PLC_STATE_STOPPED &&
+	       row->reason != PLC_REASON_WAVE;
 }
 
 enum err_kind plc_check(const struct bnd_bundle *bundle,
--- /dev/null
+++ b/packages/core/src/pln.c
@@ -0,0 +1,363 @@
+#include "pln.h"
+
+#include <string.h>
+
+/* A plan being made. */
+struct plan {
+	const struct pln_input *input;
+	const struct bnd_bundle *bundle;
+	struct plc_view *view;
+	GArray *changes;
+};
+
+bool pln_vm_failed(const struct pln_evidence *evidence, uint64_t after_ms)
+{
+	if (evidence->down_ms > 0 && evidence->down_ms >= after_ms)
+		return true;
+	return evidence->ejected_by >= 2 &&
+	       evidence->ejected_by > evidence->processes / 2;
+}
+
+bool pln_row_set(struct plc_view *view, GArray *changes, uint32_t vm,
+		 const struct plc_row *row, const struct bud_room *room)
+{
+	struct pln_change change = { .vm = vm,
+				     .before = view->rows[vm],
+				     .after = *row,
+				     .budget_asked = room != NULL };
+
+	if (view->rows[vm].changed > view->number)
+		return false;
+	if (room)
+		change.room = *room;
+	change.after.changed = view->number + 1;
+	view->rows[vm] = change.after;
+	g_array_append_val(changes, change);
+	return true;
+}
+
+static bool vm_is_changed(const struct plan *plan, uint32_t vm)
+{
+	return plan->view->rows[vm].changed > plan->view->number;
+}
+
+static bool pool_takes(const struct plan *plan, uint32_t pool, uint32_t vm)
+{
+	return pool != BND_NONE &&
+	       bnd_pool_allows(&plan->bundle->pools[pool], vm);
+}
+
+/* VMs that a pool has or gets, without those that failed or leave it. */
+static uint32_t pool_size(const struct plan *plan, uint32_t pool)
+{
+	uint32_t size = 0;
+
+	for (uint32_t i = 0; i < plan->view->row_count; i++) {
+		const struct plc_row *row = &plan->view->rows[i];
+		bool stays =
+			row->pool == pool && (row->state == PLC_STATE_SERVING ||
+					      row->reason == PLC_REASON_WAVE);
+
+		if (plan->input->vms[i].failed &&
+		    row->reason != PLC_REASON_WAVE)
+			continue;
+		if (stays || row->next_pool == pool)
+			size++;
+	}
+	return size;
+}
+
+static uint32_t pool_missing(const struct plan *plan, uint32_t pool)
+{
+	uint32_t size = pool_size(plan, pool);
+	uint32_t wanted = plan->input->wanted[pool];
+
+	return wanted > size ? wanted - size : 0;
+}
+
+static uint32_t spare_pool(const struct plan *plan)
+{
+	for (uint32_t i = 0; i < plan->bundle->pool_count; i++) {
+		if (plan->bundle->pools[i].spare)
+			return i;
+	}
+	return BND_NONE;
+}
+
+/* The pool that misses most VMs and takes this one, else the spare pool. */
+static uint32_t next_pool_choose(const struct plan *plan, uint32_t vm)
+{
+	uint32_t spare = spare_pool(plan);
+	uint32_t best = BND_NONE;
+	uint32_t most = 0;
+
+	for (uint32_t i = 0; i < plan->bundle->pool_count; i++) {
+		uint32_t missing = pool_missing(plan, i);
+
+		if (i != spare && missing > most && pool_takes(plan, i, vm)) {
+			best = i;
+			most = missing;
+		}
+	}
+	if (best == BND_NONE && pool_takes(plan, spare, vm))
+		best = spare;
+	return best;
+}
+
+static void row_drain(struct plan *plan, uint32_t vm, uint32_t next_pool,
+		      enum plc_reason reason, const struct bud_room *room)
+{
+	struct plc_row row = plan->view->rows[vm];
+
+	row.state = PLC_STATE_DRAINING;
+	row.next_pool = next_pool;
+	row.reason = reason;
+	pln_row_set(plan->view, plan->changes, vm, &row, room);
+}
+
+static void row_serve(struct plan *plan, uint32_t vm, uint32_t pool,
+		      enum plc_reason reason)
+{
+	struct plc_row row = plan->view->rows[vm];
+
+	row.state = PLC_STATE_SERVING;
+	row.pool = pool;
+	row.next_pool = BND_NONE;
+	row.reason = reason;
+	pln_row_set(plan->view, plan->changes, vm, &row, NULL);
+}
+
+static void row_free(struct plan *plan, uint32_t vm)
+{
+	struct plc_row row = plan->view->rows[vm];
+
+	row.state = PLC_STATE_STOPPED;
+	row.pool = BND_NONE;
+	row.next_pool = BND_NONE;
+	pln_row_set(plan->view, plan->changes, vm, &row, NULL);
+}
+
+static void row_stop(struct plan *plan, uint32_t vm)
+{
+	struct plc_row row = plan->view->rows[vm];
+
+	row.state = PLC_STATE_STOPPED;
+	pln_row_set(plan->view, plan->changes, vm, &row, NULL);
+}
+
+static void stopped_advance(struct plan *plan, uint32_t vm)
+{
+	const struct plc_row *row = &plan->view->rows[vm];
+
+	if (row->reason == PLC_REASON_WAVE || plan->input->vms[vm].failed)
+		return;
+	if (pool_takes(plan, row->next_pool, vm))
+		row_serve(plan, vm, row->next_pool, row->reason);
+	else
+		row_free(plan, vm);
+}
+
+/* Takes rows that wait in a stage to the next one. */
+static void stages_advance(struct plan *plan)
+{
+	for (uint32_t i = 0; i < plan->view->row_count; i++) {
+		const struct plc_row *row = &plan->view->rows[i];
+
+		if (row->state == PLC_STATE_DRAINING &&
+		    plan->input->vms[i].drained)
+			row_stop(plan, i);
+		else if (row->state == PLC_STATE_STOPPED &&
+			 !plc_row_is_free(row))
+			stopped_advance(plan, i);
+	}
+}
+
+static bool row_is_allowed(const struct plan *plan, uint32_t vm)
+{
+	return pool_takes(plan, plan->view->rows[vm].pool, vm);
+}
+
+/* Moves VMs out of pools that they may not serve any more. */
+static void not_allowed_drain(struct plan *plan)
+{
+	for (uint32_t i = 0; i < plan->view->row_count; i++) {
+		const struct plc_row *row = &plan->view->rows[i];
+		struct bud_room room = { .allowed = true };
+
+		if (row->state != PLC_STATE_SERVING || vm_is_changed(plan, i) ||
+		    row_is_allowed(plan, i))
+			continue;
+		if (row->pool != BND_NONE)
+			room = bud_check(plan->bundle, plan->view,
+					 plan->input->fit, row->pool, i);
+		if (room.allowed)
+			row_drain(plan, i, next_pool_choose(plan, i),
+				  PLC_REASON_NOT_ALLOWED, &room);
+	}
+}
+
+static void failed_drain(struct plan *plan)
+{
+	for (uint32_t i = 0; i < plan->view->row_count; i++) {
+		const struct plc_row *row = &plan->view->rows[i];
+		struct bud_room room;
+
+		if (!plan->input->vms[i].failed || row->pool == BND_NONE ||
+		    row->state != PLC_STATE_SERVING || vm_is_changed(plan, i))
+			continue;
+		room = bud_check_failed(plan->bundle, plan->view, row->pool, i);
+		if (room.allowed)
+			row_drain(plan, i, BND_NONE, PLC_REASON_FAILURE, &room);
+	}
+}
+
+static uint32_t zone_size(const struct plan *plan, uint32_t pool,
+			  const char *zone)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < plan->view->row_count; i++) {
+		const struct plc_row *row = &plan->view->rows[i];
+
+		if ((row->pool == pool || row->next_pool == pool) &&
+		    strcmp(plan->bundle->vms[i].availability_zone, zone) == 0)
+			count++;
+	}
+	return count;
+}
+
+/* Whether a VM can come from a pool, BND_NONE standing for free VMs. */
+static bool vm_can_come(const struct plan *plan, uint32_t vm, uint32_t from)
+{
+	const struct plc_row *row = &plan->view->rows[vm];
+
+	if (row->pool != from || vm_is_changed(plan, vm) ||
+	    !plan->input->fit[vm])
+		return false;
+	if (from == BND_NONE)
+		return plc_row_is_free(row);
+	return row->state == PLC_STATE_SERVING &&
+	       bud_check(plan->bundle, plan->view, plan->input->fit, from, vm)
+		       .allowed;
+}
+
+/* Chooses for a pool a VM in the zone where the pool has fewest. */
+static uint32_t vm_choose(const struct plan *plan, uint32_t pool, uint32_t from)
+{
+	const struct bnd_pool *spec = &plan->bundle->pools[pool];
+	uint32_t best = BND_NONE;
+	uint32_t fewest = UINT32_MAX;
+
+	for (uint32_t i = 0; i < spec->vm_count; i++) {
+		uint32_t vm = spec->vms[i];
+		uint32_t size;
+
+		if (!vm_can_come(plan, vm, from))
+			continue;
+		size = zone_size(plan, pool,
+				 plan->bundle->vms[vm].availability_zone);
+		if (size < fewest) {
+			best = vm;
+			fewest = size;
+		}
+	}
+	return best;
+}
+
+static bool pool_has_failed(const struct plan *plan, uint32_t pool)
+{
+	for (uint32_t i = 0; i < plan->view->row_count; i++) {
+		const struct plc_row *row = &plan->view->rows[i];
+
+		if (row->pool == pool && (plan->input->vms[i].failed ||
+					  row->reason == PLC_REASON_FAILURE))
+			return true;
+	}
+	return false;
+}
+
+static void pool_fill(struct plan *plan, uint32_t pool)
+{
+	uint32_t missing = pool_missing(plan, pool);
+
+	while (missing > 0 && plan->input->settled) {
+		uint32_t vm = vm_choose(plan, pool, BND_NONE);
+
+		if (vm == BND_NONE)
+			break;
+		row_serve(plan, vm, pool, PLC_REASON_FILL);
+		missing--;
+	}
+}
+
+static void pool_draw(struct plan *plan, uint32_t pool, uint32_t from)
+{
+	uint32_t missing = pool_missing(plan, pool);
+	enum plc_reason reason = pool_has_failed(plan, pool)
+					 ? PLC_REASON_FAILURE
+					 : PLC_REASON_DEMAND;
+
+	while (missing > 0) {
+		uint32_t vm = vm_choose(plan, pool, from);
+		struct bud_room room;
+
+		if (vm == BND_NONE)
+			break;
+		room = bud_check(plan->bundle, plan->view, plan->input->fit,
+				 from, vm);
+		row_drain(plan, vm, pool, reason, &room);
+		missing--;
+	}
+}
+
+/* Gives VMs that a pool has too many of to where they are missing. */
+static void pool_give_back(struct plan *plan, uint32_t pool)
+{
+	uint32_t size = pool_size(plan, pool);
+
+	for (uint32_t i = plan->view->row_count; i-- > 0;) {
+		const struct plc_row *row = &plan->view->rows[i];
+		struct bud_room room;
+		uint32_t next;
+
+		if (size <= plan->input->wanted[pool])
+			return;
+		if (row->pool != pool || row->state != PLC_STATE_SERVING ||
+		    vm_is_changed(plan, i) || plan->input->vms[i].failed)
+			continue;
+		next = next_pool_choose(plan, i);
+		room = bud_check(plan->bundle, plan->view, plan->input->fit,
+				 pool, i);
+		if (next == BND_NONE || next == pool || !room.allowed)
+			continue;
+		row_drain(plan, i, next, PLC_REASON_RETURN, &room);
+		size--;
+	}
+}
+
+void pln_plan(const struct pln_input *input, struct plc_view *view,
+	      GArray *changes)
+{
+	struct plan plan = { input, input->bundle, view, changes };
+	uint32_t spare = spare_pool(&plan);
+
+	g_assert(view->row_count == input->bundle->vm_count);
+	stages_advance(&plan);
+	not_allowed_drain(&plan);
+	failed_drain(&plan);
+	for (uint32_t i = 0; i < plan.bundle->pool_count; i++) {
+		if (i != spare)
+			pool_fill(&plan, i);
+	}
+	for (uint32_t i = 0; i < plan.bundle->pool_count; i++) {
+		if (i != spare)
+			pool_give_back(&plan, i);
+	}
+	if (spare == BND_NONE)
+		return;
+	for (uint32_t i = 0; i < plan.bundle->pool_count; i++) {
+		if (i != spare)
+			pool_draw(&plan, i, spare);
+	}
+	pool_fill(&plan, spare);
+}
--- /dev/null
+++ b/packages/core/tests/test_pln.c
@@ -0,0 +1,462 @@
+/**
+ * @file test_pln.c
+ * @brief Budget, confirmations, moves and waves, over random event sequences.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cnf.h"
+#include "wav.h"
+
+#define RUNS 400
+#define STEPS 150
+#define POOLS 4
+#define VMS 24
+#define DAY_MIN 1440
+
+struct world {
+	GRand *rand;
+	struct bnd_bundle *bundle;
+	struct plc_view *view;
+	struct wav_record waves[2];
+	struct pln_vm vms[VMS];
+	bool fit[VMS];
+	uint32_t wanted[POOLS];
+	uint64_t roll;
+	uint64_t now_min;
+};
+
+static bool chance(struct world *world, double share)
+{
+	return g_rand_double(world->rand) < share;
+}
+
+static uint32_t below(struct world *world, uint32_t limit)
+{
+	return (uint32_t)g_rand_int_range(world->rand, 0, (gint32)limit);
+}
+
+static struct bnd_bundle *bundle_base(void)
+{
+	struct bnd_bundle *bundle = bnd_bundle_create();
+
+	bundle->vm_count = VMS;
+	bundle->vms = g_new0(struct bnd_vm, VMS);
+	for (uint32_t i = 0; i < VMS; i++) {
+		bundle->vms[i].name = g_strdup_printf("vm-%u", i);
+		bundle->vms[i].availability_zone =
+			g_strdup_printf("z%u", i % 3);
+		bundle->vms[i].rack = g_strdup_printf("r%u", i % 6);
+	}
+	bundle->pool_count = POOLS;
+	bundle->pools = g_new0(struct bnd_pool, POOLS);
+	for (uint32_t i = 0; i < POOLS; i++)
+		bundle->pools[i].name = g_strdup_printf("pool-%u", i);
+	bundle->pools[POOLS - 1].spare = true;
+	bundle->wave_count = 2;
+	bundle->waves = g_new0(struct bnd_wave, 2);
+	return bundle;
+}
+
+/* The first wave covers two pools, the second one the others. */
+static struct bnd_bundle *bundle_random(struct world *world)
+{
+	struct bnd_bundle *bundle = bundle_base();
+
+	for (uint32_t i = 0; i < POOLS; i++) {
+		struct bnd_pool *pool = &bundle->pools[i];
+
+		pool->vms = g_new0(uint32_t, VMS);
+		for (uint32_t vm = 0; vm < VMS; vm++) {
+			if (pool->spare || chance(world, 0.5))
+				pool->vms[pool->vm_count++] = vm;
+		}
+		pool->target_vms = MIN(pool->vm_count, 2 + below(world, 6));
+		pool->floor_vms = below(world, pool->target_vms + 1);
+		pool->survive = (enum bnd_survive)below(world, 3);
+		if (pool->spare)
+			pool->floor_vms = 0;
+	}
+	for (uint32_t i = 0; i < 2; i++) {
+		struct bnd_wave *wave = &bundle->waves[i];
+
+		wave->name = g_strdup_printf("wave-%u", i);
+		wave->opens_minute = below(world, DAY_MIN);
+		wave->closes_minute = (wave->opens_minute + 600) % DAY_MIN;
+		wave->pool_count = 2;
+		wave->pools = g_new0(uint32_t, 2);
+		wave->pools[0] = 2 * i;
+		wave->pools[1] = 2 * i + 1;
+		wave->max_parallel = 1 + below(world, 3);
+		wave->max_failures = 1 + below(world, 3);
+	}
+	return bundle;
+}
+
+static void wanted_fill(struct world *world)
+{
+	for (uint32_t i = 0; i < POOLS; i++)
+		world->wanted[i] = world->bundle->pools[i].target_vms;
+}
+
+static void world_init(struct world *world, uint32_t seed)
+{
+	*world = (struct world){ .rand = g_rand_new_with_seed(seed),
+				 .roll = 1,
+				 .now_min = 1000 * DAY_MIN };
+	world->bundle = bundle_random(world);
+	world->view = plc_view_create(world->bundle);
+	wanted_fill(world);
+	for (uint32_t i = 0; i < VMS; i++)
+		world->fit[i] = true;
+}
+
+static void world_clear(struct world *world)
+{
+	plc_view_destroy(world->view);
+	bnd_bundle_unref(world->bundle);
+	g_rand_free(world->rand);
+}
+
+static void events_happen(struct world *world)
+{
+	world->now_min += below(world, 20);
+	for (uint32_t i = 0; i < VMS; i++) {
+		if (chance(world, 0.02))
+			world->vms[i].failed = !world->vms[i].failed;
+		world->fit[i] = !world->vms[i].failed && !chance(world, 0.05);
+		world->vms[i].drained =
+			world->view->rows[i].state == PLC_STATE_DRAINING &&
+			chance(world, 0.5);
+	}
+	for (uint32_t i = 0; i < POOLS && chance(world, 0.1); i++)
+		world->wanted[i] = below(world, 9);
+	if (chance(world, 0.02)) {
+		bnd_bundle_unref(world->bundle);
+		world->bundle = bundle_random(world);
+		world->roll++;
+		wanted_fill(world);
+	}
+}
+
+static uint32_t under_way(const struct world *world,
+			  const struct bnd_wave *wave)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < VMS; i++) {
+		if (wav_covers(wave, &world->view->rows[i]) &&
+		    wav_vm_is_maintained(&world->view->rows[i]))
+			count++;
+	}
+	return count;
+}
+
+static void maintenance_end(struct world *world, GArray *changes)
+{
+	for (uint32_t i = 0; i < VMS; i++) {
+		const struct plc_row *row = &world->view->rows[i];
+
+		if (!wav_vm_is_maintained(row))
+			continue;
+		if (row->state == PLC_STATE_STOPPED && chance(world, 0.3))
+			wav_vm_done(world->bundle, world->view, i,
+				    world->now_min, changes);
+		else if (chance(world, 0.02))
+			wav_vm_give_up(world->view, i, changes);
+	}
+}
+
+/* Steps a wave and checks its bounds. */
+static void wave_step_check(struct world *world, uint32_t index,
+			    GArray *changes)
+{
+	const struct wav_input input = { world->bundle, index,
+					 world->roll,	world->now_min,
+					 world->vms,	world->fit };
+	const struct bnd_wave *wave = &world->bundle->waves[index];
+	struct wav_record before = world->waves[index];
+	guint had = changes->len;
+
+	wav_step(&input, world->view, changes, &world->waves[index]);
+	if (before.status == WAV_STATUS_HALTED && before.roll == world->roll) {
+		ck_assert_int_eq(world->waves[index].status, WAV_STATUS_HALTED);
+		ck_assert_uint_eq(changes->len, had);
+	}
+	if (changes->len > had)
+		ck_assert_uint_le(under_way(world, wave), wave->max_parallel);
+	for (guint i = had; i < changes->len; i++)
+		ck_assert(g_array_index(changes, struct pln_change, i)
+				  .room.allowed);
+}
+
+static uint32_t serving(const struct plc_view *view, uint32_t pool)
+{
+	return plc_count(view, pool, PLC_STATE_SERVING);
+}
+
+static void change_check(const struct world *world, bool settled,
+			 const struct pln_change *change)
+{
+	const struct plc_row *was = &change->before;
+	const struct plc_row *is = &change->after;
+
+	if (was->state == PLC_STATE_DRAINING && is->state != PLC_STATE_DRAINING)
+		ck_assert(world->vms[change->vm].drained);
+	if (was->pool != is->pool)
+		ck_assert_int_eq(was->state, PLC_STATE_STOPPED);
+	if (was->state == PLC_STATE_SERVING)
+		ck_assert(is->state == PLC_STATE_DRAINING &&
+			  is->pool == was->pool);
+	if (plc_row_is_free(was))
+		ck_assert(settled);
+	if (is->state == PLC_STATE_SERVING)
+		ck_assert(bnd_pool_allows(&world->bundle->pools[is->pool],
+					  change->vm));
+	if (change->budget_asked)
+		ck_assert(change->room.allowed);
+}
+
+static void step_check(struct world *world, const struct plc_view *before,
+		       bool settled, const GArray *changes)
+{
+	bool seen[VMS] = { false };
+
+	for (guint i = 0; i < changes->len; i++) {
+		const struct pln_change *change =
+			&g_array_index(changes, struct pln_change, i);
+
+		ck_assert(!seen[change->vm]);
+		seen[change->vm] = true;
+		change_check(world, settled, change);
+	}
+	for (uint32_t i = 0; i < POOLS; i++) {
+		uint32_t floor = world->bundle->pools[i].floor_vms;
+
+		ck_assert_uint_ge(serving(world->view, i),
+				  MIN(serving(before, i), floor));
+	}
+}
+
+static void world_step(struct world *world)
+{
+	g_autoptr(GArray) changes =
+		g_array_new(FALSE, FALSE, sizeof(struct pln_change));
+	bool settled = world->view->number == 0 || chance(world, 0.5);
+	const struct pln_input input = { world->bundle, world->wanted,
+					 world->vms, world->fit, settled };
+	struct plc_view *before;
+
+	events_happen(world);
+	before = plc_view_copy(world->view);
+	maintenance_end(world, changes);
+	for (uint32_t i = 0; i < 2; i++)
+		wave_step_check(world, i, changes);
+	pln_plan(&(struct pln_input){ world->bundle, world->wanted, world->vms,
+				      world->fit, input.settled },
+		 world->view, changes);
+	step_check(world, before, settled, changes);
+	world->view->number++;
+	plc_view_destroy(before);
+}
+
+START_TEST(test_random_events)
+{
+	const char *given = g_getenv("SEED");
+	guint32 seed = given ? (guint32)atoi(given) : g_random_int() >> 1;
+
+	printf("random events: SEED=%u\n", seed);
+	fflush(stdout);
+	for (uint32_t run = 0; run < RUNS; run++) {
+		struct world world;
+
+		world_init(&world, seed + run);
+		for (uint32_t step = 0; step < STEPS; step++)
+			world_step(&world);
+		world_clear(&world);
+	}
+}
+END_TEST
+
+/* Healthy VMs: pools reach their sizes, and a wave ends where it may. */
+static void world_run_healthy(struct world *world, uint32_t steps)
+{
+	for (uint32_t step = 0; step < steps; step++) {
+		g_autoptr(GArray) changes =
+			g_array_new(FALSE, FALSE, sizeof(struct pln_change));
+		const struct pln_input input = { world->bundle, world->wanted,
+						 world->vms, world->fit, true };
+
+		for (uint32_t i = 0; i < VMS; i++) {
+			const struct plc_row *row = &world->view->rows[i];
+
+			world->vms[i].drained =
+				row->state == PLC_STATE_DRAINING;
+			if (row->state == PLC_STATE_STOPPED &&
+			    row->reason == PLC_REASON_WAVE)
+				wav_vm_done(world->bundle, world->view, i,
+					    world->now_min, changes);
+		}
+		wave_step_check(world, 0, changes);
+		pln_plan(&input, world->view, changes);
+		world->view->number++;
+	}
+}
+
+/* Pool 0 of the given shape with VMs of its own, wave 0 over it. */
+static void world_simple(struct world *world, uint32_t target, uint32_t floor,
+			 enum bnd_survive survive)
+{
+	struct bnd_pool *pool;
+
+	world_init(world, 1);
+	for (uint32_t i = 0; i < POOLS; i++)
+		world->bundle->pools[i].vm_count = 0;
+	pool = &world->bundle->pools[0];
+	for (uint32_t i = 0; i < target; i++)
+		pool->vms[pool->vm_count++] = i;
+	pool->target_vms = target;
+	pool->floor_vms = floor;
+	pool->survive = survive;
+	for (uint32_t i = 1; i < POOLS; i++)
+		world->wanted[i] = 0;
+	world->wanted[0] = target;
+	world->bundle->waves[0].opens_minute = 0;
+	world->bundle->waves[0].closes_minute = 600;
+	world->bundle->waves[0].max_parallel = 2;
+	world->bundle->waves[0].max_failures = 2;
+}
+
+START_TEST(test_wave_ends)
+{
+	struct world world;
+
+	world_simple(&world, 6, 3, BND_SURVIVE_ZONE);
+	world_run_healthy(&world, 60);
+	ck_assert_int_eq(world.waves[0].status, WAV_STATUS_DONE);
+	ck_assert_uint_eq(world.waves[0].maintained, 6);
+	world_clear(&world);
+}
+END_TEST
+
+/* Four VMs in three zones lose two at worst: too small for a floor of 3. */
+START_TEST(test_small_pool)
+{
+	struct world world;
+	struct bud_room room;
+
+	world_simple(&world, 4, 3, BND_SURVIVE_ZONE);
+	world_run_healthy(&world, 1);
+	room = bud_check(world.bundle, world.view, world.fit, 0, 0);
+	ck_assert(room.small && room.allowed);
+	world.view->rows[1].state = PLC_STATE_DRAINING;
+	ck_assert(
+		!bud_check(world.bundle, world.view, world.fit, 0, 0).allowed);
+	world_clear(&world);
+	world_simple(&world, 6, 3, BND_SURVIVE_ZONE);
+	world_run_healthy(&world, 1);
+	world.view->rows[1].state = PLC_STATE_DRAINING;
+	room = bud_check(world.bundle, world.view, world.fit, 0, 0);
+	ck_assert_uint_eq(room.ready, 4);
+	ck_assert_uint_eq(room.worst_loss, 2);
+	ck_assert(!room.small && !room.allowed);
+	world_clear(&world);
+}
+END_TEST
+
+START_TEST(test_wave_halts)
+{
+	struct world world;
+
+	world_simple(&world, 6, 2, BND_SURVIVE_NONE);
+	world_run_healthy(&world, 2);
+	world.vms[4].failed = true;
+	world.vms[5].failed = true;
+	world_run_healthy(&world, 60);
+	ck_assert_int_eq(world.waves[0].status, WAV_STATUS_HALTED);
+	ck_assert_int_eq(world.waves[0].reason, WAV_REASON_MAX_FAILURES);
+	world.vms[4].failed = false;
+	world.vms[5].failed = false;
+	world.now_min += DAY_MIN;
+	world_run_healthy(&world, 60);
+	ck_assert_int_eq(world.waves[0].status, WAV_STATUS_HALTED);
+	world.roll++;
+	world_run_healthy(&world, 60);
+	ck_assert_int_eq(world.waves[0].status, WAV_STATUS_DONE);
+	world_clear(&world);
+}
+END_TEST
+
+START_TEST(test_window)
+{
+	const struct bnd_wave wave = { .opens_minute = 1380,
+				       .closes_minute = 120 };
+	uint64_t opened;
+
+	ck_assert(wav_window_is_open(&wave, 10 * DAY_MIN + 1380, &opened));
+	ck_assert_uint_eq(opened, 10 * DAY_MIN + 1380);
+	ck_assert(wav_window_is_open(&wave, 11 * DAY_MIN + 119, &opened));
+	ck_assert_uint_eq(opened, 10 * DAY_MIN + 1380);
+	ck_assert(!wav_window_is_open(&wave, 11 * DAY_MIN + 120, &opened));
+}
+END_TEST
+
+START_TEST(test_confirmations)
+{
+	struct cnf_process processes[] = {
+		{ .applied = 7, .heard_ms = 9000, .listed = true },
+		{ .applied = 6, .heard_ms = 9000, .listed = true },
+	};
+
+	ck_assert(cnf_holds(processes, 2, 6, 9000, 9000, 4000));
+	ck_assert(!cnf_holds(processes, 2, 7, 9000, 13000, 4000));
+	ck_assert(cnf_holds(processes, 2, 7, 9000, 13001, 4000));
+	/* The last confirmation of another counts, since it may have renewed
+	 * the view of the silent one until then. */
+	ck_assert(!cnf_holds(processes, 2, 7, 10000, 13001, 4000));
+	/* A member that was never heard counts as live. */
+	processes[1] = (struct cnf_process){ .listed = true };
+	ck_assert(!cnf_holds(processes, 2, 7, 9000, 13000, 4000));
+	/* One that left the list is waited for until its view has lapsed. */
+	processes[1] = (struct cnf_process){ .listed_ms = 9500 };
+	ck_assert(!cnf_holds(processes, 2, 7, 9600, 13500, 4000));
+	ck_assert(cnf_holds(processes, 2, 7, 9600, 13501, 4000));
+}
+END_TEST
+
+START_TEST(test_failure_evidence)
+{
+	ck_assert(!pln_vm_failed(&(struct pln_evidence){ .down_ms = 9 }, 10));
+	ck_assert(pln_vm_failed(&(struct pln_evidence){ .down_ms = 10 }, 10));
+	ck_assert(!pln_vm_failed(
+		&(struct pln_evidence){ .ejected_by = 1, .processes = 1 }, 10));
+	ck_assert(!pln_vm_failed(
+		&(struct pln_evidence){ .ejected_by = 2, .processes = 4 }, 10));
+	ck_assert(pln_vm_failed(
+		&(struct pln_evidence){ .ejected_by = 3, .processes = 4 }, 10));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("pln");
+	TCase *tcase = tcase_create("decisions");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, 50);
+	tcase_add_test(tcase, test_random_events);
+	tcase_add_test(tcase, test_wave_ends);
+	tcase_add_test(tcase, test_small_pool);
+	tcase_add_test(tcase, test_wave_halts);
+	tcase_add_test(tcase, test_window);
+	tcase_add_test(tcase, test_confirmations);
+	tcase_add_test(tcase, test_failure_evidence);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -35,6 +35,8 @@
 #define PLT_PREFIX_INTENT "/sassafrascart/intent/"
 /** Prefix of idempotency-key claims, followed by the key's digest. */
 #define PLT_PREFIX_CLAIM "/sassafrascart/claim/"
+/** Prefix of the records of maintenance waves, followed by the name. */
+#define PLT_PREFIX_WAVE "/sassafrascart/wave/"
 /** Prefix of the recorded reasons of decisions. */
 #define PLT_PREFIX_DECISION "/sassafrascart/decision/"
 
--- a/packages/platform/include/plv.h
+++ b/packages/platform/include/plv.h
@@ -44,7 +44,8 @@
  * @brief Parses the value of a placement against a bundle.
  *
  * Rows of VMs that the bundle does not name are left out; a pool that it
- * does not name counts as none.
+ * does not name counts as none, and a VM that serves it stays in its state
+ * until it has been drained.
  *
  * @param out filled on ERR_NONE; freed by plc_view_destroy()
  * @return ERR_NONE, or ERR_MALFORMED also for a VM with two rows
--- /dev/null
+++ b/packages/platform/src/plr.c
@@ -0,0 +1,191 @@
+#include "plr.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "plt.h"
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(json_t, json_decref)
+
+static char *dump(json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	char *copy = g_strdup(text);
+
+	free(text);
+	json_decref(root);
+	return copy;
+}
+
+void plr_intent_destroy(struct plr_intent *intent)
+{
+	if (!intent)
+		return;
+	g_free(intent->id);
+	g_free(intent->vm);
+	g_free(intent->wave);
+	g_free(intent);
+}
+
+static json_t *room_build(const struct bud_room *room)
+{
+	return json_pack("{s:I, s:I, s:I, s:b}", "ready",
+			 (json_int_t)room->ready, "worst_loss",
+			 (json_int_t)room->worst_loss, "floor",
+			 (json_int_t)room->floor, "small", room->small);
+}
+
+char *plr_intent_build(const struct plr_intent *intent)
+{
+	return dump(json_pack(
+		"{s:s, s:s, s:s, s:I, s:I, s:o}", "id", intent->id, "vm",
+		intent->vm, "wave", intent->wave, "number",
+		(json_int_t)intent->number, "at_ms", (json_int_t)intent->at_ms,
+		"budget", room_build(&intent->room)));
+}
+
+enum err_kind plr_intent_parse(const char *text, size_t len,
+			       struct plr_intent **out)
+{
+	g_autoptr(json_t) root = json_loadb(text, len, 0, NULL);
+	const char *id;
+	const char *vm;
+	const char *wave;
+	json_int_t number;
+	json_int_t at_ms;
+
+	if (json_unpack(root, "{s:s, s:s, s:s, s:I, s:I}", "id", &id, "vm", &vm,
+			"wave", &wave, "number", &number, "at_ms",
+			&at_ms) != 0 ||
+	    number < 0 || at_ms < 0)
+		return ERR_MALFORMED;
+	*out = g_new0(struct plr_intent, 1);
+	(*out)->id = g_strdup(id);
+	(*out)->vm = g_strdup(vm);
+	(*out)->wave = g_strdup(wave);
+	(*out)->number = (uint64_t)number;
+	(*out)->at_ms = (uint64_t)at_ms;
+	return ERR_NONE;
+}
+
+char *plr_wave_build(const struct bnd_bundle *bundle,
+		     const struct wav_record *record, uint64_t at_ms)
+{
+	json_t *failed = json_array();
+
+	for (uint32_t i = 0; i < record->failed_count; i++)
+		json_array_append_new(
+			failed,
+			json_string(bundle->vms[record->failed[i]].name));
+	return dump(json_pack("{s:I, s:I, s:s, s:s, s:I, s:I, s:o, s:I}",
+			      "roll", (json_int_t)record->roll, "window_min",
+			      (json_int_t)record->window_min, "status",
+			      wav_status_name(record->status), "reason",
+			      wav_reason_name(record->reason), "maintained",
+			      (json_int_t)record->maintained, "total",
+			      (json_int_t)record->total, "failed", failed,
+			      "at_ms", (json_int_t)at_ms));
+}
+
+static bool status_parse(const char *name, enum wav_status *out)
+{
+	for (uint32_t i = 0; i < WAV_STATUS_COUNT; i++) {
+		if (strcmp(wav_status_name(i), name) == 0) {
+			*out = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static bool reason_parse(const char *name, enum wav_reason *out)
+{
+	for (uint32_t i = 0; i < WAV_REASON_COUNT; i++) {
+		if (strcmp(wav_reason_name(i), name) == 0) {
+			*out = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+enum err_kind plr_wave_parse(const char *text, size_t len,
+			     const struct bnd_bundle *bundle,
+			     struct wav_record *out)
+{
+	g_autoptr(json_t) root = json_loadb(text, len, 0, NULL);
+	const char *status;
+	const char *reason;
+	json_t *failed;
+	json_int_t roll;
+	json_int_t window;
+	size_t index;
+	json_t *name;
+
+	memset(out, 0, sizeof(*out));
+	if (json_unpack(root, "{s:I, s:I, s:s, s:s, s:o}", "roll", &roll,
+			"window_min", &window, "status", &status, "reason",
+			&reason, "failed", &failed) != 0 ||
+	    roll < 0 || window < 0 || !status_parse(status, &out->status) ||
+	    !reason_parse(reason, &out->reason) || !json_is_array(failed))
+		return ERR_MALFORMED;
+	out->roll = (uint64_t)roll;
+	out->window_min = (uint64_t)window;
+	json_array_foreach(failed, index, name)
+	{
+		uint32_t vm = BND_NONE;
+
+		if (json_is_string(name))
+			vm = bnd_vm_find(bundle, json_string_value(name));
+		if (vm != BND_NONE)
+			wav_record_failure(out, vm);
+	}
+	return ERR_NONE;
+}
+
+static json_t *change_build(const struct bnd_bundle *bundle,
+			    const struct pln_change *change)
+{
+	const struct plc_row *before = &change->before;
+	const struct plc_row *after = &change->after;
+	uint32_t pools[] = { before->pool, after->pool, after->next_pool };
+	const char *names[3];
+	json_t *root;
+
+	for (int i = 0; i < 3; i++)
+		names[i] = pools[i] == BND_NONE ? ""
+						: bundle->pools[pools[i]].name;
+	root = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "vm",
+			 bundle->vms[change->vm].name, "from", names[0], "was",
+			 plc_state_name(before->state), "pool", names[1],
+			 "state", plc_state_name(after->state), "next",
+			 names[2], "reason", plc_reason_name(after->reason));
+	if (change->budget_asked)
+		json_object_set_new(root, "budget", room_build(&change->room));
+	return root;
+}
+
+char *plr_decision_build(const struct plr_decision *decision)
+{
+	guint listed = MIN(decision->changes->len, PLR_CHANGES_MAX);
+	json_t *changes = json_array();
+
+	for (guint i = 0; i < listed; i++)
+		json_array_append_new(
+			changes,
+			change_build(decision->bundle,
+				     &g_array_index(decision->changes,
+						    struct pln_change, i)));
+	return dump(json_pack(
+		"{s:I, s:I, s:s, s:I, s:o, s:I}", "number",
+		(json_int_t)decision->number, "roll",
+		(json_int_t)decision->roll, "manager", decision->manager,
+		"at_ms", (json_int_t)decision->at_ms, "changes", changes,
+		"more", (json_int_t)(decision->changes->len - listed)));
+}
+
+char *plr_decision_key(uint64_t number)
+{
+	return g_strdup_printf(PLT_PREFIX_DECISION "placement/%03u",
+			       (unsigned int)(number % PLR_DECISIONS_KEPT));
+}
--- a/packages/platform/src/plv.c
+++ b/packages/platform/src/plv.c
@@ -75,10 +75,10 @@
 			 const struct plc_row *row)
 {
 	return json_pack(
-		"[s, s, s, s, s, I]", bundle->vms[vm].name,
+		"[s, s, s, s, s, I, I]", bundle->vms[vm].name,
 		pool_name(bundle, row->pool), plc_state_name(row->state),
 		pool_name(bundle, row->next_pool), plc_reason_name(row->reason),
-		(json_int_t)row->changed);
+		(json_int_t)row->changed, (json_int_t)row->maintained_min);
 }
 
 char *plv_placement_build(const struct bnd_bundle *bundle,
@@ -87,7 +87,7 @@
 	json_t *rows = json_array();
 
 	for (uint32_t i = 0; i < view->row_count; i++) {
-		if (view->rows[i].pool == BND_NONE)
+		if (plc_row_is_free(&view->rows[i]))
 			continue;
 		json_array_append_new(rows,
 				      row_build(bundle, i, &view->rows[i]));
@@ -133,20 +133,22 @@
 	const char *next;
 	const char *reason;
 	json_int_t changed;
+	json_int_t maintained;
 	gpointer index;
 	struct plc_row row;
 
-	if (json_unpack((json_t *)item, "[s, s, s, s, s, I!]", &vm, &pool,
-			&state, &next, &reason, &changed) != 0 ||
+	if (json_unpack((json_t *)item, "[s, s, s, s, s, I, I!]", &vm, &pool,
+			&state, &next, &reason, &changed, &maintained) != 0 ||
 	    !state_parse(state, &row.state) ||
-	    !reason_parse(reason, &row.reason) || changed < 0)
+	    !reason_parse(reason, &row.reason) || changed < 0 || maintained < 0)
 		return false;
 	if (!g_hash_table_lookup_extended(vm_index, vm, NULL, &index))
 		return true;
 	row.pool = pool_parse(bundle, pool);
 	row.next_pool = pool_parse(bundle, next);
 	row.changed = (uint64_t)changed;
-	if (view->rows[GPOINTER_TO_UINT(index)].pool != BND_NONE)
+	row.maintained_min = (uint64_t)maintained;
+	if (!plc_row_is_free(&view->rows[GPOINTER_TO_UINT(index)]))
 		return false;
 	view->rows[GPOINTER_TO_UINT(index)] = row;
 	return true;
