Prove that a VM is in exactly one pool under failure

The platform's stand-in reboots VMs for a time, carries out an action once for each intent, refuses actions and loses answers to writes only.

--- /dev/null
+++ b/tests/scenarios/pool_frozen_manager.lua
@@ -0,0 +1,52 @@
+-- The manager is frozen past its lease, a new one moves a VM, the old one
+-- resumes: none of its writes lands. Two rounds, each with another roll.
+local fleet = require("fleet")
+local placement = require("placement")
+
+local f = fleet.new{flags = placement.FLAGS, backends = {
+  {name = "vm-a", zone = "z1", rack = "r1"},
+  {name = "vm-b", zone = "z2", rack = "r2"},
+  {name = "vm-c", zone = "z1", rack = "r3"},
+}}
+-- The list of VMs is read seldom, so that a decision follows the answer that
+-- waits for the frozen manager without another call.
+for i = 1, 3 do f:add_entry("entry-" .. i, {"--vm-list-ms", "60000"}) end
+
+local routes = {{path = "/draws", pool = "draws", deadline_ms = 2000},
+                {path = "/orders", pool = "orders", deadline_ms = 2000}}
+f:publish(1, {{name = "draws", vms = {"vm-a", "vm-b"}, floor = 1},
+              {name = "orders", vms = {"vm-c"}, floor = 1}}, routes)
+f:publish(2, {{name = "draws", vms = {"vm-a"}, floor = 1},
+              {name = "orders", vms = {"vm-c", "vm-b"}, floor = 1}}, routes)
+f:must_ctl("roll", 1)
+for _, entry in pairs(f.entries) do f:wait_serving(entry) end
+
+for round, pool in ipairs{"orders", "draws"} do
+  local old = placement.wait_manager(f)
+  f:ctl("--wait-ms", "0", round == 2 and "rollback" or "roll", round == 2 and 1 or 2)
+  fleet.wait_until("vm-b drains", 5000, function()
+    local row = placement.newest(f).rows["vm-b"]
+    return row and row.state == "draining"
+  end)
+  -- Frozen while it waits for an answer, with all confirmations heard: it
+  -- has a write to make as soon as it resumes.
+  poll(1300)
+  fleet.control(f.platform_port, '{"delay_ms": 500}')
+  poll(250)
+  signal(old.pid, "STOP")
+  fleet.control(f.platform_port, '{"delay_ms": 0}')
+  local new = placement.wait_manager(f, old)
+  local moved = placement.wait_serving(f, "vm-b", pool)
+  signal(old.pid, "CONT")
+  f:wait_serving(old, moved.number)
+  fleet.wait_until("the old manager knows of the new one", 10000, function()
+    local status = f:status(old)
+    return status and not status.manager
+  end)
+  assert(f:status(new).manager, new.name .. " stays manager")
+end
+
+local history = placement.history(f)
+placement.judge_managers(history)
+placement.judge_stages(placement.list(history))
+placement.judge_floors(placement.list(history), {draws = 1, orders = 1})
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -24,6 +24,8 @@
 	MODE_REFUSE,
 	/** takes effect, never answered */
 	MODE_LOSE,
+	/** as MODE_LOSE, but only for transactions */
+	MODE_LOSE_WRITES,
 };
 
 /** A VM as the platform sees it. */
@@ -31,6 +33,14 @@
 	char *state;
 	char *listed_state;
 	uint64_t listed_at_ms;
+	/** actions on it are answered with 500 and do nothing */
+	bool refuses;
+	/** a reboot leaves it down for good */
+	bool breaks;
+	/** monotonic time at which it is live again, 0 for none */
+	uint64_t up_at_ms;
+	/** set of "intent action" that were carried out */
+	GHashTable *done;
 };
 
 struct platform {
@@ -39,6 +49,9 @@
 	enum mode mode;
 	uint32_t delay_ms;
 	uint32_t list_lag_ms;
+	/* time that a reboot takes */
+	uint32_t reboot_ms;
+	bool refuses_actions;
 	/* name to struct vm */
 	GHashTable *vms;
 	json_t *actions;
@@ -65,6 +78,7 @@
 
 	g_free(vm->state);
 	g_free(vm->listed_state);
+	g_hash_table_unref(vm->done);
 	g_free(vm);
 }
 
@@ -77,6 +91,7 @@
 	vm = g_new0(struct vm, 1);
 	vm->state = g_strdup("live");
 	vm->listed_state = g_strdup("live");
+	vm->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_hash_table_insert(platform->vms, g_strdup(name), vm);
 	return vm;
 }
@@ -113,22 +128,68 @@
 	return json_pack("{s:o}", "vms", list);
 }
 
+static void vm_reboot(struct platform *platform, const char *name)
+{
+	struct vm *vm = vm_get(platform, name);
+
+	vm_set(platform, name, "down");
+	if (!vm->breaks)
+		vm->up_at_ms = evl_now_ms() + platform->reboot_ms;
+}
+
+static void vm_carry_out(struct platform *platform, const char *name,
+			 const char *action)
+{
+	if (strcmp(action, "reboot") == 0)
+		vm_reboot(platform, name);
+	else
+		vm_set(platform, name,
+		       strcmp(action, "drain") == 0 ? "leaving" : "live");
+}
+
+/* An action is carried out once for each intent, however often it is called. */
 static json_t *vm_act(struct platform *platform, const char *path,
 		      const json_t *body)
 {
 	g_auto(GStrv) parts = g_strsplit(path, "/", 4);
 	const char *intent = json_string_value(json_object_get(body, "intent"));
+	struct vm *vm;
+	bool refused;
+	bool fresh;
 
 	if (g_strv_length(parts) != 4 || !intent)
 		return NULL;
+	vm = vm_get(platform, parts[2]);
+	refused = platform->refuses_actions || vm->refuses;
+	fresh = !refused &&
+		g_hash_table_add(vm->done,
+				 g_strdup_printf("%s %s", intent, parts[3]));
 	json_array_append_new(
 		platform->actions,
-		json_pack("{s:s, s:s, s:s, s:I}", "vm", parts[2], "action",
-			  parts[3], "intent", intent, "at_ms",
+		json_pack("{s:s, s:s, s:s, s:b, s:b, s:I}", "vm", parts[2],
+			  "action", parts[3], "intent", intent, "refused",
+			  refused, "repeated", !refused && !fresh, "at_ms",
 			  (json_int_t)(g_get_real_time() / 1000)));
-	vm_set(platform, parts[2],
-	       strcmp(parts[3], "drain") == 0 ? "leaving" : "live");
-	return json_object();
+	if (fresh)
+		vm_carry_out(platform, parts[2], parts[3]);
+	return refused ? NULL : json_object();
+}
+
+static void vms_come_up(struct platform *platform)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, platform->vms);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		struct vm *vm = value;
+
+		if (vm->up_at_ms == 0 || evl_now_ms() < vm->up_at_ms)
+			continue;
+		vm->up_at_ms = 0;
+		vm_set(platform, name, "live");
+	}
 }
 
 static json_t *call_run(struct platform *platform, const char *path,
@@ -188,18 +249,40 @@
 		return MODE_DOWN;
 	if (strcmp(name, "refuse") == 0)
 		return MODE_REFUSE;
+	if (strcmp(name, "lose-writes") == 0)
+		return MODE_LOSE_WRITES;
 	return strcmp(name, "lose") == 0 ? MODE_LOSE : MODE_OK;
 }
 
-/* {"mode": ok|down|refuse|lose, "delay_ms": N, "list_lag_ms": N,
- *  "vm": NAME, "state": live|leaving|down} */
+static void control_vm(struct platform *platform, const char *name,
+		       const json_t *body)
+{
+	const char *state = json_string_value(json_object_get(body, "state"));
+	const json_t *refuses = json_object_get(body, "refuses");
+	const json_t *breaks = json_object_get(body, "breaks");
+	struct vm *vm = vm_get(platform, name);
+
+	if (state) {
+		vm->up_at_ms = 0;
+		vm_set(platform, name, state);
+	}
+	if (refuses)
+		vm->refuses = json_is_true(refuses);
+	if (breaks)
+		vm->breaks = json_is_true(breaks);
+}
+
+/* {"mode": ok|down|refuse|lose|lose-writes, "delay_ms": N, "list_lag_ms": N,
+ *  "reboot_ms": N, "refuses_actions": bool, "vm": NAME with
+ *  "state": live|leaving|down, "refuses": bool, "breaks": bool} */
 static void control_run(struct platform *platform, const json_t *body)
 {
 	const char *mode = json_string_value(json_object_get(body, "mode"));
 	const json_t *delay = json_object_get(body, "delay_ms");
 	const json_t *lag = json_object_get(body, "list_lag_ms");
 	const char *vm = json_string_value(json_object_get(body, "vm"));
-	const char *state = json_string_value(json_object_get(body, "state"));
+	const json_t *reboot = json_object_get(body, "reboot_ms");
+	const json_t *refuses = json_object_get(body, "refuses_actions");
 
 	if (mode)
 		platform->mode = mode_parse(mode);
@@ -207,8 +290,12 @@
 		platform->delay_ms = (uint32_t)json_integer_value(delay);
 	if (lag)
 		platform->list_lag_ms = (uint32_t)json_integer_value(lag);
-	if (vm && state)
-		vm_set(platform, vm, state);
+	if (reboot)
+		platform->reboot_ms = (uint32_t)json_integer_value(reboot);
+	if (refuses)
+		platform->refuses_actions = json_is_true(refuses);
+	if (vm)
+		control_vm(platform, vm, body);
 }
 
 /* Pages of the judges; they answer whatever the mode is. */
@@ -244,7 +331,9 @@
 		return;
 	}
 	answer = call_run(platform, path, body);
-	if (platform->mode == MODE_LOSE) {
+	if (platform->mode == MODE_LOSE ||
+	    (platform->mode == MODE_LOSE_WRITES &&
+	     strcmp(path, "/v3/kv/txn") == 0)) {
 		json_decref(answer);
 		return;
 	}
@@ -272,6 +361,7 @@
 	struct platform *platform = data;
 
 	kvs_expire(platform->store, evl_now_ms());
+	vms_come_up(platform);
 	evl_timer_set(platform->loop, &platform->expire_timer, EXPIRE_TICK_MS);
 }
 
