Measure entry processes; reuse connections to backend servers

Change: bench/process.lua with a load tool and a bare server; connections are reused where the backend server echoes the request's identity, so that a late or doubled answer is told apart; answers carry a content length. Ruled out: reuse without the echo, since an answer that arrives late could be taken for that of the next request. Command: runner PROGRAMS bench/process.lua.

--- /dev/null
+++ b/bench/process.lua
@@ -0,0 +1,151 @@
+-- Measures entry processes against stand-ins on this machine, each figure
+-- beside its baseline in the same run. Prints a table, writes JSON and fails
+-- beyond the bounds, which come from the stated targets.
+package.path = package.path .. ";tests/scenarios/?.lua"
+local fleet = require("fleet")
+
+local rows = {}
+
+-- Adds a figure; bound is a function of the value, or nil for a plain report.
+local function report(name, value, unit, target, holds)
+  table.insert(rows, {name = name, value = value, unit = unit, target = target or "",
+                      verdict = holds == nil and "" or (holds and "ok" or "FAIL")})
+end
+
+local function load(arguments)
+  local argv = {"bench_loader", log = DIR .. "/loader.log"}
+  for key, value in pairs(arguments) do
+    table.insert(argv, "--" .. key)
+    table.insert(argv, tostring(value))
+  end
+  local _, out = run(argv)
+  return assert(json(out), "the loader printed no report: " .. out)
+end
+
+-- Processor time of a process in milliseconds, from the kernel.
+local function cpu_ms(pid)
+  local fields = {}
+  for word in fleet.read("/proc/" .. pid .. "/stat"):gsub("^.*%) ", ""):gmatch("%S+") do
+    table.insert(fields, word)
+  end
+  return (tonumber(fields[12]) + tonumber(fields[13])) * 10
+end
+
+local function resident_kb(pid)
+  return tonumber(fleet.read("/proc/" .. pid .. "/status"):match("VmRSS:%s+(%d+)"))
+end
+
+local function address(port) return "127.0.0.1:" .. port end
+
+-- A fleet whose one pool is served by bare servers, so that the entry is the
+-- bottleneck, and by one stand-in that takes time.
+local function throughput()
+  local f = fleet.new{backends = {{name = "slow", zone = "z1", rack = "r1"}}}
+  local pids = {}
+  local names = {}
+  for i = 1, 4 do
+    local name = "fast-" .. i
+    local port = free_port()
+    pids[i] = spawn{"bench_bare", address(port)}
+    f.backends[name] = {name = name, port = port, zone = "z" .. i, rack = "r" .. i, slots = 64,
+                        log = DIR .. "/" .. name}
+    table.insert(f.order, name)
+    table.insert(names, name)
+  end
+  local entry = f:add_entry("entry-1")
+  f:publish(1, {{name = "fast", vms = names}, {name = "slow", vms = {"slow"}}},
+            {{path = "/fast", pool = "fast"}, {path = "/slow", pool = "slow", deadline_ms = 20000}})
+  f:must_ctl("roll", 1)
+  f:wait_serving(entry)
+
+  local bare_before = cpu_ms(pids[1])
+  local bare = load{target = address(f.backends["fast-1"].port), path = "/", requests = 60000,
+                    connections = 32}
+  local bare_cpu = cpu_ms(pids[1]) - bare_before
+  local entry_before = cpu_ms(entry.pid)
+  local through = load{target = address(entry.port), path = "/fast", requests = 30000,
+                       connections = 32}
+  local entry_cpu = cpu_ms(entry.pid) - entry_before
+  assert(through.statuses["200"] == 30000, "each request is answered")
+  local bare_rate = 60000 * 1000 / bare_cpu
+  local entry_rate = 30000 * 1000 / entry_cpu
+  report("bare h2o, requests a second per core", bare_rate // 1, "1/s")
+  report("entry, requests a second per core", entry_rate // 1, "1/s")
+  report("entry / bare h2o", entry_rate / bare_rate, "ratio", ">= 1/3", entry_rate * 3 >= bare_rate)
+
+  -- Half load of the 8 slots at 20 ms a request is 200 requests a second.
+  local direct = load{target = address(f.backends["slow"].port), path = "/slow", requests = 2000,
+                      connections = 32, rate = 200, ["run-ms"] = 20}
+  local added = load{target = address(entry.port), path = "/slow", requests = 2000,
+                     connections = 32, rate = 200, ["run-ms"] = 20}
+  local median = (added.p50_us - direct.p50_us) / 1000
+  local tail = (added.p99_us - direct.p99_us) / 1000
+  report("direct call, median", direct.p50_us / 1000, "ms")
+  report("through the entry, median", added.p50_us / 1000, "ms", "<= 2x", added.p50_us <= 2 * direct.p50_us)
+  report("added, median", median, "ms", "< 0.5", median < 0.5)
+  report("added, p99", tail, "ms", "< 2", tail < 2)
+  for _, pid in ipairs(pids) do signal(pid, "KILL") end
+  return f
+end
+
+-- Roll-out time over 20 rolls with 9 entries, as the desk's tool measures it.
+local function roll_out()
+  local f = fleet.new{backends = {{name = "vm-a", zone = "z1", rack = "r1"}}}
+  for i = 1, 9 do f:add_entry("entry-" .. i) end
+  f:publish(1, {{name = "p", vms = {"vm-a"}}}, {{path = "/p", pool = "p"}})
+  f:publish(2, {{name = "p", vms = {"vm-a"}}}, {{path = "/p", pool = "p"}})
+  local times = {}
+  for i = 1, 20 do
+    local result = f:must_ctl("roll", i % 2 + 1)
+    assert(result.in_force == result.processes)
+    table.insert(times, result.took_ms)
+  end
+  table.sort(times)
+  report("roll-out, 9 entries, median of 20", times[10], "ms")
+  report("roll-out, 9 entries, longest of 20", times[20], "ms", "< 1000", times[20] < 1000)
+  return f
+end
+
+-- Control cost of idle entries, as slopes over the number of processes.
+local function control_cost(counts)
+  for _, count in ipairs(counts) do
+    local f = fleet.new{backends = {{name = "vm-a", zone = "z1", rack = "r1"}}}
+    local entries = {}
+    for i = 1, count do entries[i] = f:add_entry("entry-" .. i) end
+    f:publish(1, {{name = "p", vms = {"vm-a"}}}, {{path = "/p", pool = "p"}})
+    f:must_ctl("roll", 1)
+    poll(1500)
+    local before = {}
+    local calls = fleet.get_json(f.platform_port, "/calls")
+    for i, entry in ipairs(entries) do before[i] = cpu_ms(entry.pid) end
+    local began = now_ms()
+    poll(8000)
+    local took = now_ms() - began
+    local cpu, memory = 0, 0
+    for i, entry in ipairs(entries) do
+      cpu = cpu + cpu_ms(entry.pid) - before[i]
+      memory = math.max(memory, resident_kb(entry.pid))
+    end
+    local page = fleet.http{url = fleet.url(entries[1].port, "/metrics")}.body
+    local sent = page:match("peer_bytes_sent_total (%d+)")
+    local share = cpu / took / count * 100
+    report(count .. " entries: processor share of one", share, "%", "<= 1.1", share <= 1.1)
+    report(count .. " entries: resident memory of the largest", memory / 1024, "MB", "<= 64",
+           memory <= 64 * 1024)
+    report(count .. " entries: platform calls of all", (fleet.get_json(f.platform_port, "/calls") - calls) * 1000 / took,
+           "1/s")
+    f:stop()
+  end
+end
+
+throughput():stop()
+roll_out():stop()
+control_cost{3, 6, 9, 18, 36}
+
+local failed = false
+print(string.format("%-52s %12s %-6s %-8s %s", "figure", "value", "unit", "target", "verdict"))
+for _, row in ipairs(rows) do
+  print(string.format("%-52s %12.3f %-6s %-8s %s", row.name, row.value, row.unit, row.target, row.verdict))
+  failed = failed or row.verdict == "FAIL"
+end
+assert(not failed, "a figure is beyond its bound")
--- a/packages/backend_server/src/att.c
+++ b/packages/backend_server/src/att.c
@@ -7,7 +7,12 @@
 #define ATT_HEADER_LEAVING "sassafrascart-leaving"
 
 struct att_attempt {
+	struct hcl_client *client;
 	struct hcl_call *call;
+	char *ip;
+	uint16_t port;
+	/* whether the connection may have carried another request before */
+	bool reused;
 	char *request_id;
 	att_cb cb;
 	void *data;
@@ -51,9 +56,30 @@
 	if (err != ERR_NONE)
 		return ATT_CUT;
 	echoed = hcl_answer_header(answer, ATT_HEADER_REQUEST_ID);
-	if (echoed && strcmp(echoed, attempt->request_id) != 0)
-		return ATT_MISMATCH;
-	return ATT_ANSWERED;
+	/* On a reused connection only an answer with its name is certain. */
+	if (!echoed)
+		return attempt->reused ? ATT_MISMATCH : ATT_ANSWERED;
+	return strcmp(echoed, attempt->request_id) == 0 ? ATT_ANSWERED
+							: ATT_MISMATCH;
+}
+
+/* Reuses connections only to servers that name the request they answer. */
+static void reuse_learn(const struct att_attempt *attempt,
+			enum att_result result, const struct hcl_answer *answer)
+{
+	bool echoes = result == ATT_ANSWERED &&
+		      hcl_answer_header(answer, ATT_HEADER_REQUEST_ID);
+
+	if (result == ATT_ANSWERED || result == ATT_MISMATCH)
+		hcl_client_set_reuse(attempt->client, attempt->ip,
+				     attempt->port, echoes);
+}
+
+static void attempt_free(struct att_attempt *attempt)
+{
+	g_free(attempt->ip);
+	g_free(attempt->request_id);
+	g_free(attempt);
 }
 
 static void on_call_end(void *data, enum err_kind err, bool sent,
@@ -63,10 +89,10 @@
 	enum att_result result = result_of(attempt, err, sent, answer);
 	bool leaving = answer && hcl_answer_header(answer, ATT_HEADER_LEAVING);
 
+	reuse_learn(attempt, result, answer);
 	attempt->cb(attempt->data, result,
 		    result == ATT_ANSWERED ? answer : NULL, leaving);
-	g_free(attempt->request_id);
-	g_free(attempt);
+	attempt_free(attempt);
 }
 
 static GArray *headers_build(const struct att_request *request)
@@ -108,6 +134,10 @@
 		.may_send_data = target->may_send_data,
 	};
 
+	attempt->client = client;
+	attempt->ip = g_strdup(target->ip);
+	attempt->port = target->port;
+	attempt->reused = hcl_client_reuses(client, target->ip, target->port);
 	attempt->request_id = g_strdup(request->request_id);
 	attempt->cb = cb;
 	attempt->data = data;
@@ -120,6 +150,5 @@
 	if (!attempt)
 		return;
 	hcl_call_cancel(attempt->call);
-	g_free(attempt->request_id);
-	g_free(attempt);
+	attempt_free(attempt);
 }
--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -95,6 +95,7 @@
 		h2o_add_header(&req->pool, &req->res.headers,
 			       H2O_TOKEN_CONTENT_TYPE, NULL,
 			       H2O_STRLIT("text/plain; charset=utf-8"));
+		req->res.content_length = body->len;
 		h2o_send_inline(req, body->str, body->len);
 	}
 	g_string_free(body, TRUE);
@@ -299,6 +300,7 @@
 		h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
 				      name.len, 1, NULL, value.base, value.len);
 	}
+	req->res.content_length = answer->body_bytes;
 	h2o_send_inline(req, answer->body, answer->body_bytes);
 }
 
@@ -321,5 +323,6 @@
 	}
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
 		       NULL, H2O_STRLIT("text/plain; charset=utf-8"));
+	req->res.content_length = strlen(row->text);
 	h2o_send_inline(req, row->text, strlen(row->text));
 }
--- a/packages/runtime/include/hcl.h
+++ b/packages/runtime/include/hcl.h
@@ -4,7 +4,11 @@
  *
  * Prefix: hcl_. The whole answer is buffered up to a limit, so a call ends
  * either with a whole answer or with an error kind; never with a part.
- * Each call opens a connection of its own.
+ *
+ * A call opens a connection of its own unless the owner has allowed reuse
+ * for the address. A reused connection carried a whole answer within the
+ * last HCL_IDLE_MAX_MS; one whose call timed out, was cancelled or left
+ * bytes over is closed.
  */
 #ifndef HCL_H
 #define HCL_H
@@ -16,6 +20,9 @@
 #include "err.h"
 #include "evl.h"
 
+/** Longest time a connection may be idle before it is reused. */
+#define HCL_IDLE_MAX_MS 1000
+
 /** A client that shares timeouts between its calls, opaque. */
 struct hcl_client;
 
@@ -74,6 +81,19 @@
 /** @brief Frees a client without calls. @param client may be NULL */
 void hcl_client_destroy(struct hcl_client *client);
 
+/**
+ * @brief Allows or forbids that connections to an address are reused.
+ *
+ * To be allowed only where an answer names its request, since an answer that
+ * arrives late could else be taken for that of the next request.
+ */
+void hcl_client_set_reuse(struct hcl_client *client, const char *ip,
+			  uint16_t port, bool reuse);
+
+/** @brief Tells whether connections to an address may be reused. */
+bool hcl_client_reuses(const struct hcl_client *client, const char *ip,
+		       uint16_t port);
+
 /**
  * @brief Starts a call.
  * @return the call, valid until its callback or hcl_call_cancel()
--- a/packages/runtime/src/hcl.c
+++ b/packages/runtime/src/hcl.c
@@ -1,30 +1,50 @@
 #include "hcl.h"
 
+#include <arpa/inet.h>
 #include <h2o/http1client.h>
+#include <h2o/socketpool.h>
 #include <string.h>
 
 /* Backstop only: each call has a deadline of its own that is shorter. */
 #define HCL_IO_TIMEOUT_MS 600000
+/* h2o 2.2.5 does not enforce a pool's capacity; slots bound connections. */
+#define HCL_POOL_CAPACITY 64
+/* An address without calls for this long loses its pool. */
+#define HCL_HOST_UNUSED_MS 10000
+/* Room for a request's head; longer ones grow the buffer. */
+#define HCL_HEAD_ROOM_BYTES 512
+
+/* An address whose connections may be reused. */
+struct hcl_host {
+	uint64_t key;
+	h2o_socketpool_t pool;
+	uint32_t calls;
+	uint64_t used_ms;
+};
 
 struct hcl_client {
 	struct evl_loop *loop;
 	h2o_timeout_t io_timeout;
 	h2o_http1client_ctx_t ctx;
+	/* address to struct hcl_host */
+	GHashTable *hosts;
+	struct tmr_entry sweep_timer;
 };
 
 struct hcl_call {
 	struct hcl_client *client;
+	/* NULL for a connection of the call's own */
+	struct hcl_host *host;
 	h2o_http1client_t *h2o;
 	hcl_cb cb;
 	void *data;
 	struct tmr_entry timer;
-	GByteArray *request;
+	GString *request;
 	h2o_iovec_t request_vec;
 	bool is_head;
 	bool sent;
-	/* h2o may report a failed connect before it has returned the client */
+	/* h2o may call back before it has returned the client */
 	bool starting;
-	bool failed_at_start;
 	uint16_t status;
 	bool length_known;
 	size_t answer_max_bytes;
@@ -35,6 +55,87 @@
 	GStringChunk *strings;
 };
 
+static uint64_t host_key(const char *ip, uint16_t port)
+{
+	struct in_addr addr = { 0 };
+
+	inet_pton(AF_INET, ip, &addr);
+	return (uint64_t)addr.s_addr << 16 | port;
+}
+
+static struct hcl_host *host_find(const struct hcl_client *client,
+				  const char *ip, uint16_t port)
+{
+	uint64_t key = host_key(ip, port);
+
+	return g_hash_table_lookup(client->hosts, &key);
+}
+
+static void host_free(gpointer data)
+{
+	struct hcl_host *host = data;
+
+	h2o_socketpool_dispose(&host->pool);
+	g_free(host);
+}
+
+static void host_add(struct hcl_client *client, const char *ip, uint16_t port)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_port = htons(port) };
+	struct hcl_host *host = g_new0(struct hcl_host, 1);
+
+	inet_pton(AF_INET, ip, &addr.sin_addr);
+	host->key = host_key(ip, port);
+	host->used_ms = evl_now_ms();
+	h2o_socketpool_init_by_address(&host->pool, (struct sockaddr *)&addr,
+				       sizeof(addr), 0, HCL_POOL_CAPACITY);
+	h2o_socketpool_set_timeout(&host->pool, client->ctx.loop,
+				   HCL_IDLE_MAX_MS);
+	g_hash_table_insert(client->hosts, &host->key, host);
+}
+
+static gboolean host_is_unused(gpointer key, gpointer value, gpointer data)
+{
+	const struct hcl_host *host = value;
+	const uint64_t *now_ms = data;
+
+	return host->calls == 0 && *now_ms - host->used_ms > HCL_HOST_UNUSED_MS;
+}
+
+static void on_sweep(void *data)
+{
+	struct hcl_client *client = data;
+	uint64_t now_ms = evl_now_ms();
+
+	g_hash_table_foreach_remove(client->hosts, host_is_unused, &now_ms);
+	if (g_hash_table_size(client->hosts) > 0)
+		evl_timer_set(client->loop, &client->sweep_timer,
+			      HCL_HOST_UNUSED_MS);
+}
+
+void hcl_client_set_reuse(struct hcl_client *client, const char *ip,
+			  uint16_t port, bool reuse)
+{
+	struct hcl_host *host = host_find(client, ip, port);
+
+	if (reuse && !host) {
+		host_add(client, ip, port);
+		if (!tmr_is_set(&client->sweep_timer))
+			evl_timer_set(client->loop, &client->sweep_timer,
+				      HCL_HOST_UNUSED_MS);
+	}
+	/* With calls in progress the pool stays until it is unused. */
+	if (!reuse && host && host->calls == 0)
+		g_hash_table_remove(client->hosts, &host->key);
+}
+
+bool hcl_client_reuses(const struct hcl_client *client, const char *ip,
+		       uint16_t port)
+{
+	return host_find(client, ip, port) != NULL;
+}
+
 struct hcl_client *hcl_client_create(struct evl_loop *loop)
 {
 	struct hcl_client *client = g_new0(struct hcl_client, 1);
@@ -44,6 +145,10 @@
 			 HCL_IO_TIMEOUT_MS);
 	client->ctx.loop = evl_loop_h2o(loop);
 	client->ctx.io_timeout = &client->io_timeout;
+	client->hosts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      host_free);
+	client->sweep_timer.cb = on_sweep;
+	client->sweep_timer.data = client;
 	return client;
 }
 
@@ -51,6 +156,8 @@
 {
 	if (!client)
 		return;
+	tmr_cancel(&client->sweep_timer);
+	g_hash_table_unref(client->hosts);
 	h2o_timeout_dispose(client->ctx.loop, &client->io_timeout);
 	g_free(client);
 }
@@ -58,7 +165,11 @@
 static void call_free(struct hcl_call *call)
 {
 	tmr_cancel(&call->timer);
-	g_byte_array_unref(call->request);
+	if (call->host) {
+		call->host->calls--;
+		call->host->used_ms = evl_now_ms();
+	}
+	g_string_free(call->request, TRUE);
 	g_byte_array_unref(call->body);
 	g_array_unref(call->headers);
 	g_string_chunk_free(call->strings);
@@ -84,7 +195,7 @@
 {
 	struct hcl_call *call = data;
 
-	if (!call->failed_at_start)
+	if (call->h2o)
 		h2o_http1client_cancel(call->h2o);
 	call_finish(call, call->sent ? ERR_TIMEOUT : ERR_CONNECT);
 }
@@ -170,58 +281,83 @@
 	return on_body;
 }
 
+static void connect_fail(struct hcl_call *call)
+{
+	call->h2o = NULL;
+	if (!call->starting) {
+		call_finish(call, ERR_CONNECT);
+		return;
+	}
+	/* The callback never runs within the call that starts. */
+	evl_timer_set(call->client->loop, &call->timer, 0);
+}
+
 static h2o_http1client_head_cb
 on_connect(h2o_http1client_t *client, const char *errstr, h2o_iovec_t **reqbufs,
 	   size_t *reqbufcnt, int *method_is_head)
 {
 	struct hcl_call *call = client->data;
 
-	if (errstr && call->starting) {
-		call->failed_at_start = true;
-		evl_timer_set(call->client->loop, &call->timer, 0);
-		return NULL;
-	}
-	if (errstr) {
-		call_finish(call, ERR_CONNECT);
-		return NULL;
-	}
-	/* The process may have been paused since it decided to send. */
-	if (call->may_send && !call->may_send(call->may_send_data)) {
-		h2o_http1client_cancel(client);
-		call_finish(call, ERR_CONNECT);
+	/*
+	 * The process may have been paused since it decided to send. h2o
+	 * closes the client when this callback returns NULL.
+	 */
+	if (errstr ||
+	    (call->may_send && !call->may_send(call->may_send_data))) {
+		connect_fail(call);
 		return NULL;
 	}
 	call->sent = true;
 	call->request_vec =
-		h2o_iovec_init(call->request->data, call->request->len);
+		h2o_iovec_init(call->request->str, call->request->len);
 	*reqbufs = &call->request_vec;
 	*reqbufcnt = 1;
 	*method_is_head = call->is_head;
 	return on_head;
 }
 
-static GByteArray *request_encode(const struct hcl_request *request)
+static void header_append(GString *out, const char *name, const char *value)
 {
-	GString *head = g_string_sized_new(512);
-	GByteArray *bytes = g_byte_array_new();
+	g_string_append(out, name);
+	g_string_append_len(out, ": ", 2);
+	g_string_append(out, value);
+	g_string_append_len(out, "\r\n", 2);
+}
 
-	g_string_printf(head, "%s %s HTTP/1.1\r\nhost: %s:%u\r\n",
-			request->method, request->path, request->ip,
-			(unsigned int)request->port);
+static void host_header_append(GString *out, const struct hcl_request *request)
+{
+	char port[8];
+
+	g_snprintf(port, sizeof(port), ":%u", (unsigned int)request->port);
+	g_string_append(out, "host: ");
+	g_string_append(out, request->ip);
+	g_string_append(out, port);
+	g_string_append_len(out, "\r\n", 2);
+}
+
+static GString *request_encode(const struct hcl_request *request, bool reuse)
+{
+	GString *out =
+		g_string_sized_new(HCL_HEAD_ROOM_BYTES + request->body_len);
+	char length[24];
+
+	g_string_append(out, request->method);
+	g_string_append_c(out, ' ');
+	g_string_append(out, request->path);
+	g_string_append(out, " HTTP/1.1\r\n");
+	host_header_append(out, request);
 	for (size_t i = 0; i < request->header_count; i++)
-		g_string_append_printf(head, "%s: %s\r\n",
-				       request->headers[i].name,
-				       request->headers[i].value);
-	g_string_append_printf(head,
-			       "content-length: %zu\r\n"
-			       "connection: close\r\n\r\n",
-			       request->body_len);
-	g_byte_array_append(bytes, (guint8 *)head->str, (guint)head->len);
+		header_append(out, request->headers[i].name,
+			      request->headers[i].value);
+	g_snprintf(length, sizeof(length), "%zu", request->body_len);
+	header_append(out, "content-length", length);
+	if (!reuse)
+		header_append(out, "connection", "close");
+	g_string_append_len(out, "\r\n", 2);
 	if (request->body_len > 0)
-		g_byte_array_append(bytes, request->body,
-				    (guint)request->body_len);
-	g_string_free(head, TRUE);
-	return bytes;
+		g_string_append_len(out, request->body,
+				    (gssize)request->body_len);
+	return out;
 }
 
 struct hcl_call *hcl_call_start(struct hcl_client *client,
@@ -235,7 +371,10 @@
 	call->data = data;
 	call->timer.cb = on_timeout;
 	call->timer.data = call;
-	call->request = request_encode(request);
+	call->host = host_find(client, request->ip, request->port);
+	if (call->host)
+		call->host->calls++;
+	call->request = request_encode(request, call->host != NULL);
 	call->is_head = strcmp(request->method, "HEAD") == 0;
 	call->answer_max_bytes = request->answer_max_bytes;
 	call->may_send = request->may_send;
@@ -245,10 +384,15 @@
 	call->strings = g_string_chunk_new(1024);
 	evl_timer_set(client->loop, &call->timer, request->timeout_ms);
 	call->starting = true;
-	h2o_http1client_connect(
-		&call->h2o, call, &client->ctx,
-		h2o_iovec_init(request->ip, strlen(request->ip)), request->port,
-		0, on_connect);
+	if (call->host)
+		h2o_http1client_connect_with_pool(
+			&call->h2o, call, &client->ctx, &call->host->pool,
+			on_connect);
+	else
+		h2o_http1client_connect(
+			&call->h2o, call, &client->ctx,
+			h2o_iovec_init(request->ip, strlen(request->ip)),
+			request->port, 0, on_connect);
 	call->starting = false;
 	return call;
 }
@@ -257,7 +401,7 @@
 {
 	if (!call)
 		return;
-	if (!call->failed_at_start)
+	if (call->h2o)
 		h2o_http1client_cancel(call->h2o);
 	call_free(call);
 }
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -74,6 +74,7 @@
                             log = DIR .. "/platform.log"}
   wait_for_port(self.platform_port)
   for _, spec in ipairs(options.backends) do self:add_backend(spec) end
+  -- One key serves all fleets of a scenario; the second call finds it there.
   self:ctl("keygen", DIR .. "/desk")
   return self
 end
@@ -155,6 +156,7 @@
 function fleet:publish(version, pools, routes)
   local file = DIR .. "/bundle-" .. version
   fleet.write(file .. ".yaml", self:bundle_text(version, pools, routes))
+  os.remove(file .. ".signed")
   self:must_ctl("bundle", "check", file .. ".yaml")
   self:must_ctl("bundle", "sign", file .. ".yaml", "--key", DIR .. "/desk.private.pem",
                 "--out", file .. ".signed")
@@ -177,6 +179,17 @@
   end)
 end
 
+-- Kills all processes of the fleet, before another is made.
+function fleet:stop()
+  local pids = {self.platform_pid}
+  for _, backend in pairs(self.backends) do table.insert(pids, backend.pid) end
+  for _, entry in pairs(self.entries) do table.insert(pids, entry.pid) end
+  for _, pid in ipairs(pids) do
+    signal(pid, "KILL")
+    fleet.wait_until("process " .. pid .. " ends", 5000, function() return exited(pid) end)
+  end
+end
+
 -- Every run that backend servers logged, oldest first for each of them.
 function fleet:runs()
   local runs = {}
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -120,6 +120,7 @@
 {
 	g_string_append_printf(conn->out,
 			       "HTTP/1.1 %d OK\r\ncontent-length: %zu\r\n"
+			       "connection: close\r\n"
 			       "x-request-id: %s\r\nx-backend: %s\r\n%s\r\n",
 			       status, body_len, id, conn->backend->name,
 			       conn->backend->mode == MODE_LEAVING
