--- /dev/null
+++ b/tests/scenarios/demo.lua
@@ -0,0 +1,126 @@
+-- The main job on embedded stand-ins: nine entries, five pools on 48 backend
+-- servers in three zones, a roll, a burst, a maintenance wave and the death
+-- of a backend server. Ends with a report.
+local fleet = require("fleet")
+
+local ZONES = 3
+local VMS = 48
+local SERVICES = {"draws", "rosters", "results", "clubs", "entries"}
+local TARGETS = {draws = 9, rosters = 9, results = 9, clubs = 9, entries = 8}
+local MEAN_PER_S = 40
+local PHASES = {{name = "mean load", factor = 1, seconds = 3},
+                {name = "burst of five times the mean", factor = 5, seconds = 4},
+                {name = "a twentieth of the mean", factor = 0.05, seconds = 2},
+                {name = "mean load, wave and a death", factor = 1, seconds = 12}}
+
+print("starting " .. VMS .. " backend servers and 9 entry processes")
+local backends = {}
+for i = 1, VMS do
+  local zone = (i - 1) % ZONES + 1
+  backends[i] = {name = string.format("vm-%02d", i), zone = "zone-" .. zone,
+                 rack = string.format("rack-%d-%d", zone, (i - 1) // (ZONES * 4))}
+end
+local f = fleet.new{backends = backends, flags = {"--lease-ttl-s", "2"}}
+local entries = {}
+for i = 1, 9 do entries[i] = f:add_entry("entry-" .. i) end
+
+local function bundle(version)
+  local pools, routes = {}, {}
+  for _, service in ipairs(SERVICES) do
+    table.insert(pools, {name = service, vms = f.order, target = TARGETS[service],
+                         floor = TARGETS[service] - 3, survive = "rack",
+                         spare = service == "entries", queue = 400, wait_ms = 3000})
+    table.insert(routes, {path = "/" .. service, pool = service, deadline_ms = 4000,
+                          idempotent = service == "draws" and "no" or "method"})
+  end
+  f.waves_text = "waves:\n  - {name: nightly, opens: \"00:00\", closes: \"24:00\", pools: [rosters], "
+    .. "max_parallel: 2, max_failures: 3}"
+  f:publish(version, pools, routes)
+end
+
+bundle(1)
+local rolled = f:must_ctl("roll", 1)
+print(string.format("roll 1 in force in %d of %d processes after %d ms",
+                    rolled.in_force, rolled.processes, rolled.took_ms))
+for _, entry in ipairs(entries) do f:wait_serving(entry) end
+
+local outcomes, wrong, open, sent = {}, 0, {}, 0
+
+local function finish(id, body)
+  local result = http_result(id)
+  if not result then return false end
+  local outcome = result.headers["sassafrascart-outcome"] or ("broken: " .. (result.error or "no outcome"))
+  outcomes[outcome] = (outcomes[outcome] or 0) + 1
+  if result.status == 200 and result.body ~= body then wrong = wrong + 1 end
+  return true
+end
+
+local function collect()
+  for id, body in pairs(open) do
+    if finish(id, body) then open[id] = nil end
+  end
+end
+
+local function send()
+  sent = sent + 1
+  local service = SERVICES[sent % #SERVICES + 1]
+  local body = string.format("%s request %d", service, sent)
+  local id = http_start{method = "POST", url = fleet.url(entries[sent % 9 + 1].port, "/" .. service),
+                        body = body, timeout_ms = 15000,
+                        headers = {["x-test-id"] = body, ["x-run-ms"] = tostring(300 + sent % 7 * 70)}}
+  open[id] = body
+end
+
+local function run_phase(phase)
+  print(string.format("%s, %d s", phase.name, phase.seconds))
+  local began, count = now_ms(), 0
+  local rate = MEAN_PER_S * #SERVICES * phase.factor
+  while now_ms() - began < phase.seconds * 1000 do
+    while count < (now_ms() - began) * rate / 1000 do
+      send()
+      count = count + 1
+    end
+    poll(5)
+    collect()
+  end
+end
+
+for index, phase in ipairs(PHASES) do
+  if index == #PHASES then
+    local victim
+    for _, row in ipairs(json(f:placement()).rows) do
+      if row[2] == "results" and row[3] == "serving" then victim = row[1] end
+    end
+    print("killing " .. victim .. " of pool results")
+    signal(f.backends[victim].pid, "KILL")
+  end
+  run_phase(phase)
+end
+fleet.wait_until("all requests have ended", 20000, function()
+  collect()
+  return next(open) == nil
+end)
+
+local doubled, runs = 0, f:runs_by_test_id()
+for id, count in pairs(runs) do
+  if id:find("^draws") and count > 1 then doubled = doubled + 1 end
+end
+local over = 0
+for _, name in ipairs(f.order) do
+  local stats = fleet.http{url = fleet.url(f.backends[name].port, "/stats"), timeout_ms = 500}
+  if stats.status == 200 then over = math.max(over, json(stats.body).max_running) end
+end
+
+print("\nrequests by outcome")
+for outcome, count in pairs(outcomes) do print(string.format("  %6d  %s", count, outcome)) end
+print(string.format("  %6d  sent", sent))
+print("promises")
+print(string.format("  answers with another request's content: %d", wrong))
+print(string.format("  draws that ran more than once: %d", doubled))
+print(string.format("  most requests at once on a backend server: %d of 8 slots", over))
+print("fleet")
+print(string.format("  roll-out time: %d ms", rolled.took_ms))
+local moves, maintained = f:placement_changes()
+print(string.format("  moves between pools: %d", moves))
+print(string.format("  VMs maintained: %d", maintained))
+assert(wrong == 0 and doubled == 0, "a promise was broken")
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -179,6 +179,45 @@
   end)
 end
 
+local PLACEMENT = "/sassafrascart/placement"
+
+-- Every value that the placement had, oldest first, as decoded tables.
+function fleet:placements()
+  local values = {}
+  for _, write in ipairs(fleet.get_json(self.platform_port, "/history")) do
+    if write.key == PLACEMENT and write.value then table.insert(values, json(write.value)) end
+  end
+  return values
+end
+
+-- The text of the placement in the store.
+function fleet:placement()
+  local text
+  for _, write in ipairs(fleet.get_json(self.platform_port, "/history")) do
+    if write.key == PLACEMENT then text = write.value end
+  end
+  return text
+end
+
+-- Counts VMs that changed their pool, and VMs rebooted by the platform.
+function fleet:placement_changes()
+  local pool_of, moves, rebooted = {}, 0, {}
+  for _, value in ipairs(self:placements()) do
+    for _, row in ipairs(value.rows) do
+      if pool_of[row[1]] and pool_of[row[1]] ~= row[2] then moves = moves + 1 end
+      pool_of[row[1]] = row[2]
+    end
+  end
+  local count = 0
+  for _, action in ipairs(fleet.get_json(self.platform_port, "/actions")) do
+    if action.action == "reboot" and not rebooted[action.vm] then
+      rebooted[action.vm] = true
+      count = count + 1
+    end
+  end
+  return moves, count
+end
+
 -- Kills all processes of the fleet, before another is made.
 function fleet:stop()
   local pids = {self.platform_pid}
