Keep control traffic of an idle entry under 6 KB/s

Cause: an idle entry sent and received 6.2 to 9.2 KB/s for control with 3 to 36 entries (target 6): four polls a second, and the whole member list every 5 s whatever its length. Change: one poll a second, since peers repeat a newer head at once; the member list is read more rarely as it grows; bytes are counted. Ruled out: larger heartbeat periods; heartbeats are under a third.

--- a/bench/process.lua
+++ b/bench/process.lua
@@ -105,6 +105,17 @@
   return f
 end
 
+-- Bytes that an entry sent and received for control so far.
+local function control_bytes(entry)
+  local page = fleet.http{url = fleet.url(entry.port, "/metrics")}.body
+  local sum = 0
+  for _, name in ipairs{"platform_bytes_sent", "platform_bytes_received", "peer_bytes_sent",
+                        "peer_bytes_received"} do
+    sum = sum + tonumber(page:match(name .. "_total (%d+)"))
+  end
+  return sum
+end
+
 -- Control cost of idle entries, as slopes over the number of processes.
 local function control_cost(counts)
   for _, count in ipairs(counts) do
@@ -117,6 +128,7 @@
     local before = {}
     local calls = fleet.get_json(f.platform_port, "/calls")
     for i, entry in ipairs(entries) do before[i] = cpu_ms(entry.pid) end
+    local bytes = control_bytes(entries[1])
     local began = now_ms()
     poll(8000)
     local took = now_ms() - began
@@ -125,14 +137,15 @@
       cpu = cpu + cpu_ms(entry.pid) - before[i]
       memory = math.max(memory, resident_kb(entry.pid))
     end
-    local page = fleet.http{url = fleet.url(entries[1].port, "/metrics")}.body
-    local sent = page:match("peer_bytes_sent_total (%d+)")
+    local bytes_after = control_bytes(entries[1])
     local share = cpu / took / count * 100
     report(count .. " entries: processor share of one", share, "%", "<= 1.1", share <= 1.1)
     report(count .. " entries: resident memory of the largest", memory / 1024, "MB", "<= 64",
            memory <= 64 * 1024)
     report(count .. " entries: platform calls of all", (fleet.get_json(f.platform_port, "/calls") - calls) * 1000 / took,
            "1/s")
+    local rate = (bytes_after - bytes) / took
+    report(count .. " entries: control bytes of one, both ways", rate, "KB/s", "<= 6", rate <= 6)
     f:stop()
   end
 end
--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -10,6 +10,8 @@
 /* Bursts of this many seconds' worth of calls are let through. */
 #define ENT_PLATFORM_BURST_S 2
 #define ENT_MEMBERS_READ_MS 5000
+/* Members up to which the list is read at that pace. */
+#define ENT_MEMBERS_READ_FULL_PACE 10
 #define ENT_PEER_PERIOD_MS 1000
 #define ENT_PEER_FAN_OUT 3
 #define ENT_PEER_GONE_AFTER_MS 8000
@@ -81,12 +83,24 @@
 	per_node_announce(entry->peers);
 }
 
+/* A new process makes itself known, so that the pace may fall as the list
+ * grows: the bytes a second stay about the same. */
+static uint64_t members_read_ms(const struct ent_entry *entry)
+{
+	uint32_t live = per_node_live_count(entry->peers);
+
+	return (uint64_t)ENT_MEMBERS_READ_MS *
+	       MAX(live, ENT_MEMBERS_READ_FULL_PACE) /
+	       ENT_MEMBERS_READ_FULL_PACE;
+}
+
 static void on_members(void *data, enum err_kind err,
 		       const struct plt_result *result)
 {
 	struct ent_entry *entry = data;
 
-	evl_timer_set(entry->loop, &entry->members_timer, ENT_MEMBERS_READ_MS);
+	evl_timer_set(entry->loop, &entry->members_timer,
+		      members_read_ms(entry));
 	if (err != ERR_NONE) {
 		ctr_add(&entry->counters, CTR_PLATFORM_ERRORS);
 		return;
--- a/bin/sassafrascartd/ent_pages.c
+++ b/bin/sassafrascartd/ent_pages.c
@@ -21,6 +21,7 @@
 static void metrics_page(struct ent_entry *entry, GString *body)
 {
 	const struct per_counts *peers = per_node_counts(entry->peers);
+	const struct hcl_counts *platform = plt_platform_bytes(entry->platform);
 	uint64_t calls;
 	uint64_t limited;
 
@@ -29,6 +30,13 @@
 	plt_platform_counts(entry->platform, &calls, &limited);
 	ctr_render_gauge(body, "platform_calls_total", calls);
 	ctr_render_gauge(body, "platform_rate_limited_total", limited);
+	ctr_render_gauge(body, "platform_bytes_sent_total",
+			 platform->bytes_sent);
+	ctr_render_gauge(body, "platform_bytes_received_total",
+			 platform->bytes_received);
+	ctr_render_gauge(body, "peer_bytes_sent_total", peers->bytes_sent);
+	ctr_render_gauge(body, "peer_bytes_received_total",
+			 peers->bytes_received);
 	ctr_render_gauge(body, "peers_live", per_node_live_count(entry->peers));
 	ctr_render_gauge(body, "peer_datagrams_sent_total", peers->sent);
 	ctr_render_gauge(body, "peer_datagrams_received_total",
--- a/bin/sassafrascartd/set.c
+++ b/bin/sassafrascartd/set.c
@@ -32,7 +32,7 @@
 	  1u << 30, "largest body of a request", "BYTES" },
 	{ "answer-max-bytes", CFG_U32, AT(answer_max_bytes), "4194304", 1024,
 	  1u << 30, "largest body of an answer", "BYTES" },
-	{ "poll-ms", CFG_U32, AT(poll_ms), "250", 10, 60000,
+	{ "poll-ms", CFG_U32, AT(poll_ms), "1000", 10, 60000,
 	  "time between two reads of the head", "MS" },
 	{ "dispatch-window-ms", CFG_U32, AT(dispatch_window_ms), "4000", 100,
 	  600000, "how long requests are sent on without news of the fleet",
--- a/packages/peer/include/per.h
+++ b/packages/peer/include/per.h
@@ -71,6 +71,8 @@
 	uint64_t received;
 	/** received but malformed or answering no call */
 	uint64_t dropped;
+	uint64_t bytes_sent;
+	uint64_t bytes_received;
 };
 
 /** @brief Opens the socket. @return ERR_NONE, ERR_INVALID, ERR_IO */
--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -40,8 +40,10 @@
 		return;
 	/* A datagram that cannot be sent is as good as lost. */
 	if (sendto(h2o_socket_get_fd(node->sock), buffer, len, MSG_DONTWAIT,
-		   (struct sockaddr *)&to, sizeof(to)) > 0)
+		   (struct sockaddr *)&to, sizeof(to)) > 0) {
 		node->counts.sent++;
+		node->counts.bytes_sent += len;
+	}
 }
 
 uint32_t per_call(struct per_node *node, struct pwr_message *message,
@@ -176,6 +178,7 @@
 	if (len < 0)
 		return false;
 	node->counts.received++;
+	node->counts.bytes_received += (uint64_t)len;
 	if (pwr_decode(buffer, (size_t)len, reply_procedure, node, &message) !=
 	    ERR_NONE) {
 		node->counts.dropped++;
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -16,6 +16,7 @@
 
 #include "err.h"
 #include "evl.h"
+#include "hcl.h"
 
 /** Key under which the roll in force is published. */
 #define PLT_KEY_HEAD "/sassafrascart/pulse/head"
@@ -138,6 +139,8 @@
 	enum err_kind (*create)(struct evl_loop *loop,
 				const struct plt_config *config, void **out);
 	void (*destroy)(void *self);
+	/** returns what was sent and received, owned by the adapter */
+	const struct hcl_counts *(*counts)(const void *self);
 	void (*range)(void *self, const char *key, bool prefix, plt_cb cb,
 		      void *data);
 	void (*txn)(void *self, const struct plt_txn *txn, plt_cb cb,
@@ -206,4 +209,8 @@
 void plt_platform_counts(const struct plt_platform *platform, uint64_t *calls,
 			 uint64_t *rate_limited);
 
+/** @brief Returns the bytes of all calls, owned by the connection. */
+const struct hcl_counts *
+plt_platform_bytes(const struct plt_platform *platform);
+
 #endif
--- a/packages/platform/src/plt.c
+++ b/packages/platform/src/plt.c
@@ -221,3 +221,8 @@
 	*calls = platform->calls;
 	*rate_limited = platform->rate_limited;
 }
+
+const struct hcl_counts *plt_platform_bytes(const struct plt_platform *platform)
+{
+	return platform->ops->counts(platform->self);
+}
--- a/packages/platform/src/plt_etcd.c
+++ b/packages/platform/src/plt_etcd.c
@@ -66,6 +66,13 @@
 	g_free(etcd);
 }
 
+static const struct hcl_counts *etcd_counts(const void *self)
+{
+	const struct etcd *etcd = self;
+
+	return hcl_client_counts(etcd->http);
+}
+
 static void call_fail(const struct etcd_call *call, enum err_kind err)
 {
 	if (call->cb)
@@ -236,6 +243,7 @@
 	.name = "etcd",
 	.create = etcd_create,
 	.destroy = etcd_destroy,
+	.counts = etcd_counts,
 	.range = etcd_range,
 	.txn = etcd_txn,
 	.lease_grant = etcd_lease_grant,
--- a/packages/runtime/include/hcl.h
+++ b/packages/runtime/include/hcl.h
@@ -35,6 +35,13 @@
 	const char *value;
 };
 
+/** Bytes of requests and answers, without those of TCP and IP. */
+struct hcl_counts {
+	uint64_t calls;
+	uint64_t bytes_sent;
+	uint64_t bytes_received;
+};
+
 /** What to send. All pointers are borrowed for the time of the call that
  *  starts it and copied. */
 struct hcl_request {
@@ -81,6 +88,9 @@
 /** @brief Frees a client without calls. @param client may be NULL */
 void hcl_client_destroy(struct hcl_client *client);
 
+/** @brief Returns what the client has sent and received, owned by it. */
+const struct hcl_counts *hcl_client_counts(const struct hcl_client *client);
+
 /**
  * @brief Allows or forbids that connections to an address are reused.
  *
--- a/packages/runtime/src/hcl.c
+++ b/packages/runtime/src/hcl.c
@@ -29,6 +29,7 @@
 	/* address to struct hcl_host */
 	GHashTable *hosts;
 	struct tmr_entry sweep_timer;
+	struct hcl_counts counts;
 };
 
 struct hcl_call {
@@ -210,6 +211,7 @@
 	if (size > 0)
 		g_byte_array_append(call->body, (guint8 *)(*input)->bytes,
 				    (guint)size);
+	call->client->counts.bytes_received += size;
 	h2o_buffer_consume(input, size);
 	return true;
 }
@@ -250,6 +252,9 @@
 		    strcmp(copy.name, "transfer-encoding") == 0)
 			call->length_known = true;
 		g_array_append_val(call->headers, copy);
+		/* Each line has ": " and an end of line beside its texts. */
+		call->client->counts.bytes_received +=
+			headers[i].name->len + headers[i].value.len + 4;
 	}
 }
 
@@ -308,6 +313,8 @@
 		return NULL;
 	}
 	call->sent = true;
+	call->client->counts.calls++;
+	call->client->counts.bytes_sent += call->request->len;
 	call->request_vec =
 		h2o_iovec_init(call->request->str, call->request->len);
 	*reqbufs = &call->request_vec;
@@ -406,6 +413,11 @@
 	call_free(call);
 }
 
+const struct hcl_counts *hcl_client_counts(const struct hcl_client *client)
+{
+	return &client->counts;
+}
+
 const char *hcl_answer_header(const struct hcl_answer *answer, const char *name)
 {
 	for (size_t i = 0; i < answer->header_count; i++) {
