--- /dev/null
+++ b/bench/sizes.c
@@ -0,0 +1,184 @@
+/**
+ * @file sizes.c
+ * @brief Bytes and times of bundle and placement as the fleet grows.
+ *
+ * Prints one JSON object a line, for 50, 400 and 1,700 VMs. The figures feed
+ * docs/CAPACITY.md.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "bfl.h"
+#include "plc.h"
+#include "plv.h"
+#include "sel.h"
+
+#define ROUNDS 5
+#define CHOICES 100000
+
+static uint64_t now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+static uint64_t resident_bytes(void)
+{
+	g_autofree char *text = NULL;
+	unsigned long total;
+	unsigned long resident;
+
+	g_file_get_contents("/proc/self/statm", &text, NULL, NULL);
+	if (!text || sscanf(text, "%lu %lu", &total, &resident) != 2)
+		return 0;
+	return (uint64_t)resident * (uint64_t)sysconf(_SC_PAGESIZE);
+}
+
+static void vms_append(GString *text, uint32_t vms)
+{
+	g_string_append(text, "vms:\n");
+	for (uint32_t i = 0; i < vms; i++)
+		g_string_append_printf(
+			text,
+			"  - {name: vm-%04u, ip: 10.%u.%u.%u, port: 8000, "
+			"availability_zone: zone-%u, rack: rack-%u, slots: 8, "
+			"connections: 64}\n",
+			i, i >> 16, i >> 8 & 255, i & 255, i % 8, i / 4);
+}
+
+/* Each pool names its own share of the VMs and that of its neighbour. */
+static void pools_append(GString *text, uint32_t vms, uint32_t pools)
+{
+	uint32_t share = vms / pools;
+
+	g_string_append(text, "pools:\n");
+	for (uint32_t i = 0; i < pools; i++) {
+		g_string_append_printf(
+			text,
+			"  - {name: pool-%02u, spare: %s, target_vms: %u, "
+			"floor_vms: %u, survive: rack, "
+			"queue_max_requests: 400, queue_max_bytes: 1048576, "
+			"queue_max_wait_ms: 5000, vms: [",
+			i, i == 0 ? "true" : "false", share, share - 2);
+		for (uint32_t k = 0; k < 2 * share; k++)
+			g_string_append_printf(text, "vm-%04u, ",
+					       (i * share + k) % vms);
+		g_string_append(text, "]}\n");
+	}
+}
+
+static char *bundle_build(uint32_t vms, uint32_t pools)
+{
+	GString *text = g_string_new("version: 1\nname: sizes\n");
+
+	vms_append(text, vms);
+	pools_append(text, vms, pools);
+	g_string_append(text, "routes:\n");
+	for (uint32_t i = 0; i < pools; i++)
+		g_string_append_printf(text,
+				       "  - {path: /p%u, pool: pool-%02u, "
+				       "idempotent: \"no\", "
+				       "deadline_ms: 5000}\n",
+				       i, i);
+	g_string_append(text, "waves: []\ncost_weights: "
+			      "{buffer: 1, moves: 1, roll_out: 1}\n");
+	return g_string_free(text, FALSE);
+}
+
+static struct bnd_bundle *bundle_parse(const char *text, uint64_t *took_us)
+{
+	struct bfl_mistakes *mistakes = bfl_mistakes_create();
+	struct bnd_bundle *bundle = NULL;
+	uint64_t began_us = now_us();
+	enum err_kind err = bfl_parse(text, strlen(text), mistakes, &bundle);
+
+	*took_us = now_us() - began_us;
+	if (err != ERR_NONE) {
+		const struct bfl_mistake *first = bfl_mistakes_get(mistakes, 0);
+
+		fprintf(stderr, "%u: %s: %s\n", first->line, first->field,
+			first->message);
+	}
+	bfl_mistakes_destroy(mistakes);
+	return bundle;
+}
+
+static uint64_t placement_parse_us(const struct bnd_bundle *bundle,
+				   const char *text)
+{
+	uint64_t best_us = UINT64_MAX;
+
+	for (int i = 0; i < ROUNDS; i++) {
+		struct plc_view *view = NULL;
+		uint64_t began_us = now_us();
+
+		if (plv_placement_parse(text, strlen(text), bundle, &view) !=
+		    ERR_NONE)
+			return 0;
+		best_us = MIN(best_us, now_us() - began_us);
+		plc_view_destroy(view);
+	}
+	return best_us;
+}
+
+static uint64_t choose_ns(const struct bnd_bundle *bundle,
+			  const struct plc_view *view)
+{
+	struct sel_set *set = sel_set_create(bundle->vm_count);
+	uint64_t began_us;
+	uint64_t took_us;
+
+	for (uint32_t i = 0; i < bundle->vm_count; i++) {
+		set->servers[i].slots = 8;
+		set->servers[i].pool = view->rows[i].pool;
+		set->servers[i].serving = true;
+	}
+	began_us = now_us();
+	for (uint32_t i = 0; i < CHOICES; i++)
+		sel_choose(set, i % bundle->pool_count, BND_NONE, 1);
+	took_us = now_us() - began_us;
+	sel_set_destroy(set);
+	return took_us * 1000 / CHOICES;
+}
+
+static bool size_measure(uint32_t vms, uint32_t pools)
+{
+	g_autofree char *text = bundle_build(vms, pools);
+	g_autofree char *placement = NULL;
+	uint64_t before = resident_bytes();
+	uint64_t parse_us;
+	struct bnd_bundle *bundle = bundle_parse(text, &parse_us);
+	struct plc_view *view;
+	uint64_t fill_us;
+
+	if (!bundle)
+		return false;
+	view = plc_view_create(bundle);
+	fill_us = now_us();
+	plc_fill(bundle, view);
+	fill_us = now_us() - fill_us;
+	placement = plv_placement_build(bundle, view);
+	printf("{\"vms\":%u,\"pools\":%u,\"bundle_bytes\":%zu,"
+	       "\"bundle_parse_us\":%" PRIu64 ",\"plan_us\":%" PRIu64
+	       ",\"placement_bytes\":%zu,\"placement_parse_us\":%" PRIu64
+	       ",\"choose_ns\":%" PRIu64 ",\"resident_bytes\":%" PRIu64 "}\n",
+	       vms, pools, strlen(text), parse_us, fill_us, strlen(placement),
+	       placement_parse_us(bundle, placement), choose_ns(bundle, view),
+	       resident_bytes() - before);
+	plc_view_destroy(view);
+	bnd_bundle_unref(bundle);
+	return true;
+}
+
+int main(void)
+{
+	bool ok = size_measure(50, 5) && size_measure(400, 20) &&
+		  size_measure(1700, 46);
+
+	return ok ? 0 : 1;
+}
