--- a/bin/sassafrascartd/syn.c
+++ b/bin/sassafrascartd/syn.c
@@ -2,11 +2,15 @@
 
 #include <string.h>
 
+#include "bko.h"
 #include "lgx.h"
 #include "plv.h"
 
 #define SYN_KEY_MAX_BYTES 96
 #define SYN_REFUSED_PAUSE_MS 5000
+/* Reads of the head a second that all processes make together. */
+#define SYN_READS_PER_S 60
+#define SYN_FAILED_READ_MAX_MS 2000
 
 struct syn_sync {
 	struct syn_config config;
@@ -22,11 +26,17 @@
 	char *placement;
 	struct tmr_entry poll_timer;
 	uint64_t poll_asked_ms;
+	/* reads of the head that failed in a row */
+	uint32_t poll_failures;
+	bool head_is_malformed;
+	/* wall-clock time at which the bundle was applied */
+	uint64_t applied_at_ms;
 	bool fetching_bundle;
 	/* roll that the bundle being fetched is for */
 	struct hed_head fetching;
 	bool fetching_placement;
-	/* a refused bundle is not fetched again before this time */
+	/* the bundle of a refused roll is not fetched again before this time */
+	uint64_t refused_roll;
 	uint64_t refused_until_ms;
 };
 
@@ -37,6 +47,18 @@
 	sync->cb(sync->data, sync->bundle, sync->view);
 }
 
+static void peers_tell(struct syn_sync *sync)
+{
+	if (sync->on_changed)
+		sync->on_changed(sync->data);
+}
+
+/* While the platform fails, peers are asked without waiting for it. */
+static bool peers_are_better(const struct syn_sync *sync)
+{
+	return sync->poll_failures > 0 && sync->peers;
+}
+
 static void refusal_log(struct syn_sync *sync, enum err_kind err,
 			const struct bfl_mistakes *mistakes)
 {
@@ -70,6 +92,7 @@
 	}
 	if (err != ERR_NONE) {
 		refusal_log(sync, err, mistakes);
+		sync->refused_roll = sync->fetching.roll;
 		sync->refused_until_ms = evl_now_ms() + SYN_REFUSED_PAUSE_MS;
 	}
 	bfl_mistakes_destroy(mistakes);
@@ -113,11 +136,14 @@
 	g_clear_pointer(&sync->view, plc_view_destroy);
 	if (sync->placement)
 		placement_load(sync, sync->placement, strlen(sync->placement));
+	sync->applied_at_ms = (uint64_t)(g_get_real_time() / 1000);
 	ctr_add(sync->config.counters, CTR_BUNDLES_APPLIED);
 	lgx_info("bundle_applied",
 		 "roll %" PRIu64 " put version %" PRIu64 " in force",
 		 sync->head.applied_roll, bundle->version);
 	notify(sync);
+	/* Peers that cannot read the platform fetch the bundle from here. */
+	peers_tell(sync);
 	return true;
 }
 
@@ -132,6 +158,12 @@
 		action_run(sync, hed_pending(&sync->head));
 }
 
+static void peer_bundle_fetch(struct syn_sync *sync)
+{
+	per_node_fetch(sync->peers, PER_DOCUMENT_BUNDLE, sync->fetching.version,
+		       on_peer_bundle, sync);
+}
+
 static void on_platform_bundle(void *data, enum err_kind err,
 			       const struct plt_result *result)
 {
@@ -146,22 +178,30 @@
 	}
 	if (err != ERR_NONE)
 		ctr_add(sync->config.counters, CTR_PLATFORM_ERRORS);
-	if (sync->peers) {
-		per_node_fetch(sync->peers, PER_DOCUMENT_BUNDLE,
-			       sync->fetching.version, on_peer_bundle, sync);
-		return;
-	}
-	sync->fetching_bundle = false;
+	if (sync->peers)
+		peer_bundle_fetch(sync);
+	else
+		sync->fetching_bundle = false;
+}
+
+static bool refused_recently(const struct syn_sync *sync)
+{
+	return sync->head.known.roll == sync->refused_roll &&
+	       evl_now_ms() < sync->refused_until_ms;
 }
 
 static void bundle_fetch(struct syn_sync *sync)
 {
 	char key[SYN_KEY_MAX_BYTES];
 
-	if (sync->fetching_bundle || evl_now_ms() < sync->refused_until_ms)
+	if (sync->fetching_bundle || refused_recently(sync))
 		return;
 	sync->fetching_bundle = true;
 	sync->fetching = sync->head.known;
+	if (peers_are_better(sync)) {
+		peer_bundle_fetch(sync);
+		return;
+	}
 	g_snprintf(key, sizeof(key), PLT_PREFIX_BUNDLE "%" PRIu64,
 		   sync->fetching.version);
 	plt_range(sync->config.platform, key, false, on_platform_bundle, sync);
@@ -189,6 +229,13 @@
 		placement_apply(sync, text, len);
 }
 
+static void peer_placement_fetch(struct syn_sync *sync)
+{
+	per_node_fetch(sync->peers, PER_DOCUMENT_PLACEMENT,
+		       sync->head.known.placement_number, on_peer_placement,
+		       sync);
+}
+
 static void on_placement(void *data, enum err_kind err,
 			 const struct plt_result *result)
 {
@@ -197,9 +244,7 @@
 	if (err != ERR_NONE) {
 		ctr_add(sync->config.counters, CTR_PLATFORM_ERRORS);
 		if (sync->peers) {
-			per_node_fetch(sync->peers, PER_DOCUMENT_PLACEMENT,
-				       sync->head.known.placement_number,
-				       on_peer_placement, sync);
+			peer_placement_fetch(sync);
 			return;
 		}
 	}
@@ -214,6 +259,10 @@
 	if (sync->fetching_placement || !sync->bundle)
 		return;
 	sync->fetching_placement = true;
+	if (peers_are_better(sync)) {
+		peer_placement_fetch(sync);
+		return;
+	}
 	plt_range(sync->config.platform, PLT_KEY_PLACEMENT, false, on_placement,
 		  sync);
 }
@@ -234,8 +283,8 @@
 	ctr_add(sync->config.counters, CTR_HEADS_HEARD);
 	if (action.stale)
 		ctr_add(sync->config.counters, CTR_HEADS_STALE);
-	if (action.newer && sync->on_changed)
-		sync->on_changed(sync->data);
+	if (action.newer)
+		peers_tell(sync);
 	action_run(sync, action);
 }
 
@@ -263,23 +312,50 @@
 	return true;
 }
 
+/* Sets the time of the next read of the head. */
+static void poll_set(struct syn_sync *sync)
+{
+	const struct syn_config *config = &sync->config;
+	const struct bko_limits limits = { config->poll_ms,
+					   SYN_FAILED_READ_MAX_MS };
+	uint32_t live = sync->peers ? per_node_live_count(sync->peers) : 1;
+	uint32_t delay_ms = bko_shared_period_ms(
+		config->poll_ms, live, SYN_READS_PER_S, g_random_int());
+
+	if (sync->poll_failures > 0)
+		delay_ms = bko_delay_ms(&limits, sync->poll_failures,
+					g_random_int());
+	evl_timer_set(config->loop, &sync->poll_timer, delay_ms);
+}
+
+static void malformed_head_note(struct syn_sync *sync, bool malformed)
+{
+	if (malformed) {
+		ctr_add(sync->config.counters, CTR_HEADS_MALFORMED);
+		if (!sync->head_is_malformed)
+			lgx_warning("head_malformed",
+				    "the platform's head cannot be parsed");
+	}
+	sync->head_is_malformed = malformed;
+}
+
 static void on_pulse(void *data, enum err_kind err,
 		     const struct plt_result *result)
 {
 	struct syn_sync *sync = data;
 	struct hed_head head;
+	bool parsed;
 
-	evl_timer_set(sync->config.loop, &sync->poll_timer,
-		      sync->config.poll_ms);
+	sync->poll_failures = err == ERR_NONE ? 0 : sync->poll_failures + 1;
+	poll_set(sync);
 	if (err != ERR_NONE) {
 		ctr_add(sync->config.counters, CTR_PLATFORM_ERRORS);
 		return;
 	}
-	if (!pulse_parse(result, &head)) {
-		lgx_warning("head_malformed", "the head cannot be parsed");
-		return;
-	}
-	syn_sync_hear(sync, &head, sync->poll_asked_ms);
+	parsed = pulse_parse(result, &head);
+	malformed_head_note(sync, !parsed);
+	if (parsed)
+		syn_sync_hear(sync, &head, sync->poll_asked_ms);
 }
 
 static void on_poll(void *data)
@@ -340,6 +416,11 @@
 	return sync->view;
 }
 
+uint64_t syn_sync_applied_at_ms(const struct syn_sync *sync)
+{
+	return sync->applied_at_ms;
+}
+
 const char *syn_sync_document(const struct syn_sync *sync,
 			      enum per_document document, uint64_t number,
 			      uint32_t *len)
--- a/bin/sassafrascartd/syn.h
+++ b/bin/sassafrascartd/syn.h
@@ -44,7 +44,8 @@
 /**
  * @brief Sets the peer side that documents may be fetched from.
  * @param on_changed called with the data of syn_sync_create() when a newer
- *        head became known, so that peers can be told at once
+ *        head became known or its bundle was applied, so that peers can be
+ *        told at once
  */
 void syn_sync_set_peers(struct syn_sync *sync, struct per_node *peers,
 			void (*on_changed)(void *data));
@@ -62,6 +63,10 @@
 /** @brief Returns the placement applied, or NULL. */
 const struct plc_view *syn_sync_view(const struct syn_sync *sync);
 
+/** @brief Returns the wall-clock time at which the bundle was applied, in
+ *  milliseconds since 1970; 0 while none is in force. */
+uint64_t syn_sync_applied_at_ms(const struct syn_sync *sync);
+
 /** @brief Returns the text of a document held here, or NULL. */
 const char *syn_sync_document(const struct syn_sync *sync,
 			      enum per_document document, uint64_t number,
--- a/bin/sassafrasctl/cmd_bundle.c
+++ b/bin/sassafrasctl/cmd_bundle.c
@@ -172,7 +172,7 @@
 	err = dsk_txn(desk, &txn, &result);
 	created = err == ERR_NONE && result.succeeded;
 	dsk_result_clear(&result);
-	if (created || err_effect(err) == ERR_EFFECT_NOT_DONE)
+	if (created || dsk_sent_nothing(err))
 		return err;
 	return published_compare(desk, key, envelope);
 }
--- a/bin/sassafrasctl/cmd_roll.c
+++ b/bin/sassafrasctl/cmd_roll.c
@@ -2,13 +2,16 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "ann.h"
 #include "dsk.h"
 #include "plv.h"
 #include "wtc.h"
 
 #define ROLL_KEY_MAX_BYTES 96
-#define ROLL_ATTEMPTS_MAX 5
+#define ROLL_ATTEMPTS_MAX 3
 #define ROLL_PAUSE_MS 200
+/* Records of rolls that the platform keeps. */
+#define ROLL_RECORDS_MAX 1000
 
 /* One roll from its check to its end. */
 struct roll {
@@ -17,8 +20,19 @@
 	struct plv_head before;
 	int64_t before_revision;
 	struct plv_head wanted;
+	/* a write was sent whose effect is not known */
+	bool maybe_written;
+	/* members known before the write, see wtc_roll_wait() */
+	GArray *members;
+	/* the signed bundle, for the announcement */
+	char *envelope;
 };
 
+static void roll_key_build(char key[ROLL_KEY_MAX_BYTES], uint64_t roll)
+{
+	g_snprintf(key, ROLL_KEY_MAX_BYTES, PLT_PREFIX_ROLL "%" PRIu64, roll);
+}
+
 static uint64_t wall_ms(void)
 {
 	return (uint64_t)(g_get_real_time() / 1000);
@@ -37,10 +51,16 @@
 		       : ERR_USAGE;
 }
 
+/* A read that failed before any write leaves no doubt: nothing was done. */
+static enum err_kind err_of_read(enum err_kind err)
+{
+	return err_effect(err) == ERR_EFFECT_UNKNOWN ? ERR_NOT_READ : err;
+}
+
 /* Checks that the version is published and signed; fills the digest. */
-static enum err_kind bundle_verify(struct dsk_desk *desk, uint64_t version,
-				   char digest[HED_DIGEST_BYTES])
+static enum err_kind bundle_verify(struct roll *roll)
 {
+	struct dsk_desk *desk = roll->desk;
 	struct bfl_mistakes *mistakes = bfl_mistakes_create();
 	struct sgn_trust *trust = NULL;
 	struct bnd_bundle *bundle = NULL;
@@ -48,7 +68,8 @@
 	char key[ROLL_KEY_MAX_BYTES];
 	enum err_kind err = dsk_trust_load(desk, &trust);
 
-	g_snprintf(key, sizeof(key), PLT_PREFIX_BUNDLE "%" PRIu64, version);
+	g_snprintf(key, sizeof(key), PLT_PREFIX_BUNDLE "%" PRIu64,
+		   roll->wanted.version);
 	if (err == ERR_NONE)
 		err = dsk_range(desk, key, false, &result);
 	if (err == ERR_NONE && result.kvs->len == 0)
@@ -59,9 +80,13 @@
 
 		err = sgn_envelope_open(kv->value, kv->value_len, trust,
 					mistakes, &bundle);
+		roll->envelope = g_strdup(kv->value);
 	}
+	if (err == ERR_NONE && bundle->version != roll->wanted.version)
+		err = ERR_MALFORMED;
 	if (err == ERR_NONE)
-		g_strlcpy(digest, bundle->digest, HED_DIGEST_BYTES);
+		g_strlcpy(roll->wanted.digest, bundle->digest,
+			  HED_DIGEST_BYTES);
 	bnd_bundle_unref(bundle);
 	dsk_result_clear(&result);
 	sgn_trust_destroy(trust);
@@ -88,83 +113,114 @@
 	return err;
 }
 
-static bool head_is_ours(const struct plv_head *head,
-			 const struct plv_head *wanted)
+/* Reads the record of the wanted roll: who wrote it, if anyone did. */
+static enum err_kind record_read(struct roll *roll, struct plv_head *record)
 {
-	return head->roll == wanted->roll &&
-	       strcmp(head->writer, wanted->writer) == 0;
+	char key[ROLL_KEY_MAX_BYTES];
+	struct dsk_result result;
+	enum err_kind err;
+
+	roll_key_build(key, roll->wanted.roll);
+	err = dsk_range(roll->desk, key, false, &result);
+	if (err == ERR_NONE && result.kvs->len == 0)
+		err = ERR_NOT_FOUND;
+	if (err == ERR_NONE) {
+		const struct dsk_kv *kv =
+			&g_array_index(result.kvs, struct dsk_kv, 0);
+
+		err = plv_head_parse(kv->value, kv->value_len, record);
+	}
+	dsk_result_clear(&result);
+	return err;
 }
 
 /* Finds out what became of a write whose answer was lost or refused. */
 static enum err_kind write_resolve(struct roll *roll, struct plv_head *winner)
 {
-	int64_t revision;
-	enum err_kind err = head_read(roll->desk, winner, &revision);
+	enum err_kind err = record_read(roll, winner);
 
+	if (err == ERR_NOT_FOUND)
+		return ERR_TIMEOUT;
 	if (err != ERR_NONE)
 		return ERR_UNKNOWN_EFFECT;
-	if (head_is_ours(winner, &roll->wanted))
-		return ERR_NONE;
-	if (winner->roll >= roll->wanted.roll)
-		return ERR_CONFLICT;
-	return ERR_TIMEOUT;
+	return strcmp(winner->writer, roll->wanted.writer) == 0 ? ERR_NONE
+								: ERR_CONFLICT;
 }
 
+/* One transaction writes the head and the roll's record, drops an old one. */
 static enum err_kind head_write(struct roll *roll, struct plv_head *winner)
 {
+	char record[ROLL_KEY_MAX_BYTES];
+	char old[ROLL_KEY_MAX_BYTES];
 	g_autofree char *text = NULL;
 	const struct plt_compare compare = { PLT_KEY_HEAD,
 					     PLT_TARGET_MOD_REVISION,
 					     roll->before_revision };
-	struct plt_write write = { PLT_KEY_HEAD, NULL, 0 };
-	const struct plt_txn txn = { &compare, 1, &write, 1 };
+	struct plt_write writes[] = { { PLT_KEY_HEAD, NULL, 0 },
+				      { record, NULL, 0 },
+				      { old, NULL, 0 } };
+	struct plt_txn txn = { &compare, 1, writes, 2 };
 	struct dsk_result result;
 	enum err_kind err;
 	bool written;
 
 	roll->wanted.attempt++;
 	text = plv_head_build(&roll->wanted);
-	write.value = text;
+	writes[0].value = text;
+	writes[1].value = text;
+	roll_key_build(record, roll->wanted.roll);
+	if (roll->wanted.roll > ROLL_RECORDS_MAX) {
+		roll_key_build(old, roll->wanted.roll - ROLL_RECORDS_MAX);
+		txn.write_count = 3;
+	}
 	err = dsk_txn(roll->desk, &txn, &result);
 	written = err == ERR_NONE && result.succeeded;
 	dsk_result_clear(&result);
-	if (written)
-		return ERR_NONE;
+	if (written || dsk_sent_nothing(err))
+		return err;
+	roll->maybe_written = true;
 	return write_resolve(roll, winner);
 }
 
-/* Repeats the same compare-and-swap until its effect is known. */
+/*
+ * Repeats the same compare-and-swap until its effect is known. However often
+ * it is sent, it takes effect at most once.
+ */
 static enum err_kind head_write_until_known(struct roll *roll,
 					    struct plv_head *winner)
 {
-	enum err_kind err = ERR_UNKNOWN_EFFECT;
+	enum err_kind err = ERR_NONE;
 
 	for (int i = 0; i < ROLL_ATTEMPTS_MAX; i++) {
 		err = head_write(roll, winner);
-		if (err != ERR_UNKNOWN_EFFECT && err != ERR_TIMEOUT)
+		if (err == ERR_NONE || err == ERR_CONFLICT)
 			return err;
 		dsk_sleep_ms(roll->desk, ROLL_PAUSE_MS);
 	}
-	return ERR_UNKNOWN_EFFECT;
+	return roll->maybe_written ? ERR_UNKNOWN_EFFECT : err;
 }
 
 static json_t *roll_details(const struct plv_head *head)
 {
-	return json_pack("{s:I, s:I, s:s}", "roll", (json_int_t)head->roll,
+	return json_pack("{s:I, s:I, s:s, s:s}", "roll", (json_int_t)head->roll,
 			 "version", (json_int_t)head->version, "digest",
-			 head->digest);
+			 head->digest, "writer", head->writer);
 }
 
 static int roll_wait(struct roll *roll)
 {
 	struct dsk_desk *desk = roll->desk;
 	struct wtc_progress progress;
+	struct ann_announcer *announcer = ann_announcer_create(
+		desk, &roll->wanted, roll->members, roll->envelope);
 	uint64_t began_ms = roll->wanted.at_ms;
 	json_t *details = roll_details(&roll->wanted);
 	enum err_kind err;
 
 	err = wtc_roll_wait(desk, roll->wanted.roll,
-			    dsk_desk_settings(desk)->wait_ms, &progress);
+			    dsk_desk_settings(desk)->wait_ms, &roll->members,
+			    &progress);
+	ann_announcer_destroy(announcer);
 	json_object_update_new(details,
 			       json_pack("{s:i, s:i, s:I}", "processes",
 					 (int)progress.members, "in_force",
@@ -183,6 +239,21 @@
 			  progress.members, wall_ms() - began_ms);
 }
 
+static int unknown_report(const struct roll *roll, enum err_kind err)
+{
+	const struct plv_head *wanted = &roll->wanted;
+	json_t *details = roll_details(wanted);
+	g_autofree char *find_out = g_strdup_printf(
+		"when the platform answers, run 'sassafrasctl status': roll "
+		"%" PRIu64 " was done if its writer is %s",
+		wanted->roll, wanted->writer);
+
+	json_object_set_new(details, "find_out", json_string(find_out));
+	return dsk_report(roll->desk, err, details,
+			  "roll %" PRIu64 " of version %" PRIu64, wanted->roll,
+			  wanted->version);
+}
+
 static int roll_run(struct roll *roll)
 {
 	struct dsk_desk *desk = roll->desk;
@@ -200,35 +271,56 @@
 				  " in force",
 				  winner.writer, winner.roll, winner.version);
 	if (err != ERR_NONE)
-		return dsk_report(desk, err, roll_details(&roll->wanted),
-				  "roll %" PRIu64 " of version %" PRIu64,
-				  roll->wanted.roll, roll->wanted.version);
+		return unknown_report(roll, err);
 	return roll_wait(roll);
 }
 
+/* Reads what the roll builds on; reports and fills status on a failure. */
+static bool roll_prepare(struct roll *roll, const char *version, int *status)
+{
+	struct dsk_desk *desk = roll->desk;
+	enum err_kind err = version_parse(version, &roll->wanted.version);
+
+	if (err != ERR_NONE) {
+		*status = dsk_report(desk, err, NULL,
+				     "expected a version number, found '%s'",
+				     version);
+		return false;
+	}
+	err = bundle_verify(roll);
+	if (err != ERR_NONE) {
+		*status = dsk_report(desk, err_of_read(err), NULL,
+				     "version %s cannot be verified as "
+				     "published and signed",
+				     version);
+		return false;
+	}
+	err = head_read(desk, &roll->before, &roll->before_revision);
+	if (err == ERR_NONE)
+		err = wtc_members_read(desk, &roll->members);
+	if (err != ERR_NONE)
+		*status = dsk_report(desk, err_of_read(err), NULL,
+				     "cannot read the head and the members");
+	return err == ERR_NONE;
+}
+
 static int roll_version(struct dsk_desk *desk, const char *text, bool back)
 {
 	struct roll roll = { .desk = desk };
-	enum err_kind err = version_parse(text, &roll.wanted.version);
+	int status;
 
-	if (err != ERR_NONE)
-		return dsk_report(desk, err, NULL,
-				  "expected a version number, found '%s'",
-				  text);
-	err = bundle_verify(desk, roll.wanted.version, roll.wanted.digest);
-	if (err != ERR_NONE)
-		return dsk_report(desk, err, NULL,
-				  "version %s is not published and signed",
-				  text);
-	err = head_read(desk, &roll.before, &roll.before_revision);
-	if (err != ERR_NONE)
-		return dsk_report(desk, err, NULL, "cannot read the head");
-	if (back && roll.wanted.version >= roll.before.version)
-		return dsk_report(desk, ERR_INVALID, NULL,
-				  "version %s is not older than version "
-				  "%" PRIu64 ", which is in force",
-				  text, roll.before.version);
-	return roll_run(&roll);
+	if (!roll_prepare(&roll, text, &status))
+		;
+	else if (back && roll.wanted.version >= roll.before.version)
+		status = dsk_report(desk, ERR_INVALID, NULL,
+				    "version %s is not older than version "
+				    "%" PRIu64 ", which is in force",
+				    text, roll.before.version);
+	else
+		status = roll_run(&roll);
+	g_clear_pointer(&roll.members, g_array_unref);
+	g_free(roll.envelope);
+	return status;
 }
 
 int cmd_roll(struct dsk_desk *desk, char **arguments)
--- a/bin/sassafrasctl/cmd_status.c
+++ b/bin/sassafrasctl/cmd_status.c
@@ -6,30 +6,49 @@
 #include "plv.h"
 #include "wtc.h"
 
-static json_t *status_build(const struct wtc_status *status)
+/* Time from the roll to its coming into force in a process; -1 if it isn't. */
+static json_int_t took_ms(const struct wtc_status *status,
+			  const struct plv_head *head)
 {
-	return json_pack("{s:s, s:b, s:I, s:I, s:I, s:b, s:b}", "id",
+	if (!status->answered || status->roll != head->roll ||
+	    status->applied_at_ms < head->at_ms)
+		return -1;
+	return (json_int_t)(status->applied_at_ms - head->at_ms);
+}
+
+static json_t *status_build(const struct wtc_status *status,
+			    const struct plv_head *head)
+{
+	return json_pack("{s:s, s:b, s:I, s:I, s:I, s:b, s:b, s:I}", "id",
 			 status->member.id, "answered", status->answered,
 			 "roll", (json_int_t)status->roll, "version",
 			 (json_int_t)status->version, "placement",
 			 (json_int_t)status->placement, "manager",
-			 status->manager, "may_dispatch", status->may_dispatch);
+			 status->manager, "may_dispatch", status->may_dispatch,
+			 "took_ms", took_ms(status, head));
 }
 
-static void status_print(const struct wtc_status *status)
+static void status_print(const struct wtc_status *status,
+			 const struct plv_head *head)
 {
+	json_int_t took = took_ms(status, head);
+	g_autofree char *after =
+		g_strdup_printf(" after %" JSON_INTEGER_FORMAT " ms", took);
+
 	if (!status->answered) {
 		printf("%-24s no answer\n", status->member.id);
 		return;
 	}
-	printf("%-24s roll %" PRIu64 " version %" PRIu64 " placement %" PRIu64
+	printf("%-24s roll %" PRIu64 "%s version %" PRIu64 " placement %" PRIu64
 	       "%s%s\n",
-	       status->member.id, status->roll, status->version,
-	       status->placement, status->manager ? " manager" : "",
+	       status->member.id, status->roll, took >= 0 ? after : "",
+	       status->version, status->placement,
+	       status->manager ? " manager" : "",
 	       status->may_dispatch ? "" : " not dispatching");
 }
 
-static json_t *statuses_show(struct dsk_desk *desk, const GArray *statuses)
+static json_t *statuses_show(struct dsk_desk *desk, const GArray *statuses,
+			     const struct plv_head *head)
 {
 	bool json = strcmp(dsk_desk_settings(desk)->output, "json") == 0;
 	json_t *list = json_array();
@@ -38,35 +57,62 @@
 		const struct wtc_status *status =
 			&g_array_index(statuses, struct wtc_status, i);
 
-		json_array_append_new(list, status_build(status));
+		json_array_append_new(list, status_build(status, head));
 		if (!json)
-			status_print(status);
+			status_print(status, head);
 	}
 	return list;
 }
 
+static enum err_kind head_read(struct dsk_desk *desk, struct plv_head *head)
+{
+	struct dsk_result result;
+	enum err_kind err = dsk_range(desk, PLT_KEY_HEAD, false, &result);
+
+	memset(head, 0, sizeof(*head));
+	if (err == ERR_NONE && result.kvs->len > 0) {
+		const struct dsk_kv *kv =
+			&g_array_index(result.kvs, struct dsk_kv, 0);
+
+		err = plv_head_parse(kv->value, kv->value_len, head);
+	}
+	dsk_result_clear(&result);
+	return err;
+}
+
+static int head_report(struct dsk_desk *desk, const struct plv_head *head,
+		       json_t *details)
+{
+	if (head->roll == 0)
+		return dsk_report(desk, ERR_NONE, details,
+				  "nothing was rolled yet");
+	json_object_update_new(details,
+			       json_pack("{s:{s:I, s:I, s:s, s:I}}", "head",
+					 "roll", (json_int_t)head->roll,
+					 "version", (json_int_t)head->version,
+					 "writer", head->writer, "at_ms",
+					 (json_int_t)head->at_ms));
+	return dsk_report(desk, ERR_NONE, details,
+			  "roll %" PRIu64 " of version %" PRIu64
+			  " was written by %s",
+			  head->roll, head->version, head->writer);
+}
+
 int cmd_status(struct dsk_desk *desk, char **arguments)
 {
 	g_autoptr(GArray) statuses = NULL;
-	struct dsk_result head = { 0 };
-	enum err_kind err = wtc_statuses_read(desk, &statuses);
+	struct plv_head head;
+	enum err_kind err = wtc_members_read(desk, &statuses);
 	json_t *list;
-	int status;
 
 	if (err == ERR_NONE)
-		err = dsk_range(desk, PLT_KEY_HEAD, false, &head);
+		err = head_read(desk, &head);
 	if (err != ERR_NONE)
 		return dsk_report(desk, err, NULL,
-				  "the platform does not answer");
-	list = statuses_show(desk, statuses);
-	status = dsk_report(
-		desk, ERR_NONE, json_pack("{s:o}", "processes", list),
-		"head %s",
-		head.kvs->len > 0
-			? g_array_index(head.kvs, struct dsk_kv, 0).value
-			: "none: nothing was rolled");
-	dsk_result_clear(&head);
-	return status;
+				  "the members and the head cannot be read");
+	wtc_statuses_ask(desk, statuses);
+	list = statuses_show(desk, statuses, &head);
+	return head_report(desk, &head, json_pack("{s:o}", "processes", list));
 }
 
 static int vm_explain(struct dsk_desk *desk, const char *name)
--- a/bin/sassafrasctl/dsk.c
+++ b/bin/sassafrasctl/dsk.c
@@ -20,7 +20,6 @@
 	struct evl_loop *loop;
 	enum err_kind err;
 	struct dsk_result *result;
-	char *page;
 };
 
 struct dsk_desk *dsk_desk_create(const struct dsk_settings *settings)
@@ -48,6 +47,11 @@
 	return desk->settings;
 }
 
+struct evl_loop *dsk_desk_loop(struct dsk_desk *desk)
+{
+	return desk->loop;
+}
+
 /* Commands on files need no platform, so it is opened at first use. */
 static enum err_kind platform_open(struct dsk_desk *desk)
 {
@@ -137,36 +141,60 @@
 	g_clear_pointer(&result->kvs, g_array_unref);
 }
 
+/* Pages being read; the last answer stops the loop. */
+struct reading {
+	struct evl_loop *loop;
+	size_t left;
+};
+
+struct page_call {
+	struct reading *reading;
+	struct dsk_page *page;
+};
+
 static void on_page(void *data, enum err_kind err, bool sent,
 		    const struct hcl_answer *answer)
 {
-	struct pending *pending = data;
+	struct page_call *call = data;
+	struct dsk_page *page = call->page;
 
-	pending->err = err;
+	page->err = err;
 	if (err == ERR_NONE && answer->status != 200)
-		pending->err = ERR_UNAVAILABLE;
-	if (pending->err == ERR_NONE)
-		pending->page = g_strndup(answer->body, answer->body_len);
-	evl_loop_stop(pending->loop);
+		page->err = ERR_UNAVAILABLE;
+	if (page->err == ERR_NONE)
+		page->text = g_strndup(answer->body, answer->body_len);
+	call->reading->left--;
+	if (call->reading->left == 0)
+		evl_loop_stop(call->reading->loop);
 }
 
-enum err_kind dsk_http_get(struct dsk_desk *desk, const char *ip, uint16_t port,
-			   const char *path, char **out)
+void dsk_pages_get(struct dsk_desk *desk, const char *path,
+		   struct dsk_page *pages, size_t count, uint32_t timeout_ms)
 {
-	struct pending pending = { .loop = desk->loop };
-	const struct hcl_request request = {
-		.method = "GET",
-		.path = path,
-		.ip = ip,
-		.port = port,
-		.timeout_ms = desk->settings->timeout_ms,
-		.answer_max_bytes = DSK_PAGE_MAX_BYTES,
-	};
+	struct reading reading = { desk->loop, count };
+	g_autofree struct page_call *calls = g_new0(struct page_call, count);
+
+	for (size_t i = 0; i < count; i++) {
+		const struct hcl_request request = {
+			.method = "GET",
+			.path = path,
+			.ip = pages[i].ip,
+			.port = pages[i].port,
+			.timeout_ms = timeout_ms,
+			.answer_max_bytes = DSK_PAGE_MAX_BYTES,
+		};
 
-	hcl_call_start(desk->http, &request, on_page, &pending);
-	evl_loop_run(desk->loop);
-	*out = pending.page;
-	return pending.err;
+		calls[i].reading = &reading;
+		calls[i].page = &pages[i];
+		hcl_call_start(desk->http, &request, on_page, &calls[i]);
+	}
+	if (count > 0)
+		evl_loop_run(desk->loop);
+}
+
+bool dsk_sent_nothing(enum err_kind err)
+{
+	return err == ERR_CONNECT || err == ERR_RATE_LIMITED;
 }
 
 static void on_slept(void *data)
@@ -218,18 +246,22 @@
 	json_decref(root);
 }
 
-static void report_text(enum err_kind err, const char *message)
+static void report_text(enum err_kind err, const char *message,
+			const json_t *details)
 {
 	FILE *stream = err == ERR_NONE ? stdout : stderr;
+	const char *find_out =
+		json_string_value(json_object_get(details, "find_out"));
 
 	fprintf(stream, "%s: %s\n", effect_name(err), message);
 	if (err != ERR_NONE)
 		fprintf(stream, "cause: %s (%s)\n", err_describe(err),
 			err_name(err));
 	if (err_effect(err) == ERR_EFFECT_UNKNOWN)
-		fputs("to find out: run 'sassafrasctl status' when the "
-		      "platform answers again\n",
-		      stream);
+		fprintf(stream, "to find out: %s\n",
+			find_out ? find_out
+				 : "run 'sassafrasctl status' when the "
+				   "platform answers again");
 }
 
 int dsk_report(struct dsk_desk *desk, enum err_kind err, json_t *details,
@@ -244,7 +276,7 @@
 	if (strcmp(desk->settings->output, "json") == 0)
 		report_json(err, message, details);
 	else
-		report_text(err, message);
+		report_text(err, message, details);
 	json_decref(details);
 	return err_exit_code(err);
 }
--- a/bin/sassafrasctl/dsk.h
+++ b/bin/sassafrasctl/dsk.h
@@ -61,6 +61,9 @@
 /** @brief Returns the settings. */
 const struct dsk_settings *dsk_desk_settings(const struct dsk_desk *desk);
 
+/** @brief Returns the loop that the commands run, owned by the desk. */
+struct evl_loop *dsk_desk_loop(struct dsk_desk *desk);
+
 /** @brief Reads a key or a prefix and waits for the answer. */
 enum err_kind dsk_range(struct dsk_desk *desk, const char *key, bool prefix,
 			struct dsk_result *out);
@@ -72,9 +75,32 @@
 /** @brief Frees what a result owns; a zeroed result is left as it is. */
 void dsk_result_clear(struct dsk_result *result);
 
-/** @brief Reads a page of an entry process. @param out freed by g_free() */
-enum err_kind dsk_http_get(struct dsk_desk *desk, const char *ip, uint16_t port,
-			   const char *path, char **out);
+/** A page of an entry process that is being read. */
+struct dsk_page {
+	const char *ip;
+	uint16_t port;
+	/** filled by dsk_pages_get(): text is NULL unless err is ERR_NONE */
+	enum err_kind err;
+	char *text;
+};
+
+/**
+ * @brief Reads one page of many entry processes at the same time.
+ *
+ * Takes no longer than the deadline of one call, however many do not answer.
+ *
+ * @param pages addresses to read from; the texts are freed by g_free()
+ */
+void dsk_pages_get(struct dsk_desk *desk, const char *path,
+		   struct dsk_page *pages, size_t count, uint32_t timeout_ms);
+
+/**
+ * @brief Tells from the kind whether a call provably sent nothing.
+ *
+ * Other kinds leave the effect of a write open, whatever their table row
+ * says of calls that only read.
+ */
+bool dsk_sent_nothing(enum err_kind err);
 
 /** @brief Runs the loop for a while. */
 void dsk_sleep_ms(struct dsk_desk *desk, uint32_t ms);
@@ -87,7 +113,8 @@
  *
  * Says done, not done or unknown from the error kind.
  *
- * @param details object merged into the JSON report and released, or NULL
+ * @param details object merged into the JSON report and released, or NULL;
+ *        its member "find_out" tells how an unknown effect can be found out
  * @return the exit code of the kind
  */
 int dsk_report(struct dsk_desk *desk, enum err_kind err, json_t *details,
--- a/bin/sassafrasctl/wtc.c
+++ b/bin/sassafrasctl/wtc.c
@@ -5,22 +5,27 @@
 #include "plv.h"
 
 #define WTC_PAUSE_MS 50
+/* A process that does not answer within this time counts as silent. */
+#define WTC_PAGE_TIMEOUT_MS 1000
 
 static void status_parse(const char *page, struct wtc_status *out)
 {
 	json_t *root = json_loads(page, 0, NULL);
 	json_int_t roll;
+	json_int_t applied_at_ms;
 	json_int_t version;
 	json_int_t placement;
 	int manager;
 	int may_dispatch;
 
 	if (root &&
-	    json_unpack(root, "{s:I, s:I, s:I, s:b, s:b}", "roll", &roll,
-			"version", &version, "placement", &placement, "manager",
-			&manager, "may_dispatch", &may_dispatch) == 0) {
+	    json_unpack(root, "{s:I, s:I, s:I, s:I, s:b, s:b}", "roll", &roll,
+			"applied_at_ms", &applied_at_ms, "version", &version,
+			"placement", &placement, "manager", &manager,
+			"may_dispatch", &may_dispatch) == 0) {
 		out->answered = true;
 		out->roll = (uint64_t)roll;
+		out->applied_at_ms = (uint64_t)applied_at_ms;
 		out->version = (uint64_t)version;
 		out->placement = (uint64_t)placement;
 		out->manager = manager != 0;
@@ -29,16 +34,31 @@
 	json_decref(root);
 }
 
-static void status_read(struct dsk_desk *desk, struct wtc_status *status)
+void wtc_statuses_ask(struct dsk_desk *desk, GArray *statuses)
 {
-	g_autofree char *page = NULL;
+	g_autofree struct dsk_page *pages =
+		g_new0(struct dsk_page, statuses->len);
 
-	if (dsk_http_get(desk, status->member.ip, status->member.http_port,
-			 "/status", &page) == ERR_NONE)
-		status_parse(page, status);
+	for (guint i = 0; i < statuses->len; i++) {
+		const struct wtc_status *status =
+			&g_array_index(statuses, struct wtc_status, i);
+
+		pages[i].ip = status->member.ip;
+		pages[i].port = status->member.http_port;
+	}
+	dsk_pages_get(
+		desk, "/status", pages, statuses->len,
+		MIN(dsk_desk_settings(desk)->timeout_ms, WTC_PAGE_TIMEOUT_MS));
+	for (guint i = 0; i < statuses->len; i++) {
+		if (pages[i].text)
+			status_parse(
+				pages[i].text,
+				&g_array_index(statuses, struct wtc_status, i));
+		g_free(pages[i].text);
+	}
 }
 
-enum err_kind wtc_statuses_read(struct dsk_desk *desk, GArray **out)
+enum err_kind wtc_members_read(struct dsk_desk *desk, GArray **out)
 {
 	struct dsk_result result;
 	enum err_kind err = dsk_range(desk, PLT_PREFIX_MEMBER, true, &result);
@@ -50,43 +70,51 @@
 		struct wtc_status status = { 0 };
 
 		if (plv_member_parse(kv->value, kv->value_len,
-				     &status.member) != ERR_NONE)
-			continue;
-		status_read(desk, &status);
-		g_array_append_val(*out, status);
+				     &status.member) == ERR_NONE)
+			g_array_append_val(*out, status);
 	}
 	dsk_result_clear(&result);
 	return err;
 }
 
-static enum err_kind progress_read(struct dsk_desk *desk, uint64_t roll,
-				   struct wtc_progress *out)
+/* Reads the members again; during an outage the last known ones remain. */
+static void members_renew(struct dsk_desk *desk, GArray **statuses)
 {
-	g_autoptr(GArray) statuses = NULL;
-	enum err_kind err = wtc_statuses_read(desk, &statuses);
+	GArray *fresh;
+	enum err_kind err = wtc_members_read(desk, &fresh);
 
-	if (err != ERR_NONE)
-		return err;
+	if (err == ERR_NONE || !*statuses) {
+		g_clear_pointer(statuses, g_array_unref);
+		*statuses = fresh;
+	} else {
+		g_array_unref(fresh);
+	}
+}
+
+static void progress_count(const GArray *statuses, uint64_t roll,
+			   struct wtc_progress *out)
+{
 	out->members = statuses->len;
 	out->in_force = 0;
 	for (guint i = 0; i < statuses->len; i++) {
 		if (g_array_index(statuses, struct wtc_status, i).roll >= roll)
 			out->in_force++;
 	}
-	return ERR_NONE;
 }
 
 enum err_kind wtc_roll_wait(struct dsk_desk *desk, uint64_t roll,
-			    uint32_t wait_ms, struct wtc_progress *out)
+			    uint32_t wait_ms, GArray **statuses,
+			    struct wtc_progress *out)
 {
 	uint64_t until_ms = evl_now_ms() + wait_ms;
 
-	memset(out, 0, sizeof(*out));
 	do {
-		if (progress_read(desk, roll, out) == ERR_NONE &&
-		    out->members > 0 && out->in_force == out->members)
+		members_renew(desk, statuses);
+		wtc_statuses_ask(desk, *statuses);
+		progress_count(*statuses, roll, out);
+		if (out->members > 0 && out->in_force == out->members)
 			return ERR_NONE;
 		dsk_sleep_ms(desk, WTC_PAUSE_MS);
 	} while (evl_now_ms() < until_ms);
-	return ERR_TIMEOUT;
+	return ERR_PENDING;
 }
--- a/bin/sassafrasctl/wtc.h
+++ b/bin/sassafrasctl/wtc.h
@@ -22,6 +22,8 @@
 	/** whether it answered; the fields below are 0 if not */
 	bool answered;
 	uint64_t roll;
+	/** wall-clock time of the process at which it applied the roll */
+	uint64_t applied_at_ms;
 	uint64_t version;
 	uint64_t placement;
 	bool manager;
@@ -29,16 +31,23 @@
 };
 
 /**
- * @brief Reads the members from the platform and asks each of them.
- * @param out array of struct wtc_status, freed by g_array_unref()
+ * @brief Reads the members from the platform.
+ * @param out array of struct wtc_status that nobody answered yet, freed by
+ *        g_array_unref(); empty on failure
  */
-enum err_kind wtc_statuses_read(struct dsk_desk *desk, GArray **out);
+enum err_kind wtc_members_read(struct dsk_desk *desk, GArray **out);
+
+/** @brief Asks all members at the same time and fills their statuses. */
+void wtc_statuses_ask(struct dsk_desk *desk, GArray *statuses);
 
 /**
  * @brief Waits until every process has a roll in force.
- * @return ERR_NONE, or ERR_TIMEOUT with the progress so far
+ * @param statuses members known before, read again while the platform
+ *        answers; replaced by the newest ones
+ * @return ERR_NONE, or ERR_PENDING with the progress so far
  */
 enum err_kind wtc_roll_wait(struct dsk_desk *desk, uint64_t roll,
-			    uint32_t wait_ms, struct wtc_progress *out);
+			    uint32_t wait_ms, GArray **statuses,
+			    struct wtc_progress *out);
 
 #endif
--- a/packages/core/include/ctr.h
+++ b/packages/core/include/ctr.h
@@ -36,6 +36,8 @@
 	  "retries denied by the limit of one request")                        \
 	X(HEADS_HEARD, "heads_heard_total", "heads heard from anyone")         \
 	X(HEADS_STALE, "heads_stale_total", "heads older than the known one")  \
+	X(HEADS_MALFORMED, "heads_malformed_total",                            \
+	  "heads of the platform that cannot be parsed")                       \
 	X(BUNDLES_APPLIED, "bundles_applied_total", "bundles put in force")    \
 	X(BUNDLES_REFUSED, "bundles_refused_total",                            \
 	  "bundles refused by digest, signature or content")                   \
--- a/packages/core/src/err.c
+++ b/packages/core/src/err.c
@@ -53,6 +53,14 @@
 		     ERR_EFFECT_NOT_DONE },
 	[ERR_CANCELLED] = { "cancelled", "The call was cancelled.", 21,
 			    ERR_EFFECT_UNKNOWN },
+	[ERR_PENDING] = { "pending",
+			  "The write took effect but is not in force "
+			  "everywhere yet.",
+			  22, ERR_EFFECT_DONE },
+	[ERR_NOT_READ] = { "not-read",
+			   "The platform did not answer a read; nothing was "
+			   "written.",
+			   23, ERR_EFFECT_NOT_DONE },
 };
 
 static const struct err_row *err_row(enum err_kind kind)
--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -95,11 +95,19 @@
 	return peer;
 }
 
+/* The operator's tool serves no callers: it is heard but not counted. */
+static bool is_operator_tool(const struct mem_member *member)
+{
+	return member->http_port == 0;
+}
+
 static void heartbeat_take(struct per_node *node,
 			   const struct per_heartbeat *heartbeat,
 			   uint64_t asked_ms)
 {
-	struct per_peer *peer = peer_get(node, &heartbeat->from);
+	struct per_peer *peer = is_operator_tool(&heartbeat->from)
+					? &node->operator_tool
+					: peer_get(node, &heartbeat->from);
 
 	if (!peer)
 		return;
@@ -182,6 +190,11 @@
 		return true;
 	}
 	inet_ntop(AF_INET, &from.sin_addr, ip, sizeof(ip));
+	/* The tool learns its settings' addresses only from this side. */
+	if (message.kind == PWR_HEARTBEAT_CALL &&
+	    is_operator_tool(&message.heartbeat.from))
+		g_strlcpy(message.heartbeat.from.ip, ip,
+			  sizeof(message.heartbeat.from.ip));
 	message_take(node, &message, ip, ntohs(from.sin_port));
 	return true;
 }
--- a/packages/peer/src/per_fetch.c
+++ b/packages/peer/src/per_fetch.c
@@ -15,9 +15,14 @@
 	per_fetch_cb cb;
 	void *data;
 	GByteArray *text;
-	/* peers asked so far, counted from a start of its own */
+	/*
+	 * Steps over the peers so far, from a start of its own: two rounds,
+	 * first those that are likely to hold the document.
+	 */
 	uint32_t start;
-	uint32_t asked;
+	uint32_t steps;
+	/* the operator's tool is asked before the peers */
+	bool ask_tool;
 	uint32_t tries;
 	uint32_t xid;
 	bool answered;
@@ -44,11 +49,54 @@
 	fetch_free(fetch);
 }
 
+static const struct per_peer *peer_at_step(const struct per_fetch *fetch)
+{
+	const GPtrArray *order = fetch->node->order;
+
+	return g_ptr_array_index(order,
+				 (fetch->start + fetch->steps) % order->len);
+}
+
+/* Tells from the peer's last heartbeat whether it has the document. */
+static bool peer_is_likely(const struct per_fetch *fetch,
+			   const struct per_peer *peer)
+{
+	const struct per_heartbeat *last = &peer->last;
+
+	if (peer->heard_ms == 0 ||
+	    evl_now_ms() - peer->heard_ms > fetch->node->config.gone_after_ms)
+		return false;
+	if (fetch->document == PER_DOCUMENT_PLACEMENT)
+		return last->applied_placement >= fetch->number;
+	return last->applied_roll == last->head.roll &&
+	       last->head.version == fetch->number;
+}
+
+/* Returns the peer to ask; there is one. */
+static const struct per_peer *peer_to_ask(const struct per_fetch *fetch)
+{
+	return fetch->ask_tool ? &fetch->node->operator_tool
+			       : peer_at_step(fetch);
+}
+
+/* Goes to the next peer to ask; false when both rounds are over. */
+static bool peer_seek(struct per_fetch *fetch)
+{
+	uint32_t count = fetch->node->order->len;
+
+	for (; fetch->steps < 2 * count; fetch->steps++) {
+		bool second_round = fetch->steps >= count;
+
+		if (peer_is_likely(fetch, peer_at_step(fetch)) != second_round)
+			return true;
+	}
+	return false;
+}
+
 static void chunk_ask(struct per_fetch *fetch)
 {
 	struct per_node *node = fetch->node;
-	const struct per_peer *peer = g_ptr_array_index(
-		node->order, (fetch->start + fetch->asked) % node->order->len);
+	const struct per_peer *peer = peer_to_ask(fetch);
 	struct pwr_message call = { .kind = PWR_FETCH_CALL };
 
 	call.fetch.document = fetch->document;
@@ -61,20 +109,23 @@
 
 static void next_peer_ask(struct per_fetch *fetch)
 {
-	fetch->asked++;
+	if (fetch->ask_tool)
+		fetch->ask_tool = false;
+	else
+		fetch->steps++;
 	fetch->tries = 0;
 	g_byte_array_set_size(fetch->text, 0);
-	if (fetch->asked >= fetch->node->order->len)
-		fetch_end(fetch, fetch->answered ? ERR_NOT_FOUND : ERR_TIMEOUT);
-	else
+	if (peer_seek(fetch))
 		chunk_ask(fetch);
+	else
+		fetch_end(fetch, fetch->answered ? ERR_NOT_FOUND : ERR_TIMEOUT);
 }
 
 static void on_chunk_timeout(void *data)
 {
 	struct per_fetch *fetch = data;
 
-	if (fetch->node->order->len == 0)
+	if (!fetch->ask_tool && !peer_seek(fetch))
 		fetch_end(fetch, ERR_NOT_FOUND);
 	else if (fetch->tries < FETCH_TRIES_PER_CHUNK)
 		chunk_ask(fetch);
@@ -162,8 +213,9 @@
 	fetch->timer.data = fetch;
 	g_queue_push_tail(&node->fetches, fetch);
 	/* The callback never runs within this call. */
-	if (node->order->len == 0)
-		evl_timer_set(node->loop, &fetch->timer, 0);
-	else
+	fetch->ask_tool = peer_is_likely(fetch, &node->operator_tool);
+	if (fetch->ask_tool || peer_seek(fetch))
 		chunk_ask(fetch);
+	else
+		evl_timer_set(node->loop, &fetch->timer, 0);
 }
--- a/packages/peer/src/per_private.h
+++ b/packages/peer/src/per_private.h
@@ -32,6 +32,8 @@
 	GHashTable *peers;
 	/** the same peers in the order they became known */
 	GPtrArray *order;
+	/** an operator's tool that told of a roll; no process of the fleet */
+	struct per_peer operator_tool;
 	uint32_t cursor;
 	/** xid to struct pending */
 	GHashTable *pending;
--- a/packages/platform/include/lse.h
+++ b/packages/platform/include/lse.h
@@ -38,4 +38,7 @@
 /** @brief Revokes the lease and stops asking for another. */
 void lse_keeper_release(struct lse_keeper *keeper);
 
+/** @brief Tells whether the release has ended, with or without an answer. */
+bool lse_keeper_is_released(const struct lse_keeper *keeper);
+
 #endif
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -29,6 +29,8 @@
 #define PLT_KEY_MANAGER "/sassafrascart/manager"
 /** Prefix of published bundles, followed by the version. */
 #define PLT_PREFIX_BUNDLE "/sassafrascart/bundle/"
+/** Prefix of the record of each roll, followed by its number. */
+#define PLT_PREFIX_ROLL "/sassafrascart/roll/"
 /** Prefix of members, followed by the process's identity. */
 #define PLT_PREFIX_MEMBER "/sassafrascart/member/"
 /** Prefix of recorded intents, followed by the intent's identity. */
--- a/packages/platform/src/lse.c
+++ b/packages/platform/src/lse.c
@@ -1,8 +1,12 @@
 #include "lse.h"
 
+#include "bko.h"
+
 /* Renewals in one life of the lease. */
 #define LSE_RENEWALS 3
-#define LSE_RETRY_MS 500
+#define LSE_RETRY_BASE_MS 200
+/* Tries that fit in one life of the lease, however often they fail. */
+#define LSE_RETRIES 6
 
 struct lse_keeper {
 	struct evl_loop *loop;
@@ -14,8 +18,10 @@
 	/* monotonic time until which the lease can be relied on */
 	uint64_t valid_until_ms;
 	uint64_t asked_ms;
+	uint32_t failures;
 	bool waiting;
 	bool released;
+	bool revoking;
 	struct tmr_entry renew_timer;
 	struct tmr_entry expiry_timer;
 };
@@ -41,6 +47,21 @@
 		keeper->valid_until_ms);
 }
 
+/* Sets the time of the next renewal, or of the next try after a failure. */
+static void next_set(struct lse_keeper *keeper, enum err_kind err)
+{
+	uint32_t life_ms = keeper->ttl_s * 1000;
+	const struct bko_limits limits = { LSE_RETRY_BASE_MS,
+					   life_ms / LSE_RETRIES };
+	uint32_t delay_ms = life_ms / LSE_RENEWALS;
+
+	keeper->failures = err == ERR_NONE ? 0 : keeper->failures + 1;
+	if (keeper->failures > 0)
+		delay_ms =
+			bko_delay_ms(&limits, keeper->failures, g_random_int());
+	evl_timer_set(keeper->loop, &keeper->renew_timer, delay_ms);
+}
+
 static void on_renewed(void *data, enum err_kind err, int64_t lease,
 		       uint32_t ttl_s)
 {
@@ -49,10 +70,7 @@
 	keeper->waiting = false;
 	if (keeper->released)
 		return;
-	evl_timer_set(keeper->loop, &keeper->renew_timer,
-		      err == ERR_NONE
-			      ? (uint64_t)keeper->ttl_s * 1000 / LSE_RENEWALS
-			      : LSE_RETRY_MS);
+	next_set(keeper, err);
 	if (err == ERR_NOT_FOUND)
 		lease_lose(keeper);
 	else if (err == ERR_NONE && keeper->lease == lease)
@@ -67,10 +85,7 @@
 	keeper->waiting = false;
 	if (keeper->released)
 		return;
-	evl_timer_set(keeper->loop, &keeper->renew_timer,
-		      err == ERR_NONE
-			      ? (uint64_t)keeper->ttl_s * 1000 / LSE_RENEWALS
-			      : LSE_RETRY_MS);
+	next_set(keeper, err);
 	if (err != ERR_NONE)
 		return;
 	keeper->lease = lease;
@@ -131,6 +146,9 @@
 static void on_revoked(void *data, enum err_kind err, int64_t lease,
 		       uint32_t ttl_s)
 {
+	struct lse_keeper *keeper = data;
+
+	keeper->revoking = false;
 }
 
 void lse_keeper_release(struct lse_keeper *keeper)
@@ -142,6 +160,13 @@
 	keeper->released = true;
 	tmr_cancel(&keeper->renew_timer);
 	lease_lose(keeper);
-	if (lease != 0)
-		plt_lease_revoke(keeper->platform, lease, on_revoked, keeper);
+	if (lease == 0)
+		return;
+	keeper->revoking = true;
+	plt_lease_revoke(keeper->platform, lease, on_revoked, keeper);
+}
+
+bool lse_keeper_is_released(const struct lse_keeper *keeper)
+{
+	return keeper->released && !keeper->revoking;
 }
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -512,6 +512,50 @@
 	return 1;
 }
 
+/* udp_open() -> descriptor, port: a datagram socket on the loopback */
+static int verb_udp_open(lua_State *lua)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(addr);
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+
+	if (bind(fd, (struct sockaddr *)&addr, len) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&addr, &len) != 0)
+		return luaL_error(lua, "no datagram socket");
+	lua_pushinteger(lua, fd);
+	lua_pushinteger(lua, ntohs(addr.sin_port));
+	return 2;
+}
+
+/* udp_receive(descriptor) -> bytes of a waiting datagram, or nil */
+static int verb_udp_receive(lua_State *lua)
+{
+	char buffer[65536];
+	ssize_t len =
+		recv((int)luaL_checkinteger(lua, 1), buffer, sizeof(buffer), 0);
+
+	if (len < 0)
+		return 0;
+	lua_pushlstring(lua, buffer, (size_t)len);
+	return 1;
+}
+
+/* udp_send(descriptor, port, bytes) */
+static int verb_udp_send(lua_State *lua)
+{
+	struct sockaddr_in to = { .sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	size_t len;
+	const char *bytes = luaL_checklstring(lua, 3, &len);
+
+	to.sin_port = htons((uint16_t)luaL_checkinteger(lua, 2));
+	if (sendto((int)luaL_checkinteger(lua, 1), bytes, len, 0,
+		   (struct sockaddr *)&to, sizeof(to)) < 0)
+		return luaL_error(lua, "the datagram cannot be sent");
+	return 0;
+}
+
 static const luaL_Reg verbs[] = {
 	{ "spawn", verb_spawn },
 	{ "run", verb_run },
@@ -524,6 +568,9 @@
 	{ "now_ms", verb_now_ms },
 	{ "free_port", verb_free_port },
 	{ "json", verb_json },
+	{ "udp_open", verb_udp_open },
+	{ "udp_receive", verb_udp_receive },
+	{ "udp_send", verb_udp_send },
 	{ NULL, NULL },
 };
 
--- /dev/null
+++ b/tests/scenarios/roll_pace.lua
@@ -0,0 +1,41 @@
+-- Reads of the head stay under a rate that all processes share, however often
+-- each would read on its own, and rolls still come into force at once since
+-- peers repeat the head.
+local fleet = require("fleet")
+local rolls = require("rolls")
+
+local ENTRIES = 8
+local ROLLS = 6
+local SPAN_MS = 4000
+-- 60 reads of the head and 4 other calls of each process a second.
+local CALLS_PER_S_MAX = 60 + 4 * ENTRIES
+
+local f = rolls.fleet({"--poll-ms", "20"})
+local entries = {}
+for index = 1, ENTRIES do
+  table.insert(entries, f:add_entry("entry-" .. index))
+end
+f:must_ctl("roll", 1)
+rolls.wait_in_force(f, entries, 1, 10000)
+fleet.wait_until("all know each other", 10000, function()
+  local all = true
+  for _, entry in ipairs(entries) do all = all and rolls.metric(entry, "peers_live") == ENTRIES end
+  return all
+end)
+
+local function calls() return fleet.get_json(f.platform_port, "/calls") end
+poll(1000)
+local before, began = calls(), now_ms()
+poll(SPAN_MS)
+local rate = (calls() - before) * 1000 / (now_ms() - began)
+print(string.format("%.0f calls a second by %d processes", rate, ENTRIES))
+
+local times = {}
+for roll = 2, 1 + ROLLS do
+  table.insert(times, f:must_ctl("roll", 1 + roll % 2).took_ms)
+  rolls.wait_in_force(f, entries, roll, 10000)
+end
+table.sort(times)
+print("roll-out ms: " .. table.concat(times, " "))
+assert(rate <= CALLS_PER_S_MAX, "calls stay under " .. CALLS_PER_S_MAX .. " a second")
+assert(times[#times] < 10000, "each roll is in force everywhere within 10 s")
--- /dev/null
+++ b/tests/scenarios/rolls.lua
@@ -0,0 +1,81 @@
+-- What the scenarios of rolls share: a fleet of two versions that differ in
+-- which VM answers "/draws", and a watch that no applied roll ever falls.
+local fleet = require("fleet")
+
+local rolls = {}
+
+rolls.POOLS = {{name = "one", vms = {"vm-a"}}, {name = "two", vms = {"vm-b"}}}
+
+local VM_OF_VERSION = {"vm-a", "vm-b"}
+
+-- Creates a fleet with versions 1 and 2 published and nothing rolled.
+function rolls.fleet(flags)
+  local f = fleet.new{flags = flags, backends = {
+    {name = "vm-a", zone = "z1", rack = "r1"},
+    {name = "vm-b", zone = "z2", rack = "r2"},
+  }}
+  for version, pool in ipairs{"one", "two"} do
+    f:publish(version, rolls.POOLS, {{path = "/draws", pool = pool, idempotent = "no"}})
+  end
+  return f
+end
+
+-- Starts a platform that accepts connections and never answers.
+function rolls.silent_platform()
+  local port = free_port()
+  spawn{"standin_platform", "127.0.0.1:" .. port, log = DIR .. "/silent-platform.log"}
+  fleet.wait_until("the silent platform listens", 5000, function()
+    return fleet.http{url = fleet.url(port, "/calls"), timeout_ms = 500}.status == 200
+  end)
+  fleet.control(port, '{"mode": "down"}')
+  return port
+end
+
+-- Flags of an entry whose platform is silent and that knows one peer.
+function rolls.silent_flags(port, peer)
+  return {"--platform", "127.0.0.1:" .. port, "--peer", "127.0.0.1:" .. peer.rpc}
+end
+
+-- Reads the applied roll of an entry; it must never fall.
+function rolls.applied(f, entry)
+  local status = f:status(entry)
+  local roll = status and status.roll or entry.seen_roll or 0
+  assert(roll >= (entry.seen_roll or 0),
+         entry.name .. " fell back from roll " .. (entry.seen_roll or 0) .. " to " .. roll)
+  entry.seen_roll = roll
+  return roll
+end
+
+-- Waits until all entries applied a roll; returns how long that took.
+function rolls.wait_in_force(f, entries, roll, timeout_ms)
+  local began = now_ms()
+  fleet.wait_until("roll " .. roll .. " in force everywhere", timeout_ms, function()
+    local all = true
+    for _, entry in ipairs(entries) do
+      all = rolls.applied(f, entry) >= roll and all
+    end
+    return all
+  end)
+  return now_ms() - began
+end
+
+-- Every entry answers as a version demands.
+function rolls.check_answers(f, entries, version, when)
+  for _, entry in ipairs(entries) do
+    local answer
+    fleet.wait_until(entry.name .. " serves " .. when, 10000, function()
+      answer = fleet.http{method = "POST", url = fleet.url(entry.port, "/draws"), body = entry.name}
+      return answer.status == 200
+    end)
+    assert(answer.headers["x-backend"] == VM_OF_VERSION[version],
+           entry.name .. " " .. when .. ": answered by " .. tostring(answer.headers["x-backend"]))
+  end
+end
+
+function rolls.metric(entry, name)
+  local page = fleet.http{url = fleet.url(entry.port, "/metrics")}.body
+  return tonumber(page:match("\n[%w_]*" .. name .. " (%d+)")) or
+         tonumber(page:match("^[%w_]*" .. name .. " (%d+)")) or 0
+end
+
+return rolls
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -42,6 +42,9 @@
 	/* name to struct vm */
 	GHashTable *vms;
 	json_t *actions;
+	/* key whose next write meets a fault, NULL for none */
+	char *fault_key;
+	enum mode fault;
 	struct tmr_entry expire_timer;
 	uint64_t calls;
 };
@@ -191,8 +194,49 @@
 	return strcmp(name, "lose") == 0 ? MODE_LOSE : MODE_OK;
 }
 
+/* Arms a fault of the next write of a key: with "lose" its answer is lost,
+ * with "down" it is answered and the platform is down from then on. */
+static void fault_arm(struct platform *platform, const char *key,
+		      const char *mode)
+{
+	g_autofree char *encoded =
+		g_base64_encode((const guchar *)key, strlen(key));
+
+	g_free(platform->fault_key);
+	platform->fault_key = g_steal_pointer(&encoded);
+	platform->fault = mode_parse(mode);
+}
+
+static bool txn_writes(const json_t *body, const char *encoded_key)
+{
+	size_t index;
+	json_t *op;
+
+	json_array_foreach(json_object_get(body, "success"), index, op)
+	{
+		const char *key = json_string_value(json_object_get(
+			json_object_get(op, "request_put"), "key"));
+
+		if (key && strcmp(key, encoded_key) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether the answer to a call is lost by an armed fault. */
+static bool fault_meets(struct platform *platform, const json_t *body)
+{
+	if (!platform->fault_key || !txn_writes(body, platform->fault_key))
+		return false;
+	g_clear_pointer(&platform->fault_key, g_free);
+	if (platform->fault == MODE_DOWN)
+		platform->mode = MODE_DOWN;
+	return platform->fault == MODE_LOSE;
+}
+
 /* {"mode": ok|down|refuse|lose, "delay_ms": N, "list_lag_ms": N,
- *  "vm": NAME, "state": live|leaving|down} */
+ *  "vm": NAME, "state": live|leaving|down,
+ *  "fault_key": KEY, "fault": lose|down} */
 static void control_run(struct platform *platform, const json_t *body)
 {
 	const char *mode = json_string_value(json_object_get(body, "mode"));
@@ -207,6 +251,10 @@
 		platform->delay_ms = (uint32_t)json_integer_value(delay);
 	if (lag)
 		platform->list_lag_ms = (uint32_t)json_integer_value(lag);
+	if (json_object_get(body, "fault_key"))
+		fault_arm(platform,
+			  json_string_value(json_object_get(body, "fault_key")),
+			  json_string_value(json_object_get(body, "fault")));
 	if (vm && state)
 		vm_set(platform, vm, state);
 }
@@ -244,7 +292,7 @@
 		return;
 	}
 	answer = call_run(platform, path, body);
-	if (platform->mode == MODE_LOSE) {
+	if (fault_meets(platform, body) || platform->mode == MODE_LOSE) {
 		json_decref(answer);
 		return;
 	}
