--- a/bin/sassafrasctl/cmd_roll.c
+++ b/bin/sassafrasctl/cmd_roll.c
@@ -257,7 +257,7 @@
 static int roll_run(struct roll *roll)
 {
 	struct dsk_desk *desk = roll->desk;
-	struct plv_head winner;
+	struct plv_head winner = { 0 };
 	enum err_kind err;
 
 	roll->wanted.roll = roll->before.roll + 1;
