Add the slot sharing decisions of owner and holder

Cause: each process counts the slots of a VM by itself, so that n processes may run n times the VM's slots. Change: slt_ holds the two state machines over plain data. A report carries a holder's whole state, a grant its slots in total; only a grant for the newest report counts, so that loss, repetition and delay are harmless. A new owner first learns what is held. Ruled out: taking only the members' reports while learning. The property test failed with 6 requests on 4 slots after an owner change, since a process that shuts down still holds slots; its report is awaited now too.

--- /dev/null
+++ b/packages/core/src/slt_holder.c
@@ -0,0 +1,382 @@
+#include "slt.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct slt_holder {
+	uint64_t pool;
+	uint64_t self;
+	uint64_t incarnation;
+	uint32_t spare_max;
+	struct slt_vm *vms;
+	/* slots of each VM held under a lease, and the static share */
+	uint32_t *leased;
+	uint32_t *share;
+	uint32_t vm_count;
+	uint64_t *members;
+	uint32_t member_count;
+	/* 0 while alone */
+	uint64_t owner;
+	uint64_t sequence;
+	uint64_t sent_ms;
+	/* highest version taken for the newest report, 0 for none */
+	uint32_t version;
+	uint64_t lease_until_ms;
+	/* since when no owner that grants has answered, 0 for answered */
+	uint64_t silent_since_ms;
+	uint32_t keep;
+	uint32_t reported_waiting;
+	uint64_t active_ms;
+	uint64_t polled_ms;
+	/* the owner is to hear of this process whatever it holds */
+	bool must_report;
+};
+
+/* Sums over the VMs. */
+struct totals {
+	uint32_t in_use;
+	uint32_t held;
+	uint32_t idle;
+};
+
+struct slt_holder *slt_holder_create(uint64_t pool, uint64_t self,
+				     uint64_t incarnation, uint32_t spare_max)
+{
+	struct slt_holder *holder = g_new0(struct slt_holder, 1);
+
+	holder->pool = pool;
+	holder->self = self;
+	holder->incarnation = incarnation;
+	holder->spare_max = spare_max;
+	holder->keep = SLT_KEEP_ALL;
+	return holder;
+}
+
+void slt_holder_destroy(struct slt_holder *holder)
+{
+	if (!holder)
+		return;
+	g_free(holder->vms);
+	g_free(holder->leased);
+	g_free(holder->share);
+	g_free(holder->members);
+	g_free(holder);
+}
+
+static uint32_t vm_find(const struct slt_holder *holder, uint64_t key)
+{
+	for (uint32_t i = 0; i < holder->vm_count; i++) {
+		if (holder->vms[i].key == key)
+			return i;
+	}
+	return UINT32_MAX;
+}
+
+/* With more members than slots some would have none: each takes one then. */
+static void shares_fill(struct slt_holder *holder)
+{
+	uint32_t total = 0;
+
+	for (uint32_t i = 0; i < holder->vm_count; i++) {
+		holder->share[i] = slt_share(&holder->vms[i], holder->members,
+					     holder->member_count,
+					     holder->self);
+		total += holder->share[i];
+	}
+	if (total == 0 && holder->vm_count > 0)
+		holder->share[holder->self % holder->vm_count] = 1;
+}
+
+void slt_holder_set_vms(struct slt_holder *holder, const struct slt_vm *vms,
+			uint32_t count)
+{
+	uint32_t *leased = g_new0(uint32_t, count + 1);
+
+	count = MIN(count, SLT_VMS_MAX);
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t old = vm_find(holder, vms[i].key);
+
+		if (old != UINT32_MAX)
+			leased[i] = MIN(holder->leased[old], vms[i].slots);
+	}
+	g_free(holder->vms);
+	g_free(holder->leased);
+	holder->vms = g_memdup2(vms, count * sizeof(*vms));
+	holder->leased = leased;
+	holder->share = g_renew(uint32_t, holder->share, count + 1);
+	holder->vm_count = count;
+	shares_fill(holder);
+}
+
+struct slt_vm *slt_holder_vms(struct slt_holder *holder, uint32_t *count)
+{
+	*count = holder->vm_count;
+	return holder->vms;
+}
+
+void slt_holder_set_members(struct slt_holder *holder, const uint64_t *members,
+			    uint32_t count, uint64_t now_ms)
+{
+	bool alone = count == 0 || (count == 1 && members[0] == holder->self);
+	uint64_t owner =
+		alone ? 0
+		      : members[slt_owner_choose(holder->pool, members, count)];
+
+	g_free(holder->members);
+	holder->members = g_memdup2(members, count * sizeof(*members));
+	holder->member_count = count;
+	shares_fill(holder);
+	if (owner == holder->owner)
+		return;
+	if (holder->owner == 0)
+		holder->lease_until_ms = 0;
+	holder->owner = owner;
+	holder->must_report = true;
+	holder->keep = SLT_KEEP_ALL;
+	if (holder->silent_since_ms == 0)
+		holder->silent_since_ms = now_ms;
+}
+
+uint64_t slt_holder_owner(const struct slt_holder *holder)
+{
+	return holder->owner;
+}
+
+static struct totals totals_of(const struct slt_holder *holder)
+{
+	struct totals totals = { 0 };
+
+	for (uint32_t i = 0; i < holder->vm_count; i++) {
+		uint32_t in_use = holder->vms[i].in_use;
+		uint32_t held = MAX(in_use, holder->leased[i]);
+
+		totals.in_use += in_use;
+		totals.held += held;
+		totals.idle += held - in_use;
+	}
+	return totals;
+}
+
+static void lease_check(struct slt_holder *holder, uint64_t now_ms)
+{
+	if (now_ms < holder->lease_until_ms)
+		return;
+	memset(holder->leased, 0, holder->vm_count * sizeof(uint32_t));
+	holder->keep = SLT_KEEP_ALL;
+}
+
+static uint32_t spare_wanted(const struct slt_holder *holder,
+			     const struct totals *totals)
+{
+	if (holder->keep != SLT_KEEP_ALL)
+		return 0;
+	return MIN(holder->spare_max, totals->in_use / 4 + 1);
+}
+
+static bool is_active(const struct slt_holder *holder, uint64_t now_ms)
+{
+	return now_ms - holder->active_ms < SLT_IDLE_MS;
+}
+
+/* Idle slots that are to be handed back. */
+static uint32_t surplus_of(const struct slt_holder *holder,
+			   const struct totals *totals, uint32_t waiting,
+			   uint64_t now_ms)
+{
+	uint32_t over = totals->held > holder->keep
+				? totals->held - holder->keep
+				: 0;
+	uint32_t spare = 2 * spare_wanted(holder, totals);
+
+	if (!is_active(holder, now_ms))
+		return totals->idle;
+	if (waiting == 0 && totals->idle > spare)
+		over = MAX(over, totals->idle - spare);
+	return MIN(over, totals->idle);
+}
+
+static bool report_is_due(const struct slt_holder *holder,
+			  const struct totals *totals, uint32_t waiting,
+			  uint32_t surplus, uint64_t now_ms)
+{
+	uint64_t age_ms = now_ms - holder->sent_ms;
+	bool spare_low = waiting == 0 && is_active(holder, now_ms) &&
+			 2 * totals->idle < spare_wanted(holder, totals);
+
+	if (holder->must_report)
+		return true;
+	if (holder->sequence > 0 && holder->version == 0)
+		return age_ms >= SLT_RETRY_MS &&
+		       (waiting > 0 || totals->held > 0 ||
+			is_active(holder, now_ms));
+	if (waiting > 0 && holder->reported_waiting == 0)
+		return age_ms >= SLT_PACE_MS;
+	if (surplus > 0)
+		return age_ms >= SLT_PACE_MS;
+	if (waiting > 0 || spare_low)
+		return age_ms >= SLT_REFRESH_MS;
+	return totals->held > 0 && age_ms >= SLT_RENEW_MS;
+}
+
+/* What is handed back may not be used any more from here on. */
+static void surplus_release(struct slt_holder *holder, uint32_t surplus)
+{
+	for (uint32_t i = 0; i < holder->vm_count && surplus > 0; i++) {
+		uint32_t in_use = holder->vms[i].in_use;
+		uint32_t idle = holder->leased[i] > in_use
+					? holder->leased[i] - in_use
+					: 0;
+		uint32_t part = MIN(idle, surplus);
+
+		holder->leased[i] -= part;
+		surplus -= part;
+	}
+}
+
+/* Slots of a VM that takes no work from this process are of no use to it. */
+static void unready_release(struct slt_holder *holder)
+{
+	for (uint32_t i = 0; i < holder->vm_count; i++) {
+		if (!holder->vms[i].ready)
+			holder->leased[i] = MIN(holder->leased[i],
+						holder->vms[i].in_use);
+	}
+}
+
+static void report_fill(struct slt_holder *holder, uint32_t waiting,
+			struct slt_report *report)
+{
+	struct totals totals = totals_of(holder);
+	uint32_t spare = spare_wanted(holder, &totals);
+
+	report->pool = holder->pool;
+	report->holder = holder->self;
+	report->incarnation = holder->incarnation;
+	report->sequence = holder->sequence;
+	report->in_use = totals.in_use;
+	report->waiting = waiting;
+	report->spare = spare > totals.idle ? spare - totals.idle : 0;
+	report->count = 0;
+	for (uint32_t i = 0; i < holder->vm_count; i++) {
+		struct slt_count *count = &report->counts[report->count];
+
+		count->vm = holder->vms[i].key;
+		count->held = MAX(holder->leased[i], holder->vms[i].in_use);
+		count->avoid = !holder->vms[i].ready;
+		if (count->held > 0 || count->avoid)
+			report->count++;
+	}
+}
+
+/* Silence counts only while an answer is awaited by a running process. */
+static void silence_check(struct slt_holder *holder,
+			  const struct totals *totals, uint64_t now_ms)
+{
+	bool paused = now_ms - holder->polled_ms >= SLT_SILENCE_MS;
+
+	holder->polled_ms = now_ms;
+	if (holder->silent_since_ms == 0)
+		return;
+	if (!is_active(holder, now_ms) && totals->held == 0)
+		holder->silent_since_ms = 0;
+	else if (paused)
+		holder->silent_since_ms = now_ms;
+}
+
+bool slt_holder_poll(struct slt_holder *holder, uint32_t waiting,
+		     uint64_t now_ms, struct slt_report *report)
+{
+	struct totals totals;
+	uint32_t surplus;
+
+	if (holder->owner == 0)
+		return false;
+	lease_check(holder, now_ms);
+	totals = totals_of(holder);
+	if (waiting > 0 || totals.in_use > 0)
+		holder->active_ms = now_ms;
+	silence_check(holder, &totals, now_ms);
+	surplus = surplus_of(holder, &totals, waiting, now_ms);
+	if (!report_is_due(holder, &totals, waiting, surplus, now_ms))
+		return false;
+	surplus_release(holder, surplus);
+	unready_release(holder);
+	holder->sequence++;
+	holder->version = 0;
+	holder->sent_ms = now_ms;
+	holder->must_report = false;
+	holder->reported_waiting = waiting;
+	if (holder->silent_since_ms == 0)
+		holder->silent_since_ms = now_ms;
+	report_fill(holder, waiting, report);
+	if (!is_active(holder, now_ms))
+		report->spare = 0;
+	return true;
+}
+
+bool slt_holder_take(struct slt_holder *holder, const struct slt_grant *grant,
+		     uint64_t now_ms)
+{
+	if (holder->owner == 0 || grant->sequence != holder->sequence ||
+	    grant->version <= holder->version ||
+	    now_ms >= holder->sent_ms + SLT_HOLDER_LEASE_MS)
+		return false;
+	holder->version = grant->version;
+	holder->lease_until_ms = holder->sent_ms + SLT_HOLDER_LEASE_MS;
+	holder->keep = grant->keep;
+	if (!grant->learning)
+		holder->silent_since_ms = 0;
+	memset(holder->leased, 0, holder->vm_count * sizeof(uint32_t));
+	for (uint32_t i = 0; i < grant->count; i++) {
+		uint32_t vm = vm_find(holder, grant->counts[i].vm);
+
+		if (vm != UINT32_MAX)
+			holder->leased[vm] = MIN(grant->counts[i].held,
+						 holder->vms[vm].slots);
+	}
+	return true;
+}
+
+bool slt_holder_is_fallback(const struct slt_holder *holder, uint64_t now_ms)
+{
+	return holder->owner != 0 && holder->silent_since_ms != 0 &&
+	       now_ms - holder->silent_since_ms >= SLT_SILENCE_MS;
+}
+
+void slt_holder_allowed(struct slt_holder *holder, uint64_t now_ms,
+			uint32_t *allowed)
+{
+	struct totals totals;
+
+	lease_check(holder, now_ms);
+	totals = totals_of(holder);
+	for (uint32_t i = 0; i < holder->vm_count; i++) {
+		if (holder->owner == 0)
+			allowed[i] = holder->vms[i].slots;
+		else if (slt_holder_is_fallback(holder, now_ms))
+			allowed[i] = MAX(holder->share[i], holder->leased[i]);
+		else if (totals.in_use >= holder->keep)
+			allowed[i] = MIN(holder->leased[i],
+					 holder->vms[i].in_use);
+		else
+			allowed[i] = holder->leased[i];
+	}
+}
+
+uint32_t slt_holder_expected(struct slt_holder *holder, uint64_t now_ms)
+{
+	bool fallback = slt_holder_is_fallback(holder, now_ms);
+	uint32_t total = 0;
+	uint32_t share = 0;
+
+	lease_check(holder, now_ms);
+	for (uint32_t i = 0; i < holder->vm_count; i++) {
+		if (!holder->vms[i].ready)
+			continue;
+		total += holder->vms[i].slots;
+		share += holder->share[i];
+	}
+	if (fallback)
+		return MIN(total, MAX(share, 1));
+	return MIN(total, MAX(holder->keep, 1));
+}
--- /dev/null
+++ b/packages/core/src/slt_owner.c
@@ -0,0 +1,443 @@
+#include "slt.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Spare slots are granted only while one in this many of all is free. */
+#define SLT_FREE_FOR_SPARE 8
+
+/* What the owner knows of one holder. */
+struct ledger {
+	uint64_t key;
+	uint64_t incarnation;
+	uint64_t sequence;
+	uint32_t version;
+	uint64_t heard_ms;
+	uint32_t in_use;
+	/* requests and spare slots not granted yet */
+	uint32_t waiting;
+	uint32_t spare;
+	uint32_t held_total;
+	/* for each of the owner's VMs */
+	uint32_t *held;
+	bool *avoid;
+	uint32_t told_keep;
+	bool must_send;
+	/* no VM has a slot for it, within one distribution */
+	bool passed_over;
+};
+
+struct slt_owner {
+	uint64_t pool;
+	struct slt_vm *vms;
+	uint32_t vm_count;
+	/* slots of each VM granted to all holders */
+	uint32_t *granted;
+	GPtrArray *ledgers;
+	/* members that have not reported yet, while learning */
+	GArray *awaited;
+	bool learning;
+	uint64_t learn_until_ms;
+	bool contended;
+	uint32_t demand;
+};
+
+static void ledger_free(gpointer data)
+{
+	struct ledger *ledger = data;
+
+	g_free(ledger->held);
+	g_free(ledger->avoid);
+	g_free(ledger);
+}
+
+struct slt_owner *slt_owner_create(uint64_t pool, uint64_t now_ms)
+{
+	struct slt_owner *owner = g_new0(struct slt_owner, 1);
+
+	owner->pool = pool;
+	owner->ledgers = g_ptr_array_new_with_free_func(ledger_free);
+	owner->awaited = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	owner->learning = true;
+	owner->learn_until_ms = now_ms + SLT_LEARN_MS;
+	return owner;
+}
+
+void slt_owner_destroy(struct slt_owner *owner)
+{
+	if (!owner)
+		return;
+	g_free(owner->vms);
+	g_free(owner->granted);
+	g_ptr_array_unref(owner->ledgers);
+	g_array_unref(owner->awaited);
+	g_free(owner);
+}
+
+static struct ledger *ledger_at(const struct slt_owner *owner, uint32_t index)
+{
+	return g_ptr_array_index(owner->ledgers, index);
+}
+
+static struct ledger *ledger_find(const struct slt_owner *owner, uint64_t key)
+{
+	for (guint i = 0; i < owner->ledgers->len; i++) {
+		if (ledger_at(owner, i)->key == key)
+			return ledger_at(owner, i);
+	}
+	return NULL;
+}
+
+static uint32_t vm_find(const struct slt_vm *vms, uint32_t count, uint64_t key)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (vms[i].key == key)
+			return i;
+	}
+	return UINT32_MAX;
+}
+
+static void ledger_hold(struct slt_owner *owner, struct ledger *ledger,
+			uint32_t vm, uint32_t held)
+{
+	owner->granted[vm] += held - ledger->held[vm];
+	ledger->held_total += held - ledger->held[vm];
+	ledger->held[vm] = held;
+}
+
+/* Moves a ledger to another list of VMs. */
+static void ledger_remap(const struct slt_owner *owner, struct ledger *ledger,
+			 const struct slt_vm *vms, uint32_t count)
+{
+	uint32_t *held = g_new0(uint32_t, count + 1);
+	bool *avoid = g_new0(bool, count + 1);
+
+	ledger->held_total = 0;
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t old = vm_find(owner->vms, owner->vm_count, vms[i].key);
+
+		if (old == UINT32_MAX)
+			continue;
+		held[i] = ledger->held[old];
+		avoid[i] = ledger->avoid[old];
+		ledger->held_total += held[i];
+	}
+	g_free(ledger->held);
+	g_free(ledger->avoid);
+	ledger->held = held;
+	ledger->avoid = avoid;
+}
+
+void slt_owner_set_vms(struct slt_owner *owner, const struct slt_vm *vms,
+		       uint32_t count)
+{
+	count = MIN(count, SLT_VMS_MAX);
+	for (guint i = 0; i < owner->ledgers->len; i++)
+		ledger_remap(owner, ledger_at(owner, i), vms, count);
+	g_free(owner->vms);
+	owner->vms = g_memdup2(vms, count * sizeof(*vms));
+	owner->vm_count = count;
+	g_free(owner->granted);
+	owner->granted = g_new0(uint32_t, count + 1);
+	for (guint i = 0; i < owner->ledgers->len; i++) {
+		for (uint32_t vm = 0; vm < count; vm++)
+			owner->granted[vm] += ledger_at(owner, i)->held[vm];
+	}
+}
+
+void slt_owner_await(struct slt_owner *owner, const uint64_t *members,
+			   uint32_t count)
+{
+	if (!owner->learning)
+		return;
+	g_array_set_size(owner->awaited, 0);
+	for (uint32_t i = 0; i < count; i++) {
+		if (!ledger_find(owner, members[i]))
+			g_array_append_val(owner->awaited, members[i]);
+	}
+	if (owner->awaited->len == 0)
+		owner->learning = false;
+}
+
+static void learned_from(struct slt_owner *owner, uint64_t member)
+{
+	for (guint i = 0; i < owner->awaited->len; i++) {
+		if (g_array_index(owner->awaited, uint64_t, i) != member)
+			continue;
+		g_array_remove_index_fast(owner->awaited, i);
+		if (owner->awaited->len == 0)
+			owner->learning = false;
+		return;
+	}
+}
+
+static uint32_t demand_of(const struct ledger *ledger)
+{
+	return ledger->in_use + ledger->waiting;
+}
+
+/* The holder that has least in proportion to its demand. */
+static struct ledger *neediest(const struct slt_owner *owner, bool spare)
+{
+	struct ledger *best = NULL;
+
+	for (guint i = 0; i < owner->ledgers->len; i++) {
+		struct ledger *ledger = ledger_at(owner, i);
+		uint32_t need = spare ? ledger->spare : ledger->waiting;
+
+		if (need == 0 || ledger->passed_over)
+			continue;
+		if (!best || (uint64_t)ledger->held_total * demand_of(best) <
+				     (uint64_t)best->held_total *
+					     demand_of(ledger))
+			best = ledger;
+	}
+	return best;
+}
+
+/* The VM with most free slots of those that suit a holder. */
+static uint32_t freest_vm(const struct slt_owner *owner,
+			  const struct ledger *ledger)
+{
+	uint32_t best = UINT32_MAX;
+	uint32_t best_free = 0;
+
+	for (uint32_t i = 0; i < owner->vm_count; i++) {
+		uint32_t slots = owner->vms[i].slots;
+		uint32_t granted = owner->granted[i];
+
+		if (!owner->vms[i].ready || ledger->avoid[i] ||
+		    granted >= slots || slots - granted <= best_free)
+			continue;
+		best_free = slots - granted;
+		best = i;
+	}
+	return best;
+}
+
+static void slots_sum(const struct slt_owner *owner, uint32_t *total,
+		      uint32_t *free_slots)
+{
+	*total = 0;
+	*free_slots = 0;
+	for (uint32_t i = 0; i < owner->vm_count; i++) {
+		uint32_t slots = owner->vms[i].slots;
+
+		if (!owner->vms[i].ready)
+			continue;
+		*total += slots;
+		if (owner->granted[i] < slots)
+			*free_slots += slots - owner->granted[i];
+	}
+}
+
+static void grant_waiting(struct slt_owner *owner)
+{
+	struct ledger *ledger;
+
+	while ((ledger = neediest(owner, false))) {
+		uint32_t vm = freest_vm(owner, ledger);
+
+		if (vm == UINT32_MAX) {
+			ledger->passed_over = true;
+			continue;
+		}
+		ledger_hold(owner, ledger, vm, ledger->held[vm] + 1);
+		ledger->waiting--;
+		/* A granted request counts as in use from here on. */
+		ledger->in_use++;
+		ledger->must_send = true;
+	}
+}
+
+static void grant_spare(struct slt_owner *owner)
+{
+	struct ledger *ledger;
+	uint32_t total;
+	uint32_t free_slots;
+
+	slots_sum(owner, &total, &free_slots);
+	while (free_slots > total / SLT_FREE_FOR_SPARE &&
+	       (ledger = neediest(owner, true))) {
+		uint32_t vm = freest_vm(owner, ledger);
+
+		if (vm == UINT32_MAX) {
+			ledger->passed_over = true;
+			continue;
+		}
+		ledger_hold(owner, ledger, vm, ledger->held[vm] + 1);
+		ledger->spare--;
+		free_slots--;
+		ledger->must_send = true;
+	}
+}
+
+/* Share of all slots in proportion to demand while requests wait. */
+static uint32_t keep_of(const struct slt_owner *owner,
+			const struct ledger *ledger)
+{
+	uint32_t total;
+	uint32_t free_slots;
+
+	if (!owner->contended)
+		return SLT_KEEP_ALL;
+	slots_sum(owner, &total, &free_slots);
+	return MAX(1, (uint32_t)(((uint64_t)total * demand_of(ledger) +
+				  owner->demand - 1) /
+				 owner->demand));
+}
+
+/* Asks those that hold clearly more than their part to hand slots back. */
+static void recall(struct slt_owner *owner)
+{
+	owner->contended = false;
+	owner->demand = 0;
+	for (guint i = 0; i < owner->ledgers->len; i++) {
+		const struct ledger *ledger = ledger_at(owner, i);
+
+		owner->demand += demand_of(ledger);
+		owner->contended |= ledger->waiting > 0;
+	}
+	for (guint i = 0; owner->contended && i < owner->ledgers->len; i++) {
+		struct ledger *ledger = ledger_at(owner, i);
+		uint32_t keep = keep_of(owner, ledger);
+
+		if (ledger->held_total > keep &&
+		    keep < ledger->told_keep - ledger->told_keep / 4)
+			ledger->must_send = true;
+	}
+}
+
+static void distribute(struct slt_owner *owner)
+{
+	if (owner->learning)
+		return;
+	for (guint i = 0; i < owner->ledgers->len; i++)
+		ledger_at(owner, i)->passed_over = false;
+	grant_waiting(owner);
+	grant_spare(owner);
+	recall(owner);
+}
+
+static struct ledger *ledger_get(struct slt_owner *owner, uint64_t key)
+{
+	struct ledger *ledger = ledger_find(owner, key);
+
+	if (ledger)
+		return ledger;
+	ledger = g_new0(struct ledger, 1);
+	ledger->key = key;
+	ledger->held = g_new0(uint32_t, owner->vm_count + 1);
+	ledger->avoid = g_new0(bool, owner->vm_count + 1);
+	ledger->told_keep = SLT_KEEP_ALL;
+	g_ptr_array_add(owner->ledgers, ledger);
+	return ledger;
+}
+
+static void ledger_read(struct slt_owner *owner, struct ledger *ledger,
+			const struct slt_report *report)
+{
+	for (uint32_t i = 0; i < owner->vm_count; i++) {
+		ledger_hold(owner, ledger, i, 0);
+		ledger->avoid[i] = false;
+	}
+	for (uint32_t i = 0; i < MIN(report->count, SLT_VMS_MAX); i++) {
+		const struct slt_count *count = &report->counts[i];
+		uint32_t vm =
+			vm_find(owner->vms, owner->vm_count, count->vm);
+
+		if (vm == UINT32_MAX)
+			continue;
+		ledger_hold(owner, ledger, vm,
+			    MIN(count->held, owner->vms[vm].slots));
+		ledger->avoid[vm] = count->avoid;
+	}
+	ledger->incarnation = report->incarnation;
+	ledger->sequence = report->sequence;
+	ledger->version = 0;
+	ledger->in_use = report->in_use;
+	ledger->waiting = report->waiting;
+	ledger->spare = report->spare;
+}
+
+void slt_owner_report(struct slt_owner *owner, const struct slt_report *report,
+		      uint64_t now_ms)
+{
+	struct ledger *ledger = ledger_get(owner, report->holder);
+
+	if (report->incarnation < ledger->incarnation ||
+	    (report->incarnation == ledger->incarnation &&
+	     report->sequence < ledger->sequence))
+		return;
+	ledger->heard_ms = now_ms;
+	ledger->must_send = true;
+	if (report->incarnation > ledger->incarnation ||
+	    report->sequence > ledger->sequence)
+		ledger_read(owner, ledger, report);
+	learned_from(owner, report->holder);
+	distribute(owner);
+}
+
+void slt_owner_tick(struct slt_owner *owner, uint64_t now_ms)
+{
+	if (owner->learning && now_ms >= owner->learn_until_ms)
+		owner->learning = false;
+	for (guint i = owner->ledgers->len; i > 0; i--) {
+		struct ledger *ledger = ledger_at(owner, i - 1);
+
+		if (now_ms - ledger->heard_ms < SLT_OWNER_LEASE_MS)
+			continue;
+		for (uint32_t vm = 0; vm < owner->vm_count; vm++)
+			ledger_hold(owner, ledger, vm, 0);
+		g_ptr_array_remove_index_fast(owner->ledgers, i - 1);
+	}
+	distribute(owner);
+}
+
+static void grant_fill(const struct slt_owner *owner,
+		       const struct ledger *ledger, struct slt_grant *grant)
+{
+	grant->pool = owner->pool;
+	grant->holder = ledger->key;
+	grant->sequence = ledger->sequence;
+	grant->version = ledger->version;
+	grant->learning = owner->learning;
+	grant->keep = ledger->told_keep;
+	grant->count = 0;
+	for (uint32_t i = 0; i < owner->vm_count; i++) {
+		if (ledger->held[i] == 0)
+			continue;
+		grant->counts[grant->count++] =
+			(struct slt_count){ .vm = owner->vms[i].key,
+					    .held = ledger->held[i] };
+	}
+}
+
+bool slt_owner_next(struct slt_owner *owner, struct slt_grant *grant)
+{
+	for (guint i = 0; i < owner->ledgers->len; i++) {
+		struct ledger *ledger = ledger_at(owner, i);
+
+		if (!ledger->must_send)
+			continue;
+		ledger->must_send = false;
+		ledger->version++;
+		ledger->told_keep = keep_of(owner, ledger);
+		grant_fill(owner, ledger, grant);
+		return true;
+	}
+	return false;
+}
+
+struct slt_vm *slt_owner_vms(struct slt_owner *owner, uint32_t *count)
+{
+	*count = owner->vm_count;
+	return owner->vms;
+}
+
+uint32_t slt_owner_granted(const struct slt_owner *owner, uint64_t vm)
+{
+	uint32_t index = vm_find(owner->vms, owner->vm_count, vm);
+
+	return index == UINT32_MAX ? 0 : owner->granted[index];
+}
--- /dev/null
+++ b/packages/core/tests/test_slt.c
@@ -0,0 +1,421 @@
+#include <check.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "slt.h"
+
+#define HOLDERS 5
+#define VMS 3
+#define SLOTS 4
+#define STEP_MS 5
+#define POOL 77
+
+/* A report or a grant on its way. */
+struct message {
+	uint64_t due_ms;
+	uint64_t owner;
+	bool is_grant;
+	struct slt_report report;
+	struct slt_grant grant;
+};
+
+struct process {
+	uint64_t key;
+	struct slt_holder *holder;
+	struct slt_owner *owner;
+	uint32_t waiting;
+	/* when it hears of the change of members, 0 for done */
+	uint64_t told_ms;
+};
+
+/* Processes of one pool under loss, repetition, delay and owner change. */
+struct world {
+	GRand *rand;
+	uint64_t now_ms;
+	double loss;
+	struct process processes[HOLDERS];
+	uint64_t members[HOLDERS];
+	uint64_t everyone[HOLDERS];
+	uint32_t member_count;
+	GPtrArray *wire;
+	uint64_t sent;
+};
+
+static const struct slt_vm pool_vms[VMS] = {
+	{ .key = 11, .slots = SLOTS, .ready = true },
+	{ .key = 12, .slots = SLOTS, .ready = true },
+	{ .key = 13, .slots = SLOTS, .ready = true },
+};
+
+static void members_tell(struct world *world, struct process *process)
+{
+	slt_holder_set_members(process->holder, world->members,
+			       world->member_count, world->now_ms);
+	if (slt_holder_owner(process->holder) != process->key) {
+		g_clear_pointer(&process->owner, slt_owner_destroy);
+		return;
+	}
+	if (!process->owner) {
+		process->owner = slt_owner_create(POOL, world->now_ms);
+		slt_owner_set_vms(process->owner, pool_vms, VMS);
+	}
+	/* Processes that leave still hold slots. */
+	slt_owner_await(process->owner, world->everyone, HOLDERS);
+}
+
+static void world_init(struct world *world, uint32_t seed, double loss)
+{
+	*world = (struct world){ .rand = g_rand_new_with_seed(seed),
+				 .now_ms = 100000,
+				 .loss = loss,
+				 .member_count = HOLDERS,
+				 .wire = g_ptr_array_new_with_free_func(
+					 g_free) };
+	for (uint32_t i = 0; i < HOLDERS; i++)
+		world->members[i] = world->everyone[i] = 1000 + i;
+	for (uint32_t i = 0; i < HOLDERS; i++) {
+		struct process *process = &world->processes[i];
+
+		process->key = world->members[i];
+		process->holder = slt_holder_create(POOL, process->key, 1,
+						    SLT_SPARE_SLOTS);
+		slt_holder_set_vms(process->holder, pool_vms, VMS);
+		members_tell(world, process);
+	}
+}
+
+static void world_clear(struct world *world)
+{
+	for (uint32_t i = 0; i < HOLDERS; i++) {
+		slt_holder_destroy(world->processes[i].holder);
+		slt_owner_destroy(world->processes[i].owner);
+	}
+	g_ptr_array_unref(world->wire);
+	g_rand_free(world->rand);
+}
+
+static void post(struct world *world, const struct message *message)
+{
+	int copies = g_rand_double(world->rand) < world->loss / 2 ? 2 : 1;
+
+	world->sent++;
+	for (int i = 0; i < copies; i++) {
+		struct message *copy = g_memdup2(message, sizeof(*message));
+
+		copy->due_ms =
+			world->now_ms +
+			(uint64_t)g_rand_int_range(
+				world->rand, 1, world->loss > 0 ? 100 : 3);
+		if (g_rand_double(world->rand) < world->loss)
+			g_free(copy);
+		else
+			g_ptr_array_add(world->wire, copy);
+	}
+}
+
+static struct process *process_of(struct world *world, uint64_t key)
+{
+	return &world->processes[key - 1000];
+}
+
+static void grants_send(struct world *world, struct process *process)
+{
+	struct message message = { .is_grant = true, .owner = process->key };
+
+	slt_owner_tick(process->owner, world->now_ms);
+	while (slt_owner_next(process->owner, &message.grant))
+		post(world, &message);
+}
+
+static void deliver(struct world *world)
+{
+	for (guint i = world->wire->len; i > 0; i--) {
+		struct message *message =
+			g_ptr_array_index(world->wire, i - 1);
+		struct process *owner = process_of(world, message->owner);
+
+		if (message->due_ms > world->now_ms)
+			continue;
+		if (message->is_grant)
+			slt_holder_take(
+				process_of(world, message->grant.holder)
+					->holder,
+				&message->grant, world->now_ms);
+		else if (owner->owner)
+			slt_owner_report(owner->owner, &message->report,
+					 world->now_ms);
+		g_ptr_array_remove_index_fast(world->wire, i - 1);
+	}
+}
+
+/* Ends some requests, and starts what waits on granted slots only. */
+static void process_work(struct world *world, struct process *process)
+{
+	uint32_t allowed[VMS];
+	uint32_t count;
+	struct slt_vm *vms = slt_holder_vms(process->holder, &count);
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (vms[i].in_use > 0 && g_rand_int_range(world->rand, 0, 8) == 0)
+			vms[i].in_use--;
+	}
+	if (slt_holder_is_fallback(process->holder, world->now_ms))
+		return;
+	for (uint32_t i = 0; i < count && process->waiting > 0; i++) {
+		slt_holder_allowed(process->holder, world->now_ms, allowed);
+		if (vms[i].in_use >= allowed[i])
+			continue;
+		vms[i].in_use++;
+		process->waiting--;
+	}
+}
+
+static void process_turn(struct world *world, struct process *process)
+{
+	struct message message = { 0 };
+
+	if (process->told_ms != 0 && process->told_ms <= world->now_ms) {
+		process->told_ms = 0;
+		members_tell(world, process);
+	}
+	process_work(world, process);
+	message.owner = slt_holder_owner(process->holder);
+	if (slt_holder_poll(process->holder, process->waiting, world->now_ms,
+			    &message.report))
+		post(world, &message);
+	if (process->owner)
+		grants_send(world, process);
+}
+
+static void invariants_check(struct world *world)
+{
+	for (uint32_t vm = 0; vm < VMS; vm++) {
+		uint32_t in_use = 0;
+
+		for (uint32_t i = 0; i < HOLDERS; i++) {
+			struct process *process = &world->processes[i];
+			uint32_t count;
+
+			in_use += slt_holder_vms(process->holder, &count)[vm]
+					  .in_use;
+			if (process->owner)
+				ck_assert_uint_le(
+					slt_owner_granted(process->owner,
+							  pool_vms[vm].key),
+					SLOTS);
+		}
+		ck_assert_uint_le(in_use, SLOTS);
+	}
+}
+
+static void step(struct world *world, bool arrivals)
+{
+	world->now_ms += STEP_MS;
+	deliver(world);
+	for (uint32_t i = 0; i < HOLDERS; i++) {
+		struct process *process = &world->processes[i];
+
+		if (arrivals && process->waiting < 50 &&
+		    g_rand_int_range(world->rand, 0, (gint32)(4 + i)) == 0)
+			process->waiting++;
+		process_turn(world, process);
+	}
+	invariants_check(world);
+}
+
+/* The owner leaves; the others hear of it one after another. */
+static void owner_leave(struct world *world)
+{
+	uint32_t owner = slt_owner_choose(POOL, world->members,
+					  world->member_count);
+
+	world->members[owner] = world->members[--world->member_count];
+	for (uint32_t i = 0; i < HOLDERS; i++)
+		world->processes[i].told_ms =
+			world->now_ms +
+			(uint64_t)g_rand_int_range(world->rand, 1, 200);
+}
+
+static uint32_t waiting_total(const struct world *world)
+{
+	uint32_t total = 0;
+
+	for (uint32_t i = 0; i < HOLDERS; i++)
+		total += world->processes[i].waiting;
+	return total;
+}
+
+static void world_settle(struct world *world)
+{
+	uint64_t until_ms = world->now_ms + 20000;
+
+	world->loss = 0;
+	while (waiting_total(world) > 0 && world->now_ms < until_ms)
+		step(world, false);
+	ck_assert_uint_eq(waiting_total(world), 0);
+	/* Requests end, idle slots go back, then nothing is sent any more. */
+	for (uint32_t i = 0; i < 4000 / STEP_MS; i++)
+		step(world, false);
+	world->sent = 0;
+	for (uint32_t i = 0; i < 4000 / STEP_MS; i++)
+		step(world, false);
+	ck_assert_uint_eq(world->sent, 0);
+}
+
+START_TEST(random_sequences_never_use_more_than_the_slots)
+{
+	uint32_t base = g_random_int();
+
+	printf("test_slt seed %u\n", base);
+	for (uint32_t run = 0; run < 60; run++) {
+		struct world world;
+
+		world_init(&world, base + run, run % 3 * 0.15);
+		for (uint32_t i = 0; i < 1200; i++) {
+			if (i % 400 == 399 && world.member_count > 2)
+				owner_leave(&world);
+			step(&world, true);
+		}
+		world_settle(&world);
+		world_clear(&world);
+	}
+}
+END_TEST
+
+START_TEST(shares_add_up_to_the_slots)
+{
+	uint64_t members[40];
+
+	for (uint32_t count = 1; count <= 40; count++) {
+		uint32_t sum = 0;
+
+		members[count - 1] = slt_key("entry") + count * 7919;
+		for (uint32_t i = 0; i < count; i++)
+			sum += slt_share(&pool_vms[0], members, count,
+					 members[i]);
+		ck_assert_uint_eq(sum, SLOTS);
+	}
+}
+END_TEST
+
+/* Returns a holder among two members whose owner is the other one. */
+static struct slt_holder *holder_of_two(uint64_t now_ms)
+{
+	const uint64_t members[2] = { 1000, 1001 };
+	uint32_t owner = slt_owner_choose(POOL, members, 2);
+	struct slt_holder *holder =
+		slt_holder_create(POOL, members[1 - owner], 1, 0);
+
+	slt_holder_set_vms(holder, pool_vms, VMS);
+	slt_holder_set_members(holder, members, 2, now_ms);
+	return holder;
+}
+
+static uint32_t allowed_sum(struct slt_holder *holder, uint64_t now_ms)
+{
+	uint32_t allowed[VMS];
+
+	slt_holder_allowed(holder, now_ms, allowed);
+	return allowed[0] + allowed[1] + allowed[2];
+}
+
+START_TEST(a_process_alone_uses_all_slots_without_a_message)
+{
+	struct slt_holder *holder = slt_holder_create(POOL, 1000, 1, 0);
+	const uint64_t self = 1000;
+	struct slt_report report;
+
+	slt_holder_set_vms(holder, pool_vms, VMS);
+	slt_holder_set_members(holder, &self, 1, 5000);
+	ck_assert_uint_eq(allowed_sum(holder, 5000), VMS * SLOTS);
+	ck_assert(!slt_holder_poll(holder, 100, 5000, &report));
+	slt_holder_destroy(holder);
+}
+END_TEST
+
+START_TEST(a_silent_owner_leaves_the_static_share)
+{
+	struct slt_holder *holder = holder_of_two(5000);
+	struct slt_report report;
+	uint64_t now_ms = 5000;
+
+	ck_assert(slt_holder_poll(holder, 9, now_ms, &report));
+	ck_assert_uint_eq(allowed_sum(holder, now_ms), 0);
+	for (; now_ms < 5000 + SLT_SILENCE_MS; now_ms += 20)
+		slt_holder_poll(holder, 9, now_ms, &report);
+	ck_assert(slt_holder_is_fallback(holder, now_ms));
+	ck_assert_uint_eq(allowed_sum(holder, now_ms), VMS * SLOTS / 2);
+	slt_holder_destroy(holder);
+}
+END_TEST
+
+START_TEST(only_a_grant_for_the_newest_report_counts)
+{
+	struct slt_holder *holder = holder_of_two(5000);
+	struct slt_report report;
+	struct slt_grant grant = { .version = 1,
+				   .keep = SLT_KEEP_ALL,
+				   .count = 1,
+				   .counts = { { .vm = 11, .held = 3 } } };
+
+	ck_assert(slt_holder_poll(holder, 5, 5000, &report));
+	grant.sequence = report.sequence;
+	ck_assert(slt_holder_poll(holder, 5, 5050, &report));
+	ck_assert(!slt_holder_take(holder, &grant, 5051));
+	grant.sequence = report.sequence;
+	ck_assert(slt_holder_take(holder, &grant, 5051));
+	ck_assert(!slt_holder_take(holder, &grant, 5052));
+	ck_assert_uint_eq(allowed_sum(holder, 5052), 3);
+	/* A lease that was not renewed ends. */
+	ck_assert_uint_eq(allowed_sum(holder, 5050 + SLT_HOLDER_LEASE_MS), 0);
+	slt_holder_destroy(holder);
+}
+END_TEST
+
+START_TEST(a_full_pool_is_shared_in_proportion_to_demand)
+{
+	struct slt_owner *owner = slt_owner_create(POOL, 5000);
+	const uint64_t members[2] = { 1, 2 };
+	struct slt_report report = { .pool = POOL, .sequence = 1 };
+	struct slt_grant grant;
+	uint32_t kept = 0;
+
+	slt_owner_set_vms(owner, pool_vms, VMS);
+	slt_owner_await(owner, members, 2);
+	for (uint32_t i = 0; i < 2; i++) {
+		report.holder = members[i];
+		report.waiting = i == 0 ? 60 : 20;
+		slt_owner_report(owner, &report, 5000);
+	}
+	ck_assert_uint_eq(slt_owner_granted(owner, 11), SLOTS);
+	while (slt_owner_next(owner, &grant)) {
+		ck_assert_uint_eq(grant.keep, grant.holder == 1 ? 9 : 3);
+		kept += grant.keep;
+	}
+	ck_assert_uint_eq(kept, VMS * SLOTS);
+	slt_owner_destroy(owner);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("slt");
+	TCase *cases = tcase_create("slt");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(cases, shares_add_up_to_the_slots);
+	tcase_add_test(cases, a_process_alone_uses_all_slots_without_a_message);
+	tcase_add_test(cases, a_silent_owner_leaves_the_static_share);
+	tcase_add_test(cases, only_a_grant_for_the_newest_report_counts);
+	tcase_add_test(cases, a_full_pool_is_shared_in_proportion_to_demand);
+	tcase_add_test(cases, random_sequences_never_use_more_than_the_slots);
+	tcase_set_timeout(cases, 50);
+	suite_add_tcase(suite, cases);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
