Share the slots of a VM between all entry processes

Cause: each entry counted the slots of a VM by itself. slots_shared, 4 entries and 2 VMs of 8 slots: before, a server had 32 requests at once. Change: one owner process for each pool, chosen by rendezvous hashing over the members heard, grants slots as leases; reports and grants are calls without a reply of the peer protocol. The backend server stand-in tells its longest queue.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -12,7 +12,6 @@
 #define ENT_MEMBERS_READ_MS 5000
 #define ENT_PEER_PERIOD_MS 1000
 #define ENT_PEER_FAN_OUT 3
-#define ENT_PEER_GONE_AFTER_MS 8000
 
 static void on_request(void *data, struct clr_request *request)
 {
@@ -72,6 +71,8 @@
 	.fill = heartbeat_fill,
 	.on_heartbeat = on_heartbeat,
 	.document = on_document,
+	.on_slot_report = ent_on_slot_report,
+	.on_slot_grant = ent_on_slot_grant,
 };
 
 static void on_head_changed(void *data)
@@ -99,6 +100,7 @@
 				     &member) == ERR_NONE)
 			per_node_learn(entry->peers, &member);
 	}
+	ent_slots_members(entry);
 }
 
 static void on_members_due(void *data)
@@ -241,6 +243,8 @@
 		.incarnation = entry->self.incarnation,
 		.answer_max_bytes = settings->answer_max_bytes,
 		.may_dispatch = ent_may_dispatch,
+		.slot_report = ent_slots_report,
+		.slot_grant = ent_slots_grant,
 		.data = entry,
 	};
 	const struct mgr_config manager = {
@@ -263,6 +267,7 @@
 	entry->sync = syn_sync_create(&sync, on_synced, entry);
 	syn_sync_set_peers(entry->sync, entry->peers, on_head_changed);
 	peers_seed(entry);
+	ent_slots_start(entry);
 	entry->members_timer.cb = on_members_due;
 	entry->members_timer.data = entry;
 	evl_timer_set(entry->loop, &entry->members_timer, 0);
@@ -317,6 +322,7 @@
 		return;
 	tmr_cancel(&entry->shut_down_timer);
 	tmr_cancel(&entry->members_timer);
+	tmr_cancel(&entry->slots_timer);
 	per_node_destroy(entry->peers);
 	clr_server_destroy(entry->server);
 	lse_keeper_destroy(entry->lease);
@@ -350,6 +356,9 @@
 	lgx_info("shutting_down", "%u requests in progress",
 		 gat_gateway_in_progress(entry->gateway));
 	gat_gateway_shut_down(entry->gateway);
+	/* Peers choose other owners for the pools at once. */
+	per_node_announce(entry->peers);
+	ent_slots_members(entry);
 	clr_server_shut_down(entry->server);
 	lse_keeper_release(entry->lease);
 	entry->shut_down_timer.cb = on_shut_down_tick;
--- a/bin/sassafrascartd/ent_private.h
+++ b/bin/sassafrascartd/ent_private.h
@@ -30,6 +30,8 @@
 	struct clr_server *server;
 	struct per_node *peers;
 	struct tmr_entry members_timer;
+	struct tmr_entry slots_timer;
+	uint64_t started_ms;
 	bool shutting_down;
 	uint64_t shut_down_by_ms;
 	struct tmr_entry shut_down_timer;
@@ -39,6 +41,29 @@
 bool ent_page(void *data, const char *path, struct clr_answer *answer,
 	      GString *body);
 
+/** Time without a heartbeat after which a peer counts as gone. */
+#define ENT_PEER_GONE_AFTER_MS 8000
+
+/** @brief Begins to keep the gateway's list of processes up to date. */
+void ent_slots_start(struct ent_entry *entry);
+
+/** @brief Tells the gateway now which processes share slots. */
+void ent_slots_members(struct ent_entry *entry);
+
+/** @brief Sends a slot report; fits gat_config.slot_report. */
+void ent_slots_report(void *data, uint64_t to, const struct slt_report *report);
+
+/** @brief Sends a slot grant; fits gat_config.slot_grant. */
+void ent_slots_grant(void *data, uint64_t to, const struct slt_grant *grant);
+
+/** @brief Takes a peer's slot report; fits per_ops.on_slot_report. */
+void ent_on_slot_report(void *data, const char *from,
+			const struct slt_report *report);
+
+/** @brief Takes a peer's slot grant; fits per_ops.on_slot_grant. */
+void ent_on_slot_grant(void *data, const char *from,
+		       const struct slt_grant *grant);
+
 /** @brief Tells whether requests may be dispatched at this moment. */
 bool ent_may_dispatch(void *data);
 
--- /dev/null
+++ b/bin/sassafrascartd/ent_slots.c
@@ -0,0 +1,99 @@
+#include "ent_private.h"
+
+#define ENT_SLOTS_MEMBERS_MS 100
+
+/* The processes that share slots, gathered from the known peers. */
+struct gathering {
+	GArray *members;
+	GArray *everyone;
+	uint64_t now_ms;
+	/* peers that were never heard count in the first seconds of a run */
+	bool starting;
+};
+
+static void peer_gather(void *data, const struct per_heartbeat *last,
+			uint64_t heard_ms)
+{
+	struct gathering *gathering = data;
+	uint64_t key = slt_key(last->from.id);
+	bool heard = heard_ms != 0 &&
+		     gathering->now_ms - heard_ms <= ENT_PEER_GONE_AFTER_MS;
+
+	/* Peers known from the settings only have no incarnation yet. */
+	if (!heard && !(heard_ms == 0 && gathering->starting &&
+			last->from.incarnation != 0))
+		return;
+	g_array_append_val(gathering->everyone, key);
+	if (!last->shutting_down)
+		g_array_append_val(gathering->members, key);
+}
+
+void ent_slots_members(struct ent_entry *entry)
+{
+	uint64_t now_ms = evl_now_ms();
+	uint64_t self = slt_key(entry->self.id);
+	struct gathering gathering = {
+		.members = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+		.everyone = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+		.now_ms = now_ms,
+		.starting = now_ms - entry->started_ms < ENT_PEER_GONE_AFTER_MS,
+	};
+
+	g_array_append_val(gathering.everyone, self);
+	if (!entry->shutting_down)
+		g_array_append_val(gathering.members, self);
+	per_node_each(entry->peers, peer_gather, &gathering);
+	/* When all leave, ownership stays with one that leaves. */
+	gat_gateway_members(entry->gateway,
+			    gathering.members->len > 0 ? gathering.members
+						       : gathering.everyone,
+			    gathering.everyone);
+	g_array_unref(gathering.members);
+	g_array_unref(gathering.everyone);
+}
+
+static void on_slots_members_due(void *data)
+{
+	struct ent_entry *entry = data;
+
+	evl_timer_set(entry->loop, &entry->slots_timer, ENT_SLOTS_MEMBERS_MS);
+	ent_slots_members(entry);
+}
+
+void ent_slots_start(struct ent_entry *entry)
+{
+	entry->started_ms = evl_now_ms();
+	entry->slots_timer.cb = on_slots_members_due;
+	entry->slots_timer.data = entry;
+	evl_timer_set(entry->loop, &entry->slots_timer, 0);
+}
+
+void ent_slots_report(void *data, uint64_t to, const struct slt_report *report)
+{
+	struct ent_entry *entry = data;
+
+	per_node_report_slots(entry->peers, to, report);
+}
+
+void ent_slots_grant(void *data, uint64_t to, const struct slt_grant *grant)
+{
+	struct ent_entry *entry = data;
+
+	per_node_grant_slots(entry->peers, to, grant);
+}
+
+void ent_on_slot_report(void *data, const char *from,
+			const struct slt_report *report)
+{
+	struct ent_entry *entry = data;
+
+	gat_gateway_slot_report(entry->gateway, report);
+}
+
+void ent_on_slot_grant(void *data, const char *from,
+		       const struct slt_grant *grant)
+{
+	struct ent_entry *entry = data;
+
+	gat_gateway_slot_grant(entry->gateway, grant);
+}
--- a/bin/sassafrascartd/gat.c
+++ b/bin/sassafrascartd/gat.c
@@ -12,6 +12,7 @@
 	struct gat_pool *pool = data;
 
 	adm_queue_destroy(pool->queue);
+	gat_share_destroy(pool->share);
 	g_free(pool->name);
 	g_free(pool);
 }
@@ -30,8 +31,8 @@
 {
 	struct gat_gateway *gateway = data;
 
-	pools_pump(gateway);
 	evl_timer_set(gateway->config.loop, &gateway->pump_timer, GAT_PUMP_MS);
+	pools_pump(gateway);
 }
 
 static bool deadline_parse(const struct clr_request *request,
@@ -122,12 +123,14 @@
 			pool = g_new0(struct gat_pool, 1);
 			pool->name = g_strdup(spec->name);
 			pool->queue = adm_queue_create(&limits);
+			pool->share = gat_share_create(gateway, spec->name);
 			ret_budget_init(&pool->budget, GAT_RETRY_SHARE_PERMILLE,
 					GAT_RETRY_BURST);
 			g_hash_table_insert(gateway->pools, pool->name, pool);
 		}
 		adm_queue_limit(pool->queue, &limits);
 		pool->index = i;
+		gat_share_update(gateway, pool);
 	}
 }
 
@@ -183,6 +186,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	gateway->pump_timer.cb = on_pump;
 	gateway->pump_timer.data = gateway;
+	gateway->members = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	gateway->everyone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	evl_timer_set(config->loop, &gateway->pump_timer, GAT_PUMP_MS);
 	return gateway;
 }
@@ -195,6 +200,8 @@
 	tmr_cancel(&gateway->pump_timer);
 	g_hash_table_unref(gateway->pools);
 	g_hash_table_unref(gateway->vm_index);
+	g_array_unref(gateway->members);
+	g_array_unref(gateway->everyone);
 	sel_set_destroy(gateway->servers);
 	bnd_bundle_unref(gateway->bundle);
 	hcl_client_destroy(gateway->http);
--- a/bin/sassafrascartd/gat.h
+++ b/bin/sassafrascartd/gat.h
@@ -13,6 +13,7 @@
 #include "evl.h"
 #include "hed.h"
 #include "plc.h"
+#include "slt.h"
 
 /** The gateway, opaque. */
 struct gat_gateway;
@@ -28,6 +29,11 @@
 	uint32_t answer_max_bytes;
 	/** tells whether requests may be dispatched at this moment */
 	bool (*may_dispatch)(void *data);
+	/** send slot messages to the process whose identity has a key */
+	void (*slot_report)(void *data, uint64_t to,
+			    const struct slt_report *report);
+	void (*slot_grant)(void *data, uint64_t to,
+			   const struct slt_grant *grant);
 	void *data;
 };
 
@@ -48,6 +54,22 @@
 /** @brief Forgets a caller that left. */
 void gat_gateway_gone(struct gat_gateway *gateway, struct clr_request *request);
 
+/**
+ * @brief Replaces the processes that share the slots of backend servers.
+ * @param members keys of those that may own pools
+ * @param everyone keys of all that may hold slots
+ */
+void gat_gateway_members(struct gat_gateway *gateway, const GArray *members,
+			 const GArray *everyone);
+
+/** @brief Takes a slot report of another process. */
+void gat_gateway_slot_report(struct gat_gateway *gateway,
+			     const struct slt_report *report);
+
+/** @brief Takes a slot grant of another process. */
+void gat_gateway_slot_grant(struct gat_gateway *gateway,
+			    const struct slt_grant *grant);
+
 /** @brief Refuses new requests from now on; those in progress go on. */
 void gat_gateway_shut_down(struct gat_gateway *gateway);
 
--- a/bin/sassafrascartd/gat_private.h
+++ b/bin/sassafrascartd/gat_private.h
@@ -21,6 +21,7 @@
 	uint32_t index;
 	struct adm_queue *queue;
 	struct ret_budget budget;
+	struct gat_share *share;
 };
 
 struct gat_gateway {
@@ -32,12 +33,25 @@
 	GHashTable *vm_index;
 	/** pool's name to struct gat_pool */
 	GHashTable *pools;
+	/** keys of the processes that share slots, see gat_gateway_members() */
+	GArray *members;
+	GArray *everyone;
 	struct tmr_entry pump_timer;
 	uint64_t request_count;
 	uint32_t in_progress;
 	bool shutting_down;
 };
 
+/** This process's part in sharing the slots of a pool's VMs. */
+struct gat_share {
+	uint64_t key;
+	struct slt_holder *holder;
+	/** NULL unless this process owns the pool */
+	struct slt_owner *owner;
+	/** index in gateway->servers of each of the holder's VMs */
+	uint32_t servers[SLT_VMS_MAX];
+};
+
 /** A request from its arrival to its answer. */
 struct gat_work {
 	struct gat_gateway *gateway;
@@ -74,13 +88,12 @@
 /** @brief Dispatches waiting requests while slots are free. */
 void gat_pool_pump(struct gat_gateway *gateway, struct gat_pool *pool);
 
-/** @brief Adds up the slots that serve a pool at present. */
-uint32_t gat_pool_slots(const struct gat_gateway *gateway,
-			const struct gat_pool *pool);
+/** @brief Estimates the slots that this process has for a pool. */
+uint32_t gat_pool_slots(struct gat_gateway *gateway, struct gat_pool *pool);
 
 /** @brief Chooses a VM with a free slot, BND_NONE for none. */
-uint32_t gat_slot_choose(struct gat_gateway *gateway,
-			 const struct gat_pool *pool, uint32_t avoid);
+uint32_t gat_slot_choose(struct gat_gateway *gateway, struct gat_pool *pool,
+			 uint32_t avoid);
 
 /** @brief Takes a slot of a VM for a request. */
 void gat_slot_take(struct gat_work *work, uint32_t vm);
@@ -88,6 +101,25 @@
 /** @brief Gives the request's slot back. */
 void gat_slot_release(struct gat_work *work);
 
+/** @brief Creates a share that is freed by gat_share_destroy(). */
+struct gat_share *gat_share_create(const struct gat_gateway *gateway,
+				   const char *pool_name);
+
+/** @brief Frees a share. @param share may be NULL */
+void gat_share_destroy(struct gat_share *share);
+
+/** @brief Follows a new bundle or placement. */
+void gat_share_update(struct gat_gateway *gateway, struct gat_pool *pool);
+
+/** @brief Brings the slots that may be used up to date. */
+void gat_share_refresh(struct gat_gateway *gateway, struct gat_pool *pool);
+
+/**
+ * @brief Sends the slot messages that are due.
+ * @return whether slots were granted at once, by this process itself
+ */
+bool gat_share_poll(struct gat_gateway *gateway, struct gat_pool *pool);
+
 /** @brief Finds what is known of a VM by its name, or NULL. */
 struct sel_server *gat_server_find(const struct gat_gateway *gateway,
 				   const char *vm_name);
--- a/bin/sassafrascartd/gat_slots.c
+++ b/bin/sassafrascartd/gat_slots.c
@@ -1,11 +1,11 @@
 #include "gat_private.h"
 
-uint32_t gat_pool_slots(const struct gat_gateway *gateway,
-			const struct gat_pool *pool)
+uint32_t gat_pool_slots(struct gat_gateway *gateway, struct gat_pool *pool)
 {
 	if (pool->index == BND_NONE)
 		return 0;
-	return sel_pool_slots(gateway->servers, pool->index, evl_now_ms());
+	gat_share_refresh(gateway, pool);
+	return slt_holder_expected(pool->share->holder, evl_now_ms());
 }
 
 struct sel_server *gat_server_find(const struct gat_gateway *gateway,
@@ -19,11 +19,12 @@
 	return &gateway->servers->servers[GPOINTER_TO_UINT(index)];
 }
 
-uint32_t gat_slot_choose(struct gat_gateway *gateway,
-			 const struct gat_pool *pool, uint32_t avoid)
+uint32_t gat_slot_choose(struct gat_gateway *gateway, struct gat_pool *pool,
+			 uint32_t avoid)
 {
 	if (pool->index == BND_NONE)
 		return BND_NONE;
+	gat_share_refresh(gateway, pool);
 	return sel_choose(gateway->servers, pool->index, avoid, evl_now_ms());
 }
 
@@ -33,6 +34,8 @@
 
 	work->vm_name = g_strdup(gateway->bundle->vms[vm].name);
 	gateway->servers->servers[vm].in_flight++;
+	if (slt_holder_is_fallback(work->pool->share->holder, evl_now_ms()))
+		ctr_add(gateway->config.counters, CTR_SLOT_FALLBACKS);
 }
 
 void gat_slot_release(struct gat_work *work)
@@ -55,11 +58,8 @@
 	return true;
 }
 
-void gat_pool_pump(struct gat_gateway *gateway, struct gat_pool *pool)
+static void pool_dispatch(struct gat_gateway *gateway, struct gat_pool *pool)
 {
-	if (pool->index == BND_NONE ||
-	    !gateway->config.may_dispatch(gateway->config.data))
-		return;
 	while (adm_queue_length(pool->queue) > 0) {
 		uint32_t vm = gat_slot_choose(gateway, pool, BND_NONE);
 		struct adm_item *item;
@@ -73,3 +73,23 @@
 			gat_work_dispatch(work, vm);
 	}
 }
+
+/* Waiting requests may have a report to the owner become due. */
+static void pump_hasten(struct gat_gateway *gateway)
+{
+	if (gateway->pump_timer.due_ms > evl_now_ms() + SLT_PACE_MS)
+		evl_timer_set(gateway->config.loop, &gateway->pump_timer,
+			      SLT_PACE_MS);
+}
+
+void gat_pool_pump(struct gat_gateway *gateway, struct gat_pool *pool)
+{
+	if (pool->index == BND_NONE)
+		return;
+	do {
+		if (gateway->config.may_dispatch(gateway->config.data))
+			pool_dispatch(gateway, pool);
+	} while (gat_share_poll(gateway, pool));
+	if (adm_queue_length(pool->queue) > 0)
+		pump_hasten(gateway);
+}
--- a/packages/core/include/ctr.h
+++ b/packages/core/include/ctr.h
@@ -34,6 +34,12 @@
 	  "retries denied by the budget")                                      \
 	X(RETRY_DENIED_LIMIT, "retries_denied_total{reason=\"limit\"}",        \
 	  "retries denied by the limit of one request")                        \
+	X(SLOT_REPORTS, "slot_messages_total{kind=\"report\"}",                \
+	  "slot reports sent to owners")                                       \
+	X(SLOT_GRANTS, "slot_messages_total{kind=\"grant\"}",                  \
+	  "slot grants sent to holders")                                       \
+	X(SLOT_FALLBACKS, "slot_fallback_attempts_total",                      \
+	  "attempts on the static share, the owner being silent")              \
 	X(HEADS_HEARD, "heads_heard_total", "heads heard from anyone")         \
 	X(HEADS_STALE, "heads_stale_total", "heads older than the known one")  \
 	X(BUNDLES_APPLIED, "bundles_applied_total", "bundles put in force")    \
--- a/packages/core/include/sel.h
+++ b/packages/core/include/sel.h
@@ -16,6 +16,8 @@
 /** What this process knows of a backend server, one for each VM. */
 struct sel_server {
 	/** slots of the VM that this process may use at present */
+	uint32_t allowed_slots;
+	/** slots of the VM that all processes together may use */
 	uint32_t slots;
 	uint32_t in_flight;
 	/** pool that the VM serves, BND_NONE for none */
--- a/packages/core/include/slt.h
+++ b/packages/core/include/slt.h
@@ -87,7 +87,8 @@
 struct slt_grant {
 	uint64_t pool;
 	uint64_t holder;
-	/** the report that it answers */
+	/** the holder's process and report that it answers */
+	uint64_t incarnation;
 	uint64_t sequence;
 	/** grows with each grant for the same report */
 	uint32_t version;
@@ -146,9 +147,11 @@
  * @brief Replaces the members, this process among them unless it leaves.
  *
  * After a change of the owner the next poll reports to the new one at once.
+ *
+ * @param alone no other process may hold slots; members may then be empty
  */
 void slt_holder_set_members(struct slt_holder *holder, const uint64_t *members,
-			    uint32_t count, uint64_t now_ms);
+			    uint32_t count, bool alone, uint64_t now_ms);
 
 /** @brief Returns the owner's key, 0 when the process is alone. */
 uint64_t slt_holder_owner(const struct slt_holder *holder);
@@ -197,7 +200,7 @@
  * Those that shut down are among them: they hold slots until they end.
  */
 void slt_owner_await(struct slt_owner *owner, const uint64_t *members,
-			   uint32_t count);
+		     uint32_t count);
 
 /** @brief Takes a report; slt_owner_next() then tells what to answer. */
 void slt_owner_report(struct slt_owner *owner, const struct slt_report *report,
--- a/packages/core/src/sel.c
+++ b/packages/core/src/sel.c
@@ -35,7 +35,7 @@
 		const struct sel_server *server = &set->servers[vm];
 
 		if (server->pool != pool || vm == avoid ||
-		    server->in_flight >= server->slots ||
+		    server->in_flight >= server->allowed_slots ||
 		    !sel_is_ready(server, now_ms))
 			continue;
 		if (best == BND_NONE ||
--- a/packages/core/src/slt_holder.c
+++ b/packages/core/src/slt_holder.c
@@ -28,8 +28,10 @@
 	uint32_t reported_waiting;
 	uint64_t active_ms;
 	uint64_t polled_ms;
-	/* the owner is to hear of this process whatever it holds */
+	uint64_t owner_since_ms;
+	/* the owner is new: it is to hear of this process, and has answered */
 	bool must_report;
+	bool introduced;
 };
 
 /* Sums over the VMs. */
@@ -78,9 +80,9 @@
 	uint32_t total = 0;
 
 	for (uint32_t i = 0; i < holder->vm_count; i++) {
-		holder->share[i] = slt_share(&holder->vms[i], holder->members,
-					     holder->member_count,
-					     holder->self);
+		holder->share[i] =
+			slt_share(&holder->vms[i], holder->members,
+				  holder->member_count, holder->self);
 		total += holder->share[i];
 	}
 	if (total == 0 && holder->vm_count > 0)
@@ -115,9 +117,8 @@
 }
 
 void slt_holder_set_members(struct slt_holder *holder, const uint64_t *members,
-			    uint32_t count, uint64_t now_ms)
+			    uint32_t count, bool alone, uint64_t now_ms)
 {
-	bool alone = count == 0 || (count == 1 && members[0] == holder->self);
 	uint64_t owner =
 		alone ? 0
 		      : members[slt_owner_choose(holder->pool, members, count)];
@@ -131,7 +132,9 @@
 	if (holder->owner == 0)
 		holder->lease_until_ms = 0;
 	holder->owner = owner;
+	holder->owner_since_ms = now_ms;
 	holder->must_report = true;
+	holder->introduced = false;
 	holder->keep = SLT_KEEP_ALL;
 	if (holder->silent_since_ms == 0)
 		holder->silent_since_ms = now_ms;
@@ -183,9 +186,8 @@
 			   const struct totals *totals, uint32_t waiting,
 			   uint64_t now_ms)
 {
-	uint32_t over = totals->held > holder->keep
-				? totals->held - holder->keep
-				: 0;
+	uint32_t over =
+		totals->held > holder->keep ? totals->held - holder->keep : 0;
 	uint32_t spare = 2 * spare_wanted(holder, totals);
 
 	if (!is_active(holder, now_ms))
@@ -195,6 +197,18 @@
 	return MIN(over, totals->idle);
 }
 
+/* An answer is awaited as long as it matters to either side. */
+static bool answer_matters(const struct slt_holder *holder,
+			   const struct totals *totals, uint32_t waiting,
+			   uint64_t now_ms)
+{
+	bool introducing = !holder->introduced &&
+			   now_ms - holder->owner_since_ms < SLT_LEARN_MS;
+
+	return introducing || waiting > 0 || totals->held > 0 ||
+	       is_active(holder, now_ms);
+}
+
 static bool report_is_due(const struct slt_holder *holder,
 			  const struct totals *totals, uint32_t waiting,
 			  uint32_t surplus, uint64_t now_ms)
@@ -207,8 +221,7 @@
 		return true;
 	if (holder->sequence > 0 && holder->version == 0)
 		return age_ms >= SLT_RETRY_MS &&
-		       (waiting > 0 || totals->held > 0 ||
-			is_active(holder, now_ms));
+		       answer_matters(holder, totals, waiting, now_ms);
 	if (waiting > 0 && holder->reported_waiting == 0)
 		return age_ms >= SLT_PACE_MS;
 	if (surplus > 0)
@@ -238,8 +251,8 @@
 {
 	for (uint32_t i = 0; i < holder->vm_count; i++) {
 		if (!holder->vms[i].ready)
-			holder->leased[i] = MIN(holder->leased[i],
-						holder->vms[i].in_use);
+			holder->leased[i] =
+				MIN(holder->leased[i], holder->vms[i].in_use);
 	}
 }
 
@@ -317,10 +330,12 @@
 bool slt_holder_take(struct slt_holder *holder, const struct slt_grant *grant,
 		     uint64_t now_ms)
 {
-	if (holder->owner == 0 || grant->sequence != holder->sequence ||
+	if (holder->owner == 0 || grant->incarnation != holder->incarnation ||
+	    grant->sequence != holder->sequence ||
 	    grant->version <= holder->version ||
 	    now_ms >= holder->sent_ms + SLT_HOLDER_LEASE_MS)
 		return false;
+	holder->introduced = true;
 	holder->version = grant->version;
 	holder->lease_until_ms = holder->sent_ms + SLT_HOLDER_LEASE_MS;
 	holder->keep = grant->keep;
@@ -356,8 +371,8 @@
 		else if (slt_holder_is_fallback(holder, now_ms))
 			allowed[i] = MAX(holder->share[i], holder->leased[i]);
 		else if (totals.in_use >= holder->keep)
-			allowed[i] = MIN(holder->leased[i],
-					 holder->vms[i].in_use);
+			allowed[i] =
+				MIN(holder->leased[i], holder->vms[i].in_use);
 		else
 			allowed[i] = holder->leased[i];
 	}
--- a/packages/core/src/slt_owner.c
+++ b/packages/core/src/slt_owner.c
@@ -6,6 +6,9 @@
 /* Spare slots are granted only while one in this many of all is free. */
 #define SLT_FREE_FOR_SPARE 8
 
+/* Largest number of requests that a report is believed to speak of. */
+#define SLT_DEMAND_MAX (1u << 20)
+
 /* What the owner knows of one holder. */
 struct ledger {
 	uint64_t key;
@@ -39,7 +42,7 @@
 	bool learning;
 	uint64_t learn_until_ms;
 	bool contended;
-	uint32_t demand;
+	uint64_t demand;
 };
 
 static void ledger_free(gpointer data)
@@ -146,7 +149,7 @@
 }
 
 void slt_owner_await(struct slt_owner *owner, const uint64_t *members,
-			   uint32_t count)
+		     uint32_t count)
 {
 	if (!owner->learning)
 		return;
@@ -187,9 +190,9 @@
 
 		if (need == 0 || ledger->passed_over)
 			continue;
-		if (!best || (uint64_t)ledger->held_total * demand_of(best) <
-				     (uint64_t)best->held_total *
-					     demand_of(ledger))
+		if (!best ||
+		    (uint64_t)ledger->held_total * demand_of(best) <
+			    (uint64_t)best->held_total * demand_of(ledger))
 			best = ledger;
 	}
 	return best;
@@ -343,8 +346,7 @@
 	}
 	for (uint32_t i = 0; i < MIN(report->count, SLT_VMS_MAX); i++) {
 		const struct slt_count *count = &report->counts[i];
-		uint32_t vm =
-			vm_find(owner->vms, owner->vm_count, count->vm);
+		uint32_t vm = vm_find(owner->vms, owner->vm_count, count->vm);
 
 		if (vm == UINT32_MAX)
 			continue;
@@ -355,9 +357,9 @@
 	ledger->incarnation = report->incarnation;
 	ledger->sequence = report->sequence;
 	ledger->version = 0;
-	ledger->in_use = report->in_use;
-	ledger->waiting = report->waiting;
-	ledger->spare = report->spare;
+	ledger->in_use = MIN(report->in_use, SLT_DEMAND_MAX);
+	ledger->waiting = MIN(report->waiting, SLT_DEMAND_MAX);
+	ledger->spare = MIN(report->spare, SLT_SPARE_SLOTS);
 }
 
 void slt_owner_report(struct slt_owner *owner, const struct slt_report *report,
@@ -399,6 +401,7 @@
 {
 	grant->pool = owner->pool;
 	grant->holder = ledger->key;
+	grant->incarnation = ledger->incarnation;
 	grant->sequence = ledger->sequence;
 	grant->version = ledger->version;
 	grant->learning = owner->learning;
--- a/packages/core/tests/test_slt.c
+++ b/packages/core/tests/test_slt.c
@@ -51,7 +51,7 @@
 static void members_tell(struct world *world, struct process *process)
 {
 	slt_holder_set_members(process->holder, world->members,
-			       world->member_count, world->now_ms);
+			       world->member_count, false, world->now_ms);
 	if (slt_holder_owner(process->holder) != process->key) {
 		g_clear_pointer(&process->owner, slt_owner_destroy);
 		return;
@@ -105,8 +105,8 @@
 
 		copy->due_ms =
 			world->now_ms +
-			(uint64_t)g_rand_int_range(
-				world->rand, 1, world->loss > 0 ? 100 : 3);
+			(uint64_t)g_rand_int_range(world->rand, 1,
+						   world->loss > 0 ? 100 : 3);
 		if (g_rand_double(world->rand) < world->loss)
 			g_free(copy);
 		else
@@ -131,17 +131,15 @@
 static void deliver(struct world *world)
 {
 	for (guint i = world->wire->len; i > 0; i--) {
-		struct message *message =
-			g_ptr_array_index(world->wire, i - 1);
+		struct message *message = g_ptr_array_index(world->wire, i - 1);
 		struct process *owner = process_of(world, message->owner);
 
 		if (message->due_ms > world->now_ms)
 			continue;
 		if (message->is_grant)
-			slt_holder_take(
-				process_of(world, message->grant.holder)
-					->holder,
-				&message->grant, world->now_ms);
+			slt_holder_take(process_of(world, message->grant.holder)
+						->holder,
+					&message->grant, world->now_ms);
 		else if (owner->owner)
 			slt_owner_report(owner->owner, &message->report,
 					 world->now_ms);
@@ -157,7 +155,8 @@
 	struct slt_vm *vms = slt_holder_vms(process->holder, &count);
 
 	for (uint32_t i = 0; i < count; i++) {
-		if (vms[i].in_use > 0 && g_rand_int_range(world->rand, 0, 8) == 0)
+		if (vms[i].in_use > 0 &&
+		    g_rand_int_range(world->rand, 0, 8) == 0)
 			vms[i].in_use--;
 	}
 	if (slt_holder_is_fallback(process->holder, world->now_ms))
@@ -227,8 +226,8 @@
 /* The owner leaves; the others hear of it one after another. */
 static void owner_leave(struct world *world)
 {
-	uint32_t owner = slt_owner_choose(POOL, world->members,
-					  world->member_count);
+	uint32_t owner =
+		slt_owner_choose(POOL, world->members, world->member_count);
 
 	world->members[owner] = world->members[--world->member_count];
 	for (uint32_t i = 0; i < HOLDERS; i++)
@@ -308,7 +307,7 @@
 		slt_holder_create(POOL, members[1 - owner], 1, 0);
 
 	slt_holder_set_vms(holder, pool_vms, VMS);
-	slt_holder_set_members(holder, members, 2, now_ms);
+	slt_holder_set_members(holder, members, 2, false, now_ms);
 	return holder;
 }
 
@@ -327,7 +326,7 @@
 	struct slt_report report;
 
 	slt_holder_set_vms(holder, pool_vms, VMS);
-	slt_holder_set_members(holder, &self, 1, 5000);
+	slt_holder_set_members(holder, &self, 1, true, 5000);
 	ck_assert_uint_eq(allowed_sum(holder, 5000), VMS * SLOTS);
 	ck_assert(!slt_holder_poll(holder, 100, 5000, &report));
 	slt_holder_destroy(holder);
@@ -354,7 +353,8 @@
 {
 	struct slt_holder *holder = holder_of_two(5000);
 	struct slt_report report;
-	struct slt_grant grant = { .version = 1,
+	struct slt_grant grant = { .incarnation = 1,
+				   .version = 1,
 				   .keep = SLT_KEEP_ALL,
 				   .count = 1,
 				   .counts = { { .vm = 11, .held = 3 } } };
--- a/packages/peer/include/per.h
+++ b/packages/peer/include/per.h
@@ -15,6 +15,7 @@
 #include "evl.h"
 #include "hed.h"
 #include "mem.h"
+#include "slt.h"
 
 /** What a process tells of itself with each heartbeat. */
 struct per_heartbeat {
@@ -44,6 +45,12 @@
 	/** returns the text of a document held here, or NULL */
 	const char *(*document)(void *data, enum per_document document,
 				uint64_t number, uint32_t *len);
+	/** a peer reported the slots that it holds; from is its identity */
+	void (*on_slot_report)(void *data, const char *from,
+			       const struct slt_report *report);
+	/** the owner of a pool granted slots to this process */
+	void (*on_slot_grant)(void *data, const char *from,
+			      const struct slt_grant *grant);
 };
 
 /** Address, pace and identity. */
@@ -91,6 +98,14 @@
 /** @brief Sends a heartbeat to all known peers now, after a change. */
 void per_node_announce(struct per_node *node);
 
+/** @brief Reports slots to the peer whose identity has a key. */
+void per_node_report_slots(struct per_node *node, uint64_t to,
+			   const struct slt_report *report);
+
+/** @brief Grants slots to the peer whose identity has a key. */
+void per_node_grant_slots(struct per_node *node, uint64_t to,
+			  const struct slt_grant *grant);
+
 /** @brief Counts the peers heard within gone_after_ms, this one included. */
 uint32_t per_node_live_count(const struct per_node *node);
 
--- a/packages/peer/src/peer_prog.h
+++ b/packages/peer/src/peer_prog.h
@@ -17,6 +17,7 @@
 #define PEER_IP_MAX 15
 #define PEER_DIGEST_MAX 64
 #define PEER_CHUNK_MAX 8192
+#define PEER_SLOTS_MAX 256
 
 struct peer_member {
 	char *id;
@@ -61,6 +62,43 @@
 };
 typedef struct peer_chunk peer_chunk;
 
+struct peer_slot_count {
+	u_quad_t vm;
+	u_int held;
+	bool_t avoid;
+};
+typedef struct peer_slot_count peer_slot_count;
+
+struct peer_slot_report {
+	char *from;
+	u_quad_t pool;
+	u_quad_t incarnation;
+	u_quad_t sequence;
+	u_int in_use;
+	u_int waiting;
+	u_int spare;
+	struct {
+		u_int counts_len;
+		peer_slot_count *counts_val;
+	} counts;
+};
+typedef struct peer_slot_report peer_slot_report;
+
+struct peer_slot_grant {
+	char *from;
+	u_quad_t pool;
+	u_quad_t incarnation;
+	u_quad_t sequence;
+	u_int revision;
+	bool_t learning;
+	u_int keep;
+	struct {
+		u_int counts_len;
+		peer_slot_count *counts_val;
+	} counts;
+};
+typedef struct peer_slot_grant peer_slot_grant;
+
 #define PEER_PROGRAM 0x20005AFA
 #define PEER_VERSION 1
 
@@ -71,6 +109,12 @@
 #define PEER_FETCH 2
 extern  peer_chunk * peer_fetch_1(peer_fetch *, CLIENT *);
 extern  peer_chunk * peer_fetch_1_svc(peer_fetch *, struct svc_req *);
+#define PEER_SLOT_REPORT 3
+extern  void * peer_slot_report_1(peer_slot_report *, CLIENT *);
+extern  void * peer_slot_report_1_svc(peer_slot_report *, struct svc_req *);
+#define PEER_SLOT_GRANT 4
+extern  void * peer_slot_grant_1(peer_slot_grant *, CLIENT *);
+extern  void * peer_slot_grant_1_svc(peer_slot_grant *, struct svc_req *);
 extern int peer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -80,6 +124,12 @@
 #define PEER_FETCH 2
 extern  peer_chunk * peer_fetch_1();
 extern  peer_chunk * peer_fetch_1_svc();
+#define PEER_SLOT_REPORT 3
+extern  void * peer_slot_report_1();
+extern  void * peer_slot_report_1_svc();
+#define PEER_SLOT_GRANT 4
+extern  void * peer_slot_grant_1();
+extern  void * peer_slot_grant_1_svc();
 extern int peer_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -91,6 +141,9 @@
 extern  bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat*);
 extern  bool_t xdr_peer_fetch (XDR *, peer_fetch*);
 extern  bool_t xdr_peer_chunk (XDR *, peer_chunk*);
+extern  bool_t xdr_peer_slot_count (XDR *, peer_slot_count*);
+extern  bool_t xdr_peer_slot_report (XDR *, peer_slot_report*);
+extern  bool_t xdr_peer_slot_grant (XDR *, peer_slot_grant*);
 
 #else /* K&R C */
 extern bool_t xdr_peer_member ();
@@ -98,6 +151,9 @@
 extern bool_t xdr_peer_heartbeat ();
 extern bool_t xdr_peer_fetch ();
 extern bool_t xdr_peer_chunk ();
+extern bool_t xdr_peer_slot_count ();
+extern bool_t xdr_peer_slot_report ();
+extern bool_t xdr_peer_slot_grant ();
 
 #endif /* K&R C */
 
--- a/packages/peer/src/peer_prog.x
+++ b/packages/peer/src/peer_prog.x
@@ -4,6 +4,7 @@
 const PEER_IP_MAX = 15;
 const PEER_DIGEST_MAX = 64;
 const PEER_CHUNK_MAX = 8192;
+const PEER_SLOTS_MAX = 256;
 
 struct peer_member {
 	string id<PEER_ID_MAX>;
@@ -42,9 +43,43 @@
 	opaque bytes<PEER_CHUNK_MAX>;
 };
 
+/* Slots of one VM, named by the hash of its name. */
+struct peer_slot_count {
+	unsigned hyper vm;
+	unsigned int held;
+	bool avoid;
+};
+
+/* What one process holds of a pool and asks of the pool's owner. */
+struct peer_slot_report {
+	string from<PEER_ID_MAX>;
+	unsigned hyper pool;
+	unsigned hyper incarnation;
+	unsigned hyper sequence;
+	unsigned int in_use;
+	unsigned int waiting;
+	unsigned int spare;
+	peer_slot_count counts<PEER_SLOTS_MAX>;
+};
+
+/* What the process has of the pool in total, in answer to a report. */
+struct peer_slot_grant {
+	string from<PEER_ID_MAX>;
+	unsigned hyper pool;
+	unsigned hyper incarnation;
+	unsigned hyper sequence;
+	unsigned int revision;
+	bool learning;
+	unsigned int keep;
+	peer_slot_count counts<PEER_SLOTS_MAX>;
+};
+
 program PEER_PROGRAM {
 	version PEER_VERSION {
 		peer_heartbeat PEER_HEARTBEAT(peer_heartbeat) = 1;
 		peer_chunk PEER_FETCH(peer_fetch) = 2;
+		/* Calls without a reply. */
+		void PEER_SLOT_REPORT(peer_slot_report) = 3;
+		void PEER_SLOT_GRANT(peer_slot_grant) = 4;
 	} = 1;
 } = 0x20005AFA;
--- a/packages/peer/src/peer_prog_xdr.c
+++ b/packages/peer/src/peer_prog_xdr.c
@@ -84,3 +84,181 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_peer_slot_count (XDR *xdrs, peer_slot_count *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->vm))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->avoid))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_slot_report (XDR *xdrs, peer_slot_report *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->from, PEER_ID_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->in_use))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spare))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->in_use);
+		IXDR_PUT_U_LONG(buf, objp->waiting);
+		IXDR_PUT_U_LONG(buf, objp->spare);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, PEER_SLOTS_MAX,
+			sizeof (peer_slot_count), (xdrproc_t) xdr_peer_slot_count))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->from, PEER_ID_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->in_use))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->spare))
+				 return FALSE;
+
+		} else {
+		objp->in_use = IXDR_GET_U_LONG(buf);
+		objp->waiting = IXDR_GET_U_LONG(buf);
+		objp->spare = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, PEER_SLOTS_MAX,
+			sizeof (peer_slot_count), (xdrproc_t) xdr_peer_slot_count))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->from, PEER_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_use))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->spare))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, PEER_SLOTS_MAX,
+		sizeof (peer_slot_count), (xdrproc_t) xdr_peer_slot_count))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_slot_grant (XDR *xdrs, peer_slot_grant *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->from, PEER_ID_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->revision))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->learning))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->keep))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->revision);
+		IXDR_PUT_BOOL(buf, objp->learning);
+		IXDR_PUT_U_LONG(buf, objp->keep);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, PEER_SLOTS_MAX,
+			sizeof (peer_slot_count), (xdrproc_t) xdr_peer_slot_count))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->from, PEER_ID_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->pool))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->revision))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->learning))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->keep))
+				 return FALSE;
+
+		} else {
+		objp->revision = IXDR_GET_U_LONG(buf);
+		objp->learning = IXDR_GET_BOOL(buf);
+		objp->keep = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, PEER_SLOTS_MAX,
+			sizeof (peer_slot_count), (xdrproc_t) xdr_peer_slot_count))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->from, PEER_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->learning))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->keep))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, PEER_SLOTS_MAX,
+		sizeof (peer_slot_count), (xdrproc_t) xdr_peer_slot_count))
+		 return FALSE;
+	return TRUE;
+}
--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -90,6 +90,7 @@
 		return NULL;
 	peer = g_new0(struct per_peer, 1);
 	peer->last.from = *member;
+	peer->key = slt_key(member->id);
 	g_hash_table_insert(node->peers, peer->last.from.id, peer);
 	g_ptr_array_add(node->order, peer);
 	return peer;
@@ -156,6 +157,10 @@
 	case PWR_FETCH_CALL:
 		per_fetch_answer(node, message, ip, port);
 		break;
+	case PWR_SLOT_REPORT:
+	case PWR_SLOT_GRANT:
+		per_slots_take(node, message);
+		break;
 	case PWR_HEARTBEAT_REPLY:
 	case PWR_FETCH_REPLY:
 		reply_take(node, message);
--- a/packages/peer/src/per_private.h
+++ b/packages/peer/src/per_private.h
@@ -20,6 +20,8 @@
 	struct per_heartbeat last;
 	/** monotonic time, 0 for never heard */
 	uint64_t heard_ms;
+	/** slt_key() of its identity */
+	uint64_t key;
 };
 
 struct per_node {
@@ -50,6 +52,9 @@
 uint32_t per_call(struct per_node *node, struct pwr_message *message,
 		  uint32_t procedure, const struct mem_member *to);
 
+/** @brief Takes a slot message. */
+void per_slots_take(struct per_node *node, const struct pwr_message *message);
+
 /** @brief Answers a peer that fetches a document. */
 void per_fetch_answer(struct per_node *node, const struct pwr_message *call,
 		      const char *ip, uint16_t port);
--- a/packages/peer/src/per_wire.c
+++ b/packages/peer/src/per_wire.c
@@ -89,9 +89,42 @@
 	case PWR_FETCH_CALL:
 		return xdr_peer_fetch(xdrs, &message->fetch);
 	case PWR_FETCH_REPLY:
+		return chunk_code(xdrs, &message->chunk);
+	case PWR_SLOT_REPORT:
+	case PWR_SLOT_GRANT:
 		break;
 	}
-	return chunk_code(xdrs, &message->chunk);
+	return pwr_slots_code(xdrs, message);
+}
+
+/* Calls of the protocol and the kinds of their messages. */
+static const struct {
+	enum pwr_kind kind;
+	uint32_t procedure;
+} calls[] = { { PWR_HEARTBEAT_CALL, PEER_HEARTBEAT },
+	      { PWR_FETCH_CALL, PEER_FETCH },
+	      { PWR_SLOT_REPORT, PEER_SLOT_REPORT },
+	      { PWR_SLOT_GRANT, PEER_SLOT_GRANT } };
+
+/* Returns 0 for a reply. */
+static uint32_t procedure_of(enum pwr_kind kind)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+		if (calls[i].kind == kind)
+			return calls[i].procedure;
+	}
+	return 0;
+}
+
+static bool kind_of(uint32_t procedure, enum pwr_kind *kind)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+		if (calls[i].procedure != procedure)
+			continue;
+		*kind = calls[i].kind;
+		return true;
+	}
+	return false;
 }
 
 static bool_t no_results(XDR *xdrs, ...)
@@ -102,16 +135,14 @@
 static bool header_encode(XDR *xdrs, const struct pwr_message *message)
 {
 	struct rpc_msg rpc = { .rm_xid = message->xid };
+	uint32_t procedure = procedure_of(message->kind);
 
-	if (message->kind == PWR_HEARTBEAT_CALL ||
-	    message->kind == PWR_FETCH_CALL) {
+	if (procedure != 0) {
 		rpc.rm_direction = CALL;
 		rpc.rm_call.cb_rpcvers = RPC_MSG_VERSION;
 		rpc.rm_call.cb_prog = PEER_PROGRAM;
 		rpc.rm_call.cb_vers = PEER_VERSION;
-		rpc.rm_call.cb_proc = message->kind == PWR_FETCH_CALL
-					      ? PEER_FETCH
-					      : PEER_HEARTBEAT;
+		rpc.rm_call.cb_proc = procedure;
 		return xdr_callmsg(xdrs, &rpc);
 	}
 	rpc.rm_direction = REPLY;
@@ -147,13 +178,7 @@
 	    rpc.rm_call.cb_vers != PEER_VERSION)
 		return false;
 	out->xid = rpc.rm_xid;
-	if (rpc.rm_call.cb_proc == PEER_HEARTBEAT)
-		out->kind = PWR_HEARTBEAT_CALL;
-	else if (rpc.rm_call.cb_proc == PEER_FETCH)
-		out->kind = PWR_FETCH_CALL;
-	else
-		return false;
-	return body_code(xdrs, out);
+	return kind_of(rpc.rm_call.cb_proc, &out->kind) && body_code(xdrs, out);
 }
 
 static bool reply_decode(XDR *xdrs, uint32_t procedure, struct pwr_message *out)
--- a/packages/peer/src/per_wire.h
+++ b/packages/peer/src/per_wire.h
@@ -22,6 +22,8 @@
 	PWR_HEARTBEAT_REPLY,
 	PWR_FETCH_CALL,
 	PWR_FETCH_REPLY,
+	PWR_SLOT_REPORT,
+	PWR_SLOT_GRANT,
 };
 
 /** A part of a document. */
@@ -39,8 +41,15 @@
 	struct per_heartbeat heartbeat;
 	struct peer_fetch fetch;
 	struct pwr_chunk chunk;
+	/** sender of a slot message */
+	char from[MEM_ID_BYTES];
+	struct slt_report report;
+	struct slt_grant grant;
 };
 
+/** @brief Encodes or decodes the body of a slot message. */
+bool pwr_slots_code(XDR *xdrs, struct pwr_message *message);
+
 /**
  * @brief Encodes a message.
  * @param buffer of PWR_DATAGRAM_MAX_BYTES
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -54,6 +54,7 @@
 	uint32_t slots;
 	uint32_t running;
 	uint32_t max_running;
+	uint32_t max_waiting;
 	uint64_t runs;
 	GQueue waiting;
 };
@@ -222,9 +223,9 @@
 	struct backend *backend = conn->backend;
 	g_autofree char *text = g_strdup_printf(
 		"{\"runs\":%" PRIu64 ",\"running\":%u,\"max_running\":%u,"
-		"\"waiting\":%u}",
+		"\"waiting\":%u,\"max_waiting\":%u}",
 		backend->runs, backend->running, backend->max_running,
-		backend->waiting.length);
+		backend->waiting.length, backend->max_waiting);
 
 	answer_append(conn, 200, "stats", text, strlen(text));
 	out_send(conn);
@@ -248,6 +249,8 @@
 	} else {
 		conn->queued = true;
 		g_queue_push_tail(&backend->waiting, conn);
+		backend->max_waiting =
+			MAX(backend->max_waiting, backend->waiting.length);
 	}
 }
 
