--- a/packages/core/src/slt_holder.c
+++ b/packages/core/src/slt_holder.c
@@ -222,7 +222,7 @@
 	if (holder->sequence > 0 && holder->version == 0)
 		return age_ms >= SLT_RETRY_MS &&
 		       answer_matters(holder, totals, waiting, now_ms);
-	if (waiting > 0 && holder->reported_waiting == 0)
+	if (waiting > holder->reported_waiting && holder->keep == SLT_KEEP_ALL)
 		return age_ms >= SLT_PACE_MS;
 	if (surplus > 0)
 		return age_ms >= SLT_PACE_MS;
@@ -309,6 +309,7 @@
 	if (waiting > 0 || totals.in_use > 0)
 		holder->active_ms = now_ms;
 	silence_check(holder, &totals, now_ms);
+	holder->reported_waiting = MIN(holder->reported_waiting, waiting);
 	surplus = surplus_of(holder, &totals, waiting, now_ms);
 	if (!report_is_due(holder, &totals, waiting, surplus, now_ms))
 		return false;
--- a/tests/scenarios/slots_shared.lua
+++ b/tests/scenarios/slots_shared.lua
@@ -118,3 +118,17 @@
 for id, count in pairs(f:runs_by_test_id()) do
   assert(count == 1, id .. " ran " .. count .. " times")
 end
+
+-- With nothing waiting and nothing held, no slot messages are sent.
+local function slot_messages()
+  local sum = 0
+  for _, entry in ipairs(survivors) do
+    sum = sum + grants(entry) + metric(entry, 'slot_messages_total{kind="report"}')
+  end
+  return sum
+end
+fleet.wait_until("slot messages cease", 15000, function()
+  local before = slot_messages()
+  poll(1500)
+  return slot_messages() == before
+end)
