--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -10,9 +10,10 @@
 /* Bursts of this many seconds' worth of calls are let through. */
 #define ENT_PLATFORM_BURST_S 2
 #define ENT_MEMBERS_READ_MS 5000
+/* Members up to which the list is read at that pace. */
+#define ENT_MEMBERS_READ_FULL_PACE 10
 #define ENT_PEER_PERIOD_MS 1000
 #define ENT_PEER_FAN_OUT 3
-#define ENT_PEER_GONE_AFTER_MS 8000
 
 static void on_request(void *data, struct clr_request *request)
 {
@@ -72,6 +73,8 @@
 	.fill = heartbeat_fill,
 	.on_heartbeat = on_heartbeat,
 	.document = on_document,
+	.on_slot_report = ent_on_slot_report,
+	.on_slot_grant = ent_on_slot_grant,
 };
 
 static void on_head_changed(void *data)
@@ -81,12 +84,24 @@
 	per_node_announce(entry->peers);
 }
 
+/* A new process makes itself known, so that the pace may fall as the list
+ * grows: the bytes a second stay about the same. */
+static uint64_t members_read_ms(const struct ent_entry *entry)
+{
+	uint32_t live = per_node_live_count(entry->peers);
+
+	return (uint64_t)ENT_MEMBERS_READ_MS *
+	       MAX(live, ENT_MEMBERS_READ_FULL_PACE) /
+	       ENT_MEMBERS_READ_FULL_PACE;
+}
+
 static void on_members(void *data, enum err_kind err,
 		       const struct plt_result *result)
 {
 	struct ent_entry *entry = data;
 
-	evl_timer_set(entry->loop, &entry->members_timer, ENT_MEMBERS_READ_MS);
+	evl_timer_set(entry->loop, &entry->members_timer,
+		      members_read_ms(entry));
 	if (err != ERR_NONE) {
 		ctr_add(&entry->counters, CTR_PLATFORM_ERRORS);
 		return;
@@ -99,6 +114,7 @@
 				     &member) == ERR_NONE)
 			per_node_learn(entry->peers, &member);
 	}
+	ent_slots_members(entry);
 }
 
 static void on_members_due(void *data)
@@ -278,6 +294,8 @@
 		.incarnation = entry->self.incarnation,
 		.answer_max_bytes = settings->answer_max_bytes,
 		.may_dispatch = ent_may_dispatch,
+		.slot_report = ent_slots_report,
+		.slot_grant = ent_slots_grant,
 		.data = entry,
 	};
 	const struct syn_config sync = {
@@ -294,6 +312,7 @@
 	entry->sync = syn_sync_create(&sync, on_synced, entry);
 	syn_sync_set_peers(entry->sync, entry->peers, on_head_changed);
 	peers_seed(entry);
+	ent_slots_start(entry);
 	entry->members_timer.cb = on_members_due;
 	entry->members_timer.data = entry;
 	evl_timer_set(entry->loop, &entry->members_timer, 0);
@@ -348,6 +367,7 @@
 		return;
 	tmr_cancel(&entry->shut_down_timer);
 	tmr_cancel(&entry->members_timer);
+	tmr_cancel(&entry->slots_timer);
 	per_node_destroy(entry->peers);
 	clr_server_destroy(entry->server);
 	lse_keeper_destroy(entry->lease);
@@ -381,6 +401,9 @@
 	lgx_info("shutting_down", "%u requests in progress",
 		 gat_gateway_in_progress(entry->gateway));
 	gat_gateway_shut_down(entry->gateway);
+	/* Peers choose other owners for the pools at once. */
+	per_node_announce(entry->peers);
+	ent_slots_members(entry);
 	clr_server_shut_down(entry->server);
 	lse_keeper_release(entry->lease);
 	entry->shut_down_timer.cb = on_shut_down_tick;
--- a/tests/scenarios/pool_lost_write.lua
+++ b/tests/scenarios/pool_lost_write.lua
@@ -20,20 +20,22 @@
 for _, entry in pairs(f.entries) do f:wait_serving(entry) end
 
 local lost = 0
+local LOSE = '{"fault_key": "/sassafrascart/placement", "fault": "lose"}'
 for round, pool in ipairs{"orders", "draws", "orders"} do
+  local number = placement.newest(f).number
+  fleet.control(f.platform_port, LOSE)
   f:ctl("--wait-ms", "0", round == 2 and "rollback" or "roll", round == 2 and 1 or 2)
   fleet.wait_until("vm-b serves " .. pool, 20000, function()
-    local before = placement.newest(f)
-    local row = before.rows["vm-b"]
-    if row and row.pool == pool and row.state == "serving" then return true end
-    fleet.control(f.platform_port, '{"mode": "lose-writes"}')
-    poll(150)
-    if placement.newest(f).number > before.number then lost = lost + 1 end
-    fleet.control(f.platform_port, '{"mode": "ok"}')
-    poll(150)
+    local newest = placement.newest(f)
+    if newest.number > number then
+      number, lost = newest.number, lost + 1
+      fleet.control(f.platform_port, LOSE)
+    end
+    local row = newest.rows["vm-b"]
+    return row and row.pool == pool and row.state == "serving"
   end)
 end
-assert(lost > 0, "no placement write was lost")
+assert(lost >= 9, "answers to placement writes were lost: " .. lost)
 
 local history = placement.history(f)
 placement.judge_managers(history)
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -24,8 +24,6 @@
 	MODE_REFUSE,
 	/** takes effect, never answered */
 	MODE_LOSE,
-	/** as MODE_LOSE, but only for transactions */
-	MODE_LOSE_WRITES,
 };
 
 /** A VM as the platform sees it. */
@@ -55,6 +53,9 @@
 	/* name to struct vm */
 	GHashTable *vms;
 	json_t *actions;
+	/* key whose next write meets a fault, NULL for none */
+	char *fault_key;
+	enum mode fault;
 	struct tmr_entry expire_timer;
 	uint64_t calls;
 };
@@ -249,8 +250,6 @@
 		return MODE_DOWN;
 	if (strcmp(name, "refuse") == 0)
 		return MODE_REFUSE;
-	if (strcmp(name, "lose-writes") == 0)
-		return MODE_LOSE_WRITES;
 	return strcmp(name, "lose") == 0 ? MODE_LOSE : MODE_OK;
 }
 
@@ -272,9 +271,50 @@
 		vm->breaks = json_is_true(breaks);
 }
 
-/* {"mode": ok|down|refuse|lose|lose-writes, "delay_ms": N, "list_lag_ms": N,
+/* Arms a fault of the next write of a key: with "lose" its answer is lost,
+ * with "down" it is answered and the platform is down from then on. */
+static void fault_arm(struct platform *platform, const char *key,
+		      const char *mode)
+{
+	g_autofree char *encoded =
+		g_base64_encode((const guchar *)key, strlen(key));
+
+	g_free(platform->fault_key);
+	platform->fault_key = g_steal_pointer(&encoded);
+	platform->fault = mode_parse(mode);
+}
+
+static bool txn_writes(const json_t *body, const char *encoded_key)
+{
+	size_t index;
+	json_t *op;
+
+	json_array_foreach(json_object_get(body, "success"), index, op)
+	{
+		const char *key = json_string_value(json_object_get(
+			json_object_get(op, "request_put"), "key"));
+
+		if (key && strcmp(key, encoded_key) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether the answer to a call is lost by an armed fault. */
+static bool fault_meets(struct platform *platform, const json_t *body)
+{
+	if (!platform->fault_key || !txn_writes(body, platform->fault_key))
+		return false;
+	g_clear_pointer(&platform->fault_key, g_free);
+	if (platform->fault == MODE_DOWN)
+		platform->mode = MODE_DOWN;
+	return platform->fault == MODE_LOSE;
+}
+
+/* {"mode": ok|down|refuse|lose, "delay_ms": N, "list_lag_ms": N,
  *  "reboot_ms": N, "refuses_actions": bool, "vm": NAME with
- *  "state": live|leaving|down, "refuses": bool, "breaks": bool} */
+ *  "state": live|leaving|down, "refuses": bool, "breaks": bool,
+ *  "fault_key": KEY, "fault": lose|down} */
 static void control_run(struct platform *platform, const json_t *body)
 {
 	const char *mode = json_string_value(json_object_get(body, "mode"));
@@ -296,6 +336,10 @@
 		platform->refuses_actions = json_is_true(refuses);
 	if (vm)
 		control_vm(platform, vm, body);
+	if (json_object_get(body, "fault_key"))
+		fault_arm(platform,
+			  json_string_value(json_object_get(body, "fault_key")),
+			  json_string_value(json_object_get(body, "fault")));
 }
 
 /* Pages of the judges; they answer whatever the mode is. */
@@ -331,9 +375,7 @@
 		return;
 	}
 	answer = call_run(platform, path, body);
-	if (platform->mode == MODE_LOSE ||
-	    (platform->mode == MODE_LOSE_WRITES &&
-	     strcmp(path, "/v3/kv/txn") == 0)) {
+	if (fault_meets(platform, body) || platform->mode == MODE_LOSE) {
 		json_decref(answer);
 		return;
 	}
