--- a/packages/core/src/bud.c
+++ b/packages/core/src/bud.c
@@ -21,19 +21,25 @@
 			   const struct remainder *left,
 			   enum bnd_survive survive)
 {
+	/* For each domain one of its VMs, and how many it has. */
+	g_autofree uint32_t *domains = g_new(uint32_t, left->count + 1);
+	g_autofree uint32_t *sizes = g_new0(uint32_t, left->count + 1);
+	uint32_t count = 0;
 	uint32_t worst = 0;
 
 	if (survive == BND_SURVIVE_NONE)
 		return 0;
 	for (uint32_t i = 0; i < left->count; i++) {
-		uint32_t loss = 0;
+		const struct bnd_vm *vm = &bundle->vms[left->vms[i]];
+		uint32_t domain = 0;
 
-		for (uint32_t j = 0; j < left->count; j++) {
-			if (same_domain(&bundle->vms[left->vms[i]],
-					&bundle->vms[left->vms[j]], survive))
-				loss++;
-		}
-		worst = MAX(worst, loss);
+		while (domain < count &&
+		       !same_domain(&bundle->vms[domains[domain]], vm, survive))
+			domain++;
+		if (domain == count)
+			domains[count++] = left->vms[i];
+		sizes[domain]++;
+		worst = MAX(worst, sizes[domain]);
 	}
 	return worst;
 }
--- a/packages/core/src/pln.c
+++ b/packages/core/src/pln.c
@@ -8,6 +8,8 @@
 	const struct bnd_bundle *bundle;
 	struct plc_view *view;
 	GArray *changes;
+	/** for each pool the VMs that it has or gets */
+	uint32_t *sizes;
 };
 
 bool pln_vm_failed(const struct pln_evidence *evidence, uint64_t after_ms)
@@ -47,29 +49,35 @@
 	       bnd_pool_allows(&plan->bundle->pools[pool], vm);
 }
 
-/* VMs that a pool has or gets, without those that failed or leave it. */
-static uint32_t pool_size(const struct plan *plan, uint32_t pool)
+/* Counts for each pool the VMs that it has or gets, without those that failed
+ * or leave it. */
+static void sizes_count(struct plan *plan)
 {
-	uint32_t size = 0;
-
+	memset(plan->sizes, 0, plan->bundle->pool_count * sizeof(uint32_t));
 	for (uint32_t i = 0; i < plan->view->row_count; i++) {
 		const struct plc_row *row = &plan->view->rows[i];
-		bool stays =
-			row->pool == pool && (row->state == PLC_STATE_SERVING ||
-					      row->reason == PLC_REASON_WAVE);
+		bool maintained = row->reason == PLC_REASON_WAVE;
 
-		if (plan->input->vms[i].failed &&
-		    row->reason != PLC_REASON_WAVE)
+		if (plan->input->vms[i].failed && !maintained)
 			continue;
-		if (stays || row->next_pool == pool)
-			size++;
+		if (row->next_pool != BND_NONE)
+			plan->sizes[row->next_pool]++;
+		else if (row->pool != BND_NONE &&
+			 (row->state == PLC_STATE_SERVING || maintained))
+			plan->sizes[row->pool]++;
 	}
-	return size;
+}
+
+static void row_change(struct plan *plan, uint32_t vm,
+		       const struct plc_row *row, const struct bud_room *room)
+{
+	if (pln_row_set(plan->view, plan->changes, vm, row, room))
+		sizes_count(plan);
 }
 
 static uint32_t pool_missing(const struct plan *plan, uint32_t pool)
 {
-	uint32_t size = pool_size(plan, pool);
+	uint32_t size = plan->sizes[pool];
 	uint32_t wanted = plan->input->wanted[pool];
 
 	return wanted > size ? wanted - size : 0;
@@ -112,7 +120,7 @@
 	row.state = PLC_STATE_DRAINING;
 	row.next_pool = next_pool;
 	row.reason = reason;
-	pln_row_set(plan->view, plan->changes, vm, &row, room);
+	row_change(plan, vm, &row, room);
 }
 
 static void row_serve(struct plan *plan, uint32_t vm, uint32_t pool,
@@ -124,7 +132,7 @@
 	row.pool = pool;
 	row.next_pool = BND_NONE;
 	row.reason = reason;
-	pln_row_set(plan->view, plan->changes, vm, &row, NULL);
+	row_change(plan, vm, &row, NULL);
 }
 
 static void row_free(struct plan *plan, uint32_t vm)
@@ -134,7 +142,7 @@
 	row.state = PLC_STATE_STOPPED;
 	row.pool = BND_NONE;
 	row.next_pool = BND_NONE;
-	pln_row_set(plan->view, plan->changes, vm, &row, NULL);
+	row_change(plan, vm, &row, NULL);
 }
 
 static void row_stop(struct plan *plan, uint32_t vm)
@@ -142,7 +150,7 @@
 	struct plc_row row = plan->view->rows[vm];
 
 	row.state = PLC_STATE_STOPPED;
-	pln_row_set(plan->view, plan->changes, vm, &row, NULL);
+	row_change(plan, vm, &row, NULL);
 }
 
 static void stopped_advance(struct plan *plan, uint32_t vm)
@@ -211,19 +219,22 @@
 	}
 }
 
-static uint32_t zone_size(const struct plan *plan, uint32_t pool,
-			  const char *zone)
+/* Counts the VMs that a pool has or gets by availability zone. */
+static GHashTable *zones_count(const struct plan *plan, uint32_t pool)
 {
-	uint32_t count = 0;
+	GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
 
 	for (uint32_t i = 0; i < plan->view->row_count; i++) {
 		const struct plc_row *row = &plan->view->rows[i];
+		char *zone = plan->bundle->vms[i].availability_zone;
+		guint count;
 
-		if ((row->pool == pool || row->next_pool == pool) &&
-		    strcmp(plan->bundle->vms[i].availability_zone, zone) == 0)
-			count++;
+		if (row->pool != pool && row->next_pool != pool)
+			continue;
+		count = GPOINTER_TO_UINT(g_hash_table_lookup(zones, zone));
+		g_hash_table_insert(zones, zone, GUINT_TO_POINTER(count + 1));
 	}
-	return count;
+	return zones;
 }
 
 /* Whether a VM can come from a pool, BND_NONE standing for free VMs. */
@@ -247,19 +258,18 @@
 	const struct bnd_pool *spec = &plan->bundle->pools[pool];
 	uint32_t best = BND_NONE;
 	uint32_t fewest = UINT32_MAX;
+	g_autoptr(GHashTable) zones = zones_count(plan, pool);
 
 	for (uint32_t i = 0; i < spec->vm_count; i++) {
 		uint32_t vm = spec->vms[i];
-		uint32_t size;
+		const char *zone = plan->bundle->vms[vm].availability_zone;
+		uint32_t size =
+			GPOINTER_TO_UINT(g_hash_table_lookup(zones, zone));
 
-		if (!vm_can_come(plan, vm, from))
+		if (size >= fewest || !vm_can_come(plan, vm, from))
 			continue;
-		size = zone_size(plan, pool,
-				 plan->bundle->vms[vm].availability_zone);
-		if (size < fewest) {
-			best = vm;
-			fewest = size;
-		}
+		best = vm;
+		fewest = size;
 	}
 	return best;
 }
@@ -313,7 +323,7 @@
 /* Gives VMs that a pool has too many of to where they are missing. */
 static void pool_give_back(struct plan *plan, uint32_t pool)
 {
-	uint32_t size = pool_size(plan, pool);
+	uint32_t size = plan->sizes[pool];
 
 	for (uint32_t i = plan->view->row_count; i-- > 0;) {
 		const struct plc_row *row = &plan->view->rows[i];
@@ -335,29 +345,38 @@
 	}
 }
 
-void pln_plan(const struct pln_input *input, struct plc_view *view,
-	      GArray *changes)
+static void pools_plan(struct plan *plan)
 {
-	struct plan plan = { input, input->bundle, view, changes };
-	uint32_t spare = spare_pool(&plan);
+	uint32_t spare = spare_pool(plan);
 
-	g_assert(view->row_count == input->bundle->vm_count);
-	stages_advance(&plan);
-	not_allowed_drain(&plan);
-	failed_drain(&plan);
-	for (uint32_t i = 0; i < plan.bundle->pool_count; i++) {
+	for (uint32_t i = 0; i < plan->bundle->pool_count; i++) {
 		if (i != spare)
-			pool_fill(&plan, i);
+			pool_fill(plan, i);
 	}
-	for (uint32_t i = 0; i < plan.bundle->pool_count; i++) {
+	for (uint32_t i = 0; i < plan->bundle->pool_count; i++) {
 		if (i != spare)
-			pool_give_back(&plan, i);
+			pool_give_back(plan, i);
 	}
 	if (spare == BND_NONE)
 		return;
-	for (uint32_t i = 0; i < plan.bundle->pool_count; i++) {
+	for (uint32_t i = 0; i < plan->bundle->pool_count; i++) {
 		if (i != spare)
-			pool_draw(&plan, i, spare);
+			pool_draw(plan, i, spare);
 	}
-	pool_fill(&plan, spare);
+	pool_fill(plan, spare);
+}
+
+void pln_plan(const struct pln_input *input, struct plc_view *view,
+	      GArray *changes)
+{
+	g_autofree uint32_t *sizes =
+		g_new0(uint32_t, input->bundle->pool_count + 1);
+	struct plan plan = { input, input->bundle, view, changes, sizes };
+
+	g_assert(view->row_count == input->bundle->vm_count);
+	sizes_count(&plan);
+	stages_advance(&plan);
+	not_allowed_drain(&plan);
+	failed_drain(&plan);
+	pools_plan(&plan);
 }
--- a/packages/core/src/wav.c
+++ b/packages/core/src/wav.c
@@ -139,21 +139,23 @@
 	return under_way;
 }
 
-/* Counts a zone's VMs that this wave has disrupted or maintained. */
-static uint32_t zone_progress(const struct step *step, const char *zone)
+/* Counts by zone the VMs that this wave has disrupted or maintained. */
+static GHashTable *zones_count(const struct step *step)
 {
-	uint32_t count = 0;
+	GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
 
 	for (uint32_t i = 0; i < step->view->row_count; i++) {
 		const struct plc_row *row = &step->view->rows[i];
+		char *zone = step->input->bundle->vms[i].availability_zone;
+		guint count;
 
-		if (wav_covers(step->wave, row) &&
-		    (is_done(step, row) || wav_vm_is_maintained(row)) &&
-		    strcmp(step->input->bundle->vms[i].availability_zone,
-			   zone) == 0)
-			count++;
+		if (!wav_covers(step->wave, row) ||
+		    (!is_done(step, row) && !wav_vm_is_maintained(row)))
+			continue;
+		count = GPOINTER_TO_UINT(g_hash_table_lookup(zones, zone));
+		g_hash_table_insert(zones, zone, GUINT_TO_POINTER(count + 1));
 	}
-	return count;
+	return zones;
 }
 
 static bool vm_is_ready(const struct step *step, uint32_t vm)
@@ -172,6 +174,7 @@
 	const struct bnd_bundle *bundle = step->input->bundle;
 	uint32_t best = BND_NONE;
 	uint32_t fewest = UINT32_MAX;
+	g_autoptr(GHashTable) zones = zones_count(step);
 
 	*reason = WAV_REASON_NOT_READY;
 	for (uint32_t i = 0; i < step->view->row_count; i++) {
@@ -180,8 +183,8 @@
 
 		if (!vm_is_ready(step, i))
 			continue;
-		progress =
-			zone_progress(step, bundle->vms[i].availability_zone);
+		progress = GPOINTER_TO_UINT(g_hash_table_lookup(
+			zones, bundle->vms[i].availability_zone));
 		if (progress >= fewest)
 			continue;
 		asked = bud_check(bundle, step->view, step->input->fit,
