--- a/bench/process.lua
+++ b/bench/process.lua
@@ -150,8 +150,53 @@
   end
 end
 
+-- How long new work goes on to a server after it died, fell silent or said
+-- that it leaves, under a steady load, as the server's run log and the
+-- answers show it.
+local function stop_sending(name, cause, target_ms)
+  local f = fleet.new{backends = {{name = "a", zone = "z1", rack = "r1"}, {name = "b", zone = "z2", rack = "r2"},
+                                  {name = "c", zone = "z3", rack = "r3"}}}
+  local entries = {f:add_entry("entry-1"), f:add_entry("entry-2")}
+  f:publish(1, {{name = "p", vms = {"a", "b", "c"}}}, {{path = "/p", pool = "p", deadline_ms = 1000}})
+  f:must_ctl("roll", 1)
+  for _, entry in ipairs(entries) do f:wait_serving(entry) end
+  local open, sent, last_failure, began, wall_began = {}, 0, 0, nil, nil
+  local started = now_ms()
+  while now_ms() - started < 12000 do
+    if not began and now_ms() - started > 3000 then
+      cause(f, f.backends.a)
+      began, wall_began = now_ms(), wall_ms()
+    end
+    while sent < (now_ms() - started) * 60 / 1000 do
+      sent = sent + 1
+      open[http_start{method = "GET", url = fleet.url(entries[sent % 2 + 1].port, "/p"),
+                      headers = {["x-run-ms"] = "20", ["x-test-id"] = tostring(sent)}}] = now_ms()
+    end
+    poll(5)
+    for id, at in pairs(open) do
+      local result = http_result(id)
+      if result then
+        open[id] = nil
+        if result.status ~= 200 and began then last_failure = math.max(last_failure, at - began) end
+      end
+    end
+  end
+  local last_run = 0
+  for line in fleet.read(f.backends.a.log):gmatch("[^\n]+") do
+    last_run = math.max(last_run, json(line).at_ms - wall_began)
+  end
+  local worst = math.max(last_run, last_failure)
+  report(name .. ": last request sent to it after", worst, "ms", "<= " .. target_ms, worst <= target_ms)
+  return f
+end
+
 throughput():stop()
 roll_out():stop()
+stop_sending("dead server", function(_, vm) signal(vm.pid, "KILL") end, 2000):stop()
+stop_sending("silent server", function(_, vm) fleet.control(vm.port, '{"mode": "silent"}') end, 5000):stop()
+stop_sending("leaving server, platform's list", function(f, vm)
+  fleet.control(f.platform_port, '{"vm": "' .. vm.name .. '", "state": "leaving"}')
+end, 2000):stop()
 control_cost{3, 6, 9, 18, 36}
 
 local failed = false
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -448,6 +448,13 @@
 	return 1;
 }
 
+/* wall_ms() -> milliseconds since 1970, the clock of the run logs */
+static int verb_wall_ms(lua_State *lua)
+{
+	lua_pushinteger(lua, g_get_real_time() / 1000);
+	return 1;
+}
+
 /* free_port(kind) -> a port free for "tcp" or "udp" at this moment */
 static int verb_free_port(lua_State *lua)
 {
@@ -557,21 +564,14 @@
 }
 
 static const luaL_Reg verbs[] = {
-	{ "spawn", verb_spawn },
-	{ "run", verb_run },
-	{ "signal", verb_signal },
-	{ "exited", verb_exited },
-	{ "http_start", verb_http_start },
-	{ "http_result", verb_http_result },
-	{ "http_drop", verb_http_drop },
-	{ "poll", verb_poll },
-	{ "now_ms", verb_now_ms },
-	{ "free_port", verb_free_port },
-	{ "json", verb_json },
-	{ "udp_open", verb_udp_open },
-	{ "udp_receive", verb_udp_receive },
-	{ "udp_send", verb_udp_send },
-	{ NULL, NULL },
+	{ "spawn", verb_spawn },	   { "run", verb_run },
+	{ "signal", verb_signal },	   { "exited", verb_exited },
+	{ "http_start", verb_http_start }, { "http_result", verb_http_result },
+	{ "http_drop", verb_http_drop },   { "poll", verb_poll },
+	{ "now_ms", verb_now_ms },	   { "wall_ms", verb_wall_ms },
+	{ "free_port", verb_free_port },   { "json", verb_json },
+	{ "udp_open", verb_udp_open },	   { "udp_receive", verb_udp_receive },
+	{ "udp_send", verb_udp_send },	   { NULL, NULL },
 };
 
 static lua_State *lua_open(struct runner *runner, const char *scenario)
