Prove the availability budget through waves under failure

Left: after the rack's death a pool whose VMs are unevenly spread may not spare any VM until the dead ones return; the wave then waits for budget.

--- a/packages/core/include/wav.h
+++ b/packages/core/include/wav.h
@@ -111,7 +111,7 @@
 /** @brief Tells whether a VM is under maintenance. */
 bool wav_vm_is_maintained(const struct plc_row *row);
 
-/** @brief Tells whether a wave covers the pool that a row stands in. */
+/** @brief Tells whether a wave covers a VM by the pool that it stands in. */
 bool wav_covers(const struct bnd_wave *wave, const struct plc_row *row);
 
 /** @brief Tells whether two records say the same. */
--- a/packages/core/src/pln.c
+++ b/packages/core/src/pln.c
@@ -219,7 +219,8 @@
 	}
 }
 
-/* Counts the VMs that a pool has or gets by availability zone. */
+/* Counts the VMs that a pool has or gets by availability zone; those that
+ * failed are what others replace. */
 static GHashTable *zones_count(const struct plan *plan, uint32_t pool)
 {
 	GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
@@ -229,7 +230,9 @@
 		char *zone = plan->bundle->vms[i].availability_zone;
 		guint count;
 
-		if (row->pool != pool && row->next_pool != pool)
+		if ((row->pool != pool && row->next_pool != pool) ||
+		    (plan->input->vms[i].failed &&
+		     row->reason != PLC_REASON_WAVE))
 			continue;
 		count = GPOINTER_TO_UINT(g_hash_table_lookup(zones, zone));
 		g_hash_table_insert(zones, zone, GUINT_TO_POINTER(count + 1));
--- a/packages/core/src/wav.c
+++ b/packages/core/src/wav.c
@@ -48,9 +48,10 @@
 	uint64_t now = now_min % MINUTES_OF_DAY;
 	uint64_t since_open =
 		(now + MINUTES_OF_DAY - wave->opens_minute) % MINUTES_OF_DAY;
-	uint64_t length =
-		(wave->closes_minute + MINUTES_OF_DAY - wave->opens_minute) %
-		MINUTES_OF_DAY;
+	uint64_t length = wave->closes_minute > wave->opens_minute
+				  ? wave->closes_minute - wave->opens_minute
+				  : wave->closes_minute + MINUTES_OF_DAY -
+					    wave->opens_minute;
 
 	*opened_min = now_min - MIN(since_open, now_min);
 	return since_open < length;
@@ -64,6 +65,10 @@
 
 bool wav_covers(const struct bnd_wave *wave, const struct plc_row *row)
 {
+	/* A VM that failed and was taken out is nothing to be maintained. */
+	if (row->reason == PLC_REASON_FAILURE &&
+	    row->state != PLC_STATE_SERVING && row->next_pool == BND_NONE)
+		return false;
 	for (uint32_t i = 0; i < wave->pool_count; i++) {
 		if (row->pool == wave->pools[i])
 			return true;
--- a/packages/core/tests/test_pln.c
+++ b/packages/core/tests/test_pln.c
@@ -399,6 +399,8 @@
 	ck_assert(wav_window_is_open(&wave, 11 * DAY_MIN + 119, &opened));
 	ck_assert_uint_eq(opened, 10 * DAY_MIN + 1380);
 	ck_assert(!wav_window_is_open(&wave, 11 * DAY_MIN + 120, &opened));
+	ck_assert(wav_window_is_open(
+		&(struct bnd_wave){ .closes_minute = DAY_MIN }, 7, &opened));
 }
 END_TEST
 
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -89,6 +89,14 @@
   table.insert(self.order, spec.name)
 end
 
+-- Starts a killed backend server again at its address.
+function fleet:restart_backend(name)
+  local backend = self.backends[name]
+  backend.pid = spawn{"standin_backend", HOST .. ":" .. backend.port, name, backend.log,
+                      log = DIR .. "/" .. name .. ".log"}
+  wait_for_port(backend.port)
+end
+
 -- Runs sassafrasctl; returns the exit code and the report.
 function fleet:ctl(...)
   local argv = {"sassafrasctl", "--output", "json",
--- a/tests/scenarios/placement.lua
+++ b/tests/scenarios/placement.lua
@@ -93,6 +93,20 @@
   end
 end
 
+-- No backend server started a request while its VM was stopped.
+function placement.judge_runs(f, list)
+  for _, run in ipairs(f:runs()) do
+    local state
+    for index, view in ipairs(list) do
+      local after = list[index + 1]
+      if view.at_ms < run.at_ms and after and run.at_ms < after.at_ms and view.rows[run.vm] then
+        state = view.rows[run.vm].state
+      end
+    end
+    assert(state ~= "stopped", run.test_id .. " ran on " .. run.vm .. " while it was stopped")
+  end
+end
+
 -- Only the process that holds the manager key writes decisions.
 function placement.judge_managers(history)
   local holder
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -50,6 +50,8 @@
 	/* time that a reboot takes */
 	uint32_t reboot_ms;
 	bool refuses_actions;
+	/* actions are carried out but not answered */
+	bool loses_actions;
 	/* name to struct vm */
 	GHashTable *vms;
 	json_t *actions;
@@ -312,8 +314,8 @@
 }
 
 /* {"mode": ok|down|refuse|lose, "delay_ms": N, "list_lag_ms": N,
- *  "reboot_ms": N, "refuses_actions": bool, "vm": NAME with
- *  "state": live|leaving|down, "refuses": bool, "breaks": bool,
+ *  "reboot_ms": N, "refuses_actions": bool, "loses_actions": bool, "vm": NAME
+ * with "state": live|leaving|down, "refuses": bool, "breaks": bool,
  *  "fault_key": KEY, "fault": lose|down} */
 static void control_run(struct platform *platform, const json_t *body)
 {
@@ -323,6 +325,7 @@
 	const char *vm = json_string_value(json_object_get(body, "vm"));
 	const json_t *reboot = json_object_get(body, "reboot_ms");
 	const json_t *refuses = json_object_get(body, "refuses_actions");
+	const json_t *loses = json_object_get(body, "loses_actions");
 
 	if (mode)
 		platform->mode = mode_parse(mode);
@@ -334,6 +337,8 @@
 		platform->reboot_ms = (uint32_t)json_integer_value(reboot);
 	if (refuses)
 		platform->refuses_actions = json_is_true(refuses);
+	if (loses)
+		platform->loses_actions = json_is_true(loses);
 	if (vm)
 		control_vm(platform, vm, body);
 	if (json_object_get(body, "fault_key"))
@@ -375,7 +380,8 @@
 		return;
 	}
 	answer = call_run(platform, path, body);
-	if (fault_meets(platform, body) || platform->mode == MODE_LOSE) {
+	if (fault_meets(platform, body) || platform->mode == MODE_LOSE ||
+	    (platform->loses_actions && g_str_has_prefix(path, "/vms/"))) {
 		json_decref(answer);
 		return;
 	}
