Close a call that may not be sent once, and bound its connect time

Cause: hcl cancelled a call from its connect callback and then returned NULL, upon which h2o closes the same connection again: a process resumed after a pause would touch freed memory just when may_send() says no. A VM that drops connection requests also held an attempt for its whole deadline. Change: the callback only returns NULL; hcl_request.connect_timeout_ms bounds the connect. Headers that a caller's Connection header names are no longer sent on.

--- a/packages/backend_server/include/att.h
+++ b/packages/backend_server/include/att.h
@@ -51,6 +51,8 @@
 	const char *ip;
 	uint16_t port;
 	uint32_t timeout_ms;
+	/** bound on the time to connect */
+	uint32_t connect_timeout_ms;
 	uint64_t answer_max_bytes;
 	/** asked right before the first byte is sent; false ends the attempt
 	 *  as not sent. NULL for always. Must outlive the attempt. */
--- a/packages/backend_server/src/att.c
+++ b/packages/backend_server/src/att.c
@@ -69,6 +69,25 @@
 	g_free(attempt);
 }
 
+/* A Connection header names further headers that end at this hop. */
+static bool is_named_by_connection(const struct att_request *request,
+				   const char *name)
+{
+	for (uint32_t i = 0; i < request->header_count; i++) {
+		const struct hcl_header *header = &request->headers[i];
+		g_auto(GStrv) words = NULL;
+
+		if (strcmp(header->name, "connection") != 0)
+			continue;
+		words = g_strsplit(header->value, ",", -1);
+		for (char **word = words; *word; word++) {
+			if (g_ascii_strcasecmp(g_strstrip(*word), name) == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
 static GArray *headers_build(const struct att_request *request)
 {
 	GArray *headers = g_array_new(FALSE, FALSE, sizeof(struct hcl_header));
@@ -78,7 +97,8 @@
 		const struct hcl_header *header = &request->headers[i];
 
 		if (att_header_is_hop_by_hop(header->name) ||
-		    strcmp(header->name, ATT_HEADER_REQUEST_ID) == 0)
+		    strcmp(header->name, ATT_HEADER_REQUEST_ID) == 0 ||
+		    is_named_by_connection(request, header->name))
 			continue;
 		g_array_append_val(headers, *header);
 	}
@@ -103,6 +123,7 @@
 		.body = request->body,
 		.body_len = request->body_bytes,
 		.timeout_ms = target->timeout_ms,
+		.connect_timeout_ms = target->connect_timeout_ms,
 		.answer_max_bytes = target->answer_max_bytes,
 		.may_send = target->may_send,
 		.may_send_data = target->may_send_data,
--- a/packages/runtime/include/hcl.h
+++ b/packages/runtime/include/hcl.h
@@ -41,6 +41,8 @@
 	const void *body;
 	size_t body_len;
 	uint32_t timeout_ms;
+	/** bound on the time to connect, 0 for timeout_ms */
+	uint32_t connect_timeout_ms;
 	size_t answer_max_bytes;
 	/** asked right before the first byte is sent; false ends the call with
 	 *  ERR_CONNECT. NULL for always. Must outlive the call. */
--- a/packages/runtime/src/hcl.c
+++ b/packages/runtime/src/hcl.c
@@ -30,6 +30,7 @@
 	size_t answer_max_bytes;
 	bool (*may_send)(void *data);
 	void *may_send_data;
+	uint64_t deadline_ms;
 	GByteArray *body;
 	GArray *headers;
 	GStringChunk *strings;
@@ -187,11 +188,13 @@
 	}
 	/* The process may have been paused since it decided to send. */
 	if (call->may_send && !call->may_send(call->may_send_data)) {
-		h2o_http1client_cancel(client);
+		/* h2o closes the connection when NULL is returned. */
 		call_finish(call, ERR_CONNECT);
 		return NULL;
 	}
 	call->sent = true;
+	tmr_set(evl_loop_timers(call->client->loop), &call->timer,
+		call->deadline_ms);
 	call->request_vec =
 		h2o_iovec_init(call->request->data, call->request->len);
 	*reqbufs = &call->request_vec;
@@ -224,6 +227,13 @@
 	return bytes;
 }
 
+static uint32_t connect_bound_ms(const struct hcl_request *request)
+{
+	if (request->connect_timeout_ms == 0)
+		return request->timeout_ms;
+	return MIN(request->connect_timeout_ms, request->timeout_ms);
+}
+
 struct hcl_call *hcl_call_start(struct hcl_client *client,
 				const struct hcl_request *request, hcl_cb cb,
 				void *data)
@@ -243,7 +253,8 @@
 	call->body = g_byte_array_new();
 	call->headers = g_array_new(FALSE, FALSE, sizeof(struct hcl_header));
 	call->strings = g_string_chunk_new(1024);
-	evl_timer_set(client->loop, &call->timer, request->timeout_ms);
+	call->deadline_ms = evl_now_ms() + request->timeout_ms;
+	evl_timer_set(client->loop, &call->timer, connect_bound_ms(request));
 	call->starting = true;
 	h2o_http1client_connect(
 		&call->h2o, call, &client->ctx,
