--- /dev/null
+++ b/bin/sassafrascartd/clm.c
@@ -0,0 +1,337 @@
+#include "clm.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "clm_private.h"
+
+/* Transactions a second that all processes together use for claims. */
+#define CLM_CALLS_PER_S 200
+#define CLM_BURST_CALLS 4
+/* How long a lease takes new claims, beyond the life of the last one. */
+#define CLM_LEASE_WINDOW_S 60
+
+static void flush(void *data);
+
+void clm_claim_free(struct clm_claim *claim)
+{
+	g_free(claim->key);
+	g_free(claim->value);
+	g_free(claim);
+}
+
+static void claim_free(gpointer data)
+{
+	clm_claim_free(data);
+}
+
+struct clm_claims *clm_claims_create(const struct clm_config *config)
+{
+	struct clm_claims *claims = g_new0(struct clm_claims, 1);
+
+	claims->config = *config;
+	claims->pending = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&claims->waiting);
+	g_queue_init(&claims->releasing);
+	g_queue_init(&claims->doubts);
+	g_queue_init(&claims->batches);
+	claims->flush_timer.cb = flush;
+	claims->flush_timer.data = claims;
+	claims->clean_timer.cb = clm_clean;
+	claims->clean_timer.data = claims;
+	return claims;
+}
+
+static void batch_free(struct clm_batch *batch)
+{
+	g_queue_unlink(&batch->claims->batches, &batch->link);
+	g_ptr_array_unref(batch->items);
+	g_free(batch);
+}
+
+static void queue_free(GQueue *queue)
+{
+	GList *link;
+
+	while ((link = g_queue_pop_head_link(queue)))
+		claim_free(link->data);
+}
+
+void clm_claims_destroy(struct clm_claims *claims)
+{
+	if (!claims)
+		return;
+	tmr_cancel(&claims->flush_timer);
+	tmr_cancel(&claims->clean_timer);
+	while (claims->batches.head) {
+		struct clm_batch *batch = claims->batches.head->data;
+
+		g_ptr_array_set_free_func(batch->items, claim_free);
+		batch_free(batch);
+	}
+	queue_free(&claims->waiting);
+	queue_free(&claims->releasing);
+	queue_free(&claims->doubts);
+	g_hash_table_unref(claims->pending);
+	g_free(claims);
+}
+
+/* After these errors the platform has not seen, or has refused, the claim. */
+static bool may_exist(enum err_kind err)
+{
+	return err != ERR_NONE && err != ERR_CONFLICT && err != ERR_CONNECT &&
+	       err != ERR_RATE_LIMITED && err != ERR_NOT_FOUND;
+}
+
+/* Ends the taking of a claim; only a held one lives on with its owner. */
+static void claim_end(struct clm_claim *claim, enum err_kind err)
+{
+	bool unknown = claim->asked && may_exist(err);
+
+	g_hash_table_remove(claim->claims->pending, claim->key);
+	claim->asked = false;
+	if (err == ERR_NONE)
+		claim->claims->taken++;
+	claim->held = err == ERR_NONE;
+	if (!claim->released)
+		claim->cb(claim->data, err);
+	else if (claim->held)
+		clm_clean_release(claim);
+	if (err == ERR_NONE)
+		return;
+	if (unknown)
+		clm_clean_doubt(claim);
+	else
+		clm_claim_free(claim);
+}
+
+static void waiting_fail(struct clm_claims *claims, enum err_kind err)
+{
+	GList *link;
+
+	while ((link = g_queue_pop_head_link(&claims->waiting)))
+		claim_end(link->data, err);
+}
+
+static const struct plt_kv *kv_find(const struct plt_result *result,
+				    const char *key)
+{
+	for (size_t i = 0; i < result->kv_count; i++) {
+		if (strcmp(result->kvs[i].key, key) == 0)
+			return &result->kvs[i];
+	}
+	return NULL;
+}
+
+/* One existing key fails the whole transaction: the others ask again. */
+static void batch_split(const struct clm_batch *batch,
+			const struct plt_result *result)
+{
+	for (guint i = batch->items->len; i-- > 0;) {
+		struct clm_claim *claim = g_ptr_array_index(batch->items, i);
+
+		if (result->kv_count == 0) {
+			claim_end(claim, ERR_UNAVAILABLE);
+		} else if (kv_find(result, claim->key)) {
+			claim_end(claim, ERR_CONFLICT);
+		} else if (claim->released) {
+			claim->asked = false;
+			claim_end(claim, ERR_CONFLICT);
+		} else {
+			claim->asked = false;
+			g_queue_push_head_link(&claim->claims->waiting,
+					       &claim->link);
+		}
+	}
+}
+
+static void on_asked(void *data, enum err_kind err,
+		     const struct plt_result *result)
+{
+	struct clm_batch *batch = data;
+	struct clm_claims *claims = batch->claims;
+
+	if (err == ERR_NONE && !result->succeeded) {
+		batch_split(batch, result);
+	} else {
+		for (guint i = 0; i < batch->items->len; i++) {
+			struct clm_claim *claim =
+				g_ptr_array_index(batch->items, i);
+
+			if (err == ERR_NONE)
+				claim->create_revision = result->revision;
+			claim_end(claim, err);
+		}
+	}
+	if (err == ERR_NOT_FOUND)
+		claims->lease_until_ms = 0;
+	if (err != ERR_NONE)
+		ctr_add(claims->config.counters, CTR_PLATFORM_ERRORS);
+	batch_free(batch);
+	flush(claims);
+}
+
+static void batch_send(struct clm_claims *claims)
+{
+	struct plt_compare compares[CLM_BATCH_MAX];
+	struct plt_write writes[CLM_BATCH_MAX];
+	struct plt_txn txn = { compares, 0, writes, 0 };
+	struct clm_batch *batch = g_new0(struct clm_batch, 1);
+	GList *link;
+
+	batch->claims = claims;
+	batch->items = g_ptr_array_new();
+	batch->link.data = batch;
+	while (txn.write_count < CLM_BATCH_MAX &&
+	       (link = g_queue_pop_head_link(&claims->waiting))) {
+		struct clm_claim *claim = link->data;
+
+		claim->asked = true;
+		g_ptr_array_add(batch->items, claim);
+		compares[txn.compare_count++] =
+			(struct plt_compare){ claim->key,
+					      PLT_TARGET_CREATE_REVISION, 0 };
+		writes[txn.write_count++] =
+			(struct plt_write){ claim->key, claim->value,
+					    claims->lease };
+	}
+	g_queue_push_tail_link(&claims->batches, &batch->link);
+	claims->transactions++;
+	plt_txn(claims->config.platform, &txn, on_asked, batch);
+}
+
+static void on_granted(void *data, enum err_kind err, int64_t lease,
+		       uint32_t ttl_s)
+{
+	struct clm_claims *claims = data;
+
+	claims->granting = false;
+	if (err == ERR_NONE && ttl_s < claims->config.life_s)
+		err = ERR_UNAVAILABLE;
+	if (err != ERR_NONE) {
+		ctr_add(claims->config.counters, CTR_PLATFORM_ERRORS);
+		waiting_fail(claims, err);
+		return;
+	}
+	claims->lease = lease;
+	/* Counted from the answer: the window only saves grants. */
+	claims->lease_until_ms =
+		evl_now_ms() + (ttl_s - claims->config.life_s) * 1000ull;
+	flush(claims);
+}
+
+static bool lease_is_ready(struct clm_claims *claims)
+{
+	if (evl_now_ms() < claims->lease_until_ms)
+		return true;
+	if (!claims->granting) {
+		claims->granting = true;
+		plt_lease_grant(claims->config.platform,
+				claims->config.life_s + CLM_LEASE_WINDOW_S,
+				on_granted, claims);
+	}
+	return false;
+}
+
+/* Takes one transaction of this process's share of the call rate. */
+static bool rate_take(struct clm_claims *claims)
+{
+	uint32_t processes = claims->config.processes(claims->config.data);
+	uint64_t interval_ms = processes * 1000ull / CLM_CALLS_PER_S;
+	uint64_t now_ms = evl_now_ms();
+
+	if (now_ms + interval_ms * (CLM_BURST_CALLS - 1) < claims->next_ms) {
+		evl_timer_set(claims->config.loop, &claims->flush_timer,
+			      interval_ms);
+		return false;
+	}
+	claims->next_ms = MAX(claims->next_ms, now_ms) + interval_ms;
+	return true;
+}
+
+static void flush(void *data)
+{
+	struct clm_claims *claims = data;
+
+	while (claims->waiting.length > 0 &&
+	       claims->batches.length < CLM_IN_FLIGHT_MAX &&
+	       lease_is_ready(claims) && rate_take(claims))
+		batch_send(claims);
+}
+
+static char *key_build(const char *route, const char *key)
+{
+	g_autofree char *text = g_strconcat(route, "\n", key, NULL);
+	g_autofree char *digest =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
+
+	return g_strconcat(PLT_PREFIX_CLAIM, digest, NULL);
+}
+
+static char *value_build(const struct clm_config *config,
+			 const char *request_id)
+{
+	json_t *root = json_pack("{s:s, s:I, s:s}", "process", config->id,
+				 "incarnation", (json_int_t)config->incarnation,
+				 "request", request_id);
+	char *text = json_dumps(root, JSON_COMPACT);
+	char *copy = g_strdup(text);
+
+	free(text);
+	json_decref(root);
+	return copy;
+}
+
+struct clm_claim *clm_take(struct clm_claims *claims, const char *route,
+			   const char *key, const char *request_id, clm_cb cb,
+			   void *data)
+{
+	struct clm_claim *claim;
+	g_autofree char *full = key_build(route, key);
+
+	if (g_hash_table_contains(claims->pending, full))
+		return NULL;
+	claim = g_new0(struct clm_claim, 1);
+	claim->claims = claims;
+	claim->key = g_steal_pointer(&full);
+	claim->value = value_build(&claims->config, request_id);
+	claim->cb = cb;
+	claim->data = data;
+	claim->link.data = claim;
+	g_hash_table_insert(claims->pending, claim->key, claim);
+	g_queue_push_tail_link(&claims->waiting, &claim->link);
+	/* From the loop, so that claims of one turn share a transaction. */
+	if (!tmr_is_set(&claims->flush_timer))
+		evl_timer_set(claims->config.loop, &claims->flush_timer, 0);
+	return claim;
+}
+
+void clm_keep(struct clm_claim *claim)
+{
+	g_assert(claim->held);
+	clm_claim_free(claim);
+}
+
+void clm_release(struct clm_claim *claim)
+{
+	if (!claim)
+		return;
+	if (claim->held) {
+		clm_clean_release(claim);
+		return;
+	}
+	if (claim->asked) {
+		claim->released = true;
+		return;
+	}
+	g_queue_unlink(&claim->claims->waiting, &claim->link);
+	g_hash_table_remove(claim->claims->pending, claim->key);
+	clm_claim_free(claim);
+}
+
+void clm_counts(const struct clm_claims *claims, uint64_t *taken,
+		uint64_t *transactions)
+{
+	*taken = claims->taken;
+	*transactions = claims->transactions;
+}
--- /dev/null
+++ b/bin/sassafrascartd/clm_private.h
@@ -0,0 +1,77 @@
+/**
+ * @file clm_private.h
+ * @brief What the parts of the claims share.
+ */
+#ifndef CLM_PRIVATE_H
+#define CLM_PRIVATE_H
+
+#include <glib.h>
+
+#include "clm.h"
+
+/** Claims in one transaction; etcd allows 128 operations by default. */
+#define CLM_BATCH_MAX 64
+/** Transactions in progress at a time, so that a lost one blocks nothing. */
+#define CLM_IN_FLIGHT_MAX 4
+/** Claims whose fate is unknown that are remembered, to be deleted. */
+#define CLM_DOUBTS_MAX 1024
+
+struct clm_claim {
+	struct clm_claims *claims;
+	char *key;
+	char *value;
+	clm_cb cb;
+	void *data;
+	GList link;
+	bool asked;
+	bool held;
+	/** given back while it was being asked for */
+	bool released;
+	int64_t create_revision;
+};
+
+struct clm_claims {
+	struct clm_config config;
+	/** claims not asked for yet */
+	GQueue waiting;
+	/** key to claim, while it waits or is asked for */
+	GHashTable *pending;
+	/** claims to be deleted */
+	GQueue releasing;
+	bool deleting;
+	/** claims that may exist although their callers were refused */
+	GQueue doubts;
+	bool resolving;
+	/** struct clm_batch in progress */
+	GQueue batches;
+	int64_t lease;
+	uint64_t lease_until_ms;
+	bool granting;
+	/** time at which the call rate allows the next transaction */
+	uint64_t next_ms;
+	struct tmr_entry flush_timer;
+	struct tmr_entry clean_timer;
+	uint64_t taken;
+	uint64_t transactions;
+};
+
+/** Claims of one transaction. */
+struct clm_batch {
+	struct clm_claims *claims;
+	GPtrArray *items;
+	GList link;
+};
+
+/** @brief Frees a claim that is in no list. */
+void clm_claim_free(struct clm_claim *claim);
+
+/** @brief Takes over a claim that exists and is to be deleted. */
+void clm_clean_release(struct clm_claim *claim);
+
+/** @brief Takes over a claim that may exist and is to be deleted if so. */
+void clm_clean_doubt(struct clm_claim *claim);
+
+/** @brief Starts the next deletion or look-up; timer callback. */
+void clm_clean(void *data);
+
+#endif
--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -50,6 +50,8 @@
 	heartbeat->applied_roll = head->applied_roll;
 	heartbeat->applied_placement = head->applied_placement;
 	heartbeat->shutting_down = entry->shutting_down;
+	heartbeat->leaving_count = gat_gateway_notices(
+		entry->gateway, heartbeat->leaving, PER_LEAVING_MAX);
 }
 
 static void on_heartbeat(void *data, const struct per_heartbeat *heartbeat,
@@ -58,6 +60,22 @@
 	struct ent_entry *entry = data;
 
 	syn_sync_hear(entry->sync, &heartbeat->head, asked_ms);
+	for (uint32_t i = 0; i < heartbeat->leaving_count; i++)
+		gat_gateway_hear(entry->gateway, &heartbeat->leaving[i]);
+}
+
+static void on_leaving(void *data)
+{
+	struct ent_entry *entry = data;
+
+	per_node_announce(entry->peers);
+}
+
+static uint32_t live_processes(void *data)
+{
+	struct ent_entry *entry = data;
+
+	return per_node_live_count(entry->peers);
 }
 
 static const char *on_document(void *data, enum per_document document,
@@ -239,8 +257,12 @@
 		.counters = &entry->counters,
 		.id = entry->self.id,
 		.incarnation = entry->self.incarnation,
+		.platform = entry->platform,
 		.answer_max_bytes = settings->answer_max_bytes,
+		.claim_life_s = settings->claim_life_s,
 		.may_dispatch = ent_may_dispatch,
+		.processes = live_processes,
+		.on_leaving = on_leaving,
 		.data = entry,
 	};
 	const struct mgr_config manager = {
--- a/bin/sassafrascartd/gat.c
+++ b/bin/sassafrascartd/gat.c
@@ -6,6 +6,7 @@
 #define GAT_RETRY_BURST 10
 /* Pause before a look for free slots that no event would announce. */
 #define GAT_PUMP_MS 20
+#define GAT_KEY_MAX_BYTES 255
 
 static void pool_free(gpointer data)
 {
@@ -47,6 +48,14 @@
 	return true;
 }
 
+static bool key_is_valid(const struct clr_request *request)
+{
+	const char *key =
+		clr_request_header(request, CLR_HEADER_IDEMPOTENCY_KEY);
+
+	return !key || (key[0] != '\0' && strlen(key) <= GAT_KEY_MAX_BYTES);
+}
+
 static void refuse_early(struct gat_gateway *gateway,
 			 struct clr_request *request, enum out_kind outcome)
 {
@@ -76,7 +85,8 @@
 		refuse_early(gateway, request, OUT_NO_ROUTE);
 		return;
 	}
-	if (!deadline_parse(request, route, &deadline_ms)) {
+	if (!deadline_parse(request, route, &deadline_ms) ||
+	    !key_is_valid(request)) {
 		refuse_early(gateway, request, OUT_BAD_REQUEST);
 		return;
 	}
@@ -137,6 +147,7 @@
 {
 	const struct bnd_bundle *bundle = gateway->bundle;
 	struct sel_set *fresh = sel_set_create(bundle->vm_count);
+	uint64_t *changed = g_new0(uint64_t, bundle->vm_count + 1);
 	GHashTable *index =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 
@@ -151,8 +162,12 @@
 		server->pool = view ? view->rows[i].pool : BND_NONE;
 		server->serving =
 			view && view->rows[i].state == PLC_STATE_SERVING;
+		changed[i] = view ? view->rows[i].changed : 0;
 		g_hash_table_insert(index, g_strdup(name), GUINT_TO_POINTER(i));
 	}
+	g_free(gateway->changed);
+	gateway->changed = changed;
+	gateway->placement = view ? view->number : 0;
 	sel_set_destroy(gateway->servers);
 	g_hash_table_unref(gateway->vm_index);
 	gateway->servers = fresh;
@@ -166,10 +181,28 @@
 	bnd_bundle_unref(gateway->bundle);
 	gateway->bundle = bundle;
 	servers_update(gateway, view);
+	gat_leaving_apply(gateway);
 	pools_update(gateway);
 	pools_pump(gateway);
 }
 
+static struct clm_claims *claims_create(const struct gat_gateway *gateway)
+{
+	const struct gat_config *config = &gateway->config;
+	const struct clm_config claims = {
+		.loop = config->loop,
+		.platform = config->platform,
+		.counters = config->counters,
+		.id = config->id,
+		.incarnation = config->incarnation,
+		.life_s = config->claim_life_s,
+		.processes = config->processes,
+		.data = config->data,
+	};
+
+	return clm_claims_create(&claims);
+}
+
 struct gat_gateway *gat_gateway_create(const struct gat_config *config)
 {
 	struct gat_gateway *gateway = g_new0(struct gat_gateway, 1);
@@ -177,10 +210,13 @@
 	gateway->config = *config;
 	gateway->http = hcl_client_create(config->loop);
 	gateway->servers = sel_set_create(0);
+	gateway->leaving = lvg_set_create();
 	gateway->vm_index =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	gateway->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+	gateway->claims = claims_create(gateway);
+	gat_leaving_start(gateway);
 	gateway->pump_timer.cb = on_pump;
 	gateway->pump_timer.data = gateway;
 	evl_timer_set(config->loop, &gateway->pump_timer, GAT_PUMP_MS);
@@ -193,6 +229,10 @@
 		return;
 	g_assert(gateway->in_progress == 0);
 	tmr_cancel(&gateway->pump_timer);
+	tmr_cancel(&gateway->list_timer);
+	clm_claims_destroy(gateway->claims);
+	lvg_set_destroy(gateway->leaving);
+	g_free(gateway->changed);
 	g_hash_table_unref(gateway->pools);
 	g_hash_table_unref(gateway->vm_index);
 	sel_set_destroy(gateway->servers);
@@ -214,8 +254,14 @@
 void gat_gateway_render(const struct gat_gateway *gateway, GString *out)
 {
 	GHashTableIter iter;
+	uint64_t claims;
+	uint64_t transactions;
 	gpointer value;
 
+	clm_counts(gateway->claims, &claims, &transactions);
+	ctr_render_gauge(out, "claims_total", claims);
+	ctr_render_gauge(out, "claim_transactions_total", transactions);
+	ctr_render_gauge(out, "vms_leaving", lvg_count(gateway->leaving));
 	ctr_render_gauge(out, "requests_in_progress", gateway->in_progress);
 	g_hash_table_iter_init(&iter, gateway->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/bin/sassafrascartd/gat.h
+++ b/bin/sassafrascartd/gat.h
@@ -11,8 +11,9 @@
 #include "clr.h"
 #include "ctr.h"
 #include "evl.h"
-#include "hed.h"
+#include "lvg.h"
 #include "plc.h"
+#include "plt.h"
 
 /** The gateway, opaque. */
 struct gat_gateway;
@@ -25,9 +26,16 @@
 	const char *id;
 	/** seed of the request identities */
 	uint64_t incarnation;
+	struct plt_platform *platform;
 	uint32_t answer_max_bytes;
+	/** how long an idempotency key stays claimed */
+	uint32_t claim_life_s;
 	/** tells whether requests may be dispatched at this moment */
 	bool (*may_dispatch)(void *data);
+	/** number of live processes, this one included */
+	uint32_t (*processes)(void *data);
+	/** a VM is leaving that peers have not been told of */
+	void (*on_leaving)(void *data);
 	void *data;
 };
 
@@ -48,6 +56,14 @@
 /** @brief Forgets a caller that left. */
 void gat_gateway_gone(struct gat_gateway *gateway, struct clr_request *request);
 
+/** @brief Takes a peer's notice of a VM that is leaving. */
+void gat_gateway_hear(struct gat_gateway *gateway,
+		      const struct lvg_notice *notice);
+
+/** @brief Lists the VMs known to be leaving, for peers. */
+uint32_t gat_gateway_notices(struct gat_gateway *gateway,
+			     struct lvg_notice *out, uint32_t max);
+
 /** @brief Refuses new requests from now on; those in progress go on. */
 void gat_gateway_shut_down(struct gat_gateway *gateway);
 
--- /dev/null
+++ b/bin/sassafrascartd/gat_leaving.c
@@ -0,0 +1,121 @@
+/* The set of leaving VMs: signals in, notices out, servers marked. */
+#include "gat_private.h"
+
+#include "lgx.h"
+
+/*
+ * The list is read at a pace that bounds the bytes that a process receives;
+ * peers tell each other what they saw, so that all together read often.
+ */
+#define GAT_LIST_BYTES_PER_S 2048
+#define GAT_LIST_VM_BYTES 40
+#define GAT_LIST_MIN_MS 500
+#define GAT_LIST_MAX_MS 60000
+
+static uint64_t serving_since(const struct gat_gateway *gateway,
+			      const char *vm_name)
+{
+	const struct sel_server *server = gat_server_find(gateway, vm_name);
+
+	if (!server || !server->serving)
+		return 0;
+	return gateway->changed[server - gateway->servers->servers];
+}
+
+void gat_leaving_apply(struct gat_gateway *gateway)
+{
+	for (uint32_t i = 0; i < gateway->servers->count; i++)
+		gateway->servers->servers[i].leaving =
+			lvg_has(gateway->leaving, gateway->bundle->vms[i].name);
+}
+
+static void changed_note(struct gat_gateway *gateway, const char *vm_name,
+			 enum ctr_kind counter)
+{
+	ctr_add(gateway->config.counters, counter);
+	lgx_info("vm_leaving", "%s is leaving: no new work", vm_name);
+	if (gateway->bundle)
+		gat_leaving_apply(gateway);
+	gateway->config.on_leaving(gateway->config.data);
+}
+
+void gat_leaving_signal(struct gat_gateway *gateway, const char *vm_name)
+{
+	if (lvg_signal(gateway->leaving, vm_name, LVG_SOURCE_SERVER,
+		       gateway->placement, evl_now_ms()))
+		changed_note(gateway, vm_name, CTR_LEAVING_SERVER);
+}
+
+void gat_gateway_hear(struct gat_gateway *gateway,
+		      const struct lvg_notice *notice)
+{
+	if (!gat_server_find(gateway, notice->vm))
+		return;
+	if (lvg_hear(gateway->leaving, notice,
+		     serving_since(gateway, notice->vm), evl_now_ms()))
+		changed_note(gateway, notice->vm, CTR_LEAVING_PEER);
+}
+
+uint32_t gat_gateway_notices(struct gat_gateway *gateway,
+			     struct lvg_notice *out, uint32_t max)
+{
+	return lvg_notices(gateway->leaving, out, max, evl_now_ms());
+}
+
+static void listed_take(struct gat_gateway *gateway, const struct plt_vm *vm)
+{
+	/* Names that are not of the bundle would fill the set for nothing. */
+	if (!gat_server_find(gateway, vm->name))
+		return;
+	if (vm->state == PLT_VM_LIVE) {
+		if (lvg_listed_live(gateway->leaving, vm->name,
+				    serving_since(gateway, vm->name)))
+			gat_leaving_apply(gateway);
+		return;
+	}
+	if (lvg_signal(gateway->leaving, vm->name, LVG_SOURCE_LIST,
+		       gateway->placement, evl_now_ms()))
+		changed_note(gateway, vm->name, CTR_LEAVING_LIST);
+}
+
+static void on_expired(void *data, const char *vm)
+{
+	struct sel_server *server = gat_server_find(data, vm);
+
+	if (server)
+		ejt_require_probe(&server->health);
+}
+
+static void on_list(void *data, enum err_kind err, const struct plt_vm *vms,
+		    size_t count)
+{
+	struct gat_gateway *gateway = data;
+	uint64_t pause_ms =
+		count * GAT_LIST_VM_BYTES * 1000 / GAT_LIST_BYTES_PER_S;
+
+	/* Up to a quarter more, so that processes do not read in step. */
+	pause_ms = CLAMP(pause_ms, GAT_LIST_MIN_MS, GAT_LIST_MAX_MS);
+	pause_ms += g_random_int() % (pause_ms / 4);
+	evl_timer_set(gateway->config.loop, &gateway->list_timer, pause_ms);
+	if (err != ERR_NONE)
+		ctr_add(gateway->config.counters, CTR_PLATFORM_ERRORS);
+	for (size_t i = 0; err == ERR_NONE && gateway->bundle && i < count; i++)
+		listed_take(gateway, &vms[i]);
+	lvg_expire(gateway->leaving, evl_now_ms(), on_expired, gateway);
+	if (gateway->bundle)
+		gat_leaving_apply(gateway);
+}
+
+static void on_list_due(void *data)
+{
+	struct gat_gateway *gateway = data;
+
+	plt_vm_list(gateway->config.platform, on_list, gateway);
+}
+
+void gat_leaving_start(struct gat_gateway *gateway)
+{
+	gateway->list_timer.cb = on_list_due;
+	gateway->list_timer.data = gateway;
+	evl_timer_set(gateway->config.loop, &gateway->list_timer, 0);
+}
--- a/bin/sassafrascartd/gat_private.h
+++ b/bin/sassafrascartd/gat_private.h
@@ -7,6 +7,7 @@
 
 #include "adm.h"
 #include "att.h"
+#include "clm.h"
 #include "gat.h"
 #include "hcl.h"
 #include "ret.h"
@@ -32,6 +33,13 @@
 	GHashTable *vm_index;
 	/** pool's name to struct gat_pool */
 	GHashTable *pools;
+	/** number of the placement in force */
+	uint64_t placement;
+	/** placement numbers at which VMs' rows last changed, by index */
+	uint64_t *changed;
+	struct lvg_set *leaving;
+	struct clm_claims *claims;
+	struct tmr_entry list_timer;
 	struct tmr_entry pump_timer;
 	uint64_t request_count;
 	uint32_t in_progress;
@@ -47,12 +55,23 @@
 	struct adm_item item;
 	struct tmr_entry deadline_timer;
 	bool idempotent;
+	/** route's path, for the claim of an idempotency key */
+	char *route;
+	/** claim of the idempotency key, or NULL */
+	struct clm_claim *claim;
+	/** an attempt was sent, so the request may have run */
+	bool may_have_run;
+	/** attempts that were sent and brought no answer */
+	uint32_t sent_failures;
+	/** outcome of the last attempt that was sent */
+	enum out_kind sent_outcome;
+	/** VM of the last failed attempt, not to be tried again at once */
+	char *failed_vm;
 	char request_id[GAT_REQUEST_ID_BYTES];
 	struct att_attempt *attempt;
 	uint32_t attempt_count;
 	uint64_t attempt_began_ms;
 	char *vm_name;
-	uint32_t avoid;
 };
 
 /** @brief Takes a request to its end: queue, attempts, one answer. */
@@ -65,7 +84,12 @@
 /** @brief Sends the request that a queue's item belongs to to a VM. */
 void gat_work_dispatch(struct gat_work *work, uint32_t vm);
 
-/** @brief Ends a request with an outcome of our own. */
+/**
+ * @brief Ends a request with an outcome of our own.
+ *
+ * An outcome that says not run is replaced by that of an earlier attempt
+ * that may have run.
+ */
 void gat_work_refuse(struct gat_work *work, enum out_kind outcome);
 
 /** @brief Returns the request that a queue's item belongs to. */
@@ -92,4 +116,35 @@
 struct sel_server *gat_server_find(const struct gat_gateway *gateway,
 				   const char *vm_name);
 
+/** @brief Returns the VM that a waiting request is not to be sent to. */
+uint32_t gat_work_avoid(const struct gat_work *work);
+
+/** @brief Records how an attempt on a VM ended, as evidence of its health. */
+void gat_health_record(struct gat_work *work, enum att_result result,
+		       const struct hcl_answer *answer, const char *vm_name);
+
+/** @brief Takes back evidence against a VM that the request gave. */
+void gat_health_pardon(struct gat_gateway *gateway, const char *vm_name);
+
+/** @brief Starts reading the platform's list of VMs. */
+void gat_leaving_start(struct gat_gateway *gateway);
+
+/** @brief Records a backend server's own word that it is leaving. */
+void gat_leaving_signal(struct gat_gateway *gateway, const char *vm_name);
+
+/** @brief Applies the set of leaving VMs to the servers. */
+void gat_leaving_apply(struct gat_gateway *gateway);
+
+/**
+ * @brief Claims a request's idempotency key before it may be sent.
+ * @return OUT_ANSWERED when the request waits for its claim
+ */
+enum out_kind gat_claim_begin(struct gat_work *work);
+
+/** @brief Tells whether a request needs a claim before it is sent. */
+bool gat_claim_is_needed(const struct gat_work *work);
+
+/** @brief Ends the claim of a request that is over. */
+void gat_claim_end(struct gat_work *work);
+
 #endif
--- a/bin/sassafrascartd/gat_slots.c
+++ b/bin/sassafrascartd/gat_slots.c
@@ -61,14 +61,14 @@
 	    !gateway->config.may_dispatch(gateway->config.data))
 		return;
 	while (adm_queue_length(pool->queue) > 0) {
-		uint32_t vm = gat_slot_choose(gateway, pool, BND_NONE);
-		struct adm_item *item;
-		struct gat_work *work;
+		struct gat_work *work =
+			gat_work_of(adm_queue_peek(pool->queue));
+		uint32_t vm =
+			gat_slot_choose(gateway, pool, gat_work_avoid(work));
 
 		if (vm == BND_NONE)
 			return;
-		item = adm_queue_pop(pool->queue);
-		work = gat_work_of(item);
+		adm_queue_pop(pool->queue);
 		if (work_can_start(work))
 			gat_work_dispatch(work, vm);
 	}
--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -3,11 +3,19 @@
 #include "gat_private.h"
 
 #define GAT_ATTEMPTS_MAX 3
+/* Bound on the time to connect; the deadline binds as well. */
+#define GAT_CONNECT_TIMEOUT_MS 500
+/* Different VMs on which a request may fail before it is to blame itself. */
+#define GAT_POISON_VMS 2
+#define GAT_OWN_HEADER_PREFIX "sassafrascart-"
 
 static void work_free(struct gat_work *work)
 {
 	tmr_cancel(&work->deadline_timer);
 	work->gateway->in_progress--;
+	gat_claim_end(work);
+	g_free(work->route);
+	g_free(work->failed_vm);
 	g_free(work->vm_name);
 	g_free(work);
 }
@@ -18,14 +26,30 @@
 		work->pool->queue, gat_pool_slots(work->gateway, work->pool));
 }
 
+static enum out_kind truthful(const struct gat_work *work,
+			      enum out_kind outcome)
+{
+	if (!work->may_have_run || out_row(outcome)->run != OUT_RUN_NO)
+		return outcome;
+	return outcome == OUT_CANCELLED ? OUT_CALLER_GONE : work->sent_outcome;
+}
+
 void gat_work_refuse(struct gat_work *work, enum out_kind outcome)
 {
+	outcome = truthful(work, outcome);
 	ctr_add_outcome(work->gateway->config.counters, outcome);
 	if (work->request)
 		clr_request_refuse(work->request, outcome, retry_after_s(work));
 	work_free(work);
 }
 
+static int64_t declared_bytes(const struct hcl_answer *answer)
+{
+	const char *text = hcl_answer_header(answer, "content-length");
+
+	return text ? g_ascii_strtoll(text, NULL, 10) : -1;
+}
+
 static void work_answer(struct gat_work *work, const struct hcl_answer *answer)
 {
 	g_autoptr(GArray) headers =
@@ -34,6 +58,7 @@
 		.status = answer->status,
 		.body = answer->body,
 		.body_bytes = answer->body_len,
+		.declared_bytes = declared_bytes(answer),
 	};
 
 	for (size_t i = 0; i < answer->header_count; i++) {
@@ -41,13 +66,13 @@
 					     answer->headers[i].value };
 
 		if (!att_header_is_hop_by_hop(header.name) &&
-		    strcmp(header.name, OUT_HEADER) != 0)
+		    !g_str_has_prefix(header.name, GAT_OWN_HEADER_PREFIX))
 			g_array_append_val(headers, header);
 	}
 	out.headers = (const struct clr_header *)headers->data;
 	out.header_count = headers->len;
 	ctr_add_outcome(work->gateway->config.counters,
-			work->request ? OUT_ANSWERED : OUT_CANCELLED);
+			work->request ? OUT_ANSWERED : OUT_CALLER_GONE);
 	if (work->request)
 		clr_request_answer(work->request, &out);
 	work_free(work);
@@ -88,12 +113,21 @@
 	}
 }
 
+/* A request that fails wherever it runs says nothing of the servers. */
+static bool request_is_poison(struct gat_work *work, enum att_result result)
+{
+	if (result == ATT_NOT_SENT)
+		return false;
+	work->sent_failures++;
+	return work->sent_failures >= GAT_POISON_VMS;
+}
+
 static bool retry_is_allowed(struct gat_work *work, enum att_result result)
 {
 	struct ctr_set *counters = work->gateway->config.counters;
 
 	if (result == ATT_TOO_LARGE || result == ATT_TIMEOUT ||
-	    (result != ATT_NOT_SENT && !work->idempotent) || !work->request ||
+	    (work->may_have_run && !work->idempotent) || !work->request ||
 	    evl_now_ms() >= work->item.deadline_ms)
 		return false;
 	if (work->attempt_count >= GAT_ATTEMPTS_MAX) {
@@ -104,25 +138,57 @@
 		ctr_add(counters, CTR_RETRY_DENIED_BUDGET);
 		return false;
 	}
+	if (adm_queue_return(work->pool->queue, &work->item) != OUT_ANSWERED) {
+		ctr_add(counters, CTR_RETRY_DENIED_QUEUE);
+		return false;
+	}
 	ctr_add(counters, result == ATT_NOT_SENT ? CTR_RETRY_NOT_SENT
 						 : CTR_RETRY_IDEMPOTENT);
 	return true;
 }
 
-/* Retries elsewhere when that is allowed and a slot is free. */
-static bool work_retry(struct gat_work *work, enum att_result result,
-		       uint32_t failed_vm)
+/* Ends a failed attempt: the request goes back to the queue or is refused. */
+static void work_fail(struct gat_work *work, enum att_result result,
+		      const char *vm_name)
 {
 	struct gat_gateway *gateway = work->gateway;
+
+	ctr_add(gateway->config.counters, failure_counter(result));
+	if (request_is_poison(work, result)) {
+		ctr_add(gateway->config.counters, CTR_RETRY_DENIED_POISON);
+		gat_health_pardon(gateway, vm_name);
+		if (work->failed_vm)
+			gat_health_pardon(gateway, work->failed_vm);
+		gat_work_refuse(work, outcome_of(result));
+		return;
+	}
+	if (!retry_is_allowed(work, result)) {
+		gat_work_refuse(work, outcome_of(result));
+		return;
+	}
+	g_free(work->failed_vm);
+	work->failed_vm = g_strdup(vm_name);
+	tmr_set(evl_loop_timers(gateway->config.loop), &work->deadline_timer,
+		work->item.deadline_ms);
+}
+
+uint32_t gat_work_avoid(const struct gat_work *work)
+{
+	const struct gat_gateway *gateway = work->gateway;
+	const struct sel_server *server;
 	uint32_t vm;
 
-	if (!retry_is_allowed(work, result))
-		return false;
-	vm = gat_slot_choose(gateway, work->pool, failed_vm);
-	if (vm == BND_NONE)
-		return false;
-	gat_work_dispatch(work, vm);
-	return true;
+	if (!work->failed_vm)
+		return BND_NONE;
+	server = gat_server_find(gateway, work->failed_vm);
+	if (!server)
+		return BND_NONE;
+	vm = (uint32_t)(server - gateway->servers->servers);
+	/* With no other server, the same one is better than none. */
+	return sel_has_other(gateway->servers, work->pool->index, vm,
+			     evl_now_ms())
+		       ? vm
+		       : BND_NONE;
 }
 
 static void on_attempt_end(void *data, enum att_result result,
@@ -131,22 +197,21 @@
 	struct gat_work *work = data;
 	struct gat_gateway *gateway = work->gateway;
 	struct gat_pool *pool = work->pool;
-	struct sel_server *server = gat_server_find(gateway, work->vm_name);
-	uint32_t vm = server ? (uint32_t)(server - gateway->servers->servers)
-			     : BND_NONE;
+	g_autofree char *vm_name = g_strdup(work->vm_name);
 
 	work->attempt = NULL;
-	if (server && leaving)
-		server->leaving = true;
-	adm_queue_served(pool->queue, evl_now_ms() - work->attempt_began_ms);
+	if (leaving)
+		gat_leaving_signal(gateway, vm_name);
 	gat_slot_release(work);
-	if (result == ATT_ANSWERED) {
-		work_answer(work, answer);
-	} else {
-		ctr_add(gateway->config.counters, failure_counter(result));
-		if (!work_retry(work, result, vm))
-			gat_work_refuse(work, outcome_of(result));
+	gat_health_record(work, result, answer, vm_name);
+	if (result != ATT_NOT_SENT) {
+		work->may_have_run = true;
+		work->sent_outcome = outcome_of(result);
 	}
+	if (result == ATT_ANSWERED)
+		work_answer(work, answer);
+	else
+		work_fail(work, result, vm_name);
 	gat_pool_pump(gateway, pool);
 }
 
@@ -158,7 +223,7 @@
 		struct hcl_header header = { view->headers[i].name,
 					     view->headers[i].value };
 
-		if (strcmp(header.name, CLR_HEADER_DEADLINE) != 0)
+		if (!g_str_has_prefix(header.name, GAT_OWN_HEADER_PREFIX))
 			g_array_append_val(headers, header);
 	}
 	return headers;
@@ -178,6 +243,7 @@
 			(uint32_t)(work->item.deadline_ms > now_ms
 					   ? work->item.deadline_ms - now_ms
 					   : 0),
+		.connect_timeout_ms = GAT_CONNECT_TIMEOUT_MS,
 		.answer_max_bytes = gateway->config.answer_max_bytes,
 		.may_send = gateway->config.may_dispatch,
 		.may_send_data = gateway->config.data,
@@ -257,6 +323,7 @@
 	work->request = request;
 	work->pool = pool_of_route(gateway, route);
 	work->idempotent = route_is_idempotent(route, view->method);
+	work->route = g_strdup(route->path);
 	work->item.bytes = view->body_bytes;
 	work->item.deadline_ms = evl_now_ms() + deadline_ms;
 	work->deadline_timer.cb = on_queue_deadline;
@@ -274,11 +341,17 @@
 {
 	struct gat_work *work =
 		work_create(gateway, request, route, deadline_ms);
-	enum out_kind refusal = adm_queue_push(
-		work->pool->queue, &work->item,
-		gat_pool_slots(gateway, work->pool), evl_now_ms());
-
+	uint64_t now_ms = evl_now_ms();
+	enum out_kind refusal =
+		adm_queue_hold(work->pool->queue, &work->item,
+			       gat_pool_slots(gateway, work->pool), now_ms);
+
+	if (refusal == OUT_ANSWERED && gat_claim_is_needed(work))
+		refusal = gat_claim_begin(work);
+	else if (refusal == OUT_ANSWERED)
+		adm_queue_enter(work->pool->queue, &work->item, now_ms);
 	if (refusal != OUT_ANSWERED) {
+		adm_queue_remove(work->pool->queue, &work->item);
 		gat_work_refuse(work, refusal);
 		return;
 	}
@@ -290,13 +363,16 @@
 void gat_work_gone(struct gat_work *work)
 {
 	work->request = NULL;
-	if (work->item.queued) {
+	if (work->item.queued || work->item.held) {
 		adm_queue_remove(work->pool->queue, &work->item);
 		gat_work_refuse(work, OUT_CANCELLED);
 		return;
 	}
 	if (!work->attempt || !work->idempotent)
 		return;
+	/* The attempt may have been sent already. */
+	work->may_have_run = true;
+	work->sent_outcome = OUT_CALLER_GONE;
 	att_cancel(work->attempt);
 	gat_slot_release(work);
 	gat_work_refuse(work, OUT_CANCELLED);
--- a/bin/sassafrascartd/set.c
+++ b/bin/sassafrascartd/set.c
@@ -43,6 +43,8 @@
 	  60000, "deadline of a call to the platform", "MS" },
 	{ "platform-rate-per-s", CFG_U32, AT(platform_rate_per_s), "50", 1,
 	  10000, "calls a second that this process makes at most", "N" },
+	{ "claim-life-s", CFG_U32, AT(claim_life_s), "600", 1, 86400,
+	  "how long an idempotency key stays claimed", "S" },
 	{ "drain-ms", CFG_U32, AT(drain_ms), "30000", 0, 3600000,
 	  "time for requests in progress at shutdown", "MS" },
 	{ "idle-timeout-ms", CFG_U32, AT(idle_timeout_ms), "10000", 100,
--- a/packages/caller/include/clr.h
+++ b/packages/caller/include/clr.h
@@ -64,6 +64,8 @@
 	uint32_t header_count;
 	const void *body;
 	uint64_t body_bytes;
+	/** length of the body that a HEAD request leaves out, -1 for unknown */
+	int64_t declared_bytes;
 };
 
 /** What the server calls. */
--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "clr_check.h"
+
 #define CLR_ACCEPTS_PER_TURN 16
 
 struct clr_server {
@@ -71,6 +73,21 @@
 	headers_fill(request);
 }
 
+static bool request_is_valid(const h2o_req_t *req)
+{
+	if (!clk_is_token(req->method.base, req->method.len) ||
+	    !clk_is_target(req->path.base, req->path.len))
+		return false;
+	for (size_t i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *header = &req->headers.entries[i];
+
+		if (!clk_is_token(header->name->base, header->name->len) ||
+		    !clk_is_value(header->value.base, header->value.len))
+			return false;
+	}
+	return true;
+}
+
 static void on_request_dispose(void *memory)
 {
 	struct clr_request *request = memory;
@@ -113,6 +130,10 @@
 	memset(request, 0, sizeof(*request));
 	request->server = server;
 	request->req = req;
+	if (!request_is_valid(req)) {
+		clr_request_refuse(request, OUT_BAD_REQUEST, 1);
+		return 0;
+	}
 	view_fill(request);
 	server->ops->on_request(server->data, request);
 	return 0;
@@ -282,6 +303,22 @@
 	outcome_header_add(req, out_row(outcome));
 }
 
+/* A known length lets every caller tell a whole answer from a cut one. */
+static void answer_send(struct clr_request *request,
+			const struct clr_answer *answer)
+{
+	h2o_req_t *req = request->req;
+
+	if (strcmp(request->view.method, "HEAD") == 0) {
+		if (answer->declared_bytes >= 0)
+			req->res.content_length =
+				(size_t)answer->declared_bytes;
+	} else if (answer->status != 204 && answer->status != 304) {
+		req->res.content_length = answer->body_bytes;
+	}
+	h2o_send_inline(req, answer->body, answer->body_bytes);
+}
+
 void clr_request_answer(struct clr_request *request,
 			const struct clr_answer *answer)
 {
@@ -299,7 +336,7 @@
 		h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
 				      name.len, 1, NULL, value.base, value.len);
 	}
-	h2o_send_inline(req, answer->body, answer->body_bytes);
+	answer_send(request, answer);
 }
 
 void clr_request_refuse(struct clr_request *request, enum out_kind outcome,
@@ -321,5 +358,6 @@
 	}
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
 		       NULL, H2O_STRLIT("text/plain; charset=utf-8"));
+	req->res.content_length = strlen(row->text);
 	h2o_send_inline(req, row->text, strlen(row->text));
 }
--- a/packages/core/include/adm.h
+++ b/packages/core/include/adm.h
@@ -27,7 +27,10 @@
 	uint64_t bytes;
 	uint64_t enqueued_ms;
 	uint64_t deadline_ms;
+	/** waits in line */
 	bool queued;
+	/** counts towards the bounds but is not in line yet */
+	bool held;
 };
 
 /** The queue, opaque. */
@@ -55,21 +58,47 @@
 enum out_kind adm_queue_push(struct adm_queue *queue, struct adm_item *item,
 			     uint32_t slots, uint64_t now_ms);
 
+/**
+ * @brief Counts a request towards the bounds without putting it in line.
+ *
+ * For a request that must wait for something else before it may start. The
+ * checks are those of adm_queue_push(). Ends with adm_queue_enter() or
+ * adm_queue_remove().
+ */
+enum out_kind adm_queue_hold(struct adm_queue *queue, struct adm_item *item,
+			     uint32_t slots, uint64_t now_ms);
+
+/** @brief Puts a held request at the end of the line. */
+void adm_queue_enter(struct adm_queue *queue, struct adm_item *item,
+		     uint64_t now_ms);
+
+/**
+ * @brief Puts a request that is to be retried at the head of the line.
+ * @return OUT_ANSWERED, OUT_QUEUE_FULL or OUT_QUEUE_BYTES
+ */
+enum out_kind adm_queue_return(struct adm_queue *queue, struct adm_item *item);
+
+/** @brief Returns the request that is next in line, or NULL. */
+struct adm_item *adm_queue_peek(const struct adm_queue *queue);
+
 /** @brief Takes the oldest request. @return NULL when none waits */
 struct adm_item *adm_queue_pop(struct adm_queue *queue);
 
-/** @brief Removes a request wherever it stands in the queue. */
+/** @brief Removes a request wherever it stands, in line or held. */
 void adm_queue_remove(struct adm_queue *queue, struct adm_item *item);
 
-/** @brief Returns the number of waiting requests. */
+/** @brief Returns the number of requests in line. */
 uint32_t adm_queue_length(const struct adm_queue *queue);
 
-/** @brief Returns the bytes held by waiting requests. */
+/** @brief Returns the bytes of requests in line or held. */
 uint64_t adm_queue_bytes(const struct adm_queue *queue);
 
 /** @brief Feeds the observed time that a request held its slot. */
 void adm_queue_served(struct adm_queue *queue, uint64_t service_ms);
 
+/** @brief Returns the mean time that a request holds its slot. */
+uint64_t adm_queue_mean_ms(const struct adm_queue *queue);
+
 /** @brief Estimates how long a request added now would wait. */
 uint64_t adm_queue_wait_ms(const struct adm_queue *queue, uint32_t slots);
 
--- a/packages/core/include/ctr.h
+++ b/packages/core/include/ctr.h
@@ -34,6 +34,17 @@
 	  "retries denied by the budget")                                      \
 	X(RETRY_DENIED_LIMIT, "retries_denied_total{reason=\"limit\"}",        \
 	  "retries denied by the limit of one request")                        \
+	X(RETRY_DENIED_QUEUE, "retries_denied_total{reason=\"queue\"}",        \
+	  "retries denied because the queue was full")                         \
+	X(RETRY_DENIED_POISON, "retries_denied_total{reason=\"poison\"}",      \
+	  "retries denied because the request failed on several VMs")          \
+	X(EJECTIONS, "ejections_total", "backend servers ejected")             \
+	X(LEAVING_LIST, "leaving_signals_total{source=\"list\"}",              \
+	  "VMs that the platform's list showed as leaving")                    \
+	X(LEAVING_SERVER, "leaving_signals_total{source=\"server\"}",          \
+	  "backend servers that said that they are leaving")                   \
+	X(LEAVING_PEER, "leaving_signals_total{source=\"peer\"}",              \
+	  "VMs that a peer told are leaving")                                  \
 	X(HEADS_HEARD, "heads_heard_total", "heads heard from anyone")         \
 	X(HEADS_STALE, "heads_stale_total", "heads older than the known one")  \
 	X(BUNDLES_APPLIED, "bundles_applied_total", "bundles put in force")    \
--- a/packages/core/include/sel.h
+++ b/packages/core/include/sel.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "bnd.h"
+#include "ejt.h"
 
 /** What this process knows of a backend server, one for each VM. */
 struct sel_server {
@@ -24,10 +25,7 @@
 	bool serving;
 	/** whether one of the leaving signals has been seen */
 	bool leaving;
-	/** monotonic time until which it is ejected, 0 for not ejected */
-	uint64_t ejected_until_ms;
-	uint32_t consecutive_failures;
-	uint32_t ejections;
+	struct ejt_health health;
 };
 
 /** All backend servers, by the VM's index in the bundle. */
@@ -58,6 +56,17 @@
 uint32_t sel_choose(struct sel_set *set, uint32_t pool, uint32_t avoid,
 		    uint64_t now_ms);
 
+/**
+ * @brief Records how an attempt on a server ended.
+ * @return whether the server was ejected by this call
+ */
+bool sel_record(struct sel_set *set, uint32_t vm, enum ejt_evidence evidence,
+		uint64_t began_ms, uint64_t now_ms, uint32_t seed);
+
+/** @brief Tells whether a pool has a ready server other than one. */
+bool sel_has_other(const struct sel_set *set, uint32_t pool, uint32_t avoid,
+		   uint64_t now_ms);
+
 /** @brief Adds up the slots of a pool's ready servers. */
 uint32_t sel_pool_slots(const struct sel_set *set, uint32_t pool,
 			uint64_t now_ms);
--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -7,6 +7,9 @@
 struct adm_queue {
 	struct adm_limits limits;
 	GQueue items;
+	/* requests that count but are not in line */
+	uint32_t held;
+	/* of requests in line and held */
 	uint64_t bytes;
 	/* mean time a request holds a slot; 0 until the first sample */
 	uint64_t mean_service_us;
@@ -25,7 +28,7 @@
 {
 	if (!queue)
 		return;
-	g_assert(g_queue_is_empty(&queue->items));
+	g_assert(g_queue_is_empty(&queue->items) && queue->held == 0);
 	g_free(queue);
 }
 
@@ -37,33 +40,80 @@
 static enum out_kind bounds_check(const struct adm_queue *queue,
 				  const struct adm_item *item)
 {
-	if (queue->items.length >= queue->limits.max_requests)
+	if (queue->items.length + queue->held >= queue->limits.max_requests)
 		return OUT_QUEUE_FULL;
 	if (queue->bytes + item->bytes > queue->limits.max_bytes)
 		return OUT_QUEUE_BYTES;
 	return OUT_ANSWERED;
 }
 
-enum out_kind adm_queue_push(struct adm_queue *queue, struct adm_item *item,
-			     uint32_t slots, uint64_t now_ms)
+static enum out_kind admission_check(const struct adm_queue *queue,
+				     const struct adm_item *item,
+				     uint32_t slots, uint64_t now_ms)
 {
 	enum out_kind refusal = bounds_check(queue, item);
-	uint64_t wait_ms;
+	uint64_t wait_ms = adm_queue_wait_ms(queue, slots);
 
-	g_assert(!item->queued);
 	if (slots == 0)
 		return OUT_NO_VM;
 	if (refusal != OUT_ANSWERED)
 		return refusal;
-	wait_ms = adm_queue_wait_ms(queue, slots);
 	if (wait_ms > queue->limits.max_wait_ms ||
 	    now_ms + wait_ms >= item->deadline_ms)
 		return OUT_WOULD_EXPIRE;
-	item->enqueued_ms = now_ms;
-	item->queued = true;
+	return OUT_ANSWERED;
+}
+
+static void item_count(struct adm_queue *queue, struct adm_item *item)
+{
+	g_assert(!item->queued && !item->held);
 	item->link.data = item;
-	g_queue_push_tail_link(&queue->items, &item->link);
 	queue->bytes += item->bytes;
+}
+
+enum out_kind adm_queue_hold(struct adm_queue *queue, struct adm_item *item,
+			     uint32_t slots, uint64_t now_ms)
+{
+	enum out_kind refusal = admission_check(queue, item, slots, now_ms);
+
+	if (refusal != OUT_ANSWERED)
+		return refusal;
+	item_count(queue, item);
+	item->held = true;
+	queue->held++;
+	return OUT_ANSWERED;
+}
+
+void adm_queue_enter(struct adm_queue *queue, struct adm_item *item,
+		     uint64_t now_ms)
+{
+	g_assert(item->held);
+	item->held = false;
+	queue->held--;
+	item->queued = true;
+	item->enqueued_ms = now_ms;
+	g_queue_push_tail_link(&queue->items, &item->link);
+}
+
+enum out_kind adm_queue_push(struct adm_queue *queue, struct adm_item *item,
+			     uint32_t slots, uint64_t now_ms)
+{
+	enum out_kind refusal = adm_queue_hold(queue, item, slots, now_ms);
+
+	if (refusal == OUT_ANSWERED)
+		adm_queue_enter(queue, item, now_ms);
+	return refusal;
+}
+
+enum out_kind adm_queue_return(struct adm_queue *queue, struct adm_item *item)
+{
+	enum out_kind refusal = bounds_check(queue, item);
+
+	if (refusal != OUT_ANSWERED)
+		return refusal;
+	item_count(queue, item);
+	item->queued = true;
+	g_queue_push_head_link(&queue->items, &item->link);
 	return OUT_ANSWERED;
 }
 
@@ -73,6 +123,13 @@
 	queue->bytes -= item->bytes;
 }
 
+struct adm_item *adm_queue_peek(const struct adm_queue *queue)
+{
+	const GList *link = queue->items.head;
+
+	return link ? link->data : NULL;
+}
+
 struct adm_item *adm_queue_pop(struct adm_queue *queue)
 {
 	GList *link = g_queue_pop_head_link(&queue->items);
@@ -87,9 +144,13 @@
 
 void adm_queue_remove(struct adm_queue *queue, struct adm_item *item)
 {
-	if (!item->queued)
+	if (!item->queued && !item->held)
 		return;
-	g_queue_unlink(&queue->items, &item->link);
+	if (item->held)
+		queue->held--;
+	else
+		g_queue_unlink(&queue->items, &item->link);
+	item->held = false;
 	item_forget(queue, item);
 }
 
@@ -116,11 +177,17 @@
 		ADM_MEAN_SAMPLES;
 }
 
+uint64_t adm_queue_mean_ms(const struct adm_queue *queue)
+{
+	return queue->mean_service_us / 1000;
+}
+
 uint64_t adm_queue_wait_ms(const struct adm_queue *queue, uint32_t slots)
 {
 	if (slots == 0)
 		return queue->limits.max_wait_ms;
-	return queue->items.length * queue->mean_service_us / slots / 1000;
+	return (uint64_t)(queue->items.length + queue->held) *
+	       queue->mean_service_us / slots / 1000;
 }
 
 uint32_t adm_queue_retry_after_s(const struct adm_queue *queue, uint32_t slots)
--- a/packages/core/src/out.c
+++ b/packages/core/src/out.c
@@ -27,6 +27,8 @@
 			  "The deadline passed before the request started." },
 	[OUT_CANCELLED] = { "cancelled", 499, OUT_RUN_NO, false,
 			    "The caller left before the request started." },
+	[OUT_CALLER_GONE] = { "caller-gone", 499, OUT_RUN_UNKNOWN, false,
+			      "The caller left after the request started." },
 	[OUT_SHUTTING_DOWN] = { "shutting-down", 503, OUT_RUN_NO, true,
 				"This process is shutting down." },
 	[OUT_CONNECT_FAILED] = { "connect-failed", 503, OUT_RUN_NO, true,
--- a/packages/core/src/sel.c
+++ b/packages/core/src/sel.c
@@ -22,7 +22,7 @@
 bool sel_is_ready(const struct sel_server *server, uint64_t now_ms)
 {
 	return server->serving && !server->leaving &&
-	       server->ejected_until_ms <= now_ms;
+	       ejt_may_take(&server->health, server->in_flight, now_ms);
 }
 
 uint32_t sel_choose(struct sel_set *set, uint32_t pool, uint32_t avoid,
@@ -47,6 +47,51 @@
 	return best;
 }
 
+static struct ejt_pool others_of(const struct sel_set *set, uint32_t vm)
+{
+	struct ejt_pool others = { 0 };
+
+	for (uint32_t i = 0; i < set->count; i++) {
+		const struct sel_server *server = &set->servers[i];
+
+		if (server->pool != set->servers[vm].pool || !server->serving ||
+		    server->leaving)
+			continue;
+		others.servers++;
+		if (i == vm)
+			continue;
+		if (ejt_is_limited(&server->health))
+			others.ejected++;
+		if (server->health.answered_ms > others.others_answered_ms)
+			others.others_answered_ms = server->health.answered_ms;
+	}
+	return others;
+}
+
+bool sel_record(struct sel_set *set, uint32_t vm, enum ejt_evidence evidence,
+		uint64_t began_ms, uint64_t now_ms, uint32_t seed)
+{
+	struct ejt_pool others = { 0 };
+
+	if (evidence != EJT_ANSWERED)
+		others = others_of(set, vm);
+	return ejt_record(&set->servers[vm].health, &others, evidence, began_ms,
+			  now_ms, seed);
+}
+
+bool sel_has_other(const struct sel_set *set, uint32_t pool, uint32_t avoid,
+		   uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < set->count; i++) {
+		const struct sel_server *server = &set->servers[i];
+
+		if (server->pool == pool && i != avoid &&
+		    sel_is_ready(server, now_ms))
+			return true;
+	}
+	return false;
+}
+
 uint32_t sel_pool_slots(const struct sel_set *set, uint32_t pool,
 			uint64_t now_ms)
 {
@@ -56,7 +101,9 @@
 		const struct sel_server *server = &set->servers[i];
 
 		if (server->pool == pool && sel_is_ready(server, now_ms))
-			slots += server->slots;
+			slots += ejt_is_limited(&server->health)
+					 ? 1
+					 : server->slots;
 	}
 	return slots;
 }
--- a/packages/peer/include/per.h
+++ b/packages/peer/include/per.h
@@ -14,8 +14,12 @@
 #include "err.h"
 #include "evl.h"
 #include "hed.h"
+#include "lvg.h"
 #include "mem.h"
 
+/** VMs that one heartbeat tells are leaving. */
+#define PER_LEAVING_MAX 24
+
 /** What a process tells of itself with each heartbeat. */
 struct per_heartbeat {
 	struct mem_member from;
@@ -23,6 +27,9 @@
 	uint64_t applied_roll;
 	uint64_t applied_placement;
 	bool shutting_down;
+	/** VMs known to be leaving */
+	struct lvg_notice leaving[PER_LEAVING_MAX];
+	uint32_t leaving_count;
 };
 
 /** Texts that peers fetch from each other. */
--- a/packages/peer/src/peer_prog.h
+++ b/packages/peer/src/peer_prog.h
@@ -17,6 +17,7 @@
 #define PEER_IP_MAX 15
 #define PEER_DIGEST_MAX 64
 #define PEER_CHUNK_MAX 8192
+#define PEER_LEAVING_MAX 24
 
 struct peer_member {
 	char *id;
@@ -35,12 +36,23 @@
 };
 typedef struct peer_head peer_head;
 
+struct peer_leaving {
+	char *vm;
+	u_int left_ms;
+	u_quad_t placement;
+};
+typedef struct peer_leaving peer_leaving;
+
 struct peer_heartbeat {
 	peer_member from;
 	peer_head head;
 	u_quad_t applied_roll;
 	u_quad_t applied_placement;
 	bool_t shutting_down;
+	struct {
+		u_int leaving_len;
+		peer_leaving *leaving_val;
+	} leaving;
 };
 typedef struct peer_heartbeat peer_heartbeat;
 
@@ -88,6 +100,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_head (XDR *, peer_head*);
+extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
 extern  bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat*);
 extern  bool_t xdr_peer_fetch (XDR *, peer_fetch*);
 extern  bool_t xdr_peer_chunk (XDR *, peer_chunk*);
@@ -95,6 +108,7 @@
 #else /* K&R C */
 extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_head ();
+extern bool_t xdr_peer_leaving ();
 extern bool_t xdr_peer_heartbeat ();
 extern bool_t xdr_peer_fetch ();
 extern bool_t xdr_peer_chunk ();
--- a/packages/peer/src/peer_prog.x
+++ b/packages/peer/src/peer_prog.x
@@ -4,6 +4,7 @@
 const PEER_IP_MAX = 15;
 const PEER_DIGEST_MAX = 64;
 const PEER_CHUNK_MAX = 8192;
+const PEER_LEAVING_MAX = 24;
 
 struct peer_member {
 	string id<PEER_ID_MAX>;
@@ -20,12 +21,20 @@
 	unsigned hyper placement_number;
 };
 
+/* A VM that is leaving, as seen by any process. */
+struct peer_leaving {
+	string vm<PEER_ID_MAX>;
+	unsigned int left_ms;
+	unsigned hyper placement;
+};
+
 struct peer_heartbeat {
 	peer_member from;
 	peer_head head;
 	unsigned hyper applied_roll;
 	unsigned hyper applied_placement;
 	bool shutting_down;
+	peer_leaving leaving<PEER_LEAVING_MAX>;
 };
 
 /* Asks for the part of a document that begins at an offset. */
--- a/packages/peer/src/peer_prog_xdr.c
+++ b/packages/peer/src/peer_prog_xdr.c
@@ -39,6 +39,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_leaving (XDR *xdrs, peer_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->vm, PEER_ID_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->placement))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_heartbeat (XDR *xdrs, peer_heartbeat *objp)
 {
@@ -54,6 +68,9 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->shutting_down))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LEAVING_MAX,
+		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/packages/peer/src/per_wire.c
+++ b/packages/peer/src/per_wire.c
@@ -4,6 +4,32 @@
 #include <rpc/rpc_msg.h>
 #include <string.h>
 
+static void leaving_to_xdr(const struct per_heartbeat *in, peer_heartbeat *out,
+			   peer_leaving *leaving)
+{
+	for (uint32_t i = 0; i < in->leaving_count; i++) {
+		leaving[i].vm = (char *)in->leaving[i].vm;
+		leaving[i].left_ms = in->leaving[i].left_ms;
+		leaving[i].placement = in->leaving[i].placement;
+	}
+	out->leaving.leaving_len = in->leaving_count;
+	out->leaving.leaving_val = leaving;
+}
+
+static void leaving_from_xdr(const peer_heartbeat *in,
+			     struct per_heartbeat *out)
+{
+	out->leaving_count = in->leaving.leaving_len;
+	for (uint32_t i = 0; i < out->leaving_count; i++) {
+		const peer_leaving *wire = &in->leaving.leaving_val[i];
+		struct lvg_notice *notice = &out->leaving[i];
+
+		g_strlcpy(notice->vm, wire->vm, sizeof(notice->vm));
+		notice->left_ms = wire->left_ms;
+		notice->placement = wire->placement;
+	}
+}
+
 static void heartbeat_to_xdr(const struct per_heartbeat *in,
 			     peer_heartbeat *out)
 {
@@ -38,16 +64,19 @@
 	out->applied_roll = in->applied_roll;
 	out->applied_placement = in->applied_placement;
 	out->shutting_down = in->shutting_down;
+	leaving_from_xdr(in, out);
 	return true;
 }
 
 static bool heartbeat_code(XDR *xdrs, struct per_heartbeat *heartbeat)
 {
+	peer_leaving leaving[PEER_LEAVING_MAX];
 	peer_heartbeat wire = { 0 };
 	bool ok;
 
 	if (xdrs->x_op == XDR_ENCODE) {
 		heartbeat_to_xdr(heartbeat, &wire);
+		leaving_to_xdr(heartbeat, &wire, leaving);
 		return xdr_peer_heartbeat(xdrs, &wire);
 	}
 	ok = xdr_peer_heartbeat(xdrs, &wire) &&
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -135,10 +135,10 @@
   for _, pool in ipairs(pools) do
     table.insert(lines, string.format(
       "  - {name: %s, spare: %s, vms: [%s], target_vms: %d, floor_vms: %d, survive: %s, "
-      .. "queue_max_requests: %d, queue_max_bytes: 1048576, queue_max_wait_ms: %d}",
+      .. "queue_max_requests: %d, queue_max_bytes: %d, queue_max_wait_ms: %d}",
       pool.name, pool.spare and "true" or "false", table.concat(pool.vms, ", "),
       pool.target or #pool.vms, pool.floor or 0, pool.survive or "none",
-      pool.queue or 100, pool.wait_ms or 10000))
+      pool.queue or 100, pool.queue_bytes or 1048576, pool.wait_ms or 10000))
   end
   table.insert(lines, "routes:")
   for _, route in ipairs(routes) do
@@ -197,4 +197,29 @@
   return counts
 end
 
+-- Starts requests and waits for the ends of all; returns id to answer.
+function fleet.http_all(requests, timeout_ms)
+  local ids, results, left = {}, {}, 0
+  for key, request in pairs(requests) do
+    ids[key] = http_start(request)
+    left = left + 1
+  end
+  fleet.wait_until("all answers", timeout_ms or 30000, function()
+    for key, id in pairs(ids) do
+      local result = http_result(id)
+      if result then
+        results[key], ids[key], left = result, nil, left - 1
+      end
+    end
+    return left == 0
+  end)
+  return results
+end
+
+-- The outcome of an answer: whether it ran, and the reason.
+function fleet.outcome(answer)
+  local text = answer.headers and answer.headers["sassafrascart-outcome"] or ""
+  return text:match("^([%w-]+); reason=([%w-]+)$")
+end
+
 return fleet
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -20,11 +20,15 @@
 #define HEADER_RUN_MS "\r\nx-run-ms:"
 #define HEADER_REQUEST_ID "\r\nx-request-id:"
 #define HEADER_LENGTH "\r\ncontent-length:"
+/* Behaviour and status of one request, before those of the server. */
+#define HEADER_MODE "\r\nx-mode:"
+#define HEADER_STATUS "\r\nx-status:"
 
 /** What is done with a request; set by POST /control {"mode": ...}. */
-static const char *const modes[] = { "ok",	 "fail",  "silent",  "cut-head",
-				     "cut-body", "twice", "crossed", "reset",
-				     "leaving",	 NULL };
+static const char *const modes[] = { "ok",	  "fail",     "silent",
+				     "cut-head",  "cut-body", "twice",
+				     "crossed",	  "reset",    "leaving",
+				     "cut-early", NULL };
 
 enum mode {
 	MODE_OK,
@@ -44,6 +48,8 @@
 	MODE_RESET,
 	/** runs and announces that the server is leaving */
 	MODE_LEAVING,
+	/** runs, closes before the first byte of the answer */
+	MODE_CUT_EARLY,
 };
 
 struct backend {
@@ -64,6 +70,7 @@
 	struct tmr_entry timer;
 	bool running;
 	bool queued;
+	enum mode mode;
 	uint64_t run_ms;
 	char *head;
 	char *id;
@@ -118,14 +125,21 @@
 static void answer_append(struct connection *conn, int status, const char *id,
 			  const char *body, size_t body_len)
 {
+	bool has_body = status != 204 && status != 304;
+
+	g_string_append_printf(conn->out, "HTTP/1.1 %d OK\r\n", status);
+	if (has_body)
+		g_string_append_printf(conn->out, "content-length: %zu\r\n",
+				       body_len);
 	g_string_append_printf(conn->out,
-			       "HTTP/1.1 %d OK\r\ncontent-length: %zu\r\n"
+			       "sassafrascart-outcome: not-run\r\n"
 			       "x-request-id: %s\r\nx-backend: %s\r\n%s\r\n",
-			       status, body_len, id, conn->backend->name,
-			       conn->backend->mode == MODE_LEAVING
+			       id, conn->backend->name,
+			       conn->mode == MODE_LEAVING
 				       ? "sassafrascart-leaving: 1\r\n"
 				       : "");
-	g_string_append_len(conn->out, body, (gssize)body_len);
+	if (has_body && !g_str_has_prefix(conn->head, "HEAD "))
+		g_string_append_len(conn->out, body, (gssize)body_len);
 }
 
 static char *header_value(const char *head, const char *name)
@@ -147,26 +161,35 @@
 	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
 }
 
+static uint64_t answer_status(const struct connection *conn)
+{
+	uint64_t status = header_number(conn->head, HEADER_STATUS);
+
+	return status ? status : 200;
+}
+
 /* The body goes back to the caller, so that each answer is unique. */
 static void run_answer(struct connection *conn)
 {
 	const char *body = strstr(conn->head, "\r\n\r\n") + 4;
 	size_t len = header_number(conn->head, HEADER_LENGTH);
+	int status = (int)answer_status(conn);
 
-	switch (conn->backend->mode) {
-	case MODE_SILENT:
+	if (conn->mode == MODE_SILENT)
+		return;
+	if (conn->mode == MODE_CUT_EARLY) {
+		connection_close(conn);
 		return;
-	case MODE_CROSSED:
-		answer_append(conn, 200, "another-request", "another body", 12);
-		break;
-	default:
-		answer_append(conn, 200, conn->id, body, len);
 	}
-	if (conn->backend->mode == MODE_TWICE)
-		answer_append(conn, 200, conn->id, body, len);
-	if (conn->backend->mode == MODE_CUT_HEAD)
+	if (conn->mode == MODE_CROSSED)
+		answer_append(conn, 200, "another-request", "another body", 12);
+	else
+		answer_append(conn, status, conn->id, body, len);
+	if (conn->mode == MODE_TWICE)
+		answer_append(conn, status, conn->id, body, len);
+	if (conn->mode == MODE_CUT_HEAD)
 		g_string_truncate(conn->out, 20);
-	if (conn->backend->mode == MODE_CUT_BODY)
+	if (conn->mode == MODE_CUT_BODY)
 		g_string_truncate(conn->out, conn->out->len - (len + 1) / 2);
 	out_send(conn);
 }
@@ -203,15 +226,21 @@
 	evl_timer_set(backend->loop, &conn->timer, conn->run_ms);
 }
 
+static enum mode mode_parse(const char *name, enum mode fallback)
+{
+	for (int i = 0; name && modes[i]; i++) {
+		if (strcmp(modes[i], name) == 0)
+			return (enum mode)i;
+	}
+	return fallback;
+}
+
 static void control_run(struct connection *conn)
 {
 	json_t *root = json_loads(strstr(conn->head, "\r\n\r\n") + 4, 0, NULL);
 	const char *mode = json_string_value(json_object_get(root, "mode"));
 
-	for (int i = 0; mode && modes[i]; i++) {
-		if (strcmp(modes[i], mode) == 0)
-			conn->backend->mode = (enum mode)i;
-	}
+	conn->backend->mode = mode_parse(mode, conn->backend->mode);
 	json_decref(root);
 	answer_append(conn, 200, "control", "", 0);
 	out_send(conn);
@@ -233,14 +262,17 @@
 static void request_run(struct connection *conn)
 {
 	struct backend *backend = conn->backend;
+	g_autofree char *mode = header_value(conn->head, HEADER_MODE);
+
+	conn->mode = mode_parse(mode, backend->mode);
 
 	conn->id = header_value(conn->head, HEADER_REQUEST_ID);
 	if (!conn->id)
 		conn->id = g_strdup("");
 	conn->run_ms = header_number(conn->head, HEADER_RUN_MS);
-	if (backend->mode == MODE_RESET) {
+	if (conn->mode == MODE_RESET) {
 		connection_close(conn);
-	} else if (backend->mode == MODE_FAIL) {
+	} else if (conn->mode == MODE_FAIL) {
 		answer_append(conn, 500, conn->id, "failed", 6);
 		out_send(conn);
 	} else if (backend->running < backend->slots) {
