Prove answers and at-most-once under broken connections

answer_own: 10,000 requests through three entries with late, doubled, cut and crossed answers and callers that leave; once_cut: cuts before and after the first byte, within head and body, silence, an entry killed in mid-run, the same idempotency key through all entries. Ruled out: an error of the entry when a caller reuses an HTTP/2 connection; libcurl 7.88.1 fails there while raw frames on streams 1 to 9 of one connection are answered, so the runner opens one connection for each.

--- a/tests/runner.c
+++ b/tests/runner.c
@@ -306,7 +306,8 @@
 	lua_pop(lua, 1);
 }
 
-/* http_start{url=, method=, headers=, body=, timeout_ms=, h2=} -> id */
+/* http_start{url=, method=, headers=, body=, timeout_ms=, h2=, nobody=} -> id
+ */
 static int verb_http_start(lua_State *lua)
 {
 	struct runner *runner = runner_of(lua);
@@ -328,6 +329,11 @@
 	curl_easy_setopt(exchange->easy, CURLOPT_HTTP_VERSION,
 			 http2 ? (long)CURL_HTTP_VERSION_2_PRIOR_KNOWLEDGE
 			       : (long)CURL_HTTP_VERSION_1_1);
+	/* libcurl 7.88.1 fails to use such a connection a second time. */
+	curl_easy_setopt(exchange->easy, CURLOPT_FRESH_CONNECT,
+			 http2 ? 1L : 0L);
+	curl_easy_setopt(exchange->easy, CURLOPT_NOBODY,
+			 (long)table_integer(lua, "nobody", 0));
 	curl_easy_setopt(exchange->easy, CURLOPT_WRITEFUNCTION, on_answer_body);
 	curl_easy_setopt(exchange->easy, CURLOPT_WRITEDATA, exchange);
 	curl_easy_setopt(exchange->easy, CURLOPT_HEADERFUNCTION,
--- /dev/null
+++ b/tests/scenarios/answer_own.lua
@@ -0,0 +1,80 @@
+-- 10,000 requests with unique bodies through three entries, while backend
+-- servers answer late, twice, cut short and with another request's answer,
+-- and callers leave in mid-request: each answer that says "ran" is compared
+-- byte for byte with what its own request asked for.
+local fleet = require("fleet")
+math.randomseed(SEED)
+
+local TOTAL, WINDOW = 10000, 48
+local f = fleet.new{backends = {
+  {name = "vm-a", zone = "z1", rack = "r1"}, {name = "vm-b", zone = "z2", rack = "r2"},
+  {name = "vm-c", zone = "z3", rack = "r3"}, {name = "vm-d", zone = "z1", rack = "r4"},
+  {name = "vm-e", zone = "z2", rack = "r5"},
+}}
+local entries = {f:add_entry("entry-1"), f:add_entry("entry-2"), f:add_entry("entry-3")}
+f:publish(1, {{name = "draws", vms = {"vm-a", "vm-b", "vm-c", "vm-d", "vm-e"}, queue = 1000}},
+          {{path = "/draws", pool = "draws", deadline_ms = 10000}})
+f:must_ctl("roll", 1)
+for _, entry in ipairs(entries) do f:wait_serving(entry) end
+
+local faults = {"crossed", "twice", "cut-body", "cut-head", "cut-early"}
+local open, open_count, started, outcomes = {}, 0, 0, {}
+
+local function start()
+  started = started + 1
+  local method = started % 3 == 0 and "PUT" or "POST"
+  local body = started .. ":" .. string.rep(string.char(97 + started % 26), math.random(0, 2000))
+  local headers = {["x-test-id"] = "t" .. started, ["x-run-ms"] = tostring(math.random(0, 3))}
+  if math.random(25) == 1 then headers["x-mode"] = faults[math.random(#faults)] end
+  if math.random(200) == 1 then headers["x-run-ms"] = "400" end
+  local request = {method = method, url = fleet.url(entries[math.random(3)].port, "/draws"),
+                   headers = headers, body = body, timeout_ms = 20000,
+                   h2 = started % 4 == 0 and 1 or 0}
+  local id = http_start(request)
+  open[id], open_count = request, open_count + 1
+  if math.random(50) == 1 then
+    poll(1)
+    http_drop(id)
+    open[id], open_count = nil, open_count - 1
+  end
+end
+
+local function judge(request, answer)
+  local run, reason = fleet.outcome(answer)
+  outcomes[reason or "none"] = (outcomes[reason or "none"] or 0) + 1
+  assert(not answer.error, "an entry broke a connection: " .. tostring(answer.error))
+  assert(answer.status ~= 200 or run == "ran", "an answer without its outcome")
+  if run == "ran" then
+    assert(answer.status == 200 and answer.body == request.body,
+           request.headers["x-test-id"] .. " got another answer, or a part of its own")
+  end
+end
+
+fleet.wait_until("all requests have ended", 100000, function()
+  while started < TOTAL and open_count < WINDOW do start() end
+  for id, request in pairs(open) do
+    local answer = http_result(id)
+    if answer then
+      open[id], open_count = nil, open_count - 1
+      judge(request, answer)
+    end
+  end
+  return started == TOTAL and open_count == 0
+end)
+assert((outcomes.answered or 0) > TOTAL * 0.8, "most requests are answered")
+assert(outcomes.cut and outcomes.mismatch, "faults were seen by callers")
+
+-- Statuses and methods without a body, and what must not be passed on.
+local function ask(method, status)
+  return fleet.http{method = method, url = fleet.url(entries[1].port, "/draws"), body = "abc",
+                    headers = {["x-status"] = tostring(status)}, timeout_ms = 5000}
+end
+for _, status in ipairs{204, 304, 500, 503, 404} do
+  local answer = ask("PUT", status)
+  assert(answer.status == status and not answer.error, "status " .. status .. " is passed on")
+  local run, reason = fleet.outcome(answer)
+  assert(run == "ran" and reason == "answered", "a backend server's own error is its answer")
+  assert(answer.body == (status < 400 and "" or "abc"), "body of status " .. status)
+end
+local head = fleet.http{method = "HEAD", url = fleet.url(entries[1].port, "/draws"), nobody = 1}
+assert(head.status == 200 and head.body == "", "HEAD has no body")
--- /dev/null
+++ b/tests/scenarios/once_cut.lua
@@ -0,0 +1,129 @@
+-- Requests that are not idempotent run at most once, whatever breaks, and
+-- their callers are told the truth: connections cut before the first byte,
+-- after it, within head and body, answers of others, silence, a dead server,
+-- an entry killed with requests in progress, retries with the same key.
+local fleet = require("fleet")
+math.randomseed(SEED)
+
+local f = fleet.new{backends = {
+  {name = "vm-a", zone = "z1", rack = "r1"}, {name = "vm-b", zone = "z2", rack = "r2"},
+  {name = "vm-c", zone = "z3", rack = "r3"}, {name = "vm-d", zone = "z1", rack = "r4"},
+  {name = "vm-e", zone = "z2", rack = "r5"}, {name = "vm-f", zone = "z3", rack = "r6"},
+}}
+local entries = {f:add_entry("entry-1"), f:add_entry("entry-2"), f:add_entry("entry-3")}
+f:publish(1, {{name = "draws", vms = {"vm-a", "vm-b", "vm-c", "vm-d"}},
+              {name = "rosters", vms = {"vm-e", "vm-f"}}},
+          {{path = "/draws", pool = "draws", idempotent = "no", deadline_ms = 3000},
+           {path = "/rosters", pool = "rosters", idempotent = "yes", deadline_ms = 3000}})
+f:must_ctl("roll", 1)
+for _, entry in ipairs(entries) do f:wait_serving(entry) end
+
+local sent, answers, count = {}, {}, 0
+local function request(entry, path, headers)
+  count = count + 1
+  local id = "t" .. count
+  local all = {["x-test-id"] = id}
+  for name, value in pairs(headers or {}) do all[name] = value end
+  sent[id] = {method = "POST", url = fleet.url(entry.port, path), headers = all,
+              body = string.rep(id .. ";", 50), timeout_ms = 15000}
+  return id
+end
+
+local function finish(ids)
+  local batch = {}
+  for _, id in ipairs(ids) do batch[id] = sent[id] end
+  for id, answer in pairs(fleet.http_all(batch)) do answers[id] = answer end
+end
+
+-- 1. Faults of every kind at random, one server dead.
+local modes = {"ok", "ok", "ok", "ok", "reset", "cut-early", "cut-head", "cut-body", "crossed",
+               "twice", "fail", "silent"}
+signal(f.backends["vm-d"].pid, "KILL")
+for _ = 1, 12 do
+  local ids = {}
+  for _ = 1, 20 do
+    table.insert(ids, request(entries[math.random(3)], "/draws",
+                              {["x-mode"] = modes[math.random(#modes)],
+                               ["x-run-ms"] = tostring(math.random(0, 30)),
+                               ["sassafrascart-deadline-ms"] = "1500"}))
+  end
+  finish(ids)
+end
+
+-- 2. An attempt that may have run, then servers that cannot be reached: the
+-- second failure must not turn the whole into "not run".
+local dead = f.backends["vm-f"].pid
+signal(dead, "KILL")
+fleet.wait_until("vm-f has ended", 5000, function() return exited(dead) end)
+for _ = 1, 6 do finish{request(entries[1], "/rosters", {["x-mode"] = "cut-early"})} end
+
+-- 3. The same key at the same time through all entries, again afterwards, and
+-- after the entry that sent it was killed in mid-run.
+local at_once, keyed = {}, {}
+for index = 1, 20 do
+  keyed[index] = {}
+  for _, entry in ipairs(entries) do
+    local id = request(entry, "/draws", {["idempotency-key"] = "key-" .. index,
+                                         ["x-run-ms"] = "20"})
+    table.insert(at_once, id)
+    table.insert(keyed[index], id)
+  end
+end
+finish(at_once)
+for index = 1, 20 do
+  local id = request(entries[math.random(3)], "/draws", {["idempotency-key"] = "key-" .. index})
+  table.insert(keyed[index], id)
+  finish{id}
+  local _, reason = fleet.outcome(answers[id])
+  assert(answers[id].status == 409 and reason == "duplicate-key", "a repeated key is refused")
+end
+
+local killed, in_progress = {}, {}
+for index = 21, 26 do
+  keyed[index] = {request(entries[1], "/draws", {["idempotency-key"] = "key-" .. index,
+                                                 ["x-run-ms"] = "1500"})}
+  killed[index] = keyed[index][1]
+  in_progress[index] = http_start(sent[killed[index]])
+end
+fleet.wait_until("they run", 5000, function()
+  local runs = f:runs_by_test_id()
+  for _, id in pairs(killed) do
+    if not runs[id] then return false end
+  end
+  return true
+end)
+signal(entries[1].pid, "KILL")
+for index, id in pairs(in_progress) do
+  fleet.wait_until("the caller hears of it", 5000, function()
+    answers[killed[index]] = http_result(id)
+    return answers[killed[index]]
+  end)
+  assert(answers[killed[index]].error, "a killed entry shows as a broken connection")
+  local again = request(entries[2], "/draws", {["idempotency-key"] = "key-" .. index})
+  table.insert(keyed[index], again)
+  finish{again}
+  assert(answers[again].status == 409, "another entry knows the key")
+end
+
+-- Judged by the run logs.
+local runs, kinds = f:runs_by_test_id(), {}
+for id, request_sent in pairs(sent) do
+  local ran = runs[id] or 0
+  local run, reason = fleet.outcome(answers[id])
+  if reason then kinds[reason] = (kinds[reason] or 0) + 1 end
+  if request_sent.url:find("/draws", 1, true) then
+    assert(ran <= 1, id .. " ran " .. ran .. " times")
+  end
+  if run == "not-run" then assert(ran == 0, id .. " ran, and was called " .. reason) end
+  if run == "ran" and answers[id].status == 200 then
+    assert(ran == 1 and answers[id].body == request_sent.body, id .. " has its own whole answer")
+  end
+end
+for index, ids in pairs(keyed) do
+  local total = 0
+  for _, id in ipairs(ids) do total = total + (runs[id] or 0) end
+  assert(total == 1, "key-" .. index .. " ran " .. total .. " times")
+end
+for _, kind in ipairs{"answered", "cut", "mismatch", "timeout", "duplicate-key"} do
+  assert(kinds[kind], "no request ended as " .. kind)
+end
