--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -112,6 +112,7 @@
 		h2o_add_header(&req->pool, &req->res.headers,
 			       H2O_TOKEN_CONTENT_TYPE, NULL,
 			       H2O_STRLIT("text/plain; charset=utf-8"));
+		req->res.content_length = body->len;
 		h2o_send_inline(req, body->str, body->len);
 	}
 	g_string_free(body, TRUE);
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -5,6 +5,7 @@
  * Works on raw connections, so that it can answer late, twice, cut short or
  * with another request's answer. Each request that it runs is written to
  * the run log before the answer. Pages: POST /control sets behaviour,
+ * Connections are kept open unless the request asks to close them.
  * GET /stats tells the greatest number of requests that ran at once.
  */
 #include <inttypes.h>
@@ -23,6 +24,9 @@
 /* Behaviour and status of one request, before those of the server. */
 #define HEADER_MODE "\r\nx-mode:"
 #define HEADER_STATUS "\r\nx-status:"
+#define HEADER_CLOSE "\r\nconnection: close"
+/* Time between an answer and its second copy. */
+#define LATE_MS 3
 
 /** What is done with a request; set by POST /control {"mode": ...}. */
 static const char *const modes[] = { "ok",	  "fail",     "silent",
@@ -40,7 +44,7 @@
 	MODE_CUT_HEAD,
 	/** runs, closes within the answer's body */
 	MODE_CUT_BODY,
-	/** runs, sends the answer twice */
+	/** runs, sends the answer twice, the second time some time later */
 	MODE_TWICE,
 	/** runs, answers with another request's identity and body */
 	MODE_CROSSED,
@@ -75,6 +79,14 @@
 	char *head;
 	char *id;
 	GString *out;
+	/** kept open after the answer */
+	bool keep;
+	bool writing;
+	/** the answer waits for the end of another write */
+	bool deferred;
+	/** a second answer that is still to come */
+	GString *late;
+	struct tmr_entry late_timer;
 };
 
 static void connection_start(struct connection *conn);
@@ -98,26 +110,82 @@
 	bool running = conn->running;
 
 	tmr_cancel(&conn->timer);
+	tmr_cancel(&conn->late_timer);
 	if (conn->queued)
 		g_queue_remove(&backend->waiting, conn);
 	h2o_socket_close(conn->sock);
 	g_free(conn->head);
 	g_free(conn->id);
 	g_string_free(conn->out, TRUE);
+	g_string_free(conn->late, TRUE);
 	g_free(conn);
 	if (running)
 		slot_free(backend);
 }
 
+static void out_send(struct connection *conn);
+
+static void on_late_written(h2o_socket_t *sock, const char *err)
+{
+	struct connection *conn = sock->data;
+
+	conn->writing = false;
+	g_string_truncate(conn->late, 0);
+	if (err)
+		connection_close(conn);
+	else if (conn->deferred)
+		out_send(conn);
+}
+
+static void on_late(void *data)
+{
+	struct connection *conn = data;
+	h2o_iovec_t vec = h2o_iovec_init(conn->late->str, conn->late->len);
+
+	if (conn->writing) {
+		evl_timer_set(conn->backend->loop, &conn->late_timer, 1);
+		return;
+	}
+	conn->writing = true;
+	h2o_socket_write(conn->sock, &vec, 1, on_late_written);
+}
+
+/* Makes a kept connection ready for the next request. */
+static void connection_reset(struct connection *conn)
+{
+	if (conn->mode == MODE_TWICE) {
+		g_string_assign(conn->late, conn->out->str);
+		evl_timer_set(conn->backend->loop, &conn->late_timer, LATE_MS);
+	}
+	g_clear_pointer(&conn->head, g_free);
+	g_clear_pointer(&conn->id, g_free);
+	g_string_truncate(conn->out, 0);
+	h2o_socket_read_start(conn->sock, on_read);
+	if (conn->running) {
+		conn->running = false;
+		slot_free(conn->backend);
+	}
+}
+
 static void on_written(h2o_socket_t *sock, const char *err)
 {
-	connection_close(sock->data);
+	struct connection *conn = sock->data;
+
+	conn->writing = false;
+	if (err || !conn->keep)
+		connection_close(conn);
+	else
+		connection_reset(conn);
 }
 
 static void out_send(struct connection *conn)
 {
 	h2o_iovec_t vec = h2o_iovec_init(conn->out->str, conn->out->len);
 
+	conn->deferred = conn->writing;
+	if (conn->deferred)
+		return;
+	conn->writing = true;
 	h2o_socket_read_stop(conn->sock);
 	h2o_socket_write(conn->sock, &vec, 1, on_written);
 }
@@ -133,8 +201,10 @@
 				       body_len);
 	g_string_append_printf(conn->out,
 			       "sassafrascart-outcome: not-run\r\n"
-			       "x-request-id: %s\r\nx-backend: %s\r\n%s\r\n",
-			       id, conn->backend->name,
+			       "%sx-request-id: %s\r\n"
+			       "x-backend: %s\r\n%s\r\n",
+			       conn->keep ? "" : "connection: close\r\n", id,
+			       conn->backend->name,
 			       conn->mode == MODE_LEAVING
 				       ? "sassafrascart-leaving: 1\r\n"
 				       : "");
@@ -185,7 +255,7 @@
 		answer_append(conn, 200, "another-request", "another body", 12);
 	else
 		answer_append(conn, status, conn->id, body, len);
-	if (conn->mode == MODE_TWICE)
+	if (conn->mode == MODE_TWICE && !conn->keep)
 		answer_append(conn, status, conn->id, body, len);
 	if (conn->mode == MODE_CUT_HEAD)
 		g_string_truncate(conn->out, 20);
@@ -265,6 +335,9 @@
 	g_autofree char *mode = header_value(conn->head, HEADER_MODE);
 
 	conn->mode = mode_parse(mode, backend->mode);
+	conn->keep = conn->mode != MODE_CUT_HEAD &&
+		     conn->mode != MODE_CUT_BODY &&
+		     !strcasestr(conn->head, HEADER_CLOSE);
 
 	conn->id = header_value(conn->head, HEADER_REQUEST_ID);
 	if (!conn->id)
@@ -324,6 +397,9 @@
 		conn->backend = listener->data;
 		conn->sock = sock;
 		conn->out = g_string_new(NULL);
+		conn->late = g_string_new(NULL);
+		conn->late_timer.cb = on_late;
+		conn->late_timer.data = conn;
 		conn->timer.cb = on_run_end;
 		conn->timer.data = conn;
 		sock->data = conn;
