--- a/bin/sassafrascartd/gat.h
+++ b/bin/sassafrascartd/gat.h
@@ -14,6 +14,7 @@
 #include "lvg.h"
 #include "plc.h"
 #include "plt.h"
+#include "slt.h"
 
 /** The gateway, opaque. */
 struct gat_gateway;
@@ -36,6 +37,11 @@
 	uint32_t (*processes)(void *data);
 	/** a VM is leaving that peers have not been told of */
 	void (*on_leaving)(void *data);
+	/** send slot messages to the process whose identity has a key */
+	void (*slot_report)(void *data, uint64_t to,
+			    const struct slt_report *report);
+	void (*slot_grant)(void *data, uint64_t to,
+			   const struct slt_grant *grant);
 	void *data;
 };
 
@@ -64,6 +70,22 @@
 uint32_t gat_gateway_notices(struct gat_gateway *gateway,
 			     struct lvg_notice *out, uint32_t max);
 
+/**
+ * @brief Replaces the processes that share the slots of backend servers.
+ * @param members keys of those that may own pools
+ * @param everyone keys of all that may hold slots
+ */
+void gat_gateway_members(struct gat_gateway *gateway, const GArray *members,
+			 const GArray *everyone);
+
+/** @brief Takes a slot report of another process. */
+void gat_gateway_slot_report(struct gat_gateway *gateway,
+			     const struct slt_report *report);
+
+/** @brief Takes a slot grant of another process. */
+void gat_gateway_slot_grant(struct gat_gateway *gateway,
+			    const struct slt_grant *grant);
+
 /** @brief Refuses new requests from now on; those in progress go on. */
 void gat_gateway_shut_down(struct gat_gateway *gateway);
 
--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -40,8 +40,10 @@
 		return;
 	/* A datagram that cannot be sent is as good as lost. */
 	if (sendto(h2o_socket_get_fd(node->sock), buffer, len, MSG_DONTWAIT,
-		   (struct sockaddr *)&to, sizeof(to)) > 0)
+		   (struct sockaddr *)&to, sizeof(to)) > 0) {
 		node->counts.sent++;
+		node->counts.bytes_sent += len;
+	}
 }
 
 uint32_t per_call(struct per_node *node, struct pwr_message *message,
@@ -90,16 +92,25 @@
 		return NULL;
 	peer = g_new0(struct per_peer, 1);
 	peer->last.from = *member;
+	peer->key = slt_key(member->id);
 	g_hash_table_insert(node->peers, peer->last.from.id, peer);
 	g_ptr_array_add(node->order, peer);
 	return peer;
 }
 
+/* The operator's tool serves no callers: it is heard but not counted. */
+static bool is_operator_tool(const struct mem_member *member)
+{
+	return member->http_port == 0;
+}
+
 static void heartbeat_take(struct per_node *node,
 			   const struct per_heartbeat *heartbeat,
 			   uint64_t asked_ms)
 {
-	struct per_peer *peer = peer_get(node, &heartbeat->from);
+	struct per_peer *peer = is_operator_tool(&heartbeat->from)
+					? &node->operator_tool
+					: peer_get(node, &heartbeat->from);
 
 	if (!peer)
 		return;
@@ -156,6 +167,10 @@
 	case PWR_FETCH_CALL:
 		per_fetch_answer(node, message, ip, port);
 		break;
+	case PWR_SLOT_REPORT:
+	case PWR_SLOT_GRANT:
+		per_slots_take(node, message);
+		break;
 	case PWR_HEARTBEAT_REPLY:
 	case PWR_FETCH_REPLY:
 		reply_take(node, message);
@@ -176,12 +191,18 @@
 	if (len < 0)
 		return false;
 	node->counts.received++;
+	node->counts.bytes_received += (uint64_t)len;
 	if (pwr_decode(buffer, (size_t)len, reply_procedure, node, &message) !=
 	    ERR_NONE) {
 		node->counts.dropped++;
 		return true;
 	}
 	inet_ntop(AF_INET, &from.sin_addr, ip, sizeof(ip));
+	/* The tool learns its settings' addresses only from this side. */
+	if (message.kind == PWR_HEARTBEAT_CALL &&
+	    is_operator_tool(&message.heartbeat.from))
+		g_strlcpy(message.heartbeat.from.ip, ip,
+			  sizeof(message.heartbeat.from.ip));
 	message_take(node, &message, ip, ntohs(from.sin_port));
 	return true;
 }
