Prove that a leaving or failing backend server gets no work

leaving_signals: the platform's list alone, the backend server's word heard by one entry alone, the placement alone, the list lagging 30 s for the last two; 2 s after each no entry sends more. answer_eject: a server that fails at once, one that stays silent, requests that break every server. The manager is frozen in leaving_signals so that the scenario alone writes the placement; the platform stand-in writes a key for the judge.

--- a/tests/scenarios/leaving_signals.lua
+++ b/tests/scenarios/leaving_signals.lua
@@ -7,14 +7,23 @@
   {name = "vm-a", zone = "z1", rack = "r1"}, {name = "vm-b", zone = "z2", rack = "r2"},
   {name = "vm-c", zone = "z3", rack = "r3"}, {name = "vm-d", zone = "z1", rack = "r4"},
   {name = "vm-e", zone = "z2", rack = "r5"},
-}}
-local entries = {f:add_entry("entry-1"), f:add_entry("entry-2"), f:add_entry("entry-3")}
+}, flags = {"--lease-ttl-s", "60"}}
+local entries = {}
+for index = 1, 4 do entries[index] = f:add_entry("entry-" .. index) end
 local all = {"vm-a", "vm-b", "vm-c", "vm-d", "vm-e"}
 local routes = {{path = "/draws", pool = "draws"}}
 f:publish(1, {{name = "draws", vms = all}}, routes)
 f:must_ctl("roll", 1)
 for _, entry in ipairs(entries) do f:wait_serving(entry) end
 
+-- The manager is frozen, so that this scenario alone writes the placement.
+local manager = fleet.wait_until("one is manager", 5000, function()
+  for index, entry in ipairs(entries) do
+    if f:status(entry).manager then return index end
+  end
+end)
+signal(table.remove(entries, manager).pid, "STOP")
+
 local count, open = 0, {}
 -- Keeps all entries busy for a time; every answer must be a whole one.
 local function load_for(ms, headers)
@@ -64,12 +73,34 @@
 f.control(f.platform_port, '{"list_lag_ms": 30000}')
 -- 2. The backend server's own word alone, heard by one entry.
 f.control(f.backends["vm-b"].port, '{"mode": "leaving"}')
-expect_no_new_work("vm-b", "its own word")
+fleet.wait_until("one entry hears vm-b's word", 5000, function()
+  local batch = {}
+  for i = 1, 32 do
+    batch[i] = {method = "POST", url = fleet.url(entries[1].port, "/draws"), body = "x",
+                headers = {["x-run-ms"] = "50"}}
+  end
+  for _, answer in pairs(fleet.http_all(batch)) do
+    if answer.headers["x-backend"] == "vm-b" then return true end
+  end
+end)
 f.control(f.backends["vm-b"].port, '{"mode": "ok"}')
+expect_no_new_work("vm-b", "its own word")
 
--- 3. The placement alone: the next bundle no longer gives vm-c to the pool.
-f:publish(2, {{name = "draws", vms = {"vm-a", "vm-b", "vm-d", "vm-e"}}}, routes)
-f:must_ctl("roll", 2)
+-- 3. The placement alone: its row for vm-c says draining.
+local text
+for _, write in ipairs(f.get_json(f.platform_port, "/history")) do
+  if write.key == "/sassafrascart/placement" then text = write.value end
+end
+local number = math.tointeger(json(text).number) + 1
+local drained = text:gsub('"number":%d+', '"number":' .. number)
+                    :gsub('("vm%-c","draws",)"serving"(.-),%d+%]', '%1"draining"%2,' .. number .. "]")
+assert(drained:find('"vm-c","draws","draining"', 1, true), "a row that drains: " .. drained)
+local function store(key, value)
+  f.control(f.platform_port, string.format('{"key": "/sassafrascart/%s", "value": "%s"}', key,
+                                           value:gsub('"', '\\"')))
+end
+store("placement", drained)
+store("pulse/placement", '{"number":' .. number .. "}")
 expect_no_new_work("vm-c", "the placement")
 
 -- The others still serve, and the first two have not come back by a list that
--- a/tests/standin/kvs.c
+++ b/tests/standin/kvs.c
@@ -155,20 +155,33 @@
 	       (entry ? entry->mod_revision : 0);
 }
 
-static void put(struct kvs_store *store, const json_t *request)
+/* Takes over key and value. */
+static void entry_write(struct kvs_store *store, char *key, char *value,
+			int64_t lease)
 {
-	char *key = bytes_of(request, "key");
 	const struct entry *old = g_tree_lookup(store->entries, key);
 	struct entry *entry = g_new0(struct entry, 1);
 
-	entry->value = bytes_of(request, "value");
+	entry->value = value;
 	entry->mod_revision = store->revision;
 	entry->create_revision = old ? old->create_revision : store->revision;
-	entry->lease = int64_of(request, "lease");
+	entry->lease = lease;
 	history_add(store, key, entry->value);
 	g_tree_replace(store->entries, key, entry);
 }
 
+static void put(struct kvs_store *store, const json_t *request)
+{
+	entry_write(store, bytes_of(request, "key"), bytes_of(request, "value"),
+		    int64_of(request, "lease"));
+}
+
+void kvs_write(struct kvs_store *store, const char *key, const char *value)
+{
+	store->revision++;
+	entry_write(store, g_strdup(key), g_strdup(value), 0);
+}
+
 static json_t *op_run(struct kvs_store *store, const json_t *op)
 {
 	const json_t *request = json_object_get(op, "request_put");
--- a/tests/standin/kvs.h
+++ b/tests/standin/kvs.h
@@ -29,6 +29,9 @@
 json_t *kvs_lease(struct kvs_store *store, const char *op,
 		  const json_t *request, uint64_t now_ms);
 
+/** @brief Writes a key outside of any transaction, for the judges. */
+void kvs_write(struct kvs_store *store, const char *key, const char *value);
+
 /** @brief Returns every write made, oldest first, for the judges. */
 json_t *kvs_history(const struct kvs_store *store);
 
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -236,7 +236,7 @@
 
 /* {"mode": ok|down|refuse|lose, "delay_ms": N, "list_lag_ms": N,
  *  "vm": NAME, "state": live|leaving|down,
- *  "fault_key": KEY, "fault": lose|down} */
+ *  "fault_key": KEY, "fault": lose|down, "key": KEY, "value": TEXT} */
 static void control_run(struct platform *platform, const json_t *body)
 {
 	const char *mode = json_string_value(json_object_get(body, "mode"));
@@ -244,6 +244,8 @@
 	const json_t *lag = json_object_get(body, "list_lag_ms");
 	const char *vm = json_string_value(json_object_get(body, "vm"));
 	const char *state = json_string_value(json_object_get(body, "state"));
+	const char *key = json_string_value(json_object_get(body, "key"));
+	const char *value = json_string_value(json_object_get(body, "value"));
 
 	if (mode)
 		platform->mode = mode_parse(mode);
@@ -257,6 +259,8 @@
 			  json_string_value(json_object_get(body, "fault")));
 	if (vm && state)
 		vm_set(platform, vm, state);
+	if (key && value)
+		kvs_write(platform->store, key, value);
 }
 
 /* Pages of the judges; they answer whatever the mode is. */
