Decide retries in core; check its rules and the callers' page by tests

Cause: the decision on a retry stood in the gateway, where no property test reached it; callers had no page.

--- a/bin/sassafrascartd/gat_claim.c
+++ b/bin/sassafrascartd/gat_claim.c
@@ -5,7 +5,7 @@
 
 bool gat_claim_is_needed(const struct gat_work *work)
 {
-	return !work->idempotent &&
+	return !work->retry.idempotent &&
 	       clr_request_header(work->request, CLR_HEADER_IDEMPOTENCY_KEY);
 }
 
@@ -39,7 +39,7 @@
 {
 	if (!work->claim)
 		return;
-	if (work->may_have_run)
+	if (work->sent_outcome != OUT_KIND_COUNT)
 		clm_keep(work->claim);
 	else
 		clm_release(work->claim);
--- a/bin/sassafrascartd/gat_private.h
+++ b/bin/sassafrascartd/gat_private.h
@@ -68,22 +68,18 @@
 	struct gat_pool *pool;
 	struct adm_item item;
 	struct tmr_entry deadline_timer;
-	bool idempotent;
+	struct ret_request retry;
 	/** route's path, for the claim of an idempotency key */
 	char *route;
 	/** claim of the idempotency key, or NULL */
 	struct clm_claim *claim;
-	/** an attempt was sent, so the request may have run */
-	bool may_have_run;
-	/** attempts that were sent and brought no answer */
-	uint32_t sent_failures;
-	/** outcome of the last attempt that was sent */
+	/** outcome of the last attempt that was sent, so that the request may
+	 *  have run; OUT_KIND_COUNT if none was */
 	enum out_kind sent_outcome;
 	/** VM of the last failed attempt, not to be tried again at once */
 	char *failed_vm;
 	char request_id[GAT_REQUEST_ID_BYTES];
 	struct att_attempt *attempt;
-	uint32_t attempt_count;
 	uint64_t attempt_began_ms;
 	char *vm_name;
 };
--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -2,11 +2,8 @@
 
 #include "gat_private.h"
 
-#define GAT_ATTEMPTS_MAX 3
 /* Bound on the time to connect; the deadline binds as well. */
 #define GAT_CONNECT_TIMEOUT_MS 500
-/* Different VMs on which a request may fail before it is to blame itself. */
-#define GAT_POISON_VMS 2
 #define GAT_OWN_HEADER_PREFIX "sassafrascart-"
 
 static void work_free(struct gat_work *work)
@@ -26,17 +23,9 @@
 		work->pool->queue, gat_pool_slots(work->gateway, work->pool));
 }
 
-static enum out_kind truthful(const struct gat_work *work,
-			      enum out_kind outcome)
-{
-	if (!work->may_have_run || out_row(outcome)->run != OUT_RUN_NO)
-		return outcome;
-	return outcome == OUT_CANCELLED ? OUT_CALLER_GONE : work->sent_outcome;
-}
-
 void gat_work_refuse(struct gat_work *work, enum out_kind outcome)
 {
-	outcome = truthful(work, outcome);
+	outcome = out_truthful(outcome, work->sent_outcome);
 	ctr_add_outcome(work->gateway->config.counters, outcome);
 	if (work->request)
 		clr_request_refuse(work->request, outcome, retry_after_s(work));
@@ -113,37 +102,49 @@
 	}
 }
 
-/* A request that fails wherever it runs says nothing of the servers. */
-static bool request_is_poison(struct gat_work *work, enum att_result result)
+static enum ret_failure failure_of(enum att_result result)
 {
 	if (result == ATT_NOT_SENT)
-		return false;
-	work->sent_failures++;
-	return work->sent_failures >= GAT_POISON_VMS;
+		return RET_FAILURE_NOT_SENT;
+	return result == ATT_TOO_LARGE || result == ATT_TIMEOUT
+		       ? RET_FAILURE_FINAL
+		       : RET_FAILURE_SENT;
 }
 
-static bool retry_is_allowed(struct gat_work *work, enum att_result result)
+static void verdict_count(struct ctr_set *counters, enum ret_verdict verdict,
+			  enum att_result result)
 {
-	struct ctr_set *counters = work->gateway->config.counters;
-
-	if (result == ATT_TOO_LARGE || result == ATT_TIMEOUT ||
-	    (work->may_have_run && !work->idempotent) || !work->request ||
-	    evl_now_ms() >= work->item.deadline_ms)
-		return false;
-	if (work->attempt_count >= GAT_ATTEMPTS_MAX) {
+	switch (verdict) {
+	case RET_RETRY:
+		ctr_add(counters, result == ATT_NOT_SENT
+					  ? CTR_RETRY_NOT_SENT
+					  : CTR_RETRY_IDEMPOTENT);
+		break;
+	case RET_DENIED:
+		break;
+	case RET_DENIED_LIMIT:
 		ctr_add(counters, CTR_RETRY_DENIED_LIMIT);
-		return false;
-	}
-	if (!ret_budget_take(&work->pool->budget)) {
+		break;
+	case RET_DENIED_BUDGET:
 		ctr_add(counters, CTR_RETRY_DENIED_BUDGET);
-		return false;
+		break;
+	case RET_DENIED_POISON:
+		ctr_add(counters, CTR_RETRY_DENIED_POISON);
+		break;
 	}
+}
+
+/* Puts a request that may be retried back into the queue. */
+static bool work_requeue(struct gat_work *work)
+{
+	struct gat_gateway *gateway = work->gateway;
+
 	if (adm_queue_return(work->pool->queue, &work->item) != OUT_ANSWERED) {
-		ctr_add(counters, CTR_RETRY_DENIED_QUEUE);
+		ctr_add(gateway->config.counters, CTR_RETRY_DENIED_QUEUE);
 		return false;
 	}
-	ctr_add(counters, result == ATT_NOT_SENT ? CTR_RETRY_NOT_SENT
-						 : CTR_RETRY_IDEMPOTENT);
+	tmr_set(evl_loop_timers(gateway->config.loop), &work->deadline_timer,
+		work->item.deadline_ms);
 	return true;
 }
 
@@ -152,24 +153,25 @@
 		      const char *vm_name)
 {
 	struct gat_gateway *gateway = work->gateway;
+	/* Nobody is left to read the answer to another attempt. */
+	enum ret_failure failure =
+		work->request ? failure_of(result) : RET_FAILURE_FINAL;
+	enum ret_verdict verdict = ret_decide(&work->retry, &work->pool->budget,
+					      failure, evl_now_ms());
 
 	ctr_add(gateway->config.counters, failure_counter(result));
-	if (request_is_poison(work, result)) {
-		ctr_add(gateway->config.counters, CTR_RETRY_DENIED_POISON);
+	verdict_count(gateway->config.counters, verdict, result);
+	if (verdict == RET_DENIED_POISON) {
 		gat_health_pardon(gateway, vm_name);
 		if (work->failed_vm)
 			gat_health_pardon(gateway, work->failed_vm);
-		gat_work_refuse(work, outcome_of(result));
-		return;
 	}
-	if (!retry_is_allowed(work, result)) {
+	if (verdict != RET_RETRY || !work_requeue(work)) {
 		gat_work_refuse(work, outcome_of(result));
 		return;
 	}
 	g_free(work->failed_vm);
 	work->failed_vm = g_strdup(vm_name);
-	tmr_set(evl_loop_timers(gateway->config.loop), &work->deadline_timer,
-		work->item.deadline_ms);
 }
 
 uint32_t gat_work_avoid(const struct gat_work *work)
@@ -204,10 +206,8 @@
 		gat_leaving_signal(gateway, vm_name);
 	gat_slot_release(work);
 	gat_health_record(work, result, answer, vm_name);
-	if (result != ATT_NOT_SENT) {
-		work->may_have_run = true;
+	if (result != ATT_NOT_SENT)
 		work->sent_outcome = outcome_of(result);
-	}
 	if (result == ATT_ANSWERED)
 		work_answer(work, answer);
 	else
@@ -259,9 +259,9 @@
 	};
 
 	tmr_cancel(&work->deadline_timer);
-	if (work->attempt_count == 0)
+	if (work->retry.attempts == 0)
 		ret_budget_first(&work->pool->budget);
-	work->attempt_count++;
+	work->retry.attempts++;
 	work->attempt_began_ms = now_ms;
 	gat_slot_take(work, vm);
 	ctr_add(gateway->config.counters, CTR_ATTEMPTS);
@@ -322,10 +322,12 @@
 	work->gateway = gateway;
 	work->request = request;
 	work->pool = pool_of_route(gateway, route);
-	work->idempotent = route_is_idempotent(route, view->method);
+	work->sent_outcome = OUT_KIND_COUNT;
+	work->retry.idempotent = route_is_idempotent(route, view->method);
 	work->route = g_strdup(route->path);
 	work->item.bytes = view->body_bytes;
 	work->item.deadline_ms = evl_now_ms() + deadline_ms;
+	work->retry.deadline_ms = work->item.deadline_ms;
 	work->deadline_timer.cb = on_queue_deadline;
 	work->deadline_timer.data = work;
 	g_snprintf(work->request_id, sizeof(work->request_id),
@@ -368,10 +370,9 @@
 		gat_work_refuse(work, OUT_CANCELLED);
 		return;
 	}
-	if (!work->attempt || !work->idempotent)
+	if (!work->attempt || !work->retry.idempotent)
 		return;
 	/* The attempt may have been sent already. */
-	work->may_have_run = true;
 	work->sent_outcome = OUT_CALLER_GONE;
 	att_cancel(work->attempt);
 	gat_slot_release(work);
--- a/packages/core/include/out.h
+++ b/packages/core/include/out.h
@@ -75,4 +75,12 @@
  */
 const char *out_run_name(enum out_run run);
 
+/**
+ * @brief Replaces an outcome that says not run by one that is true.
+ * @param outcome outcome of the last step of a request
+ * @param sent outcome of the last attempt that was sent, OUT_KIND_COUNT if
+ *        none was
+ */
+enum out_kind out_truthful(enum out_kind outcome, enum out_kind sent);
+
 #endif
--- a/packages/core/src/out.c
+++ b/packages/core/src/out.c
@@ -67,3 +67,10 @@
 	}
 	return "unknown";
 }
+
+enum out_kind out_truthful(enum out_kind outcome, enum out_kind sent)
+{
+	if (sent == OUT_KIND_COUNT || out_row(outcome)->run != OUT_RUN_NO)
+		return outcome;
+	return outcome == OUT_CANCELLED ? OUT_CALLER_GONE : sent;
+}
--- /dev/null
+++ b/packages/core/tests/test_out.c
@@ -0,0 +1,56 @@
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "out.h"
+
+START_TEST(what_was_sent_is_never_called_not_run)
+{
+	for (uint32_t last = 0; last < OUT_KIND_COUNT; last++) {
+		enum out_kind kind = out_truthful(last, OUT_CUT);
+
+		ck_assert_int_ne(out_row(kind)->run, OUT_RUN_NO);
+		ck_assert_int_eq(out_truthful(last, OUT_KIND_COUNT), last);
+	}
+}
+END_TEST
+
+/* docs/CALLERS.md has one row for each outcome: | name | status | run | */
+START_TEST(the_page_for_callers_lists_every_outcome)
+{
+	g_autofree char *page = NULL;
+
+	ck_assert(g_file_get_contents(SOURCE_DIR "/docs/CALLERS.md", &page,
+				      NULL, NULL));
+	for (uint32_t i = 0; i < OUT_KIND_COUNT; i++) {
+		const struct out_row *row = out_row(i);
+		g_autofree char *status =
+			row->status ? g_strdup_printf("%u", row->status)
+				    : g_strdup("the server's");
+		g_autofree char *line =
+			g_strdup_printf("\n| `%s` | %s | %s | %s |", row->name,
+					status, out_run_name(row->run),
+					row->retry_after ? "yes" : "no");
+
+		ck_assert_msg(strstr(page, line) != NULL, "no row: %s", line);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("out");
+	TCase *cases = tcase_create("out");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(cases, what_was_sent_is_never_called_not_run);
+	tcase_add_test(cases, the_page_for_callers_lists_every_outcome);
+	suite_add_tcase(suite, cases);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
