Hand back slots that waiting requests cannot use

Cause: a request that avoids the VM it failed on would wait beside an idle slot of that VM, which the holder kept. Change: idle slots beside waiting requests go back, and the report names their VMs as unwanted.

--- a/packages/core/src/slt_holder.c
+++ b/packages/core/src/slt_holder.c
@@ -12,6 +12,8 @@
 	/* slots of each VM held under a lease, and the static share */
 	uint32_t *leased;
 	uint32_t *share;
+	/* VMs whose idle slots the waiting requests could not use */
+	bool *unusable;
 	uint32_t vm_count;
 	uint64_t *members;
 	uint32_t member_count;
@@ -61,6 +63,7 @@
 	g_free(holder->vms);
 	g_free(holder->leased);
 	g_free(holder->share);
+	g_free(holder->unusable);
 	g_free(holder->members);
 	g_free(holder);
 }
@@ -106,6 +109,8 @@
 	holder->vms = g_memdup2(vms, count * sizeof(*vms));
 	holder->leased = leased;
 	holder->share = g_renew(uint32_t, holder->share, count + 1);
+	g_free(holder->unusable);
+	holder->unusable = g_new0(bool, count + 1);
 	holder->vm_count = count;
 	shares_fill(holder);
 }
@@ -190,9 +195,10 @@
 		totals->held > holder->keep ? totals->held - holder->keep : 0;
 	uint32_t spare = 2 * spare_wanted(holder, totals);
 
-	if (!is_active(holder, now_ms))
+	/* Requests that wait could not use the idle slots. */
+	if (waiting > 0 || !is_active(holder, now_ms))
 		return totals->idle;
-	if (waiting == 0 && totals->idle > spare)
+	if (totals->idle > spare)
 		over = MAX(over, totals->idle - spare);
 	return MIN(over, totals->idle);
 }
@@ -246,6 +252,17 @@
 	}
 }
 
+/* With less in use than may be, idle slots do not suit what waits. */
+static void unusable_mark(struct slt_holder *holder,
+			  const struct totals *totals, uint32_t waiting)
+{
+	for (uint32_t i = 0; i < holder->vm_count; i++)
+		holder->unusable[i] =
+			!holder->vms[i].ready ||
+			(waiting > 0 && totals->in_use < holder->keep &&
+			 holder->leased[i] > holder->vms[i].in_use);
+}
+
 /* Slots of a VM that takes no work from this process are of no use to it. */
 static void unready_release(struct slt_holder *holder)
 {
@@ -275,7 +292,7 @@
 
 		count->vm = holder->vms[i].key;
 		count->held = MAX(holder->leased[i], holder->vms[i].in_use);
-		count->avoid = !holder->vms[i].ready;
+		count->avoid = holder->unusable[i];
 		if (count->held > 0 || count->avoid)
 			report->count++;
 	}
@@ -313,6 +330,7 @@
 	surplus = surplus_of(holder, &totals, waiting, now_ms);
 	if (!report_is_due(holder, &totals, waiting, surplus, now_ms))
 		return false;
+	unusable_mark(holder, &totals, waiting);
 	surplus_release(holder, surplus);
 	unready_release(holder);
 	holder->sequence++;
--- a/packages/core/tests/test_slt.c
+++ b/packages/core/tests/test_slt.c
@@ -373,6 +373,29 @@
 }
 END_TEST
 
+START_TEST(slots_that_waiting_requests_cannot_use_go_back)
+{
+	struct slt_holder *holder = holder_of_two(5000);
+	struct slt_report report;
+	struct slt_grant grant = { .incarnation = 1,
+				   .version = 1,
+				   .keep = SLT_KEEP_ALL,
+				   .count = 1,
+				   .counts = { { .vm = 11, .held = 1 } } };
+
+	ck_assert(slt_holder_poll(holder, 1, 5000, &report));
+	grant.sequence = report.sequence;
+	ck_assert(slt_holder_take(holder, &grant, 5002));
+	/* The request still waits: it is not to go to that VM. */
+	ck_assert(slt_holder_poll(holder, 1, 5010, &report));
+	ck_assert_uint_eq(report.waiting, 1);
+	ck_assert_uint_eq(report.count, 1);
+	ck_assert_uint_eq(report.counts[0].held, 0);
+	ck_assert(report.counts[0].avoid);
+	slt_holder_destroy(holder);
+}
+END_TEST
+
 START_TEST(a_full_pool_is_shared_in_proportion_to_demand)
 {
 	struct slt_owner *owner = slt_owner_create(POOL, 5000);
@@ -409,6 +432,7 @@
 	tcase_add_test(cases, a_process_alone_uses_all_slots_without_a_message);
 	tcase_add_test(cases, a_silent_owner_leaves_the_static_share);
 	tcase_add_test(cases, only_a_grant_for_the_newest_report_counts);
+	tcase_add_test(cases, slots_that_waiting_requests_cannot_use_go_back);
 	tcase_add_test(cases, a_full_pool_is_shared_in_proportion_to_demand);
 	tcase_add_test(cases, random_sequences_never_use_more_than_the_slots);
 	tcase_set_timeout(cases, 50);
