--- a/bin/sassafrascartd/gat_private.h
+++ b/bin/sassafrascartd/gat_private.h
@@ -48,6 +48,8 @@
 	struct slt_holder *holder;
 	/** NULL unless this process owns the pool */
 	struct slt_owner *owner;
+	/** time of the owner's last look at its leases */
+	uint64_t ticked_ms;
 	/** index in gateway->servers of each of the holder's VMs */
 	uint32_t servers[SLT_VMS_MAX];
 };
--- a/bin/sassafrascartd/gat_share.c
+++ b/bin/sassafrascartd/gat_share.c
@@ -144,6 +144,9 @@
 	uint32_t count;
 	struct slt_vm *vms = slt_owner_vms(share->owner, &count);
 
+	if (now_ms < share->ticked_ms + SLT_PACE_MS)
+		return grants_send(gateway, share);
+	share->ticked_ms = now_ms;
 	for (uint32_t i = 0; i < count; i++)
 		vm_refresh(&gateway->servers->servers[share->servers[i]],
 			   &vms[i], now_ms);
--- a/packages/core/src/slt_owner.c
+++ b/packages/core/src/slt_owner.c
@@ -42,7 +42,10 @@
 	bool learning;
 	uint64_t learn_until_ms;
 	bool contended;
+	/* of all holders, and slots of ready VMs, as of the last distribution
+	 */
 	uint64_t demand;
+	uint32_t total;
 };
 
 static void ledger_free(gpointer data)
@@ -256,11 +259,10 @@
 static void grant_spare(struct slt_owner *owner)
 {
 	struct ledger *ledger;
-	uint32_t total;
 	uint32_t free_slots;
 
-	slots_sum(owner, &total, &free_slots);
-	while (free_slots > total / SLT_FREE_FOR_SPARE &&
+	slots_sum(owner, &owner->total, &free_slots);
+	while (free_slots > owner->total / SLT_FREE_FOR_SPARE &&
 	       (ledger = neediest(owner, true))) {
 		uint32_t vm = freest_vm(owner, ledger);
 
@@ -279,13 +281,9 @@
 static uint32_t keep_of(const struct slt_owner *owner,
 			const struct ledger *ledger)
 {
-	uint32_t total;
-	uint32_t free_slots;
-
 	if (!owner->contended)
 		return SLT_KEEP_ALL;
-	slots_sum(owner, &total, &free_slots);
-	return MAX(1, (uint32_t)(((uint64_t)total * demand_of(ledger) +
+	return MAX(1, (uint32_t)(((uint64_t)owner->total * demand_of(ledger) +
 				  owner->demand - 1) /
 				 owner->demand));
 }
--- /dev/null
+++ b/tests/scenarios/slots_handover.lua
@@ -0,0 +1,77 @@
+-- The owner of a pool's slots is stopped by SIGTERM under load: another
+-- process takes the slots over, no backend server has more requests at once
+-- than its slots, and no request is cut.
+local fleet = require("fleet")
+
+local SLOTS = 8
+local f = fleet.new{backends = {
+  {name = "vm-a", zone = "z1", rack = "r1"},
+  {name = "vm-b", zone = "z2", rack = "r2"},
+}}
+local entries = {}
+for index = 1, 3 do entries[index] = f:add_entry("entry-" .. index) end
+f:publish(1, {{name = "draws", vms = {"vm-a", "vm-b"}, queue = 500, wait_ms = 20000}},
+          {{path = "/draws", pool = "draws", idempotent = "no", deadline_ms = 20000}})
+f:must_ctl("roll", 1)
+for _, entry in ipairs(entries) do f:wait_serving(entry) end
+
+local function metric(entry, name)
+  local text = fleet.http{url = fleet.url(entry.port, "/metrics"), timeout_ms = 1000}.body
+  return tonumber(text:match("\nsassafrascart_" .. name:gsub("%p", "%%%0") .. " (%d+)")) or 0
+end
+for _, entry in ipairs(entries) do
+  fleet.wait_until(entry.name .. " hears its peers", 15000, function()
+    return metric(entry, "peers_live") == #entries
+  end)
+end
+
+local pending, answered, sent = {}, 0, 0
+local function send(entry)
+  sent = sent + 1
+  local body = "lane " .. sent
+  pending[http_start{method = "POST", url = fleet.url(entry.port, "/draws"), body = body,
+                     headers = {["x-run-ms"] = 100, ["x-test-id"] = body},
+                     timeout_ms = 30000}] = body
+end
+local function reap()
+  for id, body in pairs(pending) do
+    local result = http_result(id)
+    if result then
+      pending[id] = nil
+      assert(result.status == 200 and result.body == body,
+             body .. ": " .. (result.error or result.status))
+      answered = answered + 1
+    end
+  end
+  return next(pending) == nil
+end
+
+local function grants(entry)
+  return metric(entry, 'slot_messages_total{kind="grant"}')
+end
+local before = {}
+for _, entry in ipairs(entries) do before[entry] = grants(entry) end
+for _ = 1, 30 do
+  for _, entry in ipairs(entries) do send(entry) end
+end
+poll(300)
+local owner, others = nil, {}
+for _, entry in ipairs(entries) do
+  if grants(entry) > before[entry] then owner = entry else table.insert(others, entry) end
+end
+assert(owner and #others == #entries - 1, "one owner grants slots")
+signal(owner.pid, "TERM")
+for _ = 1, 20 do
+  for _, entry in ipairs(others) do send(entry) end
+  poll(20)
+  reap()
+end
+fleet.wait_until("all requests end", 30000, reap)
+assert(answered == sent, answered .. " of " .. sent .. " answered")
+local code = fleet.wait_until("the owner stops", 10000, function() return exited(owner.pid) end)
+assert(code == 0, "the owner ended with " .. code)
+for _, name in ipairs(f.order) do
+  local stats = fleet.get_json(f.backends[name].port, "/stats")
+  assert(stats.max_running <= SLOTS and stats.max_waiting == 0,
+         name .. " had " .. stats.max_running + stats.max_waiting .. " requests at once")
+end
