--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -265,10 +265,15 @@
 	out_send(conn);
 }
 
+/* The slot is free once the work is done, before its answer travels. */
 static void on_run_end(void *data)
 {
 	struct connection *conn = data;
 
+	if (conn->mode != MODE_SILENT) {
+		conn->running = false;
+		slot_free(conn->backend);
+	}
 	run_answer(conn);
 }
 
