--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -313,19 +313,33 @@
 	return platform->fault == MODE_LOSE;
 }
 
+static void control_actions(struct platform *platform, const json_t *body)
+{
+	const json_t *reboot = json_object_get(body, "reboot_ms");
+	const json_t *refuses = json_object_get(body, "refuses_actions");
+	const json_t *loses = json_object_get(body, "loses_actions");
+
+	if (reboot)
+		platform->reboot_ms = (uint32_t)json_integer_value(reboot);
+	if (refuses)
+		platform->refuses_actions = json_is_true(refuses);
+	if (loses)
+		platform->loses_actions = json_is_true(loses);
+}
+
 /* {"mode": ok|down|refuse|lose, "delay_ms": N, "list_lag_ms": N,
- *  "reboot_ms": N, "refuses_actions": bool, "loses_actions": bool, "vm": NAME
- * with "state": live|leaving|down, "refuses": bool, "breaks": bool,
- *  "fault_key": KEY, "fault": lose|down} */
+ *  "reboot_ms": N, "refuses_actions": bool, "loses_actions": bool,
+ *  "vm": NAME with "state": live|leaving|down, "refuses": bool,
+ *  "breaks": bool, "fault_key": KEY, "fault": lose|down,
+ *  "key": KEY, "value": TEXT} */
 static void control_run(struct platform *platform, const json_t *body)
 {
 	const char *mode = json_string_value(json_object_get(body, "mode"));
 	const json_t *delay = json_object_get(body, "delay_ms");
 	const json_t *lag = json_object_get(body, "list_lag_ms");
 	const char *vm = json_string_value(json_object_get(body, "vm"));
-	const json_t *reboot = json_object_get(body, "reboot_ms");
-	const json_t *refuses = json_object_get(body, "refuses_actions");
-	const json_t *loses = json_object_get(body, "loses_actions");
+	const char *key = json_string_value(json_object_get(body, "key"));
+	const char *value = json_string_value(json_object_get(body, "value"));
 
 	if (mode)
 		platform->mode = mode_parse(mode);
@@ -333,18 +347,15 @@
 		platform->delay_ms = (uint32_t)json_integer_value(delay);
 	if (lag)
 		platform->list_lag_ms = (uint32_t)json_integer_value(lag);
-	if (reboot)
-		platform->reboot_ms = (uint32_t)json_integer_value(reboot);
-	if (refuses)
-		platform->refuses_actions = json_is_true(refuses);
-	if (loses)
-		platform->loses_actions = json_is_true(loses);
+	control_actions(platform, body);
 	if (vm)
 		control_vm(platform, vm, body);
 	if (json_object_get(body, "fault_key"))
 		fault_arm(platform,
 			  json_string_value(json_object_get(body, "fault_key")),
 			  json_string_value(json_object_get(body, "fault")));
+	if (key && value)
+		kvs_write(platform->store, key, value);
 }
 
 /* Pages of the judges; they answer whatever the mode is. */
