Check the VM's pool and state again right before the first byte

Cause: the right to dispatch was checked again when the connection opened, but not whether the VM still takes new work of the pool; a connection that opens late could carry a request to a VM whose draining this process had confirmed meanwhile. Change: the check covers pool, state and leaving of the VM. Not proved by a scenario: a connection cannot be delayed from outside yet.

--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -229,6 +229,22 @@
 	return headers;
 }
 
+/*
+ * Asked when the connection is open, which may be long after the choice: the
+ * VM may have begun to drain, and this process may have confirmed that.
+ */
+static bool work_may_send(void *data)
+{
+	const struct gat_work *work = data;
+	const struct gat_gateway *gateway = work->gateway;
+	const struct sel_server *server =
+		gat_server_find(gateway, work->vm_name);
+
+	return gateway->config.may_dispatch(gateway->config.data) && server &&
+	       server->pool == work->pool->index && server->serving &&
+	       !server->leaving;
+}
+
 void gat_work_dispatch(struct gat_work *work, uint32_t vm)
 {
 	struct gat_gateway *gateway = work->gateway;
@@ -245,8 +261,8 @@
 					   : 0),
 		.connect_timeout_ms = GAT_CONNECT_TIMEOUT_MS,
 		.answer_max_bytes = gateway->config.answer_max_bytes,
-		.may_send = gateway->config.may_dispatch,
-		.may_send_data = gateway->config.data,
+		.may_send = work_may_send,
+		.may_send_data = work,
 	};
 	const struct att_request request = {
 		.method = view->method,
