--- a/tests/scenarios/pool_frozen_manager.lua
+++ b/tests/scenarios/pool_frozen_manager.lua
@@ -28,7 +28,7 @@
   end)
   -- Frozen while it waits for an answer, with all confirmations heard: it
   -- has a write to make as soon as it resumes.
-  poll(1300)
+  poll(1300 + SEED * 37 % 200)
   fleet.control(f.platform_port, '{"delay_ms": 500}')
   poll(250)
   signal(old.pid, "STOP")
--- a/tests/scenarios/wave_faults.lua
+++ b/tests/scenarios/wave_faults.lua
@@ -12,7 +12,7 @@
 f:must_ctl("roll", 1)
 for _, entry in pairs(f.entries) do f:wait_serving(entry) end
 local callers = load.new(f, "/draws", 40)
-callers:pause(500)
+callers:pause(200 + SEED * 97 % 600)
 
 fleet.control(f.platform_port, '{"refuses_actions": true, "reboot_ms": 300, "list_lag_ms": 100}')
 waves.publish(f, 2, true)
@@ -35,7 +35,7 @@
 end)
 fleet.control(f.platform_port, '{"loses_actions": false}')
 callers.per_s = 10
-callers:wait("two VMs are maintained", 20000, function() return waves.record(f).maintained >= 2 end)
+callers:wait("some VMs are maintained", 20000, function() return waves.record(f).maintained >= 1 + SEED % 3 end)
 fleet.control(f.platform_port, '{"mode": "down"}')
 callers.per_s = 40
 callers:pause(1500)
--- a/tests/scenarios/wave_rack.lua
+++ b/tests/scenarios/wave_rack.lua
@@ -17,7 +17,7 @@
   return waves.record(f).maintained >= 1
 end)
 
-local dead = waves.racks.r2
+local dead = waves.racks["r" .. SEED % 3 + 1]
 local in_progress = callers:in_progress()
 for _, vm in ipairs(dead) do
   signal(f.backends[vm].pid, "KILL")
