Count and log the manager's decisions with their reasons

Cause: decisions were in explain, but no counter told them apart and the log left out the budget's inputs.

Change: a counter for each reason of a changed row, for actions on VMs and their errors, and for halted waves; the log gives ready VMs, worst loss and floor where the budget was asked.

--- a/bin/sassafrascartd/mgr_act.c
+++ b/bin/sassafrascartd/mgr_act.c
@@ -41,7 +41,7 @@
 
 	vm->calling = false;
 	if (err != ERR_NONE)
-		mgr_platform_failed(vm->manager);
+		ctr_add(vm->manager->config.counters, CTR_VM_ACTION_ERRORS);
 	else if (vm->action_serial == vm->serial &&
 		 vm->action_term == vm->manager->term)
 		action_accepted(vm);
@@ -56,6 +56,7 @@
 	vm->action = action;
 	vm->action_term = manager->term;
 	vm->action_serial = vm->serial;
+	ctr_add(manager->config.counters, CTR_VM_ACTIONS);
 	lgx_info("vm_action", "%s of VM %s under intent %s",
 		 plt_action_name(action), vm->name, vm->intent);
 	plt_vm_action(manager->config.platform, vm->name, action, vm->intent,
--- a/bin/sassafrascartd/mgr_write.c
+++ b/bin/sassafrascartd/mgr_write.c
@@ -21,19 +21,68 @@
 	g_array_append_val(batch->writes, write);
 }
 
-static void changes_log(const struct mgr_manager *manager)
+static enum ctr_kind change_counter(enum plc_reason reason)
+{
+	switch (reason) {
+	case PLC_REASON_DEMAND:
+		return CTR_CHANGE_DEMAND;
+	case PLC_REASON_NOT_ALLOWED:
+		return CTR_CHANGE_NOT_ALLOWED;
+	case PLC_REASON_WAVE:
+		return CTR_CHANGE_WAVE;
+	case PLC_REASON_WAVE_DONE:
+		return CTR_CHANGE_WAVE_DONE;
+	case PLC_REASON_FAILURE:
+		return CTR_CHANGE_FAILURE;
+	case PLC_REASON_RETURN:
+		return CTR_CHANGE_RETURN;
+	default:
+		return CTR_CHANGE_FILL;
+	}
+}
+
+static void changes_count(const struct mgr_manager *manager)
 {
 	const struct mgr_plan *plan = &manager->plan;
 
-	for (guint i = 0; i < plan->changes->len; i++) {
-		const struct pln_change *change =
-			&g_array_index(plan->changes, struct pln_change, i);
+	for (guint i = 0; i < plan->changes->len; i++)
+		ctr_add(manager->config.counters,
+			change_counter(g_array_index(plan->changes,
+						     struct pln_change, i)
+					       .after.reason));
+	for (uint32_t i = 0; i < manager->bundle->wave_count; i++) {
+		if (plan->waves[i].status == WAV_STATUS_HALTED &&
+		    manager->waves[i].status != WAV_STATUS_HALTED)
+			ctr_add(manager->config.counters, CTR_WAVE_HALTS);
+	}
+}
+
+static void change_log(const struct mgr_manager *manager,
+		       const struct pln_change *change)
+{
+	const char *vm = manager->bundle->vms[change->vm].name;
+	const char *state = plc_state_name(change->after.state);
+	const char *reason = plc_reason_name(change->after.reason);
 
-		lgx_info("row_change", "VM %s becomes %s: %s",
-			 manager->bundle->vms[change->vm].name,
-			 plc_state_name(change->after.state),
-			 plc_reason_name(change->after.reason));
+	if (!change->budget_asked) {
+		lgx_info("row_change", "VM %s becomes %s: %s", vm, state,
+			 reason);
+		return;
 	}
+	lgx_info("row_change",
+		 "VM %s becomes %s: %s; %u ready after it, %u lost at worst, "
+		 "floor %u",
+		 vm, state, reason, change->room.ready, change->room.worst_loss,
+		 change->room.floor);
+}
+
+static void changes_log(const struct mgr_manager *manager)
+{
+	const GArray *changes = manager->plan.changes;
+
+	for (guint i = 0; i < changes->len; i++)
+		change_log(manager,
+			   &g_array_index(changes, struct pln_change, i));
 }
 
 static void placement_add(struct mgr_manager *manager, struct batch *batch)
@@ -110,6 +159,7 @@
 {
 	struct mgr_plan *plan = &manager->plan;
 
+	changes_count(manager);
 	if (plan->placement)
 		manager->placement_revision = revision;
 	plc_view_destroy(manager->view);
--- a/packages/core/include/ctr.h
+++ b/packages/core/include/ctr.h
@@ -66,6 +66,24 @@
 	  "times this process became manager")                                 \
 	X(MANAGER_WRITES, "manager_writes_total",                              \
 	  "placements written as manager")                                     \
+	X(CHANGE_FILL, "placement_changes_total{reason=\"fill\"}",             \
+	  "rows changed")                                                      \
+	X(CHANGE_DEMAND, "placement_changes_total{reason=\"demand\"}",         \
+	  "rows changed")                                                      \
+	X(CHANGE_NOT_ALLOWED,                                                  \
+	  "placement_changes_total{reason=\"not-allowed\"}", "rows changed")   \
+	X(CHANGE_WAVE, "placement_changes_total{reason=\"wave\"}",             \
+	  "rows changed")                                                      \
+	X(CHANGE_WAVE_DONE, "placement_changes_total{reason=\"wave-done\"}",   \
+	  "rows changed")                                                      \
+	X(CHANGE_FAILURE, "placement_changes_total{reason=\"failure\"}",       \
+	  "rows changed")                                                      \
+	X(CHANGE_RETURN, "placement_changes_total{reason=\"return\"}",         \
+	  "rows changed")                                                      \
+	X(VM_ACTIONS, "vm_actions_total", "actions on VMs called as manager")  \
+	X(VM_ACTION_ERRORS, "vm_action_errors_total",                          \
+	  "actions on VMs that were refused or not answered")                  \
+	X(WAVE_HALTS, "wave_halts_total", "maintenance waves that halted")     \
 	X(MANAGER_FENCED, "manager_fenced_total",                              \
 	  "manager writes refused because the lease had passed on")
 
