--- a/bin/sassafrascartd/gat_share.c
+++ b/bin/sassafrascartd/gat_share.c
@@ -191,12 +191,22 @@
 	return NULL;
 }
 
+static bool holder_is_known(const struct gat_gateway *gateway, uint64_t key)
+{
+	for (guint i = 0; i < gateway->everyone->len; i++) {
+		if (g_array_index(gateway->everyone, uint64_t, i) == key)
+			return true;
+	}
+	return false;
+}
+
 void gat_gateway_slot_report(struct gat_gateway *gateway,
 			     const struct slt_report *report)
 {
 	struct gat_pool *pool = pool_by_key(gateway, report->pool);
 
-	if (!pool || !pool->share->owner)
+	if (!pool || !pool->share->owner ||
+	    !holder_is_known(gateway, report->holder))
 		return;
 	slt_owner_report(pool->share->owner, report, evl_now_ms());
 	if (grants_send(gateway, pool->share))
