Bound the connections kept for reuse by what all processes may open

Cause: since connections are reused, each process may keep as many idle ones to a VM as it had requests at once, 8 in each of 9 processes for 64. Change: of a VM's connections twice its shared slots belong to requests in progress; the rest is divided among the processes for kept ones. A call beyond that opens one that is closed after it. Not proved yet: the backend server stand-in closes each connection.

--- a/bin/sassafrascartd/gat_private.h
+++ b/bin/sassafrascartd/gat_private.h
@@ -122,6 +122,14 @@
  */
 bool gat_share_poll(struct gat_gateway *gateway, struct gat_pool *pool);
 
+/**
+ * @brief Computes how many connections to a VM this process may keep open.
+ *
+ * Requests in progress use at most twice the VM's shared slots in connections
+ * of all processes, see slt.h; what is left is divided among them.
+ */
+uint32_t gat_reuse_max(const struct gat_gateway *gateway, uint32_t vm);
+
 /** @brief Finds what is known of a VM by its name, or NULL. */
 struct sel_server *gat_server_find(const struct gat_gateway *gateway,
 				   const char *vm_name);
--- a/bin/sassafrascartd/gat_share.c
+++ b/bin/sassafrascartd/gat_share.c
@@ -11,6 +11,17 @@
 	return MIN(vm->slots, MAX(vm->connections / 2, 1));
 }
 
+uint32_t gat_reuse_max(const struct gat_gateway *gateway, uint32_t vm)
+{
+	const struct bnd_vm *spec = &gateway->bundle->vms[vm];
+	uint32_t in_progress = 2 * shared_slots(spec);
+
+	if (spec->connections <= in_progress)
+		return 0;
+	return (spec->connections - in_progress) /
+	       MAX(gateway->everyone->len, 1);
+}
+
 struct gat_share *gat_share_create(const struct gat_gateway *gateway,
 				   const char *pool_name)
 {
--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -181,6 +181,7 @@
 		.answer_max_bytes = gateway->config.answer_max_bytes,
 		.may_send = gateway->config.may_dispatch,
 		.may_send_data = gateway->config.data,
+		.reuse_max = gat_reuse_max(gateway, vm),
 	};
 	const struct att_request request = {
 		.method = view->method,
--- a/packages/backend_server/include/att.h
+++ b/packages/backend_server/include/att.h
@@ -56,6 +56,8 @@
 	 *  as not sent. NULL for always. Must outlive the attempt. */
 	bool (*may_send)(void *data);
 	void *may_send_data;
+	/** connections that this process may keep open for reuse */
+	uint32_t reuse_max;
 };
 
 /**
--- a/packages/backend_server/src/att.c
+++ b/packages/backend_server/src/att.c
@@ -132,6 +132,7 @@
 		.answer_max_bytes = target->answer_max_bytes,
 		.may_send = target->may_send,
 		.may_send_data = target->may_send_data,
+		.reuse_max = target->reuse_max,
 	};
 
 	attempt->client = client;
--- a/packages/runtime/include/hcl.h
+++ b/packages/runtime/include/hcl.h
@@ -60,6 +60,9 @@
 	 *  ERR_CONNECT. NULL for always. Must outlive the call. */
 	bool (*may_send)(void *may_send_data);
 	void *may_send_data;
+	/** connections to the address that may be kept for reuse; a call
+	 *  beyond that many at once opens one that is closed after it */
+	uint32_t reuse_max;
 };
 
 /** A whole answer; valid only during the callback. */
--- a/packages/runtime/src/hcl.c
+++ b/packages/runtime/src/hcl.c
@@ -7,7 +7,7 @@
 
 /* Backstop only: each call has a deadline of its own that is shorter. */
 #define HCL_IO_TIMEOUT_MS 600000
-/* h2o 2.2.5 does not enforce a pool's capacity; slots bound connections. */
+/* h2o 2.2.5 does not enforce a pool's capacity; hcl_request.reuse_max does. */
 #define HCL_POOL_CAPACITY 64
 /* An address without calls for this long loses its pool. */
 #define HCL_HOST_UNUSED_MS 10000
@@ -379,6 +379,9 @@
 	call->timer.cb = on_timeout;
 	call->timer.data = call;
 	call->host = host_find(client, request->ip, request->port);
+	/* A kept connection is idle or in use by a call that counts here. */
+	if (call->host && call->host->calls >= request->reuse_max)
+		call->host = NULL;
 	if (call->host)
 		call->host->calls++;
 	call->request = request_encode(request, call->host != NULL);
