--- a/bin/sassafrascartd/gat_share.c
+++ b/bin/sassafrascartd/gat_share.c
@@ -16,10 +16,12 @@
 	const struct bnd_vm *spec = &gateway->bundle->vms[vm];
 	uint32_t in_progress = 2 * shared_slots(spec);
 
+	/* Alone, a request takes a kept connection before it opens one. */
+	if (gateway->everyone->len <= 1)
+		return spec->connections;
 	if (spec->connections <= in_progress)
 		return 0;
-	return (spec->connections - in_progress) /
-	       MAX(gateway->everyone->len, 1);
+	return (spec->connections - in_progress) / gateway->everyone->len;
 }
 
 struct gat_share *gat_share_create(const struct gat_gateway *gateway,
