--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -5,6 +5,7 @@
  * Works on raw connections, so that it can answer late, twice, cut short or
  * with another request's answer. Each request that it runs is written to
  * the run log before the answer. Pages: POST /control sets behaviour,
+ * Connections are kept open unless the request asks to close them.
  * GET /stats tells the greatest number of requests that ran at once.
  */
 #include <inttypes.h>
@@ -20,11 +21,18 @@
 #define HEADER_RUN_MS "\r\nx-run-ms:"
 #define HEADER_REQUEST_ID "\r\nx-request-id:"
 #define HEADER_LENGTH "\r\ncontent-length:"
+/* Behaviour and status of one request, before those of the server. */
+#define HEADER_MODE "\r\nx-mode:"
+#define HEADER_STATUS "\r\nx-status:"
+#define HEADER_CLOSE "\r\nconnection: close"
+/* Time between an answer and its second copy. */
+#define LATE_MS 3
 
 /** What is done with a request; set by POST /control {"mode": ...}. */
-static const char *const modes[] = { "ok",	 "fail",  "silent",  "cut-head",
-				     "cut-body", "twice", "crossed", "reset",
-				     "leaving",	 NULL };
+static const char *const modes[] = { "ok",	  "fail",     "silent",
+				     "cut-head",  "cut-body", "twice",
+				     "crossed",	  "reset",    "leaving",
+				     "cut-early", NULL };
 
 enum mode {
 	MODE_OK,
@@ -36,7 +44,7 @@
 	MODE_CUT_HEAD,
 	/** runs, closes within the answer's body */
 	MODE_CUT_BODY,
-	/** runs, sends the answer twice */
+	/** runs, sends the answer twice, the second time some time later */
 	MODE_TWICE,
 	/** runs, answers with another request's identity and body */
 	MODE_CROSSED,
@@ -44,6 +52,8 @@
 	MODE_RESET,
 	/** runs and announces that the server is leaving */
 	MODE_LEAVING,
+	/** runs, closes before the first byte of the answer */
+	MODE_CUT_EARLY,
 };
 
 struct backend {
@@ -65,10 +75,19 @@
 	struct tmr_entry timer;
 	bool running;
 	bool queued;
+	enum mode mode;
 	uint64_t run_ms;
 	char *head;
 	char *id;
 	GString *out;
+	/** kept open after the answer */
+	bool keep;
+	bool writing;
+	/** the answer waits for the end of another write */
+	bool deferred;
+	/** a second answer that is still to come */
+	GString *late;
+	struct tmr_entry late_timer;
 };
 
 static void connection_start(struct connection *conn);
@@ -92,26 +111,82 @@
 	bool running = conn->running;
 
 	tmr_cancel(&conn->timer);
+	tmr_cancel(&conn->late_timer);
 	if (conn->queued)
 		g_queue_remove(&backend->waiting, conn);
 	h2o_socket_close(conn->sock);
 	g_free(conn->head);
 	g_free(conn->id);
 	g_string_free(conn->out, TRUE);
+	g_string_free(conn->late, TRUE);
 	g_free(conn);
 	if (running)
 		slot_free(backend);
 }
 
+static void out_send(struct connection *conn);
+
+static void on_late_written(h2o_socket_t *sock, const char *err)
+{
+	struct connection *conn = sock->data;
+
+	conn->writing = false;
+	g_string_truncate(conn->late, 0);
+	if (err)
+		connection_close(conn);
+	else if (conn->deferred)
+		out_send(conn);
+}
+
+static void on_late(void *data)
+{
+	struct connection *conn = data;
+	h2o_iovec_t vec = h2o_iovec_init(conn->late->str, conn->late->len);
+
+	if (conn->writing) {
+		evl_timer_set(conn->backend->loop, &conn->late_timer, 1);
+		return;
+	}
+	conn->writing = true;
+	h2o_socket_write(conn->sock, &vec, 1, on_late_written);
+}
+
+/* Makes a kept connection ready for the next request. */
+static void connection_reset(struct connection *conn)
+{
+	if (conn->mode == MODE_TWICE) {
+		g_string_assign(conn->late, conn->out->str);
+		evl_timer_set(conn->backend->loop, &conn->late_timer, LATE_MS);
+	}
+	g_clear_pointer(&conn->head, g_free);
+	g_clear_pointer(&conn->id, g_free);
+	g_string_truncate(conn->out, 0);
+	h2o_socket_read_start(conn->sock, on_read);
+	if (conn->running) {
+		conn->running = false;
+		slot_free(conn->backend);
+	}
+}
+
 static void on_written(h2o_socket_t *sock, const char *err)
 {
-	connection_close(sock->data);
+	struct connection *conn = sock->data;
+
+	conn->writing = false;
+	if (err || !conn->keep)
+		connection_close(conn);
+	else
+		connection_reset(conn);
 }
 
 static void out_send(struct connection *conn)
 {
 	h2o_iovec_t vec = h2o_iovec_init(conn->out->str, conn->out->len);
 
+	conn->deferred = conn->writing;
+	if (conn->deferred)
+		return;
+	conn->writing = true;
 	h2o_socket_read_stop(conn->sock);
 	h2o_socket_write(conn->sock, &vec, 1, on_written);
 }
@@ -119,15 +194,23 @@
 static void answer_append(struct connection *conn, int status, const char *id,
 			  const char *body, size_t body_len)
 {
+	bool has_body = status != 204 && status != 304;
+
+	g_string_append_printf(conn->out, "HTTP/1.1 %d OK\r\n", status);
+	if (has_body)
+		g_string_append_printf(conn->out, "content-length: %zu\r\n",
+				       body_len);
 	g_string_append_printf(conn->out,
-			       "HTTP/1.1 %d OK\r\ncontent-length: %zu\r\n"
-			       "connection: close\r\n"
-			       "x-request-id: %s\r\nx-backend: %s\r\n%s\r\n",
-			       status, body_len, id, conn->backend->name,
-			       conn->backend->mode == MODE_LEAVING
+			       "sassafrascart-outcome: not-run\r\n"
+			       "%sx-request-id: %s\r\n"
+			       "x-backend: %s\r\n%s\r\n",
+			       conn->keep ? "" : "connection: close\r\n", id,
+			       conn->backend->name,
+			       conn->mode == MODE_LEAVING
 				       ? "sassafrascart-leaving: 1\r\n"
 				       : "");
-	g_string_append_len(conn->out, body, (gssize)body_len);
+	if (has_body && !g_str_has_prefix(conn->head, "HEAD "))
+		g_string_append_len(conn->out, body, (gssize)body_len);
 }
 
 static char *header_value(const char *head, const char *name)
@@ -149,34 +232,48 @@
 	return text ? g_ascii_strtoull(text, NULL, 10) : 0;
 }
 
+static uint64_t answer_status(const struct connection *conn)
+{
+	uint64_t status = header_number(conn->head, HEADER_STATUS);
+
+	return status ? status : 200;
+}
+
 /* The body goes back to the caller, so that each answer is unique. */
 static void run_answer(struct connection *conn)
 {
 	const char *body = strstr(conn->head, "\r\n\r\n") + 4;
 	size_t len = header_number(conn->head, HEADER_LENGTH);
+	int status = (int)answer_status(conn);
 
-	switch (conn->backend->mode) {
-	case MODE_SILENT:
+	if (conn->mode == MODE_SILENT)
+		return;
+	if (conn->mode == MODE_CUT_EARLY) {
+		connection_close(conn);
 		return;
-	case MODE_CROSSED:
-		answer_append(conn, 200, "another-request", "another body", 12);
-		break;
-	default:
-		answer_append(conn, 200, conn->id, body, len);
 	}
-	if (conn->backend->mode == MODE_TWICE)
-		answer_append(conn, 200, conn->id, body, len);
-	if (conn->backend->mode == MODE_CUT_HEAD)
+	if (conn->mode == MODE_CROSSED)
+		answer_append(conn, 200, "another-request", "another body", 12);
+	else
+		answer_append(conn, status, conn->id, body, len);
+	if (conn->mode == MODE_TWICE && !conn->keep)
+		answer_append(conn, status, conn->id, body, len);
+	if (conn->mode == MODE_CUT_HEAD)
 		g_string_truncate(conn->out, 20);
-	if (conn->backend->mode == MODE_CUT_BODY)
+	if (conn->mode == MODE_CUT_BODY)
 		g_string_truncate(conn->out, conn->out->len - (len + 1) / 2);
 	out_send(conn);
 }
 
+/* The slot is free once the work is done, before its answer travels. */
 static void on_run_end(void *data)
 {
 	struct connection *conn = data;
 
+	if (conn->mode != MODE_SILENT) {
+		conn->running = false;
+		slot_free(conn->backend);
+	}
 	run_answer(conn);
 }
 
@@ -205,15 +302,21 @@
 	evl_timer_set(backend->loop, &conn->timer, conn->run_ms);
 }
 
+static enum mode mode_parse(const char *name, enum mode fallback)
+{
+	for (int i = 0; name && modes[i]; i++) {
+		if (strcmp(modes[i], name) == 0)
+			return (enum mode)i;
+	}
+	return fallback;
+}
+
 static void control_run(struct connection *conn)
 {
 	json_t *root = json_loads(strstr(conn->head, "\r\n\r\n") + 4, 0, NULL);
 	const char *mode = json_string_value(json_object_get(root, "mode"));
 
-	for (int i = 0; mode && modes[i]; i++) {
-		if (strcmp(modes[i], mode) == 0)
-			conn->backend->mode = (enum mode)i;
-	}
+	conn->backend->mode = mode_parse(mode, conn->backend->mode);
 	json_decref(root);
 	answer_append(conn, 200, "control", "", 0);
 	out_send(conn);
@@ -235,14 +338,20 @@
 static void request_run(struct connection *conn)
 {
 	struct backend *backend = conn->backend;
+	g_autofree char *mode = header_value(conn->head, HEADER_MODE);
+
+	conn->mode = mode_parse(mode, backend->mode);
+	conn->keep = conn->mode != MODE_CUT_HEAD &&
+		     conn->mode != MODE_CUT_BODY &&
+		     !strcasestr(conn->head, HEADER_CLOSE);
 
 	conn->id = header_value(conn->head, HEADER_REQUEST_ID);
 	if (!conn->id)
 		conn->id = g_strdup("");
 	conn->run_ms = header_number(conn->head, HEADER_RUN_MS);
-	if (backend->mode == MODE_RESET) {
+	if (conn->mode == MODE_RESET) {
 		connection_close(conn);
-	} else if (backend->mode == MODE_FAIL) {
+	} else if (conn->mode == MODE_FAIL) {
 		answer_append(conn, 500, conn->id, "failed", 6);
 		out_send(conn);
 	} else if (backend->running < backend->slots) {
@@ -296,6 +405,9 @@
 		conn->backend = listener->data;
 		conn->sock = sock;
 		conn->out = g_string_new(NULL);
+		conn->late = g_string_new(NULL);
+		conn->late_timer.cb = on_late;
+		conn->late_timer.data = conn;
 		conn->timer.cb = on_run_end;
 		conn->timer.data = conn;
 		sock->data = conn;
