Prove the bound on connections of all processes together

Change: the backend server stand-in tells its greatest number of open connections; slots_connections sends bursts through 9 entries in turn.

--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -129,8 +129,8 @@
   for _, name in ipairs(self.order) do
     local vm = self.backends[name]
     table.insert(lines, string.format(
-      "  - {name: %s, ip: %s, port: %d, availability_zone: %s, rack: %s, slots: %d, connections: 64}",
-      name, HOST, vm.port, vm.zone, vm.rack, vm.slots))
+      "  - {name: %s, ip: %s, port: %d, availability_zone: %s, rack: %s, slots: %d, connections: %d}",
+      name, HOST, vm.port, vm.zone, vm.rack, vm.slots, vm.connections or 64))
   end
   table.insert(lines, "pools:")
   for _, pool in ipairs(pools) do
--- /dev/null
+++ b/tests/scenarios/slots_connections.lua
@@ -0,0 +1,46 @@
+-- Nine entries in turn send a burst to one backend server. All together never
+-- have more connections open to it than the bundle allows, those kept for
+-- reuse among them.
+local fleet = require("fleet")
+
+local CONNECTIONS = 34
+local f = fleet.new{backends = {{name = "vm-a", zone = "z1", rack = "r1"}}}
+f.backends["vm-a"].connections = CONNECTIONS
+local entries = {}
+for index = 1, 9 do entries[index] = f:add_entry("entry-" .. index) end
+f:publish(1, {{name = "draws", vms = {"vm-a"}}}, {{path = "/draws", pool = "draws"}})
+f:must_ctl("roll", 1)
+for _, entry in ipairs(entries) do
+  f:wait_serving(entry)
+  fleet.wait_until(entry.name .. " hears its peers", 15000, function()
+    local page = fleet.http{url = fleet.url(entry.port, "/metrics"), timeout_ms = 1000}.body
+    return page:match("\nsassafrascart_peers_live 9\n")
+  end)
+end
+
+local function burst(entry, count)
+  local ids = {}
+  for _ = 1, count do
+    ids[http_start{method = "POST", url = fleet.url(entry.port, "/draws"), body = entry.name,
+                   headers = {["x-run-ms"] = 20}}] = true
+  end
+  fleet.wait_until("the burst ends", 15000, function()
+    for id in pairs(ids) do
+      local result = http_result(id)
+      if result then
+        assert(result.status == 200 and result.body == entry.name, result.status)
+        ids[id] = nil
+      end
+    end
+    return next(ids) == nil
+  end)
+end
+
+-- After its first answer an entry knows that connections may be reused.
+for _, entry in ipairs(entries) do burst(entry, 1) end
+for _ = 1, 3 do
+  for _, entry in ipairs(entries) do burst(entry, 8) end
+end
+local stats = fleet.get_json(f.backends["vm-a"].port, "/stats")
+assert(stats.max_connections <= CONNECTIONS,
+       stats.max_connections .. " connections for " .. CONNECTIONS)
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -65,6 +65,8 @@
 	uint32_t running;
 	uint32_t max_running;
 	uint32_t max_waiting;
+	uint32_t connections;
+	uint32_t max_connections;
 	uint64_t runs;
 	GQueue waiting;
 };
@@ -115,6 +117,7 @@
 	if (conn->queued)
 		g_queue_remove(&backend->waiting, conn);
 	h2o_socket_close(conn->sock);
+	backend->connections--;
 	g_free(conn->head);
 	g_free(conn->id);
 	g_string_free(conn->out, TRUE);
@@ -327,9 +330,11 @@
 	struct backend *backend = conn->backend;
 	g_autofree char *text = g_strdup_printf(
 		"{\"runs\":%" PRIu64 ",\"running\":%u,\"max_running\":%u,"
-		"\"waiting\":%u,\"max_waiting\":%u}",
+		"\"waiting\":%u,\"max_waiting\":%u,"
+		"\"max_connections\":%u}",
 		backend->runs, backend->running, backend->max_running,
-		backend->waiting.length, backend->max_waiting);
+		backend->waiting.length, backend->max_waiting,
+		backend->max_connections);
 
 	answer_append(conn, 200, "stats", text, strlen(text));
 	out_send(conn);
@@ -403,6 +408,10 @@
 		struct connection *conn = g_new0(struct connection, 1);
 
 		conn->backend = listener->data;
+		conn->backend->connections++;
+		conn->backend->max_connections =
+			MAX(conn->backend->max_connections,
+			    conn->backend->connections);
 		conn->sock = sock;
 		conn->out = g_string_new(NULL);
 		conn->late = g_string_new(NULL);
