--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -263,6 +263,7 @@
 		.answer_max_bytes = gateway->config.answer_max_bytes,
 		.may_send = work_may_send,
 		.may_send_data = work,
+		.reuse_max = gat_reuse_max(gateway, vm),
 	};
 	const struct att_request request = {
 		.method = view->method,
