Count a pool's zones by index while filling it

Cause: plc_fill compared zone names of all VMs for each candidate VM of each added VM, which grows with the cube of the fleet. Change: dom_ interns zones and racks to indexes; the counts by zone are kept while a pool is filled. Behaviour is unchanged.

--- a/packages/core/src/plc.c
+++ b/packages/core/src/plc.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "dom.h"
+
 static const char *const state_names[PLC_STATE_COUNT] = {
 	[PLC_STATE_SERVING] = "serving",
 	[PLC_STATE_DRAINING] = "draining",
@@ -75,52 +77,54 @@
 	return count;
 }
 
-static uint32_t zone_serving(const struct bnd_bundle *bundle,
-			     const struct plc_view *view, uint32_t pool,
-			     const char *zone)
+/* Counts a pool's serving VMs by zone; returns their number. */
+static uint32_t zones_count(const struct dom_index *domains,
+			    const struct plc_view *view, uint32_t pool,
+			    uint32_t *zones)
 {
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < view->row_count; i++) {
-		if (view->rows[i].pool == pool &&
-		    view->rows[i].state == PLC_STATE_SERVING &&
-		    strcmp(bundle->vms[i].availability_zone, zone) == 0)
-			count++;
+		if (view->rows[i].pool != pool ||
+		    view->rows[i].state != PLC_STATE_SERVING)
+			continue;
+		zones[domains->zone_of[i]]++;
+		count++;
 	}
 	return count;
 }
 
-static uint32_t free_vm_choose(const struct bnd_bundle *bundle,
-			       const struct plc_view *view, uint32_t pool)
+static uint32_t free_vm_choose(const struct bnd_pool *spec,
+			       const struct plc_view *view,
+			       const struct dom_index *domains,
+			       const uint32_t *zones)
 {
-	const struct bnd_pool *spec = &bundle->pools[pool];
 	uint32_t best = BND_NONE;
 	uint32_t best_serving = UINT32_MAX;
 
 	for (uint32_t i = 0; i < spec->vm_count; i++) {
 		uint32_t vm = spec->vms[i];
-		uint32_t serving;
+		uint32_t serving = zones[domains->zone_of[vm]];
 
-		if (view->rows[vm].pool != BND_NONE)
+		if (view->rows[vm].pool != BND_NONE || serving >= best_serving)
 			continue;
-		serving = zone_serving(bundle, view, pool,
-				       bundle->vms[vm].availability_zone);
-		if (serving < best_serving) {
-			best = vm;
-			best_serving = serving;
-		}
+		best = vm;
+		best_serving = serving;
 	}
 	return best;
 }
 
 static uint32_t pool_fill(const struct bnd_bundle *bundle,
+			  const struct dom_index *domains,
 			  struct plc_view *view, uint32_t pool)
 {
-	uint32_t serving = plc_count(view, pool, PLC_STATE_SERVING);
+	g_autofree uint32_t *zones = g_new0(uint32_t, domains->zone_count + 1);
+	uint32_t serving = zones_count(domains, view, pool, zones);
 	uint32_t changed = 0;
 
 	while (serving < bundle->pools[pool].target_vms) {
-		uint32_t vm = free_vm_choose(bundle, view, pool);
+		uint32_t vm = free_vm_choose(&bundle->pools[pool], view,
+					     domains, zones);
 
 		if (vm == BND_NONE)
 			break;
@@ -131,6 +135,7 @@
 			.reason = PLC_REASON_FILL,
 			.changed = view->number + 1,
 		};
+		zones[domains->zone_of[vm]]++;
 		serving++;
 		changed++;
 	}
@@ -139,17 +144,19 @@
 
 uint32_t plc_fill(const struct bnd_bundle *bundle, struct plc_view *view)
 {
+	struct dom_index *domains = dom_index_create(bundle);
 	uint32_t changed = 0;
 
 	g_assert(view->row_count == bundle->vm_count);
 	for (uint32_t pool = 0; pool < bundle->pool_count; pool++) {
 		if (!bundle->pools[pool].spare)
-			changed += pool_fill(bundle, view, pool);
+			changed += pool_fill(bundle, domains, view, pool);
 	}
 	for (uint32_t pool = 0; pool < bundle->pool_count; pool++) {
 		if (bundle->pools[pool].spare)
-			changed += pool_fill(bundle, view, pool);
+			changed += pool_fill(bundle, domains, view, pool);
 	}
+	dom_index_destroy(domains);
 	return changed;
 }
 
