Plan moves of VMs between pools by smoothed demand

Cause: pools kept the sizes of the bundle whatever their demand was. Change: dem_ averages the slots wanted over ten minutes; mov_ compares the average with a dead band and plans moves from the spare pool and back. Band, minimum stay and cost of a move follow from the cost weights. A pool in a burst keeps its size; a pool gives no VM that its floor needs after the loss that the bundle names. Ruled out: deciding by raw demand.

--- /dev/null
+++ b/packages/core/include/dem.h
@@ -0,0 +1,50 @@
+/**
+ * @file dem.h
+ * @brief Smoothed demand of a pool.
+ *
+ * Prefix: dem_. Demand is the number of slots wanted: those in use and the
+ * requests that wait. It is averaged with a time constant that is long
+ * against a burst of seconds and short against the peaks of a day.
+ */
+#ifndef DEM_H
+#define DEM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Time constant of the average. */
+#define DEM_TIME_CONSTANT_MS (10u * 60u * 1000u)
+/** Observed time before the average is used for decisions. */
+#define DEM_WARM_UP_MS (5u * 60u * 1000u)
+/** Demand over this multiple of the average counts as a burst. */
+#define DEM_BURST_RATIO 2u
+/** A rise that lasts longer than this is no burst. */
+#define DEM_BURST_MAX_MS (2u * 60u * 1000u)
+
+/** The average and what is needed to continue it; zeroed before use. */
+struct dem_demand {
+	/** thousandths of a slot */
+	uint64_t average_milli;
+	uint64_t updated_ms;
+	/** time covered by samples, up to the time constant */
+	uint64_t observed_ms;
+	/** start of the rise over the burst ratio, 0 for none */
+	uint64_t rise_began_ms;
+	bool started;
+};
+
+/**
+ * @brief Takes a sample.
+ * @param demand updated
+ * @param slots slots in use and requests waiting at this moment
+ * @param now_ms monotonic time, not before the last sample's
+ */
+void dem_sample(struct dem_demand *demand, uint32_t slots, uint64_t now_ms);
+
+/** @brief Tells whether enough was observed to decide by it. */
+bool dem_is_warm(const struct dem_demand *demand);
+
+/** @brief Tells whether a burst of seconds is under way. */
+bool dem_is_burst(const struct dem_demand *demand, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/packages/core/src/dem.c
@@ -0,0 +1,58 @@
+#include "dem.h"
+
+#include <glib.h>
+
+/* Rises smaller than this are no bursts, whatever their ratio. */
+#define DEM_BURST_MIN_MILLI 4000u
+
+static void rise_update(struct dem_demand *demand, uint64_t sample_milli,
+			uint64_t now_ms)
+{
+	uint64_t bound = demand->average_milli * DEM_BURST_RATIO;
+
+	if (sample_milli <= MAX(bound, DEM_BURST_MIN_MILLI))
+		demand->rise_began_ms = 0;
+	else if (demand->rise_began_ms == 0)
+		demand->rise_began_ms = MAX(now_ms, 1);
+}
+
+/* Until the time constant is filled this is the plain mean over time. */
+static void average_update(struct dem_demand *demand, uint64_t sample_milli,
+			   uint64_t elapsed_ms)
+{
+	uint64_t span_ms = demand->observed_ms + elapsed_ms;
+	int64_t change =
+		((int64_t)sample_milli - (int64_t)demand->average_milli) *
+		(int64_t)elapsed_ms / (int64_t)span_ms;
+
+	demand->average_milli =
+		(uint64_t)((int64_t)demand->average_milli + change);
+	demand->observed_ms = MIN(span_ms, DEM_TIME_CONSTANT_MS);
+}
+
+void dem_sample(struct dem_demand *demand, uint32_t slots, uint64_t now_ms)
+{
+	uint64_t sample_milli = (uint64_t)slots * 1000;
+
+	if (!demand->started) {
+		demand->started = true;
+		demand->average_milli = sample_milli;
+	} else if (now_ms > demand->updated_ms) {
+		average_update(
+			demand, sample_milli,
+			MIN(now_ms - demand->updated_ms, DEM_TIME_CONSTANT_MS));
+	}
+	demand->updated_ms = now_ms;
+	rise_update(demand, sample_milli, now_ms);
+}
+
+bool dem_is_warm(const struct dem_demand *demand)
+{
+	return demand->observed_ms >= DEM_WARM_UP_MS;
+}
+
+bool dem_is_burst(const struct dem_demand *demand, uint64_t now_ms)
+{
+	return demand->rise_began_ms != 0 &&
+	       now_ms - demand->rise_began_ms < DEM_BURST_MAX_MS;
+}
--- /dev/null
+++ b/packages/core/src/mov.c
@@ -0,0 +1,284 @@
+#include "mov.h"
+
+#include "mov_private.h"
+
+/* Share of the average demand at which a pool grows, and the share of it
+ * that a pool holds at least after a change. */
+#define MOV_LOW_PERMILLE 1100u
+#define MOV_NEED_PERMILLE 1250u
+/* Ratio of the weights of churn and buffer, and its bounds. */
+#define MOV_RATIO_MIN_PERMILLE 125u
+#define MOV_RATIO_MAX_PERMILLE 8000u
+/* Dead band, stay and cost of a move at equal weights. */
+#define MOV_BAND_BASE_PERMILLE 100u
+#define MOV_BAND_PERMILLE 120u
+#define MOV_BAND_MAX_PERMILLE 1000u
+#define MOV_STAY_MS (15u * 60u * 1000u)
+#define MOV_STAY_MIN_MS (10u * 60u * 1000u)
+#define MOV_COST_SLOT_MS (80u * 60u * 1000u)
+/* Time over which idle slots are expected to stay idle. */
+#define MOV_HORIZON_MS (30u * 60u * 1000u)
+
+static const char *const reason_names[MOV_REASON_COUNT] = {
+	[MOV_REASON_IN_BAND] = "in-band",     [MOV_REASON_WARM_UP] = "warm-up",
+	[MOV_REASON_BURST] = "burst",	      [MOV_REASON_MINIMUM] = "minimum",
+	[MOV_REASON_DEMAND] = "demand",	      [MOV_REASON_IDLE] = "idle",
+	[MOV_REASON_MOVE_COST] = "move-cost", [MOV_REASON_SPARE] = "spare",
+};
+
+const char *mov_reason_name(enum mov_reason reason)
+{
+	g_assert(reason < MOV_REASON_COUNT);
+	return reason_names[reason];
+}
+
+struct mov_policy mov_policy_of(const struct bnd_weights *weights)
+{
+	uint64_t churn = (uint64_t)weights->moves + weights->roll_out;
+	uint64_t ratio = churn * 1000 / (2 * MAX(weights->buffer, 1));
+
+	ratio = CLAMP(ratio, MOV_RATIO_MIN_PERMILLE, MOV_RATIO_MAX_PERMILLE);
+	return (struct mov_policy){
+		.band_permille =
+			(uint32_t)MIN(MOV_BAND_BASE_PERMILLE +
+					      MOV_BAND_PERMILLE * ratio / 1000,
+				      MOV_BAND_MAX_PERMILLE),
+		.stay_ms = MAX(MOV_STAY_MS * ratio / 1000, MOV_STAY_MIN_MS),
+		.cost_slot_ms = MOV_COST_SLOT_MS * ratio / 1000,
+	};
+}
+
+static uint32_t domain_count(const struct mov_work *work, uint32_t pool,
+			     const uint32_t *domain_of, uint32_t count)
+{
+	const struct bnd_pool *spec = &work->input->bundle->pools[pool];
+	g_autofree bool *seen = g_new0(bool, count + 1);
+	uint32_t found = 0;
+
+	for (uint32_t i = 0; i < spec->vm_count; i++) {
+		uint32_t domain = domain_of[spec->vms[i]];
+
+		found += seen[domain] ? 0 : 1;
+		seen[domain] = true;
+	}
+	return found;
+}
+
+static bool pool_has_wave(const struct bnd_bundle *bundle, uint32_t pool)
+{
+	for (uint32_t i = 0; i < bundle->wave_count; i++) {
+		for (uint32_t k = 0; k < bundle->waves[i].pool_count; k++) {
+			if (bundle->waves[i].pools[k] == pool)
+				return true;
+		}
+	}
+	return false;
+}
+
+/*
+ * The fewest VMs, spread evenly, whose floor outlives the loss that the
+ * bundle names; with one more where waves take VMs out. Never more than the
+ * bundle's own target, which its author chose.
+ */
+static uint32_t pool_minimum(const struct mov_work *work, uint32_t pool)
+{
+	const struct bnd_bundle *bundle = work->input->bundle;
+	const struct bnd_pool *spec = &bundle->pools[pool];
+	const struct dom_index *domains = work->domains;
+	uint32_t count = UINT32_MAX;
+	uint32_t size = spec->floor_vms;
+
+	if (spec->survive == BND_SURVIVE_ZONE)
+		count = domain_count(work, pool, domains->zone_of,
+				     domains->zone_count);
+	else if (spec->survive == BND_SURVIVE_RACK)
+		count = domain_count(work, pool, domains->rack_of,
+				     domains->rack_count);
+	if (count > 1 && count != UINT32_MAX)
+		size = (spec->floor_vms * count + count - 2) / (count - 1);
+	if (pool_has_wave(bundle, pool))
+		size++;
+	return MAX(spec->floor_vms, MIN(size, spec->target_vms));
+}
+
+static uint32_t vms_for(uint64_t demand_milli, uint64_t permille,
+			uint64_t slots_per_vm)
+{
+	uint64_t slot_micro = demand_milli * permille;
+	uint64_t vm_micro = slots_per_vm * 1000 * 1000;
+
+	return (uint32_t)((slot_micro + vm_micro - 1) / vm_micro);
+}
+
+static uint64_t pool_slots_per_vm(const struct bnd_bundle *bundle,
+				  uint32_t pool)
+{
+	const struct bnd_pool *spec = &bundle->pools[pool];
+	uint64_t slots = 0;
+
+	for (uint32_t i = 0; i < spec->vm_count; i++)
+		slots += bundle->vms[spec->vms[i]].slots;
+	return spec->vm_count > 0 ? MAX(slots / spec->vm_count, 1) : 1;
+}
+
+/* Decides by demand; the pool holds at least its minimum. */
+static void pool_decide_demand(struct mov_work *work, uint32_t index)
+{
+	const struct bnd_bundle *bundle = work->input->bundle;
+	const struct mov_policy *policy = &work->plan->policy;
+	const struct bnd_pool *spec = &bundle->pools[index];
+	struct mov_pool *pool = &work->plan->pools[index];
+	uint64_t per_vm = pool_slots_per_vm(bundle, index);
+	uint32_t middle =
+		vms_for(pool->demand_milli,
+			MOV_NEED_PERMILLE + policy->band_permille / 2, per_vm);
+	uint64_t idle_slots;
+
+	pool->low = MAX(vms_for(pool->demand_milli, MOV_LOW_PERMILLE, per_vm),
+			pool->minimum);
+	pool->high =
+		MAX(vms_for(pool->demand_milli,
+			    MOV_NEED_PERMILLE + policy->band_permille, per_vm),
+		    pool->minimum);
+	middle = CLAMP(middle, pool->minimum, MAX(spec->vm_count, 1));
+	pool->wanted = pool->size;
+	if (pool->size < pool->low) {
+		pool->reason = MOV_REASON_DEMAND;
+		pool->wanted = MAX(middle, pool->size);
+	} else if (pool->size > pool->high) {
+		pool->wanted = middle;
+		idle_slots = (pool->size - middle) * per_vm;
+		pool->reason =
+			idle_slots * MOV_HORIZON_MS >= policy->cost_slot_ms
+				? MOV_REASON_IDLE
+				: MOV_REASON_MOVE_COST;
+	}
+}
+
+static void pool_decide(struct mov_work *work, uint32_t index)
+{
+	const struct mov_input *input = work->input;
+	const struct dem_demand *demand = &input->demand[index];
+	struct mov_pool *pool = &work->plan->pools[index];
+
+	pool->minimum = pool_minimum(work, index);
+	pool->demand_milli = demand->average_milli;
+	pool->low = pool->minimum;
+	pool->high = pool->size;
+	pool->wanted = pool->size;
+	if (pool->size < pool->minimum) {
+		pool->reason = MOV_REASON_MINIMUM;
+		pool->wanted = pool->minimum;
+	} else if (!dem_is_warm(demand)) {
+		pool->reason = MOV_REASON_WARM_UP;
+	} else if (dem_is_burst(demand, input->now_ms)) {
+		pool->reason = MOV_REASON_BURST;
+	} else {
+		pool_decide_demand(work, index);
+	}
+	if (input->bundle->pools[index].spare && pool->wanted < pool->size) {
+		pool->reason = MOV_REASON_SPARE;
+		pool->wanted = pool->size;
+	}
+}
+
+static void pool_keep(struct mov_work *work, uint32_t index)
+{
+	const struct mov_pool *pool = &work->plan->pools[index];
+	uint32_t needed = MAX(pool->minimum, pool->low);
+
+	work->keep[index] = pool->wanted;
+	work->keep_urgent[index] = MIN(needed, pool->wanted);
+	if (pool->reason == MOV_REASON_BURST)
+		work->keep_urgent[index] = pool->size;
+	else if (work->input->bundle->pools[index].spare)
+		work->keep[index] = MIN(needed, pool->size);
+}
+
+static void vms_count(struct mov_work *work)
+{
+	const struct mov_input *input = work->input;
+	const struct dom_index *domains = work->domains;
+
+	for (uint32_t vm = 0; vm < input->view->row_count; vm++) {
+		uint32_t pool = mov_pool_of(&input->view->rows[vm]);
+
+		if (pool == BND_NONE || !input->ready[vm])
+			continue;
+		work->plan->pools[pool].size++;
+		work->zone_vms[pool * domains->zone_count +
+			       domains->zone_of[vm]]++;
+		work->rack_vms[pool * domains->rack_count +
+			       domains->rack_of[vm]]++;
+	}
+}
+
+static void work_init(struct mov_work *work, const struct mov_input *input,
+		      struct mov_plan *plan)
+{
+	const struct bnd_bundle *bundle = input->bundle;
+	size_t pools = bundle->pool_count;
+
+	work->input = input;
+	work->plan = plan;
+	work->domains = dom_index_create(bundle);
+	work->zone_vms =
+		g_new0(uint32_t, pools * work->domains->zone_count + 1);
+	work->rack_vms =
+		g_new0(uint32_t, pools * work->domains->rack_count + 1);
+	work->allowed = g_new0(bool, pools * bundle->vm_count + 1);
+	work->moved = g_new0(bool, bundle->vm_count + 1);
+	work->keep = g_new0(uint32_t, pools + 1);
+	work->keep_urgent = g_new0(uint32_t, pools + 1);
+	work->steps = g_array_new(FALSE, FALSE, sizeof(struct mov_step));
+	for (uint32_t i = 0; i < pools; i++) {
+		const struct bnd_pool *spec = &bundle->pools[i];
+
+		for (uint32_t k = 0; k < spec->vm_count; k++)
+			work->allowed[(size_t)i * bundle->vm_count +
+				      spec->vms[k]] = true;
+	}
+}
+
+static void work_clear(struct mov_work *work)
+{
+	dom_index_destroy(work->domains);
+	g_free(work->zone_vms);
+	g_free(work->rack_vms);
+	g_free(work->allowed);
+	g_free(work->moved);
+	g_free(work->keep);
+	g_free(work->keep_urgent);
+}
+
+struct mov_plan *mov_plan_create(const struct mov_input *input)
+{
+	struct mov_plan *plan = g_new0(struct mov_plan, 1);
+	struct mov_work work = { 0 };
+
+	g_assert(input->view->row_count == input->bundle->vm_count);
+	plan->policy = mov_policy_of(&input->bundle->weights);
+	plan->pool_count = input->bundle->pool_count;
+	plan->pools = g_new0(struct mov_pool, plan->pool_count + 1);
+	work_init(&work, input, plan);
+	vms_count(&work);
+	for (uint32_t i = 0; i < plan->pool_count; i++) {
+		pool_decide(&work, i);
+		pool_keep(&work, i);
+		plan->pools[i].target = plan->pools[i].size;
+	}
+	mov_steps_choose(&work);
+	plan->step_count = work.steps->len;
+	plan->steps = (struct mov_step *)g_array_free(work.steps, FALSE);
+	work_clear(&work);
+	return plan;
+}
+
+void mov_plan_destroy(struct mov_plan *plan)
+{
+	if (!plan)
+		return;
+	g_free(plan->pools);
+	g_free(plan->steps);
+	g_free(plan);
+}
--- /dev/null
+++ b/packages/core/src/mov_private.h
@@ -0,0 +1,39 @@
+/**
+ * @file mov_private.h
+ * @brief Shared by the files of mov_ only.
+ */
+#ifndef MOV_PRIVATE_H
+#define MOV_PRIVATE_H
+
+#include "dom.h"
+#include "mov.h"
+
+/* What the planner counts while it works. */
+struct mov_work {
+	const struct mov_input *input;
+	struct mov_plan *plan;
+	struct dom_index *domains;
+	/* ready VMs by [pool * zone_count + zone], and by rack */
+	uint32_t *zone_vms;
+	uint32_t *rack_vms;
+	/* by [pool * vm_count + vm] */
+	bool *allowed;
+	/* by VM: taken by a step of this plan */
+	bool *moved;
+	/* VMs that a pool keeps when it gives to others */
+	uint32_t *keep;
+	/* the same towards a pool below its minimum */
+	uint32_t *keep_urgent;
+	GArray *steps;
+};
+
+/* Pool that a ready VM counts for, BND_NONE for none. */
+static inline uint32_t mov_pool_of(const struct plc_row *row)
+{
+	return row->next_pool != BND_NONE ? row->next_pool : row->pool;
+}
+
+/* Chooses the moves that bring the pools towards their wanted sizes. */
+void mov_steps_choose(struct mov_work *work);
+
+#endif
--- /dev/null
+++ b/packages/core/src/mov_steps.c
@@ -0,0 +1,278 @@
+#include "mov_private.h"
+
+/* A VM that may be given, ordered by candidate_is_better(). */
+struct candidate {
+	uint32_t vm;
+	/* 0 a VM in no pool, 1 of the spare pool, 2 of another pool */
+	uint32_t rank;
+	uint32_t zone_vms_receiver;
+	uint32_t zone_vms_giver;
+	uint64_t since_ms;
+};
+
+/* The largest number of a pool's VMs in one domain. */
+struct worst {
+	uint32_t vms;
+	/* domains that hold as many */
+	uint32_t domains;
+};
+
+static struct worst worst_of(const uint32_t *counts, uint32_t count)
+{
+	struct worst worst = { 0 };
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (counts[i] > worst.vms)
+			worst = (struct worst){ counts[i], 1 };
+		else if (counts[i] == worst.vms)
+			worst.domains++;
+	}
+	return worst;
+}
+
+static const uint32_t *pool_zones(const struct mov_work *work, uint32_t pool)
+{
+	return &work->zone_vms[(size_t)pool * work->domains->zone_count];
+}
+
+static const uint32_t *pool_racks(const struct mov_work *work, uint32_t pool)
+{
+	return &work->rack_vms[(size_t)pool * work->domains->rack_count];
+}
+
+static struct worst pool_worst(const struct mov_work *work, uint32_t pool)
+{
+	switch (work->input->bundle->pools[pool].survive) {
+	case BND_SURVIVE_ZONE:
+		return worst_of(pool_zones(work, pool),
+				work->domains->zone_count);
+	case BND_SURVIVE_RACK:
+		return worst_of(pool_racks(work, pool),
+				work->domains->rack_count);
+	case BND_SURVIVE_NONE:
+		break;
+	}
+	return (struct worst){ 0 };
+}
+
+/* Tells whether the floor outlives the worst loss after a VM was given. */
+static bool floor_holds(const struct mov_work *work, uint32_t pool, uint32_t vm,
+			const struct worst *worst)
+{
+	const struct bnd_pool *spec = &work->input->bundle->pools[pool];
+	uint32_t size = work->plan->pools[pool].target;
+	uint32_t domain_vms =
+		spec->survive == BND_SURVIVE_RACK
+			? pool_racks(work, pool)[work->domains->rack_of[vm]]
+			: pool_zones(work, pool)[work->domains->zone_of[vm]];
+	uint32_t lost = worst->vms;
+
+	if (worst->domains == 1 && domain_vms == worst->vms)
+		lost--;
+	return size >= 1 + lost + spec->floor_vms;
+}
+
+static bool pool_gives(const struct mov_work *work, uint32_t pool, bool urgent)
+{
+	uint32_t keep = urgent ? work->keep_urgent[pool] : work->keep[pool];
+
+	return work->plan->pools[pool].target > keep;
+}
+
+static bool vm_may_leave(const struct mov_work *work, uint32_t vm, bool urgent)
+{
+	const struct mov_input *input = work->input;
+	const struct plc_row *row = &input->view->rows[vm];
+
+	if (work->moved[vm] || !input->ready[vm] ||
+	    row->next_pool != BND_NONE ||
+	    (row->pool != BND_NONE && row->state != PLC_STATE_SERVING))
+		return false;
+	if (urgent || row->pool == BND_NONE ||
+	    input->bundle->pools[row->pool].spare)
+		return true;
+	return input->now_ms - input->since_ms[vm] >=
+	       work->plan->policy.stay_ms;
+}
+
+static struct candidate candidate_of(const struct mov_work *work, uint32_t vm,
+				     uint32_t to)
+{
+	const struct mov_input *input = work->input;
+	uint32_t from = input->view->rows[vm].pool;
+	uint32_t zone = work->domains->zone_of[vm];
+	struct candidate candidate = {
+		.vm = vm,
+		.rank = 2,
+		.zone_vms_receiver = pool_zones(work, to)[zone],
+		.since_ms = input->since_ms[vm],
+	};
+
+	if (from == BND_NONE) {
+		candidate.rank = 0;
+		return candidate;
+	}
+	candidate.zone_vms_giver = pool_zones(work, from)[zone];
+	if (input->bundle->pools[from].spare)
+		candidate.rank = 1;
+	return candidate;
+}
+
+static bool candidate_is_better(const struct candidate *a,
+				const struct candidate *b)
+{
+	if (a->rank != b->rank)
+		return a->rank < b->rank;
+	if (a->zone_vms_receiver != b->zone_vms_receiver)
+		return a->zone_vms_receiver < b->zone_vms_receiver;
+	if (a->zone_vms_giver != b->zone_vms_giver)
+		return a->zone_vms_giver > b->zone_vms_giver;
+	return a->since_ms < b->since_ms;
+}
+
+/* Chooses a VM for a pool from any giver, or from one giver only. */
+static uint32_t vm_choose(const struct mov_work *work, uint32_t to,
+			  uint32_t only_from, bool urgent)
+{
+	const struct mov_input *input = work->input;
+	uint32_t pools = work->plan->pool_count;
+	g_autofree struct worst *worst = g_new0(struct worst, pools + 1);
+	g_autofree bool *gives = g_new0(bool, pools + 1);
+	struct candidate best = { .vm = BND_NONE };
+
+	for (uint32_t i = 0; i < pools; i++) {
+		gives[i] = i != to && pool_gives(work, i, urgent);
+		if (gives[i])
+			worst[i] = pool_worst(work, i);
+	}
+	for (uint32_t vm = 0; vm < input->view->row_count; vm++) {
+		uint32_t from = input->view->rows[vm].pool;
+		struct candidate candidate;
+
+		if (!work->allowed[(size_t)to * input->bundle->vm_count + vm] ||
+		    (only_from != BND_NONE && from != only_from) ||
+		    !vm_may_leave(work, vm, urgent))
+			continue;
+		if (from != BND_NONE &&
+		    (!gives[from] ||
+		     !floor_holds(work, from, vm, &worst[from])))
+			continue;
+		candidate = candidate_of(work, vm, to);
+		if (best.vm == BND_NONE ||
+		    candidate_is_better(&candidate, &best))
+			best = candidate;
+	}
+	return best.vm;
+}
+
+static void pool_count_vm(struct mov_work *work, uint32_t pool, uint32_t vm,
+			  int32_t change)
+{
+	const struct dom_index *domains = work->domains;
+
+	work->plan->pools[pool].target += (uint32_t)change;
+	work->zone_vms[(size_t)pool * domains->zone_count +
+		       domains->zone_of[vm]] += (uint32_t)change;
+	work->rack_vms[(size_t)pool * domains->rack_count +
+		       domains->rack_of[vm]] += (uint32_t)change;
+}
+
+static void step_add(struct mov_work *work, uint32_t vm, uint32_t to,
+		     enum plc_reason reason)
+{
+	struct mov_step step = {
+		.vm = vm,
+		.from = work->input->view->rows[vm].pool,
+		.to = to,
+		.reason = reason,
+	};
+
+	work->moved[vm] = true;
+	if (step.from != BND_NONE)
+		pool_count_vm(work, step.from, vm, -1);
+	pool_count_vm(work, to, vm, 1);
+	g_array_append_val(work->steps, step);
+}
+
+static bool pool_is_short(const struct mov_pool *pool)
+{
+	return pool->target < pool->wanted;
+}
+
+/* Share of its wanted size that a pool lacks; the larger goes first. */
+static uint64_t shortage_permille(const struct mov_pool *pool)
+{
+	return (uint64_t)(pool->wanted - pool->target) * 1000 / pool->wanted;
+}
+
+static uint32_t shortest_pool(const struct mov_work *work, const bool *done,
+			      bool urgent)
+{
+	uint32_t best = BND_NONE;
+
+	for (uint32_t i = 0; i < work->plan->pool_count; i++) {
+		const struct mov_pool *pool = &work->plan->pools[i];
+		bool pool_urgent = pool->reason == MOV_REASON_MINIMUM;
+
+		if (done[i] || pool_urgent != urgent || !pool_is_short(pool))
+			continue;
+		if (best == BND_NONE ||
+		    shortage_permille(pool) >
+			    shortage_permille(&work->plan->pools[best]))
+			best = i;
+	}
+	return best;
+}
+
+static void pools_grow(struct mov_work *work, bool urgent)
+{
+	g_autofree bool *done = g_new0(bool, work->plan->pool_count + 1);
+	enum plc_reason reason =
+		urgent ? PLC_REASON_FAILURE : PLC_REASON_DEMAND;
+	uint32_t pool = shortest_pool(work, done, urgent);
+
+	while (pool != BND_NONE) {
+		uint32_t vm = vm_choose(work, pool, BND_NONE, urgent);
+
+		if (vm == BND_NONE)
+			done[pool] = true;
+		else
+			step_add(work, vm, pool, reason);
+		pool = shortest_pool(work, done, urgent);
+	}
+}
+
+static uint32_t spare_pool(const struct bnd_bundle *bundle)
+{
+	for (uint32_t i = 0; i < bundle->pool_count; i++) {
+		if (bundle->pools[i].spare)
+			return i;
+	}
+	return BND_NONE;
+}
+
+static void pools_return(struct mov_work *work)
+{
+	uint32_t spare = spare_pool(work->input->bundle);
+
+	for (uint32_t i = 0; spare != BND_NONE && i < work->plan->pool_count;
+	     i++) {
+		const struct mov_pool *pool = &work->plan->pools[i];
+
+		while (pool->reason == MOV_REASON_IDLE &&
+		       pool->target > pool->wanted) {
+			uint32_t vm = vm_choose(work, spare, i, false);
+
+			if (vm == BND_NONE)
+				break;
+			step_add(work, vm, spare, PLC_REASON_RETURN);
+		}
+	}
+}
+
+void mov_steps_choose(struct mov_work *work)
+{
+	pools_grow(work, true);
+	pools_grow(work, false);
+	pools_return(work);
+}
