Keep maintenance, bursts and giving pools out of moves

A VM under maintenance was replaced although it comes back; a pool that gave a VM to another below its minimum asked for one in return, in the same plan; a VM was returned to the spare pool while that was in a burst; VMs on their way to a pool counted for its floor (59 s below a floor, seed 3). Change: only a broken reserve, without the VM for maintenance, is urgent; only pools short by demand or reserve receive; floors count serving VMs alone; pools grow by what they lack; idle time of 240 slot minutes is the cost of a move at equal weights; a burst starts at 1.5 times the average.

--- a/packages/core/include/dem.h
+++ b/packages/core/include/dem.h
@@ -16,8 +16,8 @@
 #define DEM_TIME_CONSTANT_MS (10u * 60u * 1000u)
 /** Observed time before the average is used for decisions. */
 #define DEM_WARM_UP_MS (5u * 60u * 1000u)
-/** Demand over this multiple of the average counts as a burst. */
-#define DEM_BURST_RATIO 2u
+/** Demand over this share of the average counts as a burst. */
+#define DEM_BURST_PERMILLE 1500u
 /** A rise that lasts longer than this is no burst. */
 #define DEM_BURST_MAX_MS (2u * 60u * 1000u)
 
--- a/packages/core/include/mov.h
+++ b/packages/core/include/mov.h
@@ -25,8 +25,8 @@
 	MOV_REASON_WARM_UP,
 	/** a burst of seconds is carried by the queue */
 	MOV_REASON_BURST,
-	/** ready VMs are fewer than the availability asks for */
-	MOV_REASON_MINIMUM,
+	/** VMs are fewer than the availability asks for */
+	MOV_REASON_RESERVE,
 	/** average demand nears the pool's slots */
 	MOV_REASON_DEMAND,
 	/** the pool holds VMs that its demand does not need */
@@ -40,6 +40,8 @@
 
 /** Bounds that follow from the cost weights. */
 struct mov_policy {
+	/** slots per average demand below which a pool grows */
+	uint32_t low_permille;
 	/** share of the demand by which a pool may exceed its need */
 	uint32_t band_permille;
 	/** time that a VM stays in a pool before demand moves it again */
@@ -52,7 +54,8 @@
 struct mov_input {
 	const struct bnd_bundle *bundle;
 	const struct plc_view *view;
-	/** for each VM whether it can take work */
+	/** for each VM whether it is to be counted on: it has not failed; a
+	 *  VM under maintenance counts, since it comes back soon */
 	const bool *ready;
 	/** for each VM since when it is in its pool */
 	const uint64_t *since_ms;
@@ -66,7 +69,10 @@
 	enum mov_reason reason;
 	/** ready VMs held now, with those on their way to the pool */
 	uint32_t size;
-	/** VMs that keep the floor through the loss that the bundle names */
+	/** VMs that keep the floor through the loss that the bundle names;
+	 *  with fewer, others are moved here at once */
+	uint32_t reserve;
+	/** the reserve and a VM for maintenance; never given away */
 	uint32_t minimum;
 	/** dead band: below low the pool grows, above high it gives back */
 	uint32_t low;
--- a/packages/core/src/dem.c
+++ b/packages/core/src/dem.c
@@ -8,7 +8,7 @@
 static void rise_update(struct dem_demand *demand, uint64_t sample_milli,
 			uint64_t now_ms)
 {
-	uint64_t bound = demand->average_milli * DEM_BURST_RATIO;
+	uint64_t bound = demand->average_milli * DEM_BURST_PERMILLE / 1000;
 
 	if (sample_milli <= MAX(bound, DEM_BURST_MIN_MILLI))
 		demand->rise_began_ms = 0;
--- a/packages/core/src/mov.c
+++ b/packages/core/src/mov.c
@@ -2,26 +2,31 @@
 
 #include "mov_private.h"
 
-/* Share of the average demand at which a pool grows, and the share of it
- * that a pool holds at least after a change. */
-#define MOV_LOW_PERMILLE 1100u
+/* A pool grows when its slots fall below this share of the average demand:
+ * the lower, the more moves weigh. */
+#define MOV_LOW_MAX_PERMILLE 1150u
+#define MOV_LOW_MIN_PERMILLE 1050u
+#define MOV_LOW_STEP_PERMILLE 25u
+/* What it then holds beyond that share. */
+#define MOV_GROWTH_PERMILLE 100u
+/* Share of the demand from which the dead band above it starts. */
 #define MOV_NEED_PERMILLE 1250u
 /* Ratio of the weights of churn and buffer, and its bounds. */
 #define MOV_RATIO_MIN_PERMILLE 125u
 #define MOV_RATIO_MAX_PERMILLE 8000u
 /* Dead band, stay and cost of a move at equal weights. */
-#define MOV_BAND_BASE_PERMILLE 100u
+#define MOV_BAND_BASE_PERMILLE 50u
 #define MOV_BAND_PERMILLE 120u
 #define MOV_BAND_MAX_PERMILLE 1000u
 #define MOV_STAY_MS (15u * 60u * 1000u)
 #define MOV_STAY_MIN_MS (10u * 60u * 1000u)
-#define MOV_COST_SLOT_MS (80u * 60u * 1000u)
+#define MOV_COST_SLOT_MS (240u * 60u * 1000u)
 /* Time over which idle slots are expected to stay idle. */
 #define MOV_HORIZON_MS (30u * 60u * 1000u)
 
 static const char *const reason_names[MOV_REASON_COUNT] = {
 	[MOV_REASON_IN_BAND] = "in-band",     [MOV_REASON_WARM_UP] = "warm-up",
-	[MOV_REASON_BURST] = "burst",	      [MOV_REASON_MINIMUM] = "minimum",
+	[MOV_REASON_BURST] = "burst",	      [MOV_REASON_RESERVE] = "reserve",
 	[MOV_REASON_DEMAND] = "demand",	      [MOV_REASON_IDLE] = "idle",
 	[MOV_REASON_MOVE_COST] = "move-cost", [MOV_REASON_SPARE] = "spare",
 };
@@ -36,9 +41,13 @@
 {
 	uint64_t churn = (uint64_t)weights->moves + weights->roll_out;
 	uint64_t ratio = churn * 1000 / (2 * MAX(weights->buffer, 1));
+	uint64_t step;
 
 	ratio = CLAMP(ratio, MOV_RATIO_MIN_PERMILLE, MOV_RATIO_MAX_PERMILLE);
+	step = MOV_LOW_STEP_PERMILLE * ratio / 1000;
 	return (struct mov_policy){
+		.low_permille = (uint32_t)MAX(MOV_LOW_MAX_PERMILLE - step,
+					      MOV_LOW_MIN_PERMILLE),
 		.band_permille =
 			(uint32_t)MIN(MOV_BAND_BASE_PERMILLE +
 					      MOV_BAND_PERMILLE * ratio / 1000,
@@ -77,15 +86,13 @@
 
 /*
  * The fewest VMs, spread evenly, whose floor outlives the loss that the
- * bundle names; with one more where waves take VMs out. Never more than the
- * bundle's own target, which its author chose.
+ * bundle names. Never more than the bundle's own target.
  */
-static uint32_t pool_minimum(const struct mov_work *work, uint32_t pool)
+static uint32_t pool_reserve(const struct mov_work *work, uint32_t pool)
 {
-	const struct bnd_bundle *bundle = work->input->bundle;
-	const struct bnd_pool *spec = &bundle->pools[pool];
+	const struct bnd_pool *spec = &work->input->bundle->pools[pool];
 	const struct dom_index *domains = work->domains;
-	uint32_t count = UINT32_MAX;
+	uint32_t count = 0;
 	uint32_t size = spec->floor_vms;
 
 	if (spec->survive == BND_SURVIVE_ZONE)
@@ -94,13 +101,21 @@
 	else if (spec->survive == BND_SURVIVE_RACK)
 		count = domain_count(work, pool, domains->rack_of,
 				     domains->rack_count);
-	if (count > 1 && count != UINT32_MAX)
+	if (count > 1)
 		size = (spec->floor_vms * count + count - 2) / (count - 1);
-	if (pool_has_wave(bundle, pool))
-		size++;
 	return MAX(spec->floor_vms, MIN(size, spec->target_vms));
 }
 
+static uint32_t pool_minimum(const struct mov_work *work, uint32_t pool,
+			     uint32_t reserve)
+{
+	const struct bnd_bundle *bundle = work->input->bundle;
+
+	if (!pool_has_wave(bundle, pool))
+		return reserve;
+	return MAX(reserve, MIN(reserve + 1, bundle->pools[pool].target_vms));
+}
+
 static uint32_t vms_for(uint64_t demand_milli, uint64_t permille,
 			uint64_t slots_per_vm)
 {
@@ -121,33 +136,33 @@
 	return spec->vm_count > 0 ? MAX(slots / spec->vm_count, 1) : 1;
 }
 
-/* Decides by demand; the pool holds at least its minimum. */
+/* Decides by demand; a pool that gives keeps its minimum. */
 static void pool_decide_demand(struct mov_work *work, uint32_t index)
 {
 	const struct bnd_bundle *bundle = work->input->bundle;
 	const struct mov_policy *policy = &work->plan->policy;
-	const struct bnd_pool *spec = &bundle->pools[index];
 	struct mov_pool *pool = &work->plan->pools[index];
 	uint64_t per_vm = pool_slots_per_vm(bundle, index);
+	uint32_t need =
+		vms_for(pool->demand_milli,
+			policy->low_permille + MOV_GROWTH_PERMILLE, per_vm);
 	uint32_t middle =
 		vms_for(pool->demand_milli,
 			MOV_NEED_PERMILLE + policy->band_permille / 2, per_vm);
 	uint64_t idle_slots;
 
-	pool->low = MAX(vms_for(pool->demand_milli, MOV_LOW_PERMILLE, per_vm),
-			pool->minimum);
+	pool->low = vms_for(pool->demand_milli, policy->low_permille, per_vm);
 	pool->high =
 		MAX(vms_for(pool->demand_milli,
 			    MOV_NEED_PERMILLE + policy->band_permille, per_vm),
 		    pool->minimum);
-	middle = CLAMP(middle, pool->minimum, MAX(spec->vm_count, 1));
-	pool->wanted = pool->size;
 	if (pool->size < pool->low) {
 		pool->reason = MOV_REASON_DEMAND;
-		pool->wanted = MAX(middle, pool->size);
+		pool->wanted = MAX(MIN(need, bundle->pools[index].vm_count),
+				   pool->size);
 	} else if (pool->size > pool->high) {
-		pool->wanted = middle;
-		idle_slots = (pool->size - middle) * per_vm;
+		pool->wanted = MAX(middle, pool->minimum);
+		idle_slots = (pool->size - pool->wanted) * per_vm;
 		pool->reason =
 			idle_slots * MOV_HORIZON_MS >= policy->cost_slot_ms
 				? MOV_REASON_IDLE
@@ -161,14 +176,15 @@
 	const struct dem_demand *demand = &input->demand[index];
 	struct mov_pool *pool = &work->plan->pools[index];
 
-	pool->minimum = pool_minimum(work, index);
+	pool->reserve = pool_reserve(work, index);
+	pool->minimum = pool_minimum(work, index, pool->reserve);
 	pool->demand_milli = demand->average_milli;
-	pool->low = pool->minimum;
+	pool->low = pool->reserve;
 	pool->high = pool->size;
 	pool->wanted = pool->size;
-	if (pool->size < pool->minimum) {
-		pool->reason = MOV_REASON_MINIMUM;
-		pool->wanted = pool->minimum;
+	if (pool->size < pool->reserve) {
+		pool->reason = MOV_REASON_RESERVE;
+		pool->wanted = pool->reserve;
 	} else if (!dem_is_warm(demand)) {
 		pool->reason = MOV_REASON_WARM_UP;
 	} else if (dem_is_burst(demand, input->now_ms)) {
@@ -182,35 +198,62 @@
 	}
 }
 
+/* Pools in a burst give nothing, but to one whose reserve is broken. */
 static void pool_keep(struct mov_work *work, uint32_t index)
 {
 	const struct mov_pool *pool = &work->plan->pools[index];
-	uint32_t needed = MAX(pool->minimum, pool->low);
-
-	work->keep[index] = pool->wanted;
-	work->keep_urgent[index] = MIN(needed, pool->wanted);
-	if (pool->reason == MOV_REASON_BURST)
-		work->keep_urgent[index] = pool->size;
-	else if (work->input->bundle->pools[index].spare)
-		work->keep[index] = MIN(needed, pool->size);
+	uint32_t needed = MIN(MAX(pool->minimum, pool->low), pool->size);
+
+	work->keep[index] = MIN(pool->wanted, pool->size);
+	work->keep_urgent[index] = MIN(needed, work->keep[index]);
+	if (work->input->bundle->pools[index].spare &&
+	    pool->reason != MOV_REASON_BURST)
+		work->keep[index] = needed;
+}
+
+void mov_counts_add(struct mov_counts *counts, const struct dom_index *domains,
+		    uint32_t pool, uint32_t vm, int32_t change)
+{
+	size_t zone = (size_t)pool * domains->zone_count + domains->zone_of[vm];
+	size_t rack = (size_t)pool * domains->rack_count + domains->rack_of[vm];
+
+	counts->vms[pool] += (uint32_t)change;
+	counts->zone_vms[zone] += (uint32_t)change;
+	counts->rack_vms[rack] += (uint32_t)change;
+}
+
+static void counts_init(struct mov_counts *counts,
+			const struct dom_index *domains, size_t pools)
+{
+	counts->vms = g_new0(uint32_t, pools + 1);
+	counts->zone_vms = g_new0(uint32_t, pools * domains->zone_count + 1);
+	counts->rack_vms = g_new0(uint32_t, pools * domains->rack_count + 1);
+}
+
+static void counts_clear(struct mov_counts *counts)
+{
+	g_free(counts->vms);
+	g_free(counts->zone_vms);
+	g_free(counts->rack_vms);
 }
 
 static void vms_count(struct mov_work *work)
 {
 	const struct mov_input *input = work->input;
-	const struct dom_index *domains = work->domains;
 
 	for (uint32_t vm = 0; vm < input->view->row_count; vm++) {
-		uint32_t pool = mov_pool_of(&input->view->rows[vm]);
+		const struct plc_row *row = &input->view->rows[vm];
+		uint32_t pool = mov_pool_of(row);
 
 		if (pool == BND_NONE || !input->ready[vm])
 			continue;
-		work->plan->pools[pool].size++;
-		work->zone_vms[pool * domains->zone_count +
-			       domains->zone_of[vm]]++;
-		work->rack_vms[pool * domains->rack_count +
-			       domains->rack_of[vm]]++;
+		mov_counts_add(&work->held, work->domains, pool, vm, 1);
+		if (row->state == PLC_STATE_SERVING && pool == row->pool)
+			mov_counts_add(&work->serving, work->domains, pool, vm,
+				       1);
 	}
+	for (uint32_t i = 0; i < work->plan->pool_count; i++)
+		work->plan->pools[i].size = work->held.vms[i];
 }
 
 static void work_init(struct mov_work *work, const struct mov_input *input,
@@ -222,10 +265,8 @@
 	work->input = input;
 	work->plan = plan;
 	work->domains = dom_index_create(bundle);
-	work->zone_vms =
-		g_new0(uint32_t, pools * work->domains->zone_count + 1);
-	work->rack_vms =
-		g_new0(uint32_t, pools * work->domains->rack_count + 1);
+	counts_init(&work->held, work->domains, pools);
+	counts_init(&work->serving, work->domains, pools);
 	work->allowed = g_new0(bool, pools * bundle->vm_count + 1);
 	work->moved = g_new0(bool, bundle->vm_count + 1);
 	work->keep = g_new0(uint32_t, pools + 1);
@@ -243,8 +284,8 @@
 static void work_clear(struct mov_work *work)
 {
 	dom_index_destroy(work->domains);
-	g_free(work->zone_vms);
-	g_free(work->rack_vms);
+	counts_clear(&work->held);
+	counts_clear(&work->serving);
 	g_free(work->allowed);
 	g_free(work->moved);
 	g_free(work->keep);
--- a/packages/core/src/mov_steps.c
+++ b/packages/core/src/mov_steps.c
@@ -30,24 +30,28 @@
 	return worst;
 }
 
-static const uint32_t *pool_zones(const struct mov_work *work, uint32_t pool)
+static const uint32_t *pool_zones(const struct mov_work *work,
+				  const struct mov_counts *counts,
+				  uint32_t pool)
 {
-	return &work->zone_vms[(size_t)pool * work->domains->zone_count];
+	return &counts->zone_vms[(size_t)pool * work->domains->zone_count];
 }
 
-static const uint32_t *pool_racks(const struct mov_work *work, uint32_t pool)
+static const uint32_t *pool_racks(const struct mov_work *work,
+				  const struct mov_counts *counts,
+				  uint32_t pool)
 {
-	return &work->rack_vms[(size_t)pool * work->domains->rack_count];
+	return &counts->rack_vms[(size_t)pool * work->domains->rack_count];
 }
 
 static struct worst pool_worst(const struct mov_work *work, uint32_t pool)
 {
 	switch (work->input->bundle->pools[pool].survive) {
 	case BND_SURVIVE_ZONE:
-		return worst_of(pool_zones(work, pool),
+		return worst_of(pool_zones(work, &work->serving, pool),
 				work->domains->zone_count);
 	case BND_SURVIVE_RACK:
-		return worst_of(pool_racks(work, pool),
+		return worst_of(pool_racks(work, &work->serving, pool),
 				work->domains->rack_count);
 	case BND_SURVIVE_NONE:
 		break;
@@ -55,21 +59,28 @@
 	return (struct worst){ 0 };
 }
 
+static uint32_t domain_vms(const struct mov_work *work, uint32_t pool,
+			   uint32_t vm)
+{
+	const struct bnd_pool *spec = &work->input->bundle->pools[pool];
+
+	if (spec->survive == BND_SURVIVE_RACK)
+		return pool_racks(work, &work->serving,
+				  pool)[work->domains->rack_of[vm]];
+	return pool_zones(work, &work->serving,
+			  pool)[work->domains->zone_of[vm]];
+}
+
 /* Tells whether the floor outlives the worst loss after a VM was given. */
 static bool floor_holds(const struct mov_work *work, uint32_t pool, uint32_t vm,
 			const struct worst *worst)
 {
-	const struct bnd_pool *spec = &work->input->bundle->pools[pool];
-	uint32_t size = work->plan->pools[pool].target;
-	uint32_t domain_vms =
-		spec->survive == BND_SURVIVE_RACK
-			? pool_racks(work, pool)[work->domains->rack_of[vm]]
-			: pool_zones(work, pool)[work->domains->zone_of[vm]];
+	uint32_t floor_vms = work->input->bundle->pools[pool].floor_vms;
 	uint32_t lost = worst->vms;
 
-	if (worst->domains == 1 && domain_vms == worst->vms)
+	if (worst->domains == 1 && domain_vms(work, pool, vm) == worst->vms)
 		lost--;
-	return size >= 1 + lost + spec->floor_vms;
+	return work->serving.vms[pool] >= 1 + lost + floor_vms;
 }
 
 static bool pool_gives(const struct mov_work *work, uint32_t pool, bool urgent)
@@ -104,7 +115,7 @@
 	struct candidate candidate = {
 		.vm = vm,
 		.rank = 2,
-		.zone_vms_receiver = pool_zones(work, to)[zone],
+		.zone_vms_receiver = pool_zones(work, &work->held, to)[zone],
 		.since_ms = input->since_ms[vm],
 	};
 
@@ -112,7 +123,7 @@
 		candidate.rank = 0;
 		return candidate;
 	}
-	candidate.zone_vms_giver = pool_zones(work, from)[zone];
+	candidate.zone_vms_giver = pool_zones(work, &work->held, from)[zone];
 	if (input->bundle->pools[from].spare)
 		candidate.rank = 1;
 	return candidate;
@@ -165,18 +176,6 @@
 	return best.vm;
 }
 
-static void pool_count_vm(struct mov_work *work, uint32_t pool, uint32_t vm,
-			  int32_t change)
-{
-	const struct dom_index *domains = work->domains;
-
-	work->plan->pools[pool].target += (uint32_t)change;
-	work->zone_vms[(size_t)pool * domains->zone_count +
-		       domains->zone_of[vm]] += (uint32_t)change;
-	work->rack_vms[(size_t)pool * domains->rack_count +
-		       domains->rack_of[vm]] += (uint32_t)change;
-}
-
 static void step_add(struct mov_work *work, uint32_t vm, uint32_t to,
 		     enum plc_reason reason)
 {
@@ -188,15 +187,22 @@
 	};
 
 	work->moved[vm] = true;
-	if (step.from != BND_NONE)
-		pool_count_vm(work, step.from, vm, -1);
-	pool_count_vm(work, to, vm, 1);
+	if (step.from != BND_NONE) {
+		mov_counts_add(&work->held, work->domains, step.from, vm, -1);
+		mov_counts_add(&work->serving, work->domains, step.from, vm,
+			       -1);
+		work->plan->pools[step.from].target--;
+	}
+	mov_counts_add(&work->held, work->domains, to, vm, 1);
+	work->plan->pools[to].target++;
 	g_array_append_val(work->steps, step);
 }
 
 static bool pool_is_short(const struct mov_pool *pool)
 {
-	return pool->target < pool->wanted;
+	return (pool->reason == MOV_REASON_DEMAND ||
+		pool->reason == MOV_REASON_RESERVE) &&
+	       pool->target < pool->wanted;
 }
 
 /* Share of its wanted size that a pool lacks; the larger goes first. */
@@ -212,7 +218,7 @@
 
 	for (uint32_t i = 0; i < work->plan->pool_count; i++) {
 		const struct mov_pool *pool = &work->plan->pools[i];
-		bool pool_urgent = pool->reason == MOV_REASON_MINIMUM;
+		bool pool_urgent = pool->reason == MOV_REASON_RESERVE;
 
 		if (done[i] || pool_urgent != urgent || !pool_is_short(pool))
 			continue;
@@ -251,25 +257,31 @@
 	return BND_NONE;
 }
 
-static void pools_return(struct mov_work *work)
+static void pool_return(struct mov_work *work, uint32_t index, uint32_t spare)
 {
-	uint32_t spare = spare_pool(work->input->bundle);
-
-	for (uint32_t i = 0; spare != BND_NONE && i < work->plan->pool_count;
-	     i++) {
-		const struct mov_pool *pool = &work->plan->pools[i];
+	const struct mov_pool *pool = &work->plan->pools[index];
 
-		while (pool->reason == MOV_REASON_IDLE &&
-		       pool->target > pool->wanted) {
-			uint32_t vm = vm_choose(work, spare, i, false);
+	while (pool->reason == MOV_REASON_IDLE && pool->target > pool->wanted) {
+		uint32_t vm = vm_choose(work, spare, index, false);
 
-			if (vm == BND_NONE)
-				break;
-			step_add(work, vm, spare, PLC_REASON_RETURN);
-		}
+		if (vm == BND_NONE)
+			return;
+		step_add(work, vm, spare, PLC_REASON_RETURN);
 	}
 }
 
+/* Neither pool of a move may be in a burst. */
+static void pools_return(struct mov_work *work)
+{
+	uint32_t spare = spare_pool(work->input->bundle);
+
+	if (spare == BND_NONE ||
+	    work->plan->pools[spare].reason == MOV_REASON_BURST)
+		return;
+	for (uint32_t i = 0; i < work->plan->pool_count; i++)
+		pool_return(work, i, spare);
+}
+
 void mov_steps_choose(struct mov_work *work)
 {
 	pools_grow(work, true);
