Queue by deadline; refuse at once only what is certain

Cause: with heavy tails of run times the wait estimated from the mean of 16 samples refused requests that would have been answered in time, and a first-come order spent slots on requests that timed out. Change: edq_ keeps the queue by deadline in 1,024 buckets of 64 ms, with counts in a binary indexed tree, so that the number of requests ahead is known at a cost that length does not change. A request is refused on arrival when half of the estimated wait behind those is too long, and at its turn when 1.5 mean service times are not left while others wait. Run: build/packages/core/tests/test_edq, 4 checks, 0 failures.

--- a/packages/core/include/adm.h
+++ b/packages/core/include/adm.h
@@ -2,8 +2,9 @@
  * @file adm.h
  * @brief Admission: a pool's queue, bounded in requests, bytes and time.
  *
- * Prefix: adm_. Adding, taking and removing cost O(1), whatever the length.
- * A request that cannot start before its deadline is refused at once.
+ * Prefix: adm_. The earliest deadline goes first. Adding, taking and removing
+ * cost the same, whatever the length. A request that cannot start before its
+ * deadline is refused at once.
  */
 #ifndef ADM_H
 #define ADM_H
@@ -12,6 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "edq.h"
 #include "out.h"
 
 /** Bounds of a queue. */
@@ -23,7 +25,7 @@
 
 /** A waiting request, embedded in its owner; zeroed before its first use. */
 struct adm_item {
-	GList link;
+	struct edq_item place;
 	uint64_t bytes;
 	uint64_t enqueued_ms;
 	uint64_t deadline_ms;
@@ -55,7 +57,17 @@
 enum out_kind adm_queue_push(struct adm_queue *queue, struct adm_item *item,
 			     uint32_t slots, uint64_t now_ms);
 
-/** @brief Takes the oldest request. @return NULL when none waits */
+/**
+ * @brief Tells whether a request that was taken is to be refused as late.
+ *
+ * It is when too little time is left for an answer, by the time that requests
+ * held their slots lately, and others wait for the slot; or when its deadline
+ * has passed.
+ */
+bool adm_queue_is_late(const struct adm_queue *queue,
+		       const struct adm_item *item, uint64_t now_ms);
+
+/** @brief Takes the most urgent request. @return NULL when none waits */
 struct adm_item *adm_queue_pop(struct adm_queue *queue);
 
 /** @brief Removes a request wherever it stands in the queue. */
--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -1,12 +1,18 @@
 #include "adm.h"
 
 /* Weight of a new sample in the mean service time is one in this many. */
-#define ADM_MEAN_SAMPLES 16
+#define ADM_MEAN_SAMPLES 64
+/* Share of the estimated wait that is certain: requests in line may leave or
+ * end sooner than others did. A refusal on arrival is final, while a request
+ * that waits is refused at its turn if it is late by then. */
+#define ADM_CERTAIN_PERCENT 50
+/* Share of the mean service time that must be left at the start. */
+#define ADM_RESERVE_PERCENT 150
 #define ADM_RETRY_AFTER_MAX_S 60
 
 struct adm_queue {
 	struct adm_limits limits;
-	GQueue items;
+	struct edq_queue items;
 	uint64_t bytes;
 	/* mean time a request holds a slot; 0 until the first sample */
 	uint64_t mean_service_us;
@@ -17,7 +23,7 @@
 	struct adm_queue *queue = g_new0(struct adm_queue, 1);
 
 	queue->limits = *limits;
-	g_queue_init(&queue->items);
+	edq_init(&queue->items);
 	return queue;
 }
 
@@ -25,7 +31,7 @@
 {
 	if (!queue)
 		return;
-	g_assert(g_queue_is_empty(&queue->items));
+	g_assert(queue->items.length == 0);
 	g_free(queue);
 }
 
@@ -44,6 +50,23 @@
 	return OUT_ANSWERED;
 }
 
+static uint64_t wait_behind_ms(const struct adm_queue *queue, uint32_t ahead,
+			       uint32_t slots)
+{
+	return ahead * queue->mean_service_us / slots / 1000;
+}
+
+bool adm_queue_is_late(const struct adm_queue *queue,
+		       const struct adm_item *item, uint64_t now_ms)
+{
+	uint64_t needed_ms =
+		queue->mean_service_us * ADM_RESERVE_PERCENT / 100 / 1000;
+
+	if (queue->items.length == 0)
+		needed_ms = 0;
+	return now_ms + needed_ms >= item->deadline_ms;
+}
+
 enum out_kind adm_queue_push(struct adm_queue *queue, struct adm_item *item,
 			     uint32_t slots, uint64_t now_ms)
 {
@@ -55,14 +78,16 @@
 		return OUT_NO_VM;
 	if (refusal != OUT_ANSWERED)
 		return refusal;
-	wait_ms = adm_queue_wait_ms(queue, slots);
+	wait_ms = wait_behind_ms(
+		queue, edq_ahead(&queue->items, item->deadline_ms), slots);
+	wait_ms = wait_ms * ADM_CERTAIN_PERCENT / 100;
 	if (wait_ms > queue->limits.max_wait_ms ||
 	    now_ms + wait_ms >= item->deadline_ms)
 		return OUT_WOULD_EXPIRE;
 	item->enqueued_ms = now_ms;
 	item->queued = true;
-	item->link.data = item;
-	g_queue_push_tail_link(&queue->items, &item->link);
+	item->place.link.data = item;
+	edq_push(&queue->items, &item->place, item->deadline_ms, now_ms);
 	queue->bytes += item->bytes;
 	return OUT_ANSWERED;
 }
@@ -75,12 +100,13 @@
 
 struct adm_item *adm_queue_pop(struct adm_queue *queue)
 {
-	GList *link = g_queue_pop_head_link(&queue->items);
+	struct edq_item *place = edq_first(&queue->items);
 	struct adm_item *item;
 
-	if (!link)
+	if (!place)
 		return NULL;
-	item = link->data;
+	item = place->link.data;
+	edq_remove(&queue->items, place);
 	item_forget(queue, item);
 	return item;
 }
@@ -89,7 +115,7 @@
 {
 	if (!item->queued)
 		return;
-	g_queue_unlink(&queue->items, &item->link);
+	edq_remove(&queue->items, &item->place);
 	item_forget(queue, item);
 }
 
@@ -120,7 +146,7 @@
 {
 	if (slots == 0)
 		return queue->limits.max_wait_ms;
-	return queue->items.length * queue->mean_service_us / slots / 1000;
+	return wait_behind_ms(queue, queue->items.length, slots);
 }
 
 uint32_t adm_queue_retry_after_s(const struct adm_queue *queue, uint32_t slots)
--- /dev/null
+++ b/packages/core/src/edq.c
@@ -0,0 +1,114 @@
+#include "edq.h"
+
+void edq_init(struct edq_queue *queue)
+{
+	*queue = (struct edq_queue){ 0 };
+	for (uint32_t i = 0; i < EDQ_BUCKETS; i++)
+		g_queue_init(&queue->buckets[i]);
+}
+
+static uint64_t bucket_number(const struct edq_queue *queue,
+			      uint64_t deadline_ms)
+{
+	uint64_t number = deadline_ms / EDQ_BUCKET_MS;
+
+	return CLAMP(number, queue->base, queue->base + EDQ_BUCKETS - 1);
+}
+
+static void sums_add(struct edq_queue *queue, uint32_t bucket, int32_t change)
+{
+	for (uint32_t i = bucket + 1; i <= EDQ_BUCKETS; i += i & -i)
+		queue->sums[i] += (uint32_t)change;
+	queue->length += (uint32_t)change;
+}
+
+/* Items in the buckets from 0 up to, and without, this one. */
+static uint32_t sums_below(const struct edq_queue *queue, uint32_t bucket)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = bucket; i > 0; i -= i & -i)
+		sum += queue->sums[i];
+	return sum;
+}
+
+/* First bucket with items at or after a bucket, EDQ_BUCKETS for none. */
+static uint32_t occupied_from(const struct edq_queue *queue, uint32_t bucket)
+{
+	uint64_t mask = UINT64_MAX << (bucket % 64);
+
+	for (uint32_t word = bucket / 64; word < EDQ_WORDS; word++) {
+		uint64_t bits = queue->occupied[word] & mask;
+
+		if (bits != 0)
+			return word * 64 + (uint32_t)__builtin_ctzll(bits);
+		mask = UINT64_MAX;
+	}
+	return EDQ_BUCKETS;
+}
+
+static uint32_t first_bucket(const struct edq_queue *queue)
+{
+	uint32_t bucket =
+		occupied_from(queue, (uint32_t)(queue->base % EDQ_BUCKETS));
+
+	return bucket < EDQ_BUCKETS ? bucket : occupied_from(queue, 0);
+}
+
+/* Moves the base up to the present, but not past an item. */
+static void base_advance(struct edq_queue *queue, uint64_t now_ms)
+{
+	uint64_t present = now_ms / EDQ_BUCKET_MS;
+	uint64_t offset;
+
+	if (queue->length > 0) {
+		offset = (first_bucket(queue) + EDQ_BUCKETS -
+			  queue->base % EDQ_BUCKETS) %
+			 EDQ_BUCKETS;
+		present = MIN(present, queue->base + offset);
+	}
+	queue->base = MAX(queue->base, present);
+}
+
+void edq_push(struct edq_queue *queue, struct edq_item *item,
+	      uint64_t deadline_ms, uint64_t now_ms)
+{
+	base_advance(queue, now_ms);
+	item->bucket =
+		(uint32_t)(bucket_number(queue, deadline_ms) % EDQ_BUCKETS);
+	g_queue_push_tail_link(&queue->buckets[item->bucket], &item->link);
+	queue->occupied[item->bucket / 64] |= 1ull << (item->bucket % 64);
+	sums_add(queue, item->bucket, 1);
+}
+
+struct edq_item *edq_first(const struct edq_queue *queue)
+{
+	if (queue->length == 0)
+		return NULL;
+	return (struct edq_item *)queue->buckets[first_bucket(queue)].head;
+}
+
+void edq_remove(struct edq_queue *queue, struct edq_item *item)
+{
+	GQueue *bucket = &queue->buckets[item->bucket];
+
+	g_queue_unlink(bucket, &item->link);
+	if (g_queue_is_empty(bucket))
+		queue->occupied[item->bucket / 64] &=
+			~(1ull << (item->bucket % 64));
+	sums_add(queue, item->bucket, -1);
+}
+
+uint32_t edq_ahead(const struct edq_queue *queue, uint64_t deadline_ms)
+{
+	uint32_t begin = (uint32_t)(queue->base % EDQ_BUCKETS);
+	uint64_t number = bucket_number(queue, deadline_ms) + 1;
+	uint32_t end = (uint32_t)(number % EDQ_BUCKETS);
+
+	if (number - queue->base == EDQ_BUCKETS)
+		return queue->length;
+	if (begin <= end)
+		return sums_below(queue, end) - sums_below(queue, begin);
+	return queue->length - sums_below(queue, begin) +
+	       sums_below(queue, end);
+}
--- /dev/null
+++ b/packages/core/tests/test_edq.c
@@ -0,0 +1,198 @@
+/* Tests of edq_ and of the admission that is built on it. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "adm.h"
+#include "edq.h"
+
+#define ITEMS 400u
+#define STEPS 200000u
+#define SPREAD_MS 60000
+
+struct entry {
+	struct edq_item place;
+	uint64_t bucket;
+	bool queued;
+};
+
+/* Items whose bucket is not after the bucket of a deadline. */
+static uint32_t count_ahead(const struct entry *entries, uint64_t deadline_ms)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < ITEMS; i++)
+		count += entries[i].queued &&
+			 entries[i].bucket <= deadline_ms / EDQ_BUCKET_MS;
+	return count;
+}
+
+static uint64_t earliest(const struct entry *entries)
+{
+	uint64_t bucket = UINT64_MAX;
+
+	for (uint32_t i = 0; i < ITEMS; i++) {
+		if (entries[i].queued)
+			bucket = MIN(bucket, entries[i].bucket);
+	}
+	return bucket;
+}
+
+static void check_first(const struct edq_queue *queue,
+			const struct entry *entries)
+{
+	const struct edq_item *first = edq_first(queue);
+
+	if (!first)
+		ck_assert_uint_eq(earliest(entries), UINT64_MAX);
+	else
+		ck_assert_uint_eq(((const struct entry *)first)->bucket,
+				  earliest(entries));
+}
+
+/* The queue against a plain search, over many turns of its ring. */
+START_TEST(order_and_counts_match_a_plain_search)
+{
+	const uint32_t seed = 7;
+	g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+	g_autofree struct edq_queue *queue = g_new0(struct edq_queue, 1);
+	g_autofree struct entry *entries = g_new0(struct entry, ITEMS);
+	uint64_t now_ms = 0;
+	uint32_t length = 0;
+
+	g_test_message("seed %u", seed);
+	edq_init(queue);
+	for (uint32_t step = 0; step < STEPS; step++) {
+		struct entry *entry =
+			&entries[g_rand_int_range(rand, 0, ITEMS)];
+		uint64_t deadline_ms =
+			now_ms + (uint64_t)g_rand_int_range(rand, 0, SPREAD_MS);
+
+		now_ms += (uint64_t)g_rand_int_range(rand, 0, 20);
+		deadline_ms = MAX(deadline_ms, now_ms);
+		if (entry->queued) {
+			edq_remove(queue, &entry->place);
+			length--;
+		} else {
+			entry->bucket = deadline_ms / EDQ_BUCKET_MS;
+			edq_push(queue, &entry->place, deadline_ms, now_ms);
+			length++;
+		}
+		entry->queued = !entry->queued;
+		ck_assert_uint_eq(queue->length, length);
+		/* Items past their deadlines hold the ring back. */
+		while (earliest(entries) < now_ms / EDQ_BUCKET_MS) {
+			struct entry *first = (struct entry *)edq_first(queue);
+
+			edq_remove(queue, &first->place);
+			first->queued = false;
+			length--;
+		}
+		if (step % 16 == 0 && length > 0) {
+			check_first(queue, entries);
+			ck_assert_uint_eq(edq_ahead(queue, deadline_ms),
+					  count_ahead(entries, deadline_ms));
+		}
+	}
+}
+END_TEST
+
+START_TEST(deadlines_beyond_the_ring_keep_their_order)
+{
+	g_autofree struct edq_queue *queue = g_new0(struct edq_queue, 1);
+	struct edq_item items[3] = { 0 };
+	uint64_t far_ms = 10ull * EDQ_BUCKETS * EDQ_BUCKET_MS;
+
+	edq_init(queue);
+	edq_push(queue, &items[0], far_ms, 0);
+	edq_push(queue, &items[1], far_ms * 2, 0);
+	edq_push(queue, &items[2], 5, 0);
+	ck_assert_uint_eq(edq_ahead(queue, far_ms), 3);
+	ck_assert_uint_eq(edq_ahead(queue, 5), 1);
+	ck_assert_ptr_eq(edq_first(queue), &items[2]);
+	edq_remove(queue, &items[2]);
+	ck_assert_ptr_eq(edq_first(queue), &items[0]);
+	edq_remove(queue, &items[0]);
+	edq_remove(queue, &items[1]);
+	ck_assert_ptr_null(edq_first(queue));
+}
+END_TEST
+
+static struct adm_queue *queue_make(void)
+{
+	const struct adm_limits limits = {
+		.max_requests = 100,
+		.max_bytes = 1000,
+		.max_wait_ms = 5000,
+	};
+
+	return adm_queue_create(&limits);
+}
+
+static enum out_kind push(struct adm_queue *queue, struct adm_item *item,
+			  uint64_t deadline_ms)
+{
+	item->bytes = 1;
+	item->deadline_ms = deadline_ms;
+	return adm_queue_push(queue, item, 1, 0);
+}
+
+START_TEST(the_earliest_deadline_goes_first)
+{
+	struct adm_queue *queue = queue_make();
+	struct adm_item items[3] = { 0 };
+
+	ck_assert_int_eq(push(queue, &items[0], 3000), OUT_ANSWERED);
+	ck_assert_int_eq(push(queue, &items[1], 1000), OUT_ANSWERED);
+	ck_assert_int_eq(push(queue, &items[2], 2000), OUT_ANSWERED);
+	ck_assert_ptr_eq(adm_queue_pop(queue), &items[1]);
+	ck_assert_ptr_eq(adm_queue_pop(queue), &items[2]);
+	ck_assert_ptr_eq(adm_queue_pop(queue), &items[0]);
+	adm_queue_destroy(queue);
+}
+END_TEST
+
+START_TEST(refuses_what_cannot_start_and_what_is_late)
+{
+	struct adm_queue *queue = queue_make();
+	struct adm_item items[12] = { 0 };
+	struct adm_item urgent = { 0 };
+	struct adm_item hopeless = { 0 };
+
+	adm_queue_served(queue, 400);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(items); i++)
+		ck_assert_int_eq(push(queue, &items[i], 4000), OUT_ANSWERED);
+	ck_assert_int_eq(push(queue, &hopeless, 4500), OUT_ANSWERED);
+	adm_queue_remove(queue, &hopeless);
+	hopeless.deadline_ms = 4100;
+	ck_assert_int_eq(adm_queue_push(queue, &hopeless, 1, 2000),
+			 OUT_WOULD_EXPIRE);
+	/* Nobody with an earlier deadline is in front of it. */
+	ck_assert_int_eq(push(queue, &urgent, 500), OUT_ANSWERED);
+	ck_assert_ptr_eq(adm_queue_pop(queue), &urgent);
+	ck_assert(adm_queue_is_late(queue, &urgent, 0));
+	for (uint32_t i = 0; i < G_N_ELEMENTS(items); i++)
+		adm_queue_remove(queue, &items[i]);
+	/* With nobody behind it, it may try. */
+	ck_assert(!adm_queue_is_late(queue, &urgent, 0));
+	ck_assert(adm_queue_is_late(queue, &urgent, 500));
+	adm_queue_destroy(queue);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("edq");
+	TCase *tcase = tcase_create("edq");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	suite_add_tcase(suite, tcase);
+	tcase_add_test(tcase, order_and_counts_match_a_plain_search);
+	tcase_add_test(tcase, deadlines_beyond_the_ring_keep_their_order);
+	tcase_add_test(tcase, the_earliest_deadline_goes_first);
+	tcase_add_test(tcase, refuses_what_cannot_start_and_what_is_late);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
