--- /dev/null
+++ b/bench/dec_cost.c
@@ -0,0 +1,173 @@
+#include "dec_cost.h"
+
+#include <stdlib.h>
+
+#include "adm.h"
+#include "mov.h"
+
+#define ROUNDS 9u
+#define QUEUE_OPERATIONS 200000u
+#define QUEUE_SLOTS 1000000u
+#define ZONES 8u
+#define RACK_VMS 4u
+#define SLOTS 8u
+
+static int compare(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static double median(double *samples)
+{
+	qsort(samples, ROUNDS, sizeof(*samples), compare);
+	return samples[ROUNDS / 2];
+}
+
+static void push(struct adm_queue *queue, struct adm_item *item,
+		 uint64_t now_ms)
+{
+	enum out_kind outcome;
+
+	item->bytes = 1;
+	item->deadline_ms = now_ms + 1000000;
+	outcome = adm_queue_push(queue, item, QUEUE_SLOTS, now_ms);
+	g_assert(outcome == OUT_ANSWERED);
+}
+
+static double queue_round_ns(struct adm_queue *queue)
+{
+	gint64 began_us = g_get_monotonic_time();
+
+	for (uint32_t i = 0; i < QUEUE_OPERATIONS; i++) {
+		struct adm_item *item = adm_queue_pop(queue);
+
+		adm_queue_served(queue, 100 + i % 64);
+		push(queue, item, i);
+	}
+	return (double)(g_get_monotonic_time() - began_us) * 1000.0 /
+	       QUEUE_OPERATIONS;
+}
+
+double dec_cost_queue_ns(uint32_t length)
+{
+	const struct adm_limits limits = {
+		.max_requests = length + 1,
+		.max_bytes = UINT64_MAX,
+		.max_wait_ms = UINT32_MAX,
+	};
+	struct adm_queue *queue = adm_queue_create(&limits);
+	struct adm_item *items = g_new0(struct adm_item, length);
+	double samples[ROUNDS];
+
+	for (uint32_t i = 0; i < length; i++)
+		push(queue, &items[i], 0);
+	for (uint32_t i = 0; i < ROUNDS; i++)
+		samples[i] = queue_round_ns(queue);
+	while (adm_queue_pop(queue))
+		;
+	adm_queue_destroy(queue);
+	g_free(items);
+	return median(samples);
+}
+
+static struct bnd_bundle *bundle_make(uint32_t vms, uint32_t pools)
+{
+	struct bnd_bundle *bundle = bnd_bundle_create();
+
+	bundle->weights = (struct bnd_weights){ 1, 1, 1 };
+	bundle->vm_count = vms;
+	bundle->vms = g_new0(struct bnd_vm, vms);
+	for (uint32_t i = 0; i < vms; i++) {
+		struct bnd_vm *vm = &bundle->vms[i];
+
+		vm->name = g_strdup_printf("vm%u", i);
+		vm->availability_zone = g_strdup_printf("zone%u", i % ZONES);
+		vm->rack = g_strdup_printf("zone%u-rack%u", i % ZONES,
+					   i / ZONES / RACK_VMS);
+		vm->slots = SLOTS;
+	}
+	bundle->pool_count = pools;
+	bundle->pools = g_new0(struct bnd_pool, pools);
+	for (uint32_t i = 0; i < pools; i++) {
+		struct bnd_pool *pool = &bundle->pools[i];
+
+		pool->name = g_strdup_printf("pool%u", i);
+		pool->spare = i == pools - 1;
+		pool->vm_count = vms;
+		pool->vms = g_new0(uint32_t, vms);
+		for (uint32_t k = 0; k < vms; k++)
+			pool->vms[k] = k;
+		pool->target_vms = vms / pools;
+		pool->floor_vms = vms / pools / 2;
+		pool->survive = BND_SURVIVE_ZONE;
+	}
+	return bundle;
+}
+
+double dec_cost_fill_ms(uint32_t vms, uint32_t pools)
+{
+	struct bnd_bundle *bundle = bundle_make(vms, pools);
+	double samples[ROUNDS];
+
+	for (uint32_t i = 0; i < ROUNDS; i++) {
+		struct plc_view *view = plc_view_create(bundle);
+		gint64 began_us = g_get_monotonic_time();
+
+		plc_fill(bundle, view);
+		samples[i] = (double)(g_get_monotonic_time() - began_us) / 1000;
+		plc_view_destroy(view);
+	}
+	bnd_bundle_unref(bundle);
+	return median(samples);
+}
+
+/* Half of the pools lack VMs and the others have some to give, so that the
+ * plan holds many moves. */
+static void demand_make(struct dem_demand *demand, uint32_t pools,
+			uint32_t pool_slots)
+{
+	for (uint32_t i = 0; i < pools; i++) {
+		uint32_t share = i % 2 == 0 ? 130 : 40;
+
+		dem_sample(&demand[i], pool_slots * share / 100, 1);
+		dem_sample(&demand[i], pool_slots * share / 100,
+			   DEM_TIME_CONSTANT_MS);
+	}
+}
+
+double dec_cost_plan_ms(uint32_t vms, uint32_t pools)
+{
+	struct bnd_bundle *bundle = bundle_make(vms, pools);
+	struct plc_view *view = plc_view_create(bundle);
+	g_autofree bool *ready = g_new0(bool, vms);
+	g_autofree uint64_t *since_ms = g_new0(uint64_t, vms);
+	g_autofree struct dem_demand *demand = g_new0(struct dem_demand, pools);
+	const struct mov_input input = {
+		.bundle = bundle,
+		.view = view,
+		.ready = ready,
+		.since_ms = since_ms,
+		.demand = demand,
+		.now_ms = 100ull * DEM_TIME_CONSTANT_MS,
+	};
+	double samples[ROUNDS];
+
+	plc_fill(bundle, view);
+	for (uint32_t i = 0; i < vms; i++)
+		ready[i] = true;
+	demand_make(demand, pools, vms / pools * SLOTS);
+	for (uint32_t i = 0; i < ROUNDS; i++) {
+		gint64 began_us = g_get_monotonic_time();
+		struct mov_plan *plan = mov_plan_create(&input);
+
+		samples[i] = (double)(g_get_monotonic_time() - began_us) / 1000;
+		g_assert(plan->step_count > 0);
+		mov_plan_destroy(plan);
+	}
+	plc_view_destroy(view);
+	bnd_bundle_unref(bundle);
+	return median(samples);
+}
--- /dev/null
+++ b/bench/dec_limit.c
@@ -0,0 +1,229 @@
+#include "dec_limit.h"
+
+#define TAIL_MS 20000u
+
+enum order {
+	ORDER_FIRST_COME,
+	ORDER_LAST_COME,
+	ORDER_DEADLINE,
+	ORDER_SHORTEST,
+};
+
+/* How a limit takes requests from the queue. */
+struct rule {
+	enum order order;
+	/* declared run times that must be left before the deadline */
+	uint32_t reserve;
+	/* run times and the future are known */
+	bool knows;
+};
+
+static const struct rule blind_rules[] = {
+	{ ORDER_FIRST_COME, 0, false }, { ORDER_FIRST_COME, 1, false },
+	{ ORDER_FIRST_COME, 2, false }, { ORDER_FIRST_COME, 4, false },
+	{ ORDER_LAST_COME, 0, false },	{ ORDER_LAST_COME, 1, false },
+	{ ORDER_LAST_COME, 2, false },	{ ORDER_LAST_COME, 4, false },
+	{ ORDER_DEADLINE, 0, false },	{ ORDER_DEADLINE, 1, false },
+	{ ORDER_DEADLINE, 2, false },	{ ORDER_DEADLINE, 4, false },
+};
+
+static const struct rule knowing_rules[] = {
+	{ ORDER_DEADLINE, 0, true },
+	{ ORDER_SHORTEST, 0, true },
+};
+
+/* One pool under one rule. */
+struct limit {
+	const struct dec_trace *trace;
+	const struct rule *rule;
+	struct dec_result *result;
+	uint32_t pool;
+	uint64_t now_ms;
+	/* slots that become free at each millisecond */
+	uint32_t *ends;
+	uint64_t end_count;
+	uint32_t in_use;
+	GSequence *waiting;
+};
+
+static uint64_t order_key(const struct rule *rule,
+			  const struct dec_request *request)
+{
+	switch (rule->order) {
+	case ORDER_FIRST_COME:
+		return request->at_ms;
+	case ORDER_LAST_COME:
+		return UINT64_MAX - request->at_ms;
+	case ORDER_DEADLINE:
+		return request->deadline_ms;
+	case ORDER_SHORTEST:
+		break;
+	}
+	return request->run_ms;
+}
+
+static gint request_compare(gconstpointer a, gconstpointer b, gpointer data)
+{
+	uint64_t key_a = order_key(data, a);
+	uint64_t key_b = order_key(data, b);
+
+	return key_a < key_b ? -1 : key_a > key_b;
+}
+
+static uint32_t slots_at(const struct dec_trace *trace, uint32_t pool,
+			 uint64_t now_ms)
+{
+	const struct bnd_bundle *bundle = trace->bundle;
+	uint32_t slots = 0;
+
+	for (uint32_t vm = 0; vm < bundle->vm_count; vm++) {
+		bool ready = dec_home_pool(trace->deployment, vm) == pool;
+
+		for (uint32_t i = 0; i < trace->fault_count && ready; i++) {
+			const struct dec_fault *fault = &trace->faults[i];
+
+			ready = fault->vm != vm || now_ms < fault->begin_ms ||
+				now_ms >= fault->end_ms;
+		}
+		slots += ready ? bundle->vms[vm].slots : 0;
+	}
+	return slots;
+}
+
+static bool may_start(const struct limit *limit,
+		      const struct dec_request *request)
+{
+	uint32_t declared_ms = limit->trace->deployment->run_ms[limit->pool];
+	uint64_t left_ms = limit->rule->knows
+				   ? request->run_ms
+				   : limit->rule->reserve * declared_ms;
+
+	return request->gone_ms > limit->now_ms &&
+	       limit->now_ms + left_ms < request->deadline_ms;
+}
+
+static void request_start(struct limit *limit,
+			  const struct dec_request *request)
+{
+	uint64_t finish_ms = limit->now_ms + request->run_ms;
+	uint64_t end_ms = MIN(finish_ms, request->deadline_ms);
+
+	if (request->idempotent)
+		end_ms = MIN(end_ms, request->gone_ms);
+	limit->in_use++;
+	limit->ends[MIN(end_ms, limit->end_count - 1)]++;
+	limit->result->busy_ms += end_ms - limit->now_ms;
+	limit->result->attempts++;
+	if (end_ms > request->gone_ms)
+		limit->result->gone_ms +=
+			end_ms - MAX(request->gone_ms, limit->now_ms);
+	dec_result_count(limit->result, request, true,
+			 finish_ms < request->deadline_ms);
+}
+
+static void queue_serve(struct limit *limit, uint32_t slots)
+{
+	while (limit->in_use < slots && !g_sequence_is_empty(limit->waiting)) {
+		GSequenceIter *first =
+			g_sequence_get_begin_iter(limit->waiting);
+		const struct dec_request *request = g_sequence_get(first);
+
+		g_sequence_remove(first);
+		if (may_start(limit, request))
+			request_start(limit, request);
+		else
+			dec_result_count(limit->result, request, false, false);
+	}
+}
+
+static void request_arrive(struct limit *limit, struct dec_request *request)
+{
+	bool hopeless =
+		request->infeasible || request->gone_ms < request->deadline_ms;
+
+	if (limit->rule->knows && hopeless)
+		return;
+	g_sequence_insert_sorted(limit->waiting, request, request_compare,
+				 (gpointer)limit->rule);
+}
+
+static void limit_run(struct limit *limit)
+{
+	const struct dec_trace *trace = limit->trace;
+	uint32_t next = 0;
+	uint32_t slots = 0;
+
+	limit->end_count = trace->end_ms + TAIL_MS;
+	limit->ends = g_new0(uint32_t, limit->end_count);
+	limit->waiting = g_sequence_new(NULL);
+	for (uint64_t t = 0; t < limit->end_count; t++) {
+		limit->now_ms = t;
+		limit->in_use -= limit->ends[t];
+		if (t % 1000 == 0)
+			slots = slots_at(trace, limit->pool, t);
+		for (; next < trace->request_count &&
+		       trace->requests[next].at_ms == t;
+		     next++) {
+			if (trace->requests[next].pool == limit->pool)
+				request_arrive(limit, &trace->requests[next]);
+		}
+		queue_serve(limit, slots);
+	}
+	g_sequence_free(limit->waiting);
+	g_free(limit->ends);
+}
+
+static void tally_add(struct dec_tally *sum, const struct dec_tally *tally)
+{
+	sum->requests += tally->requests;
+	sum->on_time += tally->on_time;
+	sum->not_run += tally->not_run;
+	sum->unknown += tally->unknown;
+}
+
+static void pool_limit(const struct dec_trace *trace, const struct rule *rules,
+		       size_t count, uint32_t pool, struct dec_result *sum)
+{
+	struct dec_result best = { 0 };
+
+	for (size_t i = 0; i < count; i++) {
+		struct dec_result result = { 0 };
+		struct limit limit = {
+			.trace = trace,
+			.rule = &rules[i],
+			.result = &result,
+			.pool = pool,
+		};
+
+		limit_run(&limit);
+		if (i == 0 || result.burst.on_time > best.burst.on_time)
+			best = result;
+	}
+	tally_add(&sum->all, &best.all);
+	tally_add(&sum->burst, &best.burst);
+	sum->busy_ms += best.busy_ms;
+	sum->gone_ms += best.gone_ms;
+	sum->attempts += best.attempts;
+}
+
+static void limit_all(const struct dec_trace *trace, const struct rule *rules,
+		      size_t count, struct dec_result *result)
+{
+	result->trace = trace->name;
+	result->deployment = trace->deployment->name;
+	result->retry_errors_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	for (uint32_t pool = 0; pool < DEC_POOLS; pool++)
+		pool_limit(trace, rules, count, pool, result);
+}
+
+void dec_limit_blind(const struct dec_trace *trace, struct dec_result *result)
+{
+	result->policy = "limit, sizes unknown";
+	limit_all(trace, blind_rules, G_N_ELEMENTS(blind_rules), result);
+}
+
+void dec_limit_knowing(const struct dec_trace *trace, struct dec_result *result)
+{
+	result->policy = "limit, all known";
+	limit_all(trace, knowing_rules, G_N_ELEMENTS(knowing_rules), result);
+}
--- /dev/null
+++ b/bench/dec_moves.c
@@ -0,0 +1,296 @@
+#include "dec_moves.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "mov.h"
+
+#define DAY_S (24u * 3600u)
+#define VMS_MAX 64u
+#define SLOTS 8u
+#define PLAN_EVERY_S 10u
+/* Time that a VM serves no pool while it moves. */
+#define MOVE_S 60u
+#define BURST_S 8u
+#define TROUGH_S 34u
+#define TURN_S 60u
+#define BURST_RATIO 5.0
+#define TROUGH_RATIO 0.05
+/* Demand counts in use and waiting; the queue's bound caps it. */
+#define DEMAND_CAP_RATIO 4u
+#define MAINTENANCE_EVERY_S 900u
+#define MAINTENANCE_S 300u
+#define FAILURE_EVERY_S 7200u
+#define FAILURE_S 1200u
+#define RACK_LOSS_S (10u * 3600u)
+#define RACK_BACK_S (11u * 3600u)
+#define ZONE_LOSS_S (16u * 3600u)
+#define ZONE_BACK_S (ZONE_LOSS_S + 1800u)
+#define THRESHOLD_NEED 1.25
+
+/* A fleet over one day. */
+struct day {
+	const struct dec_deployment *fleet;
+	enum dec_sizing sizing;
+	struct bnd_bundle *bundle;
+	struct plc_view *view;
+	GRand *rand;
+	uint64_t now_s;
+	bool ready[VMS_MAX];
+	uint64_t since_ms[VMS_MAX];
+	uint64_t moving_until_s[VMS_MAX];
+	uint64_t maintained_until_s[VMS_MAX];
+	uint64_t failed_until_s[VMS_MAX];
+	struct dem_demand demand[DEC_POOLS];
+	uint32_t wanted[DEC_POOLS];
+	bool in_burst[DEC_POOLS];
+	double idle_slot_s;
+	double wanted_slot_s;
+	double lacked_slot_s;
+	struct dec_moves *result;
+};
+
+/* A day's shape: a slow wave, and a peak of two hours at another time of day
+ * for each pool. */
+static double load_of(const struct day *day, uint32_t pool)
+{
+	double hour = (double)day->now_s / 3600.0;
+	double wave = 1.0 + 0.4 * sin((hour - 3.0 * pool) * 2.0 * G_PI / 24.0);
+	double from_peak = fabs(hour - (6.0 + 3.0 * pool));
+	double peak = from_peak < 1.0 ? 1.0 + 0.9 * (1.0 - from_peak) : 1.0;
+
+	return day->fleet->vms[pool] * SLOTS * day->fleet->utilisation * wave *
+	       peak;
+}
+
+static double burst_ratio(const struct day *day, uint32_t pool, bool *in_burst)
+{
+	uint64_t cycle_s = TURN_S * DEC_POOLS;
+	uint64_t offset_s = (day->now_s + cycle_s - pool * TURN_S) % cycle_s;
+
+	*in_burst = offset_s < BURST_S;
+	if (*in_burst)
+		return BURST_RATIO;
+	return offset_s < BURST_S + TROUGH_S ? TROUGH_RATIO : 1.0;
+}
+
+static uint32_t ready_vms(const struct day *day, uint32_t pool)
+{
+	uint32_t count = 0;
+
+	for (uint32_t vm = 0; vm < day->bundle->vm_count; vm++)
+		count += day->ready[vm] && day->view->rows[vm].pool == pool;
+	return count;
+}
+
+static void demand_update(struct day *day)
+{
+	for (uint32_t pool = 0; pool < DEC_POOLS; pool++) {
+		uint32_t slots = ready_vms(day, pool) * SLOTS;
+		double mean = load_of(day, pool) *
+			      burst_ratio(day, pool, &day->in_burst[pool]);
+		double noise = 0.8 + 0.4 * g_rand_double(day->rand);
+		uint32_t wanted = (uint32_t)(mean * noise + 0.5);
+		bool spare = day->bundle->pools[pool].spare;
+
+		day->wanted[pool] = MIN(wanted, slots * DEMAND_CAP_RATIO);
+		dem_sample(&day->demand[pool], day->wanted[pool],
+			   day->now_s * 1000);
+		if (!spare && slots > wanted)
+			day->idle_slot_s += slots - wanted;
+		if (day->in_burst[pool])
+			continue;
+		day->wanted_slot_s += wanted;
+		if (wanted > slots)
+			day->lacked_slot_s += wanted - slots;
+	}
+}
+
+static bool domain_is_lost(const struct day *day, uint32_t vm)
+{
+	const struct bnd_vm *spec = &day->bundle->vms[vm];
+
+	if (day->now_s >= RACK_LOSS_S && day->now_s < RACK_BACK_S)
+		return strcmp(spec->rack, "z1r1") == 0;
+	if (day->now_s >= ZONE_LOSS_S && day->now_s < ZONE_BACK_S)
+		return strcmp(spec->availability_zone, "z2") == 0;
+	return false;
+}
+
+/* Takes out the next VM unless its pool would then lie below its minimum. */
+static void maintenance_update(struct day *day)
+{
+	uint32_t vm = (uint32_t)(day->now_s / MAINTENANCE_EVERY_S) %
+		      day->bundle->vm_count;
+	uint32_t pool = day->view->rows[vm].pool;
+	uint32_t zones[DEC_ZONES] = { 0 };
+	uint32_t left = 0;
+
+	if (day->now_s % MAINTENANCE_EVERY_S != 0)
+		return;
+	for (uint32_t i = 0; i < day->bundle->vm_count; i++) {
+		if (!day->ready[i] || i == vm ||
+		    day->view->rows[i].pool != pool)
+			continue;
+		zones[i % DEC_ZONES]++;
+		left++;
+	}
+	left -= MAX(zones[0], MAX(zones[1], zones[2]));
+	if (left >= day->bundle->pools[pool].floor_vms)
+		day->maintained_until_s[vm] = day->now_s + MAINTENANCE_S;
+}
+
+/* The stages of a move and of maintenance end by themselves. */
+static void row_update(struct day *day, uint32_t vm)
+{
+	struct plc_row *row = &day->view->rows[vm];
+	bool moving = day->now_s < day->moving_until_s[vm];
+	bool maintained = day->now_s < day->maintained_until_s[vm];
+
+	if (!moving && row->next_pool != BND_NONE) {
+		row->pool = row->next_pool;
+		row->next_pool = BND_NONE;
+	}
+	row->state =
+		moving || maintained ? PLC_STATE_DRAINING : PLC_STATE_SERVING;
+}
+
+static void faults_update(struct day *day)
+{
+	maintenance_update(day);
+	if (day->now_s % FAILURE_EVERY_S == FAILURE_EVERY_S / 2) {
+		uint32_t vm = (uint32_t)g_rand_int_range(
+			day->rand, 0, (gint32)day->bundle->vm_count);
+
+		day->failed_until_s[vm] = day->now_s + FAILURE_S;
+	}
+	for (uint32_t vm = 0; vm < day->bundle->vm_count; vm++) {
+		row_update(day, vm);
+		day->ready[vm] = day->now_s >= day->moving_until_s[vm] &&
+				 day->now_s >= day->maintained_until_s[vm] &&
+				 day->now_s >= day->failed_until_s[vm] &&
+				 !domain_is_lost(day, vm);
+	}
+}
+
+static void vm_move(struct day *day, uint32_t vm, uint32_t to,
+		    enum plc_reason reason)
+{
+	uint32_t from = day->view->rows[vm].pool;
+
+	day->result->moves++;
+	if (reason == PLC_REASON_FAILURE)
+		day->result->replacements++;
+	else if (day->in_burst[from] || day->in_burst[to])
+		day->result->moves_in_burst++;
+	day->view->rows[vm].next_pool = to;
+	day->view->rows[vm].state = PLC_STATE_DRAINING;
+	day->since_ms[vm] = day->now_s * 1000;
+	day->moving_until_s[vm] = day->now_s + MOVE_S;
+}
+
+/* For the planner a VM that moves counts as held by its new pool. */
+static void plan_moves(struct day *day)
+{
+	bool held[VMS_MAX];
+	const struct mov_input input = {
+		.bundle = day->bundle,
+		.view = day->view,
+		.ready = held,
+		.since_ms = day->since_ms,
+		.demand = day->demand,
+		.now_ms = day->now_s * 1000,
+	};
+	struct mov_plan *plan;
+
+	for (uint32_t vm = 0; vm < day->bundle->vm_count; vm++)
+		held[vm] = day->now_s >= day->failed_until_s[vm] &&
+			   !domain_is_lost(day, vm);
+	plan = mov_plan_create(&input);
+	for (uint32_t i = 0; i < plan->step_count; i++)
+		vm_move(day, plan->steps[i].vm, plan->steps[i].to,
+			plan->steps[i].reason);
+	mov_plan_destroy(plan);
+}
+
+static uint32_t threshold_wanted(const struct day *day, uint32_t pool)
+{
+	uint32_t need =
+		(uint32_t)ceil(day->wanted[pool] * THRESHOLD_NEED / SLOTS);
+
+	return MAX(need, day->bundle->pools[pool].floor_vms);
+}
+
+static void threshold_pool(struct day *day, uint32_t pool, uint32_t spare)
+{
+	uint32_t size = ready_vms(day, pool);
+	uint32_t wanted = threshold_wanted(day, pool);
+	uint32_t spare_size = ready_vms(day, spare);
+
+	for (uint32_t vm = 0; vm < day->bundle->vm_count; vm++) {
+		uint32_t at = day->view->rows[vm].pool;
+
+		if (!day->ready[vm])
+			continue;
+		if (at == pool && size > wanted) {
+			vm_move(day, vm, spare, PLC_REASON_RETURN);
+			size--;
+		} else if (at == spare && size < wanted &&
+			   spare_size > day->bundle->pools[spare].floor_vms) {
+			vm_move(day, vm, pool, PLC_REASON_DEMAND);
+			size++;
+			spare_size--;
+		}
+	}
+}
+
+static void pools_resize(struct day *day)
+{
+	if (day->now_s % PLAN_EVERY_S != 0)
+		return;
+	if (day->sizing == DEC_SIZING_PLANNED)
+		plan_moves(day);
+	for (uint32_t pool = 0;
+	     day->sizing == DEC_SIZING_THRESHOLD && pool < DEC_POOLS - 1;
+	     pool++)
+		threshold_pool(day, pool, DEC_POOLS - 1);
+}
+
+static void floors_check(struct day *day)
+{
+	for (uint32_t pool = 0; pool < DEC_POOLS; pool++) {
+		if (ready_vms(day, pool) < day->bundle->pools[pool].floor_vms)
+			day->result->floor_violations++;
+	}
+}
+
+struct dec_moves dec_moves_run(const struct dec_deployment *fleet,
+			       const struct bnd_weights *weights,
+			       enum dec_sizing sizing, uint32_t seed)
+{
+	g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+	struct dec_moves result = { 0 };
+	struct day day = {
+		.fleet = fleet,
+		.sizing = sizing,
+		.bundle = dec_bundle_create(fleet),
+		.rand = rand,
+		.result = &result,
+	};
+
+	day.bundle->weights = *weights;
+	day.view = plc_view_create(day.bundle);
+	plc_fill(day.bundle, day.view);
+	g_assert(day.bundle->vm_count <= VMS_MAX);
+	for (day.now_s = 1; day.now_s < DAY_S; day.now_s++) {
+		faults_update(&day);
+		demand_update(&day);
+		floors_check(&day);
+		pools_resize(&day);
+	}
+	result.buffer_slots = day.idle_slot_s / DAY_S;
+	result.shortfall = day.lacked_slot_s / day.wanted_slot_s;
+	plc_view_destroy(day.view);
+	bnd_bundle_unref(day.bundle);
+	return result;
+}
--- /dev/null
+++ b/bench/dec_trace.c
@@ -0,0 +1,263 @@
+#include "dec_trace.h"
+
+#include <math.h>
+#include <string.h>
+
+#define TRACE_MS 240000u
+/* A burst of one pool, then its trough; pools take turns. */
+#define BURST_MS 6000u
+#define TROUGH_MS 25000u
+#define TURN_MS 12000u
+#define BURST_RATIO 5.0
+#define TROUGH_RATIO 0.05
+/* Spread of run times around the declared ones, as a logarithm. */
+#define RUN_SIGMA 1.0
+/* Spans in which all run times of a pool change by a factor. */
+#define SHIFT_EVERY_MS 60000u
+#define SHIFT_MS 20000u
+#define SHIFT_RATIO 3.0
+#define INFEASIBLE_SHARE 0.01
+#define IDEMPOTENT_SHARE 0.5
+#define WAVE_EVERY_MS 30000u
+#define WAVE_SPAN_MS 3000u
+#define WAVE_SHARE 0.5
+#define SLOTS 8u
+#define RACK_VMS 4u
+
+const struct dec_deployment dec_officials = {
+	.name = "officials",
+	.weights = { .buffer = 1, .moves = 5, .roll_out = 4 },
+	.vms = { 12, 10, 10, 10, 8 },
+	.floors = { 6, 5, 5, 5, 3 },
+	.run_ms = { 400, 250, 300, 150, 200 },
+	.deadline_ms = { 10000, 5000, 8000, 3000, 5000 },
+	.utilisation = 0.45,
+};
+
+const struct dec_deployment dec_tsurugi = {
+	.name = "tsurugi",
+	.weights = { .buffer = 5, .moves = 2, .roll_out = 1 },
+	.vms = { 12, 11, 10, 9, 8 },
+	.floors = { 6, 5, 5, 4, 3 },
+	.run_ms = { 200, 300, 150, 400, 250 },
+	.deadline_ms = { 4000, 6000, 2000, 10000, 5000 },
+	.utilisation = 0.55,
+};
+
+uint32_t dec_home_pool(const struct dec_deployment *deployment, uint32_t vm)
+{
+	uint32_t pool = 0;
+
+	while (vm >= deployment->vms[pool]) {
+		vm -= deployment->vms[pool];
+		pool++;
+	}
+	return pool;
+}
+
+static void pool_make(const struct dec_deployment *deployment,
+		      struct bnd_pool *pool, uint32_t index, uint32_t vms)
+{
+	pool->name = g_strdup_printf("pool%u", index);
+	pool->spare = index == DEC_POOLS - 1;
+	pool->vm_count = vms;
+	pool->vms = g_new0(uint32_t, vms);
+	for (uint32_t i = 0; i < vms; i++)
+		pool->vms[i] = i;
+	pool->target_vms = deployment->vms[index];
+	pool->floor_vms = deployment->floors[index];
+	pool->survive = BND_SURVIVE_ZONE;
+	pool->queue_max_requests = 4096;
+	pool->queue_max_bytes = 64u * 1024u * 1024u;
+	pool->queue_max_wait_ms = deployment->deadline_ms[index];
+}
+
+struct bnd_bundle *dec_bundle_create(const struct dec_deployment *deployment)
+{
+	struct bnd_bundle *bundle = bnd_bundle_create();
+	struct bnd_wave *wave = g_new0(struct bnd_wave, 1);
+
+	for (uint32_t i = 0; i < DEC_POOLS; i++)
+		bundle->vm_count += deployment->vms[i];
+	bundle->vms = g_new0(struct bnd_vm, bundle->vm_count);
+	for (uint32_t i = 0; i < bundle->vm_count; i++) {
+		uint32_t zone = i % DEC_ZONES;
+
+		bundle->vms[i].name = g_strdup_printf("vm%u", i);
+		bundle->vms[i].availability_zone = g_strdup_printf("z%u", zone);
+		bundle->vms[i].rack = g_strdup_printf("z%ur%u", zone,
+						      i / DEC_ZONES / RACK_VMS);
+		bundle->vms[i].slots = SLOTS;
+	}
+	bundle->pool_count = DEC_POOLS;
+	bundle->pools = g_new0(struct bnd_pool, DEC_POOLS);
+	wave->pools = g_new0(uint32_t, DEC_POOLS);
+	wave->pool_count = DEC_POOLS;
+	for (uint32_t i = 0; i < DEC_POOLS; i++) {
+		pool_make(deployment, &bundle->pools[i], i, bundle->vm_count);
+		wave->pools[i] = i;
+	}
+	bundle->waves = wave;
+	bundle->wave_count = 1;
+	bundle->weights = deployment->weights;
+	return bundle;
+}
+
+static double normal(GRand *rand)
+{
+	double a = 1.0 - g_rand_double(rand);
+	double b = g_rand_double(rand);
+
+	return sqrt(-2.0 * log(a)) * cos(2.0 * G_PI * b);
+}
+
+/* The load of a pool at a moment, relative to its mean. */
+static double load_ratio(uint32_t pool, uint64_t t_ms, bool *in_burst)
+{
+	uint64_t cycle_ms = TURN_MS * DEC_POOLS;
+	uint64_t offset_ms = (t_ms + cycle_ms - pool * TURN_MS) % cycle_ms;
+
+	*in_burst = offset_ms < BURST_MS;
+	if (*in_burst)
+		return BURST_RATIO;
+	return offset_ms < BURST_MS + TROUGH_MS ? TROUGH_RATIO : 1.0;
+}
+
+/* Pools take turns to run everything slower, then faster, than before. */
+static double run_ratio(uint32_t pool, uint64_t t_ms)
+{
+	uint64_t turn = t_ms / SHIFT_EVERY_MS;
+
+	if (t_ms % SHIFT_EVERY_MS >= SHIFT_MS || turn % DEC_POOLS != pool)
+		return 1.0;
+	return turn % 2 == 0 ? SHIFT_RATIO : 1.0 / SHIFT_RATIO;
+}
+
+static uint64_t gone_at(GRand *rand, uint64_t t_ms)
+{
+	uint64_t to_wave_ms = WAVE_EVERY_MS - t_ms % WAVE_EVERY_MS;
+
+	if (to_wave_ms > WAVE_SPAN_MS || g_rand_double(rand) >= WAVE_SHARE)
+		return DEC_NEVER;
+	return t_ms + to_wave_ms;
+}
+
+static void request_add(const struct dec_trace *trace, GArray *requests,
+			GRand *rand, uint32_t pool, uint64_t t_ms,
+			bool in_burst)
+{
+	const struct dec_deployment *deployment = trace->deployment;
+	double run_ms = deployment->run_ms[pool] * run_ratio(pool, t_ms) *
+			exp(RUN_SIGMA * normal(rand));
+	double deadline_ms =
+		deployment->deadline_ms[pool] * (0.5 + g_rand_double(rand) / 2);
+	struct dec_request request = {
+		.at_ms = t_ms,
+		.deadline_ms = t_ms + (uint64_t)deadline_ms,
+		.gone_ms = gone_at(rand, t_ms),
+		.run_ms = MAX((uint64_t)run_ms, 1),
+		.pool = pool,
+		.entry = (uint32_t)g_rand_int_range(rand, 0, DEC_ENTRIES),
+		.idempotent = g_rand_double(rand) < IDEMPOTENT_SHARE,
+		.infeasible = g_rand_double(rand) < INFEASIBLE_SHARE,
+		.in_burst = in_burst,
+	};
+
+	g_array_append_val(requests, request);
+}
+
+static double mean_rate_per_ms(const struct dec_deployment *deployment,
+			       uint32_t pool)
+{
+	double mean_run_ms =
+		deployment->run_ms[pool] * exp(RUN_SIGMA * RUN_SIGMA / 2);
+
+	return deployment->vms[pool] * SLOTS * deployment->utilisation /
+	       mean_run_ms;
+}
+
+static void requests_make(struct dec_trace *trace, GRand *rand)
+{
+	GArray *requests =
+		g_array_new(FALSE, FALSE, sizeof(struct dec_request));
+
+	for (uint64_t t_ms = 0; t_ms < TRACE_MS; t_ms++) {
+		for (uint32_t pool = 0; pool < DEC_POOLS; pool++) {
+			bool in_burst;
+			double expected =
+				load_ratio(pool, t_ms, &in_burst) *
+				mean_rate_per_ms(trace->deployment, pool);
+
+			/* Poisson arrivals, at most two in a millisecond. */
+			if (g_rand_double(rand) < expected / 2)
+				request_add(trace, requests, rand, pool, t_ms,
+					    in_burst);
+			if (g_rand_double(rand) < expected / 2)
+				request_add(trace, requests, rand, pool, t_ms,
+					    in_burst);
+		}
+	}
+	trace->request_count = requests->len;
+	trace->requests = (struct dec_request *)g_array_free(requests, FALSE);
+}
+
+static void fault_add(GArray *faults, enum dec_fault_kind kind, uint32_t vm,
+		      uint64_t begin_ms, uint64_t end_ms)
+{
+	struct dec_fault fault = { kind, vm, begin_ms, end_ms };
+
+	g_array_append_val(faults, fault);
+}
+
+static void faults_make(struct dec_trace *trace)
+{
+	GArray *faults = g_array_new(FALSE, FALSE, sizeof(struct dec_fault));
+	const struct bnd_bundle *bundle = trace->bundle;
+
+	/* A worker of each pool fails everything, one pool after another. */
+	for (uint32_t vm = 0; vm < bundle->vm_count; vm += 10)
+		fault_add(faults, DEC_FAULT_FAILS_ALL, vm, 10000 + vm * 1000,
+			  40000 + vm * 1000);
+	/* Maintenance takes one VM after another. */
+	for (uint32_t vm = 0; vm < bundle->vm_count; vm++)
+		fault_add(faults, DEC_FAULT_LEAVING, vm, 4000u * vm,
+			  4000u * vm + 8000u);
+	for (uint32_t vm = 0; vm < bundle->vm_count; vm++) {
+		if (strcmp(bundle->vms[vm].rack, "z1r1") == 0)
+			fault_add(faults, DEC_FAULT_LOST, vm, 90000, 120000);
+		if (strcmp(bundle->vms[vm].availability_zone, "z2") == 0)
+			fault_add(faults, DEC_FAULT_LOST, vm, 150000, 180000);
+	}
+	trace->fault_count = faults->len;
+	trace->faults = (struct dec_fault *)g_array_free(faults, FALSE);
+}
+
+struct dec_trace *dec_trace_create(const struct dec_deployment *deployment,
+				   bool with_faults, uint32_t seed)
+{
+	struct dec_trace *trace = g_new0(struct dec_trace, 1);
+	g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+
+	trace->deployment = deployment;
+	trace->name = with_faults ? "faults" : "bursts";
+	trace->seed = seed;
+	trace->bundle = dec_bundle_create(deployment);
+	trace->end_ms = TRACE_MS;
+	requests_make(trace, rand);
+	if (with_faults)
+		faults_make(trace);
+	return trace;
+}
+
+void dec_trace_destroy(struct dec_trace *trace)
+{
+	bnd_bundle_unref(trace->bundle);
+	g_free(trace->requests);
+	g_free(trace->faults);
+	g_free(trace);
+}
+
+bool dec_request_counts(const struct dec_request *request)
+{
+	return !request->infeasible && request->gone_ms >= request->deadline_ms;
+}
