--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -2,7 +2,8 @@
  * @file bench_decisions.c
  * @brief Decisions under load and faults, in virtual time, with bounds.
  *
- * Usage: bench_decisions [OUTPUT.json]. Exits with 1 when a bound is not met.
+ * Usage: bench_decisions [--seed N] [--json FILE]. Exits with 1 when a bound
+ * is not met.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,7 +14,7 @@
 #include "dec_report.h"
 #include "dec_serve.h"
 
-#define SEED 20261203u
+#define SEED 20261203
 #define LIMIT_SHARE_PERCENT 95.0
 #define MOVES_RATIO 0.5
 #define PLAN_VMS 1700u
@@ -78,7 +79,7 @@
 	result_clear(&knowing);
 }
 
-static void run_requests(struct dec_report *report)
+static void run_requests(struct dec_report *report, uint32_t seed)
 {
 	const struct dec_deployment *fleets[] = { &dec_officials,
 						  &dec_tsurugi };
@@ -87,7 +88,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(fleets); i++) {
 		for (uint32_t faults = 0; faults < 2; faults++) {
 			struct dec_trace *trace =
-				dec_trace_create(fleets[i], faults != 0, SEED);
+				dec_trace_create(fleets[i], faults != 0, seed);
 
 			run_trace(report, trace);
 			dec_trace_destroy(trace);
@@ -98,9 +99,10 @@
 static struct dec_moves run_day(struct dec_report *report,
 				const struct dec_deployment *fleet,
 				const struct bnd_weights *weights,
-				enum dec_sizing sizing, const char *name)
+				enum dec_sizing sizing, const char *name,
+				uint32_t seed)
 {
-	struct dec_moves moves = dec_moves_run(fleet, weights, sizing, SEED);
+	struct dec_moves moves = dec_moves_run(fleet, weights, sizing, seed);
 
 	moves.policy = name;
 	dec_report_day(report, fleet->name, &moves);
@@ -108,20 +110,20 @@
 }
 
 static void run_days(struct dec_report *report,
-		     const struct dec_deployment *fleet)
+		     const struct dec_deployment *fleet, uint32_t seed)
 {
 	const struct bnd_weights *weights = &fleet->weights;
 	struct dec_moves officials =
 		run_day(report, fleet, &dec_officials.weights,
-			DEC_SIZING_PLANNED, "planned, officials");
+			DEC_SIZING_PLANNED, "planned, officials", seed);
 	struct dec_moves tsurugi =
 		run_day(report, fleet, &dec_tsurugi.weights, DEC_SIZING_PLANNED,
-			"planned, tsurugi");
+			"planned, tsurugi", seed);
 	char name[80];
 
-	run_day(report, fleet, weights, DEC_SIZING_STATIC, "static");
+	run_day(report, fleet, weights, DEC_SIZING_STATIC, "static", seed);
 	run_day(report, fleet, weights, DEC_SIZING_THRESHOLD,
-		"threshold, no hysteresis");
+		"threshold, no hysteresis", seed);
 	bound_name(name, sizeof(name), "moves, officials' to Tsurugi's weights",
 		   fleet->name);
 	dec_report_at_most(report, name,
@@ -158,15 +160,27 @@
 
 int main(int argc, char **argv)
 {
-	struct dec_report *report = dec_report_create();
-
-	printf("seed %u\n", SEED);
-	run_requests(report);
+	gint seed = SEED;
+	g_autofree char *json = NULL;
+	const GOptionEntry options[] = {
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "seed of the traces",
+		  "N" },
+		{ "json", 0, 0, G_OPTION_ARG_FILENAME, &json,
+		  "file for the results", "FILE" },
+		{ 0 },
+	};
+	g_autoptr(GOptionContext) context = g_option_context_new(NULL);
+	struct dec_report *report;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, NULL))
+		return 2;
+	report = dec_report_create();
+	printf("seed %d\n", seed);
+	run_requests(report, (uint32_t)seed);
 	dec_report_days();
-	run_days(report, &dec_officials);
-	run_days(report, &dec_tsurugi);
+	run_days(report, &dec_officials, (uint32_t)seed);
+	run_days(report, &dec_tsurugi, (uint32_t)seed);
 	run_costs(report);
-	return dec_report_finish(report, argc > 1 ? argv[1] : NULL)
-		       ? EXIT_SUCCESS
-		       : EXIT_FAILURE;
+	return dec_report_finish(report, json) ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -16,6 +16,7 @@
 
 #include "err.h"
 #include "evl.h"
+#include "hcl.h"
 
 /** Key under which the roll in force is published. */
 #define PLT_KEY_HEAD "/sassafrascart/pulse/head"
@@ -29,6 +30,8 @@
 #define PLT_KEY_MANAGER "/sassafrascart/manager"
 /** Prefix of published bundles, followed by the version. */
 #define PLT_PREFIX_BUNDLE "/sassafrascart/bundle/"
+/** Prefix of the record of each roll, followed by its number. */
+#define PLT_PREFIX_ROLL "/sassafrascart/roll/"
 /** Prefix of members, followed by the process's identity. */
 #define PLT_PREFIX_MEMBER "/sassafrascart/member/"
 /** Prefix of recorded intents, followed by the intent's identity. */
@@ -138,6 +141,8 @@
 	enum err_kind (*create)(struct evl_loop *loop,
 				const struct plt_config *config, void **out);
 	void (*destroy)(void *self);
+	/** returns what was sent and received, owned by the adapter */
+	const struct hcl_counts *(*counts)(const void *self);
 	void (*range)(void *self, const char *key, bool prefix, plt_cb cb,
 		      void *data);
 	void (*txn)(void *self, const struct plt_txn *txn, plt_cb cb,
@@ -206,4 +211,8 @@
 void plt_platform_counts(const struct plt_platform *platform, uint64_t *calls,
 			 uint64_t *rate_limited);
 
+/** @brief Returns the bytes of all calls, owned by the connection. */
+const struct hcl_counts *
+plt_platform_bytes(const struct plt_platform *platform);
+
 #endif
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -54,6 +54,7 @@
 	uint32_t slots;
 	uint32_t running;
 	uint32_t max_running;
+	uint32_t max_waiting;
 	uint64_t runs;
 	GQueue waiting;
 };
@@ -120,6 +121,7 @@
 {
 	g_string_append_printf(conn->out,
 			       "HTTP/1.1 %d OK\r\ncontent-length: %zu\r\n"
+			       "connection: close\r\n"
 			       "x-request-id: %s\r\nx-backend: %s\r\n%s\r\n",
 			       status, body_len, id, conn->backend->name,
 			       conn->backend->mode == MODE_LEAVING
@@ -222,9 +224,9 @@
 	struct backend *backend = conn->backend;
 	g_autofree char *text = g_strdup_printf(
 		"{\"runs\":%" PRIu64 ",\"running\":%u,\"max_running\":%u,"
-		"\"waiting\":%u}",
+		"\"waiting\":%u,\"max_waiting\":%u}",
 		backend->runs, backend->running, backend->max_running,
-		backend->waiting.length);
+		backend->waiting.length, backend->max_waiting);
 
 	answer_append(conn, 200, "stats", text, strlen(text));
 	out_send(conn);
@@ -248,6 +250,8 @@
 	} else {
 		conn->queued = true;
 		g_queue_push_tail(&backend->waiting, conn);
+		backend->max_waiting =
+			MAX(backend->max_waiting, backend->waiting.length);
 	}
 }
 
