--- a/bench/dec_serve.c
+++ b/bench/dec_serve.c
@@ -114,6 +114,7 @@
 
 		server->pool = dec_home_pool(trace->deployment, i);
 		server->slots = bundle->vms[i].slots;
+		server->allowed_slots = server->slots;
 		server->serving = true;
 		g_queue_init(&serving->workers[i].waiting);
 	}
