--- a/bench/dec_trace.c
+++ b/bench/dec_trace.c
@@ -17,6 +17,11 @@
 #define SHIFT_MS 20000u
 #define SHIFT_RATIO 3.0
 #define INFEASIBLE_SHARE 0.01
+/* With faults: a span in which most jobs of one pool can never run. */
+#define INFEASIBLE_WAVE_BEGIN_MS 60000u
+#define INFEASIBLE_WAVE_END_MS 90000u
+#define INFEASIBLE_WAVE_SHARE 0.6
+#define INFEASIBLE_WAVE_POOL 1u
 #define IDEMPOTENT_SHARE 0.5
 #define WAVE_EVERY_MS 30000u
 #define WAVE_SPAN_MS 3000u
@@ -142,6 +147,15 @@
 	return t_ms + to_wave_ms;
 }
 
+static double infeasible_share(const struct dec_trace *trace, uint32_t pool,
+			       uint64_t t_ms)
+{
+	if (trace->with_faults && pool == INFEASIBLE_WAVE_POOL &&
+	    t_ms >= INFEASIBLE_WAVE_BEGIN_MS && t_ms < INFEASIBLE_WAVE_END_MS)
+		return INFEASIBLE_WAVE_SHARE;
+	return INFEASIBLE_SHARE;
+}
+
 static void request_add(const struct dec_trace *trace, GArray *requests,
 			GRand *rand, uint32_t pool, uint64_t t_ms,
 			bool in_burst)
@@ -159,7 +173,8 @@
 		.pool = pool,
 		.entry = (uint32_t)g_rand_int_range(rand, 0, DEC_ENTRIES),
 		.idempotent = g_rand_double(rand) < IDEMPOTENT_SHARE,
-		.infeasible = g_rand_double(rand) < INFEASIBLE_SHARE,
+		.infeasible = g_rand_double(rand) <
+			      infeasible_share(trace, pool, t_ms),
 		.in_burst = in_burst,
 	};
 
@@ -239,6 +254,7 @@
 	g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
 
 	trace->deployment = deployment;
+	trace->with_faults = with_faults;
 	trace->name = with_faults ? "faults" : "bursts";
 	trace->seed = seed;
 	trace->bundle = dec_bundle_create(deployment);
--- a/bench/dec_trace.h
+++ b/bench/dec_trace.h
@@ -68,6 +68,7 @@
 struct dec_trace {
 	const struct dec_deployment *deployment;
 	const char *name;
+	bool with_faults;
 	uint32_t seed;
 	struct bnd_bundle *bundle;
 	struct dec_request *requests;
