Tell callers three quarters of the estimated wait

Cause: the estimate counts requests that later leave the line without taking a slot, so that callers were told to come back too late.

--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -6,6 +6,8 @@
  * end sooner than others did. A refusal on arrival is final, while a request
  * that waits is refused at its turn if it is late by then. */
 #define ADM_CERTAIN_PERCENT 50
+/* Share of the estimated wait that callers are told. */
+#define ADM_LIKELY_PERCENT 75
 /* Share of the mean service time that must be left at the start. */
 #define ADM_RESERVE_PERCENT 150
 #define ADM_RETRY_AFTER_MAX_S 60
@@ -146,7 +148,8 @@
 {
 	if (slots == 0)
 		return queue->limits.max_wait_ms;
-	return wait_behind_ms(queue, queue->items.length, slots);
+	return wait_behind_ms(queue, queue->items.length, slots) *
+	       ADM_LIKELY_PERCENT / 100;
 }
 
 uint32_t adm_queue_retry_after_s(const struct adm_queue *queue, uint32_t slots)
