--- a/bench/dec_moves.c
+++ b/bench/dec_moves.c
@@ -264,6 +264,14 @@
 	}
 }
 
+static void pools_init(struct day *day)
+{
+	for (uint32_t vm = 0; vm < day->bundle->vm_count; vm++) {
+		day->view->rows[vm].pool = dec_home_pool(day->fleet, vm);
+		day->view->rows[vm].state = PLC_STATE_SERVING;
+	}
+}
+
 struct dec_moves dec_moves_run(const struct dec_deployment *fleet,
 			       const struct bnd_weights *weights,
 			       enum dec_sizing sizing, uint32_t seed)
@@ -280,7 +288,7 @@
 
 	day.bundle->weights = *weights;
 	day.view = plc_view_create(day.bundle);
-	plc_fill(day.bundle, day.view);
+	pools_init(&day);
 	g_assert(day.bundle->vm_count <= VMS_MAX);
 	for (day.now_s = 1; day.now_s < DAY_S; day.now_s++) {
 		faults_update(&day);
--- a/packages/core/src/plc.c
+++ b/packages/core/src/plc.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#include "dom.h"
-
 static const char *const state_names[PLC_STATE_COUNT] = {
 	[PLC_STATE_SERVING] = "serving",
 	[PLC_STATE_DRAINING] = "draining",
@@ -77,54 +75,52 @@
 	return count;
 }
 
-/* Counts a pool's serving VMs by zone; returns their number. */
-static uint32_t zones_count(const struct dom_index *domains,
-			    const struct plc_view *view, uint32_t pool,
-			    uint32_t *zones)
+static uint32_t zone_serving(const struct bnd_bundle *bundle,
+			     const struct plc_view *view, uint32_t pool,
+			     const char *zone)
 {
 	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < view->row_count; i++) {
-		if (view->rows[i].pool != pool ||
-		    view->rows[i].state != PLC_STATE_SERVING)
-			continue;
-		zones[domains->zone_of[i]]++;
-		count++;
+		if (view->rows[i].pool == pool &&
+		    view->rows[i].state == PLC_STATE_SERVING &&
+		    strcmp(bundle->vms[i].availability_zone, zone) == 0)
+			count++;
 	}
 	return count;
 }
 
-static uint32_t free_vm_choose(const struct bnd_pool *spec,
-			       const struct plc_view *view,
-			       const struct dom_index *domains,
-			       const uint32_t *zones)
+static uint32_t free_vm_choose(const struct bnd_bundle *bundle,
+			       const struct plc_view *view, uint32_t pool)
 {
+	const struct bnd_pool *spec = &bundle->pools[pool];
 	uint32_t best = BND_NONE;
 	uint32_t best_serving = UINT32_MAX;
 
 	for (uint32_t i = 0; i < spec->vm_count; i++) {
 		uint32_t vm = spec->vms[i];
-		uint32_t serving = zones[domains->zone_of[vm]];
+		uint32_t serving;
 
-		if (view->rows[vm].pool != BND_NONE || serving >= best_serving)
+		if (view->rows[vm].pool != BND_NONE)
 			continue;
-		best = vm;
-		best_serving = serving;
+		serving = zone_serving(bundle, view, pool,
+				       bundle->vms[vm].availability_zone);
+		if (serving < best_serving) {
+			best = vm;
+			best_serving = serving;
+		}
 	}
 	return best;
 }
 
 static uint32_t pool_fill(const struct bnd_bundle *bundle,
-			  const struct dom_index *domains,
 			  struct plc_view *view, uint32_t pool)
 {
-	g_autofree uint32_t *zones = g_new0(uint32_t, domains->zone_count + 1);
-	uint32_t serving = zones_count(domains, view, pool, zones);
+	uint32_t serving = plc_count(view, pool, PLC_STATE_SERVING);
 	uint32_t changed = 0;
 
 	while (serving < bundle->pools[pool].target_vms) {
-		uint32_t vm = free_vm_choose(&bundle->pools[pool], view,
-					     domains, zones);
+		uint32_t vm = free_vm_choose(bundle, view, pool);
 
 		if (vm == BND_NONE)
 			break;
@@ -135,7 +131,6 @@
 			.reason = PLC_REASON_FILL,
 			.changed = view->number + 1,
 		};
-		zones[domains->zone_of[vm]]++;
 		serving++;
 		changed++;
 	}
@@ -144,19 +139,17 @@
 
 uint32_t plc_fill(const struct bnd_bundle *bundle, struct plc_view *view)
 {
-	struct dom_index *domains = dom_index_create(bundle);
 	uint32_t changed = 0;
 
 	g_assert(view->row_count == bundle->vm_count);
 	for (uint32_t pool = 0; pool < bundle->pool_count; pool++) {
 		if (!bundle->pools[pool].spare)
-			changed += pool_fill(bundle, domains, view, pool);
+			changed += pool_fill(bundle, view, pool);
 	}
 	for (uint32_t pool = 0; pool < bundle->pool_count; pool++) {
 		if (bundle->pools[pool].spare)
-			changed += pool_fill(bundle, domains, view, pool);
+			changed += pool_fill(bundle, view, pool);
 	}
-	dom_index_destroy(domains);
 	return changed;
 }
 
