--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -69,6 +69,16 @@
 	return now_ms + needed_ms >= item->deadline_ms;
 }
 
+/* Requests that get a slot before a new one, counted with itself: when anyone
+ * waits, all slots are in use. */
+static uint32_t turns_before(const struct adm_queue *queue,
+			     const struct adm_item *item)
+{
+	uint32_t ahead = edq_ahead(&queue->items, item->deadline_ms);
+
+	return queue->items.length > 0 ? ahead + 1 : ahead;
+}
+
 enum out_kind adm_queue_push(struct adm_queue *queue, struct adm_item *item,
 			     uint32_t slots, uint64_t now_ms)
 {
@@ -80,8 +90,7 @@
 		return OUT_NO_VM;
 	if (refusal != OUT_ANSWERED)
 		return refusal;
-	wait_ms = wait_behind_ms(
-		queue, edq_ahead(&queue->items, item->deadline_ms), slots);
+	wait_ms = wait_behind_ms(queue, turns_before(queue, item), slots);
 	wait_ms = wait_ms * ADM_CERTAIN_PERCENT / 100;
 	if (wait_ms > queue->limits.max_wait_ms ||
 	    now_ms + wait_ms >= item->deadline_ms)
--- a/packages/core/tests/test_edq.c
+++ b/packages/core/tests/test_edq.c
@@ -166,7 +166,9 @@
 	hopeless.deadline_ms = 4100;
 	ck_assert_int_eq(adm_queue_push(queue, &hopeless, 1, 2000),
 			 OUT_WOULD_EXPIRE);
-	/* Nobody with an earlier deadline is in front of it. */
+	/* Nobody with an earlier deadline is in front of it, but the slot is
+	 * in use. */
+	ck_assert_int_eq(push(queue, &urgent, 100), OUT_WOULD_EXPIRE);
 	ck_assert_int_eq(push(queue, &urgent, 500), OUT_ANSWERED);
 	ck_assert_ptr_eq(adm_queue_pop(queue), &urgent);
 	ck_assert(adm_queue_is_late(queue, &urgent, 0));
