--- a/bench/bench_decisions.c
+++ b/bench/bench_decisions.c
@@ -27,6 +27,7 @@
 static const struct dec_policy policies[] = {
 	{ .name = "chosen" },
 	{ .name = "retries, no budget", .free_retries = true },
+	{ .name = "no ejection", .no_ejection = true },
 	{ .name = "round robin", .round_robin = true, .free_retries = true },
 };
 
--- a/bench/dec_private.h
+++ b/bench/dec_private.h
@@ -33,6 +33,7 @@
 struct dec_live {
 	struct adm_item item;
 	uint32_t attempts;
+	struct ret_request retry;
 	/* VM that runs it, BND_NONE while it does not run */
 	uint32_t vm;
 	uint64_t began_ms;
--- a/bench/dec_requests.c
+++ b/bench/dec_requests.c
@@ -1,6 +1,5 @@
 #include "dec_private.h"
 
-#define ATTEMPTS_MAX 3u
 /* A worker that fails everything, or cannot be reached, does so soon. */
 #define FAIL_MS 5u
 /* Dispatches that reach a VM before anyone knows that it has gone. */
@@ -252,14 +251,25 @@
 			     enum attempt_end end)
 {
 	const struct dec_request *request = request_of(serving, index);
+	struct dec_live *live = &serving->lives[index];
+	struct ret_budget free_budget;
 	struct ret_budget *budget =
 		&serving->entries[request->entry].budgets[request->pool];
+	enum ret_failure failure = end == ATTEMPT_NOT_SENT
+					   ? RET_FAILURE_NOT_SENT
+					   : RET_FAILURE_SENT;
 
-	if (end == ATTEMPT_TIMEOUT || serving->now_ms >= request->gone_ms ||
-	    (end != ATTEMPT_NOT_SENT && !request->idempotent) ||
-	    serving->lives[index].attempts >= ATTEMPTS_MAX)
+	if (end == ATTEMPT_TIMEOUT || serving->now_ms >= request->gone_ms)
 		return false;
-	return serving->policy->free_retries || ret_budget_take(budget);
+	if (serving->policy->free_retries) {
+		ret_budget_init(&free_budget, 0, 1);
+		budget = &free_budget;
+	}
+	live->retry.idempotent = request->idempotent;
+	live->retry.attempts = live->attempts;
+	live->retry.deadline_ms = request->deadline_ms;
+	return ret_decide(&live->retry, budget, failure, serving->now_ms) ==
+	       RET_RETRY;
 }
 
 static void attempt_failed(struct dec_serving *serving, uint32_t index,
@@ -281,6 +291,22 @@
 		live_end(serving, index, true, false);
 }
 
+/* One view of the servers' health stands for those of all entries. */
+static void health_record(struct dec_serving *serving, uint32_t vm,
+			  uint64_t began_ms, enum attempt_end end)
+{
+	enum ejt_evidence evidence = EJT_FAILED;
+
+	if (serving->policy->round_robin || serving->policy->no_ejection)
+		return;
+	if (end == ATTEMPT_ANSWERED)
+		evidence = EJT_ANSWERED;
+	else if (end == ATTEMPT_TIMEOUT)
+		evidence = EJT_SLOW;
+	sel_record(serving->servers, vm, evidence, began_ms, serving->now_ms,
+		   vm);
+}
+
 static void on_attempt_end(struct dec_serving *serving, uint32_t index,
 			   uint32_t code)
 {
@@ -290,6 +316,7 @@
 
 	if (live->ended || live->attempts != code / 8)
 		return;
+	health_record(serving, vm, live->began_ms, end);
 	attempt_leave(serving, live);
 	if (end == ATTEMPT_ANSWERED)
 		live_end(serving, index, true, true);
--- a/bench/dec_serve.h
+++ b/bench/dec_serve.h
@@ -14,6 +14,8 @@
 	bool round_robin;
 	/** retries without a budget */
 	bool free_retries;
+	/** failing workers stay in use */
+	bool no_ejection;
 };
 
 /** @brief Runs a trace. @param result zeroed; filled */
--- a/packages/core/include/edq.h
+++ b/packages/core/include/edq.h
@@ -42,6 +42,9 @@
 void edq_push(struct edq_queue *queue, struct edq_item *item,
 	      uint64_t deadline_ms, uint64_t now_ms);
 
+/** @brief Adds an item before all others. */
+void edq_push_first(struct edq_queue *queue, struct edq_item *item);
+
 /** @brief Returns the first item, or NULL. */
 struct edq_item *edq_first(const struct edq_queue *queue);
 
--- a/packages/core/src/edq.c
+++ b/packages/core/src/edq.c
@@ -70,6 +70,12 @@
 	queue->base = MAX(queue->base, present);
 }
 
+static void item_count(struct edq_queue *queue, const struct edq_item *item)
+{
+	queue->occupied[item->bucket / 64] |= 1ull << (item->bucket % 64);
+	sums_add(queue, item->bucket, 1);
+}
+
 void edq_push(struct edq_queue *queue, struct edq_item *item,
 	      uint64_t deadline_ms, uint64_t now_ms)
 {
@@ -77,8 +83,14 @@
 	item->bucket =
 		(uint32_t)(bucket_number(queue, deadline_ms) % EDQ_BUCKETS);
 	g_queue_push_tail_link(&queue->buckets[item->bucket], &item->link);
-	queue->occupied[item->bucket / 64] |= 1ull << (item->bucket % 64);
-	sums_add(queue, item->bucket, 1);
+	item_count(queue, item);
+}
+
+void edq_push_first(struct edq_queue *queue, struct edq_item *item)
+{
+	item->bucket = (uint32_t)(queue->base % EDQ_BUCKETS);
+	g_queue_push_head_link(&queue->buckets[item->bucket], &item->link);
+	item_count(queue, item);
 }
 
 struct edq_item *edq_first(const struct edq_queue *queue)
