Free the places of callers that left before refusing others

Cause: h2o says nothing of an HTTP/1.1 caller that leaves while its request waits, so a wave of cancellations kept a queue full until its deadlines. Change: before a request is refused for the queue's bounds, at most every 100 ms, the queue is searched for callers that have left.

--- a/bin/sassafrascartd/gat_private.h
+++ b/bin/sassafrascartd/gat_private.h
@@ -23,6 +23,8 @@
 	struct adm_queue *queue;
 	struct ret_budget budget;
 	struct gat_share *share;
+	/** when its queue was last searched for callers that have left */
+	uint64_t swept_ms;
 };
 
 struct gat_gateway {
--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -4,6 +4,8 @@
 
 /* Bound on the time to connect; the deadline binds as well. */
 #define GAT_CONNECT_TIMEOUT_MS 500
+/* Time between two searches of a queue for callers that have left. */
+#define GAT_SWEEP_MS 100
 #define GAT_OWN_HEADER_PREFIX "sassafrascart-"
 
 static void work_free(struct gat_work *work)
@@ -338,20 +340,58 @@
 	return work;
 }
 
+/*
+ * h2o tells nothing of an HTTP/1.1 caller that leaves while its request waits,
+ * so those are looked for before they cost another request its place.
+ */
+static bool gone_sweep(struct gat_pool *pool)
+{
+	struct adm_item *item = adm_queue_peek(pool->queue);
+	uint64_t now_ms = evl_now_ms();
+	bool found = false;
+
+	if (now_ms - pool->swept_ms < GAT_SWEEP_MS)
+		return false;
+	pool->swept_ms = now_ms;
+	while (item) {
+		struct gat_work *work = gat_work_of(item);
+
+		item = adm_queue_next(item);
+		if (clr_request_is_connected(work->request))
+			continue;
+		adm_queue_remove(pool->queue, &work->item);
+		gat_work_refuse(work, OUT_CANCELLED);
+		found = true;
+	}
+	return found;
+}
+
+static enum out_kind work_admit(struct gat_work *work)
+{
+	struct gat_pool *pool = work->pool;
+	uint32_t slots = gat_pool_slots(work->gateway, pool);
+	uint64_t now_ms = evl_now_ms();
+	enum out_kind refusal =
+		adm_queue_hold(pool->queue, &work->item, slots, now_ms);
+
+	if (refusal != OUT_ANSWERED && refusal != OUT_NO_VM && gone_sweep(pool))
+		refusal =
+			adm_queue_hold(pool->queue, &work->item, slots, now_ms);
+	if (refusal != OUT_ANSWERED)
+		return refusal;
+	if (gat_claim_is_needed(work))
+		return gat_claim_begin(work);
+	adm_queue_enter(pool->queue, &work->item, now_ms);
+	return OUT_ANSWERED;
+}
+
 void gat_work_begin(struct gat_gateway *gateway, struct clr_request *request,
 		    const struct bnd_route *route, uint64_t deadline_ms)
 {
 	struct gat_work *work =
 		work_create(gateway, request, route, deadline_ms);
-	uint64_t now_ms = evl_now_ms();
-	enum out_kind refusal =
-		adm_queue_hold(work->pool->queue, &work->item,
-			       gat_pool_slots(gateway, work->pool), now_ms);
+	enum out_kind refusal = work_admit(work);
 
-	if (refusal == OUT_ANSWERED && gat_claim_is_needed(work))
-		refusal = gat_claim_begin(work);
-	else if (refusal == OUT_ANSWERED)
-		adm_queue_enter(work->pool->queue, &work->item, now_ms);
 	if (refusal != OUT_ANSWERED) {
 		adm_queue_remove(work->pool->queue, &work->item);
 		gat_work_refuse(work, refusal);
--- a/packages/core/include/adm.h
+++ b/packages/core/include/adm.h
@@ -81,6 +81,9 @@
 /** @brief Returns the request that is next in line, or NULL. */
 struct adm_item *adm_queue_peek(const struct adm_queue *queue);
 
+/** @brief Returns the request in line after another, or NULL. */
+struct adm_item *adm_queue_next(const struct adm_item *item);
+
 /** @brief Takes the oldest request. @return NULL when none waits */
 struct adm_item *adm_queue_pop(struct adm_queue *queue);
 
--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -130,6 +130,11 @@
 	return link ? link->data : NULL;
 }
 
+struct adm_item *adm_queue_next(const struct adm_item *item)
+{
+	return item->link.next ? item->link.next->data : NULL;
+}
+
 struct adm_item *adm_queue_pop(struct adm_queue *queue)
 {
 	GList *link = g_queue_pop_head_link(&queue->items);
--- a/tests/scenarios/refusal_kinds.lua
+++ b/tests/scenarios/refusal_kinds.lua
@@ -123,7 +123,10 @@
                       "stale-view", "shutting-down"} do
   assert(seen[kind], "no refusal of kind " .. kind)
 end
-fleet.wait_until("the process has ended", 8000, function() return exited(entry.pid) end)
+local code = fleet.wait_until("the process has ended", 8000, function()
+  return exited(entry.pid)
+end)
+assert(code == 0, "it ended with " .. code)
 local runs = f:runs_by_test_id()
 for test_id, reason in pairs(refused) do
   assert(not runs[test_id], test_id .. " was refused as " .. reason .. " and ran")
