Bound callers' connections; share the pace of list reads

Cause: nothing bounded the connections of callers, and with each the body that h2o buffers; reads of the VM list twice a second in each process took roll_pace over its rate (95 calls a second by 8 processes, bound 92).

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -229,6 +229,7 @@
 		.ip = settings->listen.ip,
 		.port = settings->listen.port,
 		.body_max_bytes = settings->body_max_bytes,
+		.connections_max = settings->connections_max,
 		.idle_timeout_ms = settings->idle_timeout_ms,
 	};
 
--- a/bin/sassafrascartd/ent_pages.c
+++ b/bin/sassafrascartd/ent_pages.c
@@ -22,12 +22,17 @@
 {
 	const struct per_counts *peers = per_node_counts(entry->peers);
 	const struct hcl_counts *platform = plt_platform_bytes(entry->platform);
+	uint32_t connections;
+	uint64_t refused;
 	uint64_t calls;
 	uint64_t limited;
 
+	clr_server_counts(entry->server, &connections, &refused);
 	ctr_render(&entry->counters, body);
 	gat_gateway_render(entry->gateway, body);
 	plt_platform_counts(entry->platform, &calls, &limited);
+	ctr_render_gauge(body, "caller_connections", connections);
+	ctr_render_gauge(body, "caller_connections_refused_total", refused);
 	ctr_render_gauge(body, "platform_calls_total", calls);
 	ctr_render_gauge(body, "platform_rate_limited_total", limited);
 	ctr_render_gauge(body, "platform_bytes_sent_total",
--- a/bin/sassafrascartd/gat_leaving.c
+++ b/bin/sassafrascartd/gat_leaving.c
@@ -4,9 +4,10 @@
 #include "lgx.h"
 
 /*
- * The list is read at a pace that bounds the bytes that a process receives;
- * peers tell each other what they saw, so that all together read often.
+ * The list is read at a pace that bounds the calls of all processes together
+ * and the bytes that each receives; peers tell each other what they saw.
  */
+#define GAT_LIST_READS_PER_S 4
 #define GAT_LIST_BYTES_PER_S 2048
 #define GAT_LIST_VM_BYTES 40
 #define GAT_LIST_MIN_MS 500
@@ -86,17 +87,27 @@
 		ejt_require_probe(&server->health);
 }
 
+static uint64_t list_pause_ms(const struct gat_gateway *gateway, size_t count)
+{
+	const struct gat_config *config = &gateway->config;
+	uint64_t bytes_ms =
+		count * GAT_LIST_VM_BYTES * 1000 / GAT_LIST_BYTES_PER_S;
+	uint64_t calls_ms =
+		config->processes(config->data) * 1000 / GAT_LIST_READS_PER_S;
+	uint64_t pause_ms = CLAMP(MAX(bytes_ms, calls_ms), GAT_LIST_MIN_MS,
+				  GAT_LIST_MAX_MS);
+
+	/* Up to a quarter more, so that processes do not read in step. */
+	return pause_ms + g_random_int() % (pause_ms / 4);
+}
+
 static void on_list(void *data, enum err_kind err, const struct plt_vm *vms,
 		    size_t count)
 {
 	struct gat_gateway *gateway = data;
-	uint64_t pause_ms =
-		count * GAT_LIST_VM_BYTES * 1000 / GAT_LIST_BYTES_PER_S;
 
-	/* Up to a quarter more, so that processes do not read in step. */
-	pause_ms = CLAMP(pause_ms, GAT_LIST_MIN_MS, GAT_LIST_MAX_MS);
-	pause_ms += g_random_int() % (pause_ms / 4);
-	evl_timer_set(gateway->config.loop, &gateway->list_timer, pause_ms);
+	evl_timer_set(gateway->config.loop, &gateway->list_timer,
+		      list_pause_ms(gateway, count));
 	if (err != ERR_NONE)
 		ctr_add(gateway->config.counters, CTR_PLATFORM_ERRORS);
 	for (size_t i = 0; err == ERR_NONE && gateway->bundle && i < count; i++)
--- a/bin/sassafrascartd/set.c
+++ b/bin/sassafrascartd/set.c
@@ -30,6 +30,8 @@
 	  "error, warning, info or debug", "LEVEL" },
 	{ "body-max-bytes", CFG_U32, AT(body_max_bytes), "1048576", 1024,
 	  1u << 30, "largest body of a request", "BYTES" },
+	{ "connections-max", CFG_U32, AT(connections_max), "4096", 1, 1000000,
+	  "connections of callers; more are closed at once", "N" },
 	{ "answer-max-bytes", CFG_U32, AT(answer_max_bytes), "4194304", 1024,
 	  1u << 30, "largest body of an answer", "BYTES" },
 	{ "poll-ms", CFG_U32, AT(poll_ms), "1000", 10, 60000,
--- a/bin/sassafrascartd/set.h
+++ b/bin/sassafrascartd/set.h
@@ -22,6 +22,7 @@
 	uint32_t signatures_required;
 	char *log_level;
 	uint32_t body_max_bytes;
+	uint32_t connections_max;
 	uint32_t answer_max_bytes;
 	uint32_t poll_ms;
 	uint32_t dispatch_window_ms;
--- a/packages/caller/include/clr.h
+++ b/packages/caller/include/clr.h
@@ -40,6 +40,8 @@
 	/** 0 for any free port */
 	uint16_t port;
 	uint64_t body_max_bytes;
+	/** connections beyond this number are closed at once */
+	uint32_t connections_max;
 	/** time a connection may be idle or a request incomplete */
 	uint32_t idle_timeout_ms;
 };
@@ -94,6 +96,10 @@
 /** @brief Returns the port that the server listens on. */
 uint16_t clr_server_port(const struct clr_server *server);
 
+/** @brief Returns the open connections and how many were closed at once. */
+void clr_server_counts(const struct clr_server *server, uint32_t *open,
+		       uint64_t *refused);
+
 /**
  * @brief Begins a graceful shutdown: connections close after their answers.
  *
--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -18,6 +18,9 @@
 	h2o_socket_t *listener;
 	uint16_t port;
 	bool shutting_down;
+	uint32_t connections;
+	uint32_t connections_max;
+	uint64_t connections_refused;
 };
 
 struct clr_request {
@@ -140,6 +143,26 @@
 	return 0;
 }
 
+static void on_connection_close(void *data)
+{
+	struct clr_server *server = data;
+
+	server->connections--;
+}
+
+static void connection_take(struct clr_server *server, h2o_socket_t *sock)
+{
+	if (server->connections >= server->connections_max) {
+		server->connections_refused++;
+		h2o_socket_close(sock);
+		return;
+	}
+	server->connections++;
+	sock->on_close.cb = on_connection_close;
+	sock->on_close.data = server;
+	h2o_accept(&server->accept_ctx, sock);
+}
+
 static void on_accept(h2o_socket_t *listener, const char *err)
 {
 	struct clr_server *server = listener->data;
@@ -151,7 +174,7 @@
 
 		if (!sock)
 			return;
-		h2o_accept(&server->accept_ctx, sock);
+		connection_take(server, sock);
 	}
 }
 
@@ -188,6 +211,7 @@
 	server->loop = loop;
 	server->ops = ops;
 	server->data = data;
+	server->connections_max = config->connections_max;
 	err = evl_listen(loop, config->ip, config->port, on_accept, server,
 			 &server->listener);
 	if (err != ERR_NONE) {
@@ -220,6 +244,13 @@
 	g_free(server);
 }
 
+void clr_server_counts(const struct clr_server *server, uint32_t *open,
+		       uint64_t *refused)
+{
+	*open = server->connections;
+	*refused = server->connections_refused;
+}
+
 uint16_t clr_server_port(const struct clr_server *server)
 {
 	return server->port;
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -332,8 +332,7 @@
 	/* libcurl 7.88.1 fails to use such a connection a second time. */
 	curl_easy_setopt(exchange->easy, CURLOPT_FRESH_CONNECT,
 			 http2 ? 1L : 0L);
-	curl_easy_setopt(exchange->easy, CURLOPT_FORBID_REUSE,
-			 http2 ? 1L : 0L);
+	curl_easy_setopt(exchange->easy, CURLOPT_FORBID_REUSE, http2 ? 1L : 0L);
 	curl_easy_setopt(exchange->easy, CURLOPT_NOBODY,
 			 (long)table_integer(lua, "nobody", 0));
 	curl_easy_setopt(exchange->easy, CURLOPT_WRITEFUNCTION, on_answer_body);
