Bound a request's head and count it in the queue

Cause: h2o took a header of 200,000 bytes that came in one read, and the queue's byte bound counted bodies alone. Change: target and headers together are at most 32 KB and count in the queue. Left: of two different Content-Length headers h2o 2.2.5 believes the first and takes the rest as the next request, and hides both from handlers, so they cannot be refused here; requests are framed anew towards backend servers, so it ends at this hop.

--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -327,7 +327,7 @@
 	work->sent_outcome = OUT_KIND_COUNT;
 	work->retry.idempotent = route_is_idempotent(route, view->method);
 	work->route = g_strdup(route->path);
-	work->item.bytes = view->body_bytes;
+	work->item.bytes = view->body_bytes + view->head_bytes;
 	work->item.deadline_ms = evl_now_ms() + deadline_ms;
 	work->retry.deadline_ms = work->item.deadline_ms;
 	work->deadline_timer.cb = on_queue_deadline;
--- a/packages/caller/include/clr.h
+++ b/packages/caller/include/clr.h
@@ -55,6 +55,8 @@
 	const char *path;
 	const struct clr_header *headers;
 	uint32_t header_count;
+	/** bytes of target and headers */
+	uint64_t head_bytes;
 	const void *body;
 	uint64_t body_bytes;
 };
--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -7,6 +7,8 @@
 #include "clr_check.h"
 
 #define CLR_ACCEPTS_PER_TURN 16
+/* Bound on a request's target and headers together. */
+#define CLR_HEAD_MAX_BYTES 32768
 
 struct clr_server {
 	struct evl_loop *loop;
@@ -63,6 +65,16 @@
 	request->view.header_count = (uint32_t)req->headers.size;
 }
 
+static size_t head_bytes(const h2o_req_t *req)
+{
+	size_t bytes = req->path.len;
+
+	for (size_t i = 0; i < req->headers.size; i++)
+		bytes += req->headers.entries[i].name->len +
+			 req->headers.entries[i].value.len;
+	return bytes;
+}
+
 static void view_fill(struct clr_request *request)
 {
 	h2o_req_t *req = request->req;
@@ -73,19 +85,24 @@
 	view->path = pool_strdup(req, path_without_query(req));
 	view->body = req->entity.base;
 	view->body_bytes = req->entity.len;
+	view->head_bytes = head_bytes(req);
 	headers_fill(request);
 }
 
+static bool header_is_valid(const h2o_header_t *header)
+{
+	return clk_is_token(header->name->base, header->name->len) &&
+	       clk_is_value(header->value.base, header->value.len);
+}
+
 static bool request_is_valid(const h2o_req_t *req)
 {
 	if (!clk_is_token(req->method.base, req->method.len) ||
-	    !clk_is_target(req->path.base, req->path.len))
+	    !clk_is_target(req->path.base, req->path.len) ||
+	    head_bytes(req) > CLR_HEAD_MAX_BYTES)
 		return false;
 	for (size_t i = 0; i < req->headers.size; i++) {
-		const h2o_header_t *header = &req->headers.entries[i];
-
-		if (!clk_is_token(header->name->base, header->name->len) ||
-		    !clk_is_value(header->value.base, header->value.len))
+		if (!header_is_valid(&req->headers.entries[i]))
 			return false;
 	}
 	return true;
--- a/tests/scenarios/refusal_kinds.lua
+++ b/tests/scenarios/refusal_kinds.lua
@@ -61,6 +61,7 @@
 expect(request("/nothing"), "no-route")
 expect(request("/full", {["sassafrascart-deadline-ms"] = "soon"}), "bad-request")
 expect(request("/full", {["idempotency-key"] = string.rep("k", 300)}), "bad-request")
+expect(request("/full", {["x-long"] = string.rep("h", 40000)}), "bad-request")
 
 for path, body in pairs{["/full"] = "x", ["/bytes"] = string.rep("b", 40000)} do
   occupy(path)
