--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -7,6 +7,8 @@
 #include "clr_check.h"
 
 #define CLR_ACCEPTS_PER_TURN 16
+/* Bound on a request's target and headers together. */
+#define CLR_HEAD_MAX_BYTES 32768
 
 struct clr_server {
 	struct evl_loop *loop;
@@ -18,6 +20,9 @@
 	h2o_socket_t *listener;
 	uint16_t port;
 	bool shutting_down;
+	uint32_t connections;
+	uint32_t connections_max;
+	uint64_t connections_refused;
 };
 
 struct clr_request {
@@ -60,6 +65,16 @@
 	request->view.header_count = (uint32_t)req->headers.size;
 }
 
+static size_t head_bytes(const h2o_req_t *req)
+{
+	size_t bytes = req->path.len;
+
+	for (size_t i = 0; i < req->headers.size; i++)
+		bytes += req->headers.entries[i].name->len +
+			 req->headers.entries[i].value.len;
+	return bytes;
+}
+
 static void view_fill(struct clr_request *request)
 {
 	h2o_req_t *req = request->req;
@@ -70,19 +85,24 @@
 	view->path = pool_strdup(req, path_without_query(req));
 	view->body = req->entity.base;
 	view->body_bytes = req->entity.len;
+	view->head_bytes = head_bytes(req);
 	headers_fill(request);
 }
 
+static bool header_is_valid(const h2o_header_t *header)
+{
+	return clk_is_token(header->name->base, header->name->len) &&
+	       clk_is_value(header->value.base, header->value.len);
+}
+
 static bool request_is_valid(const h2o_req_t *req)
 {
 	if (!clk_is_token(req->method.base, req->method.len) ||
-	    !clk_is_target(req->path.base, req->path.len))
+	    !clk_is_target(req->path.base, req->path.len) ||
+	    head_bytes(req) > CLR_HEAD_MAX_BYTES)
 		return false;
 	for (size_t i = 0; i < req->headers.size; i++) {
-		const h2o_header_t *header = &req->headers.entries[i];
-
-		if (!clk_is_token(header->name->base, header->name->len) ||
-		    !clk_is_value(header->value.base, header->value.len))
+		if (!header_is_valid(&req->headers.entries[i]))
 			return false;
 	}
 	return true;
@@ -140,6 +160,26 @@
 	return 0;
 }
 
+static void on_connection_close(void *data)
+{
+	struct clr_server *server = data;
+
+	server->connections--;
+}
+
+static void connection_take(struct clr_server *server, h2o_socket_t *sock)
+{
+	if (server->connections >= server->connections_max) {
+		server->connections_refused++;
+		h2o_socket_close(sock);
+		return;
+	}
+	server->connections++;
+	sock->on_close.cb = on_connection_close;
+	sock->on_close.data = server;
+	h2o_accept(&server->accept_ctx, sock);
+}
+
 static void on_accept(h2o_socket_t *listener, const char *err)
 {
 	struct clr_server *server = listener->data;
@@ -151,7 +191,7 @@
 
 		if (!sock)
 			return;
-		h2o_accept(&server->accept_ctx, sock);
+		connection_take(server, sock);
 	}
 }
 
@@ -188,6 +228,7 @@
 	server->loop = loop;
 	server->ops = ops;
 	server->data = data;
+	server->connections_max = config->connections_max;
 	err = evl_listen(loop, config->ip, config->port, on_accept, server,
 			 &server->listener);
 	if (err != ERR_NONE) {
@@ -220,6 +261,13 @@
 	g_free(server);
 }
 
+void clr_server_counts(const struct clr_server *server, uint32_t *open,
+		       uint64_t *refused)
+{
+	*open = server->connections;
+	*refused = server->connections_refused;
+}
+
 uint16_t clr_server_port(const struct clr_server *server)
 {
 	return server->port;
--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -168,6 +168,11 @@
 	return place ? place->link.data : NULL;
 }
 
+struct adm_item *adm_queue_next(const struct adm_item *item)
+{
+	return item->link.next ? item->link.next->data : NULL;
+}
+
 struct adm_item *adm_queue_pop(struct adm_queue *queue)
 {
 	struct edq_item *place = edq_first(&queue->items);
