--- a/bin/sassafrasctl/cmd_bundle.c
+++ b/bin/sassafrasctl/cmd_bundle.c
@@ -50,8 +50,6 @@
 	err = file_read(path, text, &len);
 	if (err != ERR_NONE)
 		return err;
-	if (strlen(*text) != len)
-		return ERR_MALFORMED;
 	mistakes = bfl_mistakes_create();
 	err = bfl_parse(*text, len, mistakes, bundle);
 	mistakes_print(path, mistakes);
--- a/packages/operator/src/bfl_check.c
+++ b/packages/operator/src/bfl_check.c
@@ -127,6 +127,31 @@
 				 spares);
 }
 
+/* Tells whether the entry process answers a path itself. */
+static bool path_is_reserved(const char *path)
+{
+	static const char *const reserved[] = { "/healthz", "/metrics",
+						"/status" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(reserved); i++) {
+		size_t len = strlen(reserved[i]);
+
+		if (strncmp(path, reserved[i], len) == 0 &&
+		    (path[len] == '\0' || path[len] == '/'))
+			return true;
+	}
+	return false;
+}
+
+/* Paths of requests are normalised, so others would never match. */
+static bool path_is_normalised(const char *path)
+{
+	return path[0] == '/' && !strpbrk(path, "?#%\\ ") &&
+	       !strstr(path, "//") && !strstr(path, "/./") &&
+	       !strstr(path, "/../") && !g_str_has_suffix(path, "/.") &&
+	       !g_str_has_suffix(path, "/..");
+}
+
 static void routes_check(const struct checker *checker)
 {
 	const struct bnd_bundle *bundle = checker->bundle;
@@ -135,11 +160,19 @@
 	for (uint32_t i = 0; i < bundle->route_count; i++) {
 		const struct bnd_route *route = &bundle->routes[i];
 
-		if (route->path[0] != '/' || strchr(route->path, '?'))
+		if (!path_is_normalised(route->path))
+			bfl_mistakes_add(checker->mistakes,
+					 route_line(checker, i), "routes.path",
+					 "expected a normalised path that "
+					 "starts with '/', without query and "
+					 "escapes, found '%s'",
+					 route->path);
+		if (path_is_reserved(route->path))
 			bfl_mistakes_add(checker->mistakes,
 					 route_line(checker, i), "routes.path",
-					 "expected a path that starts with "
-					 "'/' and has no '?', found '%s'",
+					 "expected a path that the entry "
+					 "process does not answer itself, "
+					 "found '%s'",
 					 route->path);
 		unique_check(checker, paths, route->path,
 			     route_line(checker, i), "routes.path");
--- a/packages/operator/src/sgn.c
+++ b/packages/operator/src/sgn.c
@@ -98,6 +98,15 @@
 	EVP_PKEY_free(key);
 }
 
+static bool key_is_trusted(const struct sgn_trust *trust, const EVP_PKEY *key)
+{
+	for (guint i = 0; i < trust->keys->len; i++) {
+		if (EVP_PKEY_eq(g_ptr_array_index(trust->keys, i), key) == 1)
+			return true;
+	}
+	return false;
+}
+
 enum err_kind sgn_trust_create(const char *const *paths, uint32_t required,
 			       struct sgn_trust **out)
 {
@@ -110,7 +119,10 @@
 		EVP_PKEY *key = NULL;
 
 		err = key_read(*paths, false, &key);
-		if (err == ERR_NONE)
+		/* A key given twice would count its one signature twice. */
+		if (err == ERR_NONE && key_is_trusted(trust, key))
+			EVP_PKEY_free(key);
+		else if (err == ERR_NONE)
 			g_ptr_array_add(trust->keys, key);
 	}
 	if (err == ERR_NONE && (required == 0 || trust->keys->len < required))
@@ -202,6 +214,8 @@
 	if (!envelope)
 		return ERR_MALFORMED;
 	digest = json_string_value(json_object_get(envelope, "digest"));
+	if (!json_is_array(json_object_get(envelope, "signatures")))
+		return ERR_MALFORMED;
 	if (!digest || strcmp(digest, bundle->digest) != 0)
 		return ERR_CONFLICT;
 	err = key_read(key_path, true, &key);
@@ -260,7 +274,8 @@
 				struct bfl_mistakes *mistakes,
 				struct bnd_bundle **out)
 {
-	g_autoptr(json_t) root = json_loadb(envelope, len, 0, NULL);
+	g_autoptr(json_t) root =
+		json_loadb(envelope, len, JSON_REJECT_DUPLICATES, NULL);
 	g_autofree char *digest = NULL;
 	const char *text;
 	uint64_t version;
