--- /dev/null
+++ b/packages/core/tests/test_hed.c
@@ -0,0 +1,150 @@
+#include <check.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bko.h"
+#include "err.h"
+#include "hed.h"
+
+#define SEQUENCES 2000
+#define STEPS 200
+#define WINDOW_MS 1000
+
+static struct hed_head head_make(uint64_t roll, uint64_t placement)
+{
+	struct hed_head head = { .roll = roll,
+				 .version = roll * 10,
+				 .placement_number = placement };
+
+	g_snprintf(head.digest, sizeof(head.digest), "%064u", (guint)roll);
+	return head;
+}
+
+/* Random heads from anyone, in any order: nothing ever falls. */
+START_TEST(roll_and_placement_never_fall)
+{
+	guint32 seed = g_random_int();
+	g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+
+	for (int sequence = 0; sequence < SEQUENCES; sequence++) {
+		struct hed_state state;
+		struct hed_state before;
+
+		hed_state_init(&state, WINDOW_MS);
+		for (int step = 0; step < STEPS; step++) {
+			const struct hed_head head = head_make(
+				(uint64_t)g_rand_int_range(rand, 0, 9),
+				(uint64_t)g_rand_int_range(rand, 0, 9));
+			struct hed_action action;
+
+			before = state;
+			action = hed_hear(&state, &head, (uint64_t)step);
+			if (g_rand_boolean(rand))
+				hed_applied(&state, head.roll);
+			ck_assert_msg(
+				state.known.roll >= before.known.roll &&
+					state.known.placement_number >=
+						before.known.placement_number &&
+					state.applied_roll >=
+						before.applied_roll &&
+					state.known.version ==
+						state.known.roll * 10 &&
+					action.stale ==
+						(head.roll <
+							 before.known.roll ||
+						 head.placement_number <
+							 before.known
+								 .placement_number),
+				"seed %u sequence %d step %d", seed, sequence,
+				step);
+		}
+	}
+}
+END_TEST
+
+START_TEST(dispatch_ends_with_the_window)
+{
+	const struct hed_head head = head_make(1, 1);
+	const struct hed_head newer = head_make(1, 2);
+	const struct hed_head older = head_make(1, 1);
+	struct hed_state state;
+
+	hed_state_init(&state, WINDOW_MS);
+	ck_assert(!hed_may_dispatch(&state, 5));
+	hed_hear(&state, &head, 10);
+	ck_assert(!hed_may_dispatch(&state, 10));
+	hed_applied(&state, 1);
+	state.applied_placement = 1;
+	hed_hear(&state, &head, 20);
+	ck_assert(hed_may_dispatch(&state, 20 + WINDOW_MS));
+	ck_assert(!hed_may_dispatch(&state, 21 + WINDOW_MS));
+	/* A call heard proves nothing about the present: it was asked at 0. */
+	hed_hear(&state, &head, 0);
+	ck_assert(!hed_may_dispatch(&state, 21 + WINDOW_MS));
+	/* Neither does a newer placement that is not applied, nor an old head.
+	 */
+	hed_hear(&state, &newer, 500);
+	hed_hear(&state, &older, 600);
+	ck_assert(!hed_may_dispatch(&state, 21 + WINDOW_MS));
+	state.applied_placement = 2;
+	hed_hear(&state, &newer, 700);
+	ck_assert(hed_may_dispatch(&state, 700 + WINDOW_MS));
+}
+END_TEST
+
+START_TEST(error_table_is_complete)
+{
+	bool used[256] = { false };
+
+	for (int kind = 0; kind < ERR_KIND_COUNT; kind++) {
+		int code = err_exit_code(kind);
+
+		ck_assert_ptr_nonnull(err_name(kind));
+		ck_assert(g_str_has_suffix(err_describe(kind), "."));
+		ck_assert_msg(code >= 0 && code < 126 && !used[code],
+			      "exit code %d of %s", code, err_name(kind));
+		used[code] = true;
+		for (int other = 0; other < kind; other++)
+			ck_assert_str_ne(err_name(kind), err_name(other));
+	}
+	ck_assert_int_eq(err_exit_code(ERR_NONE), 0);
+}
+END_TEST
+
+START_TEST(delays_grow_within_their_bounds)
+{
+	const struct bko_limits limits = { 100, 1000 };
+	static const uint32_t full_ms[] = { 100, 200, 400, 800, 1000, 1000 };
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(full_ms); i++) {
+		ck_assert_uint_eq(bko_delay_ms(&limits, i + 1, 0),
+				  full_ms[i] / 2);
+		ck_assert_uint_eq(bko_delay_ms(&limits, i + 1, full_ms[i] / 2),
+				  full_ms[i]);
+	}
+	ck_assert_uint_le(bko_delay_ms(&limits, UINT32_MAX, UINT32_MAX), 1000);
+	ck_assert_uint_eq(bko_shared_period_ms(250, 9, 60, 0), 250);
+	ck_assert_uint_eq(bko_shared_period_ms(250, 300, 60, 0), 5000);
+	ck_assert_uint_le(bko_shared_period_ms(250, 300, 60, UINT32_MAX), 5625);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("hed");
+	Suite *suite = suite_create("hed");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tcase, roll_and_placement_never_fall);
+	tcase_add_test(tcase, dispatch_ends_with_the_window);
+	tcase_add_test(tcase, error_table_is_complete);
+	tcase_add_test(tcase, delays_grow_within_their_bounds);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/packages/operator/tests/test_sgn.c
@@ -0,0 +1,181 @@
+#include <check.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "sgn.h"
+
+static const char text[] =
+	"version: 3\nname: t\nvms: []\npools: []\nroutes: []\nwaves: []\n"
+	"cost_weights: {buffer: 1, moves: 1, roll_out: 1}\n";
+
+static char *dir;
+static char *private_keys[3];
+static char *public_keys[3];
+static struct bnd_bundle *bundle;
+
+static void set_up(void)
+{
+	struct bfl_mistakes *mistakes = bfl_mistakes_create();
+
+	dir = g_dir_make_tmp("sassafrascart-sgn-XXXXXX", NULL);
+	for (int i = 0; i < 3; i++) {
+		private_keys[i] = g_strdup_printf("%s/%d.private", dir, i);
+		public_keys[i] = g_strdup_printf("%s/%d.public", dir, i);
+		ck_assert_int_eq(
+			sgn_key_generate(private_keys[i], public_keys[i]),
+			ERR_NONE);
+	}
+	ck_assert_int_eq(bfl_parse(text, strlen(text), mistakes, &bundle),
+			 ERR_NONE);
+	bfl_mistakes_destroy(mistakes);
+}
+
+static void tear_down(void)
+{
+	bnd_bundle_unref(bundle);
+	for (int i = 0; i < 3; i++) {
+		g_unlink(private_keys[i]);
+		g_unlink(public_keys[i]);
+		g_free(private_keys[i]);
+		g_free(public_keys[i]);
+	}
+	g_rmdir(dir);
+	g_free(dir);
+}
+
+static char *envelope_sign(int key, const char *previous)
+{
+	char *envelope = NULL;
+
+	ck_assert_int_eq(sgn_envelope_sign(text, bundle, private_keys[key],
+					   previous, &envelope),
+			 ERR_NONE);
+	return envelope;
+}
+
+/* Opens an envelope with the first two keys trusted. */
+static enum err_kind envelope_open(const char *envelope, uint32_t required)
+{
+	const char *const keys[] = { public_keys[0], public_keys[1], NULL };
+	struct bfl_mistakes *mistakes = bfl_mistakes_create();
+	struct bnd_bundle *opened = NULL;
+	struct sgn_trust *trust;
+	enum err_kind err;
+
+	ck_assert_int_eq(sgn_trust_create(keys, required, &trust), ERR_NONE);
+	err = sgn_envelope_open(envelope, strlen(envelope), trust, mistakes,
+				&opened);
+	ck_assert((err == ERR_NONE) == (opened != NULL));
+	bnd_bundle_unref(opened);
+	sgn_trust_destroy(trust);
+	bfl_mistakes_destroy(mistakes);
+	return err;
+}
+
+/* A change to a properly signed envelope and what it leads to. */
+static const struct {
+	const char *pattern;
+	const char *replacement;
+	enum err_kind expected;
+} changes[] = {
+	{ "name: t", "name: u", ERR_UNSIGNED },
+	{ "\"version\":3", "\"version\":4", ERR_UNSIGNED },
+	{ "\"signatures\":\\[.*?\\]", "\"signatures\":[]", ERR_UNSIGNED },
+	{ "\"signatures\":\\[.*?\\]", "\"signatures\":7", ERR_UNSIGNED },
+	{ "\"signatures\":\\[.*?\\],", "", ERR_UNSIGNED },
+	{ "\"key\":\"[0-9a-f]+\"", "\"key\":\"0000\"", ERR_UNSIGNED },
+	{ "\"signature\":\"..", "\"signature\":\"AA", ERR_UNSIGNED },
+	{ "\"signature\":\"[^\"]*\"", "\"signature\":\"\"", ERR_UNSIGNED },
+	{ "\"text\":", "\"txet\":", ERR_MALFORMED },
+	{ "\"text\":", "\"text\":\"x\",\"text\":", ERR_MALFORMED },
+	{ "^\\{", "[", ERR_MALFORMED },
+};
+
+START_TEST(refuses_each_change)
+{
+	g_autofree char *envelope = envelope_sign(0, NULL);
+	g_autoptr(GRegex) regex = g_regex_new(changes[_i].pattern, 0, 0, NULL);
+	g_autofree char *changed = g_regex_replace(
+		regex, envelope, -1, 0, changes[_i].replacement, 0, NULL);
+
+	ck_assert_int_eq(envelope_open(envelope, 1), ERR_NONE);
+	ck_assert_str_ne(changed, envelope);
+	ck_assert_int_eq(envelope_open(changed, 1), changes[_i].expected);
+}
+END_TEST
+
+START_TEST(counts_signatures_of_different_keys)
+{
+	g_autofree char *one = envelope_sign(0, NULL);
+	g_autofree char *same = envelope_sign(0, one);
+	g_autofree char *both = envelope_sign(1, one);
+	g_autofree char *untrusted = envelope_sign(2, one);
+	g_autofree char *foreign = envelope_sign(2, NULL);
+
+	ck_assert_int_eq(envelope_open(foreign, 1), ERR_UNSIGNED);
+	ck_assert_int_eq(envelope_open(one, 2), ERR_UNSIGNED);
+	ck_assert_int_eq(envelope_open(same, 2), ERR_UNSIGNED);
+	ck_assert_int_eq(envelope_open(untrusted, 2), ERR_UNSIGNED);
+	ck_assert_int_eq(envelope_open(untrusted, 1), ERR_NONE);
+	ck_assert_int_eq(envelope_open(both, 2), ERR_NONE);
+}
+END_TEST
+
+START_TEST(one_key_given_twice_counts_once)
+{
+	const char *const keys[] = { public_keys[0], public_keys[0], NULL };
+	struct sgn_trust *trust;
+
+	ck_assert_int_eq(sgn_trust_create(keys, 2, &trust), ERR_INVALID);
+	ck_assert_int_eq(sgn_trust_create(keys, 1, &trust), ERR_NONE);
+	sgn_trust_destroy(trust);
+}
+END_TEST
+
+START_TEST(names_what_is_wrong_with_keys)
+{
+	const char *const none[] = { "/nonexistent", NULL };
+	const char *const wrong[] = { private_keys[0], NULL };
+	struct sgn_trust *trust;
+	char *out = NULL;
+	GStatBuf info;
+
+	ck_assert_int_eq(sgn_trust_create(none, 1, &trust), ERR_IO);
+	ck_assert_int_eq(sgn_trust_create(wrong, 1, &trust), ERR_MALFORMED);
+	ck_assert_int_eq(sgn_key_generate(private_keys[0], public_keys[0]),
+			 ERR_EXISTS);
+	ck_assert_int_eq(
+		sgn_envelope_sign(text, bundle, public_keys[0], NULL, &out),
+		ERR_MALFORMED);
+	ck_assert_int_eq(sgn_envelope_sign(text, bundle, private_keys[0],
+					   "{\"digest\":\"0\"}", &out),
+			 ERR_MALFORMED);
+	ck_assert_int_eq(
+		sgn_envelope_sign(text, bundle, private_keys[0],
+				  "{\"digest\":\"0\",\"signatures\":[]}", &out),
+		ERR_CONFLICT);
+	ck_assert_int_eq(g_stat(private_keys[0], &info), 0);
+	ck_assert_int_eq(info.st_mode & 0777, 0600);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("sgn");
+	Suite *suite = suite_create("sgn");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tcase, set_up, tear_down);
+	tcase_add_loop_test(tcase, refuses_each_change, 0,
+			    G_N_ELEMENTS(changes));
+	tcase_add_test(tcase, counts_signatures_of_different_keys);
+	tcase_add_test(tcase, one_key_given_twice_counts_once);
+	tcase_add_test(tcase, names_what_is_wrong_with_keys);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- a/packages/peer/src/per_wire.c
+++ b/packages/peer/src/per_wire.c
@@ -24,7 +24,8 @@
 static bool heartbeat_from_xdr(const peer_heartbeat *in,
 			       struct per_heartbeat *out)
 {
-	if (in->from.http_port > UINT16_MAX || in->from.rpc_port > UINT16_MAX)
+	if (in->from.http_port > UINT16_MAX ||
+	    in->from.rpc_port > UINT16_MAX || in->from.id[0] == '\0')
 		return false;
 	g_strlcpy(out->from.id, in->from.id, sizeof(out->from.id));
 	g_strlcpy(out->from.ip, in->from.ip, sizeof(out->from.ip));
--- a/packages/platform/src/plv.c
+++ b/packages/platform/src/plv.c
@@ -231,6 +231,7 @@
 
 	if (!root ||
 	    !text_copy(json_object_get(root, "id"), out->id, sizeof(out->id)) ||
+	    out->id[0] == '\0' ||
 	    !text_copy(json_object_get(root, "ip"), out->ip, sizeof(out->ip)) ||
 	    !number_read(root, "http_port", UINT16_MAX, &http_port) ||
 	    !number_read(root, "rpc_port", UINT16_MAX, &rpc_port) ||
--- /dev/null
+++ b/packages/platform/tests/test_plt_values.c
@@ -0,0 +1,217 @@
+#include <check.h>
+#include <string.h>
+
+#include "plt_json.h"
+#include "plv.h"
+
+/* Answers of the gateway and what they are taken for. */
+static const struct {
+	const char *text;
+	enum err_kind result;
+	enum err_kind lease;
+	enum err_kind vms;
+} answers[] = {
+	{ "{}", ERR_MALFORMED, ERR_NONE, ERR_MALFORMED },
+	{ "[]", ERR_MALFORMED, ERR_NONE, ERR_MALFORMED },
+	{ "{\"header\":{\"revision\":\"7\"}}", ERR_NONE, ERR_NONE,
+	  ERR_MALFORMED },
+	{ "{\"header\":{\"revision\":\"x\"}}", ERR_MALFORMED, ERR_NONE,
+	  ERR_MALFORMED },
+	{ "{\"header\":{},\"kvs\":{}}", ERR_MALFORMED, ERR_NONE,
+	  ERR_MALFORMED },
+	{ "{\"header\":{},\"kvs\":[3]}", ERR_MALFORMED, ERR_NONE,
+	  ERR_MALFORMED },
+	{ "{\"header\":{},\"kvs\":[{\"key\":7}]}", ERR_MALFORMED, ERR_NONE,
+	  ERR_MALFORMED },
+	/* "YQBi" is a key with a zero byte in it */
+	{ "{\"header\":{},\"kvs\":[{\"key\":\"YQBi\"}]}", ERR_MALFORMED,
+	  ERR_NONE, ERR_MALFORMED },
+	{ "{\"header\":{},\"responses\":3}", ERR_MALFORMED, ERR_NONE,
+	  ERR_MALFORMED },
+	{ "{\"ID\":\"5\",\"TTL\":\"9\"}", ERR_MALFORMED, ERR_NONE,
+	  ERR_MALFORMED },
+	{ "{\"result\":{\"ID\":\"5\"}}", ERR_MALFORMED, ERR_NOT_FOUND,
+	  ERR_MALFORMED },
+	{ "{\"ID\":\"5\",\"TTL\":\"-1\"}", ERR_MALFORMED, ERR_NOT_FOUND,
+	  ERR_MALFORMED },
+	{ "{\"ID\":\"5\",\"TTL\":\"9999999999\"}", ERR_MALFORMED, ERR_NOT_FOUND,
+	  ERR_MALFORMED },
+	{ "{\"ID\":[]}", ERR_MALFORMED, ERR_MALFORMED, ERR_MALFORMED },
+	{ "{\"vms\":[]}", ERR_MALFORMED, ERR_NONE, ERR_NONE },
+	{ "{\"vms\":[{\"name\":\"a\",\"state\":\"live\"}]}", ERR_MALFORMED,
+	  ERR_NONE, ERR_NONE },
+	{ "{\"vms\":[{\"name\":\"a\",\"state\":\"odd\"}]}", ERR_MALFORMED,
+	  ERR_NONE, ERR_MALFORMED },
+	{ "{\"vms\":[{\"state\":\"live\"}]}", ERR_MALFORMED, ERR_NONE,
+	  ERR_MALFORMED },
+};
+
+START_TEST(answers_are_parsed_or_refused)
+{
+	json_t *root = json_loads(answers[_i].text, 0, NULL);
+	struct plj_result result;
+	GArray *vms = NULL;
+	uint32_t ttl_s;
+	int64_t lease;
+
+	ck_assert_int_eq(plj_result_parse(root, &result), answers[_i].result);
+	plj_result_clear(&result);
+	ck_assert_int_eq(plj_lease_parse(root, &lease, &ttl_s),
+			 answers[_i].lease);
+	ck_assert_int_eq(plj_vms_parse(root, &vms), answers[_i].vms);
+	if (vms)
+		g_array_unref(vms);
+	json_decref(root);
+}
+END_TEST
+
+START_TEST(failed_transaction_gives_the_compared_keys)
+{
+	static const char text[] =
+		"{\"header\":{\"revision\":\"12\"},\"responses\":[{"
+		"\"response_range\":{\"kvs\":[{\"key\":\"a2V5\",\"value\":"
+		"\"dmFsdWU=\",\"create_revision\":\"3\",\"mod_revision\":\"4\","
+		"\"lease\":\"5\"}]}}]}";
+	json_t *root = json_loads(text, 0, NULL);
+	struct plj_result parsed;
+	const struct plt_result *result = &parsed.result;
+
+	ck_assert_int_eq(plj_result_parse(root, &parsed), ERR_NONE);
+	ck_assert(!result->succeeded && result->revision == 12);
+	ck_assert_uint_eq(result->kv_count, 1);
+	ck_assert_str_eq(result->kvs[0].key, "key");
+	ck_assert_str_eq(result->kvs[0].value, "value");
+	ck_assert_int_eq(result->kvs[0].create_revision, 3);
+	ck_assert_int_eq(result->kvs[0].mod_revision, 4);
+	ck_assert_int_eq(result->kvs[0].lease, 5);
+	plj_result_clear(&parsed);
+	json_decref(root);
+}
+END_TEST
+
+static struct bnd_bundle *bundle_make(void)
+{
+	struct bnd_bundle *bundle = bnd_bundle_create();
+
+	bundle->vms = g_new0(struct bnd_vm, 2);
+	bundle->vm_count = 2;
+	bundle->vms[0].name = g_strdup("a");
+	bundle->vms[1].name = g_strdup("b");
+	bundle->pools = g_new0(struct bnd_pool, 1);
+	bundle->pool_count = 1;
+	bundle->pools[0].name = g_strdup("p");
+	return bundle;
+}
+
+static const struct {
+	const char *text;
+	enum err_kind expected;
+} placements[] = {
+	{ "{\"number\":1,\"roll\":1,\"rows\":[]}", ERR_NONE },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"serving\",\"\","
+	  "\"fill\",1],[\"c\",\"p\",\"serving\",\"\",\"fill\",1]]}",
+	  ERR_NONE },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"serving\",\"\","
+	  "\"fill\",1],[\"a\",\"p\",\"serving\",\"\",\"fill\",1]]}",
+	  ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"odd\",\"\","
+	  "\"fill\",1]]}",
+	  ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"serving\",\"\","
+	  "\"odd\",1]]}",
+	  ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\"]]}", ERR_MALFORMED },
+	{ "{\"number\":-1,\"roll\":1,\"rows\":[]}", ERR_MALFORMED },
+	{ "{\"number\":1,\"rows\":[]}", ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1}", ERR_MALFORMED },
+	{ "", ERR_MALFORMED },
+};
+
+START_TEST(placements_are_parsed_or_refused)
+{
+	struct bnd_bundle *bundle = bundle_make();
+	const char *text = placements[_i].text;
+	struct plc_view *view = NULL;
+
+	ck_assert_int_eq(plv_placement_parse(text, strlen(text), bundle, &view),
+			 placements[_i].expected);
+	if (view) {
+		g_autofree char *again = plv_placement_build(bundle, view);
+		struct plc_view *second = NULL;
+
+		ck_assert_int_eq(plv_placement_parse(again, strlen(again),
+						     bundle, &second),
+				 ERR_NONE);
+		ck_assert(second->number == view->number &&
+			  second->rows[0].pool == view->rows[0].pool &&
+			  second->rows[0].state == view->rows[0].state);
+		plc_view_destroy(second);
+	}
+	plc_view_destroy(view);
+	bnd_bundle_unref(bundle);
+}
+END_TEST
+
+START_TEST(head_and_member_survive_the_store)
+{
+	struct plv_head head = {
+		.roll = 3, .version = 4, .writer = "w", .attempt = 2, .at_ms = 5
+	};
+	const struct mem_member member = { "id", "10.0.0.1", 80, 81, 9 };
+	g_autofree char *number = plv_number_build(6);
+	g_autofree char *member_text = plv_member_build(&member);
+	g_autofree char *text = NULL;
+	struct mem_member other = { 0 };
+	struct plv_head read = { 0 };
+	uint64_t value;
+
+	memset(head.digest, 'f', HED_DIGEST_BYTES - 1);
+	text = plv_head_build(&head);
+	ck_assert_int_eq(plv_head_parse(text, strlen(text), &read), ERR_NONE);
+	ck_assert_mem_eq(&head, &read, sizeof(head));
+	for (size_t len = 0; len < strlen(text); len++)
+		ck_assert_int_eq(plv_head_parse(text, len, &read),
+				 ERR_MALFORMED);
+	head.digest[3] = 'g';
+	g_free(text);
+	text = plv_head_build(&head);
+	ck_assert_int_eq(plv_head_parse(text, strlen(text), &read),
+			 ERR_MALFORMED);
+	ck_assert_int_eq(plv_number_parse(number, strlen(number), &value),
+			 ERR_NONE);
+	ck_assert_uint_eq(value, 6);
+	ck_assert_int_eq(
+		plv_member_parse(member_text, strlen(member_text), &other),
+		ERR_NONE);
+	ck_assert_mem_eq(&member, &other, sizeof(member));
+	ck_assert_int_eq(plv_member_parse("{\"id\":1}", 8, &other),
+			 ERR_MALFORMED);
+	g_free(member_text);
+	other.id[0] = '\0';
+	member_text = plv_member_build(&other);
+	ck_assert_int_eq(plv_member_parse(member_text, strlen(member_text),
+					  &other),
+			 ERR_MALFORMED);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("plt_values");
+	Suite *suite = suite_create("plt_values");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_loop_test(tcase, answers_are_parsed_or_refused, 0,
+			    G_N_ELEMENTS(answers));
+	tcase_add_test(tcase, failed_transaction_gives_the_compared_keys);
+	tcase_add_loop_test(tcase, placements_are_parsed_or_refused, 0,
+			    G_N_ELEMENTS(placements));
+	tcase_add_test(tcase, head_and_member_survive_the_store);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
