--- a/bench/process.lua
+++ b/bench/process.lua
@@ -105,6 +105,17 @@
   return f
 end
 
+-- Bytes that an entry sent and received for control so far.
+local function control_bytes(entry)
+  local page = fleet.http{url = fleet.url(entry.port, "/metrics")}.body
+  local sum = 0
+  for _, name in ipairs{"platform_bytes_sent", "platform_bytes_received", "peer_bytes_sent",
+                        "peer_bytes_received"} do
+    sum = sum + tonumber(page:match(name .. "_total (%d+)"))
+  end
+  return sum
+end
+
 -- Control cost of idle entries, as slopes over the number of processes.
 local function control_cost(counts)
   for _, count in ipairs(counts) do
@@ -117,6 +128,7 @@
     local before = {}
     local calls = fleet.get_json(f.platform_port, "/calls")
     for i, entry in ipairs(entries) do before[i] = cpu_ms(entry.pid) end
+    local bytes = control_bytes(entries[1])
     local began = now_ms()
     poll(8000)
     local took = now_ms() - began
@@ -125,20 +137,66 @@
       cpu = cpu + cpu_ms(entry.pid) - before[i]
       memory = math.max(memory, resident_kb(entry.pid))
     end
-    local page = fleet.http{url = fleet.url(entries[1].port, "/metrics")}.body
-    local sent = page:match("peer_bytes_sent_total (%d+)")
+    local bytes_after = control_bytes(entries[1])
     local share = cpu / took / count * 100
     report(count .. " entries: processor share of one", share, "%", "<= 1.1", share <= 1.1)
     report(count .. " entries: resident memory of the largest", memory / 1024, "MB", "<= 64",
            memory <= 64 * 1024)
     report(count .. " entries: platform calls of all", (fleet.get_json(f.platform_port, "/calls") - calls) * 1000 / took,
            "1/s")
+    local rate = (bytes_after - bytes) / took
+    report(count .. " entries: control bytes of one, both ways", rate, "KB/s", "<= 6", rate <= 6)
     f:stop()
   end
 end
 
+-- How long new work goes on to a server after it died, fell silent or said
+-- that it leaves, under a steady load, as the server's run log and the
+-- answers show it.
+local function stop_sending(name, cause, target_ms)
+  local f = fleet.new{backends = {{name = "a", zone = "z1", rack = "r1"}, {name = "b", zone = "z2", rack = "r2"},
+                                  {name = "c", zone = "z3", rack = "r3"}}}
+  local entries = {f:add_entry("entry-1"), f:add_entry("entry-2")}
+  f:publish(1, {{name = "p", vms = {"a", "b", "c"}}}, {{path = "/p", pool = "p", deadline_ms = 1000}})
+  f:must_ctl("roll", 1)
+  for _, entry in ipairs(entries) do f:wait_serving(entry) end
+  local open, sent, last_failure, began, wall_began = {}, 0, 0, nil, nil
+  local started = now_ms()
+  while now_ms() - started < 12000 do
+    if not began and now_ms() - started > 3000 then
+      cause(f, f.backends.a)
+      began, wall_began = now_ms(), wall_ms()
+    end
+    while sent < (now_ms() - started) * 60 / 1000 do
+      sent = sent + 1
+      open[http_start{method = "GET", url = fleet.url(entries[sent % 2 + 1].port, "/p"),
+                      headers = {["x-run-ms"] = "20", ["x-test-id"] = tostring(sent)}}] = now_ms()
+    end
+    poll(5)
+    for id, at in pairs(open) do
+      local result = http_result(id)
+      if result then
+        open[id] = nil
+        if result.status ~= 200 and began then last_failure = math.max(last_failure, at - began) end
+      end
+    end
+  end
+  local last_run = 0
+  for line in fleet.read(f.backends.a.log):gmatch("[^\n]+") do
+    last_run = math.max(last_run, json(line).at_ms - wall_began)
+  end
+  local worst = math.max(last_run, last_failure)
+  report(name .. ": last request sent to it after", worst, "ms", "<= " .. target_ms, worst <= target_ms)
+  return f
+end
+
 throughput():stop()
 roll_out():stop()
+stop_sending("dead server", function(_, vm) signal(vm.pid, "KILL") end, 2000):stop()
+stop_sending("silent server", function(_, vm) fleet.control(vm.port, '{"mode": "silent"}') end, 5000):stop()
+stop_sending("leaving server, platform's list", function(f, vm)
+  fleet.control(f.platform_port, '{"vm": "' .. vm.name .. '", "state": "leaving"}')
+end, 2000):stop()
 control_cost{3, 6, 9, 18, 36}
 
 local failed = false
--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -3,18 +3,16 @@
 #include <string.h>
 #include <time.h>
 
-#include "bko.h"
 #include "lgx.h"
 #include "plv.h"
 
 /* Bursts of this many seconds' worth of calls are let through. */
 #define ENT_PLATFORM_BURST_S 2
 #define ENT_MEMBERS_READ_MS 5000
-/* Reads of the members a second that all processes make together. */
-#define ENT_MEMBERS_READS_PER_S 10
+/* Members up to which the list is read at that pace. */
+#define ENT_MEMBERS_READ_FULL_PACE 10
 #define ENT_PEER_PERIOD_MS 1000
 #define ENT_PEER_FAN_OUT 3
-#define ENT_PEER_GONE_AFTER_MS 8000
 
 static void on_request(void *data, struct clr_request *request)
 {
@@ -74,6 +72,8 @@
 	.fill = heartbeat_fill,
 	.on_heartbeat = on_heartbeat,
 	.document = on_document,
+	.on_slot_report = ent_on_slot_report,
+	.on_slot_grant = ent_on_slot_grant,
 };
 
 static void on_head_changed(void *data)
@@ -83,16 +83,24 @@
 	per_node_announce(entry->peers);
 }
 
+/* A new process makes itself known, so that the pace may fall as the list
+ * grows: the bytes a second stay about the same. */
+static uint64_t members_read_ms(const struct ent_entry *entry)
+{
+	uint32_t live = per_node_live_count(entry->peers);
+
+	return (uint64_t)ENT_MEMBERS_READ_MS *
+	       MAX(live, ENT_MEMBERS_READ_FULL_PACE) /
+	       ENT_MEMBERS_READ_FULL_PACE;
+}
+
 static void on_members(void *data, enum err_kind err,
 		       const struct plt_result *result)
 {
 	struct ent_entry *entry = data;
 
 	evl_timer_set(entry->loop, &entry->members_timer,
-		      bko_shared_period_ms(ENT_MEMBERS_READ_MS,
-					   per_node_live_count(entry->peers),
-					   ENT_MEMBERS_READS_PER_S,
-					   g_random_int()));
+		      members_read_ms(entry));
 	if (err != ERR_NONE) {
 		ctr_add(&entry->counters, CTR_PLATFORM_ERRORS);
 		return;
@@ -105,6 +113,7 @@
 				     &member) == ERR_NONE)
 			per_node_learn(entry->peers, &member);
 	}
+	ent_slots_members(entry);
 }
 
 static void on_members_due(void *data)
@@ -248,6 +257,8 @@
 		.incarnation = entry->self.incarnation,
 		.answer_max_bytes = settings->answer_max_bytes,
 		.may_dispatch = ent_may_dispatch,
+		.slot_report = ent_slots_report,
+		.slot_grant = ent_slots_grant,
 		.data = entry,
 	};
 	const struct mgr_config manager = {
@@ -270,6 +281,7 @@
 	entry->sync = syn_sync_create(&sync, on_synced, entry);
 	syn_sync_set_peers(entry->sync, entry->peers, on_head_changed);
 	peers_seed(entry);
+	ent_slots_start(entry);
 	entry->members_timer.cb = on_members_due;
 	entry->members_timer.data = entry;
 	evl_timer_set(entry->loop, &entry->members_timer, 0);
@@ -324,6 +336,7 @@
 		return;
 	tmr_cancel(&entry->shut_down_timer);
 	tmr_cancel(&entry->members_timer);
+	tmr_cancel(&entry->slots_timer);
 	per_node_destroy(entry->peers);
 	clr_server_destroy(entry->server);
 	lse_keeper_destroy(entry->lease);
--- a/bin/sassafrascartd/ent_stop.c
+++ b/bin/sassafrascartd/ent_stop.c
@@ -111,7 +111,9 @@
 		 gat_gateway_in_progress(entry->gateway));
 	mgr_manager_set_lease(entry->manager, 0);
 	clr_server_shut_down(entry->server);
+	/* Peers choose other owners of the slots at once. */
 	per_node_announce(entry->peers);
+	ent_slots_members(entry);
 	entry->shut_down_timer.cb = on_stop_tick;
 	entry->shut_down_timer.data = entry;
 	evl_timer_set(entry->loop, &entry->shut_down_timer, 0);
--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -40,8 +40,10 @@
 		return;
 	/* A datagram that cannot be sent is as good as lost. */
 	if (sendto(h2o_socket_get_fd(node->sock), buffer, len, MSG_DONTWAIT,
-		   (struct sockaddr *)&to, sizeof(to)) > 0)
+		   (struct sockaddr *)&to, sizeof(to)) > 0) {
 		node->counts.sent++;
+		node->counts.bytes_sent += len;
+	}
 }
 
 uint32_t per_call(struct per_node *node, struct pwr_message *message,
@@ -90,6 +92,7 @@
 		return NULL;
 	peer = g_new0(struct per_peer, 1);
 	peer->last.from = *member;
+	peer->key = slt_key(member->id);
 	g_hash_table_insert(node->peers, peer->last.from.id, peer);
 	g_ptr_array_add(node->order, peer);
 	return peer;
@@ -164,6 +167,10 @@
 	case PWR_FETCH_CALL:
 		per_fetch_answer(node, message, ip, port);
 		break;
+	case PWR_SLOT_REPORT:
+	case PWR_SLOT_GRANT:
+		per_slots_take(node, message);
+		break;
 	case PWR_HEARTBEAT_REPLY:
 	case PWR_FETCH_REPLY:
 		reply_take(node, message);
@@ -184,6 +191,7 @@
 	if (len < 0)
 		return false;
 	node->counts.received++;
+	node->counts.bytes_received += (uint64_t)len;
 	if (pwr_decode(buffer, (size_t)len, reply_procedure, node, &message) !=
 	    ERR_NONE) {
 		node->counts.dropped++;
--- a/packages/platform/tests/test_plt_values.c
+++ b/packages/platform/tests/test_plt_values.c
@@ -189,9 +189,9 @@
 	g_free(member_text);
 	other.id[0] = '\0';
 	member_text = plv_member_build(&other);
-	ck_assert_int_eq(plv_member_parse(member_text, strlen(member_text),
-					  &other),
-			 ERR_MALFORMED);
+	ck_assert_int_eq(
+		plv_member_parse(member_text, strlen(member_text), &other),
+		ERR_MALFORMED);
 }
 END_TEST
 
