--- a/tests/scenarios/roll_operators.lua
+++ b/tests/scenarios/roll_operators.lua
@@ -81,6 +81,9 @@
 assert(not heads()[4], "no roll 4")
 
 -- A frozen entry delays the desk no longer than it may wait.
+fleet.wait_until("both entries are members again", 10000, function()
+  return #f:must_ctl("status").processes == 2
+end)
 signal(entries[2].pid, "STOP")
 local began = now_ms()
 code, report = f:ctl("--wait-ms", "1500", "roll", 2)
