--- a/bin/sassafrascartd/main.c
+++ b/bin/sassafrascartd/main.c
@@ -4,6 +4,7 @@
 #include "ent.h"
 #include "lgx.h"
 #include "set.h"
+#include "sgn.h"
 
 static void on_signal(void *data, int signo)
 {
@@ -31,6 +32,37 @@
 	return err_exit_code(err);
 }
 
+/* Names the key file that cannot be used; ent_entry_create() loads them. */
+static bool keys_check(const struct set_settings *settings)
+{
+	char **keys = settings->operator_keys;
+	struct sgn_trust *trust = NULL;
+	enum err_kind err = ERR_NONE;
+
+	for (; *keys && err == ERR_NONE; keys++) {
+		const char *const one[] = { *keys, NULL };
+
+		err = sgn_trust_create(one, 1, &trust);
+		g_clear_pointer(&trust, sgn_trust_destroy);
+		if (err != ERR_NONE)
+			fprintf(stderr,
+				"sassafrascartd: --operator-key: expected a "
+				"readable Ed25519 public key, found '%s': %s\n",
+				*keys, err_describe(err));
+	}
+	if (err != ERR_NONE)
+		return false;
+	err = sgn_trust_create((const char *const *)settings->operator_keys,
+			       settings->signatures_required, &trust);
+	sgn_trust_destroy(trust);
+	if (err != ERR_NONE)
+		fprintf(stderr,
+			"sassafrascartd: --signatures-required: expected at "
+			"most the number of different keys, found %u\n",
+			settings->signatures_required);
+	return err == ERR_NONE;
+}
+
 static int settings_run(const struct set_settings *settings)
 {
 	if (settings->version) {
@@ -44,6 +76,8 @@
 			settings->log_level);
 		return err_exit_code(ERR_USAGE);
 	}
+	if (!keys_check(settings))
+		return err_exit_code(ERR_USAGE);
 	if (settings->check_config) {
 		puts("the settings are valid");
 		return 0;
--- a/bin/sassafrascartd/set.c
+++ b/bin/sassafrascartd/set.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#include "mem.h"
+#include "plt.h"
+
 #define AT(member) offsetof(struct set_settings, member)
 
 static const struct cfg_option set_options[] = {
@@ -58,34 +61,91 @@
 	{ 0 },
 };
 
-static bool settings_check(struct set_settings *settings, GError **error)
+static bool fail(GError **error, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static bool fail(GError **error, const char *format, ...)
 {
-	if (settings->version)
-		return true;
-	if (!settings->operator_keys || !settings->operator_keys[0]) {
-		g_set_error(error, cfg_error_quark(), CFG_ERROR_USAGE,
-			    "--operator-key: expected at least one file, "
-			    "found none");
-		return false;
-	}
-	if (settings->platform.port == 0) {
-		g_set_error(error, cfg_error_quark(), CFG_ERROR_VALUE,
-			    "--platform: expected a port from 1 to 65535, "
-			    "found 0");
+	va_list args;
+
+	va_start(args, format);
+	g_propagate_error(error,
+			  g_error_new_valist(cfg_error_quark(), CFG_ERROR_VALUE,
+					     format, args));
+	va_end(args);
+	return false;
+}
+
+/* The identity is part of keys at the platform and of RPC messages. */
+static bool id_is_valid(const char *id)
+{
+	size_t len = strlen(id);
+
+	if (len == 0 || len >= MEM_ID_BYTES)
 		return false;
+	for (size_t i = 0; i < len; i++) {
+		if (!g_ascii_isalnum(id[i]) && !strchr("-_.:", id[i]))
+			return false;
 	}
-	if (strcmp(settings->listen.ip, "0.0.0.0") == 0) {
-		g_set_error(error, cfg_error_quark(), CFG_ERROR_VALUE,
-			    "--listen: expected the address of this VM, "
-			    "found 0.0.0.0");
-		return false;
+	return true;
+}
+
+static bool peers_check(char *const *peers, GError **error)
+{
+	struct cfg_endpoint endpoint;
+
+	for (; peers && *peers; peers++) {
+		if (!cfg_endpoint_parse(*peers, &endpoint) ||
+		    endpoint.port == 0)
+			return fail(error,
+				    "--peer: expected an address as IPv4:PORT, "
+				    "found '%s'",
+				    *peers);
 	}
+	return true;
+}
+
+static bool addresses_check(const struct set_settings *settings, GError **error)
+{
+	if (settings->platform.port == 0)
+		return fail(error, "--platform: expected a port from 1 to "
+				   "65535, found 0");
+	if (strcmp(settings->listen.ip, "0.0.0.0") == 0)
+		return fail(error, "--listen: expected the address of this VM, "
+				   "found 0.0.0.0");
+	return peers_check(settings->peers, error);
+}
+
+static bool settings_check(struct set_settings *settings, GError **error)
+{
+	if (settings->version)
+		return true;
+	if (!settings->operator_keys || !settings->operator_keys[0])
+		return fail(error, "--operator-key: expected at least one "
+				   "file, found none");
+	if (!plt_adapter_exists(settings->platform_adapter))
+		return fail(error,
+			    "--platform-adapter: expected the name of an "
+			    "adapter, found '%s'",
+			    settings->platform_adapter);
 	if (settings->id[0] == '\0') {
 		g_free(settings->id);
 		settings->id = g_strdup_printf("%s:%u", settings->listen.ip,
 					       settings->listen.port);
 	}
-	return true;
+	if (!id_is_valid(settings->id))
+		return fail(error,
+			    "--id: expected 1 to %d letters, digits, '-', '_', "
+			    "'.' or ':', found '%s'",
+			    MEM_ID_BYTES - 1, settings->id);
+	return addresses_check(settings, error);
+}
+
+static bool arguments_check(int argc, char *const *argv, GError **error)
+{
+	if (argc <= 1)
+		return true;
+	return fail(error, "expected no arguments beside the flags, found '%s'",
+		    argv[1]);
 }
 
 bool set_parse(int *argc, char ***argv, struct set_settings *out,
@@ -101,6 +161,7 @@
 			 "Entry process of sassafrascart: takes callers' "
 			 "requests and sends them to backend servers.",
 			 argc, argv, out, error) &&
+	       arguments_check(*argc, *argv, error) &&
 	       settings_check(out, error);
 }
 
--- a/bin/sassafrasctl/cmd_bundle.c
+++ b/bin/sassafrasctl/cmd_bundle.c
@@ -93,7 +93,7 @@
 
 	if (settings->key[0] == '\0' || settings->out[0] == '\0')
 		return dsk_report(desk, ERR_USAGE, NULL,
-				  "bundle sign needs --key and --out");
+				  "expected --key FILE and --out FILE");
 	err = bundle_load(arguments[0], &text, &bundle);
 	if (err != ERR_NONE)
 		return dsk_report(desk, err, NULL, "%s is not a valid bundle",
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -161,6 +161,9 @@
 /** A connection to the platform, opaque. */
 struct plt_platform;
 
+/** @brief Tells whether there is an adapter of a given name. */
+bool plt_adapter_exists(const char *adapter);
+
 /**
  * @brief Creates a connection through the adapter of a given name.
  * @return ERR_NONE, ERR_NOT_FOUND for an unknown adapter, ERR_INVALID for a
--- a/packages/platform/src/plt.c
+++ b/packages/platform/src/plt.c
@@ -39,6 +39,11 @@
 	return NULL;
 }
 
+bool plt_adapter_exists(const char *adapter)
+{
+	return adapter_find(adapter) != NULL;
+}
+
 enum err_kind plt_platform_create(struct evl_loop *loop, const char *adapter,
 				  const struct plt_config *config,
 				  struct plt_platform **out)
