--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Set-up, build and the project's main commands; the build itself is CMake's.
 BUILD := build
 SANITIZED := build-sanitized
+FUZZED := build-fuzz
 JOBS := $(shell nproc)
 PROGRAMS := $(BUILD)/programs
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v peer_prog)
@@ -33,6 +34,12 @@
 	ctest --test-dir $(SANITIZED) --output-on-failure -j 4 --timeout 240 \
 		-E "$$(./scripts/known-red --regex)"
 
+fuzz: setup
+	CC=clang cmake -S . -B $(FUZZED) -G Ninja -DFUZZ=ON >/dev/null
+	ninja -C $(FUZZED) fuzz_targets
+	LSAN_OPTIONS=suppressions=$(CURDIR)/tests/lsan.supp:print_suppressions=0 \
+	./scripts/fuzz $(FUZZED)/fuzz
+
 format:
 	@clang-format -i $(SOURCES)
 
@@ -47,4 +54,4 @@
 	$(PROGRAMS)/runner $(PROGRAMS) tests/scenarios/demo.lua
 
 clean:
-	rm -rf $(BUILD) $(SANITIZED)
+	rm -rf $(BUILD) $(SANITIZED) $(FUZZED)
--- a/packages/operator/src/bfl_field.c
+++ b/packages/operator/src/bfl_field.c
@@ -155,6 +155,7 @@
 				 bfl_node_kind(node));
 		text = "";
 	}
+	g_free(*(char **)target);
 	*(char **)target = g_strdup(text);
 }
 
@@ -325,11 +326,24 @@
 	return bfl_field_find(data, key) != NULL;
 }
 
+/* Missing texts are empty, so that later checks may compare them. */
+static void texts_init(const struct bfl_field *fields, void *base)
+{
+	for (; fields->key; fields++) {
+		char **target = (char **)((char *)base + fields->offset);
+
+		if (fields->type == BFL_FIELD_NAME ||
+		    fields->type == BFL_FIELD_TEXT)
+			*target = g_strdup("");
+	}
+}
+
 void bfl_map_read(struct bfl_reader *reader, const struct bfl_field *fields,
 		  const yaml_node_t *map, const char *where, void *base)
 {
 	char path[BFL_PATH_MAX_BYTES];
 
+	texts_init(fields, base);
 	if (map->type != YAML_MAPPING_NODE) {
 		bfl_mistakes_add(reader->mistakes, bfl_node_line(map), where,
 				 "expected a mapping, found '%s'",
--- a/packages/operator/tests/test_bfl.c
+++ b/packages/operator/tests/test_bfl.c
@@ -59,6 +59,8 @@
 	{ "slots: 8, ", "", 4, "vms[0].slots", "this field", "none" },
 	{ VM_A VM_B, "  - 3\n", 4, "vms[0]", "mapping", "" },
 	{ "vms:\n" VM_A VM_B, "vms: none\n", 3, "vms", "list", "" },
+	{ "name: one, ", "", 7, "pools[0].name", "this field", "none" },
+	{ "name: a, ", "", 4, "vms[0].name", "this field", "none" },
 	{ "vms: [a, b]", "vms: [a, c]", 7, "pools[0].vms", "VM", "'c'" },
 	{ "vms: [a, b]", "vms: [a, b, a]", 7, "pools[0].vms", "once", "'a'" },
 	{ "vms: [a, b]", "vms: a", 7, "pools[0].vms", "list", "'a'" },
--- /dev/null
+++ b/tests/fuzz/fuzz_datagram.c
@@ -0,0 +1,28 @@
+#include <glib.h>
+
+#include "per_wire.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
+
+static bool procedure_of(void *data, uint32_t xid, uint32_t *procedure)
+{
+	*procedure = *(const uint32_t *)data;
+	return true;
+}
+
+/* A message that was decoded can be encoded again. */
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len)
+{
+	static const uint32_t procedures[] = { PEER_HEARTBEAT, PEER_FETCH };
+	static char buffer[PWR_DATAGRAM_MAX_BYTES];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(procedures); i++) {
+		struct pwr_message message = { 0 };
+		uint32_t procedure = procedures[i];
+
+		if (pwr_decode((const char *)bytes, len, procedure_of,
+			       &procedure, &message) == ERR_NONE)
+			pwr_encode(&message, buffer);
+	}
+	return 0;
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_envelope.c
@@ -0,0 +1,45 @@
+#include <glib/gstdio.h>
+
+#include "sgn.h"
+
+int LLVMFuzzerInitialize(int *argc, char ***argv);
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
+
+static struct sgn_trust *trust;
+
+int LLVMFuzzerInitialize(int *argc, char ***argv)
+{
+	g_autofree char *dir = g_dir_make_tmp("fuzz-XXXXXX", NULL);
+	g_autofree char *private_path = g_strconcat(dir, "/private", NULL);
+	g_autofree char *public_path = g_strconcat(dir, "/public", NULL);
+	const char *const keys[] = { public_path, NULL };
+
+	g_assert(sgn_key_generate(private_path, public_path) == ERR_NONE);
+	g_assert(sgn_trust_create(keys, 1, &trust) == ERR_NONE);
+	g_unlink(private_path);
+	g_unlink(public_path);
+	g_rmdir(dir);
+	return 0;
+}
+
+static enum err_kind envelope_open(const struct sgn_trust *by,
+				   const uint8_t *bytes, size_t len)
+{
+	struct bfl_mistakes *mistakes = bfl_mistakes_create();
+	struct bnd_bundle *bundle = NULL;
+	enum err_kind err = sgn_envelope_open((const char *)bytes, len, by,
+					      mistakes, &bundle);
+
+	g_assert((err == ERR_NONE) == (bundle != NULL));
+	bnd_bundle_unref(bundle);
+	bfl_mistakes_destroy(mistakes);
+	return err;
+}
+
+/* No input can carry a signature by the key of this run. */
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len)
+{
+	g_assert(envelope_open(trust, bytes, len) != ERR_NONE);
+	envelope_open(NULL, bytes, len);
+	return 0;
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_values.c
@@ -0,0 +1,35 @@
+#include "plv.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
+
+static struct bnd_bundle *bundle_make(void)
+{
+	struct bnd_bundle *bundle = bnd_bundle_create();
+
+	bundle->vms = g_new0(struct bnd_vm, 2);
+	bundle->vm_count = 2;
+	bundle->vms[0].name = g_strdup("a");
+	bundle->vms[1].name = g_strdup("b");
+	bundle->pools = g_new0(struct bnd_pool, 1);
+	bundle->pool_count = 1;
+	bundle->pools[0].name = g_strdup("p");
+	return bundle;
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len)
+{
+	const char *text = (const char *)bytes;
+	struct bnd_bundle *bundle = bundle_make();
+	struct plc_view *view = NULL;
+	struct mem_member member;
+	struct plv_head head;
+	uint64_t number;
+
+	plv_head_parse(text, len, &head);
+	plv_number_parse(text, len, &number);
+	plv_member_parse(text, len, &member);
+	plv_placement_parse(text, len, bundle, &view);
+	plc_view_destroy(view);
+	bnd_bundle_unref(bundle);
+	return 0;
+}
