--- a/tests/scenarios/desk_settings.lua
+++ b/tests/scenarios/desk_settings.lua
@@ -78,3 +78,13 @@
        and err:find(file .. ":7: cost_weights.moves: expected this field, found none", 1, true), err)
 code, out, err = try{"sassafrasctl", "bundle", "sign", file, "--key", KEY .. ".private.pem", "--out", DIR .. "/bad.signed"}
 assert(code == 3 and fleet.read(DIR .. "/bad.signed") == "", "nothing is signed")
+
+-- The operators' page lists each flag of both programs.
+local page = fleet.read(package.path:match("^(.-)/%?%.lua") .. "/../../docs/OPERATIONS.md")
+for _, program in ipairs{"sassafrascartd", "sassafrasctl"} do
+  local _, help = try{program, "--help"}
+  local section = page:match("### " .. program .. "\n(.-)\n##")
+  for flag in help:gmatch("\n  (%-%-[%w-]+)") do
+    assert(section:find("`" .. flag, 1, true), "docs/OPERATIONS.md lacks " .. flag .. " of " .. program)
+  end
+end
