--- a/bin/sassafrasctl/cmd_bundle.c
+++ b/bin/sassafrasctl/cmd_bundle.c
@@ -196,7 +196,10 @@
 				  " was published before with other content",
 				  version);
 	if (err != ERR_NONE)
-		return dsk_report(desk, err, NULL,
+		return dsk_report(desk, err,
+				  json_pack("{s:s}", "find_out",
+					    "repeat this command; publishing "
+					    "the same file again is harmless"),
 				  "publishing version %" PRIu64, version);
 	return dsk_report(desk, err, NULL, "published version %" PRIu64,
 			  version);
