Forget a claimed roll whose bundle is refused

Cause: a peer that claimed a greater roll than the genuine ones, with a bundle that no trusted key signed, kept each later roll with a smaller number from coming into force.

What was applied never falls (property test of hed).

--- a/bin/sassafrascartd/syn.c
+++ b/bin/sassafrascartd/syn.c
@@ -77,6 +77,20 @@
 		    sync->fetching.roll, err_name(err));
 }
 
+static void roll_refuse(struct syn_sync *sync)
+{
+	struct hed_head in_force = { .roll = sync->head.applied_roll };
+
+	if (sync->bundle) {
+		in_force.version = sync->bundle->version;
+		g_strlcpy(in_force.digest, sync->bundle->digest,
+			  HED_DIGEST_BYTES);
+	}
+	sync->refused_roll = sync->fetching.roll;
+	sync->refused_until_ms = evl_now_ms() + SYN_REFUSED_PAUSE_MS;
+	hed_refused(&sync->head, &in_force);
+}
+
 static enum err_kind envelope_open(struct syn_sync *sync, const char *text,
 				   size_t len, struct bnd_bundle **out)
 {
@@ -92,8 +106,7 @@
 	}
 	if (err != ERR_NONE) {
 		refusal_log(sync, err, mistakes);
-		sync->refused_roll = sync->fetching.roll;
-		sync->refused_until_ms = evl_now_ms() + SYN_REFUSED_PAUSE_MS;
+		roll_refuse(sync);
 	}
 	bfl_mistakes_destroy(mistakes);
 	return err;
@@ -184,17 +197,11 @@
 		sync->fetching_bundle = false;
 }
 
-static bool refused_recently(const struct syn_sync *sync)
-{
-	return sync->head.known.roll == sync->refused_roll &&
-	       evl_now_ms() < sync->refused_until_ms;
-}
-
 static void bundle_fetch(struct syn_sync *sync)
 {
 	char key[SYN_KEY_MAX_BYTES];
 
-	if (sync->fetching_bundle || refused_recently(sync))
+	if (sync->fetching_bundle)
 		return;
 	sync->fetching_bundle = true;
 	sync->fetching = sync->head.known;
@@ -275,10 +282,30 @@
 		placement_fetch(sync);
 }
 
+/*
+ * A roll that was refused a moment ago is passed over; what else the head
+ * tells of the present still counts.
+ */
+static void refused_roll_mask(const struct syn_sync *sync,
+			      struct hed_head *head)
+{
+	uint64_t placement_number = head->placement_number;
+
+	if (head->roll != sync->refused_roll ||
+	    evl_now_ms() >= sync->refused_until_ms)
+		return;
+	*head = sync->head.known;
+	head->placement_number = placement_number;
+}
+
 void syn_sync_hear(struct syn_sync *sync, const struct hed_head *head,
 		   uint64_t asked_ms)
 {
-	struct hed_action action = hed_hear(&sync->head, head, asked_ms);
+	struct hed_head heard = *head;
+	struct hed_action action;
+
+	refused_roll_mask(sync, &heard);
+	action = hed_hear(&sync->head, &heard, asked_ms);
 
 	ctr_add(sync->config.counters, CTR_HEADS_HEARD);
 	if (action.stale)
--- a/packages/core/include/hed.h
+++ b/packages/core/include/hed.h
@@ -62,6 +62,17 @@
 /** @brief Returns what is known to exist but is not applied yet. */
 struct hed_action hed_pending(const struct hed_state *state);
 
+/**
+ * @brief Forgets a known roll whose bundle was refused.
+ *
+ * A refused roll must not stand in the way of a genuine one with a smaller
+ * number. What was applied stays.
+ *
+ * @param in_force roll, version and digest of the bundle applied; its
+ *        placement number is not looked at
+ */
+void hed_refused(struct hed_state *state, const struct hed_head *in_force);
+
 /** @brief Tells whether this process may dispatch at this moment. */
 bool hed_may_dispatch(const struct hed_state *state, uint64_t now_ms);
 
--- a/packages/core/src/hed.c
+++ b/packages/core/src/hed.c
@@ -18,6 +18,18 @@
 	return action;
 }
 
+static void roll_copy(struct hed_head *to, const struct hed_head *from)
+{
+	to->roll = from->roll;
+	to->version = from->version;
+	memcpy(to->digest, from->digest, HED_DIGEST_BYTES);
+}
+
+void hed_refused(struct hed_state *state, const struct hed_head *in_force)
+{
+	roll_copy(&state->known, in_force);
+}
+
 struct hed_action hed_hear(struct hed_state *state, const struct hed_head *head,
 			   uint64_t now_ms)
 {
@@ -27,11 +39,8 @@
 	bool newer = head->roll > state->known.roll ||
 		     head->placement_number > state->known.placement_number;
 
-	if (head->roll > state->known.roll) {
-		state->known.roll = head->roll;
-		state->known.version = head->version;
-		memcpy(state->known.digest, head->digest, HED_DIGEST_BYTES);
-	}
+	if (head->roll > state->known.roll)
+		roll_copy(&state->known, head);
 	if (head->placement_number > state->known.placement_number)
 		state->known.placement_number = head->placement_number;
 	action = hed_pending(state);
--- a/packages/core/tests/test_hed.c
+++ b/packages/core/tests/test_hed.c
@@ -21,6 +21,21 @@
 	return head;
 }
 
+/* A refused roll is forgotten, one that was applied is not. */
+static void refused_check(const struct hed_state *state)
+{
+	const struct hed_head in_force = head_make(state->applied_roll, 0);
+	const struct hed_head next = head_make(state->applied_roll + 1, 0);
+	struct hed_state copy = *state;
+
+	hed_refused(&copy, &in_force);
+	ck_assert_uint_eq(copy.applied_roll, state->applied_roll);
+	ck_assert_uint_eq(copy.known.placement_number,
+			  state->known.placement_number);
+	ck_assert(hed_hear(&copy, &next, 0).fetch_bundle);
+	ck_assert_uint_eq(copy.known.version, next.version);
+}
+
 /* Random heads from anyone, in any order: nothing ever falls. */
 START_TEST(roll_and_placement_never_fall)
 {
@@ -42,6 +57,8 @@
 			action = hed_hear(&state, &head, (uint64_t)step);
 			if (g_rand_boolean(rand))
 				hed_applied(&state, head.roll);
+			else if (state.known.roll > state.applied_roll)
+				refused_check(&state);
 			ck_assert_msg(
 				state.known.roll >= before.known.roll &&
 					state.known.placement_number >=
