--- a/bin/sassafrascartd/set.c
+++ b/bin/sassafrascartd/set.c
@@ -46,6 +46,8 @@
 	  60000, "deadline of a call to the platform", "MS" },
 	{ "platform-rate-per-s", CFG_U32, AT(platform_rate_per_s), "50", 1,
 	  10000, "calls a second that this process makes at most", "N" },
+	{ "claim-life-s", CFG_U32, AT(claim_life_s), "600", 1, 86400,
+	  "how long an idempotency key stays claimed", "S" },
 	{ "leave-grace-ms", CFG_U32, AT(leave_grace_ms), "2000", 0, 600000,
 	  "time at shutdown for which new requests are still served, until "
 	  "the balancer has noticed the health page",
--- a/packages/runtime/src/hcl.c
+++ b/packages/runtime/src/hcl.c
@@ -51,6 +51,7 @@
 	size_t answer_max_bytes;
 	bool (*may_send)(void *data);
 	void *may_send_data;
+	uint64_t deadline_ms;
 	GByteArray *body;
 	GArray *headers;
 	GStringChunk *strings;
@@ -313,6 +314,8 @@
 		return NULL;
 	}
 	call->sent = true;
+	tmr_set(evl_loop_timers(call->client->loop), &call->timer,
+		call->deadline_ms);
 	call->client->counts.calls++;
 	call->client->counts.bytes_sent += call->request->len;
 	call->request_vec =
@@ -367,6 +370,13 @@
 	return out;
 }
 
+static uint32_t connect_bound_ms(const struct hcl_request *request)
+{
+	if (request->connect_timeout_ms == 0)
+		return request->timeout_ms;
+	return MIN(request->connect_timeout_ms, request->timeout_ms);
+}
+
 struct hcl_call *hcl_call_start(struct hcl_client *client,
 				const struct hcl_request *request, hcl_cb cb,
 				void *data)
@@ -389,7 +399,8 @@
 	call->body = g_byte_array_new();
 	call->headers = g_array_new(FALSE, FALSE, sizeof(struct hcl_header));
 	call->strings = g_string_chunk_new(1024);
-	evl_timer_set(client->loop, &call->timer, request->timeout_ms);
+	call->deadline_ms = evl_now_ms() + request->timeout_ms;
+	evl_timer_set(client->loop, &call->timer, connect_bound_ms(request));
 	call->starting = true;
 	if (call->host)
 		h2o_http1client_connect_with_pool(
