--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -23,6 +23,7 @@
 	uint32_t connections;
 	uint32_t connections_max;
 	uint64_t connections_refused;
+	uint32_t open_requests;
 };
 
 struct clr_request {
@@ -112,6 +113,7 @@
 {
 	struct clr_request *request = memory;
 
+	request->server->open_requests--;
 	if (request->answered)
 		return;
 	request->answered = true;
@@ -150,6 +152,7 @@
 				       on_request_dispose);
 	memset(request, 0, sizeof(*request));
 	request->server = server;
+	server->open_requests++;
 	request->req = req;
 	if (!request_is_valid(req)) {
 		clr_request_refuse(request, OUT_BAD_REQUEST, 1);
@@ -281,6 +284,11 @@
 	h2o_context_request_shutdown(&server->ctx);
 }
 
+uint32_t clr_server_open_requests(const struct clr_server *server)
+{
+	return server->open_requests;
+}
+
 const struct clr_view *clr_request_view(const struct clr_request *request)
 {
 	return &request->view;
