--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -373,7 +373,7 @@
 	while (item) {
 		struct gat_work *work = gat_work_of(item);
 
-		item = adm_queue_next(item);
+		item = adm_queue_next(pool->queue, item);
 		if (clr_request_is_connected(work->request))
 			continue;
 		adm_queue_remove(pool->queue, &work->item);
--- a/packages/core/include/adm.h
+++ b/packages/core/include/adm.h
@@ -83,7 +83,6 @@
 /** @brief Returns the request that is next in line, or NULL. */
 struct adm_item *adm_queue_peek(const struct adm_queue *queue);
 
-<<<<<<< HEAD
 /**
  * @brief Tells whether a request that was taken is to be refused as late.
  *
@@ -94,13 +93,11 @@
 bool adm_queue_is_late(const struct adm_queue *queue,
 		       const struct adm_item *item, uint64_t now_ms);
 
-/** @brief Takes the request that is next in line. @return NULL for none */
-=======
 /** @brief Returns the request in line after another, or NULL. */
-struct adm_item *adm_queue_next(const struct adm_item *item);
+struct adm_item *adm_queue_next(const struct adm_queue *queue,
+				const struct adm_item *item);
 
-/** @brief Takes the oldest request. @return NULL when none waits */
->>>>>>> requests
+/** @brief Takes the request that is next in line. @return NULL for none */
 struct adm_item *adm_queue_pop(struct adm_queue *queue);
 
 /** @brief Removes a request wherever it stands, in line or held. */
--- a/packages/core/include/edq.h
+++ b/packages/core/include/edq.h
@@ -48,6 +48,10 @@
 /** @brief Returns the first item, or NULL. */
 struct edq_item *edq_first(const struct edq_queue *queue);
 
+/** @brief Returns the item after another in this order, or NULL. */
+struct edq_item *edq_next(const struct edq_queue *queue,
+			  const struct edq_item *item);
+
 /** @brief Removes an item. */
 void edq_remove(struct edq_queue *queue, struct edq_item *item);
 
--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -168,9 +168,12 @@
 	return place ? place->link.data : NULL;
 }
 
-struct adm_item *adm_queue_next(const struct adm_item *item)
+struct adm_item *adm_queue_next(const struct adm_queue *queue,
+				const struct adm_item *item)
 {
-	return item->link.next ? item->link.next->data : NULL;
+	const struct edq_item *place = edq_next(&queue->items, &item->place);
+
+	return place ? place->link.data : NULL;
 }
 
 struct adm_item *adm_queue_pop(struct adm_queue *queue)
--- a/packages/core/src/edq.c
+++ b/packages/core/src/edq.c
@@ -100,6 +100,36 @@
 	return (struct edq_item *)queue->buckets[first_bucket(queue)].head;
 }
 
+/* Buckets from the base to the end, then those that wrap around it. */
+static uint32_t bucket_after(const struct edq_queue *queue, uint32_t bucket)
+{
+	uint32_t base = (uint32_t)(queue->base % EDQ_BUCKETS);
+	uint32_t next = EDQ_BUCKETS;
+
+	if (bucket + 1 < EDQ_BUCKETS)
+		next = occupied_from(queue, bucket + 1);
+	if (bucket < base)
+		return next < base ? next : EDQ_BUCKETS;
+	if (next < EDQ_BUCKETS || base == 0)
+		return next;
+	next = occupied_from(queue, 0);
+	return next < base ? next : EDQ_BUCKETS;
+}
+
+struct edq_item *edq_next(const struct edq_queue *queue,
+			  const struct edq_item *item)
+{
+	uint32_t bucket;
+
+	if (item->link.next)
+		return (struct edq_item *)item->link.next;
+	bucket = bucket_after(queue, item->bucket);
+	if (bucket == EDQ_BUCKETS)
+		return NULL;
+	return (struct edq_item *)g_queue_peek_head_link(
+		(GQueue *)&queue->buckets[bucket]);
+}
+
 void edq_remove(struct edq_queue *queue, struct edq_item *item)
 {
 	GQueue *bucket = &queue->buckets[item->bucket];
--- a/packages/core/tests/test_edq.c
+++ b/packages/core/tests/test_edq.c
@@ -7,6 +7,7 @@
 
 #define ITEMS 400u
 #define STEPS 200000u
+#define WALK_STEPS 500u
 #define SPREAD_MS 60000
 
 struct entry {
@@ -49,6 +50,21 @@
 				  earliest(entries));
 }
 
+/* A walk by edq_next() meets every item once, in order. */
+static void check_walk(const struct edq_queue *queue, uint32_t length)
+{
+	const struct edq_item *item = edq_first(queue);
+	uint64_t bucket = 0;
+	uint32_t count = 0;
+
+	for (; item; item = edq_next(queue, item)) {
+		ck_assert_uint_ge(((const struct entry *)item)->bucket, bucket);
+		bucket = ((const struct entry *)item)->bucket;
+		count++;
+	}
+	ck_assert_uint_eq(count, length);
+}
+
 /* The queue against a plain search, over many turns of its ring. */
 START_TEST(order_and_counts_match_a_plain_search)
 {
@@ -78,6 +94,8 @@
 			length++;
 		}
 		entry->queued = !entry->queued;
+		if (step % WALK_STEPS == 0)
+			check_walk(queue, length);
 		ck_assert_uint_eq(queue->length, length);
 		/* Items past their deadlines hold the ring back. */
 		while (earliest(entries) < now_ms / EDQ_BUCKET_MS) {
--- a/packages/platform/tests/test_plt_values.c
+++ b/packages/platform/tests/test_plt_values.c
@@ -109,18 +109,21 @@
 } placements[] = {
 	{ "{\"number\":1,\"roll\":1,\"rows\":[]}", ERR_NONE },
 	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"serving\",\"\","
-	  "\"fill\",1],[\"c\",\"p\",\"serving\",\"\",\"fill\",1]]}",
+	  "\"fill\",1,0],[\"c\",\"p\",\"serving\",\"\",\"fill\",1,0]]}",
 	  ERR_NONE },
 	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"serving\",\"\","
-	  "\"fill\",1],[\"a\",\"p\",\"serving\",\"\",\"fill\",1]]}",
+	  "\"fill\",1,0],[\"a\",\"p\",\"serving\",\"\",\"fill\",1,0]]}",
 	  ERR_MALFORMED },
 	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"odd\",\"\","
-	  "\"fill\",1]]}",
+	  "\"fill\",1,0]]}",
 	  ERR_MALFORMED },
 	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"serving\",\"\","
-	  "\"odd\",1]]}",
+	  "\"odd\",1,0]]}",
 	  ERR_MALFORMED },
 	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\"]]}", ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"serving\",\"\","
+	  "\"fill\",1,-1]]}",
+	  ERR_MALFORMED },
 	{ "{\"number\":-1,\"roll\":1,\"rows\":[]}", ERR_MALFORMED },
 	{ "{\"number\":1,\"rows\":[]}", ERR_MALFORMED },
 	{ "{\"number\":1,\"roll\":1}", ERR_MALFORMED },
