--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -6,7 +6,6 @@
 #include "lgx.h"
 #include "plv.h"
 
-#define ENT_SHUT_DOWN_TICK_MS 50
 /* Bursts of this many seconds' worth of calls are let through. */
 #define ENT_PLATFORM_BURST_S 2
 #define ENT_MEMBERS_READ_MS 5000
@@ -191,7 +190,8 @@
 	struct ent_entry *entry = data;
 
 	member_write(entry, lease);
-	mgr_manager_set_lease(entry->manager, lease);
+	if (!entry->shutting_down)
+		mgr_manager_set_lease(entry->manager, lease);
 }
 
 static void on_lease_lost(void *data)
@@ -229,6 +229,7 @@
 		.ip = settings->listen.ip,
 		.port = settings->listen.port,
 		.body_max_bytes = settings->body_max_bytes,
+		.connections_max = settings->connections_max,
 		.idle_timeout_ms = settings->idle_timeout_ms,
 	};
 
@@ -399,38 +400,3 @@
 	sgn_trust_destroy(entry->trust);
 	g_free(entry);
 }
-
-static void on_shut_down_tick(void *data)
-{
-	struct ent_entry *entry = data;
-	uint32_t left = gat_gateway_in_progress(entry->gateway);
-
-	if (left > 0 && evl_now_ms() < entry->shut_down_by_ms) {
-		evl_timer_set(entry->loop, &entry->shut_down_timer,
-			      ENT_SHUT_DOWN_TICK_MS);
-		return;
-	}
-	lgx_info("stopped", "stopped with %u requests in progress", left);
-	evl_loop_stop(entry->loop);
-}
-
-void ent_entry_shut_down(struct ent_entry *entry)
-{
-	if (entry->shutting_down)
-		return;
-	entry->shutting_down = true;
-	entry->shut_down_by_ms = evl_now_ms() + entry->settings->drain_ms;
-	lgx_info("shutting_down", "%u requests in progress",
-		 gat_gateway_in_progress(entry->gateway));
-	gat_gateway_shut_down(entry->gateway);
-	/* Peers choose other owners for the pools at once. */
-	per_node_announce(entry->peers);
-	ent_slots_members(entry);
-	clr_server_shut_down(entry->server);
-	lse_keeper_release(entry->lease);
-	entry->shut_down_timer.cb = on_shut_down_tick;
-	entry->shut_down_timer.data = entry;
-	/* The first tick comes later, so that answers reach the kernel. */
-	evl_timer_set(entry->loop, &entry->shut_down_timer,
-		      ENT_SHUT_DOWN_TICK_MS);
-}
--- a/bin/sassafrascartd/set.h
+++ b/bin/sassafrascartd/set.h
@@ -22,6 +22,7 @@
 	uint32_t signatures_required;
 	char *log_level;
 	uint32_t body_max_bytes;
+	uint32_t connections_max;
 	uint32_t answer_max_bytes;
 	uint32_t poll_ms;
 	uint32_t dispatch_window_ms;
@@ -29,6 +30,7 @@
 	uint32_t platform_timeout_ms;
 	uint32_t platform_rate_per_s;
 	uint32_t claim_life_s;
+	uint32_t leave_grace_ms;
 	uint32_t drain_ms;
 	uint32_t idle_timeout_ms;
 	uint32_t manager_tick_ms;
