--- a/packages/core/include/slt.h
+++ b/packages/core/include/slt.h
@@ -31,7 +31,7 @@
 /** Least time between two reports about more demand. */
 #define SLT_PACE_MS 5
 /** Time between reports while requests wait. */
-#define SLT_REFRESH_MS 20
+#define SLT_REFRESH_MS 100
 /** Time between reports that only renew leases. */
 #define SLT_RENEW_MS 500
 /** Life of a lease as its holder counts it, from the report it answers. */
