Look for a roll's end every few milliseconds at first

Cause: the desk looked every 50 ms and read the members from the platform each time, so most rolls were reported after 52-59 ms although they were in force after a few.

--- a/bin/sassafrasctl/wtc.c
+++ b/bin/sassafrasctl/wtc.c
@@ -4,7 +4,11 @@
 
 #include "plv.h"
 
-#define WTC_PAUSE_MS 50
+/* Pauses between two looks; they double, as most rolls take milliseconds. */
+#define WTC_PAUSE_MIN_MS 5
+#define WTC_PAUSE_MAX_MS 100
+/* Time between two reads of the members. */
+#define WTC_MEMBERS_MS 500
 /* A process that does not answer within this time counts as silent. */
 #define WTC_PAGE_TIMEOUT_MS 1000
 
@@ -107,14 +111,20 @@
 			    struct wtc_progress *out)
 {
 	uint64_t until_ms = evl_now_ms() + wait_ms;
+	uint64_t renew_ms = evl_now_ms() + WTC_MEMBERS_MS;
+	uint32_t pause_ms = WTC_PAUSE_MIN_MS;
 
 	do {
-		members_renew(desk, statuses);
+		if (evl_now_ms() >= renew_ms || (*statuses)->len == 0) {
+			members_renew(desk, statuses);
+			renew_ms = evl_now_ms() + WTC_MEMBERS_MS;
+		}
 		wtc_statuses_ask(desk, *statuses);
 		progress_count(*statuses, roll, out);
 		if (out->members > 0 && out->in_force == out->members)
 			return ERR_NONE;
-		dsk_sleep_ms(desk, WTC_PAUSE_MS);
+		dsk_sleep_ms(desk, pause_ms);
+		pause_ms = MIN(pause_ms * 2, WTC_PAUSE_MAX_MS);
 	} while (evl_now_ms() < until_ms);
 	return ERR_PENDING;
 }
