List the newest rolls with their writers in the status

Cause: after a roll of unknown effect the operator was sent to the status, which showed the head alone; once another operator had rolled on, it could not answer.

--- a/bin/sassafrasctl/cmd_roll.c
+++ b/bin/sassafrasctl/cmd_roll.c
@@ -5,6 +5,7 @@
 #include "ann.h"
 #include "dsk.h"
 #include "plv.h"
+#include "rec.h"
 #include "wtc.h"
 
 #define ROLL_KEY_MAX_BYTES 96
@@ -28,11 +29,6 @@
 	char *envelope;
 };
 
-static void roll_key_build(char key[ROLL_KEY_MAX_BYTES], uint64_t roll)
-{
-	g_snprintf(key, ROLL_KEY_MAX_BYTES, PLT_PREFIX_ROLL "%" PRIu64, roll);
-}
-
 static uint64_t wall_ms(void)
 {
 	return (uint64_t)(g_get_real_time() / 1000);
@@ -113,31 +109,10 @@
 	return err;
 }
 
-/* Reads the record of the wanted roll: who wrote it, if anyone did. */
-static enum err_kind record_read(struct roll *roll, struct plv_head *record)
-{
-	char key[ROLL_KEY_MAX_BYTES];
-	struct dsk_result result;
-	enum err_kind err;
-
-	roll_key_build(key, roll->wanted.roll);
-	err = dsk_range(roll->desk, key, false, &result);
-	if (err == ERR_NONE && result.kvs->len == 0)
-		err = ERR_NOT_FOUND;
-	if (err == ERR_NONE) {
-		const struct dsk_kv *kv =
-			&g_array_index(result.kvs, struct dsk_kv, 0);
-
-		err = plv_head_parse(kv->value, kv->value_len, record);
-	}
-	dsk_result_clear(&result);
-	return err;
-}
-
 /* Finds out what became of a write whose answer was lost or refused. */
 static enum err_kind write_resolve(struct roll *roll, struct plv_head *winner)
 {
-	enum err_kind err = record_read(roll, winner);
+	enum err_kind err = rec_read(roll->desk, roll->wanted.roll, winner);
 
 	if (err == ERR_NOT_FOUND)
 		return ERR_TIMEOUT;
@@ -150,8 +125,8 @@
 /* One transaction writes the head and the roll's record, drops an old one. */
 static enum err_kind head_write(struct roll *roll, struct plv_head *winner)
 {
-	char record[ROLL_KEY_MAX_BYTES];
-	char old[ROLL_KEY_MAX_BYTES];
+	char record[REC_KEY_MAX_BYTES];
+	char old[REC_KEY_MAX_BYTES];
 	g_autofree char *text = NULL;
 	const struct plt_compare compare = { PLT_KEY_HEAD,
 					     PLT_TARGET_MOD_REVISION,
@@ -168,9 +143,9 @@
 	text = plv_head_build(&roll->wanted);
 	writes[0].value = text;
 	writes[1].value = text;
-	roll_key_build(record, roll->wanted.roll);
+	rec_key_build(record, roll->wanted.roll);
 	if (roll->wanted.roll > ROLL_RECORDS_MAX) {
-		roll_key_build(old, roll->wanted.roll - ROLL_RECORDS_MAX);
+		rec_key_build(old, roll->wanted.roll - ROLL_RECORDS_MAX);
 		txn.write_count = 3;
 	}
 	err = dsk_txn(roll->desk, &txn, &result);
@@ -245,7 +220,7 @@
 	json_t *details = roll_details(wanted);
 	g_autofree char *find_out = g_strdup_printf(
 		"when the platform answers, run 'sassafrasctl status': roll "
-		"%" PRIu64 " was done if its writer is %s",
+		"%" PRIu64 " was done if it is listed with the writer %s",
 		wanted->roll, wanted->writer);
 
 	json_object_set_new(details, "find_out", json_string(find_out));
@@ -304,20 +279,23 @@
 	return err == ERR_NONE;
 }
 
+static int roll_back_run(struct roll *roll)
+{
+	if (roll->wanted.version < roll->before.version)
+		return roll_run(roll);
+	return dsk_report(roll->desk, ERR_INVALID, NULL,
+			  "expected a version older than %" PRIu64
+			  ", which is in force, found %" PRIu64,
+			  roll->before.version, roll->wanted.version);
+}
+
 static int roll_version(struct dsk_desk *desk, const char *text, bool back)
 {
 	struct roll roll = { .desk = desk };
 	int status;
 
-	if (!roll_prepare(&roll, text, &status))
-		;
-	else if (back && roll.wanted.version >= roll.before.version)
-		status = dsk_report(desk, ERR_INVALID, NULL,
-				    "version %s is not older than version "
-				    "%" PRIu64 ", which is in force",
-				    text, roll.before.version);
-	else
-		status = roll_run(&roll);
+	if (roll_prepare(&roll, text, &status))
+		status = back ? roll_back_run(&roll) : roll_run(&roll);
 	g_clear_pointer(&roll.members, g_array_unref);
 	g_free(roll.envelope);
 	return status;
--- a/bin/sassafrasctl/cmd_status.c
+++ b/bin/sassafrasctl/cmd_status.c
@@ -4,8 +4,12 @@
 
 #include "dsk.h"
 #include "plv.h"
+#include "rec.h"
 #include "wtc.h"
 
+/* Newest rolls that the status lists. */
+#define STATUS_ROLLS 5
+
 /* Time from the roll to its coming into force in a process; -1 if it isn't. */
 static json_int_t took_ms(const struct wtc_status *status,
 			  const struct plv_head *head)
@@ -80,6 +84,31 @@
 	return err;
 }
 
+/* Lists the newest rolls, which answers for a write of unknown effect. */
+static json_t *rolls_show(struct dsk_desk *desk, uint64_t newest)
+{
+	bool json = strcmp(dsk_desk_settings(desk)->output, "json") == 0;
+	uint64_t last = newest > STATUS_ROLLS ? newest - STATUS_ROLLS : 0;
+	json_t *list = json_array();
+
+	for (uint64_t roll = newest; roll > last; roll--) {
+		struct plv_head record;
+
+		if (rec_read(desk, roll, &record) != ERR_NONE)
+			continue;
+		json_array_append_new(list,
+				      json_pack("{s:I, s:I, s:s}", "roll",
+						(json_int_t)roll, "version",
+						(json_int_t)record.version,
+						"writer", record.writer));
+		if (!json)
+			printf("roll %" PRIu64 " of version %" PRIu64
+			       " was written by %s\n",
+			       roll, record.version, record.writer);
+	}
+	return list;
+}
+
 static int head_report(struct dsk_desk *desk, const struct plv_head *head,
 		       json_t *details)
 {
@@ -94,8 +123,8 @@
 					 (json_int_t)head->at_ms));
 	return dsk_report(desk, ERR_NONE, details,
 			  "roll %" PRIu64 " of version %" PRIu64
-			  " was written by %s",
-			  head->roll, head->version, head->writer);
+			  " is the newest",
+			  head->roll, head->version);
 }
 
 int cmd_status(struct dsk_desk *desk, char **arguments)
@@ -112,7 +141,9 @@
 				  "the members and the head cannot be read");
 	wtc_statuses_ask(desk, statuses);
 	list = statuses_show(desk, statuses, &head);
-	return head_report(desk, &head, json_pack("{s:o}", "processes", list));
+	return head_report(desk, &head,
+			   json_pack("{s:o, s:o}", "processes", list, "rolls",
+				     rolls_show(desk, head.roll)));
 }
 
 static int vm_explain(struct dsk_desk *desk, const char *name)
--- a/tests/scenarios/roll_operators.lua
+++ b/tests/scenarios/roll_operators.lua
@@ -61,7 +61,7 @@
 fleet.control(f.platform_port, '{"mode": "down"}')
 local code = exit_code(pid)
 local text = fleet.read(DIR .. "/unknown.log")
-local writer = text:match("if its writer is (%S+)")
+local writer = text:match("with the writer (%S+)")
 assert(code == 19 and writer and text:find("unknown: roll 3", 1, true),
        "unknown says how to find out: " .. code .. " " .. text)
 fleet.control(f.platform_port, '{"mode": "ok"}')
@@ -70,7 +70,11 @@
   return status.head
 end)
 assert(head.writer == writer and head.roll == 3, "status shows who wrote the roll")
-rolls.wait_in_force(f, entries, 3, 10000)
+-- Also after another operator rolled on.
+f:must_ctl("roll", 2)
+local listed = f:must_ctl("status").rolls
+assert(#listed == 4 and listed[2].roll == 3 and listed[2].writer == writer, "status lists the rolls before")
+rolls.wait_in_force(f, entries, 4, 10000)
 
 -- Nothing was sent: provably not done.
 local good_port = f.platform_port
@@ -78,7 +82,7 @@
 code, report = f:ctl("roll", 2)
 assert(code == 15 and report.result == "not done", "nothing listens: " .. tostring(report.message))
 f.platform_port = good_port
-assert(not heads()[4], "no roll 4")
+assert(not heads()[5], "no roll 5")
 
 -- A frozen entry delays the desk no longer than it may wait.
 fleet.wait_until("both entries are members again", 10000, function()
@@ -86,13 +90,13 @@
 end)
 signal(entries[2].pid, "STOP")
 local began = now_ms()
-code, report = f:ctl("--wait-ms", "1500", "roll", 2)
+code, report = f:ctl("--wait-ms", "1500", "roll", 1)
 assert(now_ms() - began < 8000, "the desk does not hang")
 assert(code == 22 and report.result == "done" and report.in_force == 1,
        "pending: " .. code .. " " .. tostring(report.message))
 signal(entries[2].pid, "CONT")
-rolls.wait_in_force(f, entries, 4, 10000)
+rolls.wait_in_force(f, entries, 5, 10000)
 for _, process in ipairs(f:must_ctl("status").processes) do
-  assert(process.answered and process.roll == 4 and process.took_ms >= 0,
-         process.id .. " has roll 4 in force since a known time")
+  assert(process.answered and process.roll == 5 and process.took_ms >= 0,
+         process.id .. " has roll 5 in force since a known time")
 end
