Give a roll a number above all that any process knows

Cause: after the platform's store came back from an older copy the desk wrote a number that was in force before; processes rightly ignored it, and the desk reported done, since they had a greater one. Change: the desk asks the members first and picks a number above all of them; a compare-and-swap that lost to a roll of another number is reported as a conflict. Heartbeats with numbers that no desk can write are refused.

--- a/bin/sassafrascartd/ent_pages.c
+++ b/bin/sassafrascartd/ent_pages.c
@@ -49,10 +49,11 @@
 	const struct hed_state *head = syn_sync_state(entry->sync);
 	const struct bnd_bundle *bundle = syn_sync_bundle(entry->sync);
 	json_t *root = json_pack(
-		"{s:s, s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:s}", "id",
+		"{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:s}", "id",
 		entry->self.id, "incarnation",
 		(json_int_t)entry->self.incarnation, "roll",
-		(json_int_t)head->applied_roll, "applied_at_ms",
+		(json_int_t)head->applied_roll, "known_roll",
+		(json_int_t)head->known.roll, "applied_at_ms",
 		(json_int_t)syn_sync_applied_at_ms(entry->sync), "version",
 		(json_int_t)(bundle ? bundle->version : 0), "placement",
 		(json_int_t)head->applied_placement, "manager",
--- a/bin/sassafrasctl/cmd_roll.c
+++ b/bin/sassafrasctl/cmd_roll.c
@@ -109,13 +109,27 @@
 	return err;
 }
 
-/* Finds out what became of a write whose answer was lost or refused. */
-static enum err_kind write_resolve(struct roll *roll, struct plv_head *winner)
+/* Reads who moved the head on, so that this roll can never be written. */
+static enum err_kind winner_read(struct roll *roll, struct plv_head *winner)
+{
+	int64_t revision;
+
+	return head_read(roll->desk, winner, &revision) == ERR_NONE
+		       ? ERR_CONFLICT
+		       : ERR_UNKNOWN_EFFECT;
+}
+
+/*
+ * Finds out what became of a write whose answer was lost or refused; refused
+ * means that the head was no longer the one that this roll builds on.
+ */
+static enum err_kind write_resolve(struct roll *roll, bool refused,
+				   struct plv_head *winner)
 {
 	enum err_kind err = rec_read(roll->desk, roll->wanted.roll, winner);
 
 	if (err == ERR_NOT_FOUND)
-		return ERR_TIMEOUT;
+		return refused ? winner_read(roll, winner) : ERR_TIMEOUT;
 	if (err != ERR_NONE)
 		return ERR_UNKNOWN_EFFECT;
 	return strcmp(winner->writer, roll->wanted.writer) == 0 ? ERR_NONE
@@ -154,7 +168,7 @@
 	if (written || dsk_sent_nothing(err))
 		return err;
 	roll->maybe_written = true;
-	return write_resolve(roll, winner);
+	return write_resolve(roll, err == ERR_NONE, winner);
 }
 
 /*
@@ -235,7 +249,8 @@
 	struct plv_head winner = { 0 };
 	enum err_kind err;
 
-	roll->wanted.roll = roll->before.roll + 1;
+	roll->wanted.roll =
+		MAX(roll->before.roll, wtc_roll_max(roll->members)) + 1;
 	roll->wanted.at_ms = wall_ms();
 	writer_fill(&roll->wanted);
 	err = head_write_until_known(roll, &winner);
@@ -273,6 +288,9 @@
 	err = head_read(desk, &roll->before, &roll->before_revision);
 	if (err == ERR_NONE)
 		err = wtc_members_read(desk, &roll->members);
+	/* The store may have come back from an older copy. */
+	if (err == ERR_NONE)
+		wtc_statuses_ask(desk, roll->members);
 	if (err != ERR_NONE)
 		*status = dsk_report(desk, err_of_read(err), NULL,
 				     "cannot read the head and the members");
--- a/bin/sassafrasctl/wtc.c
+++ b/bin/sassafrasctl/wtc.c
@@ -16,19 +16,21 @@
 {
 	json_t *root = json_loads(page, 0, NULL);
 	json_int_t roll;
+	json_int_t known_roll;
 	json_int_t applied_at_ms;
 	json_int_t version;
 	json_int_t placement;
 	int manager;
 	int may_dispatch;
 
-	if (root &&
-	    json_unpack(root, "{s:I, s:I, s:I, s:I, s:b, s:b}", "roll", &roll,
-			"applied_at_ms", &applied_at_ms, "version", &version,
-			"placement", &placement, "manager", &manager,
-			"may_dispatch", &may_dispatch) == 0) {
+	if (root && json_unpack(root, "{s:I, s:I, s:I, s:I, s:I, s:b, s:b}",
+				"roll", &roll, "known_roll", &known_roll,
+				"applied_at_ms", &applied_at_ms, "version",
+				&version, "placement", &placement, "manager",
+				&manager, "may_dispatch", &may_dispatch) == 0) {
 		out->answered = true;
 		out->roll = (uint64_t)roll;
+		out->known_roll = (uint64_t)known_roll;
 		out->applied_at_ms = (uint64_t)applied_at_ms;
 		out->version = (uint64_t)version;
 		out->placement = (uint64_t)placement;
@@ -95,6 +97,19 @@
 	}
 }
 
+uint64_t wtc_roll_max(const GArray *statuses)
+{
+	uint64_t max = 0;
+
+	for (guint i = 0; i < statuses->len; i++) {
+		const struct wtc_status *status =
+			&g_array_index(statuses, struct wtc_status, i);
+
+		max = MAX(max, MAX(status->roll, status->known_roll));
+	}
+	return max;
+}
+
 static void progress_count(const GArray *statuses, uint64_t roll,
 			   struct wtc_progress *out)
 {
--- a/bin/sassafrasctl/wtc.h
+++ b/bin/sassafrasctl/wtc.h
@@ -22,6 +22,8 @@
 	/** whether it answered; the fields below are 0 if not */
 	bool answered;
 	uint64_t roll;
+	/** greatest roll that it heard of */
+	uint64_t known_roll;
 	/** wall-clock time of the process at which it applied the roll */
 	uint64_t applied_at_ms;
 	uint64_t version;
@@ -40,6 +42,9 @@
 /** @brief Asks all members at the same time and fills their statuses. */
 void wtc_statuses_ask(struct dsk_desk *desk, GArray *statuses);
 
+/** @brief Returns the greatest roll that any of the members knows. */
+uint64_t wtc_roll_max(const GArray *statuses);
+
 /**
  * @brief Waits until every process has a roll in force.
  * @param statuses members known before, read again while the platform
--- a/packages/peer/src/per_wire.c
+++ b/packages/peer/src/per_wire.c
@@ -53,6 +53,10 @@
 	if (in->from.http_port > UINT16_MAX || in->from.rpc_port > UINT16_MAX ||
 	    in->from.id[0] == '\0')
 		return false;
+	/* Numbers beyond those that a desk can write are nobody's. */
+	if (in->head.roll > INT64_MAX / 2 ||
+	    in->head.placement_number > INT64_MAX / 2)
+		return false;
 	g_strlcpy(out->from.id, in->from.id, sizeof(out->from.id));
 	g_strlcpy(out->from.ip, in->from.ip, sizeof(out->from.ip));
 	out->from.http_port = (uint16_t)in->from.http_port;
--- a/tests/scenarios/roll_forged.lua
+++ b/tests/scenarios/roll_forged.lua
@@ -4,41 +4,14 @@
 local fleet = require("fleet")
 local rolls = require("rolls")
 
-local PULSE = "/sassafrascart/pulse/head"
+local PULSE = rolls.HEAD
 local BUNDLE = "/sassafrascart/bundle/"
 
 local f = rolls.fleet()
 local socket, port = udp_open()
 local entries = {f:add_entry("entry-1", {"--peer", "127.0.0.1:" .. port}), f:add_entry("entry-2")}
 
-local ALPHABET = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"
-local function base64(text)
-  local out = {}
-  for at = 1, #text, 3 do
-    local a, b, c = text:byte(at, at + 2)
-    local word = a << 16 | (b or 0) << 8 | (c or 0)
-    for place = 0, 3 do
-      local index = word >> (18 - 6 * place) & 63
-      table.insert(out, (place <= #text - at + 1) and ALPHABET:sub(index + 1, index + 1) or "=")
-    end
-  end
-  return table.concat(out)
-end
-
--- Writes a key past the desk, as whoever can reach the store could.
-local function put(key, value)
-  local body = string.format('{"compare": [], "success": [{"request_put": {"key": "%s", "value": "%s"}}]}',
-                             base64(key), base64(value))
-  assert(fleet.http{method = "POST", url = fleet.url(f.platform_port, "/v3/kv/txn"), body = body}.status == 200)
-end
-
-local function stored(key)
-  local value
-  for _, change in ipairs(fleet.get_json(f.platform_port, "/history")) do
-    if change.key == key then value = change.value end
-  end
-  return value
-end
+local function put(key, value) rolls.put(f, key, value) end
 
 local function wait_metric(entry, name, more_than)
   fleet.wait_until(entry.name .. " counts " .. name, 10000, function()
@@ -61,7 +34,7 @@
 f:must_ctl("roll", 2)
 rolls.wait_in_force(f, entries, 2, 10000)
 rolls.check_answers(f, entries, 2, "after roll 2")
-local genuine_head = stored(PULSE)
+local genuine_head = rolls.stored(f, PULSE)
 
 local stale = rolls.metric(entries[2], "heads_stale_total")
 udp_send(socket, entries[2].rpc, late)
--- a/tests/scenarios/rolls.lua
+++ b/tests/scenarios/rolls.lua
@@ -4,6 +4,7 @@
 
 local rolls = {}
 
+rolls.HEAD = "/sassafrascart/pulse/head"
 rolls.POOLS = {{name = "one", vms = {"vm-a"}}, {name = "two", vms = {"vm-b"}}}
 
 local VM_OF_VERSION = {"vm-a", "vm-b"}
@@ -78,4 +79,34 @@
          tonumber(page:match("^[%w_]*" .. name .. " (%d+)")) or 0
 end
 
+local ALPHABET = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"
+local function base64(text)
+  local out = {}
+  for at = 1, #text, 3 do
+    local a, b, c = text:byte(at, at + 2)
+    local word = a << 16 | (b or 0) << 8 | (c or 0)
+    for place = 0, 3 do
+      local index = word >> (18 - 6 * place) & 63
+      table.insert(out, (place <= #text - at + 1) and ALPHABET:sub(index + 1, index + 1) or "=")
+    end
+  end
+  return table.concat(out)
+end
+
+-- Writes a key past the desk, as whoever can reach the store could.
+function rolls.put(f, key, value)
+  local body = string.format('{"compare": [], "success": [{"request_put": {"key": "%s", "value": "%s"}}]}',
+                             base64(key), base64(value))
+  assert(fleet.http{method = "POST", url = fleet.url(f.platform_port, "/v3/kv/txn"), body = body}.status == 200)
+end
+
+-- The newest value that was written to a key.
+function rolls.stored(f, key)
+  local value
+  for _, change in ipairs(fleet.get_json(f.platform_port, "/history")) do
+    if change.key == key then value = change.value end
+  end
+  return value
+end
+
 return rolls
