--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,12 @@
 	git ls-files -co --exclude-standard '*.c' | grep -v peer_prog | \
 		xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
 
+# The benches in virtual time: the same verdict on every machine.
+bench: build
+	@mkdir -p $(BUILD)/bench
+	$(BUILD)/bench/bench_decisions --json $(BUILD)/bench/decisions.json
+	$(PROGRAMS)/bench_slots --json $(BUILD)/bench/slots.json
+
 demo: build
 	$(PROGRAMS)/runner $(PROGRAMS) tests/scenarios/demo.lua
 
--- a/bin/sassafrascartd/ent_private.h
+++ b/bin/sassafrascartd/ent_private.h
@@ -31,7 +31,9 @@
 	struct per_node *peers;
 	struct tmr_entry members_timer;
 	struct tmr_entry slots_timer;
+	/** start of the process, or end of a pause that lost sight of peers */
 	uint64_t started_ms;
+	uint64_t members_seen_ms;
 	bool shutting_down;
 	/** new requests are served until then, those in progress until the
 	 *  second time, the lease is waited for until the third */
--- a/bin/sassafrascartd/gat_slots.c
+++ b/bin/sassafrascartd/gat_slots.c
@@ -55,6 +55,10 @@
 		gat_work_refuse(work, OUT_CANCELLED);
 		return false;
 	}
+	if (adm_queue_is_late(work->pool->queue, &work->item, evl_now_ms())) {
+		gat_work_refuse(work, OUT_WOULD_EXPIRE);
+		return false;
+	}
 	return true;
 }
 
--- a/bin/sassafrascartd/set.h
+++ b/bin/sassafrascartd/set.h
@@ -22,6 +22,7 @@
 	uint32_t signatures_required;
 	char *log_level;
 	uint32_t body_max_bytes;
+	uint32_t connections_max;
 	uint32_t answer_max_bytes;
 	uint32_t poll_ms;
 	uint32_t dispatch_window_ms;
@@ -32,6 +33,11 @@
 	uint32_t leave_grace_ms;
 	uint32_t drain_ms;
 	uint32_t idle_timeout_ms;
+	uint32_t manager_tick_ms;
+	uint32_t vm_list_ms;
+	uint32_t vm_list_lag_ms;
+	uint32_t vm_failed_after_ms;
+	uint32_t maintenance_timeout_ms;
 	bool check_config;
 	bool version;
 };
--- a/packages/core/src/out.c
+++ b/packages/core/src/out.c
@@ -21,8 +21,8 @@
 	[OUT_QUEUE_BYTES] = { "queue-bytes", 503, OUT_RUN_NO, true,
 			      "The pool's queue holds too many bytes." },
 	[OUT_WOULD_EXPIRE] = { "would-expire", 503, OUT_RUN_NO, true,
-			       "The request could not start before its "
-			       "deadline." },
+			       "The request could not be answered before "
+			       "its deadline." },
 	[OUT_EXPIRED] = { "expired", 503, OUT_RUN_NO, true,
 			  "The deadline passed before the request started." },
 	[OUT_CANCELLED] = { "cancelled", 499, OUT_RUN_NO, false,
