--- a/bin/sassafrascartd/clm.c
+++ b/bin/sassafrascartd/clm.c
@@ -8,8 +8,8 @@
 /* Transactions a second that all processes together use for claims. */
 #define CLM_CALLS_PER_S 200
 #define CLM_BURST_CALLS 4
-/* How long a lease takes new claims, beyond the life of the last one. */
-#define CLM_LEASE_WINDOW_S 60
+/* How long a lease takes new claims at most, beyond the life of a claim. */
+#define CLM_LEASE_WINDOW_MAX_S 60
 
 static void flush(void *data);
 
@@ -220,6 +220,12 @@
 	flush(claims);
 }
 
+static uint32_t lease_ttl_s(const struct clm_config *config)
+{
+	return config->life_s +
+	       CLAMP(config->life_s / 2, 1, CLM_LEASE_WINDOW_MAX_S);
+}
+
 static bool lease_is_ready(struct clm_claims *claims)
 {
 	if (evl_now_ms() < claims->lease_until_ms)
@@ -227,8 +233,8 @@
 	if (!claims->granting) {
 		claims->granting = true;
 		plt_lease_grant(claims->config.platform,
-				claims->config.life_s + CLM_LEASE_WINDOW_S,
-				on_granted, claims);
+				lease_ttl_s(&claims->config), on_granted,
+				claims);
 	}
 	return false;
 }
