--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Set-up, build and the project's main commands; the build itself is CMake's.
 BUILD := build
 SANITIZED := build-sanitized
+FUZZED := build-fuzz
 JOBS := $(shell nproc)
 PROGRAMS := $(BUILD)/programs
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v peer_prog)
@@ -33,6 +34,12 @@
 	ctest --test-dir $(SANITIZED) --output-on-failure -j 4 --timeout 240 \
 		-E "$$(./scripts/known-red --regex)"
 
+fuzz: setup
+	CC=clang cmake -S . -B $(FUZZED) -G Ninja -DFUZZ=ON >/dev/null
+	ninja -C $(FUZZED) fuzz_targets
+	LSAN_OPTIONS=suppressions=$(CURDIR)/tests/lsan.supp:print_suppressions=0 \
+	./scripts/fuzz $(FUZZED)/fuzz
+
 format:
 	@clang-format -i $(SOURCES)
 
@@ -43,8 +50,14 @@
 	git ls-files -co --exclude-standard '*.c' | grep -v peer_prog | \
 		xargs -P $(JOBS) -n 4 clang-tidy --quiet -p $(BUILD)
 
+# The benches in virtual time: the same verdict on every machine.
+bench: build
+	@mkdir -p $(BUILD)/bench
+	$(BUILD)/bench/bench_decisions --json $(BUILD)/bench/decisions.json
+	$(PROGRAMS)/bench_slots --json $(BUILD)/bench/slots.json
+
 demo: build
 	$(PROGRAMS)/runner $(PROGRAMS) tests/scenarios/demo.lua
 
 clean:
-	rm -rf $(BUILD) $(SANITIZED)
+	rm -rf $(BUILD) $(SANITIZED) $(FUZZED)
--- a/bench/sizes.c
+++ b/bench/sizes.c
@@ -12,7 +12,7 @@
 #include <unistd.h>
 
 #include "bfl.h"
-#include "plc.h"
+#include "pln.h"
 #include "plv.h"
 #include "sel.h"
 
@@ -146,6 +146,26 @@
 	return took_us * 1000 / CHOICES;
 }
 
+/* Plans the first placement of a fleet in which all VMs work. */
+static uint64_t plan_us(const struct bnd_bundle *bundle, struct plc_view *view)
+{
+	g_autoptr(GArray) changes =
+		g_array_new(FALSE, FALSE, sizeof(struct pln_change));
+	g_autofree uint32_t *wanted = g_new0(uint32_t, bundle->pool_count);
+	g_autofree struct pln_vm *vms = g_new0(struct pln_vm, bundle->vm_count);
+	g_autofree bool *fit = g_new0(bool, bundle->vm_count);
+	const struct pln_input input = { bundle, wanted, vms, fit, true };
+	uint64_t began_us;
+
+	for (uint32_t i = 0; i < bundle->pool_count; i++)
+		wanted[i] = bundle->pools[i].target_vms;
+	for (uint32_t i = 0; i < bundle->vm_count; i++)
+		fit[i] = true;
+	began_us = now_us();
+	pln_plan(&input, view, changes);
+	return now_us() - began_us;
+}
+
 static bool size_measure(uint32_t vms, uint32_t pools)
 {
 	g_autofree char *text = bundle_build(vms, pools);
@@ -159,9 +179,7 @@
 	if (!bundle)
 		return false;
 	view = plc_view_create(bundle);
-	fill_us = now_us();
-	plc_fill(bundle, view);
-	fill_us = now_us() - fill_us;
+	fill_us = plan_us(bundle, view);
 	placement = plv_placement_build(bundle, view);
 	printf("{\"vms\":%u,\"pools\":%u,\"bundle_bytes\":%zu,"
 	       "\"bundle_parse_us\":%" PRIu64 ",\"plan_us\":%" PRIu64
--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -6,7 +6,6 @@
 #include "lgx.h"
 #include "plv.h"
 
-#define ENT_SHUT_DOWN_TICK_MS 50
 /* Bursts of this many seconds' worth of calls are let through. */
 #define ENT_PLATFORM_BURST_S 2
 #define ENT_MEMBERS_READ_MS 5000
@@ -191,7 +190,8 @@
 	struct ent_entry *entry = data;
 
 	member_write(entry, lease);
-	mgr_manager_set_lease(entry->manager, lease);
+	if (!entry->shutting_down)
+		mgr_manager_set_lease(entry->manager, lease);
 }
 
 static void on_lease_lost(void *data)
@@ -266,6 +266,43 @@
 	}
 }
 
+static uint64_t applied_placement(void *data)
+{
+	struct ent_entry *entry = data;
+
+	return syn_sync_state(entry->sync)->applied_placement;
+}
+
+static bool lease_is_valid(void *data)
+{
+	struct ent_entry *entry = data;
+
+	return lse_keeper_lease(entry->lease) != 0;
+}
+
+static struct mgr_manager *manager_create(struct ent_entry *entry)
+{
+	const struct set_settings *settings = entry->settings;
+	const struct mgr_config config = {
+		.loop = entry->loop,
+		.platform = entry->platform,
+		.counters = &entry->counters,
+		.peers = entry->peers,
+		.id = entry->self.id,
+		.tick_ms = settings->manager_tick_ms,
+		.vm_list_ms = settings->vm_list_ms,
+		.vm_list_lag_ms = settings->vm_list_lag_ms,
+		.vm_failed_after_ms = settings->vm_failed_after_ms,
+		.maintenance_timeout_ms = settings->maintenance_timeout_ms,
+		.dispatch_window_ms = settings->dispatch_window_ms,
+		.applied_placement = applied_placement,
+		.lease_is_valid = lease_is_valid,
+		.data = entry,
+	};
+
+	return mgr_manager_create(&config);
+}
+
 static void parts_create(struct ent_entry *entry)
 {
 	const struct set_settings *settings = entry->settings;
@@ -284,12 +321,6 @@
 		.slot_grant = ent_slots_grant,
 		.data = entry,
 	};
-	const struct mgr_config manager = {
-		.loop = entry->loop,
-		.platform = entry->platform,
-		.counters = &entry->counters,
-		.id = entry->self.id,
-	};
 	const struct syn_config sync = {
 		.loop = entry->loop,
 		.platform = entry->platform,
@@ -300,7 +331,7 @@
 	};
 
 	entry->gateway = gat_gateway_create(&gateway);
-	entry->manager = mgr_manager_create(&manager);
+	entry->manager = manager_create(entry);
 	entry->sync = syn_sync_create(&sync, on_synced, entry);
 	syn_sync_set_peers(entry->sync, entry->peers, on_head_changed);
 	peers_seed(entry);
@@ -369,38 +400,3 @@
 	sgn_trust_destroy(entry->trust);
 	g_free(entry);
 }
-
-static void on_shut_down_tick(void *data)
-{
-	struct ent_entry *entry = data;
-	uint32_t left = gat_gateway_in_progress(entry->gateway);
-
-	if (left > 0 && evl_now_ms() < entry->shut_down_by_ms) {
-		evl_timer_set(entry->loop, &entry->shut_down_timer,
-			      ENT_SHUT_DOWN_TICK_MS);
-		return;
-	}
-	lgx_info("stopped", "stopped with %u requests in progress", left);
-	evl_loop_stop(entry->loop);
-}
-
-void ent_entry_shut_down(struct ent_entry *entry)
-{
-	if (entry->shutting_down)
-		return;
-	entry->shutting_down = true;
-	entry->shut_down_by_ms = evl_now_ms() + entry->settings->drain_ms;
-	lgx_info("shutting_down", "%u requests in progress",
-		 gat_gateway_in_progress(entry->gateway));
-	gat_gateway_shut_down(entry->gateway);
-	/* Peers choose other owners for the pools at once. */
-	per_node_announce(entry->peers);
-	ent_slots_members(entry);
-	clr_server_shut_down(entry->server);
-	lse_keeper_release(entry->lease);
-	entry->shut_down_timer.cb = on_shut_down_tick;
-	entry->shut_down_timer.data = entry;
-	/* The first tick comes later, so that answers reach the kernel. */
-	evl_timer_set(entry->loop, &entry->shut_down_timer,
-		      ENT_SHUT_DOWN_TICK_MS);
-}
--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -265,6 +265,7 @@
 		.answer_max_bytes = gateway->config.answer_max_bytes,
 		.may_send = work_may_send,
 		.may_send_data = work,
+		.reuse_max = gat_reuse_max(gateway, vm),
 	};
 	const struct att_request request = {
 		.method = view->method,
@@ -372,7 +373,7 @@
 	while (item) {
 		struct gat_work *work = gat_work_of(item);
 
-		item = adm_queue_next(item);
+		item = adm_queue_next(pool->queue, item);
 		if (clr_request_is_connected(work->request))
 			continue;
 		adm_queue_remove(pool->queue, &work->item);
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -38,6 +38,8 @@
 #define PLT_PREFIX_INTENT "/sassafrascart/intent/"
 /** Prefix of idempotency-key claims, followed by the key's digest. */
 #define PLT_PREFIX_CLAIM "/sassafrascart/claim/"
+/** Prefix of the records of maintenance waves, followed by the name. */
+#define PLT_PREFIX_WAVE "/sassafrascart/wave/"
 /** Prefix of the recorded reasons of decisions. */
 #define PLT_PREFIX_DECISION "/sassafrascart/decision/"
 
@@ -161,6 +163,9 @@
 /** A connection to the platform, opaque. */
 struct plt_platform;
 
+/** @brief Tells whether there is an adapter of a given name. */
+bool plt_adapter_exists(const char *adapter);
+
 /**
  * @brief Creates a connection through the adapter of a given name.
  * @return ERR_NONE, ERR_NOT_FOUND for an unknown adapter, ERR_INVALID for a
--- a/tests/scenarios/refusal_kinds.lua
+++ b/tests/scenarios/refusal_kinds.lua
@@ -13,7 +13,8 @@
 end
 
 local f = fleet.new{backends = backends,
-                    flags = {"--dispatch-window-ms", "2500", "--platform-timeout-ms", "300"}}
+                    flags = {"--dispatch-window-ms", "2500", "--platform-timeout-ms", "300",
+                             "--leave-grace-ms", "0"}}
 local entry = f:add_entry("entry-1")
 local refused, seen, count = {}, {}, 0
 
