--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -5,7 +5,7 @@
 /* Share of the estimated wait that is certain: requests in line may leave or
  * end sooner than others did. A refusal on arrival is final, while a request
  * that waits is refused at its turn if it is late by then. */
-#define ADM_CERTAIN_PERCENT 50
+#define ADM_CERTAIN_PERCENT 40
 /* Share of the estimated wait that callers are told. */
 #define ADM_LIKELY_PERCENT 75
 /* Share of the mean service time that must be left at the start. */
