--- a/bin/sassafrascartd/gat_share.c
+++ b/bin/sassafrascartd/gat_share.c
@@ -11,6 +11,19 @@
 	return MIN(vm->slots, MAX(vm->connections / 2, 1));
 }
 
+uint32_t gat_reuse_max(const struct gat_gateway *gateway, uint32_t vm)
+{
+	const struct bnd_vm *spec = &gateway->bundle->vms[vm];
+	uint32_t in_progress = 2 * shared_slots(spec);
+
+	/* Alone, a request takes a kept connection before it opens one. */
+	if (gateway->everyone->len <= 1)
+		return spec->connections;
+	if (spec->connections <= in_progress)
+		return 0;
+	return (spec->connections - in_progress) / gateway->everyone->len;
+}
+
 struct gat_share *gat_share_create(const struct gat_gateway *gateway,
 				   const char *pool_name)
 {
@@ -191,12 +204,22 @@
 	return NULL;
 }
 
+static bool holder_is_known(const struct gat_gateway *gateway, uint64_t key)
+{
+	for (guint i = 0; i < gateway->everyone->len; i++) {
+		if (g_array_index(gateway->everyone, uint64_t, i) == key)
+			return true;
+	}
+	return false;
+}
+
 void gat_gateway_slot_report(struct gat_gateway *gateway,
 			     const struct slt_report *report)
 {
 	struct gat_pool *pool = pool_by_key(gateway, report->pool);
 
-	if (!pool || !pool->share->owner)
+	if (!pool || !pool->share->owner ||
+	    !holder_is_known(gateway, report->holder))
 		return;
 	slt_owner_report(pool->share->owner, report, evl_now_ms());
 	if (grants_send(gateway, pool->share))
--- a/bin/sassafrasctl/cmd_bundle.c
+++ b/bin/sassafrasctl/cmd_bundle.c
@@ -50,8 +50,6 @@
 	err = file_read(path, text, &len);
 	if (err != ERR_NONE)
 		return err;
-	if (strlen(*text) != len)
-		return ERR_MALFORMED;
 	mistakes = bfl_mistakes_create();
 	err = bfl_parse(*text, len, mistakes, bundle);
 	mistakes_print(path, mistakes);
@@ -95,7 +93,7 @@
 
 	if (settings->key[0] == '\0' || settings->out[0] == '\0')
 		return dsk_report(desk, ERR_USAGE, NULL,
-				  "bundle sign needs --key and --out");
+				  "expected --key FILE and --out FILE");
 	err = bundle_load(arguments[0], &text, &bundle);
 	if (err != ERR_NONE)
 		return dsk_report(desk, err, NULL, "%s is not a valid bundle",
@@ -198,7 +196,10 @@
 				  " was published before with other content",
 				  version);
 	if (err != ERR_NONE)
-		return dsk_report(desk, err, NULL,
+		return dsk_report(desk, err,
+				  json_pack("{s:s}", "find_out",
+					    "repeat this command; publishing "
+					    "the same file again is harmless"),
 				  "publishing version %" PRIu64, version);
 	return dsk_report(desk, err, NULL, "published version %" PRIu64,
 			  version);
--- a/packages/core/include/adm.h
+++ b/packages/core/include/adm.h
@@ -93,6 +93,10 @@
 bool adm_queue_is_late(const struct adm_queue *queue,
 		       const struct adm_item *item, uint64_t now_ms);
 
+/** @brief Returns the request in line after another, or NULL. */
+struct adm_item *adm_queue_next(const struct adm_queue *queue,
+				const struct adm_item *item);
+
 /** @brief Takes the request that is next in line. @return NULL for none */
 struct adm_item *adm_queue_pop(struct adm_queue *queue);
 
--- a/packages/core/src/adm.c
+++ b/packages/core/src/adm.c
@@ -168,6 +168,14 @@
 	return place ? place->link.data : NULL;
 }
 
+struct adm_item *adm_queue_next(const struct adm_queue *queue,
+				const struct adm_item *item)
+{
+	const struct edq_item *place = edq_next(&queue->items, &item->place);
+
+	return place ? place->link.data : NULL;
+}
+
 struct adm_item *adm_queue_pop(struct adm_queue *queue)
 {
 	struct edq_item *place = edq_first(&queue->items);
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -89,6 +89,14 @@
   table.insert(self.order, spec.name)
 end
 
+-- Starts a killed backend server again at its address.
+function fleet:restart_backend(name)
+  local backend = self.backends[name]
+  backend.pid = spawn{"standin_backend", HOST .. ":" .. backend.port, name, backend.log,
+                      log = DIR .. "/" .. name .. ".log"}
+  wait_for_port(backend.port)
+end
+
 -- Runs sassafrasctl; returns the exit code and the report.
 function fleet:ctl(...)
   local argv = {"sassafrasctl", "--output", "json",
@@ -129,8 +137,8 @@
   for _, name in ipairs(self.order) do
     local vm = self.backends[name]
     table.insert(lines, string.format(
-      "  - {name: %s, ip: %s, port: %d, availability_zone: %s, rack: %s, slots: %d, connections: 64}",
-      name, HOST, vm.port, vm.zone, vm.rack, vm.slots))
+      "  - {name: %s, ip: %s, port: %d, availability_zone: %s, rack: %s, slots: %d, connections: %d}",
+      name, HOST, vm.port, vm.zone, vm.rack, vm.slots, vm.connections or 64))
   end
   table.insert(lines, "pools:")
   for _, pool in ipairs(pools) do
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -31,6 +31,14 @@
 	char *state;
 	char *listed_state;
 	uint64_t listed_at_ms;
+	/** actions on it are answered with 500 and do nothing */
+	bool refuses;
+	/** a reboot leaves it down for good */
+	bool breaks;
+	/** monotonic time at which it is live again, 0 for none */
+	uint64_t up_at_ms;
+	/** set of "intent action" that were carried out */
+	GHashTable *done;
 };
 
 struct platform {
@@ -39,6 +47,11 @@
 	enum mode mode;
 	uint32_t delay_ms;
 	uint32_t list_lag_ms;
+	/* time that a reboot takes */
+	uint32_t reboot_ms;
+	bool refuses_actions;
+	/* actions are carried out but not answered */
+	bool loses_actions;
 	/* name to struct vm */
 	GHashTable *vms;
 	json_t *actions;
@@ -47,6 +60,8 @@
 	enum mode fault;
 	struct tmr_entry expire_timer;
 	uint64_t calls;
+	/* key or prefix, in base64, to the number of its reads */
+	json_t *reads;
 };
 
 /* An answer held back for the configured delay. */
@@ -68,6 +83,7 @@
 
 	g_free(vm->state);
 	g_free(vm->listed_state);
+	g_hash_table_unref(vm->done);
 	g_free(vm);
 }
 
@@ -80,6 +96,7 @@
 	vm = g_new0(struct vm, 1);
 	vm->state = g_strdup("live");
 	vm->listed_state = g_strdup("live");
+	vm->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_hash_table_insert(platform->vms, g_strdup(name), vm);
 	return vm;
 }
@@ -116,22 +133,68 @@
 	return json_pack("{s:o}", "vms", list);
 }
 
+static void vm_reboot(struct platform *platform, const char *name)
+{
+	struct vm *vm = vm_get(platform, name);
+
+	vm_set(platform, name, "down");
+	if (!vm->breaks)
+		vm->up_at_ms = evl_now_ms() + platform->reboot_ms;
+}
+
+static void vm_carry_out(struct platform *platform, const char *name,
+			 const char *action)
+{
+	if (strcmp(action, "reboot") == 0)
+		vm_reboot(platform, name);
+	else
+		vm_set(platform, name,
+		       strcmp(action, "drain") == 0 ? "leaving" : "live");
+}
+
+/* An action is carried out once for each intent, however often it is called. */
 static json_t *vm_act(struct platform *platform, const char *path,
 		      const json_t *body)
 {
 	g_auto(GStrv) parts = g_strsplit(path, "/", 4);
 	const char *intent = json_string_value(json_object_get(body, "intent"));
+	struct vm *vm;
+	bool refused;
+	bool fresh;
 
 	if (g_strv_length(parts) != 4 || !intent)
 		return NULL;
+	vm = vm_get(platform, parts[2]);
+	refused = platform->refuses_actions || vm->refuses;
+	fresh = !refused &&
+		g_hash_table_add(vm->done,
+				 g_strdup_printf("%s %s", intent, parts[3]));
 	json_array_append_new(
 		platform->actions,
-		json_pack("{s:s, s:s, s:s, s:I}", "vm", parts[2], "action",
-			  parts[3], "intent", intent, "at_ms",
+		json_pack("{s:s, s:s, s:s, s:b, s:b, s:I}", "vm", parts[2],
+			  "action", parts[3], "intent", intent, "refused",
+			  refused, "repeated", !refused && !fresh, "at_ms",
 			  (json_int_t)(g_get_real_time() / 1000)));
-	vm_set(platform, parts[2],
-	       strcmp(parts[3], "drain") == 0 ? "leaving" : "live");
-	return json_object();
+	if (fresh)
+		vm_carry_out(platform, parts[2], parts[3]);
+	return refused ? NULL : json_object();
+}
+
+static void vms_come_up(struct platform *platform)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, platform->vms);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		struct vm *vm = value;
+
+		if (vm->up_at_ms == 0 || evl_now_ms() < vm->up_at_ms)
+			continue;
+		vm->up_at_ms = 0;
+		vm_set(platform, name, "live");
+	}
 }
 
 static json_t *call_run(struct platform *platform, const char *path,
@@ -194,6 +257,24 @@
 	return strcmp(name, "lose") == 0 ? MODE_LOSE : MODE_OK;
 }
 
+static void control_vm(struct platform *platform, const char *name,
+		       const json_t *body)
+{
+	const char *state = json_string_value(json_object_get(body, "state"));
+	const json_t *refuses = json_object_get(body, "refuses");
+	const json_t *breaks = json_object_get(body, "breaks");
+	struct vm *vm = vm_get(platform, name);
+
+	if (state) {
+		vm->up_at_ms = 0;
+		vm_set(platform, name, state);
+	}
+	if (refuses)
+		vm->refuses = json_is_true(refuses);
+	if (breaks)
+		vm->breaks = json_is_true(breaks);
+}
+
 /* Arms a fault of the next write of a key: with "lose" its answer is lost,
  * with "down" it is answered and the platform is down from then on. */
 static void fault_arm(struct platform *platform, const char *key,
@@ -234,16 +315,31 @@
 	return platform->fault == MODE_LOSE;
 }
 
+static void control_actions(struct platform *platform, const json_t *body)
+{
+	const json_t *reboot = json_object_get(body, "reboot_ms");
+	const json_t *refuses = json_object_get(body, "refuses_actions");
+	const json_t *loses = json_object_get(body, "loses_actions");
+
+	if (reboot)
+		platform->reboot_ms = (uint32_t)json_integer_value(reboot);
+	if (refuses)
+		platform->refuses_actions = json_is_true(refuses);
+	if (loses)
+		platform->loses_actions = json_is_true(loses);
+}
+
 /* {"mode": ok|down|refuse|lose, "delay_ms": N, "list_lag_ms": N,
- *  "vm": NAME, "state": live|leaving|down,
- *  "fault_key": KEY, "fault": lose|down, "key": KEY, "value": TEXT} */
+ *  "reboot_ms": N, "refuses_actions": bool, "loses_actions": bool,
+ *  "vm": NAME with "state": live|leaving|down, "refuses": bool,
+ *  "breaks": bool, "fault_key": KEY, "fault": lose|down,
+ *  "key": KEY, "value": TEXT} */
 static void control_run(struct platform *platform, const json_t *body)
 {
 	const char *mode = json_string_value(json_object_get(body, "mode"));
 	const json_t *delay = json_object_get(body, "delay_ms");
 	const json_t *lag = json_object_get(body, "list_lag_ms");
 	const char *vm = json_string_value(json_object_get(body, "vm"));
-	const char *state = json_string_value(json_object_get(body, "state"));
 	const char *key = json_string_value(json_object_get(body, "key"));
 	const char *value = json_string_value(json_object_get(body, "value"));
 
@@ -253,12 +349,13 @@
 		platform->delay_ms = (uint32_t)json_integer_value(delay);
 	if (lag)
 		platform->list_lag_ms = (uint32_t)json_integer_value(lag);
+	control_actions(platform, body);
+	if (vm)
+		control_vm(platform, vm, body);
 	if (json_object_get(body, "fault_key"))
 		fault_arm(platform,
 			  json_string_value(json_object_get(body, "fault_key")),
 			  json_string_value(json_object_get(body, "fault")));
-	if (vm && state)
-		vm_set(platform, vm, state);
 	if (key && value)
 		kvs_write(platform->store, key, value);
 }
@@ -274,6 +371,8 @@
 		srv_answer(req, 200, kvs_history(platform->store));
 	} else if (srv_is(req, "GET", "/actions")) {
 		srv_answer(req, 200, json_incref(platform->actions));
+	} else if (srv_is(req, "GET", "/reads")) {
+		srv_answer(req, 200, json_incref(platform->reads));
 	} else if (srv_is(req, "GET", "/calls")) {
 		srv_answer(req, 200, json_integer((json_int_t)platform->calls));
 	} else {
@@ -282,6 +381,18 @@
 	return true;
 }
 
+static void read_count(struct platform *platform, const char *path,
+		       const json_t *body)
+{
+	const char *key = json_string_value(json_object_get(body, "key"));
+	json_int_t count;
+
+	if (strcmp(path, "/v3/kv/range") != 0 || !key)
+		return;
+	count = json_integer_value(json_object_get(platform->reads, key));
+	json_object_set_new(platform->reads, key, json_integer(count + 1));
+}
+
 static void call_answer(struct platform *platform, h2o_req_t *req,
 			const json_t *body)
 {
@@ -289,6 +400,7 @@
 	json_t *answer;
 
 	platform->calls++;
+	read_count(platform, path, body);
 	if (platform->mode == MODE_DOWN)
 		return;
 	if (platform->mode == MODE_REFUSE) {
@@ -296,7 +408,8 @@
 		return;
 	}
 	answer = call_run(platform, path, body);
-	if (fault_meets(platform, body) || platform->mode == MODE_LOSE) {
+	if (fault_meets(platform, body) || platform->mode == MODE_LOSE ||
+	    (platform->loses_actions && g_str_has_prefix(path, "/vms/"))) {
 		json_decref(answer);
 		return;
 	}
@@ -324,6 +437,7 @@
 	struct platform *platform = data;
 
 	kvs_expire(platform->store, evl_now_ms());
+	vms_come_up(platform);
 	evl_timer_set(platform->loop, &platform->expire_timer, EXPIRE_TICK_MS);
 }
 
@@ -343,6 +457,7 @@
 	platform.vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, vm_free);
 	platform.actions = json_array();
+	platform.reads = json_object();
 	platform.expire_timer.cb = on_expire;
 	platform.expire_timer.data = &platform;
 	evl_timer_set(platform.loop, &platform.expire_timer, EXPIRE_TICK_MS);
