Compete for the manager key only when it is free; confirm at once

Cause: every process that is not manager ran a transaction each 500 ms, 600 a second with 300 processes; confirmations of a placement rode on the next heartbeat, up to 1 s later. Change: the manager key stands beside the head, so that the read of the head shows who holds it; a process announces itself when it applied a placement.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -162,6 +162,8 @@
 	const struct hed_state *head = syn_sync_state(entry->sync);
 
 	gat_gateway_update(entry->gateway, bundle, view);
+	/* The manager waits for confirmations of each placement. */
+	per_node_announce(entry->peers);
 	mgr_manager_set_bundle(entry->manager, bundle, head->applied_roll);
 }
 
@@ -273,6 +275,13 @@
 	return syn_sync_state(entry->sync)->applied_placement;
 }
 
+static const char *current_manager(void *data)
+{
+	const struct ent_entry *entry = data;
+
+	return syn_sync_manager(entry->sync);
+}
+
 static bool lease_is_valid(void *data)
 {
 	struct ent_entry *entry = data;
@@ -296,6 +305,7 @@
 		.maintenance_timeout_ms = settings->maintenance_timeout_ms,
 		.dispatch_window_ms = settings->dispatch_window_ms,
 		.applied_placement = applied_placement,
+		.current_manager = current_manager,
 		.lease_is_valid = lease_is_valid,
 		.data = entry,
 	};
--- a/bin/sassafrascartd/mgr.c
+++ b/bin/sassafrascartd/mgr.c
@@ -91,6 +91,15 @@
 	plt_txn(manager->config.platform, &txn, on_competed, manager);
 }
 
+/* While another process holds the key, a try would only cost a call. */
+static bool key_is_taken(const struct mgr_manager *manager)
+{
+	const char *holder =
+		manager->config.current_manager(manager->config.data);
+
+	return holder && strcmp(holder, manager->config.id) != 0;
+}
+
 static void on_tick(void *data)
 {
 	struct mgr_manager *manager = data;
@@ -99,11 +108,14 @@
 		      manager->config.tick_ms);
 	if (manager->busy || manager->lease == 0)
 		return;
-	if (manager->term == 0)
-		compete(manager);
-	else if (!manager->bundle)
+	if (manager->term == 0) {
+		if (!key_is_taken(manager))
+			compete(manager);
+		return;
+	}
+	if (!manager->bundle)
 		return;
-	else if (!manager->synced)
+	if (!manager->synced)
 		mgr_read_records(manager);
 	else
 		mgr_read_fleet(manager);
--- a/bin/sassafrascartd/mgr.h
+++ b/bin/sassafrascartd/mgr.h
@@ -43,6 +43,8 @@
 	uint32_t dispatch_window_ms;
 	/** tells the placement that this process has applied */
 	uint64_t (*applied_placement)(void *data);
+	/** tells who held the manager key at the last read, NULL for none */
+	const char *(*current_manager)(void *data);
 	/** tells whether the lease can be relied on at this moment */
 	bool (*lease_is_valid)(void *data);
 	void *data;
--- a/bin/sassafrascartd/syn.c
+++ b/bin/sassafrascartd/syn.c
@@ -26,6 +26,8 @@
 	char *placement;
 	struct tmr_entry poll_timer;
 	uint64_t poll_asked_ms;
+	/* value of the manager key at the last read, NULL for none */
+	char *manager;
 	/* reads of the head that failed in a row */
 	uint32_t poll_failures;
 	bool head_is_malformed;
@@ -339,6 +341,15 @@
 	return true;
 }
 
+static void manager_note(struct syn_sync *sync, const struct plt_result *result)
+{
+	g_clear_pointer(&sync->manager, g_free);
+	for (size_t i = 0; i < result->kv_count; i++) {
+		if (strcmp(result->kvs[i].key, PLT_KEY_MANAGER) == 0)
+			sync->manager = g_strdup(result->kvs[i].value);
+	}
+}
+
 /* Sets the time of the next read of the head. */
 static void poll_set(struct syn_sync *sync)
 {
@@ -379,6 +390,7 @@
 		ctr_add(sync->config.counters, CTR_PLATFORM_ERRORS);
 		return;
 	}
+	manager_note(sync, result);
 	parsed = pulse_parse(result, &head);
 	malformed_head_note(sync, !parsed);
 	if (parsed)
@@ -418,6 +430,7 @@
 	plc_view_destroy(sync->view);
 	g_free(sync->envelope);
 	g_free(sync->placement);
+	g_free(sync->manager);
 	g_free(sync);
 }
 
@@ -428,6 +441,11 @@
 	sync->on_changed = on_changed;
 }
 
+const char *syn_sync_manager(const struct syn_sync *sync)
+{
+	return sync->manager;
+}
+
 const struct hed_state *syn_sync_state(const struct syn_sync *sync)
 {
 	return &sync->head;
--- a/bin/sassafrascartd/syn.h
+++ b/bin/sassafrascartd/syn.h
@@ -54,6 +54,9 @@
 void syn_sync_hear(struct syn_sync *sync, const struct hed_head *head,
 		   uint64_t asked_ms);
 
+/** @brief Returns who held the manager key at the last read, or NULL. */
+const char *syn_sync_manager(const struct syn_sync *sync);
+
 /** @brief Returns the state of the head, owned by the synchronisation. */
 const struct hed_state *syn_sync_state(const struct syn_sync *sync);
 
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -22,12 +22,12 @@
 #define PLT_KEY_HEAD "/sassafrascart/pulse/head"
 /** Key that repeats the number of the newest placement. */
 #define PLT_KEY_PLACEMENT_NUMBER "/sassafrascart/pulse/placement"
-/** Prefix of the two keys above, read by every process. */
+/** Prefix of head, placement number and manager, read by every process. */
 #define PLT_PREFIX_PULSE "/sassafrascart/pulse/"
 /** Key of the placement of VMs in pools. */
 #define PLT_KEY_PLACEMENT "/sassafrascart/placement"
 /** Key of the manager lease. */
-#define PLT_KEY_MANAGER "/sassafrascart/manager"
+#define PLT_KEY_MANAGER "/sassafrascart/pulse/manager"
 /** Prefix of published bundles, followed by the version. */
 #define PLT_PREFIX_BUNDLE "/sassafrascart/bundle/"
 /** Prefix of the record of each roll, followed by its number. */
