--- a/tests/fuzz/fuzz_values.c
+++ b/tests/fuzz/fuzz_values.c
@@ -1,3 +1,4 @@
+#include "plr.h"
 #include "plv.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
@@ -13,6 +14,9 @@
 	bundle->pools = g_new0(struct bnd_pool, 1);
 	bundle->pool_count = 1;
 	bundle->pools[0].name = g_strdup("p");
+	bundle->waves = g_new0(struct bnd_wave, 1);
+	bundle->wave_count = 1;
+	bundle->waves[0].name = g_strdup("w");
 	return bundle;
 }
 
@@ -21,6 +25,8 @@
 	const char *text = (const char *)bytes;
 	struct bnd_bundle *bundle = bundle_make();
 	struct plc_view *view = NULL;
+	struct plr_intent *intent = NULL;
+	struct wav_record wave = { 0 };
 	struct mem_member member;
 	struct plv_head head;
 	uint64_t number;
@@ -30,6 +36,9 @@
 	plv_member_parse(text, len, &member);
 	plv_placement_parse(text, len, bundle, &view);
 	plc_view_destroy(view);
+	plr_intent_parse(text, len, &intent);
+	plr_intent_destroy(intent);
+	plr_wave_parse(text, len, bundle, &wave);
 	bnd_bundle_unref(bundle);
 	return 0;
 }
