--- a/bin/sassafrasctl/wtc.c
+++ b/bin/sassafrasctl/wtc.c
@@ -4,7 +4,11 @@
 
 #include "plv.h"
 
-#define WTC_PAUSE_MS 50
+/* Pauses between two looks; they double, as most rolls take milliseconds. */
+#define WTC_PAUSE_MIN_MS 5
+#define WTC_PAUSE_MAX_MS 100
+/* Time between two reads of the members. */
+#define WTC_MEMBERS_MS 500
 /* A process that does not answer within this time counts as silent. */
 #define WTC_PAGE_TIMEOUT_MS 1000
 
@@ -12,19 +16,21 @@
 {
 	json_t *root = json_loads(page, 0, NULL);
 	json_int_t roll;
+	json_int_t known_roll;
 	json_int_t applied_at_ms;
 	json_int_t version;
 	json_int_t placement;
 	int manager;
 	int may_dispatch;
 
-	if (root &&
-	    json_unpack(root, "{s:I, s:I, s:I, s:I, s:b, s:b}", "roll", &roll,
-			"applied_at_ms", &applied_at_ms, "version", &version,
-			"placement", &placement, "manager", &manager,
-			"may_dispatch", &may_dispatch) == 0) {
+	if (root && json_unpack(root, "{s:I, s:I, s:I, s:I, s:I, s:b, s:b}",
+				"roll", &roll, "known_roll", &known_roll,
+				"applied_at_ms", &applied_at_ms, "version",
+				&version, "placement", &placement, "manager",
+				&manager, "may_dispatch", &may_dispatch) == 0) {
 		out->answered = true;
 		out->roll = (uint64_t)roll;
+		out->known_roll = (uint64_t)known_roll;
 		out->applied_at_ms = (uint64_t)applied_at_ms;
 		out->version = (uint64_t)version;
 		out->placement = (uint64_t)placement;
@@ -91,6 +97,19 @@
 	}
 }
 
+uint64_t wtc_roll_max(const GArray *statuses)
+{
+	uint64_t max = 0;
+
+	for (guint i = 0; i < statuses->len; i++) {
+		const struct wtc_status *status =
+			&g_array_index(statuses, struct wtc_status, i);
+
+		max = MAX(max, MAX(status->roll, status->known_roll));
+	}
+	return max;
+}
+
 static void progress_count(const GArray *statuses, uint64_t roll,
 			   struct wtc_progress *out)
 {
@@ -107,14 +126,20 @@
 			    struct wtc_progress *out)
 {
 	uint64_t until_ms = evl_now_ms() + wait_ms;
+	uint64_t renew_ms = evl_now_ms() + WTC_MEMBERS_MS;
+	uint32_t pause_ms = WTC_PAUSE_MIN_MS;
 
 	do {
-		members_renew(desk, statuses);
+		if (evl_now_ms() >= renew_ms || (*statuses)->len == 0) {
+			members_renew(desk, statuses);
+			renew_ms = evl_now_ms() + WTC_MEMBERS_MS;
+		}
 		wtc_statuses_ask(desk, *statuses);
 		progress_count(*statuses, roll, out);
 		if (out->members > 0 && out->in_force == out->members)
 			return ERR_NONE;
-		dsk_sleep_ms(desk, WTC_PAUSE_MS);
+		dsk_sleep_ms(desk, pause_ms);
+		pause_ms = MIN(pause_ms * 2, WTC_PAUSE_MAX_MS);
 	} while (evl_now_ms() < until_ms);
 	return ERR_PENDING;
 }
