Forget peers that nobody names any more

Change: a peer that was not heard or listed for 5 minutes is removed. Not proved: no test waits 5 minutes.

--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -81,6 +81,7 @@
 	struct per_peer *peer = g_hash_table_lookup(node->peers, member->id);
 
 	if (peer) {
+		peer->named_ms = evl_now_ms();
 		/* A message of an earlier run of the process is outdated. */
 		if (member->incarnation < peer->last.from.incarnation)
 			return NULL;
@@ -92,12 +93,28 @@
 		return NULL;
 	peer = g_new0(struct per_peer, 1);
 	peer->last.from = *member;
+	peer->named_ms = evl_now_ms();
 	peer->key = slt_key(member->id);
 	g_hash_table_insert(node->peers, peer->last.from.id, peer);
 	g_ptr_array_add(node->order, peer);
 	return peer;
 }
 
+/* Replaced processes would else fill the table within days. */
+static void peers_forget_old(struct per_node *node)
+{
+	uint64_t now_ms = evl_now_ms();
+
+	for (guint i = node->order->len; i > 0; i--) {
+		struct per_peer *peer = g_ptr_array_index(node->order, i - 1);
+
+		if (now_ms - peer->named_ms <= PER_FORGET_MS)
+			continue;
+		g_ptr_array_remove_index(node->order, i - 1);
+		g_hash_table_remove(node->peers, peer->last.from.id);
+	}
+}
+
 /* The operator's tool serves no callers: it is heard but not counted. */
 static bool is_operator_tool(const struct mem_member *member)
 {
@@ -237,6 +254,7 @@
 
 	evl_timer_set(node->loop, &node->period_timer, node->config.period_ms);
 	pending_forget_old(node);
+	peers_forget_old(node);
 	heartbeats_send(node, node->config.fan_out);
 }
 
--- a/packages/peer/src/per_fetch.c
+++ b/packages/peer/src/per_fetch.c
@@ -168,6 +168,8 @@
 	fetch->tries = 0;
 	if (fetch->text->len == reply->chunk.total)
 		fetch_end(fetch, ERR_NONE);
+	else if (node->order->len == 0)
+		fetch_end(fetch, ERR_NOT_FOUND);
 	else
 		chunk_ask(fetch);
 }
--- a/packages/peer/src/per_private.h
+++ b/packages/peer/src/per_private.h
@@ -12,6 +12,8 @@
 
 /** Peers known at most; the design size has 300 processes. */
 #define PER_PEERS_MAX 1024
+/** A peer that nobody named for this long is forgotten. */
+#define PER_FORGET_MS 300000
 /** Peers told at once of a change; they tell others. */
 #define PER_ANNOUNCE_MAX 16
 
@@ -20,6 +22,8 @@
 	struct per_heartbeat last;
 	/** monotonic time, 0 for never heard */
 	uint64_t heard_ms;
+	/** monotonic time at which it was last named by anyone */
+	uint64_t named_ms;
 	/** slt_key() of its identity */
 	uint64_t key;
 };
