Tell each pool's load in heartbeats

A manager that is to move VMs by demand needs the slots in use and the requests waiting at all processes; slot reports go to a pool's owner only. A heartbeat now lists the pools that have any at its sender, 8 bytes each and at most 64: a hash of the name, so that it holds across rolls, and the two numbers as one sum, which is all that dem_ takes. Without load that is 4 bytes a heartbeat.

Ruled out: an index into the bundle, which means nothing while processes are on different rolls; a list of its own, which would double the datagrams of idle processes.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -52,6 +52,8 @@
 	heartbeat->shutting_down = entry->shutting_down;
 	heartbeat->leaving_count = gat_gateway_notices(
 		entry->gateway, heartbeat->leaving, PER_LEAVING_MAX);
+	heartbeat->load_count = gat_gateway_loads(
+		entry->gateway, heartbeat->loads, PER_LOADS_MAX);
 }
 
 static void on_heartbeat(void *data, const struct per_heartbeat *heartbeat,
--- a/bin/sassafrascartd/gat.h
+++ b/bin/sassafrascartd/gat.h
@@ -10,6 +10,7 @@
 #include "bnd.h"
 #include "clr.h"
 #include "ctr.h"
+#include "dem.h"
 #include "evl.h"
 #include "lvg.h"
 #include "plc.h"
@@ -92,6 +93,13 @@
 /** @brief Counts requests that have no answer yet. */
 uint32_t gat_gateway_in_progress(const struct gat_gateway *gateway);
 
+/**
+ * @brief Lists the pools with slots in use or requests waiting here.
+ * @return number of loads; pools beyond max are left out
+ */
+uint32_t gat_gateway_loads(const struct gat_gateway *gateway,
+			   struct dem_load *out, uint32_t max);
+
 /** @brief Appends the gateway's gauges for /metrics. */
 void gat_gateway_render(const struct gat_gateway *gateway, GString *out);
 
--- a/bin/sassafrascartd/gat_slots.c
+++ b/bin/sassafrascartd/gat_slots.c
@@ -97,3 +97,44 @@
 	if (adm_queue_length(pool->queue) > 0)
 		pump_hasten(gateway);
 }
+
+/* Slots in use here, by the pool's index. */
+static uint32_t *slots_in_use(const struct gat_gateway *gateway)
+{
+	uint32_t count = gateway->bundle->pool_count;
+	uint32_t *in_use = g_new0(uint32_t, count + 1);
+
+	for (uint32_t i = 0; i < gateway->servers->count; i++) {
+		const struct sel_server *server = &gateway->servers->servers[i];
+
+		if (server->pool < count)
+			in_use[server->pool] += server->in_flight;
+	}
+	return in_use;
+}
+
+uint32_t gat_gateway_loads(const struct gat_gateway *gateway,
+			   struct dem_load *out, uint32_t max)
+{
+	g_autofree uint32_t *in_use = NULL;
+	GHashTableIter iter;
+	uint32_t count = 0;
+	gpointer value;
+
+	if (!gateway->bundle)
+		return 0;
+	in_use = slots_in_use(gateway);
+	g_hash_table_iter_init(&iter, gateway->pools);
+	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gat_pool *pool = value;
+		struct dem_load load = { .pool = dem_pool_key(pool->name) };
+
+		if (pool->index == BND_NONE)
+			continue;
+		load.slots =
+			in_use[pool->index] + adm_queue_length(pool->queue);
+		if (load.slots > 0)
+			out[count++] = load;
+	}
+	return count;
+}
--- a/packages/core/include/dem.h
+++ b/packages/core/include/dem.h
@@ -21,6 +21,17 @@
 /** A rise that lasts longer than this is no burst. */
 #define DEM_BURST_MAX_MS (2u * 60u * 1000u)
 
+/** A pool's demand at one process at one moment. */
+struct dem_load {
+	/** dem_pool_key() of the pool's name */
+	uint32_t pool;
+	/** slots in use and requests waiting */
+	uint32_t slots;
+};
+
+/** @brief Returns the key of a pool's name in loads. */
+uint32_t dem_pool_key(const char *name);
+
 /** The average and what is needed to continue it; zeroed before use. */
 struct dem_demand {
 	/** thousandths of a slot */
--- a/packages/peer/include/per.h
+++ b/packages/peer/include/per.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "dem.h"
 #include "err.h"
 #include "evl.h"
 #include "hed.h"
@@ -20,6 +21,8 @@
 
 /** VMs that one heartbeat tells are leaving. */
 #define PER_LEAVING_MAX 24
+/** Pools whose load one heartbeat tells. */
+#define PER_LOADS_MAX 64
 
 /** What a process tells of itself with each heartbeat. */
 struct per_heartbeat {
@@ -31,6 +34,9 @@
 	/** VMs known to be leaving */
 	struct lvg_notice leaving[PER_LEAVING_MAX];
 	uint32_t leaving_count;
+	/** pools with any demand at this process */
+	struct dem_load loads[PER_LOADS_MAX];
+	uint32_t load_count;
 };
 
 /** Texts that peers fetch from each other. */
--- a/packages/peer/src/peer_prog.h
+++ b/packages/peer/src/peer_prog.h
@@ -19,6 +19,7 @@
 #define PEER_CHUNK_MAX 8192
 #define PEER_LEAVING_MAX 24
 #define PEER_SLOTS_MAX 256
+#define PEER_LOADS_MAX 64
 
 struct peer_member {
 	char *id;
@@ -44,6 +45,12 @@
 };
 typedef struct peer_leaving peer_leaving;
 
+struct peer_load {
+	u_int pool;
+	u_int slots;
+};
+typedef struct peer_load peer_load;
+
 struct peer_heartbeat {
 	peer_member from;
 	peer_head head;
@@ -54,6 +61,10 @@
 		u_int leaving_len;
 		peer_leaving *leaving_val;
 	} leaving;
+	struct {
+		u_int loads_len;
+		peer_load *loads_val;
+	} loads;
 };
 typedef struct peer_heartbeat peer_heartbeat;
 
@@ -151,6 +162,7 @@
 extern  bool_t xdr_peer_member (XDR *, peer_member*);
 extern  bool_t xdr_peer_head (XDR *, peer_head*);
 extern  bool_t xdr_peer_leaving (XDR *, peer_leaving*);
+extern  bool_t xdr_peer_load (XDR *, peer_load*);
 extern  bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat*);
 extern  bool_t xdr_peer_fetch (XDR *, peer_fetch*);
 extern  bool_t xdr_peer_chunk (XDR *, peer_chunk*);
@@ -162,6 +174,7 @@
 extern bool_t xdr_peer_member ();
 extern bool_t xdr_peer_head ();
 extern bool_t xdr_peer_leaving ();
+extern bool_t xdr_peer_load ();
 extern bool_t xdr_peer_heartbeat ();
 extern bool_t xdr_peer_fetch ();
 extern bool_t xdr_peer_chunk ();
--- a/packages/peer/src/peer_prog.x
+++ b/packages/peer/src/peer_prog.x
@@ -6,6 +6,7 @@
 const PEER_CHUNK_MAX = 8192;
 const PEER_LEAVING_MAX = 24;
 const PEER_SLOTS_MAX = 256;
+const PEER_LOADS_MAX = 64;
 
 struct peer_member {
 	string id<PEER_ID_MAX>;
@@ -29,6 +30,12 @@
 	unsigned hyper placement;
 };
 
+/* Slots in use and requests waiting of a pool, named by a hash. */
+struct peer_load {
+	unsigned int pool;
+	unsigned int slots;
+};
+
 struct peer_heartbeat {
 	peer_member from;
 	peer_head head;
@@ -36,6 +43,7 @@
 	unsigned hyper applied_placement;
 	bool shutting_down;
 	peer_leaving leaving<PEER_LEAVING_MAX>;
+	peer_load loads<PEER_LOADS_MAX>;
 };
 
 /* Asks for the part of a document that begins at an offset. */
--- a/packages/peer/src/peer_prog_xdr.c
+++ b/packages/peer/src/peer_prog_xdr.c
@@ -53,6 +53,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_load (XDR *xdrs, peer_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->pool))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_heartbeat (XDR *xdrs, peer_heartbeat *objp)
 {
@@ -71,6 +83,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LEAVING_MAX,
 		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, PEER_LOADS_MAX,
+		sizeof (peer_load), (xdrproc_t) xdr_peer_load))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/packages/peer/src/per_wire.c
+++ b/packages/peer/src/per_wire.c
@@ -30,6 +30,26 @@
 	}
 }
 
+static void loads_to_xdr(const struct per_heartbeat *in, peer_heartbeat *out,
+			 peer_load *loads)
+{
+	for (uint32_t i = 0; i < in->load_count; i++) {
+		loads[i].pool = in->loads[i].pool;
+		loads[i].slots = in->loads[i].slots;
+	}
+	out->loads.loads_len = in->load_count;
+	out->loads.loads_val = loads;
+}
+
+static void loads_from_xdr(const peer_heartbeat *in, struct per_heartbeat *out)
+{
+	out->load_count = in->loads.loads_len;
+	for (uint32_t i = 0; i < out->load_count; i++) {
+		out->loads[i].pool = in->loads.loads_val[i].pool;
+		out->loads[i].slots = in->loads.loads_val[i].slots;
+	}
+}
+
 static void heartbeat_to_xdr(const struct per_heartbeat *in,
 			     peer_heartbeat *out)
 {
@@ -70,18 +90,21 @@
 	out->applied_placement = in->applied_placement;
 	out->shutting_down = in->shutting_down;
 	leaving_from_xdr(in, out);
+	loads_from_xdr(in, out);
 	return true;
 }
 
 static bool heartbeat_code(XDR *xdrs, struct per_heartbeat *heartbeat)
 {
 	peer_leaving leaving[PEER_LEAVING_MAX];
+	peer_load loads[PEER_LOADS_MAX];
 	peer_heartbeat wire = { 0 };
 	bool ok;
 
 	if (xdrs->x_op == XDR_ENCODE) {
 		heartbeat_to_xdr(heartbeat, &wire);
 		leaving_to_xdr(heartbeat, &wire, leaving);
+		loads_to_xdr(heartbeat, &wire, loads);
 		return xdr_peer_heartbeat(xdrs, &wire);
 	}
 	ok = xdr_peer_heartbeat(xdrs, &wire) &&
--- a/packages/peer/tests/test_per_wire.c
+++ b/packages/peer/tests/test_per_wire.c
@@ -30,6 +30,8 @@
 		.applied_roll = 6,
 		.applied_placement = 5,
 		.shutting_down = true,
+		.loads = { { 7, 8 }, { UINT32_MAX, UINT32_MAX } },
+		.load_count = PER_LOADS_MAX,
 	};
 
 	memset(out, 0, sizeof(*out));
@@ -74,6 +76,9 @@
 		ERR_NONE);
 	ck_assert_int_eq(out.kind, in.kind);
 	ck_assert_uint_eq(out.xid, in.xid);
+	if (kinds[_i].procedure == PEER_HEARTBEAT)
+		ck_assert_mem_eq(out.heartbeat.loads, in.heartbeat.loads,
+				 sizeof(in.heartbeat.loads));
 	ck_assert_uint_eq(pwr_encode(&out, again), len);
 	ck_assert_mem_eq(again, buffer, len);
 	/* No shorter datagram is taken for a whole one. */
