Move VMs by demand

The manager gave pln_ the bundle's targets; nothing used dem_ and mov_. A decision tells for each move by demand the size and what it was chosen from; "sassafrasctl explain" prints it. The sums, averages and sizes are gauges of the manager.

A new term averages anew, moves nothing by demand before a full window, counts stays from its own start and holds sizes above the target as found in the placement; a changed target applies at once. Ruled out: keeping times in the placement (a new value in every write); going back to targets at a take-over (returns every VM at once).

test_pln checks over random events that no VM is given back that stays; test_plr that a decision tells the demand of moves by demand only.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -284,6 +284,13 @@
 	return syn_sync_manager(entry->sync);
 }
 
+static uint32_t loads(void *data, struct dem_load *out, uint32_t max)
+{
+	const struct ent_entry *entry = data;
+
+	return gat_gateway_loads(entry->gateway, out, max);
+}
+
 static bool lease_is_valid(void *data)
 {
 	struct ent_entry *entry = data;
@@ -305,9 +312,11 @@
 		.vm_list_lag_ms = settings->vm_list_lag_ms,
 		.vm_failed_after_ms = settings->vm_failed_after_ms,
 		.maintenance_timeout_ms = settings->maintenance_timeout_ms,
+		.demand_window_ms = settings->demand_window_ms,
 		.dispatch_window_ms = settings->dispatch_window_ms,
 		.applied_placement = applied_placement,
 		.current_manager = current_manager,
+		.loads = loads,
 		.lease_is_valid = lease_is_valid,
 		.data = entry,
 	};
--- a/bin/sassafrascartd/ent_pages.c
+++ b/bin/sassafrascartd/ent_pages.c
@@ -30,6 +30,7 @@
 	clr_server_counts(entry->server, &connections, &refused);
 	ctr_render(&entry->counters, body);
 	gat_gateway_render(entry->gateway, body);
+	mgr_manager_render(entry->manager, body);
 	plt_platform_counts(entry->platform, &calls, &limited);
 	ctr_render_gauge(body, "caller_connections", connections);
 	ctr_render_gauge(body, "caller_connections_refused_total", refused);
--- a/bin/sassafrascartd/mgr.c
+++ b/bin/sassafrascartd/mgr.c
@@ -40,6 +40,7 @@
 	if (!vm->calling)
 		return TRUE;
 	g_clear_pointer(&vm->intent, g_free);
+	g_clear_pointer(&vm->pool, g_free);
 	return FALSE;
 }
 
@@ -52,6 +53,8 @@
 	manager->members_read_ms = 0;
 	g_hash_table_foreach_remove(manager->vms, vm_forget, NULL);
 	g_hash_table_remove_all(manager->processes);
+	g_hash_table_remove_all(manager->pools);
+	manager->sized_ms = 0;
 	ctr_add(manager->config.counters, CTR_MANAGER_TERMS);
 	lgx_info("manager_term_began", "manager with term %" G_GINT64_FORMAT,
 		 revision);
@@ -127,6 +130,7 @@
 
 	g_free(vm->name);
 	g_free(vm->intent);
+	g_free(vm->pool);
 	g_free(vm);
 }
 
@@ -159,6 +163,8 @@
 						 intent_free);
 	manager->processes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	manager->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	manager->tick_timer.cb = on_tick;
 	manager->tick_timer.data = manager;
 	evl_timer_set(config->loop, &manager->tick_timer, config->tick_ms);
@@ -174,6 +180,7 @@
 	plc_view_destroy(manager->view);
 	g_free(manager->waves);
 	g_hash_table_unref(manager->processes);
+	g_hash_table_unref(manager->pools);
 	g_hash_table_unref(manager->intents);
 	g_hash_table_unref(manager->vms);
 	bnd_bundle_unref(manager->bundle);
--- a/bin/sassafrascartd/mgr.h
+++ b/bin/sassafrascartd/mgr.h
@@ -39,10 +39,14 @@
 	uint32_t vm_failed_after_ms;
 	/** time for the maintenance of one VM */
 	uint32_t maintenance_timeout_ms;
+	/** time over which the demand of a pool is averaged */
+	uint32_t demand_window_ms;
 	/** dispatch window of the processes */
 	uint32_t dispatch_window_ms;
 	/** tells the placement that this process has applied */
 	uint64_t (*applied_placement)(void *data);
+	/** tells the demand at this process, see gat_gateway_loads() */
+	uint32_t (*loads)(void *data, struct dem_load *out, uint32_t max);
 	/** tells who held the manager key at the last read, NULL for none */
 	const char *(*current_manager)(void *data);
 	/** tells whether the lease can be relied on at this moment */
@@ -63,6 +67,9 @@
 void mgr_manager_set_bundle(struct mgr_manager *manager,
 			    struct bnd_bundle *bundle, uint64_t roll);
 
+/** @brief Appends the gauges of each pool's demand for /metrics. */
+void mgr_manager_render(const struct mgr_manager *manager, GString *out);
+
 /** @brief Tells whether this process is manager as far as it knows. */
 bool mgr_manager_is_active(const struct mgr_manager *manager);
 
--- a/bin/sassafrascartd/mgr_plan.c
+++ b/bin/sassafrascartd/mgr_plan.c
@@ -103,9 +103,8 @@
 	known->wanted = g_new0(uint32_t, bundle->pool_count + 1);
 	for (uint32_t i = 0; i < bundle->vm_count; i++)
 		vm_know(manager, i, known);
-	/* A demand policy's sizes take the place of the targets here. */
-	for (uint32_t i = 0; i < bundle->pool_count; i++)
-		known->wanted[i] = bundle->pools[i].target_vms;
+	mgr_demand_sample(manager);
+	mgr_demand_wanted(manager, known->vms, known->wanted);
 	known->settled = mgr_confirm_follow(manager, &manager->settled,
 					    manager->view->number);
 }
--- a/bin/sassafrascartd/mgr_private.h
+++ b/bin/sassafrascartd/mgr_private.h
@@ -6,6 +6,7 @@
 #define MGR_PRIVATE_H
 
 #include "cnf.h"
+#include "dem.h"
 #include "mgr.h"
 #include "plr.h"
 
@@ -25,6 +26,9 @@
 	char *name;
 	bool listed;
 	enum plt_vm_state state;
+	/** pool that it was last seen in, and since when in this term */
+	char *pool;
+	uint64_t since_ms;
 	/** monotonic time since which the list calls it down, 0 for not */
 	uint64_t down_since_ms;
 	struct mgr_confirm confirm;
@@ -89,6 +93,10 @@
 	GHashTable *vms;
 	/** process's identity to struct cnf_process */
 	GHashTable *processes;
+	/** pool's name to struct mgr_pool; demand as of this term */
+	GHashTable *pools;
+	/** monotonic time of the last plan by demand */
+	uint64_t sized_ms;
 	struct mgr_confirm settled;
 	uint64_t list_read_ms;
 	uint64_t members_read_ms;
@@ -97,6 +105,19 @@
 	struct mgr_plan plan;
 };
 
+/** What this manager knows of a pool; forgotten when its term ends. */
+struct mgr_pool {
+	struct dem_demand demand;
+	/** newest sum over the processes */
+	uint32_t slots;
+	/** target of the bundle that wanted was derived from */
+	uint32_t target;
+	/** number of VMs that the pool is to have */
+	uint32_t wanted;
+	/** how demand chose wanted; no reason when it did not */
+	struct plr_size size;
+};
+
 /** @brief Counts a failed call to the platform. */
 void mgr_platform_failed(struct mgr_manager *manager);
 
@@ -109,6 +130,20 @@
 /** @brief Returns what is known of a VM, created at first use. */
 struct mgr_vm *mgr_vm_get(struct mgr_manager *manager, const char *name);
 
+/** @brief Takes a sample of each pool's demand. */
+void mgr_demand_sample(struct mgr_manager *manager);
+
+/**
+ * @brief Tells how many VMs each pool is to have.
+ * @param vms what is known of each VM of the bundle; stays is filled
+ * @param wanted filled, one for each pool
+ */
+void mgr_demand_wanted(struct mgr_manager *manager, struct pln_vm *vms,
+		       uint32_t *wanted);
+
+/** @brief Lists how demand chose the pools' sizes, freed with g_free(). */
+struct plr_size *mgr_demand_sizes(struct mgr_manager *manager);
+
 /** @brief Reads placement, intents and waves, then the fleet. */
 void mgr_read_records(struct mgr_manager *manager);
 
--- a/bin/sassafrascartd/mgr_write.c
+++ b/bin/sassafrascartd/mgr_write.c
@@ -88,7 +88,9 @@
 static void placement_add(struct mgr_manager *manager, struct batch *batch)
 {
 	struct mgr_plan *plan = &manager->plan;
+	g_autofree struct plr_size *sizes = mgr_demand_sizes(manager);
 	struct plr_decision decision = {
+		.sizes = sizes,
 		.bundle = manager->bundle,
 		.roll = manager->roll,
 		.manager = manager->config.id,
--- a/bin/sassafrascartd/set.c
+++ b/bin/sassafrascartd/set.c
@@ -71,6 +71,12 @@
 	  "600000", 100, 86400000,
 	  "time for the maintenance of one VM before it counts as failed",
 	  "MS" },
+	{ "demand-window-ms", CFG_U32, AT(demand_window_ms), "600000", 1000,
+	  86400000,
+	  "time over which a pool's demand is averaged; bursts, stays and "
+	  "costs "
+	  "of moves scale with it",
+	  "MS" },
 	{ "check-config", CFG_BOOL, AT(check_config), NULL, 0, 0,
 	  "check the settings and exit", NULL },
 	{ "version", CFG_BOOL, AT(version), NULL, 0, 0,
--- a/bin/sassafrascartd/set.h
+++ b/bin/sassafrascartd/set.h
@@ -38,6 +38,7 @@
 	uint32_t vm_list_lag_ms;
 	uint32_t vm_failed_after_ms;
 	uint32_t maintenance_timeout_ms;
+	uint32_t demand_window_ms;
 	bool check_config;
 	bool version;
 };
--- a/bin/sassafrasctl/cmd_explain.c
+++ b/bin/sassafrasctl/cmd_explain.c
@@ -115,6 +115,20 @@
 		       : "");
 }
 
+static void demand_print(const json_t *demand)
+{
+	if (!demand)
+		return;
+	printf("; by demand (%s): %" JSON_INTEGER_FORMAT
+	       " thousandths of a slot, %" JSON_INTEGER_FORMAT
+	       " VMs held, %" JSON_INTEGER_FORMAT
+	       " wanted, dead band %" JSON_INTEGER_FORMAT
+	       " to %" JSON_INTEGER_FORMAT,
+	       text_of(demand, "reason"), number_of(demand, "demand_milli"),
+	       number_of(demand, "held"), number_of(demand, "wanted"),
+	       number_of(demand, "low"), number_of(demand, "high"));
+}
+
 static void change_print(const json_t *change)
 {
 	g_autoptr(GDateTime) at = g_date_time_new_from_unix_utc(
@@ -132,6 +146,7 @@
 		printf(", next '%s'", text_of(change, "next"));
 	printf(": %s", text_of(change, "reason"));
 	budget_print(json_object_get(change, "budget"));
+	demand_print(json_object_get(change, "demand"));
 	putchar('\n');
 }
 
--- a/packages/core/include/pln.h
+++ b/packages/core/include/pln.h
@@ -20,6 +20,8 @@
 	/** for a draining row: no process dispatches to it any more, and the
 	 *  requests that it had have ended or are past their deadlines */
 	bool drained;
+	/** demand chose its pool's size and does not move it yet */
+	bool stays;
 };
 
 /** Evidence of a VM's failure. */
--- a/packages/core/src/pln.c
+++ b/packages/core/src/pln.c
@@ -336,7 +336,8 @@
 		if (size <= plan->input->wanted[pool])
 			return;
 		if (row->pool != pool || row->state != PLC_STATE_SERVING ||
-		    vm_is_changed(plan, i) || plan->input->vms[i].failed)
+		    vm_is_changed(plan, i) || plan->input->vms[i].failed ||
+		    plan->input->vms[i].stays)
 			continue;
 		next = next_pool_choose(plan, i);
 		room = bud_check(plan->bundle, plan->view, plan->input->fit,
--- a/packages/core/tests/test_pln.c
+++ b/packages/core/tests/test_pln.c
@@ -125,6 +125,7 @@
 	for (uint32_t i = 0; i < VMS; i++) {
 		if (chance(world, 0.02))
 			world->vms[i].failed = !world->vms[i].failed;
+		world->vms[i].stays = (i + world->now_min) % 4 == 0;
 		world->fit[i] = !world->vms[i].failed && !chance(world, 0.05);
 		world->vms[i].drained =
 			world->view->rows[i].state == PLC_STATE_DRAINING &&
@@ -209,6 +210,8 @@
 	if (was->state == PLC_STATE_SERVING)
 		ck_assert(is->state == PLC_STATE_DRAINING &&
 			  is->pool == was->pool);
+	if (was->state == PLC_STATE_SERVING && is->reason == PLC_REASON_RETURN)
+		ck_assert(!world->vms[change->vm].stays);
 	if (plc_row_is_free(was))
 		ck_assert(settled);
 	if (is->state == PLC_STATE_SERVING)
--- a/packages/platform/include/plr.h
+++ b/packages/platform/include/plr.h
@@ -52,8 +52,24 @@
 			     const struct bnd_bundle *bundle,
 			     struct wav_record *out);
 
+/** A pool's size as chosen by demand, and what it was chosen from. */
+struct plr_size {
+	/** stable name, NULL when the bundle's target holds */
+	const char *reason;
+	uint32_t held;
+	uint32_t wanted;
+	/** thousandths of a slot */
+	uint64_t demand_milli;
+	/** dead band */
+	uint32_t low;
+	uint32_t high;
+	uint32_t minimum;
+};
+
 /** What was decided for one placement. */
 struct plr_decision {
+	/** for each pool the size that demand chose; may be NULL */
+	const struct plr_size *sizes;
 	const struct bnd_bundle *bundle;
 	uint64_t number;
 	uint64_t roll;
--- a/packages/platform/src/plr.c
+++ b/packages/platform/src/plr.c
@@ -143,9 +143,42 @@
 	return ERR_NONE;
 }
 
-static json_t *change_build(const struct bnd_bundle *bundle,
+static json_t *size_build(const struct plr_size *size)
+{
+	return json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "reason",
+			 size->reason, "held", (json_int_t)size->held, "wanted",
+			 (json_int_t)size->wanted, "demand_milli",
+			 (json_int_t)size->demand_milli, "low",
+			 (json_int_t)size->low, "high", (json_int_t)size->high,
+			 "minimum", (json_int_t)size->minimum);
+}
+
+/* The pool whose demand a change answers, BND_NONE for none. */
+static uint32_t demand_pool(const struct pln_change *change)
+{
+	const struct plc_row *after = &change->after;
+
+	if (after->reason == PLC_REASON_RETURN)
+		return change->before.pool;
+	if (after->reason != PLC_REASON_DEMAND)
+		return BND_NONE;
+	return after->next_pool != BND_NONE ? after->next_pool : after->pool;
+}
+
+static void size_add(const struct plr_decision *decision,
+		     const struct pln_change *change, json_t *root)
+{
+	uint32_t pool = demand_pool(change);
+
+	if (decision->sizes && pool != BND_NONE && decision->sizes[pool].reason)
+		json_object_set_new(root, "demand",
+				    size_build(&decision->sizes[pool]));
+}
+
+static json_t *change_build(const struct plr_decision *decision,
 			    const struct pln_change *change)
 {
+	const struct bnd_bundle *bundle = decision->bundle;
 	const struct plc_row *before = &change->before;
 	const struct plc_row *after = &change->after;
 	uint32_t pools[] = { before->pool, after->pool, after->next_pool };
@@ -162,6 +195,7 @@
 			 names[2], "reason", plc_reason_name(after->reason));
 	if (change->budget_asked)
 		json_object_set_new(root, "budget", room_build(&change->room));
+	size_add(decision, change, root);
 	return root;
 }
 
@@ -173,7 +207,7 @@
 	for (guint i = 0; i < listed; i++)
 		json_array_append_new(
 			changes,
-			change_build(decision->bundle,
+			change_build(decision,
 				     &g_array_index(decision->changes,
 						    struct pln_change, i)));
 	return dump(json_pack(
--- a/packages/platform/tests/test_plr.c
+++ b/packages/platform/tests/test_plr.c
@@ -161,6 +161,40 @@
 }
 END_TEST
 
+/* A move by demand tells the size that it followed from; others do not. */
+START_TEST(test_decision_demand)
+{
+	struct bnd_bundle *bundle = bundle_make();
+	g_autoptr(GArray) changes =
+		g_array_new(FALSE, FALSE, sizeof(struct pln_change));
+	const struct plr_size sizes[] = { { .reason = "demand",
+					    .held = 2,
+					    .wanted = 3,
+					    .demand_milli = 15000 } };
+	struct pln_change change = { .before.pool = BND_NONE,
+				     .after = { .pool = BND_NONE,
+						.next_pool = 0,
+						.reason = PLC_REASON_DEMAND } };
+	const struct plr_decision decision = { .sizes = sizes,
+					       .bundle = bundle,
+					       .manager = "entry-1",
+					       .changes = changes };
+	g_autofree char *text = NULL;
+	const char *found;
+
+	g_array_append_val(changes, change);
+	change.vm = 1;
+	change.after.reason = PLC_REASON_FILL;
+	g_array_append_val(changes, change);
+	text = plr_decision_build(&decision);
+	found = strstr(text, "demand_milli\":15000");
+	ck_assert_msg(found != NULL, "%s", text);
+	ck_assert_ptr_null(strstr(found + 1, "demand_milli"));
+	ck_assert_ptr_nonnull(strstr(text, "\"wanted\":3"));
+	bnd_bundle_unref(bundle);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("plr");
@@ -171,6 +205,7 @@
 	tcase_set_timeout(tcase, 50);
 	tcase_add_test(tcase, test_intent);
 	tcase_add_test(tcase, test_wave);
+	tcase_add_test(tcase, test_decision_demand);
 	tcase_add_test(tcase, test_dropped_pool);
 	tcase_add_test(tcase, test_two_rows_are_refused);
 	tcase_add_test(tcase, test_changed_bytes);
