Share rates among the processes known, not those heard of late

Cause: with 72 entries a process had heard 38 to 41 within 8 s, so that reads of the head and of the member list were paced for half the fleet. Change: both are paced by the number of processes known. Ruled out: more heartbeats; they are a third of the control bytes already.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -105,10 +105,10 @@
  * grows: the bytes a second stay about the same. */
 static uint64_t members_read_ms(const struct ent_entry *entry)
 {
-	uint32_t live = per_node_live_count(entry->peers);
+	uint32_t known = per_node_known_count(entry->peers);
 
 	return (uint64_t)ENT_MEMBERS_READ_MS *
-	       MAX(live, ENT_MEMBERS_READ_FULL_PACE) /
+	       MAX(known, ENT_MEMBERS_READ_FULL_PACE) /
 	       ENT_MEMBERS_READ_FULL_PACE;
 }
 
--- a/bin/sassafrascartd/syn.c
+++ b/bin/sassafrascartd/syn.c
@@ -356,9 +356,9 @@
 	const struct syn_config *config = &sync->config;
 	const struct bko_limits limits = { config->poll_ms,
 					   SYN_FAILED_READ_MAX_MS };
-	uint32_t live = sync->peers ? per_node_live_count(sync->peers) : 1;
+	uint32_t known = sync->peers ? per_node_known_count(sync->peers) : 1;
 	uint32_t delay_ms = bko_shared_period_ms(
-		config->poll_ms, live, SYN_READS_PER_S, g_random_int());
+		config->poll_ms, known, SYN_READS_PER_S, g_random_int());
 
 	if (sync->poll_failures > 0)
 		delay_ms = bko_delay_ms(&limits, sync->poll_failures,
--- a/packages/peer/include/per.h
+++ b/packages/peer/include/per.h
@@ -118,6 +118,14 @@
 /** @brief Counts the peers heard within gone_after_ms, this one included. */
 uint32_t per_node_live_count(const struct per_node *node);
 
+/**
+ * @brief Counts the processes known, heard of late or not, this one included.
+ *
+ * For sharing rates: with few heartbeats a second most of a large fleet is
+ * known but was not heard within gone_after_ms.
+ */
+uint32_t per_node_known_count(const struct per_node *node);
+
 /**
  * @brief Lists the newest heartbeat of each known peer.
  * @param cb called for each, with the time it was heard; 0 for never
--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -357,6 +357,11 @@
 	return live;
 }
 
+uint32_t per_node_known_count(const struct per_node *node)
+{
+	return node->order->len + 1;
+}
+
 void per_node_each(const struct per_node *node,
 		   void (*cb)(void *data, const struct per_heartbeat *last,
 			      uint64_t heard_ms),
