Confirm placements by majorities, not by any peer

Cause: a process might dispatch while any peer confirmed its placement. Two that are cut off from platform and manager confirmed each other for ever, and the manager took their views for lapsed and moved the VM.

Change: each placement names its electorate, the members that the manager knew. Peers confirm a placement only when more than half of its electorate reply; the manager takes silent processes for stopped only a window and a margin after more than half applied the newer one. Members change in two steps (qrm.h).

Two further faults that test_views found in the manager's rule, mended: - A process that confirmed, restarted and fetched an older placement from a cut-off peer counted as harmless, and its reply confirmed that peer. Its word counts again when it applied a number that the platform named since. - The manager went on at once when all that it knew had confirmed, though one unknown to a new manager might have been renewed a moment before. It now waits for the window in every case: a move takes that much longer.

Not run between real processes: a partition, for the fakes cannot cut UDP.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -32,7 +32,7 @@
 {
 	struct ent_entry *entry = data;
 
-	return hed_may_dispatch(syn_sync_state(entry->sync), evl_now_ms());
+	return syn_sync_may_dispatch(entry->sync);
 }
 
 static const struct clr_ops caller_ops = {
@@ -49,6 +49,8 @@
 	heartbeat->head = head->known;
 	heartbeat->applied_roll = head->applied_roll;
 	heartbeat->applied_placement = head->applied_placement;
+	heartbeat->caught_up = hed_has_caught_up(head);
+	heartbeat->confirmed_age_ms = hed_age_ms(head, evl_now_ms());
 	heartbeat->shutting_down = entry->shutting_down;
 	heartbeat->leaving_count = gat_gateway_notices(
 		entry->gateway, heartbeat->leaving, PER_LEAVING_MAX);
@@ -59,7 +61,7 @@
 {
 	struct ent_entry *entry = data;
 
-	syn_sync_hear(entry->sync, &heartbeat->head, asked_ms);
+	syn_sync_hear(entry->sync, heartbeat, asked_ms);
 	for (uint32_t i = 0; i < heartbeat->leaving_count; i++)
 		gat_gateway_hear(entry->gateway, &heartbeat->leaving[i]);
 }
@@ -336,6 +338,7 @@
 		.platform = entry->platform,
 		.trust = entry->trust,
 		.counters = &entry->counters,
+		.id = entry->self.id,
 		.poll_ms = settings->poll_ms,
 		.dispatch_window_ms = settings->dispatch_window_ms,
 	};
--- a/bin/sassafrascartd/mgr.c
+++ b/bin/sassafrascartd/mgr.c
@@ -50,6 +50,8 @@
 	memset(&manager->settled, 0, sizeof(manager->settled));
 	manager->list_read_ms = 0;
 	manager->members_read_ms = 0;
+	manager->electorate_due_ms = 0;
+	manager->term_began_ms = evl_now_ms();
 	g_hash_table_foreach_remove(manager->vms, vm_forget, NULL);
 	g_hash_table_remove_all(manager->processes);
 	ctr_add(manager->config.counters, CTR_MANAGER_TERMS);
--- /dev/null
+++ b/bin/sassafrascartd/mgr_confirm.c
@@ -0,0 +1,126 @@
+#include "mgr_private.h"
+
+/* Share of the dispatch window, and time, added for clocks that drift. */
+#define MGR_MARGIN_DIVISOR 10
+#define MGR_MARGIN_MS 100
+/* A change of the electorate waits this long for a placement to go with. */
+#define MGR_ELECTORATE_WAIT_MS 5000
+
+/* Asks whether a process has applied a placement number. */
+struct applied_query {
+	const struct mgr_manager *manager;
+	uint64_t number;
+};
+
+static bool has_applied(void *data, const char *id)
+{
+	const struct applied_query *query = data;
+	const struct cnf_process *process =
+		g_hash_table_lookup(query->manager->processes, id);
+
+	return process && process->applied >= query->number;
+}
+
+static bool majority_applied(const struct mgr_manager *manager, uint64_t number)
+{
+	struct applied_query query = { manager, number };
+
+	return qrm_electorate_holds(&manager->view->electorate, has_applied,
+				    &query);
+}
+
+static GArray *processes_list(struct mgr_manager *manager)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct cnf_process));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, manager->processes);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_array_append_vals(list, value, 1);
+	return list;
+}
+
+bool mgr_confirm_follow(struct mgr_manager *manager,
+			struct cnf_confirm *confirm, uint64_t number)
+{
+	g_autoptr(GArray) list = processes_list(manager);
+	uint32_t window_ms = manager->config.dispatch_window_ms;
+	const struct cnf_input input = {
+		.processes = (void *)list->data,
+		.count = list->len,
+		.majority = majority_applied(manager, number),
+		.now_ms = evl_now_ms(),
+		.lapse_ms = window_ms + window_ms / MGR_MARGIN_DIVISOR +
+			    MGR_MARGIN_MS,
+	};
+
+	return cnf_follow(confirm, number, &input);
+}
+
+static gint id_compare(gconstpointer a, gconstpointer b)
+{
+	return g_strcmp0(*(char *const *)a, *(char *const *)b);
+}
+
+static bool is_member(const struct mgr_manager *manager, const char *id)
+{
+	char **members = manager->view->electorate.members;
+
+	return members && g_strv_contains((const char *const *)members, id);
+}
+
+/* The processes that should be the electorate, in ascending order. */
+static GPtrArray *members_wanted(struct mgr_manager *manager)
+{
+	static const struct cnf_process unknown;
+	GPtrArray *wanted = g_ptr_array_new();
+	char **member = manager->view->electorate.members;
+	uint64_t now_ms = evl_now_ms();
+	GHashTableIter iter;
+	gpointer value;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, manager->processes);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		if (cnf_is_member(value, is_member(manager, id),
+				  manager->term_began_ms, now_ms))
+			g_ptr_array_add(wanted, id);
+	}
+	for (; member && *member; member++) {
+		if (!g_hash_table_contains(manager->processes, *member) &&
+		    cnf_is_member(&unknown, true, manager->term_began_ms,
+				  now_ms))
+			g_ptr_array_add(wanted, *member);
+	}
+	g_ptr_array_sort(wanted, id_compare);
+	g_ptr_array_add(wanted, NULL);
+	return wanted;
+}
+
+void mgr_electorate_plan(struct mgr_manager *manager)
+{
+	const struct qrm_electorate *electorate = &manager->view->electorate;
+	g_autoptr(GPtrArray) wanted = members_wanted(manager);
+	struct mgr_plan *plan = &manager->plan;
+	struct qrm_electorate next = { 0 };
+	uint64_t now_ms = evl_now_ms();
+
+	if (manager->members_read_ms == 0 ||
+	    !qrm_electorate_next(electorate, (char **)wanted->pdata,
+				 majority_applied(manager, electorate->since),
+				 manager->view->number + 1, &next)) {
+		manager->electorate_due_ms = 0;
+		return;
+	}
+	if (manager->electorate_due_ms == 0)
+		manager->electorate_due_ms = now_ms + MGR_ELECTORATE_WAIT_MS;
+	if (!plan->placement && now_ms < manager->electorate_due_ms) {
+		qrm_electorate_clear(&next);
+		return;
+	}
+	manager->electorate_due_ms = 0;
+	qrm_electorate_clear(&plan->view->electorate);
+	plan->view->electorate = next;
+	plan->placement = true;
+}
--- a/bin/sassafrascartd/mgr_plan.c
+++ b/bin/sassafrascartd/mgr_plan.c
@@ -3,9 +3,6 @@
 #include "lgx.h"
 #include "mgr_private.h"
 
-/* Share of the dispatch window, and time, added for clocks that drift. */
-#define MGR_MARGIN_DIVISOR 10
-#define MGR_MARGIN_MS 100
 #define MGR_MINUTE_MS 60000u
 
 /* What the decision functions are given, by the VM's index. */
@@ -16,43 +13,6 @@
 	bool settled;
 };
 
-static GArray *processes_list(struct mgr_manager *manager)
-{
-	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct cnf_process));
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, manager->processes);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_array_append_vals(list, value, 1);
-	return list;
-}
-
-bool mgr_confirm_follow(struct mgr_manager *manager,
-			struct mgr_confirm *confirm, uint64_t number)
-{
-	g_autoptr(GArray) list = processes_list(manager);
-	const struct cnf_process *processes = (void *)list->data;
-	uint32_t window_ms = manager->config.dispatch_window_ms;
-	uint64_t lapse_ms =
-		window_ms + window_ms / MGR_MARGIN_DIVISOR + MGR_MARGIN_MS;
-	uint64_t now_ms = evl_now_ms();
-	uint32_t count = cnf_count(processes, list->len, number);
-
-	if (confirm->number != number || confirm->since_ms == 0)
-		*confirm = (struct mgr_confirm){ .number = number,
-						 .since_ms = now_ms };
-	if (count > confirm->count) {
-		confirm->count = count;
-		confirm->since_ms = now_ms;
-	}
-	if (confirm->held_ms == 0 && list->len > 0 &&
-	    cnf_holds(processes, list->len, number, confirm->since_ms, now_ms,
-		      lapse_ms))
-		confirm->held_ms = now_ms;
-	return confirm->held_ms != 0;
-}
-
 /* The longest deadline that a request of a pool can have. */
 static uint64_t deadline_ms(const struct bnd_bundle *bundle, uint32_t pool)
 {
@@ -289,6 +249,7 @@
 	intents_remove(manager);
 	plan->placement =
 		plan->changes->len > 0 || plan->view->roll != manager->roll;
+	mgr_electorate_plan(manager);
 }
 
 static bool plan_is_empty(const struct mgr_manager *manager)
--- a/bin/sassafrascartd/mgr_private.h
+++ b/bin/sassafrascartd/mgr_private.h
@@ -9,16 +9,6 @@
 #include "mgr.h"
 #include "plr.h"
 
-/** How far a placement number is confirmed, as this manager saw it. */
-struct mgr_confirm {
-	uint64_t number;
-	uint32_t count;
-	/** monotonic time of the last new confirmation */
-	uint64_t since_ms;
-	/** monotonic time since which it holds, 0 while it does not */
-	uint64_t held_ms;
-};
-
 /** What this manager knows of a VM; forgotten when its term ends. */
 struct mgr_vm {
 	struct mgr_manager *manager;
@@ -27,7 +17,7 @@
 	enum plt_vm_state state;
 	/** monotonic time since which the list calls it down, 0 for not */
 	uint64_t down_since_ms;
-	struct mgr_confirm confirm;
+	struct cnf_confirm confirm;
 	/** intent that the fields below belong to */
 	char *intent;
 	uint64_t began_up_ms;
@@ -89,7 +79,11 @@
 	GHashTable *vms;
 	/** process's identity to struct cnf_process */
 	GHashTable *processes;
-	struct mgr_confirm settled;
+	struct cnf_confirm settled;
+	/** monotonic time at which the electorate's next change is written by
+	 *  itself; 0 while no change is due */
+	uint64_t electorate_due_ms;
+	uint64_t term_began_ms;
 	uint64_t list_read_ms;
 	uint64_t members_read_ms;
 	/** time during which the platform answered, as the list tells */
@@ -133,7 +127,10 @@
 
 /** @brief Follows how far a placement number is confirmed. */
 bool mgr_confirm_follow(struct mgr_manager *manager,
-			struct mgr_confirm *confirm, uint64_t number);
+			struct cnf_confirm *confirm, uint64_t number);
+
+/** @brief Adds the electorate's next change to the plan, if one is due. */
+void mgr_electorate_plan(struct mgr_manager *manager);
 
 /** @brief Returns the wall-clock milliseconds since 1970. */
 uint64_t mgr_wall_ms(void);
--- a/bin/sassafrascartd/mgr_read.c
+++ b/bin/sassafrascartd/mgr_read.c
@@ -4,6 +4,9 @@
 #include "mgr_private.h"
 #include "plv.h"
 
+/* Pace of reading the members while nothing waits for them. */
+#define MGR_MEMBERS_READ_MS 5000
+
 /* Whether a reading that was started may go on. */
 static bool reading_holds(struct mgr_manager *manager, enum err_kind err)
 {
@@ -168,16 +171,14 @@
 	mgr_decide(manager);
 }
 
-/* Members and VMs are read at the same pace. */
-static bool is_due(const struct mgr_manager *manager, uint64_t read_ms)
+static bool is_due(uint64_t read_ms, uint32_t pace_ms)
 {
-	return read_ms == 0 ||
-	       evl_now_ms() - read_ms >= manager->config.vm_list_ms;
+	return read_ms == 0 || evl_now_ms() - read_ms >= pace_ms;
 }
 
 static void vms_read(struct mgr_manager *manager)
 {
-	if (is_due(manager, manager->list_read_ms))
+	if (is_due(manager->list_read_ms, manager->config.vm_list_ms))
 		plt_vm_list(manager->config.platform, on_vms, manager);
 	else
 		mgr_decide(manager);
@@ -242,7 +243,7 @@
 static bool confirmations_are_awaited(const struct mgr_manager *manager)
 {
 	if (manager->settled.number != manager->view->number ||
-	    manager->settled.held_ms == 0)
+	    manager->settled.held_ms == 0 || manager->view->electorate.previous)
 		return true;
 	for (uint32_t i = 0; i < manager->view->row_count; i++) {
 		if (manager->view->rows[i].state == PLC_STATE_DRAINING)
@@ -253,10 +254,13 @@
 
 void mgr_read_fleet(struct mgr_manager *manager)
 {
+	uint32_t pace_ms = MGR_MEMBERS_READ_MS;
+
+	if (confirmations_are_awaited(manager))
+		pace_ms = MIN(pace_ms, manager->config.vm_list_ms);
 	manager->busy = true;
 	manager->read_generation = manager->generation;
-	if (confirmations_are_awaited(manager) &&
-	    is_due(manager, manager->members_read_ms)) {
+	if (is_due(manager->members_read_ms, pace_ms)) {
 		plt_range(manager->config.platform, PLT_PREFIX_MEMBER, true,
 			  on_members, manager);
 		return;
--- a/bin/sassafrascartd/syn.c
+++ b/bin/sassafrascartd/syn.c
@@ -11,6 +11,8 @@
 /* Reads of the head a second that all processes make together. */
 #define SYN_READS_PER_S 60
 #define SYN_FAILED_READ_MAX_MS 2000
+/* How often a confirmation's age is looked at, and peers asked, in a window. */
+#define SYN_ASKS_PER_WINDOW 4
 
 struct syn_sync {
 	struct syn_config config;
@@ -26,6 +28,9 @@
 	char *placement;
 	struct tmr_entry poll_timer;
 	uint64_t poll_asked_ms;
+	struct tmr_entry ask_timer;
+	/* what peers replied */
+	struct qrm_votes *votes;
 	/* value of the manager key at the last read, NULL for none */
 	char *manager;
 	/* reads of the head that failed in a row */
@@ -300,15 +305,8 @@
 	head->placement_number = placement_number;
 }
 
-void syn_sync_hear(struct syn_sync *sync, const struct hed_head *head,
-		   uint64_t asked_ms)
+static void head_follow(struct syn_sync *sync, struct hed_action action)
 {
-	struct hed_head heard = *head;
-	struct hed_action action;
-
-	refused_roll_mask(sync, &heard);
-	action = hed_hear(&sync->head, &heard, asked_ms);
-
 	ctr_add(sync->config.counters, CTR_HEADS_HEARD);
 	if (action.stale)
 		ctr_add(sync->config.counters, CTR_HEADS_STALE);
@@ -317,6 +315,73 @@
 	action_run(sync, action);
 }
 
+void syn_sync_hear(struct syn_sync *sync, const struct per_heartbeat *heartbeat,
+		   uint64_t asked_ms)
+{
+	struct hed_head heard = heartbeat->head;
+
+	if (asked_ms != 0 && heartbeat->caught_up)
+		qrm_votes_take(sync->votes, heartbeat->from.id, asked_ms,
+			       MAX(heard.placement_number,
+				   heartbeat->applied_placement));
+	refused_roll_mask(sync, &heard);
+	head_follow(sync, hed_learn(&sync->head, &heard));
+	hed_confirm_by(&sync->head, heartbeat->applied_placement, asked_ms,
+		       heartbeat->confirmed_age_ms);
+}
+
+static void platform_hear(struct syn_sync *sync, const struct hed_head *head)
+{
+	struct hed_head heard = *head;
+
+	refused_roll_mask(sync, &heard);
+	head_follow(sync, hed_hear(&sync->head, &heard, sync->poll_asked_ms));
+}
+
+/* Takes the time at which peers confirmed the placement, if a majority did. */
+static void majority_hear(struct syn_sync *sync, uint64_t now_ms)
+{
+	const char *self = NULL;
+
+	if (!sync->view)
+		return;
+	if (hed_has_caught_up(&sync->head))
+		self = sync->config.id;
+	hed_confirm(&sync->head,
+		    qrm_votes_confirmed_ms(sync->votes, &sync->view->electorate,
+					   self, sync->head.applied_placement,
+					   now_ms));
+}
+
+bool syn_sync_may_dispatch(struct syn_sync *sync)
+{
+	uint64_t now_ms = evl_now_ms();
+
+	if (!hed_may_dispatch(&sync->head, now_ms))
+		majority_hear(sync, now_ms);
+	return hed_may_dispatch(&sync->head, now_ms);
+}
+
+/* Asks peers before the last confirmation is too old. */
+static void on_ask(void *data)
+{
+	struct syn_sync *sync = data;
+	uint32_t window_ms = sync->config.dispatch_window_ms;
+	uint64_t now_ms = evl_now_ms();
+
+	evl_timer_set(sync->config.loop, &sync->ask_timer,
+		      window_ms / SYN_ASKS_PER_WINDOW);
+	if (now_ms > window_ms)
+		qrm_votes_forget(sync->votes, now_ms - window_ms);
+	if (hed_age_ms(&sync->head, now_ms) <= window_ms / 2)
+		return;
+	majority_hear(sync, now_ms);
+	if (sync->peers && sync->poll_failures > 0)
+		per_node_ask_all(sync->peers);
+	else if (sync->peers)
+		per_node_announce(sync->peers);
+}
+
 static bool pulse_parse(const struct plt_result *result, struct hed_head *out)
 {
 	memset(out, 0, sizeof(*out));
@@ -394,7 +459,7 @@
 	parsed = pulse_parse(result, &head);
 	malformed_head_note(sync, !parsed);
 	if (parsed)
-		syn_sync_hear(sync, &head, sync->poll_asked_ms);
+		platform_hear(sync, &head);
 }
 
 static void on_poll(void *data)
@@ -418,6 +483,11 @@
 	sync->poll_timer.cb = on_poll;
 	sync->poll_timer.data = sync;
 	evl_timer_set(config->loop, &sync->poll_timer, 0);
+	sync->votes = qrm_votes_create();
+	sync->ask_timer.cb = on_ask;
+	sync->ask_timer.data = sync;
+	evl_timer_set(config->loop, &sync->ask_timer,
+		      config->dispatch_window_ms / SYN_ASKS_PER_WINDOW);
 	return sync;
 }
 
@@ -426,6 +496,8 @@
 	if (!sync)
 		return;
 	tmr_cancel(&sync->poll_timer);
+	tmr_cancel(&sync->ask_timer);
+	qrm_votes_destroy(sync->votes);
 	bnd_bundle_unref(sync->bundle);
 	plc_view_destroy(sync->view);
 	g_free(sync->envelope);
--- a/bin/sassafrascartd/syn.h
+++ b/bin/sassafrascartd/syn.h
@@ -30,6 +30,8 @@
 	struct plt_platform *platform;
 	const struct sgn_trust *trust;
 	struct ctr_set *counters;
+	/** this process's identity */
+	const char *id;
 	uint32_t poll_ms;
 	uint32_t dispatch_window_ms;
 };
@@ -50,10 +52,17 @@
 void syn_sync_set_peers(struct syn_sync *sync, struct per_node *peers,
 			void (*on_changed)(void *data));
 
-/** @brief Takes a head heard from a peer at a time. */
-void syn_sync_hear(struct syn_sync *sync, const struct hed_head *head,
+/**
+ * @brief Takes what a peer tells.
+ * @param asked_ms monotonic time at which the question for it was sent, 0 if
+ *        none was
+ */
+void syn_sync_hear(struct syn_sync *sync, const struct per_heartbeat *heartbeat,
 		   uint64_t asked_ms);
 
+/** @brief Tells whether this process may dispatch at this moment. */
+bool syn_sync_may_dispatch(struct syn_sync *sync);
+
 /** @brief Returns who held the manager key at the last read, or NULL. */
 const char *syn_sync_manager(const struct syn_sync *sync);
 
--- a/packages/core/include/cnf.h
+++ b/packages/core/include/cnf.h
@@ -25,9 +25,29 @@
 	bool listed;
 };
 
-/** @brief Counts the processes that confirmed a placement number. */
-uint32_t cnf_count(const struct cnf_process *processes, uint32_t count,
-		   uint64_t number);
+/** How long a member may be away before it leaves the electorate. */
+#define CNF_MEMBER_ABSENT_MS 60000
+
+/** How far a placement number is confirmed, as the manager saw it. */
+struct cnf_confirm {
+	uint64_t number;
+	/** monotonic time since which a majority has applied it, 0 while none
+	 *  has; from then on nobody renews an older view, see qrm.h */
+	uint64_t majority_ms;
+	/** monotonic time since which it holds, 0 while it does not */
+	uint64_t held_ms;
+};
+
+/** What the manager knows at a moment. */
+struct cnf_input {
+	/** all processes known, this one included */
+	const struct cnf_process *processes;
+	uint32_t count;
+	/** whether more than half of the electorate applied the number */
+	bool majority;
+	uint64_t now_ms;
+	uint64_t lapse_ms;
+};
 
 /**
  * @brief Tells whether no process can dispatch on an older placement.
@@ -35,8 +55,7 @@
  * @param processes all processes known, this one included
  * @param count number of processes
  * @param number the placement number to be confirmed
- * @param since_ms monotonic time of the last confirmation of that number, or
- *        of its write; from then on nobody renews an older view
+ * @param since_ms monotonic time from which on nobody renews an older view
  * @param now_ms monotonic time
  * @param lapse_ms dispatch window of the processes and a margin for clocks
  */
@@ -44,4 +63,16 @@
 	       uint64_t number, uint64_t since_ms, uint64_t now_ms,
 	       uint64_t lapse_ms);
 
+/**
+ * @brief Tells whether a process should be in the electorate, see qrm.h.
+ * @param member whether it is in it now
+ * @param since_ms monotonic time at which the manager began to listen
+ */
+bool cnf_is_member(const struct cnf_process *process, bool member,
+		   uint64_t since_ms, uint64_t now_ms);
+
+/** @brief Follows a placement number until it is confirmed. */
+bool cnf_follow(struct cnf_confirm *confirm, uint64_t number,
+		const struct cnf_input *input);
+
 #endif
--- a/packages/core/include/hed.h
+++ b/packages/core/include/hed.h
@@ -15,6 +15,9 @@
 /** Lower-case hexadecimal SHA-256 with its terminating zero. */
 #define HED_DIGEST_BYTES 65
 
+/** Age of a confirmation that never was. */
+#define HED_AGE_NEVER UINT32_MAX
+
 /** Names the roll in force and the newest placement. */
 struct hed_head {
 	/** 0 when nothing was ever rolled */
@@ -34,6 +37,10 @@
 	/** monotonic time at which the applied placement was last confirmed */
 	uint64_t current_ms;
 	uint32_t window_ms;
+	/** whether the platform answered since the start, and the placement
+	 *  number in its first answer */
+	bool platform_heard;
+	uint64_t platform_number;
 };
 
 /** What to do after a head was heard. */
@@ -50,7 +57,47 @@
 void hed_state_init(struct hed_state *state, uint32_t window_ms);
 
 /**
- * @brief Takes a head from the platform or a peer.
+ * @brief Takes a head from a peer; on its own it confirms nothing.
+ * @return what to fetch
+ */
+struct hed_action hed_learn(struct hed_state *state,
+			    const struct hed_head *head);
+
+/**
+ * @brief Marks the applied placement as the newest at a time.
+ *
+ * Nothing changes while a newer placement is known.
+ */
+void hed_confirm(struct hed_state *state, uint64_t at_ms);
+
+/**
+ * @brief Takes over when a peer's placement was confirmed.
+ *
+ * That the platform or a majority confirmed a number at a time is a fact that
+ * may be passed on. The peer's clock is not compared with this one's: the age
+ * is taken off the time of the question, which came before the reply.
+ *
+ * @param number placement that the peer applied; nothing changes when it is
+ *        greater than the one applied here
+ * @param age_ms what hed_age_ms() gave there
+ */
+void hed_confirm_by(struct hed_state *state, uint64_t number, uint64_t asked_ms,
+		    uint32_t age_ms);
+
+/** @brief Returns the time since the last confirmation, HED_AGE_NEVER for
+ *  none. */
+uint32_t hed_age_ms(const struct hed_state *state, uint64_t now_ms);
+
+/**
+ * @brief Tells whether this process's word on the newest placement counts.
+ *
+ * A process that restarted has forgotten what it applied before. Its word
+ * counts again when it has applied a number that the platform named since.
+ */
+bool hed_has_caught_up(const struct hed_state *state);
+
+/**
+ * @brief Takes a head from the platform.
  * @param state updated
  * @param head the head heard
  * @param now_ms monotonic time at which the question for it was sent
--- a/packages/core/include/plc.h
+++ b/packages/core/include/plc.h
@@ -13,6 +13,7 @@
 
 #include "bnd.h"
 #include "err.h"
+#include "qrm.h"
 
 /** Where a VM is in its way between pools. */
 enum plc_state {
@@ -66,6 +67,8 @@
 	uint64_t number;
 	/** roll number of the bundle that the rows refer to */
 	uint64_t roll;
+	/** processes whose word on this placement counts */
+	struct qrm_electorate electorate;
 	struct plc_row *rows;
 	uint32_t row_count;
 };
--- a/packages/core/src/hed.c
+++ b/packages/core/src/hed.c
@@ -30,8 +30,8 @@
 	roll_copy(&state->known, in_force);
 }
 
-struct hed_action hed_hear(struct hed_state *state, const struct hed_head *head,
-			   uint64_t now_ms)
+struct hed_action hed_learn(struct hed_state *state,
+			    const struct hed_head *head)
 {
 	struct hed_action action;
 	bool stale = head->roll < state->known.roll ||
@@ -46,9 +46,49 @@
 	action = hed_pending(state);
 	action.newer = newer;
 	action.stale = stale;
+	return action;
+}
+
+void hed_confirm(struct hed_state *state, uint64_t at_ms)
+{
+	if (!hed_pending(state).fetch_placement && at_ms > state->current_ms)
+		state->current_ms = at_ms;
+}
+
+void hed_confirm_by(struct hed_state *state, uint64_t number, uint64_t asked_ms,
+		    uint32_t age_ms)
+{
+	if (number <= state->applied_placement && age_ms < asked_ms &&
+	    age_ms != HED_AGE_NEVER)
+		hed_confirm(state, asked_ms - age_ms);
+}
+
+uint32_t hed_age_ms(const struct hed_state *state, uint64_t now_ms)
+{
+	uint64_t age_ms = now_ms - state->current_ms;
+
+	if (state->current_ms == 0 || age_ms > HED_AGE_NEVER)
+		return HED_AGE_NEVER;
+	return (uint32_t)age_ms;
+}
+
+bool hed_has_caught_up(const struct hed_state *state)
+{
+	return state->platform_heard &&
+	       state->applied_placement >= state->platform_number;
+}
+
+struct hed_action hed_hear(struct hed_state *state, const struct hed_head *head,
+			   uint64_t now_ms)
+{
+	struct hed_action action = hed_learn(state, head);
+
+	if (!state->platform_heard)
+		state->platform_number = head->placement_number;
+	state->platform_heard = true;
 	/* An old head proves nothing about the present. */
-	if (!stale && !action.fetch_placement && now_ms > state->current_ms)
-		state->current_ms = now_ms;
+	if (!action.stale)
+		hed_confirm(state, now_ms);
 	return action;
 }
 
--- a/packages/core/src/plc.c
+++ b/packages/core/src/plc.c
@@ -37,6 +37,7 @@
 {
 	struct plc_view *copy = g_memdup2(view, sizeof(*view));
 
+	qrm_electorate_copy(&view->electorate, &copy->electorate);
 	copy->rows = g_new0(struct plc_row, view->row_count + 1);
 	memcpy(copy->rows, view->rows,
 	       view->row_count * sizeof(struct plc_row));
@@ -47,6 +48,7 @@
 {
 	if (!view)
 		return;
+	qrm_electorate_clear(&view->electorate);
 	g_free(view->rows);
 	g_free(view);
 }
--- /dev/null
+++ b/packages/core/tests/test_views.c
@@ -0,0 +1,505 @@
+#include <check.h>
+#include <glib.h>
+#include <string.h>
+
+#include "cnf.h"
+#include "hed.h"
+#include "qrm.h"
+
+#define TIMEOUT_S 50
+#define RUNS 200
+#define STEPS 4000
+#define STEP_MS 50
+#define WINDOW_MS 1000
+#define LAPSE_MS 1200
+#define LEASE_MS 5000
+#define PROCESSES_MAX 9
+#define ASK_PERCENT 7
+#define ASK_CALM_PERCENT 60
+#define POOL_NONE 0
+/* Long enough for a change of the electorate and some moves. */
+#define CALM_STEPS 1600
+#define ELECTORATE_WAIT_MS 5000
+
+/* One process, its links and what it may be doing. */
+struct process {
+	char id[8];
+	struct hed_state head;
+	struct qrm_votes *votes;
+	bool running;
+	bool paused;
+	/* processes hear each other within one group */
+	int group;
+	bool reaches_platform;
+	/* time at which its lease with the platform was last renewed */
+	uint64_t renewed_ms;
+};
+
+/* Processes, one VM that moves between pools, and the manager. */
+struct fleet {
+	GRand *rand;
+	uint64_t now_ms;
+	/* how often a process asks each peer, for each step */
+	int ask_percent;
+	/* how often links and processes change, for each 1000 steps */
+	int faults_permille;
+	struct process processes[PROCESSES_MAX];
+	uint32_t count;
+	/* pool that the VM serves, by placement number */
+	uint32_t pools[STEPS + CALM_STEPS];
+	/* by placement number */
+	struct qrm_electorate electorates[STEPS + CALM_STEPS];
+	uint64_t newest;
+	uint32_t last_pool;
+	/* process that holds the manager lease, and what it knows */
+	uint32_t manager;
+	struct cnf_process known[PROCESSES_MAX];
+	uint64_t term_began_ms;
+	uint64_t electorate_due_ms;
+	struct cnf_confirm confirm;
+	uint32_t moves;
+};
+
+static bool chance(struct fleet *fleet, int percent)
+{
+	return g_rand_int_range(fleet->rand, 0, 100) < percent;
+}
+
+static bool works(const struct process *process)
+{
+	return process->running && !process->paused;
+}
+
+static void placement_take(struct process *process, uint64_t number)
+{
+	process->head.applied_placement =
+		MAX(process->head.applied_placement, number);
+}
+
+static void process_start(struct fleet *fleet, struct process *process)
+{
+	qrm_votes_destroy(process->votes);
+	process->votes = qrm_votes_create();
+	hed_state_init(&process->head, WINDOW_MS);
+	hed_applied(&process->head, 1);
+	process->running = true;
+	process->renewed_ms = fleet->now_ms;
+}
+
+static void platform_ask(struct fleet *fleet, struct process *process)
+{
+	const struct hed_head head = { .roll = 1,
+				       .placement_number = fleet->newest };
+
+	process->renewed_ms = fleet->now_ms;
+	if (hed_hear(&process->head, &head, fleet->now_ms).fetch_placement)
+		placement_take(process, fleet->newest);
+}
+
+static void peer_ask(struct fleet *fleet, struct process *process,
+		     const struct process *peer)
+{
+	const struct hed_state *head = &peer->head;
+
+	if (hed_has_caught_up(head))
+		qrm_votes_take(process->votes, peer->id, fleet->now_ms,
+			       MAX(head->known.placement_number,
+				   head->applied_placement));
+	if (hed_learn(&process->head, &head->known).fetch_placement)
+		placement_take(process, head->applied_placement);
+	hed_confirm_by(&process->head, head->applied_placement, fleet->now_ms,
+		       hed_age_ms(head, fleet->now_ms));
+}
+
+/* What the entry process does, see syn_sync_may_dispatch(). */
+static bool may_dispatch(const struct fleet *fleet, struct process *process)
+{
+	uint64_t number = process->head.applied_placement;
+	bool votes = hed_has_caught_up(&process->head);
+
+	if (hed_may_dispatch(&process->head, fleet->now_ms))
+		return true;
+	hed_confirm(&process->head,
+		    qrm_votes_confirmed_ms(
+			    process->votes, &fleet->electorates[number],
+			    votes ? process->id : NULL, number, fleet->now_ms));
+	return hed_may_dispatch(&process->head, fleet->now_ms);
+}
+
+static void process_step(struct fleet *fleet, struct process *process)
+{
+	if (!works(process))
+		return;
+	if (process->reaches_platform && chance(fleet, 20))
+		platform_ask(fleet, process);
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		struct process *peer = &fleet->processes[i];
+
+		if (peer != process && works(peer) &&
+		    peer->group == process->group &&
+		    chance(fleet, fleet->ask_percent))
+			peer_ask(fleet, process, peer);
+	}
+}
+
+/* The links change, and processes pause, stop, start and restart. */
+static void faults_step(struct fleet *fleet)
+{
+	bool whole = chance(fleet, 20);
+	int groups = g_rand_int_range(fleet->rand, 2, 4);
+
+	if (g_rand_int_range(fleet->rand, 0, 1000) >= fleet->faults_permille)
+		return;
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		struct process *process = &fleet->processes[i];
+
+		process->group =
+			whole ? 0 : g_rand_int_range(fleet->rand, 0, groups);
+		process->reaches_platform = whole || chance(fleet, 50);
+		process->paused = chance(fleet, 10);
+		if (chance(fleet, 10))
+			process->running = false;
+		else if (chance(fleet, process->running ? 15 : 50))
+			process_start(fleet, process);
+	}
+}
+
+static bool has_applied(void *data, const char *id)
+{
+	const struct fleet *fleet = data;
+	uint64_t number = fleet->electorates[fleet->newest].since;
+
+	return fleet->known[id[1] - '0'].applied >= number;
+}
+
+static bool has_applied_newest(void *data, const char *id)
+{
+	const struct fleet *fleet = data;
+
+	return fleet->known[id[1] - '0'].applied >= fleet->newest;
+}
+
+/* The electorate's next change, if there is one. */
+static bool electorate_next(struct fleet *fleet, struct qrm_electorate *next)
+{
+	const struct qrm_electorate *now = &fleet->electorates[fleet->newest];
+	char *wanted[PROCESSES_MAX + 1] = { NULL };
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		char *id = fleet->processes[i].id;
+		bool member =
+			now->members &&
+			g_strv_contains((const char *const *)now->members, id);
+
+		if (cnf_is_member(&fleet->known[i], member,
+				  fleet->term_began_ms, fleet->now_ms))
+			wanted[count++] = id;
+	}
+	return qrm_electorate_next(
+		now, wanted, qrm_electorate_holds(now, has_applied, fleet),
+		fleet->newest + 1, next);
+}
+
+static void placement_write(struct fleet *fleet, uint32_t pool)
+{
+	struct qrm_electorate *next = &fleet->electorates[fleet->newest + 1];
+
+	if (!electorate_next(fleet, next))
+		qrm_electorate_copy(&fleet->electorates[fleet->newest], next);
+	fleet->newest++;
+	fleet->pools[fleet->newest] = pool;
+	if (pool != POOL_NONE)
+		fleet->last_pool = pool;
+	fleet->electorate_due_ms = 0;
+}
+
+/* The lease goes to a process that reaches the platform. */
+static bool manager_elect(struct fleet *fleet)
+{
+	const struct process *holder = &fleet->processes[fleet->manager];
+	uint32_t next = (uint32_t)g_rand_int_range(fleet->rand, 0,
+						   (gint32)fleet->count);
+
+	if (works(holder) && holder->reaches_platform)
+		return true;
+	holder = &fleet->processes[next];
+	if (!works(holder) || !holder->reaches_platform)
+		return false;
+	fleet->manager = next;
+	memset(fleet->known, 0, sizeof(fleet->known));
+	memset(&fleet->confirm, 0, sizeof(fleet->confirm));
+	fleet->term_began_ms = fleet->now_ms;
+	fleet->electorate_due_ms = 0;
+	return true;
+}
+
+static void manager_hear(struct fleet *fleet)
+{
+	const struct process *holder = &fleet->processes[fleet->manager];
+
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		const struct process *process = &fleet->processes[i];
+		struct cnf_process *known = &fleet->known[i];
+
+		known->listed = process->renewed_ms + LEASE_MS > fleet->now_ms;
+		if (known->listed)
+			known->listed_ms = fleet->now_ms;
+		if (!works(process) || process->group != holder->group)
+			continue;
+		known->heard_ms = fleet->now_ms;
+		known->applied = process->head.applied_placement;
+	}
+}
+
+static bool placement_is_confirmed(struct fleet *fleet)
+{
+	const struct cnf_input input = {
+		.processes = fleet->known,
+		.count = fleet->count,
+		.majority =
+			qrm_electorate_holds(&fleet->electorates[fleet->newest],
+					     has_applied_newest, fleet),
+		.now_ms = fleet->now_ms,
+		.lapse_ms = LAPSE_MS,
+	};
+
+	return cnf_follow(&fleet->confirm, fleet->newest, &input);
+}
+
+/* A change of the electorate is written by itself after a while. */
+static void electorate_step(struct fleet *fleet)
+{
+	struct qrm_electorate next = { 0 };
+
+	if (!electorate_next(fleet, &next)) {
+		fleet->electorate_due_ms = 0;
+		return;
+	}
+	qrm_electorate_clear(&next);
+	if (fleet->electorate_due_ms == 0)
+		fleet->electorate_due_ms = fleet->now_ms + ELECTORATE_WAIT_MS;
+	if (fleet->now_ms >= fleet->electorate_due_ms)
+		placement_write(fleet, fleet->pools[fleet->newest]);
+}
+
+static void manager_step(struct fleet *fleet)
+{
+	if (!manager_elect(fleet) || !chance(fleet, 50))
+		return;
+	manager_hear(fleet);
+	if (fleet->pools[fleet->newest] != POOL_NONE) {
+		if (chance(fleet, 5))
+			placement_write(fleet, POOL_NONE);
+	} else if (placement_is_confirmed(fleet)) {
+		placement_write(fleet, fleet->last_pool + 1);
+		fleet->moves++;
+	}
+	electorate_step(fleet);
+}
+
+static void fleet_check(struct fleet *fleet, guint32 seed, int run)
+{
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		struct process *process = &fleet->processes[i];
+		uint64_t number = process->head.applied_placement;
+		uint32_t pool = fleet->pools[number];
+
+		if (!works(process) || pool == POOL_NONE ||
+		    !may_dispatch(fleet, process))
+			continue;
+		ck_assert_msg(pool == fleet->last_pool,
+			      "seed %u run %d at %" G_GUINT64_FORMAT
+			      " ms: process %u of %u dispatches on placement "
+			      "%" G_GUINT64_FORMAT
+			      " (pool %u), the newest is %" G_GUINT64_FORMAT
+			      " (pool %u)",
+			      seed, run, fleet->now_ms, i, fleet->count, number,
+			      pool, fleet->newest, fleet->last_pool);
+	}
+}
+
+static void fleet_start(struct fleet *fleet, GRand *rand)
+{
+	memset(fleet, 0, sizeof(*fleet));
+	fleet->rand = rand;
+	fleet->now_ms = LEASE_MS;
+	fleet->ask_percent = ASK_PERCENT;
+	fleet->faults_permille = chance(fleet, 50) ? 20 : 3;
+	/* Small fleets more often, for they fail in more ways. */
+	fleet->count = (uint32_t)g_rand_int_range(
+		rand, 3, chance(fleet, 25) ? PROCESSES_MAX + 1 : 6);
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		struct process *process = &fleet->processes[i];
+
+		g_snprintf(process->id, sizeof(process->id), "e%u", i);
+		process->reaches_platform = true;
+		/* The others join later. */
+		if (i == 0 || chance(fleet, 70))
+			process_start(fleet, process);
+	}
+	manager_hear(fleet);
+	placement_write(fleet, 1);
+}
+
+static void fleet_stop(struct fleet *fleet)
+{
+	for (uint32_t i = 0; i < fleet->count; i++)
+		qrm_votes_destroy(fleet->processes[i].votes);
+	for (uint64_t i = 0; i <= fleet->newest; i++)
+		qrm_electorate_clear(&fleet->electorates[i]);
+}
+
+static void fleet_step(struct fleet *fleet, guint32 seed, int run)
+{
+	fleet->now_ms += STEP_MS;
+	for (uint32_t i = 0; i < fleet->count; i++)
+		process_step(fleet, &fleet->processes[i]);
+	manager_step(fleet);
+	fleet_check(fleet, seed, run);
+}
+
+/* Ends all faults but those of the platform and of stopped processes. */
+static void faults_end(struct fleet *fleet, bool platform)
+{
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		struct process *process = &fleet->processes[i];
+
+		process->group = 0;
+		process->paused = false;
+		process->reaches_platform = platform;
+		if (platform && !process->running)
+			process_start(fleet, process);
+	}
+}
+
+static void calm_steps(struct fleet *fleet, guint32 seed, int run, int steps)
+{
+	fleet->ask_percent = ASK_CALM_PERCENT;
+	for (int step = 0; step < steps; step++)
+		fleet_step(fleet, seed, run);
+	for (uint32_t i = 0; i < fleet->count; i++) {
+		struct process *process = &fleet->processes[i];
+
+		ck_assert_msg(!process->running || may_dispatch(fleet, process),
+			      "seed %u run %d: process %u of %u is stopped",
+			      seed, run, i, fleet->count);
+	}
+}
+
+/*
+ * Once all are connected, moves go on and all dispatch. When the platform
+ * goes down then, and less than half of the processes with it, the others
+ * still do.
+ */
+static void progress_check(struct fleet *fleet, guint32 seed, int run)
+{
+	uint32_t moves = fleet->moves;
+
+	faults_end(fleet, true);
+	calm_steps(fleet, seed, run, CALM_STEPS / 2);
+	ck_assert_msg(fleet->moves > moves, "seed %u run %d: no moves", seed,
+		      run);
+	faults_end(fleet, false);
+	for (uint32_t i = 0; i < (fleet->count - 1) / 2; i++)
+		fleet->processes[i].running = false;
+	calm_steps(fleet, seed, run, CALM_STEPS / 4);
+}
+
+/*
+ * Random partitions, pauses and restarts: a process that may dispatch never
+ * holds a placement from before the VM's newest move.
+ */
+START_TEST(vm_is_never_served_by_two_pools)
+{
+	guint32 seed = g_random_int();
+	g_autoptr(GRand) rand = g_rand_new_with_seed(seed);
+	g_autofree struct fleet *fleet = g_new0(struct fleet, 1);
+	uint32_t moves = 0;
+
+	for (int run = 0; run < RUNS; run++) {
+		fleet_start(fleet, rand);
+		for (int step = 0; step < STEPS; step++) {
+			faults_step(fleet);
+			fleet_step(fleet, seed, run);
+		}
+		progress_check(fleet, seed, run);
+		moves += fleet->moves;
+		fleet_stop(fleet);
+	}
+	ck_assert_uint_ge(moves, RUNS);
+}
+END_TEST
+
+static bool is_named(void *data, const char *id)
+{
+	return strstr(data, id) != NULL;
+}
+
+START_TEST(electorate_changes_in_two_steps)
+{
+	char *before[] = { "a", "b", "c", NULL };
+	char *after[] = { "c", "d", "e", NULL };
+	struct qrm_electorate first = { .since = 1, .members = before };
+	struct qrm_electorate joint = { 0 };
+	struct qrm_electorate last = { 0 };
+
+	ck_assert(!qrm_electorate_next(&first, before, true, 7, &joint));
+	ck_assert(qrm_electorate_next(&first, after, true, 7, &joint));
+	ck_assert(!qrm_electorate_holds(&joint, is_named, "cde"));
+	ck_assert(!qrm_electorate_holds(&joint, is_named, "abc"));
+	ck_assert(qrm_electorate_holds(&joint, is_named, "acd"));
+	ck_assert(!qrm_electorate_next(&joint, after, false, 8, &last));
+	ck_assert(qrm_electorate_next(&joint, before, true, 8, &last));
+	ck_assert(!last.previous && last.since == 8);
+	ck_assert(qrm_electorate_holds(&last, is_named, "cd"));
+	qrm_electorate_clear(&joint);
+	qrm_electorate_clear(&last);
+}
+END_TEST
+
+START_TEST(majority_gives_its_oldest_time)
+{
+	char *members[] = { "a", "b", "c", "d", NULL };
+	const struct qrm_electorate electorate = { .members = members };
+	const struct qrm_electorate none = { 0 };
+	struct qrm_votes *votes = qrm_votes_create();
+
+	qrm_votes_take(votes, "b", 100, 5);
+	qrm_votes_take(votes, "c", 300, 6);
+	qrm_votes_take(votes, "x", 400, 5);
+	ck_assert_uint_eq(
+		qrm_votes_confirmed_ms(votes, &electorate, "a", 5, 900), 0);
+	qrm_votes_take(votes, "d", 200, 5);
+	ck_assert_uint_eq(
+		qrm_votes_confirmed_ms(votes, &electorate, "a", 5, 900), 100);
+	ck_assert_uint_eq(
+		qrm_votes_confirmed_ms(votes, &electorate, NULL, 5, 900), 0);
+	ck_assert_uint_eq(
+		qrm_votes_confirmed_ms(votes, &electorate, NULL, 6, 900), 100);
+	ck_assert_uint_eq(qrm_votes_confirmed_ms(votes, &none, "a", 6, 900), 0);
+	qrm_votes_forget(votes, 101);
+	ck_assert_uint_eq(
+		qrm_votes_confirmed_ms(votes, &electorate, "a", 6, 900), 200);
+	qrm_votes_destroy(votes);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tcase = tcase_create("views");
+	Suite *suite = suite_create("views");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tcase, TIMEOUT_S);
+	tcase_add_test(tcase, vm_is_never_served_by_two_pools);
+	tcase_add_test(tcase, electorate_changes_in_two_steps);
+	tcase_add_test(tcase, majority_gives_its_oldest_time);
+	suite_add_tcase(suite, tcase);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- a/packages/peer/include/per.h
+++ b/packages/peer/include/per.h
@@ -28,6 +28,10 @@
 	uint64_t applied_roll;
 	uint64_t applied_placement;
 	bool shutting_down;
+	/** whether its word on the newest placement counts, see hed.h */
+	bool caught_up;
+	/** time since its placement was confirmed, see hed_age_ms() */
+	uint32_t confirmed_age_ms;
 	/** VMs known to be leaving */
 	struct lvg_notice leaving[PER_LEAVING_MAX];
 	uint32_t leaving_count;
@@ -107,6 +111,9 @@
 /** @brief Sends a heartbeat to all known peers now, after a change. */
 void per_node_announce(struct per_node *node);
 
+/** @brief Sends a heartbeat to every known peer now, to be answered. */
+void per_node_ask_all(struct per_node *node);
+
 /** @brief Reports slots to the peer whose identity has a key. */
 void per_node_report_slots(struct per_node *node, uint64_t to,
 			   const struct slt_report *report);
--- a/packages/peer/src/peer_prog.h
+++ b/packages/peer/src/peer_prog.h
@@ -50,6 +50,8 @@
 	u_quad_t applied_roll;
 	u_quad_t applied_placement;
 	bool_t shutting_down;
+	bool_t caught_up;
+	u_int confirmed_age_ms;
 	struct {
 		u_int leaving_len;
 		peer_leaving *leaving_val;
--- a/packages/peer/src/peer_prog.x
+++ b/packages/peer/src/peer_prog.x
@@ -35,6 +35,8 @@
 	unsigned hyper applied_roll;
 	unsigned hyper applied_placement;
 	bool shutting_down;
+	bool caught_up;
+	unsigned int confirmed_age_ms;
 	peer_leaving leaving<PEER_LEAVING_MAX>;
 };
 
--- a/packages/peer/src/peer_prog_xdr.c
+++ b/packages/peer/src/peer_prog_xdr.c
@@ -68,6 +68,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->shutting_down))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->caught_up))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->confirmed_age_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LEAVING_MAX,
 		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
--- a/packages/peer/src/per.c
+++ b/packages/peer/src/per.c
@@ -342,6 +342,11 @@
 	heartbeats_send(node, PER_ANNOUNCE_MAX);
 }
 
+void per_node_ask_all(struct per_node *node)
+{
+	heartbeats_send(node, node->order->len);
+}
+
 uint32_t per_node_live_count(const struct per_node *node)
 {
 	uint64_t now_ms = evl_now_ms();
--- a/packages/peer/src/per_wire.c
+++ b/packages/peer/src/per_wire.c
@@ -45,6 +45,8 @@
 	out->applied_roll = in->applied_roll;
 	out->applied_placement = in->applied_placement;
 	out->shutting_down = in->shutting_down;
+	out->caught_up = in->caught_up;
+	out->confirmed_age_ms = in->confirmed_age_ms;
 }
 
 static bool heartbeat_from_xdr(const peer_heartbeat *in,
@@ -69,6 +71,8 @@
 	out->applied_roll = in->applied_roll;
 	out->applied_placement = in->applied_placement;
 	out->shutting_down = in->shutting_down;
+	out->caught_up = in->caught_up;
+	out->confirmed_age_ms = in->confirmed_age_ms;
 	leaving_from_xdr(in, out);
 	return true;
 }
--- a/packages/peer/tests/test_per_wire.c
+++ b/packages/peer/tests/test_per_wire.c
@@ -30,6 +30,8 @@
 		.applied_roll = 6,
 		.applied_placement = 5,
 		.shutting_down = true,
+		.caught_up = true,
+		.confirmed_age_ms = 1234,
 	};
 
 	memset(out, 0, sizeof(*out));
--- a/packages/platform/src/plv.c
+++ b/packages/platform/src/plv.c
@@ -81,6 +81,22 @@
 		(json_int_t)row->changed, (json_int_t)row->maintained_min);
 }
 
+static json_t *members_build(char **members)
+{
+	json_t *list = json_array();
+
+	for (; members && *members; members++)
+		json_array_append_new(list, json_string(*members));
+	return list;
+}
+
+static json_t *electorate_build(const struct qrm_electorate *electorate)
+{
+	return json_pack("[I, o, o]", (json_int_t)electorate->since,
+			 members_build(electorate->members),
+			 members_build(electorate->previous));
+}
+
 char *plv_placement_build(const struct bnd_bundle *bundle,
 			  const struct plc_view *view)
 {
@@ -92,9 +108,10 @@
 		json_array_append_new(rows,
 				      row_build(bundle, i, &view->rows[i]));
 	}
-	return dump(json_pack("{s:I, s:I, s:o}", "number",
-			      (json_int_t)view->number, "roll",
-			      (json_int_t)view->roll, "rows", rows));
+	return dump(json_pack(
+		"{s:I, s:I, s:o, s:o}", "number", (json_int_t)view->number,
+		"roll", (json_int_t)view->roll, "electorate",
+		electorate_build(&view->electorate), "rows", rows));
 }
 
 static bool state_parse(const char *name, enum plc_state *out)
@@ -181,6 +198,48 @@
 	return true;
 }
 
+/* An empty list is no electorate, which is NULL. */
+static bool members_parse(const json_t *list, char ***out)
+{
+	g_autoptr(GPtrArray) ids = g_ptr_array_new_with_free_func(g_free);
+	size_t index;
+	json_t *item;
+
+	if (!json_is_array(list))
+		return false;
+	json_array_foreach((json_t *)list, index, item)
+	{
+		char id[MEM_ID_BYTES];
+
+		if (!text_copy(item, id, sizeof(id)) || id[0] == '\0')
+			return false;
+		g_ptr_array_add(ids, g_strdup(id));
+	}
+	if (ids->len == 0)
+		return true;
+	g_ptr_array_add(ids, NULL);
+	*out = (char **)g_ptr_array_steal(ids, NULL);
+	return qrm_members_ascend(*out);
+}
+
+/* Placements of earlier releases have no electorate. */
+static bool electorate_parse(const json_t *value, struct qrm_electorate *out)
+{
+	json_int_t since;
+	json_t *members;
+	json_t *previous;
+
+	if (!value)
+		return true;
+	if (json_unpack((json_t *)value, "[I, o, o!]", &since, &members,
+			&previous) != 0 ||
+	    since < 0)
+		return false;
+	out->since = (uint64_t)since;
+	return members_parse(members, &out->members) &&
+	       members_parse(previous, &out->previous);
+}
+
 enum err_kind plv_placement_parse(const char *text, size_t len,
 				  const struct bnd_bundle *bundle,
 				  struct plc_view **out)
@@ -193,6 +252,8 @@
 	view = plc_view_create(bundle);
 	if (!number_read(root, "number", INT64_MAX, &view->number) ||
 	    !number_read(root, "roll", INT64_MAX, &view->roll) ||
+	    !electorate_parse(json_object_get(root, "electorate"),
+			      &view->electorate) ||
 	    !rows_parse(json_object_get(root, "rows"), bundle, view)) {
 		plc_view_destroy(view);
 		return ERR_MALFORMED;
--- a/packages/platform/tests/test_plt_values.c
+++ b/packages/platform/tests/test_plt_values.c
@@ -124,12 +124,42 @@
 	{ "{\"number\":1,\"roll\":1,\"rows\":[[\"a\",\"p\",\"serving\",\"\","
 	  "\"fill\",1,-1]]}",
 	  ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[],\"electorate\":[1,[\"a\","
+	  "\"b\"],[\"b\",\"c\"]]}",
+	  ERR_NONE },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[],\"electorate\":[1,[\"a\","
+	  "\"a\"],[]]}",
+	  ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[],\"electorate\":[1,[\"b\","
+	  "\"a\"],[]]}",
+	  ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[],\"electorate\":[1,[7],[]]}",
+	  ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[],\"electorate\":[1,[\"a\"]]}",
+	  ERR_MALFORMED },
+	{ "{\"number\":1,\"roll\":1,\"rows\":[],\"electorate\":[-1,[],[]]}",
+	  ERR_MALFORMED },
 	{ "{\"number\":-1,\"roll\":1,\"rows\":[]}", ERR_MALFORMED },
 	{ "{\"number\":1,\"rows\":[]}", ERR_MALFORMED },
 	{ "{\"number\":1,\"roll\":1}", ERR_MALFORMED },
 	{ "", ERR_MALFORMED },
 };
 
+static void members_compare(char **left, char **right)
+{
+	ck_assert(!left == !right);
+	ck_assert(!left || g_strv_equal((const char *const *)left,
+					(const char *const *)right));
+}
+
+static void electorates_compare(const struct qrm_electorate *left,
+				const struct qrm_electorate *right)
+{
+	ck_assert_uint_eq(left->since, right->since);
+	members_compare(left->members, right->members);
+	members_compare(left->previous, right->previous);
+}
+
 START_TEST(placements_are_parsed_or_refused)
 {
 	struct bnd_bundle *bundle = bundle_make();
@@ -148,6 +178,7 @@
 		ck_assert(second->number == view->number &&
 			  second->rows[0].pool == view->rows[0].pool &&
 			  second->rows[0].state == view->rows[0].state);
+		electorates_compare(&second->electorate, &view->electorate);
 		plc_view_destroy(second);
 	}
 	plc_view_destroy(view);
