--- a/packages/peer/src/peer_prog_xdr.c
+++ b/packages/peer/src/peer_prog_xdr.c
@@ -70,6 +70,69 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_peer_member (xdrs, &objp->from))
+			 return FALSE;
+		 if (!xdr_peer_head (xdrs, &objp->head))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->applied_roll))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->applied_placement))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->shutting_down))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->caught_up))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->confirmed_age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->shutting_down);
+		IXDR_PUT_BOOL(buf, objp->caught_up);
+		IXDR_PUT_U_LONG(buf, objp->confirmed_age_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LEAVING_MAX,
+			sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, PEER_LOADS_MAX,
+			sizeof (peer_load), (xdrproc_t) xdr_peer_load))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_peer_member (xdrs, &objp->from))
+			 return FALSE;
+		 if (!xdr_peer_head (xdrs, &objp->head))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->applied_roll))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->applied_placement))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->shutting_down))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->caught_up))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->confirmed_age_ms))
+				 return FALSE;
+
+		} else {
+		objp->shutting_down = IXDR_GET_BOOL(buf);
+		objp->caught_up = IXDR_GET_BOOL(buf);
+		objp->confirmed_age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LEAVING_MAX,
+			sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, PEER_LOADS_MAX,
+			sizeof (peer_load), (xdrproc_t) xdr_peer_load))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_peer_member (xdrs, &objp->from))
 		 return FALSE;
 	 if (!xdr_peer_head (xdrs, &objp->head))
@@ -80,6 +143,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->shutting_down))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->caught_up))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->confirmed_age_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, PEER_LEAVING_MAX,
 		sizeof (peer_leaving), (xdrproc_t) xdr_peer_leaving))
 		 return FALSE;
--- a/packages/peer/tests/test_per_wire.c
+++ b/packages/peer/tests/test_per_wire.c
@@ -32,6 +32,8 @@
 		.shutting_down = true,
 		.loads = { { 7, 8 }, { UINT32_MAX, UINT32_MAX } },
 		.load_count = PER_LOADS_MAX,
+		.caught_up = true,
+		.confirmed_age_ms = 1234,
 	};
 
 	memset(out, 0, sizeof(*out));
