Ask peers four times in a dispatch window

Cause: since majorities confirm the right to dispatch, a process needs answers of several peers within its window; with a window of 1 s and a heartbeat each second one late answer ended the right: wave_faults failed in 1 of 1 and 1 of 3 whole runs of make check (requests refused as stale-view while the platform was down and the manager dead), 7 of 7 alone. Change: the heartbeat's period is at most a quarter of the window; with the default window of 4 s it stays 1 s. Ruled out: a longer window in the scenario, which would hide it.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -12,6 +12,9 @@
 /* Members up to which the list is read at that pace. */
 #define ENT_MEMBERS_READ_FULL_PACE 10
 #define ENT_PEER_PERIOD_MS 1000
+/* Peers are asked this often in a dispatch window, so that one lost answer
+ * or a late one does not end the right to dispatch. */
+#define ENT_PEER_ASKS_PER_WINDOW 4
 #define ENT_PEER_FAN_OUT 3
 
 static void on_request(void *data, struct clr_request *request)
@@ -143,12 +146,20 @@
 	plt_range(entry->platform, PLT_PREFIX_MEMBER, true, on_members, entry);
 }
 
+static uint32_t peer_period_ms(const struct set_settings *settings)
+{
+	uint32_t period_ms =
+		settings->dispatch_window_ms / ENT_PEER_ASKS_PER_WINDOW;
+
+	return CLAMP(period_ms, 1, ENT_PEER_PERIOD_MS);
+}
+
 static enum err_kind peers_open(struct ent_entry *entry)
 {
 	const struct per_config config = {
 		.self = entry->self,
 		.port = entry->settings->rpc.port,
-		.period_ms = ENT_PEER_PERIOD_MS,
+		.period_ms = peer_period_ms(entry->settings),
 		.fan_out = ENT_PEER_FAN_OUT,
 		.gone_after_ms = ENT_PEER_GONE_AFTER_MS,
 	};
