--- /dev/null
+++ b/tests/runner_process.c
@@ -0,0 +1,184 @@
+#include "runner_process.h"
+
+#include <fcntl.h>
+#include <lauxlib.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define ARGUMENTS_MAX 64
+
+static void child_exec(char **argv, const char *log, int out)
+{
+	int err = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+	dup2(out, STDOUT_FILENO);
+	dup2(err, STDERR_FILENO);
+	execv(argv[0], argv);
+	_exit(127);
+}
+
+static pid_t child_start(char **argv, const char *log, int *out)
+{
+	int pipe_fds[2];
+	pid_t pid;
+
+	if (pipe2(pipe_fds, O_CLOEXEC) != 0)
+		return -1;
+	pid = fork();
+	if (pid == 0)
+		child_exec(argv, log, pipe_fds[1]);
+	close(pipe_fds[1]);
+	*out = pipe_fds[0];
+	return pid;
+}
+
+static void argv_read(lua_State *lua, char *argv[ARGUMENTS_MAX])
+{
+	lua_Integer count = luaL_len(lua, 1);
+
+	luaL_argcheck(lua, count < ARGUMENTS_MAX, 1, "too many arguments");
+	for (lua_Integer i = 1; i <= count; i++) {
+		lua_geti(lua, 1, i);
+		argv[i - 1] = (char *)luaL_checkstring(lua, -1);
+		lua_pop(lua, 1);
+	}
+	argv[count] = NULL;
+}
+
+static char *program_path(lua_State *lua, const char *name)
+{
+	return g_build_filename(runner_of(lua)->bin_dir, name, NULL);
+}
+
+/* Starts a verb's program; fills the reading end of its standard output. */
+static pid_t program_start(lua_State *lua, int *out)
+{
+	char *argv[ARGUMENTS_MAX];
+	const char *log = runner_table_string(lua, "log", "/dev/null");
+	g_autofree char *program = NULL;
+	pid_t pid;
+
+	argv_read(lua, argv);
+	program = program_path(lua, argv[0]);
+	argv[0] = program;
+	pid = child_start(argv, log, out);
+	if (pid < 0)
+		luaL_error(lua, "cannot start %s", program);
+	return pid;
+}
+
+/* spawn{program, arguments..., log=FILE} -> pid */
+static int verb_spawn(lua_State *lua)
+{
+	int out = -1;
+	pid_t pid = program_start(lua, &out);
+
+	close(out);
+	g_array_append_val(runner_of(lua)->pids, pid);
+	lua_pushinteger(lua, pid);
+	return 1;
+}
+
+/* run{program, arguments..., log=FILE} -> exit code, standard output */
+static int verb_run(lua_State *lua)
+{
+	luaL_Buffer buffer;
+	char chunk[4096];
+	ssize_t got;
+	int status;
+	int out = -1;
+	pid_t pid = program_start(lua, &out);
+
+	luaL_buffinit(lua, &buffer);
+	while ((got = read(out, chunk, sizeof(chunk))) > 0)
+		luaL_addlstring(&buffer, chunk, (size_t)got);
+	close(out);
+	waitpid(pid, &status, 0);
+	luaL_pushresult(&buffer);
+	lua_pushinteger(lua, WIFEXITED(status) ? WEXITSTATUS(status) : -1);
+	lua_rotate(lua, -2, 1);
+	return 2;
+}
+
+static int signal_number(lua_State *lua, const char *name)
+{
+	static const struct {
+		const char *name;
+		int signo;
+	} signals[] = { { "KILL", SIGKILL },
+			{ "TERM", SIGTERM },
+			{ "STOP", SIGSTOP },
+			{ "CONT", SIGCONT } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+		if (strcmp(signals[i].name, name) == 0)
+			return signals[i].signo;
+	}
+	return luaL_error(lua, "unknown signal %s", name);
+}
+
+static bool pid_is_ours(const struct runner *runner, pid_t pid)
+{
+	for (guint i = 0; i < runner->pids->len; i++) {
+		if (g_array_index(runner->pids, pid_t, i) == pid)
+			return true;
+	}
+	return false;
+}
+
+/* signal(pid, name): only for processes started by this scenario */
+static int verb_signal(lua_State *lua)
+{
+	pid_t pid = (pid_t)luaL_checkinteger(lua, 1);
+	int signo = signal_number(lua, luaL_checkstring(lua, 2));
+
+	if (!pid_is_ours(runner_of(lua), pid))
+		return luaL_error(lua, "process %d is not ours", (int)pid);
+	kill(pid, signo);
+	return 0;
+}
+
+static void pid_forget(struct runner *runner, pid_t pid)
+{
+	for (guint i = 0; i < runner->pids->len; i++) {
+		if (g_array_index(runner->pids, pid_t, i) == pid) {
+			g_array_remove_index_fast(runner->pids, i);
+			return;
+		}
+	}
+}
+
+/* exited(pid) -> exit code or negative signal once it has ended, else nil */
+static int verb_exited(lua_State *lua)
+{
+	pid_t pid = (pid_t)luaL_checkinteger(lua, 1);
+	int status;
+
+	if (waitpid(pid, &status, WNOHANG) != pid)
+		return 0;
+	pid_forget(runner_of(lua), pid);
+	lua_pushinteger(lua, WIFEXITED(status) ? WEXITSTATUS(status)
+					       : -WTERMSIG(status));
+	return 1;
+}
+
+void runner_process_kill_all(struct runner *runner)
+{
+	for (guint i = 0; i < runner->pids->len; i++) {
+		pid_t pid = g_array_index(runner->pids, pid_t, i);
+
+		kill(pid, SIGKILL);
+		waitpid(pid, NULL, 0);
+	}
+}
+
+void runner_process_register(lua_State *lua)
+{
+	lua_register(lua, "spawn", verb_spawn);
+	lua_register(lua, "run", verb_run);
+	lua_register(lua, "signal", verb_signal);
+	lua_register(lua, "exited", verb_exited);
+}
--- /dev/null
+++ b/tests/runner_process.h
@@ -0,0 +1,16 @@
+/**
+ * @file runner_process.h
+ * @brief Verbs of the scenario runner for processes.
+ */
+#ifndef RUNNER_PROCESS_H
+#define RUNNER_PROCESS_H
+
+#include "runner.h"
+
+/** @brief Registers spawn(), run(), signal() and exited(). */
+void runner_process_register(lua_State *lua);
+
+/** @brief Kills the processes of a scenario that have not ended yet. */
+void runner_process_kill_all(struct runner *runner);
+
+#endif
