Read the head in one place for the desk's commands

cmd_roll.c and cmd_status.c each read and parsed the head, and rec.c did the same for the record of a roll, whose value is a head as well. rec.c reads both now; rec_head_read() also gives the revision that a compare-and-swap needs. Behaviour is the same: no head still reads as roll 0.

--- a/bin/sassafrasctl/cmd_roll.c
+++ b/bin/sassafrasctl/cmd_roll.c
@@ -90,31 +90,12 @@
 	return err;
 }
 
-static enum err_kind head_read(struct dsk_desk *desk, struct plv_head *head,
-			       int64_t *revision)
-{
-	struct dsk_result result;
-	enum err_kind err = dsk_range(desk, PLT_KEY_HEAD, false, &result);
-
-	memset(head, 0, sizeof(*head));
-	*revision = 0;
-	if (err == ERR_NONE && result.kvs->len > 0) {
-		const struct dsk_kv *kv =
-			&g_array_index(result.kvs, struct dsk_kv, 0);
-
-		*revision = kv->mod_revision;
-		err = plv_head_parse(kv->value, kv->value_len, head);
-	}
-	dsk_result_clear(&result);
-	return err;
-}
-
 /* Reads who moved the head on, so that this roll can never be written. */
 static enum err_kind winner_read(struct roll *roll, struct plv_head *winner)
 {
 	int64_t revision;
 
-	return head_read(roll->desk, winner, &revision) == ERR_NONE
+	return rec_head_read(roll->desk, winner, &revision) == ERR_NONE
 		       ? ERR_CONFLICT
 		       : ERR_UNKNOWN_EFFECT;
 }
@@ -285,7 +266,7 @@
 				     version);
 		return false;
 	}
-	err = head_read(desk, &roll->before, &roll->before_revision);
+	err = rec_head_read(desk, &roll->before, &roll->before_revision);
 	if (err == ERR_NONE)
 		err = wtc_members_read(desk, &roll->members);
 	/* The store may have come back from an older copy. */
--- a/bin/sassafrasctl/cmd_status.c
+++ b/bin/sassafrasctl/cmd_status.c
@@ -68,22 +68,6 @@
 	return list;
 }
 
-static enum err_kind head_read(struct dsk_desk *desk, struct plv_head *head)
-{
-	struct dsk_result result;
-	enum err_kind err = dsk_range(desk, PLT_KEY_HEAD, false, &result);
-
-	memset(head, 0, sizeof(*head));
-	if (err == ERR_NONE && result.kvs->len > 0) {
-		const struct dsk_kv *kv =
-			&g_array_index(result.kvs, struct dsk_kv, 0);
-
-		err = plv_head_parse(kv->value, kv->value_len, head);
-	}
-	dsk_result_clear(&result);
-	return err;
-}
-
 /* Lists the newest rolls, which answers for a write of unknown effect. */
 static json_t *rolls_show(struct dsk_desk *desk, uint64_t newest)
 {
@@ -131,11 +115,12 @@
 {
 	g_autoptr(GArray) statuses = NULL;
 	struct plv_head head;
+	int64_t revision;
 	enum err_kind err = wtc_members_read(desk, &statuses);
 	json_t *list;
 
 	if (err == ERR_NONE)
-		err = head_read(desk, &head);
+		err = rec_head_read(desk, &head, &revision);
 	if (err != ERR_NONE)
 		return dsk_report(desk, err, NULL,
 				  "the members and the head cannot be read");
--- a/bin/sassafrasctl/rec.c
+++ b/bin/sassafrasctl/rec.c
@@ -1,29 +1,50 @@
 #include "rec.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 void rec_key_build(char key[REC_KEY_MAX_BYTES], uint64_t roll)
 {
 	g_snprintf(key, REC_KEY_MAX_BYTES, PLT_PREFIX_ROLL "%" PRIu64, roll);
 }
 
-enum err_kind rec_read(struct dsk_desk *desk, uint64_t roll,
-		       struct plv_head *out)
+/* Reads the value of a head from a key. */
+static enum err_kind value_read(struct dsk_desk *desk, const char *key,
+				struct plv_head *out, int64_t *revision)
 {
-	char key[REC_KEY_MAX_BYTES];
 	struct dsk_result result;
-	enum err_kind err;
+	enum err_kind err = dsk_range(desk, key, false, &result);
 
-	rec_key_build(key, roll);
-	err = dsk_range(desk, key, false, &result);
 	if (err == ERR_NONE && result.kvs->len == 0)
 		err = ERR_NOT_FOUND;
 	if (err == ERR_NONE) {
 		const struct dsk_kv *kv =
 			&g_array_index(result.kvs, struct dsk_kv, 0);
 
+		*revision = kv->mod_revision;
 		err = plv_head_parse(kv->value, kv->value_len, out);
 	}
 	dsk_result_clear(&result);
 	return err;
 }
+
+enum err_kind rec_read(struct dsk_desk *desk, uint64_t roll,
+		       struct plv_head *out)
+{
+	char key[REC_KEY_MAX_BYTES];
+	int64_t revision;
+
+	rec_key_build(key, roll);
+	return value_read(desk, key, out, &revision);
+}
+
+enum err_kind rec_head_read(struct dsk_desk *desk, struct plv_head *out,
+			    int64_t *revision)
+{
+	enum err_kind err;
+
+	memset(out, 0, sizeof(*out));
+	*revision = 0;
+	err = value_read(desk, PLT_KEY_HEAD, out, revision);
+	return err == ERR_NOT_FOUND ? ERR_NONE : err;
+}
--- a/bin/sassafrasctl/rec.h
+++ b/bin/sassafrasctl/rec.h
@@ -1,6 +1,6 @@
 /**
  * @file rec.h
- * @brief The records of rolls at the platform.
+ * @brief The head and the records of rolls at the platform.
  *
  * Prefix: rec_. A record is written in the same transaction as the head, so
  * that it tells who wrote a roll also after others followed.
@@ -25,4 +25,14 @@
 enum err_kind rec_read(struct dsk_desk *desk, uint64_t roll,
 		       struct plv_head *out);
 
+/**
+ * @brief Reads the head, which is the newest roll.
+ * @param out roll 0 when nothing was rolled yet
+ * @param revision revision that a compare-and-swap of the head builds on; 0
+ *        when there is no head
+ * @return ERR_NONE, ERR_MALFORMED, or the kind of a failed read
+ */
+enum err_kind rec_head_read(struct dsk_desk *desk, struct plv_head *out,
+			    int64_t *revision);
+
 #endif
