--- /dev/null
+++ b/bin/sassafrasctl/exp.c
@@ -0,0 +1,136 @@
+#include "exp.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define TIME_FORMAT "%Y-%m-%dT%H:%M:%SZ"
+#define MS_PER_S 1000
+
+const char *exp_text(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "";
+}
+
+json_int_t exp_number(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+enum err_kind exp_values_read(struct dsk_desk *desk, const char *key,
+			      bool prefix, json_t **out)
+{
+	struct dsk_result result;
+	enum err_kind err = dsk_range(desk, key, prefix, &result);
+
+	*out = json_array();
+	for (guint i = 0; err == ERR_NONE && i < result.kvs->len; i++) {
+		const struct dsk_kv *kv =
+			&g_array_index(result.kvs, struct dsk_kv, i);
+		json_t *value = json_loadb(kv->value, kv->value_len, 0, NULL);
+
+		if (value)
+			json_array_append_new(*out, value);
+	}
+	dsk_result_clear(&result);
+	return err;
+}
+
+static gint by_number(gconstpointer a, gconstpointer b)
+{
+	json_int_t first = exp_number(*(json_t *const *)a, "number");
+	json_int_t second = exp_number(*(json_t *const *)b, "number");
+
+	return first < second ? -1 : first > second;
+}
+
+static void changes_take(const json_t *decision, exp_match_fn match,
+			 const char *name, json_t *out)
+{
+	size_t index;
+	json_t *change;
+
+	json_array_foreach(json_object_get(decision, "changes"), index, change)
+	{
+		json_t *copy;
+
+		if (!match(decision, change, name))
+			continue;
+		copy = json_copy(change);
+		json_object_set(copy, "number",
+				json_object_get(decision, "number"));
+		json_object_set(copy, "roll",
+				json_object_get(decision, "roll"));
+		json_object_set(copy, "at_ms",
+				json_object_get(decision, "at_ms"));
+		json_object_set(copy, "manager",
+				json_object_get(decision, "manager"));
+		json_array_append_new(out, copy);
+	}
+}
+
+enum err_kind exp_changes_read(struct dsk_desk *desk, exp_match_fn match,
+			       const char *name, json_t **out)
+{
+	g_autoptr(GPtrArray) sorted = g_ptr_array_new();
+	json_t *decisions;
+	enum err_kind err = exp_values_read(
+		desk, PLT_PREFIX_DECISION "placement/", true, &decisions);
+	size_t index;
+	json_t *decision;
+
+	*out = json_array();
+	json_array_foreach(decisions, index, decision)
+		g_ptr_array_add(sorted, decision);
+	g_ptr_array_sort(sorted, by_number);
+	for (guint i = 0; i < sorted->len; i++)
+		changes_take(g_ptr_array_index(sorted, i), match, name, *out);
+	json_decref(decisions);
+	return err;
+}
+
+static void budget_print(const json_t *budget)
+{
+	if (!budget)
+		return;
+	printf("; %" JSON_INTEGER_FORMAT
+	       " ready after it, %" JSON_INTEGER_FORMAT
+	       " lost at worst, floor %" JSON_INTEGER_FORMAT "%s",
+	       exp_number(budget, "ready"), exp_number(budget, "worst_loss"),
+	       exp_number(budget, "floor"),
+	       json_is_true(json_object_get(budget, "small"))
+		       ? ", pool too small for its rule"
+		       : "");
+}
+
+static void change_print(const json_t *change)
+{
+	g_autoptr(GDateTime) at = g_date_time_new_from_unix_utc(
+		exp_number(change, "at_ms") / MS_PER_S);
+	g_autofree char *when = g_date_time_format(at, TIME_FORMAT);
+
+	printf("%s placement %" JSON_INTEGER_FORMAT
+	       " by %s: VM %s from %s '%s' "
+	       "to %s '%s'",
+	       when, exp_number(change, "number"), exp_text(change, "manager"),
+	       exp_text(change, "vm"), exp_text(change, "was"),
+	       exp_text(change, "from"), exp_text(change, "state"),
+	       exp_text(change, "pool"));
+	if (*exp_text(change, "next"))
+		printf(", next '%s'", exp_text(change, "next"));
+	printf(": %s", exp_text(change, "reason"));
+	budget_print(json_object_get(change, "budget"));
+	putchar('\n');
+}
+
+void exp_changes_print(struct dsk_desk *desk, const json_t *changes)
+{
+	size_t index;
+	json_t *change;
+
+	if (strcmp(dsk_desk_settings(desk)->output, "json") == 0)
+		return;
+	json_array_foreach((json_t *)changes, index, change)
+		change_print(change);
+}
