Explain any roll whose record is kept

'explain roll N' told only of the newest roll; an older one was merely 'followed by others', though its record at the platform says who wrote it, when, and which version and digest. It reads the record now, and lists the processes that have the roll or a later one in force and those that do not (or do not answer). A number without a record, and one above the head, are told apart. When the members cannot be read, the command fails instead of reporting that no process lacks the roll.

--- a/bin/sassafrasctl/exp.c
+++ b/bin/sassafrasctl/exp.c
@@ -104,11 +104,17 @@
 		       : "");
 }
 
+char *exp_time(json_int_t at_ms)
+{
+	g_autoptr(GDateTime) at =
+		g_date_time_new_from_unix_utc(at_ms / MS_PER_S);
+
+	return g_date_time_format(at, TIME_FORMAT);
+}
+
 static void change_print(const json_t *change)
 {
-	g_autoptr(GDateTime) at = g_date_time_new_from_unix_utc(
-		exp_number(change, "at_ms") / MS_PER_S);
-	g_autofree char *when = g_date_time_format(at, TIME_FORMAT);
+	g_autofree char *when = exp_time(exp_number(change, "at_ms"));
 
 	printf("%s placement %" JSON_INTEGER_FORMAT
 	       " by %s: VM %s from %s '%s' "
--- a/bin/sassafrasctl/exp.h
+++ b/bin/sassafrasctl/exp.h
@@ -24,6 +24,9 @@
 enum err_kind exp_values_read(struct dsk_desk *desk, const char *key,
 			      bool prefix, json_t **out);
 
+/** @brief Formats wall-clock milliseconds as UTC. @return text to free */
+char *exp_time(json_int_t at_ms);
+
 /** Tells whether a recorded change belongs to what is explained. */
 typedef bool (*exp_match_fn)(const json_t *decision, const json_t *change,
 			     const char *name);
--- a/bin/sassafrasctl/exp_roll.c
+++ b/bin/sassafrasctl/exp_roll.c
@@ -2,8 +2,22 @@
 #include <string.h>
 
 #include "exp.h"
+#include "rec.h"
 #include "wtc.h"
 
+/* What is known of a roll. */
+struct explanation {
+	/* number as the caller of the command wrote it */
+	const char *name;
+	struct plv_head record;
+	/* number of the newest roll */
+	uint64_t newest;
+	json_t *changes;
+	/* names of processes with this roll or a later one, and of others */
+	json_t *in_force;
+	json_t *not_in_force;
+};
+
 static bool change_is_of_roll(const json_t *decision, const json_t *change,
 			      const char *name)
 {
@@ -13,79 +27,118 @@
 	return strcmp(roll, name) == 0;
 }
 
-/* Adds which processes have the roll in force, while it is the newest. */
-static void progress_add(struct dsk_desk *desk, uint64_t roll, json_t *details)
+static enum err_kind record_read(struct dsk_desk *desk, uint64_t roll,
+				 struct explanation *out)
+{
+	struct plv_head head;
+	int64_t revision;
+	enum err_kind err = rec_head_read(desk, &head, &revision);
+
+	if (err != ERR_NONE)
+		return err;
+	out->newest = head.roll;
+	if (roll > head.roll)
+		return ERR_NOT_FOUND;
+	return rec_read(desk, roll, &out->record);
+}
+
+/* Asks the processes which rolls they have in force. */
+static enum err_kind progress_read(struct dsk_desk *desk,
+				   struct explanation *out)
 {
 	g_autoptr(GArray) statuses = NULL;
-	json_t *missing = json_array();
-
-	if (wtc_members_read(desk, &statuses) == ERR_NONE) {
-		wtc_statuses_ask(desk, statuses);
-		for (guint i = 0; i < statuses->len; i++) {
-			const struct wtc_status *status =
-				&g_array_index(statuses, struct wtc_status, i);
-
-			if (!status->answered || status->roll < roll)
-				json_array_append_new(
-					missing,
-					json_string(status->member.id));
-		}
+	enum err_kind err = wtc_members_read(desk, &statuses);
+
+	if (err != ERR_NONE)
+		return err;
+	wtc_statuses_ask(desk, statuses);
+	for (guint i = 0; i < statuses->len; i++) {
+		const struct wtc_status *status =
+			&g_array_index(statuses, struct wtc_status, i);
+		bool has_it =
+			status->answered && status->roll >= out->record.roll;
+
+		json_array_append_new(has_it ? out->in_force
+					     : out->not_in_force,
+				      json_string(status->member.id));
 	}
-	json_object_set_new(details, "not_in_force", missing);
+	return ERR_NONE;
 }
 
-static int roll_report(struct dsk_desk *desk, const char *name, uint64_t roll,
-		       const json_t *head, json_t *changes)
+static json_t *details_build(const struct explanation *roll)
 {
-	uint64_t newest = (uint64_t)exp_number(head, "roll");
-	json_t *details = json_pack("{s:o}", "changes", changes);
+	const struct plv_head *record = &roll->record;
+
+	return json_pack(
+		"{s:{s:I, s:I, s:s, s:s, s:I}, s:I, s:O, s:O, s:O}", "record",
+		"roll", (json_int_t)record->roll, "version",
+		(json_int_t)record->version, "digest", record->digest, "writer",
+		record->writer, "at_ms", (json_int_t)record->at_ms, "newest",
+		(json_int_t)roll->newest, "changes", roll->changes, "in_force",
+		roll->in_force, "not_in_force", roll->not_in_force);
+}
 
-	exp_changes_print(desk, changes);
-	if (roll == 0 || roll > newest)
-		return dsk_report(desk, ERR_NOT_FOUND, details,
+static int roll_report(struct dsk_desk *desk, const struct explanation *roll)
+{
+	const struct plv_head *record = &roll->record;
+	g_autofree char *when = exp_time((json_int_t)record->at_ms);
+	g_autofree char *later = g_strdup_printf(
+		"; it was followed by others up to %" PRIu64, roll->newest);
+	size_t in_force = json_array_size(roll->in_force);
+
+	exp_changes_print(desk, roll->changes);
+	return dsk_report(
+		desk, ERR_NONE, details_build(roll),
+		"roll %s put version %" PRIu64 " (digest %s) in force, "
+		"written by %s at %s; %zu of %zu processes have it or a later "
+		"one; %zu recorded changes%s",
+		roll->name, record->version, record->digest, record->writer,
+		when, in_force, in_force + json_array_size(roll->not_in_force),
+		json_array_size(roll->changes),
+		record->roll < roll->newest ? later : "");
+}
+
+static int failure_report(struct dsk_desk *desk, const struct explanation *roll,
+			  uint64_t number, enum err_kind err)
+{
+	if (err != ERR_NOT_FOUND)
+		return dsk_report(desk, err, NULL, "roll %s cannot be read",
+				  roll->name);
+	if (number > roll->newest)
+		return dsk_report(desk, err, NULL,
 				  "roll %s was never written; the newest is "
 				  "%" PRIu64,
-				  name, newest);
-	if (roll < newest)
-		return dsk_report(desk, ERR_NONE, details,
-				  "roll %s was followed by others up to "
-				  "%" PRIu64 "; %zu recorded changes",
-				  name, newest, json_array_size(changes));
-	json_object_set(details, "head", (json_t *)head);
-	progress_add(desk, roll, details);
-	return dsk_report(
-		desk, ERR_NONE, details,
-		"roll %s put version %" JSON_INTEGER_FORMAT
-		" in force, written by %s; %zu processes do not have it; %zu "
-		"recorded changes",
-		name, exp_number(head, "version"), exp_text(head, "writer"),
-		json_array_size(json_object_get(details, "not_in_force")),
-		json_array_size(changes));
+				  roll->name, roll->newest);
+	return dsk_report(desk, err, NULL,
+			  "no record of roll %s is kept; the newest is "
+			  "%" PRIu64,
+			  roll->name, roll->newest);
 }
 
 int exp_roll(struct dsk_desk *desk, const char *name)
 {
-	json_t *heads;
-	json_t *changes = NULL;
-	enum err_kind err = exp_values_read(desk, PLT_KEY_HEAD, false, &heads);
-	guint64 roll = 0;
+	struct explanation roll = { .name = name };
+	guint64 number;
+	enum err_kind err;
 	int status;
 
-	if (!g_ascii_string_to_unsigned(name, 10, 1, INT64_MAX, &roll, NULL))
-		err = ERR_USAGE;
+	if (!g_ascii_string_to_unsigned(name, 10, 1, INT64_MAX, &number, NULL))
+		return dsk_report(desk, ERR_USAGE, NULL,
+				  "expected a roll number, found '%s'", name);
+	roll.in_force = json_array();
+	roll.not_in_force = json_array();
+	err = record_read(desk, number, &roll);
+	if (err == ERR_NONE)
+		err = exp_changes_read(desk, change_is_of_roll, name,
+				       &roll.changes);
 	if (err == ERR_NONE)
-		err = exp_changes_read(desk, change_is_of_roll, name, &changes);
+		err = progress_read(desk, &roll);
 	if (err == ERR_NONE)
-		status = roll_report(desk, name, roll, json_array_get(heads, 0),
-				     changes);
+		status = roll_report(desk, &roll);
 	else
-		status = dsk_report(
-			desk, err,
-			changes ? json_pack("{s:o}", "changes", changes) : NULL,
-			err == ERR_USAGE ? "expected a roll number, found "
-					   "'%s'"
-					 : "roll %s cannot be read",
-			name);
-	json_decref(heads);
+		status = failure_report(desk, &roll, number, err);
+	json_decref(roll.changes);
+	json_decref(roll.in_force);
+	json_decref(roll.not_in_force);
 	return status;
 }
