Say what keys, commands and shared structures are

Key comments in plt.h no longer matched the code: the manager key is not a lease, the head is the newest roll and not what is in force, and the prefix of the keys that every process reads stood behind two of them.

--- a/bin/sassafrascartd/clm_private.h
+++ b/bin/sassafrascartd/clm_private.h
@@ -16,6 +16,7 @@
 /** Claims whose fate is unknown that are remembered, to be deleted. */
 #define CLM_DOUBTS_MAX 1024
 
+/** A claim of an idempotency key, from its taking to its end. */
 struct clm_claim {
 	struct clm_claims *claims;
 	char *key;
@@ -30,6 +31,7 @@
 	int64_t create_revision;
 };
 
+/** The claims of a process and the transactions that carry them. */
 struct clm_claims {
 	struct clm_config config;
 	/** claims not asked for yet */
--- a/bin/sassafrasctl/dsk.h
+++ b/bin/sassafrasctl/dsk.h
@@ -123,13 +123,21 @@
 /** A command; arguments exclude the command's own words. */
 typedef int (*dsk_command_fn)(struct dsk_desk *desk, char **arguments);
 
+/** @brief Creates a key pair for signing. */
 int cmd_keygen(struct dsk_desk *desk, char **arguments);
+/** @brief Checks a bundle file and prints its mistakes. */
 int cmd_bundle_check(struct dsk_desk *desk, char **arguments);
+/** @brief Adds a signature to a bundle file's envelope. */
 int cmd_bundle_sign(struct dsk_desk *desk, char **arguments);
+/** @brief Writes a signed bundle to the platform, once for each version. */
 int cmd_bundle_publish(struct dsk_desk *desk, char **arguments);
+/** @brief Puts a published version in force and waits for all processes. */
 int cmd_roll(struct dsk_desk *desk, char **arguments);
+/** @brief Rolls a version that is older than the one in force. */
 int cmd_rollback(struct dsk_desk *desk, char **arguments);
+/** @brief Shows the newest rolls and what each process has in force. */
 int cmd_status(struct dsk_desk *desk, char **arguments);
+/** @brief Gives the recorded reasons of a VM, pool, wave or roll. */
 int cmd_explain(struct dsk_desk *desk, char **arguments);
 
 #endif
--- a/packages/core/include/edq.h
+++ b/packages/core/include/edq.h
@@ -13,8 +13,11 @@
 #include <glib.h>
 #include <stdint.h>
 
+/** Deadlines within this time share a bucket. */
 #define EDQ_BUCKET_MS 64u
+/** Number of buckets, a power of two. */
 #define EDQ_BUCKETS 1024u
+/** Words with a bit for each bucket. */
 #define EDQ_WORDS (EDQ_BUCKETS / 64u)
 
 /** An item, embedded in its owner; link.data is the owner's. */
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -18,16 +18,16 @@
 #include "evl.h"
 #include "hcl.h"
 
-/** Key under which the roll in force is published. */
+/** Prefix of head, placement number and manager, read by every process. */
+#define PLT_PREFIX_PULSE "/sassafrascart/pulse/"
+/** Key of the head, which is the newest roll. */
 #define PLT_KEY_HEAD "/sassafrascart/pulse/head"
 /** Key that repeats the number of the newest placement. */
 #define PLT_KEY_PLACEMENT_NUMBER "/sassafrascart/pulse/placement"
-/** Prefix of head, placement number and manager, read by every process. */
-#define PLT_PREFIX_PULSE "/sassafrascart/pulse/"
+/** Key with the identity of the manager, bound to the lease of its process. */
+#define PLT_KEY_MANAGER "/sassafrascart/pulse/manager"
 /** Key of the placement of VMs in pools. */
 #define PLT_KEY_PLACEMENT "/sassafrascart/placement"
-/** Key of the manager lease. */
-#define PLT_KEY_MANAGER "/sassafrascart/pulse/manager"
 /** Prefix of published bundles, followed by the version. */
 #define PLT_PREFIX_BUNDLE "/sassafrascart/bundle/"
 /** Prefix of the record of each roll, followed by its number. */
@@ -40,7 +40,7 @@
 #define PLT_PREFIX_CLAIM "/sassafrascart/claim/"
 /** Prefix of the records of maintenance waves, followed by the name. */
 #define PLT_PREFIX_WAVE "/sassafrascart/wave/"
-/** Prefix of the recorded reasons of decisions. */
+/** Prefix of the recorded reasons of decisions, see plr.h. */
 #define PLT_PREFIX_DECISION "/sassafrascart/decision/"
 
 /** Where the platform is and how it may be used. */
