Free the gateway when an entry process ends

ent_entry_destroy() freed every part but the gateway, since that had to be free of requests while some may still be in progress when the drain time is over. The gateway now lists its requests and drops them; a claim whose attempt may have been sent stays. The order is that of use: callers' server, gateway, peers, the rest.

h2o 2.2.5 cannot close the connections of a context, and the loop's last turn may read from one, which called into the freed entry process. A destroyed server calls none of its ops any more.

test_clr_server failed without the change to clr.c ('calls.pages == 2, 1 == 1') and passes with it. The leak sanitizer did not report the missing gateway: the h2o loop that stayed behind kept it reachable.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -401,8 +401,11 @@
 	tmr_cancel(&entry->shut_down_timer);
 	tmr_cancel(&entry->members_timer);
 	tmr_cancel(&entry->slots_timer);
-	per_node_destroy(entry->peers);
+	/* No event of a caller may reach the gateway while it is freed, and the
+	 * gateway still uses the peers and the platform. */
 	clr_server_destroy(entry->server);
+	gat_gateway_destroy(entry->gateway);
+	per_node_destroy(entry->peers);
 	lse_keeper_destroy(entry->lease);
 	mgr_manager_destroy(entry->manager);
 	syn_sync_destroy(entry->sync);
--- a/bin/sassafrascartd/ent_private.h
+++ b/bin/sassafrascartd/ent_private.h
@@ -16,6 +16,7 @@
 #include "sgn.h"
 #include "syn.h"
 
+/** The entry process: its parts and how far its shutting down has come. */
 struct ent_entry {
 	struct evl_loop *loop;
 	const struct set_settings *settings;
--- a/bin/sassafrascartd/gat.c
+++ b/bin/sassafrascartd/gat.c
@@ -232,7 +232,8 @@
 {
 	if (!gateway)
 		return;
-	g_assert(gateway->in_progress == 0);
+	while (gateway->works.head)
+		gat_work_abandon(gateway->works.head->data);
 	tmr_cancel(&gateway->pump_timer);
 	tmr_cancel(&gateway->list_timer);
 	tmr_cancel(&gateway->announce_timer);
@@ -256,7 +257,7 @@
 
 uint32_t gat_gateway_in_progress(const struct gat_gateway *gateway)
 {
-	return gateway->in_progress;
+	return gateway->works.length;
 }
 
 void gat_gateway_render(const struct gat_gateway *gateway, GString *out)
@@ -270,7 +271,7 @@
 	ctr_render_gauge(out, "claims_total", claims);
 	ctr_render_gauge(out, "claim_transactions_total", transactions);
 	ctr_render_gauge(out, "vms_leaving", lvg_count(gateway->leaving));
-	ctr_render_gauge(out, "requests_in_progress", gateway->in_progress);
+	ctr_render_gauge(out, "requests_in_progress", gateway->works.length);
 	g_hash_table_iter_init(&iter, gateway->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct gat_pool *pool = value;
--- a/bin/sassafrascartd/gat.h
+++ b/bin/sassafrascartd/gat.h
@@ -48,7 +48,13 @@
 /** @brief Creates a gateway without a bundle. */
 struct gat_gateway *gat_gateway_create(const struct gat_config *config);
 
-/** @brief Frees a gateway without requests. @param gateway may be NULL */
+/**
+ * @brief Frees a gateway; requests in progress end without an answer.
+ *
+ * The platform must outlive the gateway, and no caller's event may follow.
+ *
+ * @param gateway may be NULL
+ */
 void gat_gateway_destroy(struct gat_gateway *gateway);
 
 /** @brief Puts a bundle and a placement (may be NULL) in force. */
--- a/bin/sassafrascartd/gat_private.h
+++ b/bin/sassafrascartd/gat_private.h
@@ -13,6 +13,7 @@
 #include "ret.h"
 #include "sel.h"
 
+/** Largest request identity with its terminating zero. */
 #define GAT_REQUEST_ID_BYTES 128
 
 /** A pool's queue; it outlives the bundle that first named the pool. */
@@ -27,6 +28,7 @@
 	uint64_t swept_ms;
 };
 
+/** The gateway: what is in force, and the state of pools and servers. */
 struct gat_gateway {
 	struct gat_config config;
 	struct hcl_client *http;
@@ -49,7 +51,8 @@
 	GArray *everyone;
 	struct tmr_entry pump_timer;
 	uint64_t request_count;
-	uint32_t in_progress;
+	/** struct gat_work of each request without an answer */
+	GQueue works;
 	bool shutting_down;
 };
 
@@ -68,6 +71,8 @@
 /** A request from its arrival to its answer. */
 struct gat_work {
 	struct gat_gateway *gateway;
+	/** in gateway->works */
+	GList link;
 	/** NULL once the caller has left */
 	struct clr_request *request;
 	struct gat_pool *pool;
@@ -96,6 +101,9 @@
 /** @brief Ends the work of a caller that left. */
 void gat_work_gone(struct gat_work *work);
 
+/** @brief Drops a request without an answer, at the end of the process. */
+void gat_work_abandon(struct gat_work *work);
+
 /** @brief Sends the request that a queue's item belongs to to a VM. */
 void gat_work_dispatch(struct gat_work *work, uint32_t vm);
 
--- a/bin/sassafrascartd/gat_work.c
+++ b/bin/sassafrascartd/gat_work.c
@@ -11,7 +11,7 @@
 static void work_free(struct gat_work *work)
 {
 	tmr_cancel(&work->deadline_timer);
-	work->gateway->in_progress--;
+	g_queue_unlink(&work->gateway->works, &work->link);
 	gat_claim_end(work);
 	g_free(work->route);
 	g_free(work->failed_vm);
@@ -352,7 +352,8 @@
 	g_snprintf(work->request_id, sizeof(work->request_id),
 		   "%s-%" PRIx64 "-%" PRIu64, gateway->config.id,
 		   gateway->config.incarnation, ++gateway->request_count);
-	gateway->in_progress++;
+	work->link.data = work;
+	g_queue_push_tail_link(&gateway->works, &work->link);
 	clr_request_set_data(request, work);
 	return work;
 }
@@ -419,6 +420,18 @@
 	gat_pool_pump(gateway, work->pool);
 }
 
+void gat_work_abandon(struct gat_work *work)
+{
+	adm_queue_remove(work->pool->queue, &work->item);
+	if (work->attempt) {
+		/* The attempt may have been sent, so a claim must stay. */
+		work->sent_outcome = OUT_CUT;
+		att_cancel(work->attempt);
+		gat_slot_release(work);
+	}
+	work_free(work);
+}
+
 void gat_work_gone(struct gat_work *work)
 {
 	work->request = NULL;
--- a/packages/caller/include/clr.h
+++ b/packages/caller/include/clr.h
@@ -92,7 +92,10 @@
 				const struct clr_ops *ops, void *data,
 				struct clr_server **out);
 
-/** @brief Closes the server at once. @param server may be NULL */
+/**
+ * @brief Closes the server at once; none of the ops is called any more.
+ * @param server may be NULL
+ */
 void clr_server_destroy(struct clr_server *server);
 
 /** @brief Returns the port that the server listens on. */
--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -247,11 +247,29 @@
 	return ERR_NONE;
 }
 
+static void ignore_request(void *data, struct clr_request *request)
+{
+}
+
+static bool ignore_page(void *data, const char *path, struct clr_answer *answer,
+			GString *body)
+{
+	return false;
+}
+
+/* For connections that are still open when their server is destroyed. */
+static const struct clr_ops ignore_ops = {
+	.on_request = ignore_request,
+	.on_gone = ignore_request,
+	.on_page = ignore_page,
+};
+
 void clr_server_destroy(struct clr_server *server)
 {
 	if (!server)
 		return;
 	h2o_socket_close(server->listener);
+	server->ops = &ignore_ops;
 	/*
 	 * h2o 2.2.5 cannot close the connections of a context; with any left
 	 * the context stays allocated until the process ends.
--- /dev/null
+++ b/packages/caller/tests/test_clr_server.c
@@ -0,0 +1,121 @@
+/**
+ * @file test_clr_server.c
+ * @brief The end of a server while a caller's connection is open.
+ */
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "clr.h"
+
+#define RUN_MS 100
+
+struct calls {
+	struct evl_loop *loop;
+	uint32_t requests;
+	uint32_t pages;
+};
+
+static void on_request(void *data, struct clr_request *request)
+{
+	struct calls *calls = data;
+
+	calls->requests++;
+}
+
+static bool on_page(void *data, const char *path, struct clr_answer *answer,
+		    GString *body)
+{
+	struct calls *calls = data;
+
+	if (strcmp(path, "/page") != 0)
+		return false;
+	calls->pages++;
+	return true;
+}
+
+static const struct clr_ops ops = {
+	.on_request = on_request,
+	.on_gone = on_request,
+	.on_page = on_page,
+};
+
+static void on_stop(void *data)
+{
+	evl_loop_stop(data);
+}
+
+static void loop_run(struct evl_loop *loop)
+{
+	struct tmr_entry timer = { .cb = on_stop, .data = loop };
+
+	evl_timer_set(loop, &timer, RUN_MS);
+	evl_loop_run(loop);
+}
+
+static int caller_connect(uint16_t port)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_port = htons(port),
+				    .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
+			 0);
+	return fd;
+}
+
+static void caller_send(int fd, const char *path)
+{
+	g_autofree char *text =
+		g_strdup_printf("GET %s HTTP/1.1\r\nhost: test\r\n\r\n", path);
+
+	ck_assert_int_eq(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+}
+
+START_TEST(test_destroyed_server_calls_nothing)
+{
+	const struct clr_config config = { .ip = "127.0.0.1",
+					   .body_max_bytes = 1024,
+					   .connections_max = 4,
+					   .idle_timeout_ms = 10000 };
+	struct calls calls = { .loop = evl_loop_create() };
+	struct clr_server *server;
+	int fd;
+
+	ck_assert_int_eq(
+		clr_server_create(calls.loop, &config, &ops, &calls, &server),
+		ERR_NONE);
+	fd = caller_connect(clr_server_port(server));
+	caller_send(fd, "/page");
+	loop_run(calls.loop);
+	ck_assert_uint_eq(calls.pages, 1);
+	clr_server_destroy(server);
+	caller_send(fd, "/page");
+	caller_send(fd, "/draws");
+	loop_run(calls.loop);
+	close(fd);
+	loop_run(calls.loop);
+	ck_assert_uint_eq(calls.pages, 1);
+	ck_assert_uint_eq(calls.requests, 0);
+	evl_loop_destroy(calls.loop);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("clr_server");
+	TCase *tcase = tcase_create("end");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_destroyed_server_calls_nothing);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
