Say twin blocks once in claims, lease keeper and desk

Both transactions of claims set up and ended their batches, both answers for a lease noted the same end of a call, and both calls of the desk began alike. Each is one function now; nothing else changes.

--- a/bin/sassafrascartd/clm.c
+++ b/bin/sassafrascartd/clm.c
@@ -42,7 +42,18 @@
 	return claims;
 }
 
-static void batch_free(struct clm_batch *batch)
+struct clm_batch *clm_batch_create(struct clm_claims *claims)
+{
+	struct clm_batch *batch = g_new0(struct clm_batch, 1);
+
+	batch->claims = claims;
+	batch->items = g_ptr_array_new();
+	batch->link.data = batch;
+	g_queue_push_tail_link(&claims->batches, &batch->link);
+	return batch;
+}
+
+void clm_batch_free(struct clm_batch *batch)
 {
 	g_queue_unlink(&batch->claims->batches, &batch->link);
 	g_ptr_array_unref(batch->items);
@@ -67,7 +78,7 @@
 		struct clm_batch *batch = claims->batches.head->data;
 
 		g_ptr_array_set_free_func(batch->items, claim_free);
-		batch_free(batch);
+		clm_batch_free(batch);
 	}
 	queue_free(&claims->waiting);
 	queue_free(&claims->releasing);
@@ -167,7 +178,7 @@
 		claims->lease_until_ms = 0;
 	if (err != ERR_NONE)
 		ctr_add(claims->config.counters, CTR_PLATFORM_ERRORS);
-	batch_free(batch);
+	clm_batch_free(batch);
 	flush(claims);
 }
 
@@ -176,12 +187,9 @@
 	struct plt_compare compares[CLM_BATCH_MAX];
 	struct plt_write writes[CLM_BATCH_MAX];
 	struct plt_txn txn = { compares, 0, writes, 0 };
-	struct clm_batch *batch = g_new0(struct clm_batch, 1);
+	struct clm_batch *batch = clm_batch_create(claims);
 	GList *link;
 
-	batch->claims = claims;
-	batch->items = g_ptr_array_new();
-	batch->link.data = batch;
 	while (txn.write_count < CLM_BATCH_MAX &&
 	       (link = g_queue_pop_head_link(&claims->waiting))) {
 		struct clm_claim *claim = link->data;
@@ -195,7 +203,6 @@
 			(struct plt_write){ claim->key, claim->value,
 					    claims->lease };
 	}
-	g_queue_push_tail_link(&claims->batches, &batch->link);
 	claims->transactions++;
 	plt_txn(claims->config.platform, &txn, on_asked, batch);
 }
--- a/bin/sassafrascartd/clm_clean.c
+++ b/bin/sassafrascartd/clm_clean.c
@@ -57,9 +57,7 @@
 			g_queue_push_tail_link(&claims->releasing,
 					       &claim->link);
 	}
-	g_queue_unlink(&claims->batches, &batch->link);
-	g_ptr_array_unref(batch->items);
-	g_free(batch);
+	clm_batch_free(batch);
 	clean_later(claims, err == ERR_NONE ? 0 : CLM_CLEAN_RETRY_MS);
 }
 
@@ -68,12 +66,9 @@
 	struct plt_compare compares[CLM_BATCH_MAX];
 	struct plt_write writes[CLM_BATCH_MAX];
 	struct plt_txn txn = { compares, 0, writes, 0 };
-	struct clm_batch *batch = g_new0(struct clm_batch, 1);
+	struct clm_batch *batch = clm_batch_create(claims);
 	GList *link;
 
-	batch->claims = claims;
-	batch->items = g_ptr_array_new();
-	batch->link.data = batch;
 	while (txn.write_count < CLM_BATCH_MAX &&
 	       (link = g_queue_pop_head_link(&claims->releasing))) {
 		struct clm_claim *claim = link->data;
@@ -86,7 +81,6 @@
 		writes[txn.write_count++] =
 			(struct plt_write){ claim->key, NULL, 0 };
 	}
-	g_queue_push_tail_link(&claims->batches, &batch->link);
 	claims->deleting = true;
 	plt_txn(claims->config.platform, &txn, on_deleted, batch);
 }
--- a/bin/sassafrascartd/clm_private.h
+++ b/bin/sassafrascartd/clm_private.h
@@ -64,6 +64,12 @@
 	GList link;
 };
 
+/** @brief Creates a batch without claims, listed in claims->batches. */
+struct clm_batch *clm_batch_create(struct clm_claims *claims);
+
+/** @brief Frees a batch but not its claims. */
+void clm_batch_free(struct clm_batch *batch);
+
 /** @brief Frees a claim that is in no list. */
 void clm_claim_free(struct clm_claim *claim);
 
--- a/bin/sassafrasctl/dsk.c
+++ b/bin/sassafrasctl/dsk.c
@@ -108,13 +108,21 @@
 	evl_loop_stop(pending->loop);
 }
 
+/* Opens the platform for a call that fills a result. */
+static enum err_kind call_begin(struct dsk_desk *desk, struct dsk_result *out,
+				struct pending *pending)
+{
+	memset(out, 0, sizeof(*out));
+	*pending = (struct pending){ .loop = desk->loop, .result = out };
+	return platform_open(desk);
+}
+
 enum err_kind dsk_range(struct dsk_desk *desk, const char *key, bool prefix,
 			struct dsk_result *out)
 {
-	struct pending pending = { .loop = desk->loop, .result = out };
-	enum err_kind err = platform_open(desk);
+	struct pending pending;
+	enum err_kind err = call_begin(desk, out, &pending);
 
-	memset(out, 0, sizeof(*out));
 	if (err != ERR_NONE)
 		return err;
 	plt_range(desk->platform, key, prefix, on_result, &pending);
@@ -125,10 +133,9 @@
 enum err_kind dsk_txn(struct dsk_desk *desk, const struct plt_txn *txn,
 		      struct dsk_result *out)
 {
-	struct pending pending = { .loop = desk->loop, .result = out };
-	enum err_kind err = platform_open(desk);
+	struct pending pending;
+	enum err_kind err = call_begin(desk, out, &pending);
 
-	memset(out, 0, sizeof(*out));
 	if (err != ERR_NONE)
 		return err;
 	plt_txn(desk->platform, txn, on_result, &pending);
--- a/packages/platform/src/lse.c
+++ b/packages/platform/src/lse.c
@@ -62,15 +62,23 @@
 	evl_timer_set(keeper->loop, &keeper->renew_timer, delay_ms);
 }
 
+/* Ends a grant or renewal; false when it does not matter any more. */
+static bool call_end(struct lse_keeper *keeper, enum err_kind err)
+{
+	keeper->waiting = false;
+	if (keeper->released)
+		return false;
+	next_set(keeper, err);
+	return true;
+}
+
 static void on_renewed(void *data, enum err_kind err, int64_t lease,
 		       uint32_t ttl_s)
 {
 	struct lse_keeper *keeper = data;
 
-	keeper->waiting = false;
-	if (keeper->released)
+	if (!call_end(keeper, err))
 		return;
-	next_set(keeper, err);
 	if (err == ERR_NOT_FOUND)
 		lease_lose(keeper);
 	else if (err == ERR_NONE && keeper->lease == lease)
@@ -82,11 +90,7 @@
 {
 	struct lse_keeper *keeper = data;
 
-	keeper->waiting = false;
-	if (keeper->released)
-		return;
-	next_set(keeper, err);
-	if (err != ERR_NONE)
+	if (!call_end(keeper, err) || err != ERR_NONE)
 		return;
 	keeper->lease = lease;
 	validity_extend(keeper, ttl_s);
