Share the fleet of the scenarios of shared slots

slots_shared and slots_handover began with the same fleet, metric and wait for peers. slots.lua has them once; both judge what they judged before.

--- a/tests/scenarios/slots_handover.lua
+++ b/tests/scenarios/slots_handover.lua
@@ -2,28 +2,10 @@
 -- process takes the slots over, no backend server has more requests at once
 -- than its slots, and no request is cut.
 local fleet = require("fleet")
+local slots = require("slots")
 
 local SLOTS = 8
-local f = fleet.new{backends = {
-  {name = "vm-a", zone = "z1", rack = "r1"},
-  {name = "vm-b", zone = "z2", rack = "r2"},
-}}
-local entries = {}
-for index = 1, 3 do entries[index] = f:add_entry("entry-" .. index) end
-f:publish(1, {{name = "draws", vms = {"vm-a", "vm-b"}, queue = 500, wait_ms = 20000}},
-          {{path = "/draws", pool = "draws", idempotent = "no", deadline_ms = 20000}})
-f:must_ctl("roll", 1)
-for _, entry in ipairs(entries) do f:wait_serving(entry) end
-
-local function metric(entry, name)
-  local text = fleet.http{url = fleet.url(entry.port, "/metrics"), timeout_ms = 1000}.body
-  return tonumber(text:match("\nsassafrascart_" .. name:gsub("%p", "%%%0") .. " (%d+)")) or 0
-end
-for _, entry in ipairs(entries) do
-  fleet.wait_until(entry.name .. " hears its peers", 15000, function()
-    return metric(entry, "peers_live") == #entries
-  end)
-end
+local f, entries = slots.fleet(3)
 
 local pending, answered, sent = {}, 0, 0
 local function send(entry)
@@ -47,7 +29,7 @@
 end
 
 local function grants(entry)
-  return metric(entry, 'slot_messages_total{kind="grant"}')
+  return slots.metric(entry, 'slot_messages_total{kind="grant"}')
 end
 local before = {}
 for _, entry in ipairs(entries) do before[entry] = grants(entry) end
--- a/tests/scenarios/slots_shared.lua
+++ b/tests/scenarios/slots_shared.lua
@@ -3,31 +3,11 @@
 -- owner of the slots is killed, no server runs more than twice its slots, and
 -- the requests of the other entries go on.
 local fleet = require("fleet")
+local slots = require("slots")
 
 local SLOTS = 8
 local RUN_MS = 100
-local f = fleet.new{backends = {
-  {name = "vm-a", zone = "z1", rack = "r1"},
-  {name = "vm-b", zone = "z2", rack = "r2"},
-}}
-local entries = {}
-for index = 1, 4 do entries[index] = f:add_entry("entry-" .. index) end
-f:publish(1, {{name = "draws", vms = {"vm-a", "vm-b"}, queue = 500, wait_ms = 20000}},
-          {{path = "/draws", pool = "draws", idempotent = "no", deadline_ms = 20000}})
-f:must_ctl("roll", 1)
-for _, entry in ipairs(entries) do f:wait_serving(entry) end
-
-local function metric(entry, name)
-  local text = fleet.http{url = fleet.url(entry.port, "/metrics"), timeout_ms = 1000}.body
-  return tonumber(text:match("\nsassafrascart_" .. name:gsub("%p", "%%%0") .. " (%d+)")) or 0
-end
-
--- Every entry has heard of all others, so that all agree on one owner.
-for _, entry in ipairs(entries) do
-  fleet.wait_until(entry.name .. " hears its peers", 15000, function()
-    return metric(entry, "peers_live") == 4
-  end)
-end
+local f, entries = slots.fleet(4)
 
 local started = 0
 local function burst(through, count)
@@ -72,7 +52,7 @@
 end
 
 local function grants(entry)
-  return metric(entry, 'slot_messages_total{kind="grant"}')
+  return slots.metric(entry, 'slot_messages_total{kind="grant"}')
 end
 
 local granted_before = {}
@@ -123,7 +103,7 @@
 local function slot_messages()
   local sum = 0
   for _, entry in ipairs(survivors) do
-    sum = sum + grants(entry) + metric(entry, 'slot_messages_total{kind="report"}')
+    sum = sum + grants(entry) + slots.metric(entry, 'slot_messages_total{kind="report"}')
   end
   return sum
 end
