Hand a written placement on from process to process

Its trace: the scenario takes the platform down right after a placement was written; the processes have heard its number, and wait a call's timeout of 1 s, as long as their window, for its text. Change: the manager applies what it wrote when the write is known to have landed, and processes fetch a placement first from a peer that holds it. It also spares the platform a read of the whole placement by each process. Ruled out: a shorter timeout in the scenario, which would hide it.

--- a/bin/sassafrascartd/ent.c
+++ b/bin/sassafrascartd/ent.c
@@ -290,6 +290,13 @@
 	return syn_sync_state(entry->sync)->applied_placement;
 }
 
+static void on_placement_written(void *data, const char *text)
+{
+	struct ent_entry *entry = data;
+
+	syn_sync_take_placement(entry->sync, text);
+}
+
 static const char *current_manager(void *data)
 {
 	const struct ent_entry *entry = data;
@@ -328,6 +335,7 @@
 		.demand_window_ms = settings->demand_window_ms,
 		.dispatch_window_ms = settings->dispatch_window_ms,
 		.applied_placement = applied_placement,
+		.on_placement = on_placement_written,
 		.current_manager = current_manager,
 		.loads = loads,
 		.lease_is_valid = lease_is_valid,
--- a/bin/sassafrascartd/mgr.h
+++ b/bin/sassafrascartd/mgr.h
@@ -47,6 +47,8 @@
 	uint64_t (*applied_placement)(void *data);
 	/** tells the demand at this process, see gat_gateway_loads() */
 	uint32_t (*loads)(void *data, struct dem_load *out, uint32_t max);
+	/** takes the text of a placement that was written */
+	void (*on_placement)(void *data, const char *text);
 	/** tells who held the manager key at the last read, NULL for none */
 	const char *(*current_manager)(void *data);
 	/** tells whether the lease can be relied on at this moment */
--- a/bin/sassafrascartd/mgr_private.h
+++ b/bin/sassafrascartd/mgr_private.h
@@ -69,6 +69,8 @@
 	/** grows with each change of the bundle */
 	uint64_t generation;
 	bool busy;
+	/** placement of the write in progress, NULL when it changes none */
+	char *placement_text;
 	struct tmr_entry tick_timer;
 	/** whether the fields below are what the platform holds */
 	bool synced;
--- a/bin/sassafrascartd/mgr_write.c
+++ b/bin/sassafrascartd/mgr_write.c
@@ -101,8 +101,10 @@
 	plan->view->number++;
 	plan->view->roll = manager->roll;
 	decision.number = plan->view->number;
+	manager->placement_text =
+		plv_placement_build(manager->bundle, plan->view);
 	batch_add(batch, g_strdup(PLT_KEY_PLACEMENT),
-		  plv_placement_build(manager->bundle, plan->view));
+		  g_strdup(manager->placement_text));
 	batch_add(batch, g_strdup(PLT_KEY_PLACEMENT_NUMBER),
 		  plv_number_build(plan->view->number));
 	batch_add(batch, plr_decision_key(decision.number),
@@ -191,6 +193,15 @@
 	return true;
 }
 
+/* This process and its peers need not read the platform for what it wrote. */
+static void placement_tell(struct mgr_manager *manager)
+{
+	g_autofree char *text = g_steal_pointer(&manager->placement_text);
+
+	if (text)
+		manager->config.on_placement(manager->config.data, text);
+}
+
 static void on_written(void *data, enum err_kind err,
 		       const struct plt_result *result)
 {
@@ -209,6 +220,7 @@
 		   manager->plan.generation == manager->generation) {
 		plan_adopt(manager, result->revision);
 		manager->synced = true;
+		placement_tell(manager);
 	}
 	mgr_plan_clear(manager);
 	if (manager->synced)
@@ -233,6 +245,7 @@
 		mgr_plan_clear(manager);
 		return;
 	}
+	g_clear_pointer(&manager->placement_text, g_free);
 	if (manager->plan.placement)
 		placement_add(manager, &batch);
 	intents_add(manager, &batch);
--- a/bin/sassafrascartd/syn.c
+++ b/bin/sassafrascartd/syn.c
@@ -42,6 +42,7 @@
 	/* roll that the bundle being fetched is for */
 	struct hed_head fetching;
 	bool fetching_placement;
+	bool peer_placement_failed;
 	/* the bundle of a refused roll is not fetched again before this time */
 	uint64_t refused_roll;
 	uint64_t refused_until_ms;
@@ -233,12 +234,25 @@
 	notify(sync);
 }
 
+void syn_sync_take_placement(struct syn_sync *sync, const char *text)
+{
+	struct hed_head head = sync->head.known;
+
+	placement_apply(sync, text, strlen(text));
+	if (!sync->view)
+		return;
+	head.placement_number = sync->view->number;
+	hed_learn(&sync->head, &head);
+}
+
 static void on_peer_placement(void *data, enum err_kind err, const char *text,
 			      uint32_t len)
 {
 	struct syn_sync *sync = data;
 
 	sync->fetching_placement = false;
+	/* The next try goes to the platform, and then to peers again. */
+	sync->peer_placement_failed = err != ERR_NONE;
 	if (err == ERR_NONE)
 		placement_apply(sync, text, len);
 }
@@ -255,6 +269,7 @@
 {
 	struct syn_sync *sync = data;
 
+	sync->peer_placement_failed = false;
 	if (err != ERR_NONE) {
 		ctr_add(sync->config.counters, CTR_PLATFORM_ERRORS);
 		if (sync->peers) {
@@ -268,12 +283,32 @@
 				result->kvs[0].value_len);
 }
 
+static void holder_look(void *data, const struct per_heartbeat *last,
+			uint64_t heard_ms)
+{
+	uint64_t *greatest = data;
+
+	if (heard_ms != 0)
+		*greatest = MAX(*greatest, last->applied_placement);
+}
+
+/* Peers answer sooner than the platform, and spare its reads. */
+static bool peer_holds_placement(const struct syn_sync *sync)
+{
+	uint64_t greatest = 0;
+
+	if (sync->peers)
+		per_node_each(sync->peers, holder_look, &greatest);
+	return greatest >= sync->head.known.placement_number;
+}
+
 static void placement_fetch(struct syn_sync *sync)
 {
 	if (sync->fetching_placement || !sync->bundle)
 		return;
 	sync->fetching_placement = true;
-	if (peers_are_better(sync)) {
+	if (peers_are_better(sync) ||
+	    (peer_holds_placement(sync) && !sync->peer_placement_failed)) {
 		peer_placement_fetch(sync);
 		return;
 	}
--- a/bin/sassafrascartd/syn.h
+++ b/bin/sassafrascartd/syn.h
@@ -63,6 +63,9 @@
 /** @brief Tells whether this process may dispatch at this moment. */
 bool syn_sync_may_dispatch(struct syn_sync *sync);
 
+/** @brief Takes a placement that this process wrote as manager. */
+void syn_sync_take_placement(struct syn_sync *sync, const char *text);
+
 /** @brief Returns who held the manager key at the last read, or NULL. */
 const char *syn_sync_manager(const struct syn_sync *sync);
 
