--- a/packages/core/include/plc.h
+++ b/packages/core/include/plc.h
@@ -98,12 +98,4 @@
 /** @brief Tells whether a row stands for a VM that nothing holds. */
 bool plc_row_is_free(const struct plc_row *row);
 
-/**
- * @brief Checks that a placement fits the bundle.
- * @return ERR_NONE, or ERR_INVALID when a row names a pool that the VM may
- *         not serve while it takes new work
- */
-enum err_kind plc_check(const struct bnd_bundle *bundle,
-			const struct plc_view *view);
-
 #endif
--- a/packages/core/src/plc.c
+++ b/packages/core/src/plc.c
@@ -83,22 +83,3 @@
 	       row->state == PLC_STATE_STOPPED &&
 	       row->reason != PLC_REASON_WAVE;
 }
-
-enum err_kind plc_check(const struct bnd_bundle *bundle,
-			const struct plc_view *view)
-{
-	if (view->row_count != bundle->vm_count)
-		return ERR_INVALID;
-	for (uint32_t i = 0; i < view->row_count; i++) {
-		const struct plc_row *row = &view->rows[i];
-
-		if (row->pool == BND_NONE)
-			continue;
-		if (row->pool >= bundle->pool_count)
-			return ERR_INVALID;
-		if (row->state == PLC_STATE_SERVING &&
-		    !bnd_pool_allows(&bundle->pools[row->pool], i))
-			return ERR_INVALID;
-	}
-	return ERR_NONE;
-}
