--- /dev/null
+++ b/bin/sassafrascartd/jpr.c
@@ -0,0 +1,382 @@
+#include "jpr.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cfw.h"
+#include "esa_front.h"
+#include "esa_settings.h"
+#include "esa_store.h"
+#include "esa_work.h"
+#include "jch.h"
+#include "lgx.h"
+
+/* Deadline of a call to the store; a slow store answers in some 300 ms. */
+#define JPR_STORE_TIMEOUT_MS 1000
+/* Calls to the store that one process may make at once. */
+#define JPR_STORE_BURST 200
+/* Life of a process's lease: bounds how long a dead owner is missed. */
+#define JPR_LEASE_TTL_S 2
+/* Largest body of a request before the configuration tells another bound. */
+#define JPR_BODY_MAX_BYTES (1024u * 1024u)
+/* Descriptors left to the store, workers and peers. */
+#define JPR_CONNECTIONS_MAX 2000
+/* Time an idle connection of a caller is kept. */
+#define JPR_IDLE_TIMEOUT_MS 60000
+/* Pause before competing for ownership, for a VM with no share of a core;
+ * one with a whole core competes at once, so that strong VMs own. */
+#define JPR_COMPETE_MAX_MS 100
+/* The balancer asks once a second and takes a VM out after two misses. */
+#define JPR_BALANCER_MS 2300
+/* Time left to end before the platform kills the process. */
+#define JPR_STOP_MARGIN_MS 600
+/* Pace at which a stopping process looks whether it may end. */
+#define JPR_STOP_POLL_MS 50
+
+struct jpr_options {
+	char *node_file;
+	char *log_level;
+	bool check_config;
+};
+
+#define AT(member) offsetof(struct jpr_options, member)
+
+static const struct cfg_option jpr_options[] = {
+	{ "node-file", CFG_TEXT, AT(node_file), NULL, 0, 0,
+	  "settings file of the machine, as the platform writes it", "FILE" },
+	{ "log-level", CFG_TEXT, AT(log_level), "info", 0, 0,
+	  "error, warning, info or debug", "LEVEL" },
+	{ "check-config", CFG_BOOL, AT(check_config), NULL, 0, 0,
+	  "check the settings and exit", NULL },
+	{ 0 },
+};
+
+struct jpr_process {
+	struct evl_loop *loop;
+	struct esa_settings settings;
+	struct plt_platform *store;
+	struct esa_work *work;
+	struct jch_channel *channel;
+	struct jsv_service *service;
+	struct cfw_watcher *config;
+	struct clr_server *front;
+	struct clr_server *ready;
+	bool stopping;
+	uint64_t stopping_since_ms;
+	struct tmr_entry stop_timer;
+	uint64_t statuses[6];
+};
+
+/* A request of a caller on its way. */
+struct jpr_request {
+	struct jpr_process *process;
+	/* NULL once the caller has left */
+	struct clr_request *request;
+	struct esa_front_call call;
+	uint64_t began_ms;
+};
+
+static void on_answer(void *data, const struct jsv_answer *answer)
+{
+	struct jpr_request *request = data;
+
+	if (answer->outcome != JSV_OK && answer->outcome != JSV_NO_JOB)
+		lgx_info("call-not-served",
+			 "%s verb %d queue %s after %" G_GUINT64_FORMAT
+			 " ms: %s, %s",
+			 request->call.id, request->call.call.verb,
+			 request->call.queue,
+			 evl_now_ms() - request->began_ms,
+			 jsv_outcome_name(answer->outcome),
+			 answer->why ? answer->why : "");
+	if (request->request) {
+		clr_request_set_data(request->request, NULL);
+		esa_front_answer(request->request, request->call.call.verb,
+				 answer);
+	}
+	esa_front_clear(&request->call);
+	g_free(request);
+}
+
+static void on_request(void *data, struct clr_request *caller)
+{
+	struct jpr_process *process = data;
+	struct jpr_request *request = g_new0(struct jpr_request, 1);
+	const char *why = NULL;
+	uint16_t status = esa_front_decode(cfw_catalogue(process->config),
+					   caller, &request->call, &why);
+
+	if (status != 0) {
+		lgx_info("call-refused", "%s %s: status %u, %s",
+			 clr_request_view(caller)->method,
+			 clr_request_view(caller)->path, (unsigned int)status,
+			 why);
+		esa_front_refuse(caller, status);
+		g_free(request);
+		return;
+	}
+	request->process = process;
+	request->request = caller;
+	request->began_ms = evl_now_ms();
+	clr_request_set_data(caller, request);
+	jsv_call(process->service, &request->call.call, on_answer, request);
+}
+
+static void on_gone(void *data, struct clr_request *caller)
+{
+	struct jpr_request *request = clr_request_data(caller);
+
+	if (request)
+		request->request = NULL;
+}
+
+static bool on_front_page(void *data, const char *path,
+			  struct clr_answer *answer, GString *body)
+{
+	return false;
+}
+
+static bool on_ready_page(void *data, const char *path,
+			  struct clr_answer *answer, GString *body)
+{
+	struct jpr_process *process = data;
+
+	if (strcmp(path, "/-/metrics") == 0) {
+		jsv_metrics(process->service, body);
+		return true;
+	}
+	answer->status = !process->stopping &&
+					 cfw_catalogue(process->config) &&
+					 jsv_has_owner(process->service) ?
+				 200 :
+				 503;
+	return true;
+}
+
+static const struct clr_ops front_ops = {
+	.on_request = on_request,
+	.on_gone = on_gone,
+	.on_page = on_front_page,
+};
+
+static const struct clr_ops ready_ops = {
+	.on_request = on_request,
+	.on_gone = on_gone,
+	.on_page = on_ready_page,
+};
+
+static void on_peer_call(void *data, const struct jsv_call *call, jsv_cb cb,
+			 void *cb_data)
+{
+	struct jpr_process *process = data;
+
+	jsv_call_handed_on(process->service, call, cb, cb_data);
+}
+
+static void on_config(void *data, struct jcf_catalogue *catalogue)
+{
+	struct jpr_process *process = data;
+
+	jsv_set_catalogue(process->service, catalogue);
+}
+
+/* Ends once the balancer has noticed and all requests are answered. */
+static void on_stop_poll(void *data)
+{
+	struct jpr_process *process = data;
+	uint64_t past_ms = evl_now_ms() - process->stopping_since_ms;
+	uint32_t most_ms = process->settings.stop_grace_ms;
+
+	most_ms -= MIN(most_ms, JPR_STOP_MARGIN_MS);
+	if (past_ms >= MIN(JPR_BALANCER_MS, most_ms))
+		clr_server_shut_down(process->front);
+	if (past_ms >= most_ms ||
+	    (past_ms > JPR_BALANCER_MS + JPR_STOP_POLL_MS &&
+	     clr_server_open_requests(process->front) == 0)) {
+		evl_loop_stop(process->loop);
+		return;
+	}
+	evl_timer_set(process->loop, &process->stop_timer, JPR_STOP_POLL_MS);
+}
+
+static void on_signal(void *data, int signo)
+{
+	struct jpr_process *process = data;
+
+	if (process->stopping)
+		return;
+	lgx_info("process-stopping", "signal %d, open requests %u", signo,
+		 clr_server_open_requests(process->front));
+	process->stopping = true;
+	process->stopping_since_ms = evl_now_ms();
+	jsv_resign(process->service);
+	on_stop_poll(process);
+}
+
+static enum err_kind server_open(struct jpr_process *process,
+				 const struct cfg_endpoint *endpoint,
+				 const struct clr_ops *ops,
+				 struct clr_server **out)
+{
+	const struct clr_config config = {
+		.ip = endpoint->ip,
+		.port = endpoint->port,
+		.body_max_bytes = JPR_BODY_MAX_BYTES,
+		.connections_max = JPR_CONNECTIONS_MAX,
+		.idle_timeout_ms = JPR_IDLE_TIMEOUT_MS,
+	};
+
+	return clr_server_create(process->loop, &config, ops, process, out);
+}
+
+static enum err_kind store_open(struct jpr_process *process)
+{
+	const struct esa_settings *settings = &process->settings;
+	const struct plt_config config = {
+		.ip = settings->store.ip,
+		.port = settings->store.port,
+		.timeout_ms = JPR_STORE_TIMEOUT_MS,
+		.rate_per_s = settings->store_calls_per_s,
+		.rate_burst = JPR_STORE_BURST,
+	};
+
+	return plt_platform_create_with(process->loop, &esa_store_ops, &config,
+					&process->store);
+}
+
+static void service_open(struct jpr_process *process)
+{
+	const struct esa_settings *settings = &process->settings;
+	uint32_t weak_permille = 1000 - MIN(settings->cpu_permille, 1000);
+	const struct jsv_config config = {
+		.id = settings->machine,
+		.availability_zone = settings->availability_zone,
+		.ip = settings->ip,
+		.port = settings->own_port,
+		.lease_ttl_s = JPR_LEASE_TTL_S,
+		.compete_delay_ms = JPR_COMPETE_MAX_MS * weak_permille / 1000,
+		.worker_lease_ms = settings->worker_lease_ms,
+		.status_ms = settings->status_ms,
+		.vm_order_gap_ms = settings->vm_order_gap_ms,
+		.move_ms = settings->move_ms,
+		.maintain_ms = settings->maintain_ms,
+	};
+
+	process->work = esa_work_create(process->loop, settings);
+	process->service = jsv_service_create(process->loop, process->store,
+					      &config, &esa_work_ops,
+					      process->work, &jch_peers,
+					      process->channel);
+	jch_serve(process->channel, on_peer_call, process);
+	process->config = cfw_watcher_create(process->loop, process->store,
+					     &esa_work_ops, on_config, process);
+}
+
+static enum err_kind process_open(struct jpr_process *process)
+{
+	const struct esa_settings *settings = &process->settings;
+	enum err_kind err = store_open(process);
+
+	if (err == ERR_NONE)
+		err = jch_channel_create(process->loop, settings->ip,
+					 settings->own_port, &process->channel);
+	if (err != ERR_NONE)
+		return err;
+	service_open(process);
+	err = server_open(process, &settings->front, &front_ops,
+			  &process->front);
+	if (err == ERR_NONE)
+		err = server_open(process, &settings->ready, &ready_ops,
+				  &process->ready);
+	if (err == ERR_NONE)
+		err = evl_signals_watch(process->loop, on_signal, process);
+	return err;
+}
+
+static void process_close(struct jpr_process *process)
+{
+	jsv_service_destroy(process->service);
+	cfw_watcher_destroy(process->config);
+	clr_server_destroy(process->front);
+	clr_server_destroy(process->ready);
+	jch_channel_destroy(process->channel);
+	esa_work_destroy(process->work);
+	plt_platform_destroy(process->store);
+}
+
+static int process_run(struct jpr_process *process)
+{
+	enum err_kind err;
+
+	process->loop = evl_loop_create();
+	process->stop_timer.cb = on_stop_poll;
+	process->stop_timer.data = process;
+	err = process_open(process);
+	if (err == ERR_NONE) {
+		lgx_info("process-started",
+			 "version " SASSAFRASCART_VERSION
+			 " on %s, availability zone %s",
+			 process->settings.machine,
+			 process->settings.availability_zone);
+		evl_loop_run(process->loop);
+		lgx_info("process-stopped", "after %" G_GUINT64_FORMAT " ms",
+			 evl_now_ms() - process->stopping_since_ms);
+	} else {
+		fprintf(stderr, "sassafrascartd: cannot start: %s\n",
+			err_describe(err));
+	}
+	process_close(process);
+	evl_loop_destroy(process->loop);
+	return err_exit_code(err);
+}
+
+bool jpr_is_asked_for(int argc, char *const *argv)
+{
+	if (g_getenv("SASSAFRASCART_NODE_FILE"))
+		return true;
+	for (int i = 1; i < argc; i++) {
+		if (g_str_has_prefix(argv[i], "--node-file"))
+			return true;
+	}
+	return false;
+}
+
+static int usage_fail(GError *error)
+{
+	fprintf(stderr, "sassafrascartd: %s\n", error->message);
+	g_error_free(error);
+	return err_exit_code(ERR_USAGE);
+}
+
+int jpr_main(int argc, char **argv)
+{
+	struct jpr_options options = { 0 };
+	struct jpr_process process = { 0 };
+	GError *error = NULL;
+	int status = 0;
+
+	if (!cfg_parse(jpr_options,
+		       "Entry process of sassafrascart on a machine of the "
+		       "ESOA platform.",
+		       &argc, &argv, &options, &error) ||
+	    !esa_settings_read(options.node_file, &process.settings, &error)) {
+		cfg_clear(jpr_options, &options);
+		return usage_fail(error);
+	}
+	if (lgx_install(process.settings.machine, options.log_level) !=
+	    ERR_NONE) {
+		fprintf(stderr,
+			"sassafrascartd: --log-level: expected error, warning, "
+			"info or debug, found '%s'\n",
+			options.log_level);
+		status = err_exit_code(ERR_USAGE);
+	} else if (options.check_config) {
+		puts("the settings are valid");
+	} else {
+		status = process_run(&process);
+	}
+	esa_settings_clear(&process.settings);
+	cfg_clear(jpr_options, &options);
+	return status;
+}
--- a/bin/sassafrascartd/main.c
+++ b/bin/sassafrascartd/main.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 
 #include "ent.h"
+#include "jpr.h"
 #include "lgx.h"
 #include "set.h"
 #include "sgn.h"
@@ -92,6 +93,8 @@
 	int status;
 
 	signal(SIGPIPE, SIG_IGN);
+	if (jpr_is_asked_for(argc, argv))
+		return jpr_main(argc, argv);
 	if (!set_parse(&argc, &argv, &settings, &error)) {
 		fprintf(stderr, "sassafrascartd: %s\n", error->message);
 		g_error_free(error);
--- a/packages/caller/include/clr.h
+++ b/packages/caller/include/clr.h
@@ -49,6 +49,8 @@
 /** What a request holds; strings are terminated and live as long as it. */
 struct clr_view {
 	const char *method;
+	/** host that the caller asked for, with its port if it named one */
+	const char *authority;
 	/** path with query, as sent on */
 	const char *target;
 	/** normalised path without query, for routing */
--- a/packages/caller/src/clr.c
+++ b/packages/caller/src/clr.c
@@ -82,6 +82,7 @@
 	struct clr_view *view = &request->view;
 
 	view->method = pool_strdup(req, req->method);
+	view->authority = pool_strdup(req, req->authority);
 	view->target = pool_strdup(req, req->path);
 	view->path = pool_strdup(req, path_without_query(req));
 	view->body = req->entity.base;
--- /dev/null
+++ b/packages/core/include/urg.h
@@ -0,0 +1,53 @@
+/**
+ * @file urg.h
+ * @brief Urgency of work that waits: what is started first.
+ *
+ * Prefix: urg_. Pure. A job is worth its value only within its objective, so
+ * what can still make it goes before what cannot; what has begun goes before
+ * what has not, since its work is lost otherwise.
+ */
+#ifndef URG_H
+#define URG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Bands of urgency, the most urgent first. */
+enum urg_band {
+	/** tasks that run until cancelled, missed from their start */
+	URG_BAND_LASTING,
+	URG_BAND_BEGUN,
+	URG_BAND_IN_TIME,
+	/** late, but still of some worth */
+	URG_BAND_LATE,
+	URG_BAND_HOPELESS,
+};
+
+/** Work that waits. */
+struct urg_work {
+	bool lasting;
+	bool begun;
+	/** 0 comes first */
+	uint32_t priority;
+	/** when it arrived or fell due */
+	uint64_t since_ms;
+	/** objective, counted from since_ms */
+	uint64_t objective_ms;
+	/** longest chain of what is still to be done */
+	uint64_t chain_ms;
+};
+
+/** Multiple of the objective after which a job is worth nothing. */
+#define URG_LATE_FACTOR 3
+
+/** @brief Returns the band of work at a time. */
+enum urg_band urg_band_of(const struct urg_work *work, uint64_t now_ms);
+
+/**
+ * @brief Returns a key by which work is sorted, the lowest first.
+ *
+ * Band first, then priority, then the time of arrival.
+ */
+uint64_t urg_key(const struct urg_work *work, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/packages/jobs/include/cmt.h
@@ -0,0 +1,76 @@
+/**
+ * @file cmt.h
+ * @brief Group commit of jobs to the store, fenced by a chain of revisions.
+ *
+ * Prefix: cmt_. All writes of one owner form a chain: each transaction also
+ * writes the log key, on the condition that the key is as the transaction
+ * before left it. So a write of an earlier owner, or one that the store
+ * carries out late, fails as soon as any later one has been done. One
+ * transaction is in flight at a time; it is repeated until its effect is known.
+ */
+#ifndef CMT_H
+#define CMT_H
+
+#include "evl.h"
+#include "jtp.h"
+#include "plt.h"
+
+/** Key that carries the chain. */
+#define CMT_KEY_LOG "/sassafrascart/jobs-log"
+
+/** The log, opaque. */
+struct cmt_log;
+
+/** What the log calls. */
+struct cmt_ops {
+	/** the log is open for this owner; epoch rises with each owner */
+	void (*on_open)(void *data, uint64_t epoch);
+	/** the store holds what the job was when it was marked last */
+	void (*on_committed)(void *data, struct jtp_job *job);
+	/** a transaction ended: cmt_committed() may have risen */
+	void (*on_progress)(void *data);
+	/** another owner has opened the log; nothing more is written */
+	void (*on_fenced)(void *data);
+};
+
+/** Called when an additional write is done. */
+typedef void (*cmt_put_cb)(void *data);
+
+/**
+ * @brief Opens the log on the condition that a key is as it was read.
+ *
+ * @param guard_key key that proves ownership, with its revision
+ * @param gap_ms least time from one transaction's start to the next one's
+ */
+struct cmt_log *cmt_log_create(struct evl_loop *loop,
+			       struct plt_platform *platform,
+			       const char *guard_key, int64_t guard_revision,
+			       uint32_t gap_ms, const struct cmt_ops *ops,
+			       void *data);
+
+/** @brief Forgets what is not written. @param log may be NULL */
+void cmt_log_destroy(struct cmt_log *log);
+
+/** @brief Marks a job as changed; it is written in a later transaction. */
+void cmt_mark(struct cmt_log *log, struct jtp_job *job);
+
+/**
+ * @brief Takes a job back that has never been sent to the store.
+ * @return whether nothing of it was sent, so that it can be refused
+ */
+bool cmt_withdraw(struct cmt_log *log, struct jtp_job *job);
+
+/** @brief Writes a key besides; a NULL value deletes it. cb may be NULL. */
+void cmt_put(struct cmt_log *log, const char *key, const char *value,
+	     cmt_put_cb cb, void *data);
+
+/** @brief Number of the newest mark. */
+uint64_t cmt_marked(const struct cmt_log *log);
+
+/** @brief All marks up to this number are in the store. */
+uint64_t cmt_committed(const struct cmt_log *log);
+
+/** @brief Time since which the store has not answered, 0 if it does. */
+uint64_t cmt_silent_since_ms(const struct cmt_log *log);
+
+#endif
--- /dev/null
+++ b/packages/jobs/include/jpt.h
@@ -0,0 +1,265 @@
+/**
+ * @file jpt.h
+ * @brief What the job service needs from outside, as function tables.
+ *
+ * Prefix: jpt_. An adapter fills the tables for one platform. Calls are
+ * asynchronous: the callback runs once, later, from the loop. Strings given to
+ * a call are copied; those of an answer are valid during the callback.
+ */
+#ifndef JPT_H
+#define JPT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "err.h"
+#include "jcf.h"
+
+/** Where a worker is and which incarnation of it is meant. */
+struct jpt_target {
+	/** dotted IPv4 address */
+	const char *ip;
+	uint16_t port;
+	/** identity of the worker */
+	const char *id;
+};
+
+/** What a worker, a VM or a task has or needs. */
+struct jpt_room {
+	int64_t cpu_milli;
+	int64_t memory_mb;
+	int64_t accelerators;
+};
+
+/** How a run ended. */
+enum jpt_end_kind {
+	JPT_END_DONE,
+	/** by the task's own fault or the worker's */
+	JPT_END_FAILED,
+	JPT_END_STOPPED,
+	/** the worker's lease ran out */
+	JPT_END_LAPSED,
+	/** another member of its gang ended */
+	JPT_END_BROKEN,
+	/** the other members of its gang did not come in time */
+	JPT_END_ALONE,
+};
+
+/** A run that a worker lists as running. */
+struct jpt_running {
+	const char *task;
+	uint32_t run;
+	/** newest checkpoint, empty for none */
+	const char *checkpoint;
+	/** share at which it works, 0 to 100 */
+	uint32_t percent;
+	/** of a serving task: tail latency in ms; else cpu in use, in milli */
+	uint32_t usage;
+};
+
+/** A run that a worker lists as ended and not yet acknowledged. */
+struct jpt_end {
+	/** rises with each end in one incarnation, from 1 */
+	uint64_t number;
+	const char *task;
+	uint32_t run;
+	enum jpt_end_kind kind;
+	const char *checkpoint;
+};
+
+/** What a worker reports when it is looked at. */
+struct jpt_report {
+	/** the worker's steady clock at the time of the report */
+	uint64_t clock_ms;
+	/** Unix time at which this incarnation started, 0 if not told */
+	uint64_t born_ms;
+	const struct jpt_running *running;
+	size_t running_count;
+	const struct jpt_end *ends;
+	size_t end_count;
+};
+
+/** How a worker took an order that it answered. */
+enum jpt_verdict {
+	JPT_TAKEN,
+	/** a higher fencing token has been seen there */
+	JPT_REFUSED_FENCE,
+	/** the run is not higher than one that was stopped or has ended */
+	JPT_REFUSED_OLD,
+	/** the lease that the order carries is over */
+	JPT_REFUSED_LATE,
+	/** it does not fit */
+	JPT_REFUSED_ROOM,
+	/** the ticket is missing or not valid */
+	JPT_REFUSED_TICKET,
+	/** unhealthy, nothing was done */
+	JPT_REFUSED_BUSY,
+	/** another incarnation answers at that address */
+	JPT_REFUSED_INCARNATION,
+	/** the worker could not make sense of the order */
+	JPT_REFUSED_INVALID,
+};
+
+/** The end of a call to a worker. */
+struct jpt_reply {
+	/** ERR_NONE for an answer; ERR_CONNECT when nothing was sent; any other
+	 *  kind means that the order may be carried out, also later */
+	enum err_kind err;
+	enum jpt_verdict verdict;
+	/** the worker's clock, 0 if not told */
+	uint64_t clock_ms;
+	/** of a look that was taken, else NULL */
+	const struct jpt_report *report;
+};
+
+/** Ends a call to a worker. */
+typedef void (*jpt_worker_cb)(void *data, const struct jpt_reply *reply);
+
+/** An order to start a task. */
+struct jpt_start {
+	const char *task;
+	uint32_t run;
+	const char *spec;
+	/** end of the lease on the worker's clock; never shortens it */
+	uint64_t lease_until_ms;
+	uint64_t fence;
+	/** NULL for none */
+	const char *checkpoint;
+	/** NULL for none */
+	const char *ticket;
+};
+
+/** A look at a worker, which also renews its lease and acknowledges ends. */
+struct jpt_look {
+	/** 0 leaves the lease as it is */
+	uint64_t lease_until_ms;
+	uint64_t fence;
+	/** ends up to this number are forgotten by the worker */
+	uint64_t acked_upto;
+	/** how long the worker waits for an end before it answers */
+	uint32_t wait_ms;
+};
+
+/** A worker as it describes itself in the store. */
+struct jpt_entry {
+	const char *id;
+	char ip[16];
+	uint16_t port;
+	const char *service;
+	const char *availability_zone;
+	bool draining;
+	struct jpt_room room;
+	/** NULL-terminated */
+	const char **labels;
+	uint64_t clock_ms;
+	uint64_t born_ms;
+};
+
+/** State of a VM that the system may move or maintain. */
+enum jpt_vm_state {
+	JPT_VM_UP,
+	JPT_VM_MOVING,
+	JPT_VM_MAINTENANCE,
+	JPT_VM_DOWN,
+};
+
+/** A VM of the platform's list. */
+struct jpt_vm {
+	const char *name;
+	const char *pool;
+	enum jpt_vm_state state;
+	const char *availability_zone;
+	/** worker on it, NULL for none */
+	const char *worker;
+};
+
+/** Ends a listing of VMs. */
+typedef void (*jpt_vms_cb)(void *data, enum err_kind err,
+			   const struct jpt_vm *vms, size_t count);
+
+/** How the platform took a VM action. */
+enum jpt_vm_verdict {
+	JPT_VM_TAKEN,
+	JPT_VM_REFUSED_FENCE,
+	/** not up, or leaving */
+	JPT_VM_REFUSED_BUSY,
+	/** not in that wave */
+	JPT_VM_REFUSED_WAVE,
+	JPT_VM_REFUSED_INVALID,
+};
+
+/** Ends a VM action; the verdict holds with ERR_NONE. */
+typedef void (*jpt_vm_cb)(void *data, enum err_kind err,
+			  enum jpt_vm_verdict verdict);
+
+/** A maintenance wave that the operator asks for. */
+struct jpt_wave {
+	uint64_t number;
+	/** NULL-terminated names of VMs */
+	const char **vms;
+	uint64_t duration_ms;
+	/** VMs in maintenance at once, at most */
+	uint32_t most;
+};
+
+/** Calls to workers and VMs; decoding of what others write in the store. */
+struct jpt_ops {
+	void (*start)(void *self, const struct jpt_target *target,
+		      const struct jpt_start *order, uint32_t timeout_ms,
+		      jpt_worker_cb cb, void *data);
+	void (*stop)(void *self, const struct jpt_target *target,
+		     const char *task, uint32_t run, uint64_t fence,
+		     uint32_t timeout_ms, jpt_worker_cb cb, void *data);
+	void (*look)(void *self, const struct jpt_target *target,
+		     const struct jpt_look *look, uint32_t timeout_ms,
+		     jpt_worker_cb cb, void *data);
+	void (*pace)(void *self, const struct jpt_target *target,
+		     const char *task, uint32_t run, uint32_t percent,
+		     uint64_t fence, uint32_t timeout_ms, jpt_worker_cb cb,
+		     void *data);
+	void (*vm_list)(void *self, uint32_t timeout_ms, jpt_vms_cb cb,
+			void *data);
+	void (*vm_move)(void *self, const char *vm, const char *pool,
+			const char *holder, uint64_t fence, uint32_t timeout_ms,
+			jpt_vm_cb cb, void *data);
+	void (*vm_maintain)(void *self, const char *vm, uint64_t wave,
+			    const char *holder, uint64_t fence,
+			    uint32_t timeout_ms, jpt_vm_cb cb, void *data);
+
+	/** key of the configuration, and the prefix to watch for it */
+	const char *config_key;
+	const char *config_prefix;
+	/** prefixes of the workers' entries and of the operator's waves */
+	const char *workers_prefix;
+	const char *waves_prefix;
+	/** returns a catalogue, or NULL for a value that cannot be read */
+	struct jcf_catalogue *(*config_decode)(const char *value, size_t len);
+	/**
+	 * Decodes a worker's entry and hands it to a callback, whose argument
+	 * is valid during it. Returns ERR_MALFORMED for what is not an entry.
+	 */
+	enum err_kind (*entry_decode)(const char *key, const char *value,
+				      size_t len,
+				      void (*cb)(void *data,
+						 const struct jpt_entry *entry),
+				      void *data);
+	/** as entry_decode, for a wave */
+	enum err_kind (*wave_decode)(const char *key, const char *value,
+				     size_t len,
+				     void (*cb)(void *data,
+						const struct jpt_wave *wave),
+				     void *data);
+	/** fills the key and value that tell the operator of a wave's state;
+	 *  both are owned by the caller */
+	void (*wave_status)(uint64_t number, bool succeeded, char **key,
+			    char **value);
+};
+
+/** @brief Returns the stable name of a verdict, for logs. */
+const char *jpt_verdict_name(enum jpt_verdict verdict);
+
+/** @brief Returns the stable name of the way a run ended, for logs. */
+const char *jpt_end_name(enum jpt_end_kind kind);
+
+#endif
--- /dev/null
+++ b/packages/jobs/include/jtp.h
@@ -0,0 +1,270 @@
+/**
+ * @file jtp.h
+ * @brief Jobs, their steps, occurrences and tasks.
+ *
+ * Prefix: jtp_. A job has steps; a job by time runs its steps several times,
+ * each time is an occurrence. A step of one occurrence is a group of tasks.
+ * Only the owner of the job service holds these; the store holds records of
+ * them, see jrc.h.
+ */
+#ifndef JTP_H
+#define JTP_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "jpt.h"
+
+/** Length of a job's identity, which is hexadecimal. */
+#define JTP_ID_LEN 16
+/** Longest text that is handed to each task, in bytes. */
+#define JTP_SPEC_MAX_BYTES 4000
+/** Steps of a job, at most; a step names earlier ones in a 64-bit mask. */
+#define JTP_STEPS_MAX 64
+/** Tasks of one occurrence, at most; bounds the memory of a submission. */
+#define JTP_TASKS_MAX 4096
+/** Occurrences of one job, at most. */
+#define JTP_OCCURRENCES_MAX 10000
+
+/** A step as it was submitted; strings are owned, NULL for none. */
+struct jtp_step {
+	uint32_t count;
+	struct jpt_room need;
+	uint32_t estimate_ms;
+	/** steps whose tasks must all be done first, a bit for each */
+	uint64_t after;
+	bool saves_checkpoints;
+	bool is_gang;
+	/** the gang slows down when it spans racks */
+	bool one_rack;
+	bool allows_copies;
+	/** runs until the job is cancelled */
+	bool is_lasting;
+	/** uses what other tasks leave unused; its cpu takes no room */
+	bool is_filler;
+	/** label that the worker must have */
+	char *label;
+	/** rack where the data is */
+	char *data_rack;
+	char *image;
+	/** tasks of the step on one worker, at most; 0 for no limit */
+	uint32_t most_per_worker;
+	/** target of a serving task's tail latency, 0 for none */
+	uint32_t target_ms;
+	/** tasks that may be away at once by the system's own doing; a
+	 *  negative number means that the step asks for no such care */
+	int32_t may_miss;
+};
+
+/** A job as it was submitted. */
+struct jtp_spec {
+	char *text;
+	/** of struct jtp_step */
+	GArray *steps;
+	/** 0 for a job without times */
+	uint32_t times;
+	uint64_t first_run_unix_ms;
+	uint64_t interval_ms;
+};
+
+/** State of a job as callers see it. */
+enum jtp_state {
+	JTP_PENDING,
+	JTP_RUNNING,
+	JTP_SUCCEEDED,
+	JTP_FAILED,
+	JTP_CANCELLED,
+};
+
+/** State of a task. */
+enum jtp_task_state {
+	/** may be started */
+	JTP_TASK_WAITING,
+	/** may run on a worker that has not been looked at yet */
+	JTP_TASK_UNKNOWN,
+	/** an order to start it is under way */
+	JTP_TASK_STARTING,
+	JTP_TASK_PRESENT,
+	/** an order to stop it is under way */
+	JTP_TASK_STOPPING,
+	JTP_TASK_DONE,
+};
+
+struct jtp_group;
+struct wrk_worker;
+
+/** A task: one member of a step in one occurrence. */
+struct jtp_task {
+	struct jtp_group *group;
+	uint32_t index;
+	enum jtp_task_state state;
+	/** number of the newest run */
+	uint32_t run;
+	uint32_t failures;
+	/** newest run whose failure has been counted */
+	uint32_t failed_run;
+	/** report in which it was seen last, see own_work.c */
+	uint64_t seen_in_report;
+	/** worker of the newest run, NULL when it is on none */
+	struct wrk_worker *worker;
+	/** owned, NULL for none */
+	char *checkpoint;
+	/** when the newest run was ordered, and its fencing token */
+	uint64_t ordered_ms;
+	uint64_t fence;
+	/** the worker's clock when it had taken the order, 0 before */
+	uint64_t present_clock_ms;
+	/** no start before this time, after a failed or refused one */
+	uint64_t not_before_ms;
+	/** share at which it works, as last reported and as last ordered */
+	uint32_t percent;
+	uint32_t pace_percent;
+	/** usage as last reported, see jpt_running */
+	uint32_t usage;
+	/** since when a serving task has been over its target, 0 if it isn't */
+	uint64_t over_since_ms;
+};
+
+/** A step of one occurrence. */
+struct jtp_group {
+	struct jtp_occurrence *occurrence;
+	const struct jtp_step *step;
+	uint32_t step_index;
+	struct jtp_task *tasks;
+	uint32_t done;
+	/** tasks that wait, whether or not the step's turn has come */
+	uint32_t waiting;
+	/** no member of a gang is started before all can be */
+	uint64_t gang_not_before_ms;
+};
+
+/** One time that the steps of a job run. */
+struct jtp_occurrence {
+	struct jtp_job *job;
+	uint32_t number;
+	/** Unix time from which it may run */
+	uint64_t due_unix_ms;
+	/** local time at which it was due or arrived */
+	uint64_t since_ms;
+	/** length: steps of the job */
+	struct jtp_group *groups;
+	uint32_t groups_done;
+	bool begun;
+	/** place in the owner's array of live occurrences */
+	uint32_t live_slot;
+	/** scratch of one scheduling pass */
+	uint64_t sort_key;
+	/** longest chain of estimates of all its steps */
+	uint32_t whole_chain_ms;
+};
+
+/** A job of the table. */
+struct jtp_job {
+	char id[JTP_ID_LEN + 1];
+	char *queue;
+	/** NULL once the job has ended and its details are dropped */
+	struct jtp_spec *spec;
+	enum jtp_state state;
+	/** the state that the store holds, which is the one callers are told */
+	enum jtp_state stored_state;
+	/** the state in the newest write, which may be under way */
+	enum jtp_state sent_state;
+	/** its definition has been sent to the store */
+	bool is_sent;
+	/** a record of progress lies in the store */
+	bool progress_stored;
+	uint64_t accepted_unix_ms;
+	uint64_t accepted_ms;
+	uint64_t ended_ms;
+	/** of struct jtp_occurrence *, those that have not ended */
+	GPtrArray *occurrences;
+	uint32_t occurrences_begun;
+	uint32_t occurrences_done;
+	/** a task of it has been present on a worker */
+	bool begun;
+	/** store record and its place in the commit queue, see cmt.h */
+	bool dirty;
+	bool in_flight;
+	GList queue_link;
+	uint64_t ticket;
+	/** callers that wait for the store, owned by the table's user */
+	GSList *waiters;
+};
+
+/** @brief Creates an empty specification. */
+struct jtp_spec *jtp_spec_create(void);
+
+/** @brief Frees a specification. @param spec may be NULL */
+void jtp_spec_destroy(struct jtp_spec *spec);
+
+/**
+ * @brief Checks a specification's limits and references.
+ * @param why set to a constant sentence unless ERR_NONE is returned
+ * @return ERR_NONE, ERR_INVALID or ERR_TOO_LARGE
+ */
+enum err_kind jtp_spec_check(const struct jtp_spec *spec, const char **why);
+
+/** @brief Creates a job. @param spec owned by the job from here */
+struct jtp_job *jtp_job_create(const char *id, const char *queue,
+			       struct jtp_spec *spec);
+
+/** @brief Frees a job. @param job may be NULL */
+void jtp_job_destroy(struct jtp_job *job);
+
+/** @brief Drops the details of a job that has ended. */
+void jtp_job_trim(struct jtp_job *job);
+
+/**
+ * @brief Begins the next occurrence of a job.
+ * @param now_ms local time, now_unix_ms the time of day
+ * @return the occurrence, owned by the job
+ */
+struct jtp_occurrence *jtp_occurrence_begin(struct jtp_job *job,
+					    uint64_t now_ms,
+					    uint64_t now_unix_ms);
+
+/** @brief Unix time at which the next occurrence is due, UINT64_MAX: none. */
+uint64_t jtp_next_due_unix_ms(const struct jtp_job *job);
+
+/** @brief Finds an occurrence that has not ended. @return it or NULL */
+struct jtp_occurrence *jtp_occurrence_find(const struct jtp_job *job,
+					   uint32_t number);
+
+/** @brief Ends an occurrence whose tasks are all done and frees it. */
+void jtp_occurrence_end(struct jtp_occurrence *occurrence);
+
+/** @brief Tells whether all steps that a step waits for are done. */
+bool jtp_group_is_ready(const struct jtp_group *group);
+
+/** @brief Sets a task's state and keeps the group's counts. */
+void jtp_task_set_state(struct jtp_task *task, enum jtp_task_state state);
+
+/** @brief Replaces a task's checkpoint by a copy; empty or NULL for none. */
+void jtp_task_set_checkpoint(struct jtp_task *task, const char *checkpoint);
+
+/** @brief Writes the task's name, ID.K.STEP.INDEX, into a buffer. */
+#define JTP_TASK_NAME_BYTES 64
+void jtp_task_name(const struct jtp_task *task, char *out);
+
+/** @brief Parts of a task's name. */
+struct jtp_name {
+	char job[JTP_ID_LEN + 1];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+};
+
+/** @brief Parses a task's name. @return whether it is one */
+bool jtp_name_parse(const char *text, struct jtp_name *out);
+
+/**
+ * @brief Longest chain of estimates.
+ * @param whole whether steps that are done count too
+ */
+uint32_t jtp_chain_ms(const struct jtp_occurrence *occurrence, bool whole);
+
+/** @brief Tells whether an identity is JTP_ID_LEN hexadecimal digits. */
+bool jtp_id_is_valid(const char *id);
+
+#endif
--- /dev/null
+++ b/packages/jobs/include/wrk.h
@@ -0,0 +1,164 @@
+/**
+ * @file wrk.h
+ * @brief A worker as the owner knows it: looks, orders, lease and fence.
+ *
+ * Prefix: wrk_. The worker holds the truth of what runs; this object keeps
+ * what was reported last and what was ordered since.
+ *
+ * An order without an answer may be carried out seconds later. It is resolved
+ * by a look under a higher fencing token: once the worker has answered that
+ * look, it refuses all orders with a lower one, so the order either shows in
+ * the report or never will.
+ */
+#ifndef WRK_H
+#define WRK_H
+
+#include "evl.h"
+#include "jtp.h"
+
+/** Fencing tokens of one worker in one ownership, at most. */
+#define WRK_FENCE_SPAN 65536
+
+struct wrk_worker;
+
+/** An order whose call has ended. */
+struct wrk_order {
+	char task[JTP_TASK_NAME_BYTES];
+	uint32_t run;
+	uint64_t fence;
+};
+
+/** What workers call. */
+struct wrk_ops {
+	/** a report; look_fence is the token of its look */
+	void (*on_report)(void *data, struct wrk_worker *worker,
+			  const struct jpt_report *report, uint64_t look_fence);
+	/** a start was answered, refused or never sent */
+	void (*on_started)(void *data, struct wrk_worker *worker,
+			   const struct wrk_order *order,
+			   const struct jpt_reply *reply);
+	/** a new incarnation answers, or none that holds what this one had */
+	void (*on_life_over)(void *data, struct wrk_worker *worker);
+	/** the worker has seen the token of another owner */
+	void (*on_deposed)(void *data);
+};
+
+/** What all workers of an owner share; outlives them. */
+struct wrk_env {
+	struct evl_loop *loop;
+	const struct jpt_ops *platform;
+	void *platform_self;
+	/** base of this ownership's tokens */
+	uint64_t fence_base;
+	/** longest lease that workers grant */
+	uint32_t lease_ms;
+	const struct wrk_ops *ops;
+	void *data;
+};
+
+/** An end that was taken in and may be acknowledged once it is stored. */
+struct wrk_end {
+	uint64_t number;
+	/** mark of the commit log that covers it, see cmt.h */
+	uint64_t ticket;
+};
+
+/** A worker; fields are read by the owner and written by this module but for
+ *  those of the owner. */
+struct wrk_worker {
+	struct wrk_env *env;
+	char *id;
+	char ip[16];
+	uint16_t port;
+	char *service;
+	char *availability_zone;
+	/** NULL-terminated labels */
+	char **labels;
+	struct jpt_room room;
+	uint64_t born_ms;
+	bool draining;
+	/** listed in the store when it was read last, and since when not */
+	bool listed;
+	uint64_t unlisted_since_ms;
+	/** its first report under this ownership has arrived */
+	bool known;
+	/** calls in a row that got no answer, and since when */
+	uint32_t silent_calls;
+	uint64_t silent_since_ms;
+	/** no lease that was granted runs after this local time */
+	uint64_t lease_over_ms;
+	/** a reading of its clock and the local time of it */
+	uint64_t clock_ms;
+	uint64_t clock_at_ms;
+	uint64_t lease_until_ms;
+	uint32_t fence_step;
+	/** ends: acknowledged, taken in, and those between */
+	uint64_t acked;
+	uint64_t ends_seen;
+	GArray *ends;
+	bool resolving;
+	bool looking;
+	uint64_t look_serial;
+	struct tmr_entry look_timer;
+	bool gone;
+
+	/** owner: what is taken, and the tasks that are or may be there */
+	struct jpt_room used;
+	GPtrArray *tasks;
+	/** owner: written to the roster, so that a successor will look at it */
+	bool in_roster;
+	/** owner: no new tasks, for maintenance or a move */
+	bool cordoned;
+	/** owner: no new tasks before this time */
+	uint64_t pause_until_ms;
+	/** owner: failures and ends that tell of its health */
+	uint32_t recent_failures;
+	uint64_t slowness_permille;
+	/** owner: name of its VM, NULL when not known */
+	char *vm;
+};
+
+/** @brief Creates a worker from its entry, with one reference. */
+struct wrk_worker *wrk_worker_create(struct wrk_env *env,
+				     const struct jpt_entry *entry);
+
+/** @brief Ends the use of a worker; calls in flight are forgotten. */
+void wrk_worker_drop(struct wrk_worker *worker);
+
+/** @brief Takes in a newer entry. A new incarnation calls on_life_over. */
+void wrk_worker_update(struct wrk_worker *worker,
+		       const struct jpt_entry *entry);
+
+/** @brief Sends an order to start; the task's run and fence are set before. */
+void wrk_start(struct wrk_worker *worker, struct jtp_task *task,
+	       const char *spec, const char *ticket);
+
+/** @brief Sends an order to stop; repeated until the worker has answered. */
+void wrk_stop(struct wrk_worker *worker, const struct jtp_task *task);
+
+/** @brief Stops a run that is not in the table. */
+void wrk_stop_stray(struct wrk_worker *worker, const char *task, uint32_t run);
+
+/** @brief Sets the share at which a task works. */
+void wrk_pace(struct wrk_worker *worker, const struct jtp_task *task,
+	      uint32_t percent);
+
+/** @brief Plans the next look within a time, unless one is under way. */
+void wrk_look_within(struct wrk_worker *worker, uint32_t delay_ms);
+
+/** @brief Looks under a higher token, which settles orders without answer. */
+void wrk_resolve(struct wrk_worker *worker);
+
+/** @brief Ends up to the mark are stored: they may be acknowledged. */
+void wrk_stored(struct wrk_worker *worker, uint64_t committed);
+
+/** @brief The token for orders to this worker now. */
+uint64_t wrk_fence(const struct wrk_worker *worker);
+
+/** @brief Tells whether the worker answered its newest call. */
+bool wrk_is_reachable(const struct wrk_worker *worker);
+
+/** @brief Tells whether a label is among the worker's. */
+bool wrk_has_label(const struct wrk_worker *worker, const char *label);
+
+#endif
--- /dev/null
+++ b/packages/jobs/src/cmt.c
@@ -0,0 +1,480 @@
+#include "cmt.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "bko.h"
+#include "jrc.h"
+#include "lgx.h"
+
+/* The store takes 32 entries; a job may need two beside guard and log key. */
+#define CMT_WRITES_MAX 24
+/* Keeps a transaction well under the store's limit of a value, one megabyte. */
+#define CMT_BYTES_MAX (512u * 1024u)
+/* First and longest pause before a transaction is repeated. */
+#define CMT_RETRY_MIN_MS 40
+#define CMT_RETRY_MAX_MS 400
+
+/* A write of a key that is not a job's. */
+struct cmt_extra {
+	char *key;
+	char *value;
+	cmt_put_cb cb;
+	void *data;
+};
+
+struct cmt_log {
+	struct evl_loop *loop;
+	struct plt_platform *platform;
+	char *guard_key;
+	int64_t guard_revision;
+	uint32_t gap_ms;
+	const struct cmt_ops *ops;
+	void *data;
+	/* reads and writes in flight name this log through a cell */
+	struct cmt_cell *cell;
+	bool open;
+	bool fenced;
+	uint64_t epoch;
+	uint64_t sequence;
+	int64_t log_revision;
+	/* of struct jtp_job, not in flight */
+	GQueue queue;
+	/* of struct cmt_extra */
+	GQueue extras;
+	uint64_t marked;
+	uint64_t committed;
+	/* the transaction in flight */
+	bool busy;
+	GPtrArray *jobs;
+	GPtrArray *sent_extras;
+	GPtrArray *keys;
+	GPtrArray *values;
+	uint64_t ticket;
+	uint64_t begun_ms;
+	uint32_t failures;
+	uint64_t silent_since_ms;
+	struct tmr_entry timer;
+};
+
+/* Outlives the log while a call is in flight. */
+struct cmt_cell {
+	struct cmt_log *log;
+	uint32_t calls;
+};
+
+static void extra_free(gpointer data)
+{
+	struct cmt_extra *extra = data;
+
+	g_free(extra->key);
+	g_free(extra->value);
+	g_free(extra);
+}
+
+/* Ends a call; NULL when the log is gone. */
+static struct cmt_log *cell_take(struct cmt_cell *cell)
+{
+	struct cmt_log *log = cell->log;
+
+	if (--cell->calls == 0 && !log)
+		g_free(cell);
+	return log;
+}
+
+static void transaction_send(struct cmt_log *log);
+static void log_read(struct cmt_log *log);
+
+static void on_timer(void *data)
+{
+	struct cmt_log *log = data;
+
+	if (log->fenced)
+		return;
+	if (!log->open)
+		log_read(log);
+	else if (log->busy || log->queue.length > 0 || log->extras.length > 0)
+		transaction_send(log);
+}
+
+static void retry_set(struct cmt_log *log, enum err_kind err)
+{
+	const struct bko_limits limits = { CMT_RETRY_MIN_MS, CMT_RETRY_MAX_MS };
+
+	log->failures++;
+	if (log->silent_since_ms == 0) {
+		log->silent_since_ms = evl_now_ms();
+		lgx_warning("store-lost", "write failed: %s", err_name(err));
+	}
+	evl_timer_set(log->loop, &log->timer,
+		      bko_delay_ms(&limits, log->failures, g_random_int()));
+}
+
+static void answered(struct cmt_log *log)
+{
+	log->failures = 0;
+	if (log->silent_since_ms == 0)
+		return;
+	lgx_info("store-regained", "after %" G_GUINT64_FORMAT " ms",
+		 evl_now_ms() - log->silent_since_ms);
+	log->silent_since_ms = 0;
+}
+
+static void fence(struct cmt_log *log, const char *why)
+{
+	log->fenced = true;
+	tmr_cancel(&log->timer);
+	lgx_warning("log-fenced", "epoch %" G_GUINT64_FORMAT ": %s", log->epoch,
+		    why);
+	log->ops->on_fenced(log->data);
+}
+
+static char *log_value(const struct cmt_log *log)
+{
+	return g_strdup_printf("{\"epoch\":%" G_GUINT64_FORMAT
+			       ",\"sequence\":%" G_GUINT64_FORMAT "}",
+			       log->epoch, log->sequence);
+}
+
+static bool log_value_read(const struct plt_kv *kv, uint64_t *epoch,
+			   uint64_t *sequence)
+{
+	json_t *json = json_loadb(kv->value, kv->value_len, 0, NULL);
+	bool valid = json_is_object(json);
+
+	*epoch = (uint64_t)json_integer_value(json_object_get(json, "epoch"));
+	*sequence =
+		(uint64_t)json_integer_value(json_object_get(json, "sequence"));
+	json_decref(json);
+	return valid;
+}
+
+static const struct plt_kv *kv_find(const struct plt_result *result,
+				    const char *key)
+{
+	for (size_t i = 0; i < result->kv_count; i++) {
+		if (strcmp(result->kvs[i].key, key) == 0)
+			return &result->kvs[i];
+	}
+	return NULL;
+}
+
+static void next_set(struct cmt_log *log)
+{
+	uint64_t now_ms = evl_now_ms();
+	uint64_t due_ms = log->begun_ms + log->gap_ms;
+
+	if (!log->open || log->busy || log->fenced ||
+	    tmr_is_set(&log->timer) ||
+	    (log->queue.length == 0 && log->extras.length == 0))
+		return;
+	evl_timer_set(log->loop, &log->timer,
+		      due_ms > now_ms ? due_ms - now_ms : 0);
+}
+
+static void transaction_end(struct cmt_log *log)
+{
+	GPtrArray *jobs = g_steal_pointer(&log->jobs);
+	GPtrArray *extras = g_steal_pointer(&log->sent_extras);
+
+	g_clear_pointer(&log->keys, g_ptr_array_unref);
+	g_clear_pointer(&log->values, g_ptr_array_unref);
+	log->busy = false;
+	log->committed = log->ticket;
+	for (guint i = 0; i < jobs->len; i++) {
+		struct jtp_job *job = g_ptr_array_index(jobs, i);
+
+		job->in_flight = false;
+		job->stored_state = job->sent_state;
+		log->ops->on_committed(log->data, job);
+	}
+	for (guint i = 0; i < extras->len; i++) {
+		struct cmt_extra *extra = g_ptr_array_index(extras, i);
+
+		if (extra->cb)
+			extra->cb(extra->data);
+	}
+	g_ptr_array_unref(jobs);
+	g_ptr_array_unref(extras);
+	log->ops->on_progress(log->data);
+	next_set(log);
+}
+
+static void on_committed(void *data, enum err_kind err,
+			 const struct plt_result *result)
+{
+	struct cmt_log *log = cell_take(data);
+	const struct plt_kv *kv;
+	uint64_t epoch = 0;
+	uint64_t sequence = 0;
+
+	if (!log)
+		return;
+	if (err != ERR_NONE) {
+		retry_set(log, err);
+		return;
+	}
+	answered(log);
+	if (result->succeeded) {
+		log->log_revision = result->revision;
+		transaction_end(log);
+		return;
+	}
+	/* An earlier try may have been carried out without an answer. */
+	kv = kv_find(result, CMT_KEY_LOG);
+	if (kv && log_value_read(kv, &epoch, &sequence) &&
+	    epoch == log->epoch && sequence == log->sequence) {
+		log->log_revision = kv->mod_revision;
+		transaction_end(log);
+		return;
+	}
+	fence(log, "another owner has written");
+}
+
+static void write_add(struct cmt_log *log, char *key, char *value)
+{
+	g_ptr_array_add(log->keys, key);
+	g_ptr_array_add(log->values, value);
+}
+
+/* Adds the writes of a job. @return bytes added */
+static size_t job_add(struct cmt_log *log, struct jtp_job *job)
+{
+	bool ended = job->state > JTP_RUNNING;
+	size_t bytes = 0;
+
+	if (!job->is_sent || ended) {
+		char *text = jrc_job_encode(job);
+
+		bytes += strlen(text);
+		write_add(log, g_strconcat(JRC_PREFIX_JOB, job->id, NULL),
+			  text);
+	}
+	if (!ended && job->begun) {
+		char *text = jrc_progress_encode(job);
+
+		bytes += strlen(text);
+		write_add(log, g_strconcat(JRC_PREFIX_PROGRESS, job->id, NULL),
+			  text);
+		job->progress_stored = true;
+	} else if (ended && job->progress_stored) {
+		write_add(log, g_strconcat(JRC_PREFIX_PROGRESS, job->id, NULL),
+			  NULL);
+		job->progress_stored = false;
+	}
+	job->dirty = false;
+	job->in_flight = true;
+	job->is_sent = true;
+	job->sent_state = job->state;
+	log->ticket = job->ticket;
+	g_ptr_array_add(log->jobs, job);
+	return bytes;
+}
+
+static void transaction_fill(struct cmt_log *log)
+{
+	size_t bytes = 0;
+
+	log->busy = true;
+	log->sequence++;
+	log->ticket = log->committed;
+	log->jobs = g_ptr_array_new();
+	log->sent_extras = g_ptr_array_new_with_free_func(extra_free);
+	log->keys = g_ptr_array_new_with_free_func(g_free);
+	log->values = g_ptr_array_new_with_free_func(g_free);
+	write_add(log, g_strdup(CMT_KEY_LOG), log_value(log));
+	while (log->extras.length > 0 && log->keys->len < CMT_WRITES_MAX) {
+		struct cmt_extra *extra = g_queue_pop_head(&log->extras);
+
+		write_add(log, g_strdup(extra->key), g_strdup(extra->value));
+		g_ptr_array_add(log->sent_extras, extra);
+	}
+	while (log->queue.length > 0 && log->keys->len + 2 <= CMT_WRITES_MAX &&
+	       bytes < CMT_BYTES_MAX) {
+		GList *link = g_queue_pop_head_link(&log->queue);
+
+		bytes += job_add(log, link->data);
+	}
+}
+
+static void transaction_send(struct cmt_log *log)
+{
+	struct plt_write writes[CMT_WRITES_MAX + 2];
+	const struct plt_compare compare = { CMT_KEY_LOG,
+					     PLT_TARGET_MOD_REVISION,
+					     log->log_revision };
+	struct plt_txn txn = { .compares = &compare,
+			       .compare_count = 1,
+			       .writes = writes };
+
+	if (!log->busy)
+		transaction_fill(log);
+	log->begun_ms = evl_now_ms();
+	for (guint i = 0; i < log->keys->len; i++)
+		writes[i] = (struct plt_write){
+			.key = g_ptr_array_index(log->keys, i),
+			.value = g_ptr_array_index(log->values, i),
+		};
+	txn.write_count = log->keys->len;
+	log->cell->calls++;
+	plt_txn(log->platform, &txn, on_committed, log->cell);
+}
+
+static void on_opened(void *data, enum err_kind err,
+		      const struct plt_result *result)
+{
+	struct cmt_log *log = cell_take(data);
+
+	if (!log)
+		return;
+	if (err != ERR_NONE) {
+		retry_set(log, err);
+		return;
+	}
+	answered(log);
+	if (!result->succeeded) {
+		const struct plt_kv *guard = kv_find(result, log->guard_key);
+
+		/* Either a try of ours was carried out without an answer, so
+		 * the log key has changed, or the ownership is lost. */
+		if (guard && guard->mod_revision == log->guard_revision)
+			log_read(log);
+		else
+			fence(log, "ownership was lost before the log opened");
+		return;
+	}
+	log->log_revision = result->revision;
+	log->open = true;
+	log->ops->on_open(log->data, log->epoch);
+	next_set(log);
+}
+
+static void on_log_read(void *data, enum err_kind err,
+			const struct plt_result *result)
+{
+	struct cmt_log *log = cell_take(data);
+	const struct plt_kv *kv;
+	struct plt_compare compares[2];
+	struct plt_write write = { .key = CMT_KEY_LOG };
+	struct plt_txn txn = { compares, 2, &write, 1 };
+	g_autofree char *value = NULL;
+	uint64_t sequence = 0;
+
+	if (!log)
+		return;
+	if (err != ERR_NONE) {
+		retry_set(log, err);
+		return;
+	}
+	kv = kv_find(result, CMT_KEY_LOG);
+	log->epoch = 0;
+	if (kv && log_value_read(kv, &log->epoch, &sequence))
+		log->epoch++;
+	value = log_value(log);
+	write.value = value;
+	compares[0] = (struct plt_compare){ log->guard_key,
+					    PLT_TARGET_MOD_REVISION,
+					    log->guard_revision };
+	compares[1] = (struct plt_compare){ CMT_KEY_LOG,
+					    PLT_TARGET_MOD_REVISION,
+					    kv ? kv->mod_revision : 0 };
+	log->cell->calls++;
+	plt_txn(log->platform, &txn, on_opened, log->cell);
+}
+
+static void log_read(struct cmt_log *log)
+{
+	log->cell->calls++;
+	plt_range(log->platform, CMT_KEY_LOG, false, on_log_read, log->cell);
+}
+
+struct cmt_log *cmt_log_create(struct evl_loop *loop,
+			       struct plt_platform *platform,
+			       const char *guard_key, int64_t guard_revision,
+			       uint32_t gap_ms, const struct cmt_ops *ops,
+			       void *data)
+{
+	struct cmt_log *log = g_new0(struct cmt_log, 1);
+
+	log->loop = loop;
+	log->platform = platform;
+	log->guard_key = g_strdup(guard_key);
+	log->guard_revision = guard_revision;
+	log->gap_ms = gap_ms;
+	log->ops = ops;
+	log->data = data;
+	log->cell = g_new0(struct cmt_cell, 1);
+	log->cell->log = log;
+	log->timer.cb = on_timer;
+	log->timer.data = log;
+	g_queue_init(&log->queue);
+	g_queue_init(&log->extras);
+	log_read(log);
+	return log;
+}
+
+void cmt_log_destroy(struct cmt_log *log)
+{
+	if (!log)
+		return;
+	tmr_cancel(&log->timer);
+	while (g_queue_pop_head_link(&log->queue))
+		;
+	g_queue_clear_full(&log->extras, extra_free);
+	g_clear_pointer(&log->jobs, g_ptr_array_unref);
+	g_clear_pointer(&log->sent_extras, g_ptr_array_unref);
+	g_clear_pointer(&log->keys, g_ptr_array_unref);
+	g_clear_pointer(&log->values, g_ptr_array_unref);
+	log->cell->log = NULL;
+	if (log->cell->calls == 0)
+		g_free(log->cell);
+	g_free(log->guard_key);
+	g_free(log);
+}
+
+void cmt_mark(struct cmt_log *log, struct jtp_job *job)
+{
+	if (job->dirty)
+		return;
+	job->dirty = true;
+	job->ticket = ++log->marked;
+	g_queue_push_tail_link(&log->queue, &job->queue_link);
+	next_set(log);
+}
+
+bool cmt_withdraw(struct cmt_log *log, struct jtp_job *job)
+{
+	if (!job->dirty || job->is_sent)
+		return false;
+	g_queue_unlink(&log->queue, &job->queue_link);
+	job->dirty = false;
+	return true;
+}
+
+void cmt_put(struct cmt_log *log, const char *key, const char *value,
+	     cmt_put_cb cb, void *data)
+{
+	struct cmt_extra *extra = g_new0(struct cmt_extra, 1);
+
+	extra->key = g_strdup(key);
+	extra->value = g_strdup(value);
+	extra->cb = cb;
+	extra->data = data;
+	g_queue_push_tail(&log->extras, extra);
+	next_set(log);
+}
+
+uint64_t cmt_marked(const struct cmt_log *log)
+{
+	return log->marked;
+}
+
+uint64_t cmt_committed(const struct cmt_log *log)
+{
+	return log->committed;
+}
+
+uint64_t cmt_silent_since_ms(const struct cmt_log *log)
+{
+	return log->silent_since_ms;
+}
--- /dev/null
+++ b/packages/jobs/src/jrc.c
@@ -0,0 +1,403 @@
+#include "jrc.h"
+
+#include <jansson.h>
+#include <string.h>
+
+G_DEFINE_AUTOPTR_CLEANUP_FUNC(json_t, json_decref)
+
+/* Names of the states in records. */
+static const char *const state_names[] = {
+	[JTP_PENDING] = "live",	    [JTP_RUNNING] = "live",
+	[JTP_SUCCEEDED] = "succeeded", [JTP_FAILED] = "failed",
+	[JTP_CANCELLED] = "cancelled",
+};
+
+static void text_set(json_t *object, const char *key, const char *value)
+{
+	if (value && *value)
+		json_object_set_new(object, key, json_string(value));
+}
+
+static void number_set(json_t *object, const char *key, int64_t value)
+{
+	if (value != 0)
+		json_object_set_new(object, key, json_integer(value));
+}
+
+static void flag_set(json_t *object, const char *key, bool value)
+{
+	if (value)
+		json_object_set_new(object, key, json_true());
+}
+
+static json_t *step_encode(const struct jtp_step *step)
+{
+	json_t *out = json_object();
+
+	number_set(out, "count", step->count);
+	number_set(out, "cpu_milli", step->need.cpu_milli);
+	number_set(out, "memory_mb", step->need.memory_mb);
+	number_set(out, "accelerators", step->need.accelerators);
+	number_set(out, "estimate_ms", step->estimate_ms);
+	number_set(out, "after", (int64_t)step->after);
+	flag_set(out, "checkpoints", step->saves_checkpoints);
+	flag_set(out, "gang", step->is_gang);
+	flag_set(out, "one_rack", step->one_rack);
+	flag_set(out, "copies", step->allows_copies);
+	flag_set(out, "lasting", step->is_lasting);
+	flag_set(out, "filler", step->is_filler);
+	text_set(out, "label", step->label);
+	text_set(out, "data_rack", step->data_rack);
+	text_set(out, "image", step->image);
+	number_set(out, "most_per_worker", step->most_per_worker);
+	number_set(out, "target_ms", step->target_ms);
+	if (step->may_miss >= 0)
+		json_object_set_new(out, "may_miss",
+				    json_integer(step->may_miss));
+	return out;
+}
+
+static json_t *spec_to_json(const struct jtp_spec *spec)
+{
+	json_t *steps = json_array();
+	json_t *out = json_object();
+
+	for (guint i = 0; i < spec->steps->len; i++)
+		json_array_append_new(steps,
+				      step_encode(&g_array_index(
+					      spec->steps, struct jtp_step,
+					      i)));
+	json_object_set_new(out, "text", json_string(spec->text));
+	json_object_set_new(out, "steps", steps);
+	number_set(out, "times", spec->times);
+	number_set(out, "first_run_ms", (int64_t)spec->first_run_unix_ms);
+	number_set(out, "interval_ms", (int64_t)spec->interval_ms);
+	return out;
+}
+
+char *jrc_spec_encode(const struct jtp_spec *spec)
+{
+	g_autoptr(json_t) json = spec_to_json(spec);
+
+	return json_dumps(json, JSON_COMPACT);
+}
+
+static uint32_t number_get(const json_t *object, const char *key)
+{
+	json_int_t value = json_integer_value(json_object_get(object, key));
+
+	return (uint32_t)CLAMP(value, 0, (json_int_t)UINT32_MAX);
+}
+
+static char *text_get(const json_t *object, const char *key)
+{
+	return g_strdup(json_string_value(json_object_get(object, key)));
+}
+
+static bool flag_get(const json_t *object, const char *key)
+{
+	return json_is_true(json_object_get(object, key));
+}
+
+static void step_decode(const json_t *json, struct jtp_step *step)
+{
+	const json_t *may_miss = json_object_get(json, "may_miss");
+
+	step->count = number_get(json, "count");
+	step->need.cpu_milli = number_get(json, "cpu_milli");
+	step->need.memory_mb = number_get(json, "memory_mb");
+	step->need.accelerators = number_get(json, "accelerators");
+	step->estimate_ms = number_get(json, "estimate_ms");
+	step->after =
+		(uint64_t)json_integer_value(json_object_get(json, "after"));
+	step->saves_checkpoints = flag_get(json, "checkpoints");
+	step->is_gang = flag_get(json, "gang");
+	step->one_rack = flag_get(json, "one_rack");
+	step->allows_copies = flag_get(json, "copies");
+	step->is_lasting = flag_get(json, "lasting");
+	step->is_filler = flag_get(json, "filler");
+	step->label = text_get(json, "label");
+	step->data_rack = text_get(json, "data_rack");
+	step->image = text_get(json, "image");
+	step->most_per_worker = number_get(json, "most_per_worker");
+	step->target_ms = number_get(json, "target_ms");
+	step->may_miss = may_miss ? (int32_t)json_integer_value(may_miss) : -1;
+}
+
+static struct jtp_spec *spec_from_json(const json_t *json)
+{
+	struct jtp_spec *spec = jtp_spec_create();
+	const json_t *steps = json_object_get(json, "steps");
+	const json_t *item;
+	size_t i;
+
+	spec->text = text_get(json, "text");
+	spec->times = number_get(json, "times");
+	spec->first_run_unix_ms = (uint64_t)json_integer_value(
+		json_object_get(json, "first_run_ms"));
+	spec->interval_ms = (uint64_t)json_integer_value(
+		json_object_get(json, "interval_ms"));
+	json_array_foreach((json_t *)steps, i, item)
+	{
+		struct jtp_step step = { 0 };
+
+		step_decode(item, &step);
+		g_array_append_val(spec->steps, step);
+	}
+	return spec;
+}
+
+enum err_kind jrc_spec_decode(const char *text, size_t len,
+			      struct jtp_spec **out)
+{
+	g_autoptr(json_t) json = json_loadb(text, len, 0, NULL);
+	struct jtp_spec *spec;
+	const char *why;
+	enum err_kind err;
+
+	if (!json_is_object(json))
+		return ERR_MALFORMED;
+	spec = spec_from_json(json);
+	err = jtp_spec_check(spec, &why);
+	if (err == ERR_NONE)
+		*out = spec;
+	else
+		jtp_spec_destroy(spec);
+	return err;
+}
+
+char *jrc_job_encode(const struct jtp_job *job)
+{
+	g_autoptr(json_t) json = json_object();
+
+	json_object_set_new(json, "queue", json_string(job->queue));
+	json_object_set_new(json, "state",
+			    json_string(state_names[job->state]));
+	json_object_set_new(json, "accepted_ms",
+			    json_integer((json_int_t)job->accepted_unix_ms));
+	if (job->state <= JTP_RUNNING && job->spec)
+		json_object_set_new(json, "spec", spec_to_json(job->spec));
+	return json_dumps(json, JSON_COMPACT);
+}
+
+static bool state_decode(const char *name, enum jtp_state *out)
+{
+	for (size_t i = JTP_RUNNING; i < G_N_ELEMENTS(state_names); i++) {
+		if (g_strcmp0(name, state_names[i]) != 0)
+			continue;
+		*out = i == JTP_RUNNING ? JTP_PENDING : (enum jtp_state)i;
+		return true;
+	}
+	return false;
+}
+
+enum err_kind jrc_job_decode(const char *id, const char *text, size_t len,
+			     struct jtp_job **out)
+{
+	g_autoptr(json_t) json = json_loadb(text, len, 0, NULL);
+	const char *queue =
+		json_string_value(json_object_get(json, "queue"));
+	const json_t *spec = json_object_get(json, "spec");
+	enum jtp_state state;
+	struct jtp_job *job;
+
+	if (!queue || !jtp_id_is_valid(id) ||
+	    !state_decode(json_string_value(json_object_get(json, "state")),
+			  &state) ||
+	    (state == JTP_PENDING && !json_is_object(spec)))
+		return ERR_MALFORMED;
+	job = jtp_job_create(id, queue,
+			     state == JTP_PENDING ? spec_from_json(spec) :
+						    NULL);
+	job->state = state;
+	job->stored_state = state;
+	job->sent_state = state;
+	job->is_sent = true;
+	job->accepted_unix_ms = (uint64_t)json_integer_value(
+		json_object_get(json, "accepted_ms"));
+	*out = job;
+	return ERR_NONE;
+}
+
+/* A character a task: D for done, else the digit of its failed runs. */
+static json_t *group_encode(const struct jtp_group *group)
+{
+	g_autoptr(GString) text = g_string_sized_new(group->step->count);
+
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		const struct jtp_task *task = &group->tasks[i];
+
+		g_string_append_c(text,
+				  task->state == JTP_TASK_DONE ?
+					  'D' :
+					  (char)('0' + MIN(task->failures, 9)));
+	}
+	return json_string(text->str);
+}
+
+static void checkpoints_encode(const struct jtp_group *group, json_t *out)
+{
+	char key[32];
+
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		const struct jtp_task *task = &group->tasks[i];
+
+		if (!task->checkpoint || task->state == JTP_TASK_DONE)
+			continue;
+		g_snprintf(key, sizeof(key), "%u.%u", group->step_index, i);
+		json_object_set_new(out, key, json_string(task->checkpoint));
+	}
+}
+
+static void failed_runs_encode(const struct jtp_group *group, json_t *out)
+{
+	char key[32];
+
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		const struct jtp_task *task = &group->tasks[i];
+
+		if (task->failed_run == 0 || task->state == JTP_TASK_DONE)
+			continue;
+		g_snprintf(key, sizeof(key), "%u.%u", group->step_index, i);
+		json_object_set_new(out, key, json_integer(task->failed_run));
+	}
+}
+
+static json_t *occurrence_encode(const struct jtp_occurrence *occurrence)
+{
+	const GArray *steps = occurrence->job->spec->steps;
+	json_t *checkpoints = json_object();
+	json_t *failed_runs = json_object();
+	json_t *groups = json_array();
+	json_t *out = json_object();
+
+	for (guint i = 0; i < steps->len; i++) {
+		json_array_append_new(groups,
+				      group_encode(&occurrence->groups[i]));
+		checkpoints_encode(&occurrence->groups[i], checkpoints);
+		failed_runs_encode(&occurrence->groups[i], failed_runs);
+	}
+	json_object_set_new(out, "number", json_integer(occurrence->number));
+	json_object_set_new(out, "tasks", groups);
+	json_object_set_new(out, "checkpoints", checkpoints);
+	json_object_set_new(out, "failed_runs", failed_runs);
+	return out;
+}
+
+char *jrc_progress_encode(const struct jtp_job *job)
+{
+	g_autoptr(json_t) json = json_object();
+	json_t *occurrences = json_array();
+
+	for (guint i = 0; i < job->occurrences->len; i++)
+		json_array_append_new(occurrences,
+				      occurrence_encode(g_ptr_array_index(
+					      job->occurrences, i)));
+	json_object_set_new(json, "begun",
+			    json_integer(job->occurrences_begun));
+	json_object_set_new(json, "occurrences", occurrences);
+	return json_dumps(json, JSON_COMPACT);
+}
+
+static bool group_decode(struct jtp_group *group, const char *text)
+{
+	if (!text || strlen(text) != group->step->count)
+		return false;
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		struct jtp_task *task = &group->tasks[i];
+
+		if (text[i] == 'D')
+			jtp_task_set_state(task, JTP_TASK_DONE);
+		else if (g_ascii_isdigit(text[i]))
+			task->failures = (uint32_t)(text[i] - '0');
+		else
+			return false;
+	}
+	return true;
+}
+
+/* Finds a task by a key of "step.index". @return the task or NULL */
+static struct jtp_task *task_find(struct jtp_occurrence *occurrence,
+				  const char *key)
+{
+	const GArray *steps = occurrence->job->spec->steps;
+	unsigned int step;
+	unsigned int index;
+
+	if (sscanf(key, "%u.%u", &step, &index) != 2 || step >= steps->len ||
+	    index >= occurrence->groups[step].step->count)
+		return NULL;
+	return &occurrence->groups[step].tasks[index];
+}
+
+static bool tasks_decode(struct jtp_occurrence *occurrence, json_t *checkpoints,
+			 json_t *failed_runs)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(checkpoints, key, value)
+	{
+		struct jtp_task *task = task_find(occurrence, key);
+
+		if (!task)
+			return false;
+		jtp_task_set_checkpoint(task, json_string_value(value));
+	}
+	json_object_foreach(failed_runs, key, value)
+	{
+		struct jtp_task *task = task_find(occurrence, key);
+
+		if (!task)
+			return false;
+		task->failed_run = (uint32_t)json_integer_value(value);
+	}
+	return true;
+}
+
+static bool occurrence_decode(struct jtp_job *job, const json_t *json,
+			      uint64_t now_ms, uint64_t now_unix_ms)
+{
+	const json_t *groups = json_object_get(json, "tasks");
+	struct jtp_occurrence *occurrence;
+
+	job->occurrences_begun = number_get(json, "number");
+	occurrence = jtp_occurrence_begin(job, now_ms, now_unix_ms);
+	occurrence->begun = true;
+	if (json_array_size(groups) != job->spec->steps->len)
+		return false;
+	for (guint i = 0; i < job->spec->steps->len; i++) {
+		if (!group_decode(&occurrence->groups[i],
+				  json_string_value(
+					  json_array_get(groups, i))))
+			return false;
+	}
+	return tasks_decode(occurrence, json_object_get(json, "checkpoints"),
+			    json_object_get(json, "failed_runs"));
+}
+
+enum err_kind jrc_progress_decode(struct jtp_job *job, const char *text,
+				  size_t len, uint64_t now_ms,
+				  uint64_t now_unix_ms)
+{
+	g_autoptr(json_t) json = json_loadb(text, len, 0, NULL);
+	const json_t *occurrences = json_object_get(json, "occurrences");
+	bool valid = json_is_array(occurrences);
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach((json_t *)occurrences, i, item)
+	{
+		if (valid)
+			valid = occurrence_decode(job, item, now_ms,
+						  now_unix_ms);
+	}
+	if (!valid)
+		return ERR_MALFORMED;
+	job->begun = true;
+	job->progress_stored = true;
+	job->occurrences_begun = number_get(json, "begun");
+	job->occurrences_done =
+		job->occurrences_begun - job->occurrences->len;
+	return ERR_NONE;
+}
--- /dev/null
+++ b/packages/jobs/src/jsv.c
@@ -0,0 +1,415 @@
+#include "jsv.h"
+
+#include <string.h>
+
+#include "ldr.h"
+#include "lgx.h"
+#include "own.h"
+
+/* How long a call waits for an owner; a takeover takes less. */
+#define JSV_OWNER_WAIT_MS 1500
+/* Time of the caller that is left for its answer. */
+#define JSV_ANSWER_MARGIN_MS 200
+/* When to come back if no owner was found. */
+#define JSV_RETRY_AFTER_MS 1000
+/* Pause before a call that could not be sent to the owner is tried again. */
+#define JSV_RESEND_MS 60
+
+struct jsv_service {
+	struct evl_loop *loop;
+	struct plt_platform *store;
+	struct jsv_config config;
+	const struct jpt_ops *ops;
+	void *ops_self;
+	const struct jsv_peers *peers;
+	void *peers_self;
+	struct jcf_catalogue *catalogue;
+	struct ldr_election *election;
+	int64_t guard_revision;
+	struct own_owner *owner;
+	/** of struct jsv_pending, calls that wait for an owner */
+	GQueue pending;
+	bool resigned;
+	uint64_t outcomes[JSV_OUTCOME_COUNT];
+	uint64_t handed_on;
+	uint64_t waited;
+};
+
+/* A call on its way; owns copies of what it was given. */
+struct jsv_pending {
+	struct jsv_service *service;
+	struct jsv_call call;
+	char *queue;
+	char *id;
+	char *spec;
+	uint64_t due_ms;
+	uint64_t give_up_ms;
+	bool may_hand_on;
+	bool queued;
+	/* an earlier try may have taken effect */
+	bool maybe_done;
+	GList link;
+	struct tmr_entry timer;
+	jsv_cb cb;
+	void *data;
+};
+
+static void pending_run(struct jsv_pending *pending);
+
+const char *jsv_outcome_name(enum jsv_outcome outcome)
+{
+	static const char *const names[] = {
+		[JSV_OK] = "ok",
+		[JSV_NO_JOB] = "no-job",
+		[JSV_REFUSED] = "refused",
+		[JSV_UNKNOWN] = "unknown",
+		[JSV_CONFLICT] = "conflict",
+		[JSV_NOT_OWNER] = "not-owner",
+	};
+
+	g_assert(outcome < G_N_ELEMENTS(names));
+	return names[outcome];
+}
+
+static void pending_end(struct jsv_pending *pending,
+			const struct jsv_answer *answer)
+{
+	pending->service->outcomes[answer->outcome]++;
+	tmr_cancel(&pending->timer);
+	if (pending->queued)
+		g_queue_unlink(&pending->service->pending, &pending->link);
+	pending->cb(pending->data, answer);
+	g_free(pending->queue);
+	g_free(pending->id);
+	g_free(pending->spec);
+	g_free(pending);
+}
+
+/* Ends a call that this process has given up on. */
+static void pending_fail(struct jsv_pending *pending, const char *why)
+{
+	bool not_run = pending->call.verb == JSV_SUBMIT && !pending->maybe_done;
+	const struct jsv_answer answer = {
+		.outcome = not_run ? JSV_REFUSED : JSV_UNKNOWN,
+		.retry_after_ms = JSV_RETRY_AFTER_MS,
+		.why = why,
+	};
+
+	pending_end(pending, &answer);
+}
+
+static void on_pending_timer(void *data)
+{
+	struct jsv_pending *pending = data;
+
+	if (evl_now_ms() >= pending->give_up_ms)
+		pending_fail(pending, "no owner is known");
+	else
+		pending_run(pending);
+}
+
+static void pending_queue(struct jsv_pending *pending)
+{
+	uint64_t now_ms = evl_now_ms();
+
+	if (pending->service->resigned || now_ms >= pending->give_up_ms) {
+		pending_fail(pending, "no owner is known");
+		return;
+	}
+	pending->queued = true;
+	pending->service->waited++;
+	g_queue_push_tail_link(&pending->service->pending, &pending->link);
+	tmr_set(evl_loop_timers(pending->service->loop), &pending->timer,
+		pending->give_up_ms);
+}
+
+static void on_answer(void *data, const struct jsv_answer *answer)
+{
+	struct jsv_pending *pending = data;
+	struct jsv_answer told = *answer;
+
+	/* A refusal says that the job never runs, which an earlier try that is
+	 * still on its way could belie. */
+	if (told.outcome == JSV_REFUSED && pending->maybe_done) {
+		told.outcome = JSV_UNKNOWN;
+		told.why = "refused after a try without an answer";
+	}
+	pending_end(pending, &told);
+}
+
+/* A submission keeps its identity, so any call may be sent again. */
+static void on_handed_on(void *data, enum err_kind err,
+			 const struct jsv_answer *answer)
+{
+	struct jsv_pending *pending = data;
+
+	if (err == ERR_NONE && answer->outcome != JSV_NOT_OWNER) {
+		on_answer(pending, answer);
+		return;
+	}
+	pending->maybe_done |= err != ERR_NONE && err != ERR_CONNECT;
+	ldr_refresh(pending->service->election);
+	if (evl_now_ms() + JSV_RESEND_MS >= pending->give_up_ms)
+		pending_fail(pending, "the owner cannot be reached");
+	else
+		evl_timer_set(pending->service->loop, &pending->timer,
+			      JSV_RESEND_MS);
+}
+
+static void pending_run(struct jsv_pending *pending)
+{
+	struct jsv_service *service = pending->service;
+	const struct ldr_owner *owner;
+	uint64_t now_ms = evl_now_ms();
+
+	if (pending->queued)
+		g_queue_unlink(&service->pending, &pending->link);
+	pending->queued = false;
+	tmr_cancel(&pending->timer);
+	pending->call.deadline_ms =
+		pending->due_ms > now_ms ? (uint32_t)(pending->due_ms - now_ms) :
+					   0;
+	if (service->owner) {
+		if (own_is_ready(service->owner))
+			own_call(service->owner, &pending->call, on_answer,
+				 pending);
+		else
+			pending_queue(pending);
+		return;
+	}
+	owner = ldr_owner(service->election);
+	if (!pending->may_hand_on) {
+		pending_end(pending, &(struct jsv_answer){
+					     .outcome = JSV_NOT_OWNER });
+		return;
+	}
+	if (!owner || (strcmp(owner->id, service->config.id) == 0)) {
+		pending_queue(pending);
+		return;
+	}
+	service->handed_on++;
+	service->peers->send(service->peers_self, owner->ip, owner->port,
+			     &pending->call, on_handed_on, pending);
+}
+
+static void pending_run_all(struct jsv_service *service)
+{
+	guint count = service->pending.length;
+
+	for (guint i = 0; i < count && service->pending.head; i++)
+		pending_run(service->pending.head->data);
+}
+
+static void call_start(struct jsv_service *service, const struct jsv_call *call,
+		       bool may_hand_on, jsv_cb cb, void *data)
+{
+	struct jsv_pending *pending = g_new0(struct jsv_pending, 1);
+	uint64_t now_ms = evl_now_ms();
+	uint32_t left_ms = call->deadline_ms;
+
+	left_ms -= MIN(left_ms, JSV_ANSWER_MARGIN_MS);
+	pending->service = service;
+	pending->queue = g_strdup(call->queue);
+	pending->id = g_strdup(call->id);
+	pending->spec = g_strdup(call->spec);
+	pending->call = *call;
+	pending->call.queue = pending->queue;
+	pending->call.id = pending->id;
+	pending->call.spec = pending->spec;
+	pending->due_ms = now_ms + call->deadline_ms;
+	pending->give_up_ms = now_ms + MIN(left_ms, JSV_OWNER_WAIT_MS);
+	pending->may_hand_on = may_hand_on;
+	pending->link.data = pending;
+	pending->timer.cb = on_pending_timer;
+	pending->timer.data = pending;
+	pending->cb = cb;
+	pending->data = data;
+	pending_run(pending);
+}
+
+void jsv_call(struct jsv_service *service, const struct jsv_call *call,
+	      jsv_cb cb, void *data)
+{
+	call_start(service, call, true, cb, data);
+}
+
+void jsv_call_handed_on(struct jsv_service *service,
+			const struct jsv_call *call, jsv_cb cb, void *data)
+{
+	call_start(service, call, false, cb, data);
+}
+
+static void on_owner_deposed(void *data)
+{
+	struct jsv_service *service = data;
+
+	ldr_deposed(service->election);
+}
+
+static void on_owner_ready(void *data)
+{
+	pending_run_all(data);
+}
+
+static bool on_is_proved(void *data)
+{
+	struct jsv_service *service = data;
+
+	return ldr_is_proved(service->election);
+}
+
+static const struct own_ops owner_ops = {
+	.on_deposed = on_owner_deposed,
+	.on_ready = on_owner_ready,
+	.is_proved = on_is_proved,
+};
+
+/* Needs the election won and a configuration in force. */
+static void owner_begin(struct jsv_service *service)
+{
+	const struct own_config config = {
+		.loop = service->loop,
+		.store = service->store,
+		.platform = service->ops,
+		.platform_self = service->ops_self,
+		.guard_key = LDR_KEY,
+		.guard_revision = service->guard_revision,
+		.service = &service->config,
+	};
+
+	if (service->owner || !service->catalogue ||
+	    service->guard_revision == 0)
+		return;
+	service->owner = own_owner_create(&config, service->catalogue,
+					  &owner_ops, service);
+}
+
+static void on_won(void *data, int64_t revision)
+{
+	struct jsv_service *service = data;
+
+	service->guard_revision = revision;
+	owner_begin(service);
+}
+
+static void on_owner(void *data, const struct ldr_owner *owner)
+{
+	struct jsv_service *service = data;
+
+	if (owner)
+		lgx_info("owner-known",
+			 "%s at %s:%u, fence %" G_GINT64_FORMAT, owner->id,
+			 owner->ip, (unsigned int)owner->port, owner->fence);
+	else
+		lgx_info("owner-unknown", "the owner's key is absent");
+	if (owner)
+		pending_run_all(service);
+}
+
+static void on_lost(void *data)
+{
+	struct jsv_service *service = data;
+	struct own_owner *owner = g_steal_pointer(&service->owner);
+
+	service->guard_revision = 0;
+	own_owner_destroy(owner);
+}
+
+static const struct ldr_ops election_ops = {
+	.on_won = on_won,
+	.on_owner = on_owner,
+	.on_lost = on_lost,
+};
+
+struct jsv_service *
+jsv_service_create(struct evl_loop *loop, struct plt_platform *platform,
+		   const struct jsv_config *config, const struct jpt_ops *ops,
+		   void *ops_self, const struct jsv_peers *peers,
+		   void *peers_self)
+{
+	struct jsv_service *service = g_new0(struct jsv_service, 1);
+	const struct ldr_config election = {
+		.id = config->id,
+		.ip = config->ip,
+		.port = config->port,
+		.ttl_s = config->lease_ttl_s,
+		.delay_ms = config->compete_delay_ms,
+	};
+
+	service->loop = loop;
+	service->store = platform;
+	service->config = *config;
+	service->config.id = g_strdup(config->id);
+	service->config.availability_zone = g_strdup(config->availability_zone);
+	service->config.ip = g_strdup(config->ip);
+	service->ops = ops;
+	service->ops_self = ops_self;
+	service->peers = peers;
+	service->peers_self = peers_self;
+	g_queue_init(&service->pending);
+	service->election = ldr_election_create(loop, platform, &election,
+						&election_ops, service);
+	return service;
+}
+
+void jsv_service_destroy(struct jsv_service *service)
+{
+	if (!service)
+		return;
+	service->resigned = true;
+	own_owner_destroy(g_steal_pointer(&service->owner));
+	while (service->pending.head)
+		pending_fail(service->pending.head->data, "the process ends");
+	ldr_election_destroy(service->election);
+	jcf_catalogue_unref(service->catalogue);
+	g_free((char *)service->config.id);
+	g_free((char *)service->config.availability_zone);
+	g_free((char *)service->config.ip);
+	g_free(service);
+}
+
+void jsv_set_catalogue(struct jsv_service *service,
+		       struct jcf_catalogue *catalogue)
+{
+	if (service->catalogue &&
+	    service->catalogue->version >= catalogue->version)
+		return;
+	jcf_catalogue_unref(service->catalogue);
+	service->catalogue = jcf_catalogue_ref(catalogue);
+	if (service->owner)
+		own_set_catalogue(service->owner, catalogue);
+	else
+		owner_begin(service);
+}
+
+void jsv_resign(struct jsv_service *service)
+{
+	ldr_resign(service->election);
+}
+
+bool jsv_has_owner(const struct jsv_service *service)
+{
+	if (service->owner)
+		return own_is_ready(service->owner);
+	return ldr_owner(service->election) != NULL;
+}
+
+void jsv_metrics(const struct jsv_service *service, GString *out)
+{
+	for (size_t i = 0; i < JSV_OUTCOME_COUNT; i++)
+		g_string_append_printf(out,
+				       "sassafrascart_job_calls_total{outcome="
+				       "\"%s\"} %" G_GUINT64_FORMAT "\n",
+				       jsv_outcome_name(i),
+				       service->outcomes[i]);
+	g_string_append_printf(out,
+			       "sassafrascart_job_calls_handed_on_total "
+			       "%" G_GUINT64_FORMAT "\n"
+			       "sassafrascart_job_calls_waited_total "
+			       "%" G_GUINT64_FORMAT "\n"
+			       "sassafrascart_is_owner %d\n",
+			       service->handed_on, service->waited,
+			       service->owner != NULL);
+	if (service->owner)
+		own_metrics(service->owner, out);
+}
--- /dev/null
+++ b/packages/jobs/src/ldr.c
@@ -0,0 +1,333 @@
+#include "ldr.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "fol.h"
+#include "lgx.h"
+#include "lse.h"
+
+/* How long a watch waits; a silent one is noticed after this and a margin. */
+#define LDR_WATCH_MS 2000
+/* Spread of the processes that compete at once, and the pause before a write
+ * without an answer is tried again. */
+#define LDR_SPREAD_MS 50
+
+enum ldr_role {
+	LDR_FOLLOWS,
+	LDR_OWNS,
+	LDR_RESIGNED,
+};
+
+struct ldr_election {
+	struct evl_loop *loop;
+	struct plt_platform *platform;
+	char *id;
+	char *ip;
+	uint16_t port;
+	uint32_t delay_ms;
+	const struct ldr_ops *ops;
+	void *data;
+	struct lse_keeper *lease;
+	enum ldr_role role;
+	/* the key as it was seen last */
+	bool known;
+	bool present;
+	struct ldr_owner owner;
+	/* of the first write under this ownership */
+	int64_t fence;
+	/* the key is bound to the lease that runs */
+	bool bound;
+	bool writing;
+	struct fol_follower *follower;
+	struct tmr_entry compete_timer;
+};
+
+static void compete(struct ldr_election *election);
+
+static void on_compete_timer(void *data)
+{
+	compete(data);
+}
+
+static void compete_soon(struct ldr_election *election)
+{
+	uint32_t delay_ms = election->delay_ms +
+			    g_random_int_range(0, LDR_SPREAD_MS);
+
+	if (election->role == LDR_OWNS)
+		delay_ms = 0;
+	if (!tmr_is_set(&election->compete_timer))
+		evl_timer_set(election->loop, &election->compete_timer,
+			      delay_ms);
+}
+
+static void step_down(struct ldr_election *election, const char *why)
+{
+	if (election->role != LDR_OWNS)
+		return;
+	lgx_warning("ownership-lost", "fence %" G_GINT64_FORMAT ": %s",
+		    election->fence, why);
+	election->role = LDR_FOLLOWS;
+	election->bound = false;
+	election->ops->on_lost(election->data);
+}
+
+static bool owner_decode(const struct plt_kv *kv, struct ldr_owner *out)
+{
+	json_t *json = json_loadb(kv->value, kv->value_len, 0, NULL);
+	const char *id = json_string_value(json_object_get(json, "id"));
+	const char *ip = json_string_value(json_object_get(json, "ip"));
+
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(out->id, id ? id : "", sizeof(out->id));
+	g_strlcpy(out->ip, ip ? ip : "", sizeof(out->ip));
+	out->port = (uint16_t)json_integer_value(json_object_get(json, "port"));
+	out->fence = json_integer_value(json_object_get(json, "fence"));
+	if (out->fence == 0)
+		out->fence = kv->mod_revision;
+	json_decref(json);
+	return id && ip;
+}
+
+static void on_removed(void *data, enum err_kind err,
+		       const struct plt_result *result)
+{
+	struct ldr_election *election = data;
+
+	/* The watch tells whether the key is gone. */
+	if (err != ERR_NONE)
+		lgx_warning("own-key-unremoved", "%s", err_name(err));
+	else if (result->succeeded)
+		lgx_info("own-key-removed", "of an earlier incarnation of %s",
+			 election->id);
+}
+
+/* The key outlives a process that was killed until its lease ends. */
+static void own_key_remove(struct ldr_election *election, int64_t revision)
+{
+	const struct plt_compare compare = { LDR_KEY,
+					     PLT_TARGET_MOD_REVISION,
+					     revision };
+	const struct plt_write write = { .key = LDR_KEY };
+	const struct plt_txn txn = { &compare, 1, &write, 1 };
+
+	plt_txn(election->platform, &txn, on_removed, election);
+}
+
+static void key_seen(struct ldr_election *election, const struct plt_kv *kv)
+{
+	bool was_present = election->present;
+	struct ldr_owner owner = { 0 };
+
+	if (kv && !kv->deleted && !owner_decode(kv, &owner)) {
+		lgx_warning("owner-malformed", "revision %" G_GINT64_FORMAT,
+			    kv->mod_revision);
+		return;
+	}
+	election->present = kv && !kv->deleted;
+	if (election->present && strcmp(owner.id, election->id) == 0 &&
+	    election->role == LDR_OWNS)
+		return;
+	if (!election->present) {
+		election->bound = false;
+		if (was_present || !election->known)
+			election->ops->on_owner(election->data, NULL);
+		compete_soon(election);
+		return;
+	}
+	if (strcmp(owner.id, election->id) == 0 &&
+	    strcmp(owner.ip, election->ip) == 0) {
+		if (!election->writing && election->role == LDR_FOLLOWS)
+			own_key_remove(election, kv->mod_revision);
+		return;
+	}
+	if (election->role == LDR_OWNS)
+		step_down(election, "another process owns the key");
+	election->owner = owner;
+	election->ops->on_owner(election->data, &election->owner);
+}
+
+static void on_read(void *data, const struct plt_kv *kvs, size_t count)
+{
+	struct ldr_election *election = data;
+
+	key_seen(election, count > 0 ? &kvs[0] : NULL);
+	election->known = true;
+}
+
+static void on_change(void *data, const struct plt_kv *kv)
+{
+	key_seen(data, kv);
+}
+
+static const struct fol_ops key_ops = {
+	.on_read = on_read,
+	.on_change = on_change,
+};
+
+static void won(struct ldr_election *election, int64_t revision)
+{
+	election->present = true;
+	election->bound = true;
+	if (election->role == LDR_OWNS) {
+		lgx_info("ownership-proved",
+			 "fence %" G_GINT64_FORMAT " under a new lease",
+			 election->fence);
+		return;
+	}
+	election->role = LDR_OWNS;
+	election->fence = revision;
+	lgx_info("ownership-won", "fence %" G_GINT64_FORMAT, revision);
+	election->ops->on_won(election->data, revision);
+}
+
+static void on_written(void *data, enum err_kind err,
+		       const struct plt_result *result)
+{
+	struct ldr_election *election = data;
+
+	election->writing = false;
+	if (election->role == LDR_RESIGNED)
+		return;
+	if (err == ERR_NONE && result->succeeded) {
+		won(election, result->revision);
+		return;
+	}
+	if (err != ERR_NONE) {
+		/* The write may have been carried out: the key tells. */
+		lgx_warning("ownership-unanswered", "%s", err_name(err));
+		evl_timer_set(election->loop, &election->compete_timer,
+			      LDR_SPREAD_MS);
+		return;
+	}
+	if (result->kv_count == 0)
+		return;
+	if (result->kvs[0].lease == lse_keeper_lease(election->lease)) {
+		won(election, result->kvs[0].mod_revision);
+		return;
+	}
+	key_seen(election, &result->kvs[0]);
+}
+
+static void compete(struct ldr_election *election)
+{
+	int64_t lease = lse_keeper_lease(election->lease);
+	const struct plt_compare compare = { LDR_KEY,
+					     PLT_TARGET_MOD_REVISION, 0 };
+	struct plt_write write = { .key = LDR_KEY, .lease = lease };
+	const struct plt_txn txn = { &compare, 1, &write, 1 };
+	g_autofree char *value = NULL;
+
+	if (lease == 0 || election->writing || election->bound ||
+	    election->role == LDR_RESIGNED)
+		return;
+	value = g_strdup_printf("{\"id\":\"%s\",\"ip\":\"%s\",\"port\":%u,"
+				"\"fence\":%" G_GINT64_FORMAT "}",
+				election->id, election->ip,
+				(unsigned int)election->port,
+				election->role == LDR_OWNS ? election->fence :
+							     0);
+	write.value = value;
+	election->writing = true;
+	plt_txn(election->platform, &txn, on_written, election);
+}
+
+static void on_lease_granted(void *data, int64_t lease)
+{
+	struct ldr_election *election = data;
+
+	if (election->known && !election->present)
+		compete_soon(election);
+}
+
+static void on_lease_lost(void *data)
+{
+	struct ldr_election *election = data;
+
+	lgx_warning("lease-lost", "of the process; %s",
+		    election->role == LDR_OWNS ? "ownership is not proved" :
+						 "follows");
+	if (election->role != LDR_OWNS)
+		return;
+	election->bound = false;
+	fol_refresh(election->follower);
+	compete_soon(election);
+}
+
+static const struct lse_ops lease_ops = {
+	.on_granted = on_lease_granted,
+	.on_lost = on_lease_lost,
+};
+
+struct ldr_election *ldr_election_create(struct evl_loop *loop,
+					 struct plt_platform *platform,
+					 const struct ldr_config *config,
+					 const struct ldr_ops *ops, void *data)
+{
+	struct ldr_election *election = g_new0(struct ldr_election, 1);
+
+	election->loop = loop;
+	election->platform = platform;
+	election->id = g_strdup(config->id);
+	election->ip = g_strdup(config->ip);
+	election->port = config->port;
+	election->delay_ms = config->delay_ms;
+	election->ops = ops;
+	election->data = data;
+	election->compete_timer.cb = on_compete_timer;
+	election->compete_timer.data = election;
+	election->lease = lse_keeper_create(loop, platform, config->ttl_s,
+					    &lease_ops, election);
+	election->follower = fol_follower_create(loop, platform, LDR_KEY,
+						 LDR_WATCH_MS, &key_ops,
+						 election);
+	return election;
+}
+
+void ldr_election_destroy(struct ldr_election *election)
+{
+	if (!election)
+		return;
+	fol_follower_destroy(election->follower);
+	tmr_cancel(&election->compete_timer);
+	lse_keeper_destroy(election->lease);
+	g_free(election->id);
+	g_free(election->ip);
+	g_free(election);
+}
+
+void ldr_resign(struct ldr_election *election)
+{
+	step_down(election, "resigned");
+	election->role = LDR_RESIGNED;
+	tmr_cancel(&election->compete_timer);
+	lse_keeper_release(election->lease);
+}
+
+void ldr_deposed(struct ldr_election *election)
+{
+	step_down(election, "another owner has been met");
+	fol_refresh(election->follower);
+}
+
+void ldr_refresh(struct ldr_election *election)
+{
+	fol_refresh(election->follower);
+}
+
+bool ldr_is_proved(const struct ldr_election *election)
+{
+	return election->role == LDR_OWNS && election->bound &&
+	       lse_keeper_lease(election->lease) != 0;
+}
+
+bool ldr_is_owner(const struct ldr_election *election)
+{
+	return election->role == LDR_OWNS;
+}
+
+const struct ldr_owner *ldr_owner(const struct ldr_election *election)
+{
+	return election->present ? &election->owner : NULL;
+}
--- /dev/null
+++ b/packages/jobs/src/own.c
@@ -0,0 +1,421 @@
+#include "own.h"
+
+#include <string.h>
+
+#include "jrc.h"
+#include "lgx.h"
+#include "own_private.h"
+
+/* Least time between two transactions: work that ends within it shares one. */
+#define OWN_COMMIT_GAP_MS 20
+/* Time between two looks for occurrences that fall due and jobs to forget. */
+#define OWN_DUE_MS 50
+/* Jobs that were ended are told of for this multiple of the promised time. */
+#define OWN_STATUS_FACTOR 2
+/* Pause before a read of the store that failed is repeated. */
+#define OWN_READ_RETRY_MS 100
+
+bool own_is_ready(const struct own_owner *owner)
+{
+	return owner->jobs_read && owner->progress_read;
+}
+
+static void records_are_read(struct own_owner *owner)
+{
+	uint64_t now_ms = evl_now_ms();
+	GHashTableIter iter;
+	gpointer value;
+	guint live = 0;
+
+	g_hash_table_iter_init(&iter, owner->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct jtp_job *job = value;
+
+		job->accepted_ms = now_ms;
+		job->ended_ms = now_ms;
+		if (job->state > JTP_RUNNING)
+			continue;
+		live++;
+		if (job->occurrences->len == 0 && job->spec->times == 0)
+			own_occurrence_add(owner, job);
+	}
+	for (guint i = 0; i < owner->live->len; i++) {
+		struct jtp_occurrence *occurrence =
+			g_ptr_array_index(owner->live, i);
+		const GArray *steps = occurrence->job->spec->steps;
+
+		for (guint j = 0; j < steps->len; j++) {
+			struct jtp_group *group = &occurrence->groups[j];
+
+			for (uint32_t k = 0; k < group->step->count; k++) {
+				if (group->tasks[k].state == JTP_TASK_WAITING)
+					jtp_task_set_state(&group->tasks[k],
+							   JTP_TASK_UNKNOWN);
+			}
+		}
+	}
+	owner->has_unknown = true;
+	lgx_info("takeover-read",
+		 "epoch %" G_GUINT64_FORMAT ": %u jobs, %u of them live, "
+		 "after %" G_GUINT64_FORMAT " ms",
+		 owner->epoch, g_hash_table_size(owner->jobs), live,
+		 now_ms - owner->began_ms);
+	owner->ops->on_ready(owner->data);
+	evl_timer_set(owner->config.loop, &owner->due_timer, OWN_DUE_MS);
+	own_roster_settle(owner);
+	own_plan_soon(owner);
+}
+
+static void on_progress_read(void *data, enum err_kind err,
+			     const struct plt_result *result)
+{
+	struct own_owner *owner = own_cell_leave(data);
+	size_t prefix_len = strlen(JRC_PREFIX_PROGRESS);
+
+	if (!owner)
+		return;
+	owner->reading_records = false;
+	if (err != ERR_NONE) {
+		own_read_again(owner, err);
+		return;
+	}
+	for (size_t i = 0; i < result->kv_count; i++) {
+		const struct plt_kv *kv = &result->kvs[i];
+		struct jtp_job *job = g_hash_table_lookup(
+			owner->jobs, kv->key + prefix_len);
+
+		if (!job || job->state > JTP_RUNNING)
+			continue;
+		err = jrc_progress_decode(job, kv->value, kv->value_len,
+					  evl_now_ms(),
+					  (uint64_t)g_get_real_time() / 1000);
+		if (err != ERR_NONE)
+			lgx_warning("progress-malformed", "%s", kv->key);
+		for (guint j = 0; j < job->occurrences->len; j++) {
+			struct jtp_occurrence *occurrence =
+				g_ptr_array_index(job->occurrences, j);
+
+			occurrence->live_slot = owner->live->len;
+			g_ptr_array_add(owner->live, occurrence);
+		}
+	}
+	owner->progress_read = true;
+	records_are_read(owner);
+}
+
+static void progress_read(struct own_owner *owner)
+{
+	owner->reading_records = true;
+	plt_range(owner->config.store, JRC_PREFIX_PROGRESS, true,
+		  on_progress_read, own_cell_enter(owner));
+}
+
+static void on_jobs_read(void *data, enum err_kind err,
+			 const struct plt_result *result)
+{
+	struct own_owner *owner = own_cell_leave(data);
+	size_t prefix_len = strlen(JRC_PREFIX_JOB);
+
+	if (!owner)
+		return;
+	owner->reading_records = false;
+	if (err != ERR_NONE) {
+		own_read_again(owner, err);
+		return;
+	}
+	for (size_t i = 0; i < result->kv_count; i++) {
+		const struct plt_kv *kv = &result->kvs[i];
+		struct jtp_job *job = NULL;
+
+		if (jrc_job_decode(kv->key + prefix_len, kv->value,
+				   kv->value_len, &job) == ERR_NONE)
+			g_hash_table_insert(owner->jobs, job->id, job);
+		else
+			lgx_warning("job-record-malformed", "%s", kv->key);
+	}
+	owner->jobs_read = true;
+	progress_read(owner);
+}
+
+/* Jobs first: progress without a job is left aside. */
+static void records_read(struct own_owner *owner)
+{
+	if (own_is_ready(owner) || owner->reading_records)
+		return;
+	if (owner->jobs_read) {
+		progress_read(owner);
+		return;
+	}
+	owner->reading_records = true;
+	plt_range(owner->config.store, JRC_PREFIX_JOB, true, on_jobs_read,
+		  own_cell_enter(owner));
+}
+
+static void on_read_again(void *data)
+{
+	struct own_owner *owner = data;
+
+	records_read(owner);
+	own_roster_read(owner);
+}
+
+void own_read_again(struct own_owner *owner, enum err_kind err)
+{
+	lgx_warning("takeover-read-failed", "%s", err_name(err));
+	if (!tmr_is_set(&owner->read_timer))
+		evl_timer_set(owner->config.loop, &owner->read_timer,
+			      OWN_READ_RETRY_MS);
+}
+
+static void on_open(void *data, uint64_t epoch)
+{
+	struct own_owner *owner = data;
+
+	owner->epoch = epoch;
+	records_read(owner);
+	own_roster_read(owner);
+	own_list_workers(owner);
+}
+
+static void on_committed(void *data, struct jtp_job *job)
+{
+	struct own_owner *owner = data;
+
+	if (job->stored_state <= JTP_RUNNING && job->spec &&
+	    job->spec->times == 0 && job->occurrences_begun == 0 &&
+	    job->state <= JTP_RUNNING) {
+		owner->counters.accepted++;
+		lgx_info("job-accepted",
+			 "%s queue %s, steps %u, stored after "
+			 "%" G_GUINT64_FORMAT " ms",
+			 job->id, job->queue, job->spec->steps->len,
+			 evl_now_ms() - job->accepted_ms);
+		own_occurrence_add(owner, job);
+		own_plan_soon(owner);
+	}
+	own_calls_committed(owner, job);
+}
+
+static void on_progress(void *data)
+{
+	struct own_owner *owner = data;
+	uint64_t committed = cmt_committed(owner->log);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct wrk_worker *worker = value;
+
+		if (worker->ends->len > 0)
+			wrk_stored(worker, committed);
+	}
+}
+
+static void on_fenced(void *data)
+{
+	struct own_owner *owner = data;
+
+	owner->env.ops->on_deposed(owner);
+}
+
+static const struct cmt_ops log_ops = {
+	.on_open = on_open,
+	.on_committed = on_committed,
+	.on_progress = on_progress,
+	.on_fenced = on_fenced,
+};
+
+static void on_plan(void *data)
+{
+	struct own_owner *owner = data;
+
+	if (own_is_ready(owner) && !owner->fenced)
+		own_plan_run(owner);
+}
+
+static void on_list(void *data)
+{
+	own_list_workers(data);
+}
+
+static void on_depose(void *data)
+{
+	struct own_owner *owner = data;
+
+	owner->ops->on_deposed(owner->data);
+}
+
+static void job_record_delete(struct own_owner *owner,
+			      const struct jtp_job *job)
+{
+	g_autofree char *key = g_strconcat(JRC_PREFIX_JOB, job->id, NULL);
+
+	cmt_put(owner->log, key, NULL, NULL, NULL);
+}
+
+/* Begins occurrences that are due and forgets jobs that ended long ago. */
+static void on_due(void *data)
+{
+	struct own_owner *owner = data;
+	uint64_t now_ms = evl_now_ms();
+	uint64_t unix_ms = (uint64_t)g_get_real_time() / 1000;
+	uint64_t keep_ms =
+		(uint64_t)owner->config.service->status_ms * OWN_STATUS_FACTOR;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct jtp_job *job = value;
+
+		while (job->spec && job->spec->times > 0 &&
+		       job->state <= JTP_RUNNING && job->is_sent &&
+		       !job->in_flight &&
+		       jtp_next_due_unix_ms(job) <= unix_ms) {
+			own_occurrence_add(owner, job);
+			own_plan_soon(owner);
+		}
+		if (job->state <= JTP_RUNNING || job->spec || job->dirty ||
+		    job->in_flight || job->waiters ||
+		    now_ms - job->ended_ms < keep_ms)
+			continue;
+		job_record_delete(owner, job);
+		g_hash_table_iter_remove(&iter);
+	}
+	evl_timer_set(owner->config.loop, &owner->due_timer, OWN_DUE_MS);
+	own_pace_run(owner);
+}
+
+static void job_free(gpointer data)
+{
+	jtp_job_destroy(data);
+}
+
+static void worker_free(gpointer data)
+{
+	wrk_worker_drop(data);
+}
+
+static void timer_init(struct tmr_entry *timer, tmr_cb cb,
+		       struct own_owner *owner)
+{
+	timer->cb = cb;
+	timer->data = owner;
+}
+
+static void env_fill(struct own_owner *owner)
+{
+	owner->env = (struct wrk_env){
+		.loop = owner->config.loop,
+		.platform = owner->config.platform,
+		.platform_self = owner->config.platform_self,
+		.fence_base = (uint64_t)owner->config.guard_revision *
+			      WRK_FENCE_SPAN,
+		.lease_ms = owner->config.service->worker_lease_ms,
+		.ops = &own_worker_ops,
+		.data = owner,
+	};
+}
+
+struct own_owner *own_owner_create(const struct own_config *config,
+				   struct jcf_catalogue *catalogue,
+				   const struct own_ops *ops, void *data)
+{
+	struct own_owner *owner = g_new0(struct own_owner, 1);
+
+	owner->config = *config;
+	owner->ops = ops;
+	owner->data = data;
+	owner->catalogue = jcf_catalogue_ref(catalogue);
+	owner->began_ms = evl_now_ms();
+	owner->jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+	owner->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       worker_free);
+	owner->live = g_ptr_array_new();
+	owner->cell = g_new0(struct own_cell, 1);
+	owner->cell->owner = owner;
+	g_queue_init(&owner->waits);
+	timer_init(&owner->plan_timer, on_plan, owner);
+	timer_init(&owner->list_timer, on_list, owner);
+	timer_init(&owner->due_timer, on_due, owner);
+	timer_init(&owner->depose_timer, on_depose, owner);
+	timer_init(&owner->read_timer, on_read_again, owner);
+	env_fill(owner);
+	owner->fleet = own_fleet_create(owner);
+	owner->log = cmt_log_create(config->loop, config->store,
+				    config->guard_key, config->guard_revision,
+				    OWN_COMMIT_GAP_MS, &log_ops, owner);
+	return owner;
+}
+
+void own_owner_destroy(struct own_owner *owner)
+{
+	if (!owner)
+		return;
+	owner->fenced = true;
+	own_calls_end(owner);
+	tmr_cancel(&owner->plan_timer);
+	tmr_cancel(&owner->list_timer);
+	tmr_cancel(&owner->due_timer);
+	tmr_cancel(&owner->depose_timer);
+	tmr_cancel(&owner->read_timer);
+	own_fleet_destroy(owner->fleet);
+	cmt_log_destroy(owner->log);
+	g_hash_table_unref(owner->workers);
+	g_ptr_array_unref(owner->live);
+	g_hash_table_unref(owner->jobs);
+	jcf_catalogue_unref(owner->catalogue);
+	owner->cell->owner = NULL;
+	if (owner->cell->calls == 0)
+		g_free(owner->cell);
+	g_free(owner);
+}
+
+void own_set_catalogue(struct own_owner *owner, struct jcf_catalogue *catalogue)
+{
+	jcf_catalogue_unref(owner->catalogue);
+	owner->catalogue = jcf_catalogue_ref(catalogue);
+	own_plan_soon(owner);
+}
+
+void own_metrics(const struct own_owner *owner, GString *out)
+{
+	const struct own_counters *counters = &owner->counters;
+	const struct {
+		const char *name;
+		uint64_t value;
+	} rows[] = {
+		{ "jobs_accepted_total", counters->accepted },
+		{ "jobs_refused_total", counters->refused },
+		{ "jobs_ended_total{state=\"succeeded\"}",
+		  counters->succeeded },
+		{ "jobs_ended_total{state=\"failed\"}", counters->failed },
+		{ "jobs_ended_total{state=\"cancelled\"}",
+		  counters->cancelled },
+		{ "task_starts_total", counters->starts },
+		{ "task_starts_refused_total", counters->starts_refused },
+		{ "task_starts_unanswered_total",
+		  counters->starts_unanswered },
+		{ "tasks_lost_total", counters->tasks_lost },
+		{ "tasks_adopted_total", counters->tasks_adopted },
+		{ "stray_runs_total", counters->strays },
+		{ "worker_reports_total", counters->reports },
+		{ "vm_moves_total", counters->moves },
+		{ "vm_maintenances_total", counters->maintenances },
+		{ "jobs", g_hash_table_size(owner->jobs) },
+		{ "workers", g_hash_table_size(owner->workers) },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(out,
+				       "sassafrascart_%s %" G_GUINT64_FORMAT
+				       "\n",
+				       rows[i].name, rows[i].value);
+	for (size_t i = 0; i < G_N_ELEMENTS(counters->ends); i++)
+		g_string_append_printf(out,
+				       "sassafrascart_task_ends_total{kind="
+				       "\"%s\"} %" G_GUINT64_FORMAT "\n",
+				       jpt_end_name(i), counters->ends[i]);
+}
--- /dev/null
+++ b/packages/jobs/src/own_calls.c
@@ -0,0 +1,276 @@
+#include <string.h>
+#include <time.h>
+
+#include "jrc.h"
+#include "lgx.h"
+#include "own_private.h"
+
+/* An answer leaves this long before the caller stops waiting. */
+#define OWN_ANSWER_MARGIN_MS 150
+/* A store that has been silent for this long is taken as away: what must be
+ * stored is refused at once. */
+#define OWN_STORE_AWAY_MS 600
+/* When to come back while the store is away or the service is taken over. */
+#define OWN_RETRY_AFTER_MS 1000
+
+/* A caller that waits for the store. */
+struct own_wait {
+	struct own_owner *owner;
+	struct jtp_job *job;
+	jsv_cb cb;
+	void *data;
+	enum jsv_verb verb;
+	/** mark of the log that covers the call's effect */
+	uint64_t ticket;
+	struct tmr_entry timer;
+	GList link;
+};
+
+static void wait_end(struct own_wait *wait, const struct jsv_answer *answer)
+{
+	tmr_cancel(&wait->timer);
+	g_queue_unlink(&wait->owner->waits, &wait->link);
+	if (wait->job)
+		wait->job->waiters = g_slist_remove(wait->job->waiters, wait);
+	wait->cb(wait->data, answer);
+	g_free(wait);
+}
+
+static void answer_unknown(struct own_wait *wait, const char *why)
+{
+	const struct jsv_answer answer = { .outcome = JSV_UNKNOWN, .why = why };
+
+	wait_end(wait, &answer);
+}
+
+static void answer_refused(struct own_wait *wait, const char *why)
+{
+	const struct jsv_answer answer = {
+		.outcome = JSV_REFUSED,
+		.retry_after_ms = OWN_RETRY_AFTER_MS,
+		.why = why,
+	};
+
+	wait->owner->counters.refused++;
+	wait_end(wait, &answer);
+}
+
+/* Refuses a job that was never sent to the store, with all who wait for it. */
+static bool job_withdraw(struct own_owner *owner, struct jtp_job *job,
+			 const char *why)
+{
+	if (!cmt_withdraw(owner->log, job))
+		return false;
+	lgx_info("job-refused", "%s queue %s: %s", job->id, job->queue, why);
+	while (job->waiters)
+		answer_refused(job->waiters->data, why);
+	own_job_remove(owner, job);
+	return true;
+}
+
+static void on_wait_over(void *data)
+{
+	struct own_wait *wait = data;
+	struct own_owner *owner = wait->owner;
+
+	if (wait->verb == JSV_SUBMIT && wait->job &&
+	    job_withdraw(owner, wait->job, "the store did not answer in time"))
+		return;
+	answer_unknown(wait, "the store did not answer in time");
+}
+
+static void wait_add(struct own_owner *owner, struct jtp_job *job,
+		     const struct jsv_call *call, jsv_cb cb, void *data)
+{
+	struct own_wait *wait = g_new0(struct own_wait, 1);
+	uint32_t wait_ms = call->deadline_ms;
+
+	wait_ms -= MIN(wait_ms, OWN_ANSWER_MARGIN_MS);
+	wait->owner = owner;
+	wait->job = job;
+	wait->cb = cb;
+	wait->data = data;
+	wait->verb = call->verb;
+	wait->ticket = job->ticket;
+	wait->timer.cb = on_wait_over;
+	wait->timer.data = wait;
+	wait->link.data = wait;
+	g_queue_push_tail_link(&owner->waits, &wait->link);
+	job->waiters = g_slist_prepend(job->waiters, wait);
+	evl_timer_set(owner->config.loop, &wait->timer, wait_ms);
+}
+
+void own_calls_committed(struct own_owner *owner, struct jtp_job *job)
+{
+	const struct jsv_answer answer = { .outcome = JSV_OK };
+	GSList *next;
+
+	for (GSList *at = job->waiters; at; at = next) {
+		struct own_wait *wait = at->data;
+
+		next = at->next;
+		if (wait->ticket <= cmt_committed(owner->log))
+			wait_end(wait, &answer);
+	}
+}
+
+void own_calls_end(struct own_owner *owner)
+{
+	while (owner->waits.length > 0) {
+		struct own_wait *wait = owner->waits.head->data;
+
+		if (wait->verb != JSV_SUBMIT || !wait->job ||
+		    !job_withdraw(owner, wait->job, "ownership has ended"))
+			answer_unknown(wait, "ownership has ended");
+	}
+}
+
+static void answer_now(jsv_cb cb, void *data, enum jsv_outcome outcome,
+		       const char *why)
+{
+	const struct jsv_answer answer = {
+		.outcome = outcome,
+		.retry_after_ms = OWN_RETRY_AFTER_MS,
+		.why = why,
+	};
+
+	cb(data, &answer);
+}
+
+static bool store_is_away(const struct own_owner *owner)
+{
+	uint64_t since_ms = cmt_silent_since_ms(owner->log);
+
+	return since_ms != 0 && evl_now_ms() - since_ms > OWN_STORE_AWAY_MS;
+}
+
+static uint64_t unix_now_ms(void)
+{
+	return (uint64_t)g_get_real_time() / 1000;
+}
+
+static void submit_new(struct own_owner *owner, const struct jsv_call *call,
+		       jsv_cb cb, void *data)
+{
+	struct jtp_spec *spec = NULL;
+	struct jtp_job *job;
+	enum err_kind err = jrc_spec_decode(call->spec, strlen(call->spec),
+					    &spec);
+
+	if (err != ERR_NONE) {
+		lgx_warning("job-malformed", "%s from a peer: %s", call->id,
+			    err_name(err));
+		answer_now(cb, data, JSV_REFUSED, "the record is malformed");
+		return;
+	}
+	if (store_is_away(owner)) {
+		jtp_spec_destroy(spec);
+		owner->counters.refused++;
+		answer_now(cb, data, JSV_REFUSED, "the store is away");
+		return;
+	}
+	job = jtp_job_create(call->id, call->queue, spec);
+	job->accepted_unix_ms = unix_now_ms();
+	job->accepted_ms = evl_now_ms();
+	g_hash_table_insert(owner->jobs, job->id, job);
+	cmt_mark(owner->log, job);
+	wait_add(owner, job, call, cb, data);
+}
+
+static void submit(struct own_owner *owner, const struct jsv_call *call,
+		   jsv_cb cb, void *data)
+{
+	struct jtp_job *job = g_hash_table_lookup(owner->jobs, call->id);
+
+	if (!job)
+		submit_new(owner, call, cb, data);
+	else if (strcmp(job->queue, call->queue) != 0)
+		answer_now(cb, data, JSV_CONFLICT, "the identity is taken");
+	else if (job->waiters || job->in_flight || job->dirty)
+		wait_add(owner, job, call, cb, data);
+	else
+		answer_now(cb, data, JSV_OK, NULL);
+}
+
+static void tell_state(struct own_owner *owner, const struct jsv_call *call,
+		       jsv_cb cb, void *data)
+{
+	const struct jtp_job *job = g_hash_table_lookup(owner->jobs, call->id);
+	struct jsv_answer answer = { .outcome = JSV_OK };
+
+	if (!job || strcmp(job->queue, call->queue) != 0) {
+		/* Another owner may have accepted it meanwhile. */
+		if (owner->ops->is_proved(owner->data))
+			answer_now(cb, data, JSV_NO_JOB, NULL);
+		else
+			answer_now(cb, data, JSV_UNKNOWN,
+				   "ownership is not proved");
+		return;
+	}
+	answer.state = job->stored_state;
+	if (answer.state <= JTP_RUNNING)
+		answer.state = job->begun ? JTP_RUNNING : JTP_PENDING;
+	cb(data, &answer);
+}
+
+static void cancel(struct own_owner *owner, const struct jsv_call *call,
+		   jsv_cb cb, void *data)
+{
+	struct jtp_job *job = g_hash_table_lookup(owner->jobs, call->id);
+
+	if (!job || strcmp(job->queue, call->queue) != 0) {
+		if (owner->ops->is_proved(owner->data))
+			answer_now(cb, data, JSV_NO_JOB, NULL);
+		else
+			answer_now(cb, data, JSV_UNKNOWN,
+				   "ownership is not proved");
+		return;
+	}
+	if (job->state == JTP_SUCCEEDED || job->state == JTP_FAILED) {
+		answer_now(cb, data, JSV_NO_JOB, NULL);
+		return;
+	}
+	if (job->state != JTP_CANCELLED)
+		own_job_finish(owner, job, JTP_CANCELLED, "a caller asked");
+	if (job->stored_state == JTP_CANCELLED && !job->dirty)
+		answer_now(cb, data, JSV_OK, NULL);
+	else
+		wait_add(owner, job, call, cb, data);
+}
+
+static void tell_waiting(struct own_owner *owner, const struct jsv_call *call,
+			 jsv_cb cb, void *data)
+{
+	struct jsv_answer answer = { .outcome = JSV_OK };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct jtp_job *job = value;
+
+		if (!job->begun && job->state <= JTP_RUNNING &&
+		    strcmp(job->queue, call->queue) == 0)
+			answer.waiting++;
+	}
+	cb(data, &answer);
+}
+
+void own_call(struct own_owner *owner, const struct jsv_call *call, jsv_cb cb,
+	      void *data)
+{
+	switch (call->verb) {
+	case JSV_SUBMIT:
+		submit(owner, call, cb, data);
+		break;
+	case JSV_STATE:
+		tell_state(owner, call, cb, data);
+		break;
+	case JSV_CANCEL:
+		cancel(owner, call, cb, data);
+		break;
+	case JSV_WAITING:
+		tell_waiting(owner, call, cb, data);
+		break;
+	}
+}
--- /dev/null
+++ b/packages/jobs/src/own_plan.c
@@ -0,0 +1,313 @@
+#include <string.h>
+
+#include "lgx.h"
+#include "own_private.h"
+#include "pck.h"
+#include "urg.h"
+
+/* Changes that arrive within this time share one pass. */
+#define OWN_PLAN_GAP_MS 3
+/* Failures of late from which a worker is avoided while others have room. */
+#define OWN_FAILURES_TOLERATED 2
+
+/* One service's part of a pass. */
+struct plan_pool {
+	const char *service;
+	/** of struct wrk_worker * and struct pck_candidate, in step */
+	GPtrArray *workers;
+	GArray *candidates;
+	/** of struct jtp_occurrence * with tasks that wait */
+	GPtrArray *work;
+	int64_t cpu_free_most;
+};
+
+static void on_pool_free(gpointer data)
+{
+	struct plan_pool *pool = data;
+
+	g_ptr_array_unref(pool->workers);
+	g_array_unref(pool->candidates);
+	g_ptr_array_unref(pool->work);
+	g_free(pool);
+}
+
+void own_plan_soon(struct own_owner *owner)
+{
+	if (!tmr_is_set(&owner->plan_timer))
+		evl_timer_set(owner->config.loop, &owner->plan_timer,
+			      OWN_PLAN_GAP_MS);
+}
+
+static struct plan_pool *pool_get(GHashTable *pools, const char *service)
+{
+	struct plan_pool *pool = g_hash_table_lookup(pools, service);
+
+	if (pool)
+		return pool;
+	pool = g_new0(struct plan_pool, 1);
+	pool->service = service;
+	pool->workers = g_ptr_array_new();
+	pool->candidates =
+		g_array_new(FALSE, TRUE, sizeof(struct pck_candidate));
+	pool->work = g_ptr_array_new();
+	g_hash_table_insert(pools, (gpointer)service, pool);
+	return pool;
+}
+
+static bool worker_takes_tasks(const struct wrk_worker *worker,
+			       uint64_t now_ms)
+{
+	return worker->known && worker->listed && worker->in_roster &&
+	       !worker->draining && !worker->cordoned &&
+	       wrk_is_reachable(worker) && !worker->resolving &&
+	       worker->pause_until_ms <= now_ms;
+}
+
+static void candidate_add(struct plan_pool *pool, struct wrk_worker *worker)
+{
+	struct pck_candidate candidate = {
+		.cpu_free_milli =
+			worker->room.cpu_milli - worker->used.cpu_milli,
+		.memory_free_mb =
+			worker->room.memory_mb - worker->used.memory_mb,
+		.accelerators_free =
+			worker->room.accelerators - worker->used.accelerators,
+	};
+
+	if (worker->recent_failures > OWN_FAILURES_TOLERATED)
+		candidate.penalty =
+			worker->recent_failures - OWN_FAILURES_TOLERATED;
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct jtp_task *task =
+			g_ptr_array_index(worker->tasks, i);
+		const struct jtp_step *step = task->group->step;
+
+		candidate.fillers += step->is_filler;
+		candidate.serving += step->target_ms > 0 && !step->is_filler;
+	}
+	g_ptr_array_add(pool->workers, worker);
+	g_array_append_val(pool->candidates, candidate);
+}
+
+static bool occurrence_has_work(const struct jtp_occurrence *occurrence)
+{
+	const GArray *steps = occurrence->job->spec->steps;
+
+	if (occurrence->job->state > JTP_RUNNING)
+		return false;
+	for (guint i = 0; i < steps->len; i++) {
+		const struct jtp_group *group = &occurrence->groups[i];
+
+		if (group->waiting > 0 && jtp_group_is_ready(group))
+			return true;
+	}
+	return false;
+}
+
+static void sort_key_set(struct jtp_occurrence *occurrence,
+			 const struct jcf_queue *queue, uint64_t now_ms)
+{
+	const struct urg_work work = {
+		.lasting = occurrence->groups[0].step->is_lasting,
+		.begun = occurrence->begun,
+		.priority = queue->priority,
+		.since_ms = occurrence->since_ms,
+		.objective_ms = (uint64_t)occurrence->whole_chain_ms *
+					queue->stretch_permille / 1000 +
+				queue->slo_ms,
+		.chain_ms = jtp_chain_ms(occurrence, false),
+	};
+
+	occurrence->sort_key = urg_key(&work, now_ms);
+}
+
+static gint work_compare(gconstpointer a, gconstpointer b)
+{
+	const struct jtp_occurrence *left = *(struct jtp_occurrence *const *)a;
+	const struct jtp_occurrence *right = *(struct jtp_occurrence *const *)b;
+
+	if (left->sort_key == right->sort_key)
+		return 0;
+	return left->sort_key < right->sort_key ? -1 : 1;
+}
+
+static void task_start(struct own_owner *owner, struct jtp_task *task,
+		       struct wrk_worker *worker)
+{
+	struct jtp_occurrence *occurrence = task->group->occurrence;
+	uint32_t base = (uint32_t)(owner->epoch * OWN_RUNS_PER_EPOCH);
+
+	task->run = MAX(task->run, base) + 1;
+	task->ordered_ms = evl_now_ms();
+	task->seen_in_report = 0;
+	own_task_place(owner, task, worker);
+	jtp_task_set_state(task, JTP_TASK_STARTING);
+	occurrence->begun = true;
+	occurrence->job->begun = true;
+	owner->counters.starts++;
+	lgx_debug("task-start",
+		  "%s.%u.%u.%u run %u at %s, free cpu %" G_GINT64_FORMAT
+		  " milli",
+		  occurrence->job->id, occurrence->number,
+		  task->group->step_index, task->index, task->run, worker->id,
+		  worker->room.cpu_milli - worker->used.cpu_milli);
+	wrk_start(worker, task, occurrence->job->spec->text, NULL);
+}
+
+/* Fills what depends on the group into the candidates. */
+static void candidates_fit_group(struct plan_pool *pool,
+				 const struct jtp_group *group)
+{
+	const struct jtp_step *step = group->step;
+
+	for (guint i = 0; i < pool->workers->len; i++) {
+		const struct wrk_worker *worker =
+			g_ptr_array_index(pool->workers, i);
+		struct pck_candidate *candidate = &g_array_index(
+			pool->candidates, struct pck_candidate, i);
+
+		candidate->same_group = 0;
+		candidate->labelled = wrk_has_label(worker, step->label);
+		candidate->on_data_rack =
+			step->data_rack &&
+			wrk_has_label(worker, step->data_rack);
+	}
+	if (step->most_per_worker == 0)
+		return;
+	for (uint32_t i = 0; i < step->count; i++) {
+		guint at;
+
+		if (group->tasks[i].worker &&
+		    g_ptr_array_find(pool->workers, group->tasks[i].worker,
+				     &at))
+			g_array_index(pool->candidates, struct pck_candidate,
+				      at)
+				.same_group++;
+	}
+}
+
+static void candidate_take(struct pck_candidate *candidate,
+			   const struct pck_need *need)
+{
+	if (!need->fills)
+		candidate->cpu_free_milli -= need->cpu_milli;
+	candidate->memory_free_mb -= need->memory_mb;
+	candidate->accelerators_free -= need->accelerators;
+	candidate->same_group++;
+	candidate->fillers += need->fills;
+	candidate->serving += need->serves;
+}
+
+static struct pck_need need_of(const struct jtp_step *step)
+{
+	return (struct pck_need){
+		.cpu_milli = step->need.cpu_milli,
+		.memory_mb = step->need.memory_mb,
+		.accelerators = step->need.accelerators,
+		.most_per_worker = step->most_per_worker,
+		.has_data_rack = step->data_rack != NULL,
+		.serves = step->target_ms > 0 && !step->is_filler,
+		.fills = step->is_filler,
+		.lasts = step->is_lasting,
+	};
+}
+
+static void group_start(struct own_owner *owner, struct plan_pool *pool,
+			struct jtp_group *group, uint64_t now_ms)
+{
+	const struct pck_need need = need_of(group->step);
+
+	candidates_fit_group(pool, group);
+	for (uint32_t i = 0; i < group->step->count && group->waiting > 0;
+	     i++) {
+		struct jtp_task *task = &group->tasks[i];
+		int32_t chosen;
+
+		if (task->state != JTP_TASK_WAITING)
+			continue;
+		if (task->not_before_ms > now_ms) {
+			own_plan_soon(owner);
+			continue;
+		}
+		chosen = pck_choose(
+			(const struct pck_candidate *)pool->candidates->data,
+			pool->candidates->len, &need);
+		if (chosen < 0)
+			return;
+		candidate_take(&g_array_index(pool->candidates,
+					      struct pck_candidate, chosen),
+			       &need);
+		task_start(owner, task,
+			   g_ptr_array_index(pool->workers, chosen));
+	}
+}
+
+static void occurrence_start(struct own_owner *owner, struct plan_pool *pool,
+			     struct jtp_occurrence *occurrence, uint64_t now_ms)
+{
+	const GArray *steps = occurrence->job->spec->steps;
+
+	for (guint i = 0; i < steps->len; i++) {
+		struct jtp_group *group = &occurrence->groups[i];
+
+		if (group->waiting > 0 && jtp_group_is_ready(group))
+			group_start(owner, pool, group, now_ms);
+	}
+}
+
+static void work_collect(struct own_owner *owner, GHashTable *pools,
+			 uint64_t now_ms)
+{
+	for (guint i = 0; i < owner->live->len; i++) {
+		struct jtp_occurrence *occurrence =
+			g_ptr_array_index(owner->live, i);
+		const struct jcf_queue *queue;
+
+		if (!occurrence_has_work(occurrence))
+			continue;
+		queue = own_queue_of(owner, occurrence->job);
+		if (!queue)
+			continue;
+		sort_key_set(occurrence, queue, now_ms);
+		g_ptr_array_add(pool_get(pools, queue->service)->work,
+				occurrence);
+	}
+}
+
+void own_plan_run(struct own_owner *owner)
+{
+	g_autoptr(GHashTable) pools = g_hash_table_new_full(
+		g_str_hash, g_str_equal, NULL, on_pool_free);
+	uint64_t now_ms = evl_now_ms();
+	GHashTableIter iter;
+	gpointer value;
+
+	work_collect(owner, pools, now_ms);
+	if (g_hash_table_size(pools) == 0)
+		return;
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct wrk_worker *worker = value;
+		struct plan_pool *pool =
+			g_hash_table_lookup(pools, worker->service);
+
+		if (pool && worker_takes_tasks(worker, now_ms))
+			candidate_add(pool, worker);
+	}
+	g_hash_table_iter_init(&iter, pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct plan_pool *pool = value;
+
+		if (pool->workers->len == 0)
+			continue;
+		g_ptr_array_sort(pool->work, work_compare);
+		for (guint i = 0; i < pool->work->len; i++)
+			occurrence_start(owner, pool,
+					 g_ptr_array_index(pool->work, i),
+					 now_ms);
+	}
+}
+
+void own_pace_run(struct own_owner *owner)
+{
+}
--- /dev/null
+++ b/packages/jobs/src/own_private.h
@@ -0,0 +1,128 @@
+/**
+ * @file own_private.h
+ * @brief What the files of the owner share.
+ *
+ * Calls go one way: own.c calls the others; own_plan.c and own_fleet.c call
+ * own_work.c, which calls none of them but own_plan_soon().
+ */
+#ifndef OWN_PRIVATE_H
+#define OWN_PRIVATE_H
+
+#include "cmt.h"
+#include "own.h"
+#include "wrk.h"
+
+/** Key of the workers that may hold tasks, see own_roster.c. */
+#define OWN_KEY_ROSTER "/sassafrascart/worker-roster"
+/** Runs of one task that one owner may order; successors count from above. */
+#define OWN_RUNS_PER_EPOCH 1000
+
+/** Counters of the owner. */
+struct own_counters {
+	uint64_t accepted;
+	uint64_t refused;
+	uint64_t succeeded;
+	uint64_t failed;
+	uint64_t cancelled;
+	uint64_t starts;
+	uint64_t starts_refused;
+	uint64_t starts_unanswered;
+	uint64_t ends[JPT_END_ALONE + 1];
+	uint64_t tasks_lost;
+	uint64_t tasks_adopted;
+	uint64_t strays;
+	uint64_t reports;
+	uint64_t moves;
+	uint64_t maintenances;
+};
+
+struct own_fleet;
+
+struct own_owner {
+	struct own_config config;
+	const struct own_ops *ops;
+	void *data;
+	struct jcf_catalogue *catalogue;
+	struct wrk_env env;
+	struct cmt_log *log;
+	uint64_t epoch;
+	uint64_t began_ms;
+	bool jobs_read;
+	bool progress_read;
+	bool roster_read;
+	bool workers_read;
+	/** tasks of earlier owners whose place is not known are left */
+	bool has_unknown;
+	bool fenced;
+	/** id to struct jtp_job */
+	GHashTable *jobs;
+	/** id to struct wrk_worker */
+	GHashTable *workers;
+	/** of struct jtp_occurrence, those that have not ended */
+	GPtrArray *live;
+	uint64_t reports;
+	/** calls that wait, of struct own_wait */
+	GQueue waits;
+	struct own_fleet *fleet;
+	struct own_counters counters;
+	bool roster_dirty;
+	bool listing;
+	bool reading_records;
+	bool reading_roster;
+	struct tmr_entry plan_timer;
+	struct tmr_entry list_timer;
+	struct tmr_entry due_timer;
+	struct tmr_entry depose_timer;
+	struct tmr_entry read_timer;
+	/** reads of the store in flight name the owner through a cell */
+	struct own_cell *cell;
+};
+
+/** Outlives the owner while reads are in flight. */
+struct own_cell {
+	struct own_owner *owner;
+	uint32_t calls;
+};
+
+/** @brief Counts a call in flight. @return the cell to hand to it */
+struct own_cell *own_cell_enter(struct own_owner *owner);
+/** @brief Ends a call. @return the owner, NULL when it is gone */
+struct own_owner *own_cell_leave(struct own_cell *cell);
+
+/* own_work.c: tasks, their ends and their places. */
+extern const struct wrk_ops own_worker_ops;
+void own_task_place(struct own_owner *owner, struct jtp_task *task,
+		    struct wrk_worker *worker);
+void own_task_unplace(struct own_owner *owner, struct jtp_task *task);
+struct jtp_task *own_task_find(struct own_owner *owner, const char *name);
+void own_occurrence_add(struct own_owner *owner, struct jtp_job *job);
+void own_job_finish(struct own_owner *owner, struct jtp_job *job,
+		    enum jtp_state state, const char *why);
+void own_job_remove(struct own_owner *owner, struct jtp_job *job);
+void own_task_stop(struct own_owner *owner, struct jtp_task *task,
+		   const char *why);
+const struct jcf_queue *own_queue_of(const struct own_owner *owner,
+				     const struct jtp_job *job);
+
+/* own_calls.c: calls of callers. */
+void own_calls_committed(struct own_owner *owner, struct jtp_job *job);
+void own_calls_end(struct own_owner *owner);
+
+/* own.c: repeats reads of the store that failed. */
+void own_read_again(struct own_owner *owner, enum err_kind err);
+
+/* own_roster.c: workers, known and listed. */
+void own_roster_read(struct own_owner *owner);
+void own_list_workers(struct own_owner *owner);
+void own_roster_settle(struct own_owner *owner);
+
+/* own_plan.c: what starts where. */
+void own_plan_soon(struct own_owner *owner);
+void own_plan_run(struct own_owner *owner);
+void own_pace_run(struct own_owner *owner);
+
+/* own_fleet.c: moves and maintenance of VMs. */
+struct own_fleet *own_fleet_create(struct own_owner *owner);
+void own_fleet_destroy(struct own_fleet *fleet);
+
+#endif
--- /dev/null
+++ b/packages/jobs/src/own_roster.c
@@ -0,0 +1,308 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "lgx.h"
+#include "own_private.h"
+
+/* Time between two reads of the list of workers, well under the time within
+ * which a worker that drains must get no new tasks. */
+#define OWN_LIST_MS 500
+/* A read that failed is repeated after this. */
+#define OWN_LIST_RETRY_MS 200
+/* A worker that is not listed is forgotten after this, once nothing can run
+ * there any more: entries of living workers are back sooner. */
+#define OWN_FORGET_MS 3000
+/* Added to the longest lease when waiting for a silent worker's to run out:
+ * the worker's clock may be 2% slow, and the order before may be late. */
+#define OWN_LEASE_MARGIN_MS 500
+
+struct own_cell *own_cell_enter(struct own_owner *owner)
+{
+	owner->cell->calls++;
+	return owner->cell;
+}
+
+struct own_owner *own_cell_leave(struct own_cell *cell)
+{
+	struct own_owner *owner = cell->owner;
+
+	if (--cell->calls == 0 && !owner)
+		g_free(cell);
+	return owner;
+}
+
+/* A lease that an earlier owner granted has run out for sure by then. */
+static uint64_t earlier_leases_over_ms(const struct own_owner *owner)
+{
+	return owner->began_ms + owner->env.lease_ms + OWN_LEASE_MARGIN_MS;
+}
+
+static json_t *roster_item(const struct wrk_worker *worker)
+{
+	return json_pack("{s:s, s:s, s:i, s:s, s:s}", "id", worker->id, "ip",
+			 worker->ip, "port", (int)worker->port, "service",
+			 worker->service, "availability_zone",
+			 worker->availability_zone);
+}
+
+static void on_roster_stored(void *data)
+{
+	struct own_owner *owner = data;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (owner->roster_dirty)
+		return;
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct wrk_worker *)value)->in_roster = true;
+	own_plan_soon(owner);
+}
+
+/* Writes all known workers; none gets a task before it stands there, so that
+ * a successor knows where to look even when the list leaves a worker out. */
+static void roster_write(struct own_owner *owner)
+{
+	json_t *items = json_array();
+	GHashTableIter iter;
+	gpointer value;
+	char *text;
+
+	if (!owner->roster_dirty || !owner->roster_read)
+		return;
+	owner->roster_dirty = false;
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(items, roster_item(value));
+	text = json_dumps(items, JSON_COMPACT);
+	cmt_put(owner->log, OWN_KEY_ROSTER, text, on_roster_stored, owner);
+	free(text);
+	json_decref(items);
+}
+
+static struct wrk_worker *worker_add(struct own_owner *owner,
+				     const struct jpt_entry *entry)
+{
+	struct wrk_worker *worker = wrk_worker_create(&owner->env, entry);
+
+	g_hash_table_insert(owner->workers, worker->id, worker);
+	owner->roster_dirty = true;
+	return worker;
+}
+
+static void on_entry(void *data, const struct jpt_entry *entry)
+{
+	struct own_owner *owner = data;
+	struct wrk_worker *worker =
+		g_hash_table_lookup(owner->workers, entry->id);
+
+	if (!worker) {
+		lgx_info("worker-listed", "%s at %s:%u, service %s", entry->id,
+			 entry->ip, (unsigned int)entry->port, entry->service);
+		worker_add(owner, entry);
+		return;
+	}
+	if (entry->draining && !worker->draining)
+		lgx_info("worker-drains", "%s, tasks %u", worker->id,
+			 worker->tasks->len);
+	wrk_worker_update(worker, entry);
+}
+
+static void unlisted_sweep(struct own_owner *owner)
+{
+	uint64_t now_ms = evl_now_ms();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct wrk_worker *worker = value;
+
+		if (worker->listed) {
+			worker->unlisted_since_ms = 0;
+			continue;
+		}
+		if (worker->unlisted_since_ms == 0)
+			worker->unlisted_since_ms = now_ms;
+		if (worker->tasks->len > 0 ||
+		    now_ms - worker->unlisted_since_ms < OWN_FORGET_MS ||
+		    (owner->has_unknown && !worker->known))
+			continue;
+		lgx_info("worker-forgotten", "%s, not listed", worker->id);
+		g_hash_table_iter_remove(&iter);
+		owner->roster_dirty = true;
+	}
+}
+
+/* Frees the tasks of silent workers whose leases have run out. */
+static void lapsed_sweep(struct own_owner *owner)
+{
+	uint64_t now_ms = evl_now_ms();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct wrk_worker *worker = value;
+
+		if (worker->tasks->len == 0 || wrk_is_reachable(worker) ||
+		    now_ms < worker->lease_over_ms)
+			continue;
+		lgx_info("worker-lapsed",
+			 "%s, silent for %" G_GUINT64_FORMAT " ms, tasks %u",
+			 worker->id, now_ms - worker->silent_since_ms,
+			 worker->tasks->len);
+		owner->env.ops->on_life_over(owner, worker);
+	}
+}
+
+static void on_listed(void *data, enum err_kind err,
+		      const struct plt_result *result)
+{
+	struct own_owner *owner = own_cell_leave(data);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!owner)
+		return;
+	owner->listing = false;
+	evl_timer_set(owner->config.loop, &owner->list_timer,
+		      err == ERR_NONE ? OWN_LIST_MS : OWN_LIST_RETRY_MS);
+	lapsed_sweep(owner);
+	if (owner->has_unknown)
+		own_roster_settle(owner);
+	if (err != ERR_NONE)
+		return;
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct wrk_worker *)value)->listed = false;
+	for (size_t i = 0; i < result->kv_count; i++) {
+		const struct plt_kv *kv = &result->kvs[i];
+		enum err_kind decoded = owner->config.platform->entry_decode(
+			kv->key, kv->value, kv->value_len, on_entry, owner);
+
+		if (decoded != ERR_NONE)
+			lgx_debug("entry-ignored", "%s: %s", kv->key,
+				  err_name(decoded));
+	}
+	owner->workers_read = true;
+	unlisted_sweep(owner);
+	roster_write(owner);
+	own_plan_soon(owner);
+}
+
+void own_list_workers(struct own_owner *owner)
+{
+	if (owner->listing)
+		return;
+	owner->listing = true;
+	plt_range(owner->config.store, owner->config.platform->workers_prefix,
+		  true, on_listed, own_cell_enter(owner));
+}
+
+static void roster_item_take(struct own_owner *owner, const json_t *item)
+{
+	const char *id = json_string_value(json_object_get(item, "id"));
+	const char *ip = json_string_value(json_object_get(item, "ip"));
+	const char *no_labels[] = { NULL };
+	struct jpt_entry entry = {
+		.id = id,
+		.port = (uint16_t)json_integer_value(
+			json_object_get(item, "port")),
+		.service =
+			json_string_value(json_object_get(item, "service")),
+		.availability_zone = json_string_value(
+			json_object_get(item, "availability_zone")),
+		.labels = no_labels,
+	};
+	struct wrk_worker *worker;
+
+	if (!id || !ip || !entry.service ||
+	    g_hash_table_contains(owner->workers, id))
+		return;
+	g_strlcpy(entry.ip, ip, sizeof(entry.ip));
+	worker = worker_add(owner, &entry);
+	worker->listed = false;
+	worker->unlisted_since_ms = evl_now_ms();
+}
+
+static void on_roster_read(void *data, enum err_kind err,
+			   const struct plt_result *result)
+{
+	struct own_owner *owner = own_cell_leave(data);
+	json_t *items;
+	json_t *item;
+	size_t i;
+
+	if (!owner)
+		return;
+	owner->reading_roster = false;
+	if (err != ERR_NONE) {
+		own_read_again(owner, err);
+		return;
+	}
+	owner->roster_read = true;
+	if (result->kv_count > 0) {
+		items = json_loadb(result->kvs[0].value,
+				   result->kvs[0].value_len, 0, NULL);
+		json_array_foreach(items, i, item)
+			roster_item_take(owner, item);
+		json_decref(items);
+	}
+	owner->roster_dirty = true;
+	roster_write(owner);
+}
+
+void own_roster_read(struct own_owner *owner)
+{
+	if (owner->roster_read || owner->reading_roster)
+		return;
+	owner->reading_roster = true;
+	plt_range(owner->config.store, OWN_KEY_ROSTER, false, on_roster_read,
+		  own_cell_enter(owner));
+}
+
+static void unknown_release(struct own_owner *owner)
+{
+	uint32_t released = 0;
+
+	for (guint i = 0; i < owner->live->len; i++) {
+		struct jtp_occurrence *occurrence =
+			g_ptr_array_index(owner->live, i);
+		const GArray *steps = occurrence->job->spec->steps;
+
+		for (guint j = 0; j < steps->len; j++) {
+			struct jtp_group *group = &occurrence->groups[j];
+
+			for (uint32_t k = 0; k < group->step->count; k++) {
+				if (group->tasks[k].state != JTP_TASK_UNKNOWN)
+					continue;
+				jtp_task_set_state(&group->tasks[k],
+						   JTP_TASK_WAITING);
+				released++;
+			}
+		}
+	}
+	owner->has_unknown = false;
+	lgx_info("takeover-settled",
+		 "%u tasks wait again, %" G_GUINT64_FORMAT " ms after it began",
+		 released, evl_now_ms() - owner->began_ms);
+	own_plan_soon(owner);
+}
+
+void own_roster_settle(struct own_owner *owner)
+{
+	bool leases_over = evl_now_ms() >= earlier_leases_over_ms(owner);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!owner->roster_read || !owner->workers_read || !owner->jobs_read ||
+	    !owner->progress_read)
+		return;
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (!leases_over && g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!((struct wrk_worker *)value)->known)
+			return;
+	}
+	unknown_release(owner);
+}
--- /dev/null
+++ b/packages/jobs/src/wrk.c
@@ -0,0 +1,494 @@
+#include "wrk.h"
+
+#include <string.h>
+
+#include "lgx.h"
+
+/* Answers of orders take milliseconds; silence beyond this is resolved. */
+#define WRK_ORDER_TIMEOUT_MS 700
+/* Longest wait of a look, which the platform bounds at two seconds. */
+#define WRK_LOOK_WAIT_MS 2000
+/* Pause before a look that got no answer is repeated. */
+#define WRK_LOOK_RETRY_MS 250
+/* A worker with ends that are not stored is looked at this often, so that its
+ * lease does not run out while the store is away. */
+#define WRK_LOOK_UNSTORED_MS 1000
+/* The worker's steady clock may be this much slow, in permille. */
+#define WRK_CLOCK_SLOW_PERMILLE 20
+/* Covers rounding and the time that ending what ran takes. */
+#define WRK_LEASE_MARGIN_MS 100
+
+/* A call in flight; holds a reference on the worker. */
+struct wrk_call {
+	struct wrk_worker *worker;
+	struct wrk_order order;
+	uint64_t serial;
+	uint64_t sent_ms;
+	bool settles;
+};
+
+static void worker_clear(gpointer data)
+{
+	struct wrk_worker *worker = data;
+
+	g_free(worker->id);
+	g_free(worker->service);
+	g_free(worker->availability_zone);
+	g_strfreev(worker->labels);
+	g_array_unref(worker->ends);
+	g_ptr_array_unref(worker->tasks);
+	g_free(worker->vm);
+}
+
+static void worker_unref(struct wrk_worker *worker)
+{
+	g_rc_box_release_full(worker, worker_clear);
+}
+
+static struct wrk_call *call_create(struct wrk_worker *worker)
+{
+	struct wrk_call *call = g_new0(struct wrk_call, 1);
+
+	call->worker = g_rc_box_acquire(worker);
+	call->sent_ms = evl_now_ms();
+	return call;
+}
+
+static void call_free(struct wrk_call *call)
+{
+	worker_unref(call->worker);
+	g_free(call);
+}
+
+static struct jpt_target target_of(const struct wrk_worker *worker)
+{
+	return (struct jpt_target){ worker->ip, worker->port, worker->id };
+}
+
+uint64_t wrk_fence(const struct wrk_worker *worker)
+{
+	return worker->env->fence_base + worker->fence_step;
+}
+
+bool wrk_is_reachable(const struct wrk_worker *worker)
+{
+	return worker->silent_calls == 0;
+}
+
+bool wrk_has_label(const struct wrk_worker *worker, const char *label)
+{
+	return !label ||
+	       g_strv_contains((const char *const *)worker->labels, label);
+}
+
+/* The end of the lease that orders sent now carry, on the worker's clock. */
+static uint64_t lease_grant(struct wrk_worker *worker)
+{
+	uint64_t now_ms = evl_now_ms();
+	uint64_t until_ms;
+	uint64_t left_ms;
+
+	if (worker->clock_ms == 0)
+		return 0;
+	until_ms = worker->clock_ms + (now_ms - worker->clock_at_ms) +
+		   worker->env->lease_ms;
+	worker->lease_until_ms = MAX(worker->lease_until_ms, until_ms);
+	left_ms = worker->lease_until_ms - worker->clock_ms;
+	left_ms += left_ms * WRK_CLOCK_SLOW_PERMILLE / (1000 - WRK_CLOCK_SLOW_PERMILLE);
+	worker->lease_over_ms =
+		MAX(worker->lease_over_ms,
+		    worker->clock_at_ms + left_ms + WRK_LEASE_MARGIN_MS);
+	return worker->lease_until_ms;
+}
+
+static void clock_note(struct wrk_worker *worker, uint64_t clock_ms)
+{
+	if (clock_ms < worker->clock_ms)
+		return;
+	worker->clock_ms = clock_ms;
+	worker->clock_at_ms = evl_now_ms();
+}
+
+static void silence_note(struct wrk_worker *worker, enum err_kind err)
+{
+	if (worker->silent_calls++ > 0)
+		return;
+	worker->silent_since_ms = evl_now_ms();
+	lgx_warning("worker-silent", "%s at %s:%u, service %s: %s", worker->id,
+		    worker->ip, (unsigned int)worker->port, worker->service,
+		    err_name(err));
+}
+
+static void answer_note(struct wrk_worker *worker)
+{
+	if (worker->silent_calls > 0)
+		lgx_info("worker-answers", "%s after %" G_GUINT64_FORMAT " ms",
+			 worker->id, evl_now_ms() - worker->silent_since_ms);
+	worker->silent_calls = 0;
+	worker->silent_since_ms = 0;
+}
+
+static void life_reset(struct wrk_worker *worker)
+{
+	worker->clock_ms = 0;
+	worker->clock_at_ms = 0;
+	worker->lease_until_ms = 0;
+	worker->lease_over_ms = 0;
+	worker->acked = 0;
+	worker->ends_seen = 0;
+	worker->known = false;
+	g_array_set_size(worker->ends, 0);
+	/* Orders to the incarnation before must not be taken by this one. */
+	worker->fence_step++;
+	worker->look_serial++;
+	worker->looking = false;
+}
+
+static void life_end(struct wrk_worker *worker, const char *why)
+{
+	lgx_info("worker-life-over", "%s, service %s, tasks %u: %s", worker->id,
+		 worker->service, worker->tasks->len, why);
+	worker->env->ops->on_life_over(worker->env->data, worker);
+	life_reset(worker);
+}
+
+/* Tells whether a refusal by token means that there is another owner. */
+static bool fence_is_foreign(const struct wrk_worker *worker, uint64_t fence)
+{
+	return fence == wrk_fence(worker);
+}
+
+static void on_looked(void *data, const struct jpt_reply *reply);
+
+static void look_send(struct wrk_worker *worker, uint32_t wait_ms)
+{
+	struct jpt_target target = target_of(worker);
+	struct wrk_call *call = call_create(worker);
+	struct jpt_look look = {
+		.acked_upto = worker->acked,
+		.wait_ms = wait_ms,
+	};
+
+	/* The first look only learns the clock and raises the token. */
+	look.lease_until_ms = worker->known ? lease_grant(worker) : 0;
+	look.fence = wrk_fence(worker);
+	call->order.fence = look.fence;
+	call->serial = ++worker->look_serial;
+	call->settles = worker->resolving;
+	worker->looking = true;
+	tmr_cancel(&worker->look_timer);
+	worker->env->platform->look(worker->env->platform_self, &target, &look,
+				    wait_ms + WRK_ORDER_TIMEOUT_MS, on_looked,
+				    call);
+}
+
+static void look_plan(struct wrk_worker *worker, uint32_t delay_ms)
+{
+	uint64_t due_ms = evl_now_ms() + delay_ms;
+
+	if (worker->gone || worker->looking)
+		return;
+	if (tmr_is_set(&worker->look_timer) &&
+	    worker->look_timer.due_ms <= due_ms)
+		return;
+	evl_timer_set(worker->env->loop, &worker->look_timer, delay_ms);
+}
+
+void wrk_look_within(struct wrk_worker *worker, uint32_t delay_ms)
+{
+	look_plan(worker, delay_ms);
+}
+
+static bool ends_wait_for_store(const struct wrk_worker *worker)
+{
+	return worker->ends->len > 0;
+}
+
+static void on_look_timer(void *data)
+{
+	struct wrk_worker *worker = data;
+	bool at_once = worker->resolving || !worker->known ||
+		       ends_wait_for_store(worker);
+
+	if (!worker->gone && !worker->looking)
+		look_send(worker, at_once ? 0 : WRK_LOOK_WAIT_MS);
+}
+
+/* Plans the look after a report. */
+static void look_next(struct wrk_worker *worker)
+{
+	if (worker->resolving)
+		look_plan(worker, 0);
+	else if (ends_wait_for_store(worker))
+		look_plan(worker, WRK_LOOK_UNSTORED_MS);
+	else if (worker->tasks->len > 0 || worker->acked < worker->ends_seen)
+		look_plan(worker, 0);
+}
+
+static void report_take(struct wrk_worker *worker, const struct wrk_call *call,
+			const struct jpt_report *report)
+{
+	if (report->born_ms != 0 && worker->born_ms != 0 &&
+	    report->born_ms != worker->born_ms) {
+		worker->born_ms = report->born_ms;
+		life_end(worker, "it has started anew");
+		look_plan(worker, 0);
+		return;
+	}
+	if (report->born_ms != 0)
+		worker->born_ms = report->born_ms;
+	clock_note(worker, report->clock_ms);
+	if (call->settles && call->order.fence == wrk_fence(worker))
+		worker->resolving = false;
+	worker->known = true;
+	worker->env->ops->on_report(worker->env->data, worker, report,
+				    call->order.fence);
+	if (!worker->gone)
+		look_next(worker);
+}
+
+static void look_refused(struct wrk_worker *worker,
+			 const struct wrk_call *call,
+			 const struct jpt_reply *reply)
+{
+	switch (reply->verdict) {
+	case JPT_REFUSED_FENCE:
+		if (fence_is_foreign(worker, call->order.fence))
+			worker->env->ops->on_deposed(worker->env->data);
+		else
+			look_plan(worker, 0);
+		break;
+	case JPT_REFUSED_INCARNATION:
+		life_end(worker, "another one answers at its address");
+		look_plan(worker, WRK_LOOK_RETRY_MS);
+		break;
+	default:
+		lgx_warning("look-refused", "%s: %s", worker->id,
+			    jpt_verdict_name(reply->verdict));
+		look_plan(worker, WRK_LOOK_RETRY_MS);
+		break;
+	}
+}
+
+static void on_looked(void *data, const struct jpt_reply *reply)
+{
+	struct wrk_call *call = data;
+	struct wrk_worker *worker = call->worker;
+
+	if (!worker->gone && call->serial == worker->look_serial) {
+		worker->looking = false;
+		if (reply->err != ERR_NONE) {
+			silence_note(worker, reply->err);
+			look_plan(worker, WRK_LOOK_RETRY_MS);
+		} else {
+			answer_note(worker);
+			if (reply->verdict == JPT_TAKEN)
+				report_take(worker, call, reply->report);
+			else
+				look_refused(worker, call, reply);
+		}
+	}
+	call_free(call);
+}
+
+void wrk_resolve(struct wrk_worker *worker)
+{
+	worker->fence_step++;
+	worker->resolving = true;
+	/* A look that waits for an end is no use here: a second one settles. */
+	if (worker->looking) {
+		worker->look_serial++;
+		worker->looking = false;
+	}
+	look_plan(worker, 0);
+}
+
+static void on_started(void *data, const struct jpt_reply *reply)
+{
+	struct wrk_call *call = data;
+	struct wrk_worker *worker = call->worker;
+
+	if (!worker->gone) {
+		if (reply->err == ERR_NONE)
+			clock_note(worker, reply->clock_ms);
+		if (reply->err == ERR_NONE &&
+		    reply->verdict == JPT_REFUSED_FENCE &&
+		    fence_is_foreign(worker, call->order.fence))
+			worker->env->ops->on_deposed(worker->env->data);
+		else
+			worker->env->ops->on_started(worker->env->data, worker,
+						     &call->order, reply);
+	}
+	call_free(call);
+}
+
+void wrk_start(struct wrk_worker *worker, struct jtp_task *task,
+	       const char *spec, const char *ticket)
+{
+	struct jpt_target target = target_of(worker);
+	struct wrk_call *call = call_create(worker);
+	struct jpt_start start = {
+		.run = task->run,
+		.spec = spec,
+		.fence = wrk_fence(worker),
+		.checkpoint = task->checkpoint,
+		.ticket = ticket,
+	};
+
+	start.lease_until_ms = lease_grant(worker);
+	jtp_task_name(task, call->order.task);
+	start.task = call->order.task;
+	call->order.run = task->run;
+	call->order.fence = start.fence;
+	task->fence = start.fence;
+	worker->env->platform->start(worker->env->platform_self, &target,
+				     &start, WRK_ORDER_TIMEOUT_MS, on_started,
+				     call);
+}
+
+static void stop_send(struct wrk_call *call);
+
+static void on_stopped(void *data, const struct jpt_reply *reply)
+{
+	struct wrk_call *call = data;
+	struct wrk_worker *worker = call->worker;
+
+	/* Without an answer the task stays in the reports, and the owner
+	 * orders again. */
+	if (!worker->gone && reply->err != ERR_NONE)
+		lgx_info("stop-unanswered", "%s run %u at %s: %s",
+			 call->order.task, call->order.run, worker->id,
+			 err_name(reply->err));
+	if (!worker->gone)
+		look_plan(worker, 0);
+	call_free(call);
+}
+
+static void stop_send(struct wrk_call *call)
+{
+	struct wrk_worker *worker = call->worker;
+	struct jpt_target target = target_of(worker);
+
+	worker->env->platform->stop(worker->env->platform_self, &target,
+				    call->order.task, call->order.run,
+				    call->order.fence, WRK_ORDER_TIMEOUT_MS,
+				    on_stopped, call);
+}
+
+void wrk_stop_stray(struct wrk_worker *worker, const char *task, uint32_t run)
+{
+	struct wrk_call *call = call_create(worker);
+
+	g_strlcpy(call->order.task, task, sizeof(call->order.task));
+	call->order.run = run;
+	call->order.fence = wrk_fence(worker);
+	stop_send(call);
+}
+
+void wrk_stop(struct wrk_worker *worker, const struct jtp_task *task)
+{
+	char name[JTP_TASK_NAME_BYTES];
+
+	jtp_task_name(task, name);
+	wrk_stop_stray(worker, name, task->run);
+}
+
+static void on_paced(void *data, const struct jpt_reply *reply)
+{
+	struct wrk_call *call = data;
+
+	/* The next report shows the share; the owner compares and repeats. */
+	if (reply->err != ERR_NONE || reply->verdict != JPT_TAKEN)
+		lgx_info("pace-not-taken", "%s run %u at %s: %s",
+			 call->order.task, call->order.run, call->worker->id,
+			 reply->err != ERR_NONE ?
+				 err_name(reply->err) :
+				 jpt_verdict_name(reply->verdict));
+	call_free(call);
+}
+
+void wrk_pace(struct wrk_worker *worker, const struct jtp_task *task,
+	      uint32_t percent)
+{
+	struct jpt_target target = target_of(worker);
+	struct wrk_call *call = call_create(worker);
+
+	jtp_task_name(task, call->order.task);
+	call->order.run = task->run;
+	worker->env->platform->pace(worker->env->platform_self, &target,
+				    call->order.task, task->run, percent,
+				    wrk_fence(worker), WRK_ORDER_TIMEOUT_MS,
+				    on_paced, call);
+}
+
+void wrk_stored(struct wrk_worker *worker, uint64_t committed)
+{
+	guint done = 0;
+
+	while (done < worker->ends->len &&
+	       g_array_index(worker->ends, struct wrk_end, done).ticket <=
+		       committed)
+		done++;
+	if (done == 0)
+		return;
+	worker->acked =
+		g_array_index(worker->ends, struct wrk_end, done - 1).number;
+	g_array_remove_range(worker->ends, 0, done);
+	if (worker->ends->len == 0 && !worker->looking) {
+		tmr_cancel(&worker->look_timer);
+		look_plan(worker, 0);
+	}
+}
+
+static void entry_copy(struct wrk_worker *worker, const struct jpt_entry *entry)
+{
+	g_strlcpy(worker->ip, entry->ip, sizeof(worker->ip));
+	worker->port = entry->port;
+	g_free(worker->service);
+	worker->service = g_strdup(entry->service);
+	g_free(worker->availability_zone);
+	worker->availability_zone = g_strdup(entry->availability_zone);
+	g_strfreev(worker->labels);
+	worker->labels = g_strdupv((char **)entry->labels);
+	worker->room = entry->room;
+	worker->draining = entry->draining;
+	worker->listed = true;
+}
+
+struct wrk_worker *wrk_worker_create(struct wrk_env *env,
+				     const struct jpt_entry *entry)
+{
+	struct wrk_worker *worker = g_rc_box_new0(struct wrk_worker);
+
+	worker->env = env;
+	worker->id = g_strdup(entry->id);
+	worker->born_ms = entry->born_ms;
+	worker->ends = g_array_new(FALSE, FALSE, sizeof(struct wrk_end));
+	worker->tasks = g_ptr_array_new();
+	worker->look_timer.cb = on_look_timer;
+	worker->look_timer.data = worker;
+	entry_copy(worker, entry);
+	look_plan(worker, 0);
+	return worker;
+}
+
+void wrk_worker_update(struct wrk_worker *worker, const struct jpt_entry *entry)
+{
+	/* The reports tell of an incarnation sooner than the list, which may
+	 * still show the one before. */
+	if (entry->born_ms > worker->born_ms && worker->born_ms != 0) {
+		worker->born_ms = entry->born_ms;
+		entry_copy(worker, entry);
+		life_end(worker, "the list shows a newer one");
+		look_plan(worker, 0);
+		return;
+	}
+	entry_copy(worker, entry);
+}
+
+void wrk_worker_drop(struct wrk_worker *worker)
+{
+	worker->gone = true;
+	tmr_cancel(&worker->look_timer);
+	worker_unref(worker);
+}
--- /dev/null
+++ b/packages/peer/src/jch_wire.c
@@ -0,0 +1,157 @@
+#include "jch_wire.h"
+
+#include <rpc/rpc_msg.h>
+#include <string.h>
+
+/* Set in the mark of the last fragment of a record (RFC 5531, 11). */
+#define JCW_LAST_FRAGMENT 0x80000000u
+/* Room for the frame of a record beside its texts. */
+#define JCW_FRAME_BYTES 256
+
+static GByteArray *buffer_create(size_t text_bytes)
+{
+	GByteArray *out = g_byte_array_new();
+
+	/* XDR pads each text to a multiple of four. */
+	g_byte_array_set_size(out,
+			      (guint)(JCW_MARK_BYTES + JCW_FRAME_BYTES +
+				      text_bytes));
+	return out;
+}
+
+static void buffer_finish(GByteArray *out, guint record_bytes)
+{
+	uint32_t mark = GUINT32_TO_BE(JCW_LAST_FRAGMENT | record_bytes);
+
+	memcpy(out->data, &mark, sizeof(mark));
+	g_byte_array_set_size(out, JCW_MARK_BYTES + record_bytes);
+}
+
+GByteArray *jcw_call_encode(uint32_t xid, const struct jsv_call *call)
+{
+	struct pjb_call wire = {
+		.verb = call->verb,
+		.deadline_ms = call->deadline_ms,
+		.queue = (char *)(call->queue ? call->queue : ""),
+		.id = (char *)(call->id ? call->id : ""),
+		.spec = (char *)(call->spec ? call->spec : ""),
+	};
+	struct rpc_msg header = { .rm_xid = xid, .rm_direction = CALL };
+	GByteArray *out = buffer_create(strlen(wire.queue) + strlen(wire.id) +
+					strlen(wire.spec));
+	XDR xdrs;
+	bool ok;
+
+	header.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	header.rm_call.cb_prog = SASSAFRASCART_JOBS;
+	header.rm_call.cb_vers = SASSAFRASCART_JOBS_V1;
+	header.rm_call.cb_proc = SASSAFRASCART_JOB_CALL;
+	header.rm_call.cb_cred = _null_auth;
+	header.rm_call.cb_verf = _null_auth;
+	xdrmem_create(&xdrs, (char *)out->data + JCW_MARK_BYTES,
+		      out->len - JCW_MARK_BYTES, XDR_ENCODE);
+	ok = xdr_callmsg(&xdrs, &header) && xdr_pjb_call(&xdrs, &wire);
+	g_assert(ok);
+	buffer_finish(out, xdr_getpos(&xdrs));
+	return out;
+}
+
+GByteArray *jcw_reply_encode(uint32_t xid, const struct jsv_answer *answer)
+{
+	struct pjb_answer wire = {
+		.outcome = answer->outcome,
+		.state = answer->state,
+		.waiting = answer->waiting,
+		.retry_after_ms = answer->retry_after_ms,
+		.why = (char *)(answer->why ? answer->why : ""),
+	};
+	struct rpc_msg header = { .rm_xid = xid, .rm_direction = REPLY };
+	GByteArray *out = buffer_create(strlen(wire.why));
+	XDR xdrs;
+	bool ok;
+
+	header.rm_reply.rp_stat = MSG_ACCEPTED;
+	header.acpted_rply.ar_verf = _null_auth;
+	header.acpted_rply.ar_stat = SUCCESS;
+	header.acpted_rply.ar_results.where = (caddr_t)&wire;
+	header.acpted_rply.ar_results.proc = (xdrproc_t)xdr_pjb_answer;
+	xdrmem_create(&xdrs, (char *)out->data + JCW_MARK_BYTES,
+		      out->len - JCW_MARK_BYTES, XDR_ENCODE);
+	ok = xdr_replymsg(&xdrs, &header);
+	g_assert(ok);
+	buffer_finish(out, xdr_getpos(&xdrs));
+	return out;
+}
+
+enum err_kind jcw_record_size(const char *bytes, size_t len, size_t *size)
+{
+	uint32_t mark;
+
+	if (len < JCW_MARK_BYTES)
+		return ERR_PENDING;
+	memcpy(&mark, bytes, sizeof(mark));
+	mark = GUINT32_FROM_BE(mark);
+	if (!(mark & JCW_LAST_FRAGMENT) ||
+	    (mark & ~JCW_LAST_FRAGMENT) > JCW_RECORD_MAX_BYTES)
+		return ERR_MALFORMED;
+	*size = JCW_MARK_BYTES + (mark & ~JCW_LAST_FRAGMENT);
+	return len < *size ? ERR_PENDING : ERR_NONE;
+}
+
+static bool call_decode(XDR *xdrs, struct jcw_message *out)
+{
+	struct rpc_msg header = { 0 };
+	bool ok = xdr_callmsg(xdrs, &header) &&
+		  header.rm_call.cb_rpcvers == RPC_MSG_VERSION &&
+		  header.rm_call.cb_prog == SASSAFRASCART_JOBS &&
+		  header.rm_call.cb_vers == SASSAFRASCART_JOBS_V1 &&
+		  header.rm_call.cb_proc == SASSAFRASCART_JOB_CALL;
+
+	out->xid = header.rm_xid;
+	return ok && xdr_pjb_call(xdrs, &out->call) &&
+	       out->call.verb <= JSV_WAITING;
+}
+
+static bool reply_decode(XDR *xdrs, struct jcw_message *out)
+{
+	struct rpc_msg header = { 0 };
+	bool ok;
+
+	header.acpted_rply.ar_verf = _null_auth;
+	header.acpted_rply.ar_results.where = (caddr_t)&out->answer;
+	header.acpted_rply.ar_results.proc = (xdrproc_t)xdr_pjb_answer;
+	ok = xdr_replymsg(xdrs, &header) &&
+	     header.rm_reply.rp_stat == MSG_ACCEPTED &&
+	     header.acpted_rply.ar_stat == SUCCESS;
+	out->xid = header.rm_xid;
+	return ok && out->answer.outcome < JSV_OUTCOME_COUNT &&
+	       out->answer.state <= JTP_CANCELLED;
+}
+
+enum err_kind jcw_decode(const char *record, size_t len,
+			 struct jcw_message *out)
+{
+	uint32_t direction;
+	XDR xdrs;
+	bool ok;
+
+	memset(out, 0, sizeof(*out));
+	if (len < 2 * sizeof(direction))
+		return ERR_MALFORMED;
+	memcpy(&direction, record + sizeof(direction), sizeof(direction));
+	out->is_reply = GUINT32_FROM_BE(direction) == REPLY;
+	xdrmem_create(&xdrs, (char *)record, (u_int)len, XDR_DECODE);
+	ok = out->is_reply ? reply_decode(&xdrs, out) :
+			     call_decode(&xdrs, out);
+	if (ok)
+		return ERR_NONE;
+	jcw_message_clear(out);
+	return ERR_MALFORMED;
+}
+
+void jcw_message_clear(struct jcw_message *message)
+{
+	xdr_free((xdrproc_t)xdr_pjb_call, (char *)&message->call);
+	xdr_free((xdrproc_t)xdr_pjb_answer, (char *)&message->answer);
+	memset(message, 0, sizeof(*message));
+}
--- /dev/null
+++ b/packages/peer/src/peer_jobs.x
@@ -0,0 +1,28 @@
+/* Calls on the job service that one process hands on to another, as ONC RPC
+ * over TCP with record marking. */
+
+const PJB_TEXT_MAX = 255;
+const PJB_ID_MAX = 16;
+const PJB_SPEC_MAX = 1048576;
+
+struct pjb_call {
+	unsigned int verb;
+	unsigned int deadline_ms;
+	string queue<PJB_TEXT_MAX>;
+	string id<PJB_ID_MAX>;
+	string spec<PJB_SPEC_MAX>;
+};
+
+struct pjb_answer {
+	unsigned int outcome;
+	unsigned int state;
+	unsigned int waiting;
+	unsigned int retry_after_ms;
+	string why<PJB_TEXT_MAX>;
+};
+
+program SASSAFRASCART_JOBS {
+	version SASSAFRASCART_JOBS_V1 {
+		pjb_answer SASSAFRASCART_JOB_CALL(pjb_call) = 1;
+	} = 1;
+} = 0x20005A54;
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -63,6 +63,8 @@
 	int64_t create_revision;
 	int64_t mod_revision;
 	int64_t lease;
+	/** of a watch: the key was deleted at mod_revision */
+	bool deleted;
 };
 
 /** What a range or a transaction returned; valid during the callback. */
@@ -124,7 +126,7 @@
 	PLT_ACTION_RESUME,
 };
 
-/** Ends a range or transaction; result is NULL unless err is ERR_NONE. */
+/** Ends a range, watch or transaction; result is NULL unless err is ERR_NONE. */
 typedef void (*plt_cb)(void *data, enum err_kind err,
 		       const struct plt_result *result);
 /** Ends a lease call; ERR_NOT_FOUND when the lease has expired. */
@@ -147,6 +149,9 @@
 	const struct hcl_counts *(*counts)(const void *self);
 	void (*range)(void *self, const char *key, bool prefix, plt_cb cb,
 		      void *data);
+	/** NULL where the platform has no watch that waits */
+	void (*watch)(void *self, const char *prefix, int64_t after_revision,
+		      uint32_t wait_ms, plt_cb cb, void *data);
 	void (*txn)(void *self, const struct plt_txn *txn, plt_cb cb,
 		    void *data);
 	void (*lease_grant)(void *self, uint32_t ttl_s, plt_lease_cb cb,
@@ -175,6 +180,16 @@
 				  const struct plt_config *config,
 				  struct plt_platform **out);
 
+/**
+ * @brief Creates a connection through a table that is not in the list.
+ * @param ops must outlive the connection
+ * @return as plt_platform_create()
+ */
+enum err_kind plt_platform_create_with(struct evl_loop *loop,
+				       const struct plt_ops *ops,
+				       const struct plt_config *config,
+				       struct plt_platform **out);
+
 /**
  * @brief Frees the connection; open calls end without their callbacks.
  * @param platform may be NULL
@@ -185,6 +200,17 @@
 void plt_range(struct plt_platform *platform, const char *key, bool prefix,
 	       plt_cb cb, void *data);
 
+/**
+ * @brief Waits for changes of the keys under a prefix.
+ *
+ * Ends with the changes after a revision in order, none when the time is over.
+ * The next watch continues from the result's revision. ERR_STALE means that
+ * the platform no longer has that history: read the keys again. Only for
+ * adapters with a watch.
+ */
+void plt_watch(struct plt_platform *platform, const char *prefix,
+	       int64_t after_revision, uint32_t wait_ms, plt_cb cb, void *data);
+
 /** @brief Runs a transaction. The arguments are copied. */
 void plt_txn(struct plt_platform *platform, const struct plt_txn *txn,
 	     plt_cb cb, void *data);
--- /dev/null
+++ b/packages/platform/src/fol.c
@@ -0,0 +1,184 @@
+#include "fol.h"
+
+#include "bko.h"
+#include "lgx.h"
+
+/* First and longest pause after a failed call. */
+#define FOL_RETRY_MIN_MS 50
+#define FOL_RETRY_MAX_MS 400
+
+struct fol_follower {
+	struct evl_loop *loop;
+	struct plt_platform *platform;
+	char *prefix;
+	uint32_t wait_ms;
+	const struct fol_ops *ops;
+	void *data;
+	/* 0 until the keys have been read */
+	int64_t revision;
+	uint32_t failures;
+	bool refreshing;
+	struct tmr_entry timer;
+	struct fol_cell *cell;
+};
+
+/* Outlives the follower while calls are in flight. */
+struct fol_cell {
+	struct fol_follower *follower;
+	uint32_t calls;
+};
+
+static void follow(struct fol_follower *follower);
+
+static void on_timer(void *data)
+{
+	follow(data);
+}
+
+static struct fol_cell *cell_enter(struct fol_follower *follower)
+{
+	follower->cell->calls++;
+	return follower->cell;
+}
+
+static struct fol_follower *cell_leave(struct fol_cell *cell)
+{
+	struct fol_follower *follower = cell->follower;
+
+	if (--cell->calls == 0 && !follower)
+		g_free(cell);
+	return follower;
+}
+
+static void retry(struct fol_follower *follower, enum err_kind err)
+{
+	const struct bko_limits limits = { FOL_RETRY_MIN_MS, FOL_RETRY_MAX_MS };
+
+	if (++follower->failures == 1)
+		lgx_warning("watch-lost", "%s: %s", follower->prefix,
+			    err_name(err));
+	follower->revision = 0;
+	evl_timer_set(follower->loop, &follower->timer,
+		      bko_delay_ms(&limits, follower->failures,
+				   g_random_int()));
+}
+
+static void answered(struct fol_follower *follower)
+{
+	if (follower->failures > 0)
+		lgx_info("watch-regained", "%s after %u tries",
+			 follower->prefix, follower->failures);
+	follower->failures = 0;
+}
+
+static void on_read(void *data, enum err_kind err,
+		    const struct plt_result *result)
+{
+	struct fol_follower *follower = cell_leave(data);
+
+	if (!follower)
+		return;
+	if (err != ERR_NONE) {
+		retry(follower, err);
+		return;
+	}
+	answered(follower);
+	follower->revision = MAX(follower->revision, result->revision);
+	follower->ops->on_read(follower->data, result->kvs, result->kv_count);
+	follow(follower);
+}
+
+static void on_watched(void *data, enum err_kind err,
+		       const struct plt_result *result)
+{
+	struct fol_follower *follower = cell_leave(data);
+
+	if (!follower)
+		return;
+	if (err == ERR_STALE) {
+		follower->revision = 0;
+		follow(follower);
+		return;
+	}
+	if (err != ERR_NONE) {
+		retry(follower, err);
+		return;
+	}
+	answered(follower);
+	follower->revision = MAX(follower->revision, result->revision);
+	for (size_t i = 0; i < result->kv_count; i++)
+		follower->ops->on_change(follower->data, &result->kvs[i]);
+	follow(follower);
+}
+
+static void follow(struct fol_follower *follower)
+{
+	if (follower->revision == 0)
+		plt_range(follower->platform, follower->prefix, true, on_read,
+			  cell_enter(follower));
+	else
+		plt_watch(follower->platform, follower->prefix,
+			  follower->revision, follower->wait_ms, on_watched,
+			  cell_enter(follower));
+}
+
+static void on_refreshed(void *data, enum err_kind err,
+			 const struct plt_result *result)
+{
+	struct fol_follower *follower = cell_leave(data);
+
+	if (!follower)
+		return;
+	follower->refreshing = false;
+	if (err != ERR_NONE) {
+		lgx_info("refresh-failed", "%s: %s", follower->prefix,
+			 err_name(err));
+		return;
+	}
+	/* A change that the watch has told of already may be newer. */
+	if (result->revision >= follower->revision)
+		follower->ops->on_read(follower->data, result->kvs,
+				       result->kv_count);
+}
+
+void fol_refresh(struct fol_follower *follower)
+{
+	if (follower->refreshing)
+		return;
+	follower->refreshing = true;
+	plt_range(follower->platform, follower->prefix, true, on_refreshed,
+		  cell_enter(follower));
+}
+
+struct fol_follower *fol_follower_create(struct evl_loop *loop,
+					 struct plt_platform *platform,
+					 const char *prefix, uint32_t wait_ms,
+					 const struct fol_ops *ops, void *data)
+{
+	struct fol_follower *follower = g_new0(struct fol_follower, 1);
+
+	follower->loop = loop;
+	follower->platform = platform;
+	follower->prefix = g_strdup(prefix);
+	follower->wait_ms = wait_ms;
+	follower->ops = ops;
+	follower->data = data;
+	follower->timer.cb = on_timer;
+	follower->timer.data = follower;
+	follower->cell = g_new0(struct fol_cell, 1);
+	follower->cell->follower = follower;
+	follow(follower);
+	return follower;
+}
+
+void fol_follower_destroy(struct fol_follower *follower)
+{
+	if (!follower)
+		return;
+	tmr_cancel(&follower->timer);
+	follower->cell->follower = NULL;
+	if (follower->cell->calls == 0)
+		g_free(follower->cell);
+	g_free(follower->prefix);
+	g_free(follower);
+}
--- a/packages/platform/src/plt.c
+++ b/packages/platform/src/plt.c
@@ -49,12 +49,21 @@
 				  struct plt_platform **out)
 {
 	const struct plt_ops *ops = adapter_find(adapter);
+
+	if (!ops)
+		return ERR_NOT_FOUND;
+	return plt_platform_create_with(loop, ops, config, out);
+}
+
+enum err_kind plt_platform_create_with(struct evl_loop *loop,
+				       const struct plt_ops *ops,
+				       const struct plt_config *config,
+				       struct plt_platform **out)
+{
 	struct plt_platform *platform;
 	enum err_kind err;
 	void *self;
 
-	if (!ops)
-		return ERR_NOT_FOUND;
 	err = ops->create(loop, config, &self);
 	if (err != ERR_NONE)
 		return err;
@@ -145,6 +154,17 @@
 		       &(struct plt_refusal){ .cb = cb, .data = data });
 }
 
+void plt_watch(struct plt_platform *platform, const char *prefix,
+	       int64_t after_revision, uint32_t wait_ms, plt_cb cb, void *data)
+{
+	if (rate_take(platform))
+		platform->ops->watch(platform->self, prefix, after_revision,
+				     wait_ms, cb, data);
+	else
+		refuse(platform,
+		       &(struct plt_refusal){ .cb = cb, .data = data });
+}
+
 void plt_txn(struct plt_platform *platform, const struct plt_txn *txn,
 	     plt_cb cb, void *data)
 {
--- a/packages/runtime/include/evl.h
+++ b/packages/runtime/include/evl.h
@@ -36,7 +36,7 @@
 /** @brief Returns the timer queue, owned by the loop. */
 struct tmr_queue *evl_loop_timers(struct evl_loop *loop);
 
-/** @brief Returns the monotonic time in milliseconds, read now. */
+/** @brief Returns the time since boot in milliseconds, suspension included. */
 uint64_t evl_now_ms(void);
 
 /** @brief Sets a timer this many milliseconds from now. */
--- a/packages/runtime/include/hcl.h
+++ b/packages/runtime/include/hcl.h
@@ -7,7 +7,7 @@
  *
  * A call opens a connection of its own unless the owner has allowed reuse
  * for the address. A reused connection carried a whole answer within the
- * last HCL_IDLE_MAX_MS; one whose call timed out, was cancelled or left
+ * idle limit of its client; one whose call timed out, was cancelled or left
  * bytes over is closed.
  */
 #ifndef HCL_H
@@ -20,7 +20,7 @@
 #include "err.h"
 #include "evl.h"
 
-/** Longest time a connection may be idle before it is reused. */
+/** Default of hcl_client_set_idle_max(). */
 #define HCL_IDLE_MAX_MS 1000
 
 /** A client that shares timeouts between its calls, opaque. */
@@ -105,6 +105,14 @@
 void hcl_client_set_reuse(struct hcl_client *client, const char *ip,
 			  uint16_t port, bool reuse);
 
+/**
+ * @brief Sets how long a connection may be idle before it is reused.
+ *
+ * Holds for addresses that are added later. An idle connection that the other
+ * side closes is dropped.
+ */
+void hcl_client_set_idle_max(struct hcl_client *client, uint32_t idle_max_ms);
+
 /** @brief Tells whether connections to an address may be reused. */
 bool hcl_client_reuses(const struct hcl_client *client, const char *ip,
 		       uint16_t port);
--- a/packages/runtime/src/evl.c
+++ b/packages/runtime/src/evl.c
@@ -5,7 +5,6 @@
 #include <netinet/tcp.h>
 #include <signal.h>
 #include <sys/signalfd.h>
-#include <time.h>
 #include <unistd.h>
 
 #define EVL_MAX_WAIT_MS 1000
@@ -71,14 +70,6 @@
 	return loop->timers;
 }
 
-uint64_t evl_now_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
-
 void evl_timer_set(struct evl_loop *loop, struct tmr_entry *entry,
 		   uint64_t delay_ms)
 {
--- a/packages/runtime/src/hcl.c
+++ b/packages/runtime/src/hcl.c
@@ -29,6 +29,7 @@
 	/* address to struct hcl_host */
 	GHashTable *hosts;
 	struct tmr_entry sweep_timer;
+	uint32_t idle_max_ms;
 	struct hcl_counts counts;
 };
 
@@ -93,7 +94,7 @@
 	h2o_socketpool_init_by_address(&host->pool, (struct sockaddr *)&addr,
 				       sizeof(addr), 0, HCL_POOL_CAPACITY);
 	h2o_socketpool_set_timeout(&host->pool, client->ctx.loop,
-				   HCL_IDLE_MAX_MS);
+				   client->idle_max_ms);
 	g_hash_table_insert(client->hosts, &host->key, host);
 }
 
@@ -132,6 +133,11 @@
 		g_hash_table_remove(client->hosts, &host->key);
 }
 
+void hcl_client_set_idle_max(struct hcl_client *client, uint32_t idle_max_ms)
+{
+	client->idle_max_ms = idle_max_ms;
+}
+
 bool hcl_client_reuses(const struct hcl_client *client, const char *ip,
 		       uint16_t port)
 {
@@ -143,6 +149,7 @@
 	struct hcl_client *client = g_new0(struct hcl_client, 1);
 
 	client->loop = loop;
+	client->idle_max_ms = HCL_IDLE_MAX_MS;
 	h2o_timeout_init(evl_loop_h2o(loop), &client->io_timeout,
 			 HCL_IO_TIMEOUT_MS);
 	client->ctx.loop = evl_loop_h2o(loop);
