Maintain VMs in waves and move idle ones to pools that are short

Change: the owner follows waves, empties VMs and orders their maintenance; core/pls decides moves of idle VMs.

--- /dev/null
+++ b/packages/core/include/pls.h
@@ -0,0 +1,47 @@
+/**
+ * @file pls.h
+ * @brief How many VMs each pool has: who gives one to whom.
+ *
+ * Prefix: pls_. Pure. Answers the load in which one pool after another asks
+ * for more than it holds while the others are nearly idle: VMs without tasks
+ * go from pools with more than they need to pools that are short, those of the
+ * spare pool first. No period or order of the pools is assumed.
+ */
+#ifndef PLS_H
+#define PLS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** A pool as it is now. */
+struct pls_pool {
+	bool is_spare;
+	/** VMs that take tasks, and VMs on their way here */
+	uint32_t up;
+	uint32_t arriving;
+	/** of those up, VMs without any task that may be moved */
+	uint32_t idle;
+	/** processor room of one VM */
+	int64_t vm_cpu_milli;
+	/** taken by tasks, and asked for by tasks that could start now */
+	int64_t used_milli;
+	int64_t waiting_milli;
+};
+
+/** A move of one VM. */
+struct pls_move {
+	uint32_t from;
+	uint32_t to;
+};
+
+/**
+ * @brief Decides on moves.
+ *
+ * @param moves filled
+ * @param most bound on the moves, size of the array
+ * @return number of moves
+ */
+uint32_t pls_decide(const struct pls_pool *pools, uint32_t count,
+		    struct pls_move *moves, uint32_t most);
+
+#endif
--- /dev/null
+++ b/packages/core/src/pls.c
@@ -0,0 +1,109 @@
+#include "pls.h"
+
+#include <string.h>
+
+/* Share of a VM's processor that tasks of mixed sizes fill, in permille. */
+#define PLS_FILL_PERMILLE 850
+/* A pool keeps this share of an even part of all VMs, in permille, so that it
+ * can take the first of a burst. */
+#define PLS_KEEP_PERMILLE 500
+/* Pools that this module handles at once. */
+#define PLS_POOLS_MAX 256
+
+/* VMs that the work of a pool needs. */
+static uint32_t vms_needed(const struct pls_pool *pool)
+{
+	int64_t vm_milli = pool->vm_cpu_milli * PLS_FILL_PERMILLE / 1000;
+	int64_t asked = pool->used_milli + pool->waiting_milli;
+
+	if (vm_milli <= 0)
+		return 0;
+	return (uint32_t)((asked + vm_milli - 1) / vm_milli);
+}
+
+/* VMs that a pool keeps when it is idle. */
+static uint32_t vms_kept(const struct pls_pool *pools, uint32_t count)
+{
+	uint32_t users = 0;
+	uint32_t all = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		all += pools[i].up + pools[i].arriving;
+		users += !pools[i].is_spare;
+	}
+	if (users == 0)
+		return 0;
+	return (uint32_t)((uint64_t)all * PLS_KEEP_PERMILLE / 1000 / users);
+}
+
+/* The giver with the most to spare; the spare pool before all others. */
+static int32_t giver_find(const struct pls_pool *pools, const uint32_t *given,
+			  const uint32_t *needed, uint32_t kept, uint32_t count)
+{
+	int32_t best = -1;
+	uint32_t best_over = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t left = pools[i].up - given[i];
+		uint32_t keep = needed[i] > kept ? needed[i] : kept;
+
+		if (given[i] >= pools[i].idle)
+			continue;
+		if (pools[i].is_spare)
+			return (int32_t)i;
+		if (left <= keep || left - keep <= best_over)
+			continue;
+		best = (int32_t)i;
+		best_over = left - keep;
+	}
+	return best;
+}
+
+/* The pool that is short of the most VMs. */
+static int32_t taker_find(const struct pls_pool *pools, const uint32_t *taken,
+			  const uint32_t *needed, uint32_t count)
+{
+	int32_t best = -1;
+	uint32_t best_short = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		uint32_t have = pools[i].up + pools[i].arriving + taken[i];
+
+		if (pools[i].is_spare || needed[i] <= have ||
+		    needed[i] - have <= best_short)
+			continue;
+		best = (int32_t)i;
+		best_short = needed[i] - have;
+	}
+	return best;
+}
+
+uint32_t pls_decide(const struct pls_pool *pools, uint32_t count,
+		    struct pls_move *moves, uint32_t most)
+{
+	uint32_t given[PLS_POOLS_MAX] = { 0 };
+	uint32_t taken[PLS_POOLS_MAX] = { 0 };
+	uint32_t needed[PLS_POOLS_MAX];
+	uint32_t kept = vms_kept(pools, count);
+	uint32_t made = 0;
+
+	if (count > PLS_POOLS_MAX)
+		count = PLS_POOLS_MAX;
+	for (uint32_t i = 0; i < count; i++)
+		needed[i] = vms_needed(&pools[i]);
+	while (made < most) {
+		int32_t to = taker_find(pools, taken, needed, count);
+		int32_t from;
+
+		if (to < 0)
+			break;
+		from = giver_find(pools, given, needed, kept, count);
+		if (from < 0)
+			break;
+		given[from]++;
+		taken[to]++;
+		moves[made++] = (struct pls_move){ (uint32_t)from,
+						   (uint32_t)to };
+	}
+	return made;
+}
--- a/packages/jobs/include/jpt.h
+++ b/packages/jobs/include/jpt.h
@@ -148,6 +148,8 @@
 	uint16_t port;
 	const char *service;
 	const char *availability_zone;
+	/** VM that the worker runs on, NULL if it does not say */
+	const char *vm;
 	bool draining;
 	struct jpt_room room;
 	/** NULL-terminated */
--- a/packages/jobs/include/wrk.h
+++ b/packages/jobs/include/wrk.h
@@ -114,8 +114,10 @@
 	/** owner: failures and ends that tell of its health */
 	uint32_t recent_failures;
 	uint64_t slowness_permille;
-	/** owner: name of its VM, NULL when not known */
+	/** name of its VM, NULL when not known */
 	char *vm;
+	/** owner: a task there is starting up, so looks wait for less long */
+	bool watched;
 };
 
 /** @brief Creates a worker from its entry, with one reference. */
--- a/packages/jobs/src/jtp.c
+++ b/packages/jobs/src/jtp.c
@@ -132,7 +132,6 @@
 	for (uint32_t i = 0; i < group->step->count; i++) {
 		group->tasks[i].group = group;
 		group->tasks[i].index = i;
-		group->tasks[i].percent = 100;
 		group->tasks[i].pace_percent = 100;
 	}
 }
--- a/packages/jobs/src/own_fleet.c
+++ b/packages/jobs/src/own_fleet.c
@@ -1,18 +1,450 @@
-#include "own_private.h"
+#include "own_fleet.h"
 
-struct own_fleet {
-	struct own_owner *owner;
+#include <string.h>
+
+#include "lgx.h"
+
+/* Pace of the fleet's decisions. */
+#define OWN_FLEET_TICK_MS 100
+/* Time between two reads of the list of VMs, and while an order is open. */
+#define OWN_VM_LIST_MS 1500
+#define OWN_VM_LIST_BUSY_MS 400
+/* Deadline of a call on VMs. */
+#define OWN_VM_TIMEOUT_MS 800
+/* Tasks that end by themselves are waited for this long before a VM is taken
+ * for maintenance; they are run again elsewhere. */
+#define OWN_EMPTY_WAIT_MS 4000
+/* A VM that is not empty by then keeps its place instead of being moved. */
+#define OWN_MOVE_WAIT_MS 1500
+/* Pause before an order that was not taken is sent again. */
+#define OWN_ORDER_RETRY_MS 300
+/* Added to the time that a move or maintenance takes before the list is
+ * believed to show its end. */
+#define OWN_BACK_MARGIN_MS 200
+/* How long a watch on the waves waits. */
+#define OWN_WAVES_WATCH_MS 5000
+
+/* Outlives the fleet while calls are in flight. */
+struct fleet_cell {
+	struct own_fleet *fleet;
+	uint32_t calls;
 };
 
+/* An order under way. */
+struct fleet_call {
+	struct fleet_cell *cell;
+	char *vm;
+};
+
+static void vm_free(gpointer data)
+{
+	struct own_vm *vm = data;
+
+	g_free(vm->name);
+	g_free(vm->pool);
+	g_free(vm->to_pool);
+	g_free(vm->refused_pool);
+	g_free(vm);
+}
+
+static struct fleet_cell *cell_enter(struct own_fleet *fleet)
+{
+	fleet->cell->calls++;
+	return fleet->cell;
+}
+
+static struct own_fleet *cell_leave(struct fleet_cell *cell)
+{
+	struct own_fleet *fleet = cell->fleet;
+
+	if (--cell->calls == 0 && !fleet)
+		g_free(cell);
+	return fleet;
+}
+
+struct wrk_worker *own_fleet_worker(struct own_fleet *fleet,
+				    const struct own_vm *vm)
+{
+	struct wrk_worker *found = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct wrk_worker *worker = value;
+
+		if (g_strcmp0(worker->vm, vm->name) != 0)
+			continue;
+		if (!found || worker->born_ms > found->born_ms)
+			found = worker;
+	}
+	return found;
+}
+
+static void phase_set(struct own_vm *vm, enum own_vm_phase phase)
+{
+	vm->phase = phase;
+	vm->phase_since_ms = evl_now_ms();
+}
+
+static void vm_settle(struct own_fleet *fleet, struct own_vm *vm)
+{
+	struct wrk_worker *worker = own_fleet_worker(fleet, vm);
+
+	if (worker && vm->phase == OWN_VM_EMPTYING)
+		worker->cordoned = false;
+	phase_set(vm, OWN_VM_SETTLED);
+	vm->wave = NULL;
+	g_clear_pointer(&vm->to_pool, g_free);
+	own_plan_soon(fleet->owner);
+}
+
+void own_fleet_empty(struct own_fleet *fleet, struct own_vm *vm,
+		     struct own_wave *wave, const char *to_pool)
+{
+	struct wrk_worker *worker = own_fleet_worker(fleet, vm);
+
+	phase_set(vm, OWN_VM_EMPTYING);
+	vm->wave = wave;
+	g_free(vm->to_pool);
+	vm->to_pool = g_strdup(to_pool);
+	if (worker)
+		worker->cordoned = true;
+	lgx_info("vm-emptying", "%s of pool %s, tasks %u, for %s", vm->name,
+		 vm->pool, worker ? worker->tasks->len : 0,
+		 to_pool ? to_pool : "maintenance");
+}
+
+/* Everything on the VM has ended with the order. */
+static void vm_taken(struct own_fleet *fleet, struct own_vm *vm)
+{
+	struct wrk_worker *worker = own_fleet_worker(fleet, vm);
+
+	if (vm->to_pool)
+		fleet->owner->counters.moves++;
+	else
+		fleet->owner->counters.maintenances++;
+	lgx_info("vm-ordered", "%s of pool %s: %s", vm->name, vm->pool,
+		 vm->to_pool ? vm->to_pool : "maintenance");
+	phase_set(vm, OWN_VM_ORDERED);
+	if (!worker)
+		return;
+	worker->listed = false;
+	fleet->owner->env.ops->on_life_over(fleet->owner, worker);
+}
+
+static void on_ordered(void *data, enum err_kind err,
+		       enum jpt_vm_verdict verdict)
+{
+	struct fleet_call *call = data;
+	struct own_fleet *fleet = cell_leave(call->cell);
+	struct own_vm *vm =
+		fleet ? g_hash_table_lookup(fleet->vms, call->vm) : NULL;
+
+	g_free(call->vm);
+	g_free(call);
+	if (!vm)
+		return;
+	vm->calling = false;
+	if (err != ERR_NONE || verdict != JPT_VM_TAKEN)
+		lgx_info("vm-order-not-taken", "%s: %s, verdict %d", vm->name,
+			 err_name(err), verdict);
+	if (err != ERR_NONE) {
+		/* It may be carried out; the same order does no harm twice. */
+		vm->phase_since_ms = evl_now_ms();
+		return;
+	}
+	switch (verdict) {
+	case JPT_VM_TAKEN:
+		vm_taken(fleet, vm);
+		break;
+	case JPT_VM_REFUSED_FENCE:
+		fleet->owner->env.ops->on_deposed(fleet->owner);
+		break;
+	case JPT_VM_REFUSED_BUSY:
+		if (vm->to_pool)
+			vm_settle(fleet, vm);
+		else
+			vm->phase_since_ms = evl_now_ms();
+		break;
+	case JPT_VM_REFUSED_WAVE:
+		own_wave_vm_done(fleet, vm);
+		vm_settle(fleet, vm);
+		break;
+	case JPT_VM_REFUSED_INVALID:
+		g_free(vm->refused_pool);
+		vm->refused_pool = g_strdup(vm->to_pool);
+		if (!vm->to_pool)
+			own_wave_vm_done(fleet, vm);
+		vm_settle(fleet, vm);
+		break;
+	}
+}
+
+static void vm_order(struct own_fleet *fleet, struct own_vm *vm)
+{
+	struct own_owner *owner = fleet->owner;
+	struct fleet_call *call = g_new0(struct fleet_call, 1);
+
+	call->cell = cell_enter(fleet);
+	call->vm = g_strdup(vm->name);
+	vm->calling = true;
+	if (vm->to_pool)
+		owner->config.platform->vm_move(
+			owner->config.platform_self, vm->name, vm->to_pool,
+			owner->config.service->id, owner->env.fence_base,
+			OWN_VM_TIMEOUT_MS, on_ordered, call);
+	else
+		owner->config.platform->vm_maintain(
+			owner->config.platform_self, vm->name, vm->wave->number,
+			owner->config.service->id, owner->env.fence_base,
+			OWN_VM_TIMEOUT_MS, on_ordered, call);
+}
+
+/* Tells whether a lasting task may be stopped without leaving its step with
+ * more tasks away than it allows. */
+static bool stop_is_allowed(const struct jtp_task *task)
+{
+	const struct jtp_group *group = task->group;
+	int32_t away = 0;
+
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		const struct jtp_task *other = &group->tasks[i];
+
+		if (other != task &&
+		    (other->state != JTP_TASK_PRESENT ||
+		     other->percent < other->pace_percent ||
+		     !wrk_is_reachable(other->worker)))
+			away++;
+	}
+	return away < MAX(group->step->may_miss, 1);
+}
+
+static void lasting_tasks_stop(struct own_fleet *fleet,
+			       struct wrk_worker *worker, const char *why)
+{
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		struct jtp_task *task = g_ptr_array_index(worker->tasks, i);
+
+		if (task->group->step->is_lasting &&
+		    task->state == JTP_TASK_PRESENT &&
+		    (worker->draining || stop_is_allowed(task)))
+			own_task_stop(fleet->owner, task, why);
+	}
+}
+
+static bool has_lasting(const struct wrk_worker *worker)
+{
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct jtp_task *task =
+			g_ptr_array_index(worker->tasks, i);
+
+		if (task->group->step->is_lasting)
+			return true;
+	}
+	return false;
+}
+
+static void emptying_run(struct own_fleet *fleet, struct own_vm *vm)
+{
+	struct wrk_worker *worker = own_fleet_worker(fleet, vm);
+	uint64_t past_ms = evl_now_ms() - vm->phase_since_ms;
+
+	if (vm->calling)
+		return;
+	if (!worker || worker->tasks->len == 0) {
+		vm_order(fleet, vm);
+		return;
+	}
+	worker->cordoned = true;
+	if (vm->to_pool) {
+		if (past_ms > OWN_MOVE_WAIT_MS)
+			vm_settle(fleet, vm);
+		return;
+	}
+	lasting_tasks_stop(fleet, worker, "maintenance of the VM");
+	if (past_ms > OWN_EMPTY_WAIT_MS && !has_lasting(worker))
+		vm_order(fleet, vm);
+}
+
+static void ordered_run(struct own_fleet *fleet, struct own_vm *vm)
+{
+	const struct jsv_config *service = fleet->owner->config.service;
+	uint64_t takes_ms = vm->to_pool ? service->move_ms :
+					  service->maintain_ms;
+
+	if (fleet->listed_ms <
+		    vm->phase_since_ms + takes_ms + OWN_BACK_MARGIN_MS ||
+	    vm->state != JPT_VM_UP)
+		return;
+	if (vm->wave)
+		own_wave_vm_done(fleet, vm);
+	vm_settle(fleet, vm);
+}
+
+static bool orders_are_open(struct own_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct own_vm *)value)->phase == OWN_VM_ORDERED)
+			return true;
+	}
+	return false;
+}
+
+static void vm_take(struct own_fleet *fleet, const struct jpt_vm *listed)
+{
+	struct own_vm *vm = g_hash_table_lookup(fleet->vms, listed->name);
+
+	if (!vm) {
+		vm = g_new0(struct own_vm, 1);
+		vm->name = g_strdup(listed->name);
+		g_hash_table_insert(fleet->vms, vm->name, vm);
+	}
+	if (g_strcmp0(vm->pool, listed->pool) != 0) {
+		g_free(vm->pool);
+		vm->pool = g_strdup(listed->pool);
+	}
+	vm->state = listed->state;
+	vm->listed = true;
+}
+
+static void on_vms(void *data, enum err_kind err, const struct jpt_vm *vms,
+		   size_t count)
+{
+	struct own_fleet *fleet = cell_leave(data);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!fleet)
+		return;
+	fleet->listing = false;
+	if (err != ERR_NONE) {
+		lgx_info("vm-list-failed", "%s", err_name(err));
+		return;
+	}
+	fleet->listed_ms = evl_now_ms();
+	fleet->listed_once = true;
+	g_hash_table_iter_init(&iter, fleet->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct own_vm *)value)->listed = false;
+	for (size_t i = 0; i < count; i++)
+		vm_take(fleet, &vms[i]);
+	g_hash_table_iter_init(&iter, fleet->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!((struct own_vm *)value)->listed &&
+		    !((struct own_vm *)value)->calling)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void list_run(struct own_fleet *fleet)
+{
+	uint64_t pause_ms = orders_are_open(fleet) ? OWN_VM_LIST_BUSY_MS :
+						     OWN_VM_LIST_MS;
+
+	if (fleet->listing ||
+	    (fleet->listed_once &&
+	     evl_now_ms() - fleet->listed_ms < pause_ms))
+		return;
+	fleet->listing = true;
+	fleet->owner->config.platform->vm_list(
+		fleet->owner->config.platform_self, OWN_VM_TIMEOUT_MS, on_vms,
+		cell_enter(fleet));
+}
+
+static void draining_run(struct own_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct wrk_worker *worker = value;
+
+		if (worker->draining && worker->tasks->len > 0)
+			lasting_tasks_stop(fleet, worker, "the worker drains");
+	}
+}
+
+static void vms_run(struct own_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct own_vm *vm = value;
+
+		if (vm->phase == OWN_VM_EMPTYING)
+			emptying_run(fleet, vm);
+		else if (vm->phase == OWN_VM_ORDERED)
+			ordered_run(fleet, vm);
+	}
+}
+
+/* Orders to VMs are given only while no other owner can be: by the lease, and
+ * after the gap that separates the orders of two owners. */
+static bool may_order(const struct own_fleet *fleet)
+{
+	const struct own_owner *owner = fleet->owner;
+
+	return owner->ops->is_proved(owner->data) &&
+	       evl_now_ms() - owner->began_ms >=
+		       owner->config.service->vm_order_gap_ms;
+}
+
+static void on_tick(void *data)
+{
+	struct own_fleet *fleet = data;
+
+	evl_timer_set(fleet->owner->config.loop, &fleet->timer,
+		      OWN_FLEET_TICK_MS);
+	if (!own_is_ready(fleet->owner) || fleet->owner->fenced)
+		return;
+	draining_run(fleet);
+	list_run(fleet);
+	if (!fleet->listed_once || !may_order(fleet))
+		return;
+	own_waves_run(fleet);
+	own_pools_run(fleet);
+	vms_run(fleet);
+}
+
 struct own_fleet *own_fleet_create(struct own_owner *owner)
 {
 	struct own_fleet *fleet = g_new0(struct own_fleet, 1);
 
 	fleet->owner = owner;
+	fleet->waves = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     own_wave_free);
+	fleet->vms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vm_free);
+	fleet->cell = g_new0(struct fleet_cell, 1);
+	fleet->cell->fleet = fleet;
+	fleet->timer.cb = on_tick;
+	fleet->timer.data = fleet;
+	fleet->waves_follower = fol_follower_create(
+		owner->config.loop, owner->config.store,
+		owner->config.platform->waves_prefix, OWN_WAVES_WATCH_MS,
+		&own_waves_ops, fleet);
+	evl_timer_set(owner->config.loop, &fleet->timer, OWN_FLEET_TICK_MS);
 	return fleet;
 }
 
 void own_fleet_destroy(struct own_fleet *fleet)
 {
+	if (!fleet)
+		return;
+	tmr_cancel(&fleet->timer);
+	fol_follower_destroy(fleet->waves_follower);
+	g_hash_table_unref(fleet->waves);
+	g_hash_table_unref(fleet->vms);
+	fleet->cell->fleet = NULL;
+	if (fleet->cell->calls == 0)
+		g_free(fleet->cell);
 	g_free(fleet);
 }
--- /dev/null
+++ b/packages/jobs/src/own_fleet.h
@@ -0,0 +1,79 @@
+/**
+ * @file own_fleet.h
+ * @brief What the files of the fleet share: VMs, their orders and waves.
+ */
+#ifndef OWN_FLEET_H
+#define OWN_FLEET_H
+
+#include "fol.h"
+#include "own_private.h"
+
+/** What is being done with a VM. */
+enum own_vm_phase {
+	OWN_VM_SETTLED,
+	/** its worker gets no tasks until it has none */
+	OWN_VM_EMPTYING,
+	/** the order has been sent, its effect is not seen yet */
+	OWN_VM_ORDERED,
+};
+
+/** A VM of the platform's list. */
+struct own_vm {
+	char *name;
+	char *pool;
+	enum jpt_vm_state state;
+	bool listed;
+	enum own_vm_phase phase;
+	uint64_t phase_since_ms;
+	/** a call is under way */
+	bool calling;
+	/** pool to move to, owned, or NULL for maintenance */
+	char *to_pool;
+	struct own_wave *wave;
+	/** a pool that refused it, owned */
+	char *refused_pool;
+};
+
+/** A maintenance wave that has not ended. */
+struct own_wave {
+	uint64_t number;
+	uint64_t due_ms;
+	uint32_t most;
+	/** names of VMs, those done included; owned */
+	GPtrArray *vms;
+	/** set of names that are done; owned */
+	GHashTable *done;
+	bool told_running;
+	bool finished;
+};
+
+struct own_fleet {
+	struct own_owner *owner;
+	struct fol_follower *waves_follower;
+	/** number to struct own_wave */
+	GHashTable *waves;
+	/** name to struct own_vm */
+	GHashTable *vms;
+	bool listing;
+	bool listed_once;
+	uint64_t listed_ms;
+	struct tmr_entry timer;
+	struct fleet_cell *cell;
+};
+
+/* own_fleet.c */
+struct wrk_worker *own_fleet_worker(struct own_fleet *fleet,
+				    const struct own_vm *vm);
+void own_fleet_empty(struct own_fleet *fleet, struct own_vm *vm,
+		     struct own_wave *wave, const char *to_pool);
+
+/* own_waves.c */
+extern const struct fol_ops own_waves_ops;
+void own_waves_run(struct own_fleet *fleet);
+void own_wave_vm_done(struct own_fleet *fleet, struct own_vm *vm);
+void own_wave_free(gpointer data);
+
+/* own_pools.c */
+void own_pools_run(struct own_fleet *fleet);
+
+#endif
--- /dev/null
+++ b/packages/jobs/src/own_pools.c
@@ -0,0 +1,178 @@
+#include <string.h>
+
+#include "own_fleet.h"
+#include "pls.h"
+
+/* Moves that one pass orders, at most. */
+#define OWN_MOVES_PER_PASS 32
+
+/* A pool while moves are decided. */
+struct pool_view {
+	const char *name;
+	struct pls_pool pool;
+	/* of struct own_vm, idle ones */
+	GPtrArray *idle;
+};
+
+static void view_clear(gpointer data)
+{
+	struct pool_view *view = data;
+
+	g_ptr_array_unref(view->idle);
+}
+
+static struct pool_view *view_find(GArray *views, const char *name)
+{
+	for (guint i = 0; i < views->len; i++) {
+		struct pool_view *view =
+			&g_array_index(views, struct pool_view, i);
+
+		if (g_strcmp0(view->name, name) == 0)
+			return view;
+	}
+	return NULL;
+}
+
+static GArray *views_create(const struct jcf_catalogue *catalogue)
+{
+	GArray *views = g_array_new(FALSE, TRUE, sizeof(struct pool_view));
+
+	g_array_set_clear_func(views, view_clear);
+	for (guint i = 0; i < catalogue->services->len; i++) {
+		const struct jcf_service *service = &g_array_index(
+			catalogue->services, struct jcf_service, i);
+		struct pool_view view = {
+			.name = service->name,
+			.pool.is_spare = service->is_spare,
+			.idle = g_ptr_array_new(),
+		};
+
+		g_array_append_val(views, view);
+	}
+	return views;
+}
+
+static void worker_add(struct own_fleet *fleet, GArray *views,
+		       struct wrk_worker *worker)
+{
+	struct pool_view *view = view_find(views, worker->service);
+	struct own_vm *vm;
+
+	if (!view || !worker->listed || worker->draining || worker->cordoned)
+		return;
+	view->pool.up++;
+	view->pool.vm_cpu_milli =
+		MAX(view->pool.vm_cpu_milli, worker->room.cpu_milli);
+	view->pool.used_milli += worker->used.cpu_milli;
+	vm = worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm) : NULL;
+	if (worker->tasks->len > 0 || !worker->known || !vm ||
+	    vm->phase != OWN_VM_SETTLED || vm->state != JPT_VM_UP)
+		return;
+	view->pool.idle++;
+	g_ptr_array_add(view->idle, vm);
+}
+
+static void vm_add(GArray *views, struct own_vm *vm)
+{
+	struct pool_view *view =
+		view_find(views, vm->to_pool ? vm->to_pool : vm->pool);
+
+	if (!view)
+		return;
+	if (vm->to_pool) {
+		view->pool.arriving++;
+	} else if (view->pool.is_spare && vm->phase == OWN_VM_SETTLED &&
+		   vm->state == JPT_VM_UP) {
+		view->pool.up++;
+		view->pool.idle++;
+		g_ptr_array_add(view->idle, vm);
+	}
+}
+
+static void work_add(struct own_owner *owner, GArray *views,
+		     const struct jtp_occurrence *occurrence)
+{
+	const struct jcf_queue *queue = own_queue_of(owner, occurrence->job);
+	const GArray *steps = occurrence->job->spec->steps;
+	struct pool_view *view =
+		queue ? view_find(views, queue->service) : NULL;
+
+	if (!view || occurrence->job->state > JTP_RUNNING)
+		return;
+	for (guint i = 0; i < steps->len; i++) {
+		const struct jtp_group *group = &occurrence->groups[i];
+
+		if (group->waiting > 0 && !group->step->is_filler &&
+		    jtp_group_is_ready(group))
+			view->pool.waiting_milli +=
+				group->waiting * group->step->need.cpu_milli;
+	}
+}
+
+/* An idle VM that the pool has not refused before. */
+static struct own_vm *idle_take(struct pool_view *from, const char *to_pool)
+{
+	for (guint i = from->idle->len; i-- > 0;) {
+		struct own_vm *vm = g_ptr_array_index(from->idle, i);
+
+		if (g_strcmp0(vm->refused_pool, to_pool) == 0)
+			continue;
+		g_ptr_array_remove_index_fast(from->idle, i);
+		return vm;
+	}
+	return NULL;
+}
+
+static void moves_order(struct own_fleet *fleet, GArray *views)
+{
+	g_autofree struct pls_pool *pools =
+		g_new(struct pls_pool, views->len);
+	struct pls_move moves[OWN_MOVES_PER_PASS];
+	uint32_t count;
+
+	for (guint i = 0; i < views->len; i++)
+		pools[i] = g_array_index(views, struct pool_view, i).pool;
+	count = pls_decide(pools, views->len, moves, OWN_MOVES_PER_PASS);
+	for (uint32_t i = 0; i < count; i++) {
+		struct pool_view *from = &g_array_index(
+			views, struct pool_view, moves[i].from);
+		struct pool_view *to =
+			&g_array_index(views, struct pool_view, moves[i].to);
+		struct own_vm *vm = idle_take(from, to->name);
+
+		if (vm)
+			own_fleet_empty(fleet, vm, NULL, to->name);
+	}
+}
+
+void own_pools_run(struct own_fleet *fleet)
+{
+	struct own_owner *owner = fleet->owner;
+	g_autoptr(GArray) views = views_create(owner->catalogue);
+	int64_t vm_cpu_most = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		worker_add(fleet, views, value);
+	g_hash_table_iter_init(&iter, fleet->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		vm_add(views, value);
+	for (guint i = 0; i < owner->live->len; i++)
+		work_add(owner, views, g_ptr_array_index(owner->live, i));
+	for (guint i = 0; i < views->len; i++)
+		vm_cpu_most = MAX(
+			vm_cpu_most,
+			g_array_index(views, struct pool_view, i)
+				.pool.vm_cpu_milli);
+	/* A pool without a VM is judged by the VMs of the others. */
+	for (guint i = 0; i < views->len; i++) {
+		struct pool_view *view =
+			&g_array_index(views, struct pool_view, i);
+
+		if (view->pool.vm_cpu_milli == 0)
+			view->pool.vm_cpu_milli = vm_cpu_most;
+	}
+	moves_order(fleet, views);
+}
--- a/packages/jobs/src/own_roster.c
+++ b/packages/jobs/src/own_roster.c
@@ -4,9 +4,12 @@
 #include "lgx.h"
 #include "own_private.h"
 
-/* Time between two reads of the list of workers, well under the time within
- * which a worker that drains must get no new tasks. */
-#define OWN_LIST_MS 500
+/* Time between two reads of the list of workers, two milliseconds for each
+ * worker within these bounds: well under the time within which a worker that
+ * drains must get no new tasks, and soon enough for a VM that has moved. */
+#define OWN_LIST_MIN_MS 200
+#define OWN_LIST_MAX_MS 700
+#define OWN_LIST_MS_PER_WORKER 2
 /* A read that failed is repeated after this. */
 #define OWN_LIST_RETRY_MS 200
 /* A worker that is not listed is forgotten after this, once nothing can run
@@ -156,6 +159,12 @@
 	}
 }
 
+static uint32_t list_pause_ms(const struct own_owner *owner)
+{
+	return CLAMP(g_hash_table_size(owner->workers) * OWN_LIST_MS_PER_WORKER,
+		     OWN_LIST_MIN_MS, OWN_LIST_MAX_MS);
+}
+
 static void on_listed(void *data, enum err_kind err,
 		      const struct plt_result *result)
 {
@@ -167,7 +176,8 @@
 		return;
 	owner->listing = false;
 	evl_timer_set(owner->config.loop, &owner->list_timer,
-		      err == ERR_NONE ? OWN_LIST_MS : OWN_LIST_RETRY_MS);
+		      err == ERR_NONE ? list_pause_ms(owner) :
+					OWN_LIST_RETRY_MS);
 	lapsed_sweep(owner);
 	if (owner->has_unknown)
 		own_roster_settle(owner);
--- /dev/null
+++ b/packages/jobs/src/own_waves.c
@@ -0,0 +1,264 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "lgx.h"
+#include "own_fleet.h"
+
+/* Prefix of the record of each wave's progress, followed by its number. */
+#define OWN_PREFIX_WAVE "/sassafrascart/job-wave/"
+
+void own_wave_free(gpointer data)
+{
+	struct own_wave *wave = data;
+
+	g_ptr_array_unref(wave->vms);
+	g_hash_table_unref(wave->done);
+	g_free(wave);
+}
+
+static void wave_store(struct own_fleet *fleet, const struct own_wave *wave)
+{
+	g_autofree char *key = g_strdup_printf(
+		OWN_PREFIX_WAVE "%" G_GUINT64_FORMAT, wave->number);
+	json_t *done = json_array();
+	GHashTableIter iter;
+	gpointer name;
+	char *text;
+
+	g_hash_table_iter_init(&iter, wave->done);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		json_array_append_new(done, json_string(name));
+	text = json_dumps(done, JSON_COMPACT);
+	cmt_put(fleet->owner->log, key, text, NULL, NULL);
+	free(text);
+	json_decref(done);
+}
+
+static void wave_tell(struct own_fleet *fleet, const struct own_wave *wave,
+		      bool succeeded)
+{
+	g_autofree char *key = NULL;
+	g_autofree char *value = NULL;
+
+	fleet->owner->config.platform->wave_status(wave->number, succeeded,
+						   &key, &value);
+	cmt_put(fleet->owner->log, key, value, NULL, NULL);
+}
+
+/* Reads of a wave's progress name the fleet and the wave by number. */
+struct wave_read {
+	struct own_owner *owner;
+	struct own_cell *cell;
+	uint64_t number;
+};
+
+static void on_progress(void *data, enum err_kind err,
+			const struct plt_result *result)
+{
+	struct wave_read *read = data;
+	struct own_owner *owner = own_cell_leave(read->cell);
+	struct own_wave *wave =
+		owner ? g_hash_table_lookup(owner->fleet->waves, &read->number) :
+			NULL;
+	json_t *done;
+	json_t *name;
+	size_t i;
+
+	g_free(read);
+	if (!wave)
+		return;
+	if (err != ERR_NONE)
+		lgx_warning("wave-progress-unread",
+			    "wave %" G_GUINT64_FORMAT ": %s", wave->number,
+			    err_name(err));
+	if (err != ERR_NONE || result->kv_count == 0) {
+		wave->told_running = true;
+		wave_tell(owner->fleet, wave, false);
+		return;
+	}
+	done = json_loadb(result->kvs[0].value, result->kvs[0].value_len, 0,
+			  NULL);
+	json_array_foreach(done, i, name)
+	{
+		if (json_is_string(name))
+			g_hash_table_add(wave->done,
+					 g_strdup(json_string_value(name)));
+	}
+	json_decref(done);
+	wave->told_running = true;
+}
+
+static void progress_read(struct own_fleet *fleet, const struct own_wave *wave)
+{
+	struct wave_read *read = g_new0(struct wave_read, 1);
+	g_autofree char *key = g_strdup_printf(
+		OWN_PREFIX_WAVE "%" G_GUINT64_FORMAT, wave->number);
+
+	read->cell = own_cell_enter(fleet->owner);
+	read->number = wave->number;
+	plt_range(fleet->owner->config.store, key, false, on_progress, read);
+}
+
+static void on_wave(void *data, const struct jpt_wave *asked)
+{
+	struct own_fleet *fleet = data;
+	struct own_wave *wave;
+
+	if (g_hash_table_contains(fleet->waves, &asked->number))
+		return;
+	wave = g_new0(struct own_wave, 1);
+	wave->number = asked->number;
+	wave->due_ms = evl_now_ms() + asked->duration_ms;
+	wave->most = asked->most;
+	wave->vms = g_ptr_array_new_with_free_func(g_free);
+	wave->done =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	for (const char **vm = asked->vms; *vm; vm++)
+		g_ptr_array_add(wave->vms, g_strdup(*vm));
+	lgx_info("wave-asked",
+		 "wave %" G_GUINT64_FORMAT ": %u VMs, %u at once, within "
+		 "%" G_GUINT64_FORMAT " ms",
+		 wave->number, wave->vms->len, wave->most, asked->duration_ms);
+	g_hash_table_insert(fleet->waves, &wave->number, wave);
+	progress_read(fleet, wave);
+}
+
+static void item_take(struct own_fleet *fleet, const struct plt_kv *kv)
+{
+	enum err_kind err;
+
+	if (kv->deleted)
+		return;
+	err = fleet->owner->config.platform->wave_decode(
+		kv->key, kv->value, kv->value_len, on_wave, fleet);
+	if (err != ERR_NONE)
+		lgx_warning("wave-malformed", "%s", kv->key);
+}
+
+static void on_read(void *data, const struct plt_kv *kvs, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		item_take(data, &kvs[i]);
+}
+
+static void on_change(void *data, const struct plt_kv *kv)
+{
+	item_take(data, kv);
+}
+
+const struct fol_ops own_waves_ops = {
+	.on_read = on_read,
+	.on_change = on_change,
+};
+
+static void wave_end_check(struct own_fleet *fleet, struct own_wave *wave)
+{
+	if (wave->finished || !wave->told_running ||
+	    g_hash_table_size(wave->done) < wave->vms->len)
+		return;
+	wave->finished = true;
+	lgx_info("wave-succeeded", "wave %" G_GUINT64_FORMAT, wave->number);
+	wave_tell(fleet, wave, true);
+}
+
+void own_wave_vm_done(struct own_fleet *fleet, struct own_vm *vm)
+{
+	struct own_wave *wave = vm->wave;
+
+	if (!wave || !g_hash_table_add(wave->done, g_strdup(vm->name)))
+		return;
+	lgx_info("wave-vm-done", "wave %" G_GUINT64_FORMAT ": %s, %u of %u",
+		 wave->number, vm->name, g_hash_table_size(wave->done),
+		 wave->vms->len);
+	wave_store(fleet, wave);
+	wave_end_check(fleet, wave);
+}
+
+/* How much work a VM holds; the emptiest go first. */
+static int64_t vm_load(struct own_fleet *fleet, const struct own_vm *vm)
+{
+	const struct wrk_worker *worker = own_fleet_worker(fleet, vm);
+	int64_t load = 0;
+
+	if (!worker)
+		return 0;
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct jtp_task *task =
+			g_ptr_array_index(worker->tasks, i);
+
+		load += 1 + task->group->step->need.cpu_milli;
+	}
+	return load;
+}
+
+/* The VM of a wave that is maintained next, NULL for none now. */
+static struct own_vm *next_find(struct own_fleet *fleet,
+				const struct own_wave *wave)
+{
+	struct own_vm *best = NULL;
+	int64_t best_load = 0;
+
+	for (guint i = 0; i < wave->vms->len; i++) {
+		const char *name = g_ptr_array_index(wave->vms, i);
+		struct own_vm *vm = g_hash_table_lookup(fleet->vms, name);
+		int64_t load;
+
+		if (!vm || vm->phase != OWN_VM_SETTLED ||
+		    vm->state != JPT_VM_UP ||
+		    g_hash_table_contains(wave->done, name))
+			continue;
+		load = vm_load(fleet, vm);
+		if (best && load >= best_load)
+			continue;
+		best = vm;
+		best_load = load;
+	}
+	return best;
+}
+
+/* VMs of a wave that are being emptied or maintained; a VM that is not in the
+ * list any more has left for good. */
+static uint32_t wave_open(struct own_fleet *fleet, struct own_wave *wave)
+{
+	uint32_t open = 0;
+
+	for (guint i = 0; i < wave->vms->len; i++) {
+		const char *name = g_ptr_array_index(wave->vms, i);
+		const struct own_vm *vm = g_hash_table_lookup(fleet->vms, name);
+
+		if (!vm)
+			g_hash_table_add(wave->done, g_strdup(name));
+		else if ((vm->wave == wave && vm->phase != OWN_VM_SETTLED) ||
+			 vm->state == JPT_VM_MAINTENANCE)
+			open++;
+	}
+	return open;
+}
+
+static void wave_run(struct own_fleet *fleet, struct own_wave *wave)
+{
+	uint32_t open = wave_open(fleet, wave);
+
+	for (; open < wave->most; open++) {
+		struct own_vm *vm = next_find(fleet, wave);
+
+		if (!vm)
+			break;
+		own_fleet_empty(fleet, vm, wave, NULL);
+	}
+	wave_end_check(fleet, wave);
+}
+
+void own_waves_run(struct own_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->waves);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct own_wave *wave = value;
+
+		if (wave->told_running && !wave->finished)
+			wave_run(fleet, wave);
+	}
+}
--- a/packages/jobs/src/own_work.c
+++ b/packages/jobs/src/own_work.c
@@ -52,9 +52,9 @@
 	worker->used.accelerators -= need->accelerators;
 	g_ptr_array_remove_fast(worker->tasks, task);
 	task->worker = NULL;
+	task->percent = 0;
 	task->present_clock_ms = 0;
 	task->over_since_ms = 0;
-	task->percent = 100;
 	task->pace_percent = 100;
 }
 
@@ -392,6 +392,20 @@
 	}
 }
 
+/* A lasting task counts as at work once it shows its whole share. */
+static void watched_set(struct wrk_worker *worker)
+{
+	worker->watched = false;
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct jtp_task *task =
+			g_ptr_array_index(worker->tasks, i);
+
+		if (task->group->step->is_lasting &&
+		    task->percent < task->pace_percent)
+			worker->watched = true;
+	}
+}
+
 static void on_report(void *data, struct wrk_worker *worker,
 		      const struct jpt_report *report, uint64_t look_fence)
 {
@@ -414,6 +428,7 @@
 	for (size_t i = 0; i < report->running_count; i++)
 		running_take(owner, worker, &report->running[i],
 			     report->clock_ms);
+	watched_set(worker);
 	if (report->end_count < OWN_REPORT_ENDS_MAX)
 		missing_find(owner, worker, report, look_fence);
 	if (marked == cmt_marked(owner->log))
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -8,6 +8,8 @@
 #define WRK_ORDER_TIMEOUT_MS 700
 /* Longest wait of a look, which the platform bounds at two seconds. */
 #define WRK_LOOK_WAIT_MS 2000
+/* As above while a task that lasts is starting up there. */
+#define WRK_LOOK_WATCHED_MS 400
 /* Pause before a look that got no answer is repeated. */
 #define WRK_LOOK_RETRY_MS 250
 /* A worker with ends that are not stored is looked at this often, so that its
@@ -210,8 +212,13 @@
 	bool at_once = worker->resolving || !worker->known ||
 		       ends_wait_for_store(worker);
 
-	if (!worker->gone && !worker->looking)
-		look_send(worker, at_once ? 0 : WRK_LOOK_WAIT_MS);
+	if (worker->gone || worker->looking)
+		return;
+	if (at_once)
+		look_send(worker, 0);
+	else
+		look_send(worker, worker->watched ? WRK_LOOK_WATCHED_MS :
+						    WRK_LOOK_WAIT_MS);
 }
 
 /* Plans the look after a report. */
@@ -450,6 +457,10 @@
 	worker->availability_zone = g_strdup(entry->availability_zone);
 	g_strfreev(worker->labels);
 	worker->labels = g_strdupv((char **)entry->labels);
+	if (entry->vm && g_strcmp0(worker->vm, entry->vm) != 0) {
+		g_free(worker->vm);
+		worker->vm = g_strdup(entry->vm);
+	}
 	worker->room = entry->room;
 	worker->draining = entry->draining;
 	worker->listed = true;
