Look at workers only once the records of jobs are read

Cause: a new owner listed workers as soon as the log was open; the first reports arrived before the jobs were read, so their ends were taken as those of unknown jobs and acknowledged, and what ran was stopped as stray. Ruled out: late orders (runs of the old owner had ended before).

--- a/packages/jobs/src/own.c
+++ b/packages/jobs/src/own.c
@@ -61,6 +61,9 @@
 		 owner->epoch, g_hash_table_size(owner->jobs), live,
 		 now_ms - owner->began_ms);
 	owner->ops->on_ready(owner->data);
+	/* Not sooner: a report names tasks of jobs that must be known. */
+	own_roster_read(owner);
+	own_list_workers(owner);
 	evl_timer_set(owner->config.loop, &owner->due_timer, OWN_DUE_MS);
 	own_roster_settle(owner);
 	own_plan_soon(owner);
@@ -156,7 +159,8 @@
 	struct own_owner *owner = data;
 
 	records_read(owner);
-	own_roster_read(owner);
+	if (own_is_ready(owner))
+		own_roster_read(owner);
 }
 
 void own_read_again(struct own_owner *owner, enum err_kind err)
@@ -173,8 +177,6 @@
 
 	owner->epoch = epoch;
 	records_read(owner);
-	own_roster_read(owner);
-	own_list_workers(owner);
 }
 
 static void on_committed(void *data, struct jtp_job *job)
