--- a/packages/jobs/src/own_fleet.c
+++ b/packages/jobs/src/own_fleet.c
@@ -245,6 +245,13 @@
 	return false;
 }
 
+/* An order ends the worker with what it lists: ends that are not stored yet
+ * would be lost if this owner ended too. */
+static bool ends_are_stored(const struct wrk_worker *worker)
+{
+	return worker->ends->len == 0 && !worker->resolving;
+}
+
 static void emptying_run(struct own_fleet *fleet, struct own_vm *vm)
 {
 	struct wrk_worker *worker = own_fleet_worker(fleet, vm);
@@ -252,7 +259,8 @@
 
 	if (vm->calling)
 		return;
-	if (!worker || worker->tasks->len == 0) {
+	if (!worker ||
+	    (worker->tasks->len == 0 && ends_are_stored(worker))) {
 		vm_order(fleet, vm);
 		return;
 	}
@@ -263,7 +271,8 @@
 		return;
 	}
 	lasting_tasks_stop(fleet, worker, "maintenance of the VM");
-	if (past_ms > OWN_EMPTY_WAIT_MS && !has_lasting(worker))
+	if (past_ms > OWN_EMPTY_WAIT_MS && !has_lasting(worker) &&
+	    ends_are_stored(worker))
 		vm_order(fleet, vm);
 }
 
