--- a/packages/jobs/include/jtp.h
+++ b/packages/jobs/include/jtp.h
@@ -101,9 +101,9 @@
 	enum jtp_task_state state;
 	/** number of the newest run */
 	uint32_t run;
-	uint32_t failures;
-	/** newest run whose failure has been counted */
-	uint32_t failed_run;
+	/** numbers of the runs whose failure has been counted, NULL for none;
+	 *  not kept for tasks that last, which are restarted for ever */
+	GArray *failed_runs;
 	/** report in which it was seen last, see own_work.c */
 	uint64_t seen_in_report;
 	/** worker of the newest run, NULL when it is on none */
@@ -240,6 +240,15 @@
 /** @brief Sets a task's state and keeps the group's counts. */
 void jtp_task_set_state(struct jtp_task *task, enum jtp_task_state state);
 
+/**
+ * @brief Counts a failed run, whichever order the ends arrive in.
+ * @return whether it had not been counted before
+ */
+bool jtp_task_count_failure(struct jtp_task *task, uint32_t run);
+
+/** @brief Number of failed runs that have been counted. */
+uint32_t jtp_task_failures(const struct jtp_task *task);
+
 /** @brief Replaces a task's checkpoint by a copy; empty or NULL for none. */
 void jtp_task_set_checkpoint(struct jtp_task *task, const char *checkpoint);
 
--- a/packages/jobs/include/wrk.h
+++ b/packages/jobs/include/wrk.h
@@ -101,6 +101,8 @@
 	uint64_t look_serial;
 	struct tmr_entry look_timer;
 	bool gone;
+	/** this incarnation has ended; its entry may still be listed */
+	bool over;
 
 	/** owner: what is taken, and the tasks that are or may be there */
 	struct jpt_room used;
@@ -154,6 +156,12 @@
 /** @brief Ends up to the mark are stored: they may be acknowledged. */
 void wrk_stored(struct wrk_worker *worker, uint64_t committed);
 
+/**
+ * @brief Takes an incarnation as ended: nothing that it held runs any more.
+ * @param why constant reason for the log
+ */
+void wrk_end_life(struct wrk_worker *worker, const char *why);
+
 /** @brief The token for orders to this worker now. */
 uint64_t wrk_fence(const struct wrk_worker *worker);
 
--- a/packages/jobs/src/jrc.c
+++ b/packages/jobs/src/jrc.c
@@ -219,18 +219,15 @@
 	return ERR_NONE;
 }
 
-/* A character a task: D for done, else the digit of its failed runs. */
+/* A character a task: D for done, - for one that is not. */
 static json_t *group_encode(const struct jtp_group *group)
 {
 	g_autoptr(GString) text = g_string_sized_new(group->step->count);
 
 	for (uint32_t i = 0; i < group->step->count; i++) {
-		const struct jtp_task *task = &group->tasks[i];
+		bool done = group->tasks[i].state == JTP_TASK_DONE;
 
-		g_string_append_c(text,
-				  task->state == JTP_TASK_DONE ?
-					  'D' :
-					  (char)('0' + MIN(task->failures, 9)));
+		g_string_append_c(text, done ? 'D' : '-');
 	}
 	return json_string(text->str);
 }
@@ -252,14 +249,21 @@
 static void failed_runs_encode(const struct jtp_group *group, json_t *out)
 {
 	char key[32];
+	json_t *runs;
 
 	for (uint32_t i = 0; i < group->step->count; i++) {
 		const struct jtp_task *task = &group->tasks[i];
 
-		if (task->failed_run == 0 || task->state == JTP_TASK_DONE)
+		if (jtp_task_failures(task) == 0 ||
+		    task->state == JTP_TASK_DONE)
 			continue;
 		g_snprintf(key, sizeof(key), "%u.%u", group->step_index, i);
-		json_object_set_new(out, key, json_integer(task->failed_run));
+		runs = json_array();
+		for (guint j = 0; j < task->failed_runs->len; j++)
+			json_array_append_new(
+				runs, json_integer(g_array_index(
+					      task->failed_runs, uint32_t, j)));
+		json_object_set_new(out, key, runs);
 	}
 }
 
@@ -308,9 +312,7 @@
 
 		if (text[i] == 'D')
 			jtp_task_set_state(task, JTP_TASK_DONE);
-		else if (g_ascii_isdigit(text[i]))
-			task->failures = (uint32_t)(text[i] - '0');
-		else
+		else if (text[i] != '-')
 			return false;
 	}
 	return true;
@@ -335,6 +337,8 @@
 {
 	const char *key;
 	json_t *value;
+	json_t *run;
+	size_t i;
 
 	json_object_foreach(checkpoints, key, value)
 	{
@@ -350,7 +354,8 @@
 
 		if (!task)
 			return false;
-		task->failed_run = (uint32_t)json_integer_value(value);
+		json_array_foreach(value, i, run) jtp_task_count_failure(
+			task, (uint32_t)json_integer_value(run));
 	}
 	return true;
 }
--- a/packages/jobs/src/jtp.c
+++ b/packages/jobs/src/jtp.c
@@ -87,8 +87,10 @@
 
 static void group_clear(struct jtp_group *group)
 {
-	for (uint32_t i = 0; i < group->step->count; i++)
+	for (uint32_t i = 0; i < group->step->count; i++) {
 		g_free(group->tasks[i].checkpoint);
+		g_clear_pointer(&group->tasks[i].failed_runs, g_array_unref);
+	}
 	g_free(group->tasks);
 }
 
@@ -223,6 +225,23 @@
 	task->state = state;
 }
 
+bool jtp_task_count_failure(struct jtp_task *task, uint32_t run)
+{
+	if (!task->failed_runs)
+		task->failed_runs = g_array_new(FALSE, FALSE, sizeof(run));
+	for (guint i = 0; i < task->failed_runs->len; i++) {
+		if (g_array_index(task->failed_runs, uint32_t, i) == run)
+			return false;
+	}
+	g_array_append_val(task->failed_runs, run);
+	return true;
+}
+
+uint32_t jtp_task_failures(const struct jtp_task *task)
+{
+	return task->failed_runs ? task->failed_runs->len : 0;
+}
+
 void jtp_task_set_checkpoint(struct jtp_task *task, const char *checkpoint)
 {
 	if (!checkpoint || !*checkpoint ||
--- a/packages/jobs/src/own_fleet.c
+++ b/packages/jobs/src/own_fleet.c
@@ -44,6 +44,8 @@
 	g_free(vm->pool);
 	g_free(vm->to_pool);
 	g_free(vm->refused_pool);
+	g_free(vm->leaving_worker);
+	g_free(vm->worker);
 	g_free(vm);
 }
 
@@ -73,7 +75,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct wrk_worker *worker = value;
 
-		if (g_strcmp0(worker->vm, vm->name) != 0)
+		if (worker->over || g_strcmp0(worker->vm, vm->name) != 0)
 			continue;
 		if (!found || worker->born_ms > found->born_ms)
 			found = worker;
@@ -91,7 +93,7 @@
 {
 	struct wrk_worker *worker = own_fleet_worker(fleet, vm);
 
-	if (worker && vm->phase == OWN_VM_EMPTYING)
+	if (worker)
 		worker->cordoned = false;
 	phase_set(vm, OWN_VM_SETTLED);
 	vm->wave = NULL;
@@ -108,18 +110,22 @@
 	vm->wave = wave;
 	g_free(vm->to_pool);
 	vm->to_pool = g_strdup(to_pool);
-	if (worker)
+	g_clear_pointer(&vm->leaving_worker, g_free);
+	if (worker) {
 		worker->cordoned = true;
+		vm->leaving_worker = g_strdup(worker->id);
+	}
 	lgx_info("vm-emptying", "%s of pool %s, tasks %u, for %s", vm->name,
 		 vm->pool, worker ? worker->tasks->len : 0,
 		 to_pool ? to_pool : "maintenance");
 }
 
-/* Everything on the VM has ended with the order. */
+/*
+ * The platform also says that it has done what had been done before, in which
+ * case the worker runs on. So its life ends here only when the list shows it.
+ */
 static void vm_taken(struct own_fleet *fleet, struct own_vm *vm)
 {
-	struct wrk_worker *worker = own_fleet_worker(fleet, vm);
-
 	if (vm->to_pool)
 		fleet->owner->counters.moves++;
 	else
@@ -127,10 +133,8 @@
 	lgx_info("vm-ordered", "%s of pool %s: %s", vm->name, vm->pool,
 		 vm->to_pool ? vm->to_pool : "maintenance");
 	phase_set(vm, OWN_VM_ORDERED);
-	if (!worker)
-		return;
-	worker->listed = false;
-	fleet->owner->env.ops->on_life_over(fleet->owner, worker);
+	if (vm->wave)
+		own_wave_vm_done(fleet, vm);
 }
 
 static void on_ordered(void *data, enum err_kind err,
@@ -150,8 +154,8 @@
 		lgx_info("vm-order-not-taken", "%s: %s, verdict %d", vm->name,
 			 err_name(err), verdict);
 	if (err != ERR_NONE) {
-		/* It may be carried out; the same order does no harm twice. */
-		vm->phase_since_ms = evl_now_ms();
+		/* It may have been carried out: the next list tells. */
+		vm->unanswered_ms = evl_now_ms();
 		return;
 	}
 	switch (verdict) {
@@ -252,13 +256,36 @@
 	return worker->ends->len == 0 && !worker->resolving;
 }
 
+/* Settles an order without an answer by a list that was asked for since. */
+static bool order_is_open(struct own_fleet *fleet, struct own_vm *vm)
+{
+	bool moved = vm->to_pool && g_strcmp0(vm->pool, vm->to_pool) == 0;
+
+	if (vm->unanswered_ms == 0)
+		return false;
+	if (fleet->listing || fleet->asked_ms <= vm->unanswered_ms)
+		return true;
+	vm->unanswered_ms = 0;
+	if (moved || vm->state != JPT_VM_UP ||
+	    g_strcmp0(vm->worker, vm->leaving_worker) != 0)
+		vm_taken(fleet, vm);
+	return false;
+}
+
 static void emptying_run(struct own_fleet *fleet, struct own_vm *vm)
 {
 	struct wrk_worker *worker = own_fleet_worker(fleet, vm);
 	uint64_t past_ms = evl_now_ms() - vm->phase_since_ms;
 
-	if (vm->calling)
+	if (vm->calling || order_is_open(fleet, vm))
+		return;
+	if (vm->phase != OWN_VM_EMPTYING)
+		return;
+	if (worker && g_strcmp0(worker->id, vm->leaving_worker) != 0) {
+		/* The VM has started anew meanwhile. */
+		vm_settle(fleet, vm);
 		return;
+	}
 	if (!worker ||
 	    (worker->tasks->len == 0 && ends_are_stored(worker))) {
 		vm_order(fleet, vm);
@@ -286,8 +313,6 @@
 		    vm->phase_since_ms + takes_ms + OWN_BACK_MARGIN_MS ||
 	    vm->state != JPT_VM_UP)
 		return;
-	if (vm->wave)
-		own_wave_vm_done(fleet, vm);
 	vm_settle(fleet, vm);
 }
 
@@ -298,7 +323,9 @@
 
 	g_hash_table_iter_init(&iter, fleet->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (((struct own_vm *)value)->phase == OWN_VM_ORDERED)
+		const struct own_vm *vm = value;
+
+		if (vm->phase == OWN_VM_ORDERED || vm->unanswered_ms != 0)
 			return true;
 	}
 	return false;
@@ -317,10 +344,77 @@
 		g_free(vm->pool);
 		vm->pool = g_strdup(listed->pool);
 	}
+	if (g_strcmp0(vm->worker, listed->worker) != 0) {
+		g_free(vm->worker);
+		vm->worker = g_strdup(listed->worker);
+	}
 	vm->state = listed->state;
 	vm->listed = true;
 }
 
+/* Tells why the list shows that a worker's life is over, NULL if it does not.
+ * Only a silent worker's life is ended by what may be an older list. */
+static const char *life_over_why(struct own_fleet *fleet,
+				 const struct wrk_worker *worker,
+				 const struct own_vm *vm)
+{
+	bool ordered = vm->phase == OWN_VM_ORDERED &&
+		       vm->phase_since_ms < fleet->asked_ms;
+	bool silent = !wrk_is_reachable(worker) &&
+		      worker->silent_since_ms < fleet->asked_ms;
+
+	if (ordered && vm->leaving_worker &&
+	    strcmp(vm->leaving_worker, worker->id) == 0 &&
+	    (vm->state != JPT_VM_UP ||
+	     g_strcmp0(vm->worker, worker->id) != 0))
+		return "its VM is taken";
+	if (silent && vm->state == JPT_VM_DOWN)
+		return "its VM is down";
+	if (silent && vm->state == JPT_VM_UP && vm->worker &&
+	    strcmp(vm->worker, worker->id) != 0)
+		return "its VM has another worker";
+	return NULL;
+}
+
+/* Ends lives that the list shows as over: their tasks need not wait for the
+ * lease to run out. */
+static void lives_check(struct own_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct wrk_worker *worker = value;
+		const struct own_vm *vm =
+			worker->vm ?
+				g_hash_table_lookup(fleet->vms, worker->vm) :
+				NULL;
+		const char *why =
+			vm && !worker->over ?
+				life_over_why(fleet, worker, vm) :
+				NULL;
+
+		if (why)
+			wrk_end_life(worker, why);
+	}
+}
+
+static bool a_worker_is_silent(struct own_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct wrk_worker *worker = value;
+
+		if (!worker->over && !wrk_is_reachable(worker))
+			return true;
+	}
+	return false;
+}
+
 static void on_vms(void *data, enum err_kind err, const struct jpt_vm *vms,
 		   size_t count)
 {
@@ -348,18 +442,20 @@
 		    !((struct own_vm *)value)->calling)
 			g_hash_table_iter_remove(&iter);
 	}
+	lives_check(fleet);
 }
 
 static void list_run(struct own_fleet *fleet)
 {
-	uint64_t pause_ms = orders_are_open(fleet) ? OWN_VM_LIST_BUSY_MS :
-						     OWN_VM_LIST_MS;
+	bool busy = orders_are_open(fleet) || a_worker_is_silent(fleet);
+	uint64_t pause_ms = busy ? OWN_VM_LIST_BUSY_MS : OWN_VM_LIST_MS;
 
 	if (fleet->listing ||
 	    (fleet->listed_once &&
 	     evl_now_ms() - fleet->listed_ms < pause_ms))
 		return;
 	fleet->listing = true;
+	fleet->asked_ms = evl_now_ms();
 	fleet->owner->config.platform->vm_list(
 		fleet->owner->config.platform_self, OWN_VM_TIMEOUT_MS, on_vms,
 		cell_enter(fleet));
--- a/packages/jobs/src/own_fleet.h
+++ b/packages/jobs/src/own_fleet.h
@@ -27,9 +27,15 @@
 	uint64_t phase_since_ms;
 	/** a call is under way */
 	bool calling;
+	/** when a call ended without an answer, 0 for none */
+	uint64_t unanswered_ms;
+	/** worker that is or was there when it was to be emptied, owned */
+	char *leaving_worker;
 	/** pool to move to, owned, or NULL for maintenance */
 	char *to_pool;
 	struct own_wave *wave;
+	/** worker that the list shows on it, owned, NULL for none */
+	char *worker;
 	/** a pool that refused it, owned */
 	char *refused_pool;
 };
@@ -57,6 +63,7 @@
 	bool listing;
 	bool listed_once;
 	uint64_t listed_ms;
+	uint64_t asked_ms;
 	struct tmr_entry timer;
 	struct fleet_cell *cell;
 };
--- a/packages/jobs/src/own_plan.c
+++ b/packages/jobs/src/own_plan.c
@@ -57,7 +57,7 @@
 static bool worker_takes_tasks(const struct wrk_worker *worker,
 			       uint64_t now_ms)
 {
-	return worker->known && worker->listed && worker->in_roster &&
+	return worker->known && !worker->over && worker->listed && worker->in_roster &&
 	       !worker->draining && !worker->cordoned &&
 	       wrk_is_reachable(worker) && !worker->resolving &&
 	       worker->pause_until_ms <= now_ms;
--- a/packages/jobs/src/own_pools.c
+++ b/packages/jobs/src/own_pools.c
@@ -58,7 +58,7 @@
 	struct pool_view *view = view_find(views, worker->service);
 	struct own_vm *vm;
 
-	if (!view || !worker->listed || worker->draining || worker->cordoned)
+	if (!view || worker->over || !worker->listed || worker->draining || worker->cordoned)
 		return;
 	view->pool.up++;
 	view->pool.vm_cpu_milli =
--- a/packages/jobs/src/own_roster.c
+++ b/packages/jobs/src/own_roster.c
@@ -42,10 +42,10 @@
 
 static json_t *roster_item(const struct wrk_worker *worker)
 {
-	return json_pack("{s:s, s:s, s:i, s:s, s:s}", "id", worker->id, "ip",
-			 worker->ip, "port", (int)worker->port, "service",
-			 worker->service, "availability_zone",
-			 worker->availability_zone);
+	return json_pack("{s:s, s:s, s:i, s:s, s:s, s:s*}", "id", worker->id,
+			 "ip", worker->ip, "port", (int)worker->port,
+			 "service", worker->service, "availability_zone",
+			 worker->availability_zone, "vm", worker->vm);
 }
 
 static void on_roster_stored(void *data)
@@ -128,8 +128,9 @@
 		if (worker->unlisted_since_ms == 0)
 			worker->unlisted_since_ms = now_ms;
 		if (worker->tasks->len > 0 ||
-		    now_ms - worker->unlisted_since_ms < OWN_FORGET_MS ||
-		    (owner->has_unknown && !worker->known))
+		    (!worker->over &&
+		     (now_ms - worker->unlisted_since_ms < OWN_FORGET_MS ||
+		      (owner->has_unknown && !worker->known))))
 			continue;
 		lgx_info("worker-forgotten", "%s, not listed", worker->id);
 		g_hash_table_iter_remove(&iter);
@@ -223,6 +224,7 @@
 			json_string_value(json_object_get(item, "service")),
 		.availability_zone = json_string_value(
 			json_object_get(item, "availability_zone")),
+		.vm = json_string_value(json_object_get(item, "vm")),
 		.labels = no_labels,
 	};
 	struct wrk_worker *worker;
@@ -311,7 +313,9 @@
 		return;
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (!leases_over && g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!((struct wrk_worker *)value)->known)
+		const struct wrk_worker *worker = value;
+
+		if (!worker->known && !worker->over)
 			return;
 	}
 	unknown_release(owner);
--- a/packages/jobs/src/own_waves.c
+++ b/packages/jobs/src/own_waves.c
@@ -153,8 +153,7 @@
 
 static void wave_end_check(struct own_fleet *fleet, struct own_wave *wave)
 {
-	if (wave->finished || !wave->told_running ||
-	    g_hash_table_size(wave->done) < wave->vms->len)
+	if (wave->finished || g_hash_table_size(wave->done) < wave->vms->len)
 		return;
 	wave->finished = true;
 	lgx_info("wave-succeeded", "wave %" G_GUINT64_FORMAT, wave->number);
@@ -171,7 +170,6 @@
 		 wave->number, vm->name, g_hash_table_size(wave->done),
 		 wave->vms->len);
 	wave_store(fleet, wave);
-	wave_end_check(fleet, wave);
 }
 
 /* How much work a VM holds; the emptiest go first. */
@@ -239,6 +237,8 @@
 {
 	uint32_t open = wave_open(fleet, wave);
 
+	if (open == 0)
+		wave_end_check(fleet, wave);
 	for (; open < wave->most; open++) {
 		struct own_vm *vm = next_find(fleet, wave);
 
@@ -246,7 +246,6 @@
 			break;
 		own_fleet_empty(fleet, vm, wave, NULL);
 	}
-	wave_end_check(fleet, wave);
 }
 
 void own_waves_run(struct own_fleet *fleet)
--- a/packages/jobs/src/own_work.c
+++ b/packages/jobs/src/own_work.c
@@ -259,34 +259,29 @@
 	}
 }
 
-static void task_failed(struct own_owner *owner, struct jtp_task *task,
-			const struct jpt_end *end)
+/* Ends of several runs may arrive in any order after a takeover, and again
+ * after their record was stored: each run counts once. */
+static void task_failed(struct own_owner *owner, struct wrk_worker *worker,
+			struct jtp_task *task, const struct jpt_end *end)
 {
 	struct jtp_job *job = task->group->occurrence->job;
 	const struct jcf_queue *queue = own_queue_of(owner, job);
-	uint32_t pause_ms;
+	bool lasts = task->group->step->is_lasting;
+	uint32_t pause_ms = OWN_RESTART_MS;
 
-	if (end->run <= task->failed_run) {
-		if (task->run == end->run && task->worker)
-			task_wait(owner, task, OWN_RESTART_MS);
-		return;
-	}
-	task->failed_run = end->run;
-	task->failures++;
 	job->begun = true;
-	if (task->worker)
-		task->worker->recent_failures++;
-	if (!task->group->step->is_lasting && queue &&
-	    task->failures >= queue->attempts) {
+	worker->recent_failures++;
+	if (!lasts && jtp_task_count_failure(task, end->run)) {
+		cmt_mark(owner->log, job);
+		pause_ms <<= MIN(jtp_task_failures(task), 5);
+	}
+	if (!lasts && queue && jtp_task_failures(task) >= queue->attempts) {
 		own_task_unplace(owner, task);
 		own_job_finish(owner, job, JTP_FAILED,
 			       "a task has used up its attempts");
-		return;
-	}
-	pause_ms = OWN_RESTART_MS << MIN(task->failures, 5);
-	if (!task->worker || task->run == end->run)
+	} else if (!task->worker || task->run == end->run) {
 		task_wait(owner, task, MIN(pause_ms, OWN_RESTART_MAX_MS));
-	cmt_mark(owner->log, job);
+	}
 }
 
 static void end_take(struct own_owner *owner, struct wrk_worker *worker,
@@ -316,9 +311,8 @@
 			gang_done(owner, task->group);
 		else
 			task_done(owner, task);
-	} else if (end->kind == JPT_END_FAILED &&
-		   (current || !task->worker)) {
-		task_failed(owner, task, end);
+	} else if (end->kind == JPT_END_FAILED) {
+		task_failed(owner, worker, task, end);
 	} else if (current) {
 		task_wait(owner, task,
 			  end->kind == JPT_END_STOPPED ? 0 : OWN_RESTART_MS);
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -154,6 +154,15 @@
 	life_reset(worker);
 }
 
+void wrk_end_life(struct wrk_worker *worker, const char *why)
+{
+	if (worker->over)
+		return;
+	life_end(worker, why);
+	worker->over = true;
+	tmr_cancel(&worker->look_timer);
+}
+
 /* Tells whether a refusal by token means that there is another owner. */
 static bool fence_is_foreign(const struct wrk_worker *worker, uint64_t fence)
 {
@@ -171,8 +180,11 @@
 		.wait_ms = wait_ms,
 	};
 
-	/* The first look only learns the clock and raises the token. */
-	look.lease_until_ms = worker->known ? lease_grant(worker) : 0;
+	/* The first look only learns the clock and raises the token. A silent
+	 * worker's lease is left to run out, so that its tasks can go on
+	 * elsewhere. */
+	if (worker->known && worker->silent_calls == 0)
+		look.lease_until_ms = lease_grant(worker);
 	look.fence = wrk_fence(worker);
 	call->order.fence = look.fence;
 	call->serial = ++worker->look_serial;
@@ -188,7 +200,7 @@
 {
 	uint64_t due_ms = evl_now_ms() + delay_ms;
 
-	if (worker->gone || worker->looking)
+	if (worker->gone || worker->over || worker->looking)
 		return;
 	if (tmr_is_set(&worker->look_timer) &&
 	    worker->look_timer.due_ms <= due_ms)
@@ -212,7 +224,7 @@
 	bool at_once = worker->resolving || !worker->known ||
 		       ends_wait_for_store(worker);
 
-	if (worker->gone || worker->looking)
+	if (worker->gone || worker->over || worker->looking)
 		return;
 	if (at_once)
 		look_send(worker, 0);
@@ -266,8 +278,7 @@
 			look_plan(worker, 0);
 		break;
 	case JPT_REFUSED_INCARNATION:
-		life_end(worker, "another one answers at its address");
-		look_plan(worker, WRK_LOOK_RETRY_MS);
+		wrk_end_life(worker, "another one answers at its address");
 		break;
 	default:
 		lgx_warning("look-refused", "%s: %s", worker->id,
@@ -318,6 +329,9 @@
 	if (!worker->gone) {
 		if (reply->err == ERR_NONE)
 			clock_note(worker, reply->clock_ms);
+		if (reply->err == ERR_NONE &&
+		    reply->verdict == JPT_REFUSED_INCARNATION)
+			wrk_end_life(worker, "another one answers an order");
 		if (reply->err == ERR_NONE &&
 		    reply->verdict == JPT_REFUSED_FENCE &&
 		    fence_is_foreign(worker, call->order.fence))
@@ -491,6 +505,7 @@
 		worker->born_ms = entry->born_ms;
 		entry_copy(worker, entry);
 		life_end(worker, "the list shows a newer one");
+		worker->over = false;
 		look_plan(worker, 0);
 		return;
 	}
