Start gangs whole, ask for advice, pace what fills

Gangs are placed all at once or not at all, share run and checkpoint, and are stopped before their members end alone; failures of a gang count by run. Queues with advice ask for tickets and start only with them.

--- a/packages/jobs/include/jpt.h
+++ b/packages/jobs/include/jpt.h
@@ -154,10 +154,26 @@
 	struct jpt_room room;
 	/** NULL-terminated */
 	const char **labels;
+	/** rack that it stands on, NULL if it does not say */
+	const char *rack;
 	uint64_t clock_ms;
 	uint64_t born_ms;
 };
 
+/** A worker that may run a step, with the ticket that its starts carry. */
+struct jpt_ticket {
+	const char *worker;
+	const char *ticket;
+};
+
+/** Ends a call for advice; rows hold with ERR_NONE. */
+typedef void (*jpt_advice_cb)(void *data, enum err_kind err,
+			      const struct jpt_ticket *rows, size_t count,
+			      uint32_t valid_ms);
+
+/** Workers that one call for advice may name. */
+#define JPT_ADVICE_WORKERS_MAX 100
+
 /** State of a VM that the system may move or maintain. */
 enum jpt_vm_state {
 	JPT_VM_UP,
@@ -220,6 +236,9 @@
 		     const char *task, uint32_t run, uint32_t percent,
 		     uint64_t fence, uint32_t timeout_ms, jpt_worker_cb cb,
 		     void *data);
+	/** asks which workers may run a step; NULL-terminated identities */
+	void (*advise)(void *self, const char *step, const char *const *workers,
+		       uint32_t timeout_ms, jpt_advice_cb cb, void *data);
 	void (*vm_list)(void *self, uint32_t timeout_ms, jpt_vms_cb cb,
 			void *data);
 	void (*vm_move)(void *self, const char *vm, const char *pool,
--- a/packages/jobs/include/jtp.h
+++ b/packages/jobs/include/jtp.h
@@ -93,6 +93,7 @@
 
 struct jtp_group;
 struct wrk_worker;
+struct own_advice;
 
 /** A task: one member of a step in one occurrence. */
 struct jtp_task {
@@ -120,6 +121,7 @@
 	/** share at which it works, as last reported and as last ordered */
 	uint32_t percent;
 	uint32_t pace_percent;
+	uint64_t paced_ms;
 	/** usage as last reported, see jpt_running */
 	uint32_t usage;
 	/** since when a serving task has been over its target, 0 if it isn't */
@@ -135,8 +137,15 @@
 	uint32_t done;
 	/** tasks that wait, whether or not the step's turn has come */
 	uint32_t waiting;
-	/** no member of a gang is started before all can be */
-	uint64_t gang_not_before_ms;
+	/** of a gang: the run that its members share, and its start */
+	uint32_t gang_run;
+	uint64_t gang_since_ms;
+	/** a member's run has ended: the others end too, and all start anew */
+	bool gang_over;
+	/** since when the gang has not found room for all, 0 if it has */
+	uint64_t gang_short_since_ms;
+	/** advice on the step, see own_advice.c; owned, NULL for none */
+	struct own_advice *advice;
 };
 
 /** One time that the steps of a job run. */
@@ -246,7 +255,10 @@
  */
 bool jtp_task_count_failure(struct jtp_task *task, uint32_t run);
 
-/** @brief Number of failed runs that have been counted. */
+/**
+ * @brief Number of failed runs that have been counted: those of the task, or of
+ *        its gang, whose members share the numbers of their runs.
+ */
 uint32_t jtp_task_failures(const struct jtp_task *task);
 
 /** @brief Replaces a task's checkpoint by a copy; empty or NULL for none. */
--- a/packages/jobs/include/wrk.h
+++ b/packages/jobs/include/wrk.h
@@ -77,6 +77,7 @@
 	char *availability_zone;
 	/** NULL-terminated labels */
 	char **labels;
+	char *rack;
 	struct jpt_room room;
 	uint64_t born_ms;
 	bool draining;
--- a/packages/jobs/src/jrc.c
+++ b/packages/jobs/src/jrc.c
@@ -254,7 +254,7 @@
 	for (uint32_t i = 0; i < group->step->count; i++) {
 		const struct jtp_task *task = &group->tasks[i];
 
-		if (jtp_task_failures(task) == 0 ||
+		if (!task->failed_runs ||
 		    task->state == JTP_TASK_DONE)
 			continue;
 		g_snprintf(key, sizeof(key), "%u.%u", group->step_index, i);
--- a/packages/jobs/src/jtp.c
+++ b/packages/jobs/src/jtp.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "own_advice.h"
+
 static void step_clear(gpointer data)
 {
 	struct jtp_step *step = data;
@@ -92,6 +94,7 @@
 		g_clear_pointer(&group->tasks[i].failed_runs, g_array_unref);
 	}
 	g_free(group->tasks);
+	own_advice_free(group->advice);
 }
 
 static void occurrence_free(struct jtp_occurrence *occurrence)
@@ -225,20 +228,46 @@
 	task->state = state;
 }
 
+static bool run_is_in(const GArray *runs, uint32_t run)
+{
+	for (guint i = 0; runs && i < runs->len; i++) {
+		if (g_array_index(runs, uint32_t, i) == run)
+			return true;
+	}
+	return false;
+}
+
 bool jtp_task_count_failure(struct jtp_task *task, uint32_t run)
 {
 	if (!task->failed_runs)
 		task->failed_runs = g_array_new(FALSE, FALSE, sizeof(run));
-	for (guint i = 0; i < task->failed_runs->len; i++) {
-		if (g_array_index(task->failed_runs, uint32_t, i) == run)
-			return false;
-	}
+	if (run_is_in(task->failed_runs, run))
+		return false;
 	g_array_append_val(task->failed_runs, run);
 	return true;
 }
 
+static uint32_t gang_failures(const struct jtp_group *group)
+{
+	g_autoptr(GArray) seen = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		const GArray *runs = group->tasks[i].failed_runs;
+
+		for (guint j = 0; runs && j < runs->len; j++) {
+			uint32_t run = g_array_index(runs, uint32_t, j);
+
+			if (!run_is_in(seen, run))
+				g_array_append_val(seen, run);
+		}
+	}
+	return seen->len;
+}
+
 uint32_t jtp_task_failures(const struct jtp_task *task)
 {
+	if (task->group->step->is_gang)
+		return gang_failures(task->group);
 	return task->failed_runs ? task->failed_runs->len : 0;
 }
 
--- a/packages/jobs/src/own.c
+++ b/packages/jobs/src/own.c
@@ -285,8 +285,8 @@
 		job_record_delete(owner, job);
 		g_hash_table_iter_remove(&iter);
 	}
+	own_gangs_check(owner);
 	evl_timer_set(owner->config.loop, &owner->due_timer, OWN_DUE_MS);
-	own_pace_run(owner);
 }
 
 static void job_free(gpointer data)
--- a/packages/jobs/src/own_plan.c
+++ b/packages/jobs/src/own_plan.c
@@ -1,8 +1,8 @@
 #include <string.h>
 
 #include "lgx.h"
-#include "own_private.h"
-#include "pck.h"
+#include "own_advice.h"
+#include "own_plan.h"
 #include "urg.h"
 
 /* Changes that arrive within this time share one pass. */
@@ -10,17 +10,6 @@
 /* Failures of late from which a worker is avoided while others have room. */
 #define OWN_FAILURES_TOLERATED 2
 
-/* One service's part of a pass. */
-struct plan_pool {
-	const char *service;
-	/** of struct wrk_worker * and struct pck_candidate, in step */
-	GPtrArray *workers;
-	GArray *candidates;
-	/** of struct jtp_occurrence * with tasks that wait */
-	GPtrArray *work;
-	int64_t cpu_free_most;
-};
-
 static void on_pool_free(gpointer data)
 {
 	struct plan_pool *pool = data;
@@ -131,8 +120,8 @@
 	return left->sort_key < right->sort_key ? -1 : 1;
 }
 
-static void task_start(struct own_owner *owner, struct jtp_task *task,
-		       struct wrk_worker *worker)
+void own_task_start(struct own_owner *owner, struct jtp_task *task,
+		    struct wrk_worker *worker)
 {
 	struct jtp_occurrence *occurrence = task->group->occurrence;
 	uint32_t base = (uint32_t)(owner->epoch * OWN_RUNS_PER_EPOCH);
@@ -151,12 +140,14 @@
 		  occurrence->job->id, occurrence->number,
 		  task->group->step_index, task->index, task->run, worker->id,
 		  worker->room.cpu_milli - worker->used.cpu_milli);
-	wrk_start(worker, task, occurrence->job->spec->text, NULL);
+	wrk_start(worker, task, occurrence->job->spec->text,
+		  own_advice_ticket(task->group, worker));
 }
 
 /* Fills what depends on the group into the candidates. */
 static void candidates_fit_group(struct plan_pool *pool,
-				 const struct jtp_group *group)
+				 const struct jtp_group *group,
+				 bool needs_ticket)
 {
 	const struct jtp_step *step = group->step;
 
@@ -167,7 +158,9 @@
 			pool->candidates, struct pck_candidate, i);
 
 		candidate->same_group = 0;
-		candidate->labelled = wrk_has_label(worker, step->label);
+		candidate->labelled =
+			wrk_has_label(worker, step->label) &&
+			(!needs_ticket || own_advice_ticket(group, worker));
 		candidate->on_data_rack =
 			step->data_rack &&
 			wrk_has_label(worker, step->data_rack);
@@ -186,8 +179,8 @@
 	}
 }
 
-static void candidate_take(struct pck_candidate *candidate,
-			   const struct pck_need *need)
+void own_candidate_take(struct pck_candidate *candidate,
+			const struct pck_need *need)
 {
 	if (!need->fills)
 		candidate->cpu_free_milli -= need->cpu_milli;
@@ -212,12 +205,22 @@
 	};
 }
 
-static void group_start(struct own_owner *owner, struct plan_pool *pool,
+/* Starts what waits and fits; false if the rest of the room is to be kept. */
+static bool group_start(struct own_owner *owner, struct plan_pool *pool,
 			struct jtp_group *group, uint64_t now_ms)
 {
+	const struct jcf_queue *queue =
+		own_queue_of(owner, group->occurrence->job);
 	const struct pck_need need = need_of(group->step);
-
-	candidates_fit_group(pool, group);
+	bool needs_ticket = queue && queue->needs_advice;
+
+	candidates_fit_group(pool, group, needs_ticket);
+	if (needs_ticket)
+		own_advice_ask(owner, group,
+			       (struct wrk_worker *const *)pool->workers->pdata,
+			       pool->workers->len);
+	if (group->step->is_gang)
+		return own_gang_start(owner, pool, group, &need, now_ms);
 	for (uint32_t i = 0; i < group->step->count && group->waiting > 0;
 	     i++) {
 		struct jtp_task *task = &group->tasks[i];
@@ -233,16 +236,17 @@
 			(const struct pck_candidate *)pool->candidates->data,
 			pool->candidates->len, &need);
 		if (chosen < 0)
-			return;
-		candidate_take(&g_array_index(pool->candidates,
+			return true;
+		own_candidate_take(&g_array_index(pool->candidates,
 					      struct pck_candidate, chosen),
 			       &need);
-		task_start(owner, task,
+		own_task_start(owner, task,
 			   g_ptr_array_index(pool->workers, chosen));
 	}
+	return true;
 }
 
-static void occurrence_start(struct own_owner *owner, struct plan_pool *pool,
+static bool occurrence_start(struct own_owner *owner, struct plan_pool *pool,
 			     struct jtp_occurrence *occurrence, uint64_t now_ms)
 {
 	const GArray *steps = occurrence->job->spec->steps;
@@ -250,9 +254,11 @@
 	for (guint i = 0; i < steps->len; i++) {
 		struct jtp_group *group = &occurrence->groups[i];
 
-		if (group->waiting > 0 && jtp_group_is_ready(group))
-			group_start(owner, pool, group, now_ms);
+		if (group->waiting > 0 && jtp_group_is_ready(group) &&
+		    !group_start(owner, pool, group, now_ms))
+			return false;
 	}
+	return true;
 }
 
 static void work_collect(struct own_owner *owner, GHashTable *pools,
@@ -301,13 +307,11 @@
 		if (pool->workers->len == 0)
 			continue;
 		g_ptr_array_sort(pool->work, work_compare);
-		for (guint i = 0; i < pool->work->len; i++)
-			occurrence_start(owner, pool,
-					 g_ptr_array_index(pool->work, i),
-					 now_ms);
+		for (guint i = 0; i < pool->work->len; i++) {
+			if (!occurrence_start(owner, pool,
+					      g_ptr_array_index(pool->work, i),
+					      now_ms))
+				break;
+		}
 	}
 }
-
-void own_pace_run(struct own_owner *owner)
-{
-}
--- /dev/null
+++ b/packages/jobs/src/own_plan.h
@@ -0,0 +1,37 @@
+/**
+ * @file own_plan.h
+ * @brief What the files that plan starts share.
+ */
+#ifndef OWN_PLAN_H
+#define OWN_PLAN_H
+
+#include "own_private.h"
+#include "pck.h"
+
+/** One service's part of a pass. */
+struct plan_pool {
+	const char *service;
+	/** of struct wrk_worker * and struct pck_candidate, in step */
+	GPtrArray *workers;
+	GArray *candidates;
+	/** of struct jtp_occurrence * with tasks that wait */
+	GPtrArray *work;
+};
+
+/** @brief Takes a task's room from a candidate. */
+void own_candidate_take(struct pck_candidate *candidate,
+			const struct pck_need *need);
+
+/** @brief Orders the next run of a task at a worker. */
+void own_task_start(struct own_owner *owner, struct jtp_task *task,
+		    struct wrk_worker *worker);
+
+/**
+ * @brief Starts a gang, all members or none.
+ * @return false if what becomes free should be kept for it
+ */
+bool own_gang_start(struct own_owner *owner, struct plan_pool *pool,
+		    struct jtp_group *group, const struct pck_need *need,
+		    uint64_t now_ms);
+
+#endif
--- a/packages/jobs/src/own_private.h
+++ b/packages/jobs/src/own_private.h
@@ -109,7 +109,13 @@
 /* own_plan.c: what starts where. */
 void own_plan_soon(struct own_owner *owner);
 void own_plan_run(struct own_owner *owner);
-void own_pace_run(struct own_owner *owner);
+
+/* own_gang.c: stops members whose gang does not become whole. */
+void own_gangs_check(struct own_owner *owner);
+
+/* own_pace.c: tasks that fill beside tasks that serve. */
+void own_pace_worker(struct own_owner *owner, struct wrk_worker *worker);
+bool own_pace_is_needed(const struct wrk_worker *worker);
 
 /* own_fleet.c: moves and maintenance of VMs. */
 struct own_fleet *own_fleet_create(struct own_owner *owner);
--- a/packages/jobs/src/own_work.c
+++ b/packages/jobs/src/own_work.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "lgx.h"
+#include "own_advice.h"
 #include "own_private.h"
 
 /* Pause before a task that failed or was refused is started again; longer
@@ -202,6 +203,7 @@
 		      uint32_t pause_ms)
 {
 	own_task_unplace(owner, task);
+	task->group->gang_over = true;
 	if (!job_is_live(task->group->occurrence->job)) {
 		job_trim_if_off(owner, task->group->occurrence->job);
 		return;
@@ -336,12 +338,16 @@
 		task->group->occurrence->begun = true;
 		task->group->occurrence->job->begun = true;
 		task->ordered_ms = evl_now_ms();
+		task->group->gang_since_ms = evl_now_ms();
+		task->group->gang_run = running->run;
 	}
 	if (!task || task->worker != worker || task->run != running->run) {
 		owner->counters.strays++;
 		lgx_info("stray-run", "%s run %u at %s is stopped",
 			 running->task, running->run, worker->id);
 		wrk_stop_stray(worker, running->task, running->run);
+		/* It takes room that is not accounted for until it ends. */
+		worker->pause_until_ms = evl_now_ms() + OWN_REFUSED_PAUSE_MS;
 		return;
 	}
 	task->seen_in_report = owner->reports;
@@ -391,7 +397,7 @@
 /* A lasting task counts as at work once it shows its whole share. */
 static void watched_set(struct wrk_worker *worker)
 {
-	worker->watched = false;
+	worker->watched = own_pace_is_needed(worker);
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		const struct jtp_task *task =
 			g_ptr_array_index(worker->tasks, i);
@@ -425,6 +431,7 @@
 		running_take(owner, worker, &report->running[i],
 			     report->clock_ms);
 	watched_set(worker);
+	own_pace_worker(owner, worker);
 	if (report->end_count < OWN_REPORT_ENDS_MAX)
 		missing_find(owner, worker, report, look_fence);
 	if (marked == cmt_marked(owner->log))
@@ -437,6 +444,8 @@
 static void start_refused(struct own_owner *owner, struct wrk_worker *worker,
 			  struct jtp_task *task, const struct jpt_reply *reply)
 {
+	bool gang_was_over = task->group->gang_over;
+	struct jtp_group *group = task->group;
 	uint64_t now_ms = evl_now_ms();
 
 	owner->counters.starts_refused++;
@@ -446,11 +455,18 @@
 		 task->index, task->run, worker->id,
 		 reply->err != ERR_NONE ? err_name(reply->err) :
 					  jpt_verdict_name(reply->verdict));
+	if (reply->err == ERR_NONE && reply->verdict == JPT_REFUSED_TICKET)
+		own_advice_refused(task->group, worker);
 	if (reply->err != ERR_NONE || reply->verdict == JPT_REFUSED_ROOM ||
 	    reply->verdict == JPT_REFUSED_BUSY)
 		worker->pause_until_ms = now_ms + OWN_REFUSED_PAUSE_MS;
 	task_wait(owner, task,
-		  reply->verdict == JPT_REFUSED_OLD ? 0 : OWN_RESTART_MS);
+		  reply->verdict == JPT_REFUSED_OLD || group->step->is_gang ?
+			  0 :
+			  OWN_RESTART_MS);
+	/* A member that never ran may still join the others. */
+	if (reply->err != ERR_NONE || reply->verdict != JPT_REFUSED_OLD)
+		group->gang_over = gang_was_over;
 	/* A refused order has renewed the lease; a silent worker is probed. */
 	wrk_look_within(worker, 0);
 }
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -45,6 +45,7 @@
 	g_array_unref(worker->ends);
 	g_ptr_array_unref(worker->tasks);
 	g_free(worker->vm);
+	g_free(worker->rack);
 }
 
 static void worker_unref(struct wrk_worker *worker)
@@ -499,6 +500,8 @@
 	worker->availability_zone = g_strdup(entry->availability_zone);
 	g_strfreev(worker->labels);
 	worker->labels = g_strdupv((char **)entry->labels);
+	g_free(worker->rack);
+	worker->rack = g_strdup(entry->rack);
 	if (entry->vm && g_strcmp0(worker->vm, entry->vm) != 0) {
 		g_free(worker->vm);
 		worker->vm = g_strdup(entry->vm);
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -31,6 +31,8 @@
 	bool stopping;
 	uint32_t pace;
 	bool gang_waits;
+	/* another member of its gang has ended */
+	bool gang_broken;
 	char *checkpoint;
 };
 
@@ -149,6 +151,8 @@
 	uint32_t late_permille;
 	uint32_t slow;
 	uint32_t orders_late_permille;
+	/* when a disruption was near last */
+	uint64_t disturbed_ms;
 	uint32_t wave_number;
 	uint32_t wave_most;
 	uint32_t next_port;
@@ -185,5 +189,7 @@
 void emu_vm_tick(struct emu_vm *vm);
 void emu_vm_stop(struct emu_vm *vm);
 int64_t emu_vm_free_cpu(struct emu_vm *vm);
+/** @brief Starts the work of gangs that are whole. */
+void emu_gangs_tick(struct emu *emu);
 
 #endif
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -605,6 +605,7 @@
 	const struct emu_item *item =
 		g_tree_lookup(emu->items, "/sassafrascart/jobs-owner");
 
+	emu->disturbed_ms = evl_now_ms();
 	if (item && strstr(item->value, emu->nodes[node].id))
 		lease_end(emu, item->lease);
 }
--- a/packages/jobs/tests/test_calm.c
+++ b/packages/jobs/tests/test_calm.c
@@ -114,6 +114,33 @@
 }
 END_TEST
 
+START_TEST(test_gang_starts_whole)
+{
+	struct emu *emu = emu_create(&calm);
+	struct emu_job gang = small;
+	struct emu_tally tally;
+
+	gang.gang = true;
+	gang.steps = 1;
+	gang.width = 6;
+	gang.cpu_milli = 3000;
+	emu_run(emu, 2000);
+	for (int i = 0; i < 10; i++) {
+		emu_submit(emu, 0, &gang);
+		emu_run(emu, 100);
+	}
+	emu_run(emu, 20000);
+	for (uint32_t i = 0; i < 10; i++)
+		emu_ask(emu, 0, i);
+	emu_run(emu, 100);
+	emu_tally(emu, &tally);
+	ck_assert_uint_eq(tally.succeeded, 10);
+	ck_assert_uint_eq(tally.runs, 60);
+	expect_unbroken(emu);
+	emu_destroy(emu);
+}
+END_TEST
+
 START_TEST(test_wave_keeps_lasting_tasks_and_ends)
 {
 	struct emu *emu = emu_create(&calm);
@@ -175,6 +202,7 @@
 	tcase_add_test(tests,
 		       test_job_that_cannot_succeed_fails_after_its_attempts);
 	tcase_add_test(tests, test_lasting_job_runs_until_cancelled);
+	tcase_add_test(tests, test_gang_starts_whole);
 	tcase_add_test(tests, test_wave_keeps_lasting_tasks_and_ends);
 	tcase_add_test(tests, test_burst_takes_idle_vms_of_other_pools);
 	suite_add_tcase(suite, tests);
--- a/packages/jobs/tests/test_chaos.c
+++ b/packages/jobs/tests/test_chaos.c
@@ -49,6 +49,10 @@
 		job.width = 1 + emu_random(emu, 3);
 		job.may_miss = 1;
 	}
+	if (!job.lasting && emu_random(emu, 10) == 0) {
+		job.gang = true;
+		job.fail_permille = 0;
+	}
 	number = emu_submit(emu, node, &job);
 	chaos->jobs = number + 1;
 	if (emu_random(emu, 5) == 0)
