Quarantine workers that fail in a row; learn durations; index the fleet

Change: core/hlt quarantines after three bad ends in a row, then one task at a time; core/lrn draws estimates (off by up to ten times) to what tasks took; indexes; weak VMs wait for longer before they compete; submissions that were never sent are refused once the store is away. Only tasks that stand still for two seconds are taken away.

--- a/bin/sassafrascartd/jpr.c
+++ b/bin/sassafrascartd/jpr.c
@@ -24,9 +24,9 @@
 #define JPR_CONNECTIONS_MAX 2000
 /* Time an idle connection of a caller is kept. */
 #define JPR_IDLE_TIMEOUT_MS 60000
-/* Pause before competing for ownership, for a VM with no share of a core;
- * one with a whole core competes at once, so that strong VMs own. */
-#define JPR_COMPETE_MAX_MS 100
+/* Pause before competing for ownership, for a VM with a whole core; weaker ones
+ * wait for longer in proportion, so that strong VMs own. */
+#define JPR_COMPETE_MS 25
 /* The balancer asks once a second and takes a VM out after two misses. */
 #define JPR_BALANCER_MS 2300
 /* Time left to end before the platform kills the process. */
@@ -248,14 +248,14 @@
 static void service_open(struct jpr_process *process)
 {
 	const struct esa_settings *settings = &process->settings;
-	uint32_t weak_permille = 1000 - MIN(settings->cpu_permille, 1000);
 	const struct jsv_config config = {
 		.id = settings->machine,
 		.availability_zone = settings->availability_zone,
 		.ip = settings->ip,
 		.port = settings->own_port,
 		.lease_ttl_s = JPR_LEASE_TTL_S,
-		.compete_delay_ms = JPR_COMPETE_MAX_MS * weak_permille / 1000,
+		.compete_delay_ms =
+			JPR_COMPETE_MS * 1000 / MAX(settings->cpu_permille, 1),
 		.worker_lease_ms = settings->worker_lease_ms,
 		.status_ms = settings->status_ms,
 		.vm_order_gap_ms = settings->vm_order_gap_ms,
--- a/packages/core/include/pck.h
+++ b/packages/core/include/pck.h
@@ -29,6 +29,8 @@
 	uint32_t fillers;
 	/** higher for workers that failed or were slow lately */
 	uint32_t penalty;
+	/** takes one task only, to prove itself */
+	bool takes_one;
 	/** its VM is about to leave the pool or to be maintained */
 	bool leaving_soon;
 };
--- /dev/null
+++ b/packages/core/src/lrn.c
@@ -0,0 +1,35 @@
+#include "lrn.h"
+
+#include <math.h>
+
+/* Samples from which the mean is believed. */
+#define LRN_SAMPLES_MIN 12
+/* Newer samples count at least this part, so that a change shows. */
+#define LRN_NEWEST_MIN 0.01
+/* Weight of a job's own estimate beside what was learnt. */
+#define LRN_ESTIMATE_WEIGHT 0.3
+
+void lrn_note(struct lrn_state *state, uint64_t took_ms)
+{
+	double part;
+
+	state->samples++;
+	part = 1.0 / state->samples;
+	if (part < LRN_NEWEST_MIN)
+		part = LRN_NEWEST_MIN;
+	state->mean_log +=
+		part * (log((double)took_ms + 1.0) - state->mean_log);
+}
+
+uint32_t lrn_expect_ms(const struct lrn_state *state, uint32_t estimate_ms)
+{
+	double expected;
+
+	if (state->samples < LRN_SAMPLES_MIN)
+		return estimate_ms;
+	expected = state->mean_log;
+	if (estimate_ms > 0)
+		expected = LRN_ESTIMATE_WEIGHT * log(estimate_ms) +
+			   (1.0 - LRN_ESTIMATE_WEIGHT) * expected;
+	return (uint32_t)exp(expected);
+}
--- a/packages/jobs/include/jcf.h
+++ b/packages/jobs/include/jcf.h
@@ -48,6 +48,8 @@
 	GArray *queues;
 	/** of struct jcf_service */
 	GArray *services;
+	/** name to queue, made by jcf_catalogue_index() */
+	GHashTable *queue_by_name;
 	uint32_t body_max_bytes;
 	uint32_t idle_timeout_ms;
 };
@@ -55,6 +57,9 @@
 /** @brief Creates an empty catalogue with one reference. */
 struct jcf_catalogue *jcf_catalogue_create(uint64_t version);
 
+/** @brief Makes the indexes, once all queues are there. */
+void jcf_catalogue_index(struct jcf_catalogue *catalogue);
+
 /** @brief Takes another reference. @return the catalogue */
 struct jcf_catalogue *jcf_catalogue_ref(struct jcf_catalogue *catalogue);
 
--- a/packages/jobs/include/jtp.h
+++ b/packages/jobs/include/jtp.h
@@ -105,6 +105,8 @@
 	/** numbers of the runs whose failure has been counted, NULL for none;
 	 *  not kept for tasks that last, which are restarted for ever */
 	GArray *failed_runs;
+	/** times that it was taken away from a worker as it stood still */
+	uint32_t taken_away;
 	/** report in which it was seen last, see own_work.c */
 	uint64_t seen_in_report;
 	/** worker of the newest run, NULL when it is on none */
@@ -120,6 +122,8 @@
 	uint64_t not_before_ms;
 	/** share at which it works, as last reported and as last ordered */
 	uint32_t percent;
+	/** when the share was seen to change last */
+	uint64_t moved_ms;
 	uint32_t pace_percent;
 	uint64_t paced_ms;
 	/** usage as last reported, see jpt_running */
@@ -135,6 +139,12 @@
 	uint32_t step_index;
 	struct jtp_task *tasks;
 	uint32_t done;
+	/** what a task is expected to take, from the estimate and what others
+	 *  took */
+	uint32_t expected_ms;
+	/** what its tasks that are done took in all, and their number */
+	uint64_t took_ms;
+	uint32_t timed;
 	/** tasks that wait, whether or not the step's turn has come */
 	uint32_t waiting;
 	/** of a gang: the run that its members share, and its start */
--- a/packages/jobs/include/wrk.h
+++ b/packages/jobs/include/wrk.h
@@ -14,6 +14,7 @@
 #define WRK_H
 
 #include "evl.h"
+#include "hlt.h"
 #include "jtp.h"
 
 /** Fencing tokens of one worker in one ownership, at most. */
@@ -119,13 +120,12 @@
 	bool cordoned;
 	/** owner: no new tasks before this time */
 	uint64_t pause_until_ms;
-	/** owner: failures and ends that tell of its health */
-	uint32_t recent_failures;
-	uint64_t slowness_permille;
+	/** owner: health, told by how its tasks end */
+	struct hlt_state health;
 	/** name of its VM, NULL when not known */
 	char *vm;
-	/** owner: a task there is starting up, so looks wait for less long */
-	bool watched;
+	/** owner: how long a look waits for an end, 0 for the longest */
+	uint32_t look_wait_ms;
 };
 
 /** @brief Creates a worker from its entry, with one reference. */
--- a/packages/jobs/src/jcf.c
+++ b/packages/jobs/src/jcf.c
@@ -29,6 +29,7 @@
 	catalogue->services =
 		g_array_new(FALSE, TRUE, sizeof(struct jcf_service));
 	g_array_set_clear_func(catalogue->services, service_clear);
+	catalogue->queue_by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	return catalogue;
 }
 
@@ -41,6 +42,7 @@
 {
 	struct jcf_catalogue *catalogue = data;
 
+	g_hash_table_unref(catalogue->queue_by_name);
 	g_array_unref(catalogue->queues);
 	g_array_unref(catalogue->services);
 }
@@ -51,17 +53,21 @@
 		g_rc_box_release_full(catalogue, catalogue_clear);
 }
 
-const struct jcf_queue *jcf_queue_find(const struct jcf_catalogue *catalogue,
-				       const char *name)
+void jcf_catalogue_index(struct jcf_catalogue *catalogue)
 {
 	for (guint i = 0; i < catalogue->queues->len; i++) {
-		const struct jcf_queue *queue =
+		struct jcf_queue *queue =
 			&g_array_index(catalogue->queues, struct jcf_queue, i);
 
-		if (strcmp(queue->name, name) == 0)
-			return queue;
+		g_hash_table_insert(catalogue->queue_by_name, queue->name,
+				    queue);
 	}
-	return NULL;
+}
+
+const struct jcf_queue *jcf_queue_find(const struct jcf_catalogue *catalogue,
+				       const char *name)
+{
+	return g_hash_table_lookup(catalogue->queue_by_name, name);
 }
 
 const struct jcf_queue *jcf_queue_route(const struct jcf_catalogue *catalogue,
--- a/packages/jobs/src/jtp.c
+++ b/packages/jobs/src/jtp.c
@@ -134,6 +134,7 @@
 				     struct jtp_step, step_index);
 	group->tasks = g_new0(struct jtp_task, group->step->count);
 	group->waiting = group->step->count;
+	group->expected_ms = group->step->estimate_ms;
 	for (uint32_t i = 0; i < group->step->count; i++) {
 		group->tasks[i].group = group;
 		group->tasks[i].index = i;
@@ -333,7 +334,7 @@
 		}
 		ends[i] = start;
 		if (whole || group->done < group->step->count)
-			ends[i] += group->step->estimate_ms;
+			ends[i] += group->expected_ms;
 		longest = MAX(longest, ends[i]);
 	}
 	return longest;
--- a/packages/jobs/src/ldr.c
+++ b/packages/jobs/src/ldr.c
@@ -20,6 +20,9 @@
 	LDR_RESIGNED,
 };
 
+/* Factor of the pause before the first competition of a process. */
+#define LDR_FIRST_FACTOR 4
+
 struct ldr_election {
 	struct evl_loop *loop;
 	struct plt_platform *platform;
@@ -57,6 +60,9 @@
 	uint32_t delay_ms = election->delay_ms +
 			    g_random_int_range(0, LDR_SPREAD_MS);
 
+	/* All processes start at about the same time, in any order. */
+	if (!election->known)
+		delay_ms *= LDR_FIRST_FACTOR;
 	if (election->role == LDR_OWNS)
 		delay_ms = 0;
 	if (!tmr_is_set(&election->compete_timer))
--- a/packages/jobs/src/own.c
+++ b/packages/jobs/src/own.c
@@ -286,6 +286,7 @@
 		g_hash_table_iter_remove(&iter);
 	}
 	own_gangs_check(owner);
+	own_calls_store_away(owner);
 	evl_timer_set(owner->config.loop, &owner->due_timer, OWN_DUE_MS);
 }
 
@@ -335,6 +336,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	owner->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       worker_free);
+	owner->learnt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      g_free);
 	owner->live = g_ptr_array_new();
 	owner->cell = cel_cell_create(owner);
 	g_queue_init(&owner->waits);
@@ -366,6 +369,7 @@
 	cmt_log_destroy(owner->log);
 	g_hash_table_unref(owner->workers);
 	g_ptr_array_unref(owner->live);
+	g_hash_table_unref(owner->learnt);
 	g_hash_table_unref(owner->jobs);
 	jcf_catalogue_unref(owner->catalogue);
 	cel_cell_close(owner->cell);
@@ -400,6 +404,7 @@
 		{ "tasks_lost_total", counters->tasks_lost },
 		{ "tasks_adopted_total", counters->tasks_adopted },
 		{ "stray_runs_total", counters->strays },
+		{ "tasks_stood_still_total", counters->stood_still },
 		{ "worker_reports_total", counters->reports },
 		{ "vm_moves_total", counters->moves },
 		{ "vm_maintenances_total", counters->maintenances },
--- a/packages/jobs/src/own_calls.c
+++ b/packages/jobs/src/own_calls.c
@@ -100,6 +100,34 @@
 	evl_timer_set(owner->config.loop, &wait->timer, wait_ms);
 }
 
+static bool store_is_away(const struct own_owner *owner)
+{
+	uint64_t since_ms = cmt_silent_since_ms(owner->log);
+
+	return since_ms != 0 && evl_now_ms() - since_ms > OWN_STORE_AWAY_MS;
+}
+
+/* What waits and was never sent cannot be accepted for now: its callers learn
+ * it at once. What was sent may be accepted, so it waits on. */
+void own_calls_store_away(struct own_owner *owner)
+{
+	GList *next;
+
+	if (!store_is_away(owner))
+		return;
+	for (GList *at = owner->waits.head; at; at = next) {
+		struct own_wait *wait = at->data;
+
+		next = at->next;
+		if (wait->verb != JSV_SUBMIT || !wait->job ||
+		    wait->job->is_sent)
+			continue;
+		job_withdraw(owner, wait->job, "the store is away");
+		/* Others that waited for the same job are gone too. */
+		next = owner->waits.head;
+	}
+}
+
 void own_calls_committed(struct own_owner *owner, struct jtp_job *job)
 {
 	const struct jsv_answer answer = { .outcome = JSV_OK };
@@ -137,13 +165,6 @@
 	cb(data, &answer);
 }
 
-static bool store_is_away(const struct own_owner *owner)
-{
-	uint64_t since_ms = cmt_silent_since_ms(owner->log);
-
-	return since_ms != 0 && evl_now_ms() - since_ms > OWN_STORE_AWAY_MS;
-}
-
 static void submit_new(struct own_owner *owner, const struct jsv_call *call,
 		       jsv_cb cb, void *data)
 {
--- a/packages/jobs/src/own_fleet.c
+++ b/packages/jobs/src/own_fleet.c
@@ -47,23 +47,30 @@
 	g_free(vm);
 }
 
-struct wrk_worker *own_fleet_worker(struct own_fleet *fleet,
-				    const struct own_vm *vm)
+static void workers_index(struct own_fleet *fleet)
 {
-	struct wrk_worker *found = NULL;
 	GHashTableIter iter;
 	gpointer value;
 
+	g_hash_table_remove_all(fleet->worker_by_vm);
 	g_hash_table_iter_init(&iter, fleet->owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct wrk_worker *worker = value;
+		const struct wrk_worker *other;
 
-		if (worker->over || g_strcmp0(worker->vm, vm->name) != 0)
+		if (worker->over || !worker->vm)
 			continue;
-		if (!found || worker->born_ms > found->born_ms)
-			found = worker;
+		other = g_hash_table_lookup(fleet->worker_by_vm, worker->vm);
+		if (!other || worker->born_ms > other->born_ms)
+			g_hash_table_insert(fleet->worker_by_vm, worker->vm,
+					    worker);
 	}
-	return found;
+}
+
+struct wrk_worker *own_fleet_worker(struct own_fleet *fleet,
+				    const struct own_vm *vm)
+{
+	return g_hash_table_lookup(fleet->worker_by_vm, vm->name);
 }
 
 static void phase_set(struct own_vm *vm, enum own_vm_phase phase)
@@ -132,6 +139,7 @@
 	g_free(call);
 	if (!vm)
 		return;
+	workers_index(fleet);
 	vm->calling = false;
 	if (err != ERR_NONE || verdict != JPT_VM_TAKEN)
 		lgx_info("vm-order-not-taken", "%s: %s, verdict %d", vm->name,
@@ -500,6 +508,7 @@
 		      OWN_FLEET_TICK_MS);
 	if (!own_is_ready(fleet->owner) || fleet->owner->fenced)
 		return;
+	workers_index(fleet);
 	draining_run(fleet);
 	list_run(fleet);
 	if (!fleet->listed_once || !may_order(fleet))
@@ -518,6 +527,7 @@
 					     own_wave_free);
 	fleet->vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vm_free);
+	fleet->worker_by_vm = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->cell = cel_cell_create(fleet);
 	fleet->timer.cb = on_tick;
 	fleet->timer.data = fleet;
@@ -537,6 +547,7 @@
 	fol_follower_destroy(fleet->waves_follower);
 	g_hash_table_unref(fleet->waves);
 	g_hash_table_unref(fleet->vms);
+	g_hash_table_unref(fleet->worker_by_vm);
 	cel_cell_close(fleet->cell);
 	g_free(fleet);
 }
--- a/packages/jobs/src/own_fleet.h
+++ b/packages/jobs/src/own_fleet.h
@@ -62,6 +62,8 @@
 	GHashTable *waves;
 	/** name to struct own_vm */
 	GHashTable *vms;
+	/** VM to its newest worker that is not over; made anew each tick */
+	GHashTable *worker_by_vm;
 	bool listing;
 	bool listed_once;
 	uint64_t listed_ms;
--- a/packages/jobs/src/own_plan.c
+++ b/packages/jobs/src/own_plan.c
@@ -7,9 +7,6 @@
 
 /* Changes that arrive within this time share one pass. */
 #define OWN_PLAN_GAP_MS 3
-/* Failures of late from which a worker is avoided while others have room. */
-#define OWN_FAILURES_TOLERATED 2
-
 static void on_pool_free(gpointer data)
 {
 	struct plan_pool *pool = data;
@@ -43,16 +40,26 @@
 	return pool;
 }
 
+/* A worker that has to prove itself gets one task at a time. */
+static bool health_allows(const struct wrk_worker *worker, uint64_t now_ms)
+{
+	enum hlt_leave leave = hlt_leave_of(&worker->health, now_ms);
+
+	return leave == HLT_ALL ||
+	       (leave == HLT_ONE && worker->tasks->len == 0);
+}
+
 static bool worker_takes_tasks(const struct wrk_worker *worker,
 			       uint64_t now_ms)
 {
 	return worker->known && !worker->over && worker->listed && worker->in_roster &&
 	       !worker->draining && !worker->cordoned &&
 	       wrk_is_reachable(worker) && !worker->resolving &&
-	       worker->pause_until_ms <= now_ms;
+	       worker->pause_until_ms <= now_ms && health_allows(worker, now_ms);
 }
 
-static void candidate_add(struct plan_pool *pool, struct wrk_worker *worker)
+static void candidate_add(struct plan_pool *pool, struct wrk_worker *worker,
+			  uint64_t now_ms)
 {
 	struct pck_candidate candidate = {
 		.cpu_free_milli =
@@ -63,9 +70,9 @@
 			worker->room.accelerators - worker->used.accelerators,
 	};
 
-	if (worker->recent_failures > OWN_FAILURES_TOLERATED)
-		candidate.penalty =
-			worker->recent_failures - OWN_FAILURES_TOLERATED;
+	candidate.penalty = worker->health.bad_in_row;
+	candidate.takes_one =
+		hlt_leave_of(&worker->health, now_ms) == HLT_ONE;
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		const struct jtp_task *task =
 			g_ptr_array_index(worker->tasks, i);
@@ -128,6 +135,7 @@
 
 	task->run = MAX(task->run, base) + 1;
 	task->ordered_ms = evl_now_ms();
+	task->moved_ms = task->ordered_ms;
 	task->seen_in_report = 0;
 	own_task_place(owner, task, worker);
 	jtp_task_set_state(task, JTP_TASK_STARTING);
@@ -187,6 +195,8 @@
 	candidate->memory_free_mb -= need->memory_mb;
 	candidate->accelerators_free -= need->accelerators;
 	candidate->same_group++;
+	if (candidate->takes_one)
+		candidate->memory_free_mb = -1;
 	candidate->fillers += need->fills;
 	candidate->serving += need->serves;
 }
@@ -298,7 +308,7 @@
 			g_hash_table_lookup(pools, worker->service);
 
 		if (pool && worker_takes_tasks(worker, now_ms))
-			candidate_add(pool, worker);
+			candidate_add(pool, worker, now_ms);
 	}
 	g_hash_table_iter_init(&iter, pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/packages/jobs/src/own_private.h
+++ b/packages/jobs/src/own_private.h
@@ -10,6 +10,7 @@
 
 #include "cel.h"
 #include "cmt.h"
+#include "lrn.h"
 #include "own.h"
 #include "wrk.h"
 
@@ -32,6 +33,7 @@
 	uint64_t tasks_lost;
 	uint64_t tasks_adopted;
 	uint64_t strays;
+	uint64_t stood_still;
 	uint64_t reports;
 	uint64_t moves;
 	uint64_t maintenances;
@@ -59,6 +61,8 @@
 	GHashTable *jobs;
 	/** id to struct wrk_worker */
 	GHashTable *workers;
+	/** queue to struct lrn_state, what its tasks took */
+	GHashTable *learnt;
 	/** of struct jtp_occurrence, those that have not ended */
 	GPtrArray *live;
 	uint64_t reports;
@@ -97,6 +101,7 @@
 /* own_calls.c: calls of callers. */
 void own_calls_committed(struct own_owner *owner, struct jtp_job *job);
 void own_calls_end(struct own_owner *owner);
+void own_calls_store_away(struct own_owner *owner);
 
 /* own.c: repeats reads of the store that failed. */
 void own_read_again(struct own_owner *owner, enum err_kind err);
--- a/packages/jobs/src/own_work.c
+++ b/packages/jobs/src/own_work.c
@@ -11,6 +11,12 @@
 /* A worker that refused a start for want of room, or as unhealthy, gets no
  * further one for this long. */
 #define OWN_REFUSED_PAUSE_MS 300
+/* How long a look waits for an end at a worker with tasks that end by
+ * themselves, and at one with lasting tasks that are starting up. */
+#define OWN_LOOK_SHORT_TASKS_MS 700
+#define OWN_LOOK_STARTING_MS 400
+/* A task is taken away from a worker this often, at most: it may just be long. */
+#define OWN_TAKEN_AWAY_MAX 2
 /* A worker lists at most this many ends at once: a report with as many may
  * leave others out. */
 #define OWN_REPORT_ENDS_MAX 500
@@ -82,11 +88,27 @@
 	return &occurrence->groups[parts.step].tasks[parts.index];
 }
 
-void own_occurrence_add(struct own_owner *owner, struct jtp_job *job)
+static struct lrn_state *learnt_of(struct own_owner *owner, const char *queue)
 {
-	struct jtp_occurrence *occurrence = jtp_occurrence_begin(
-		job, evl_now_ms(), evl_unix_ms());
+	struct lrn_state *state = g_hash_table_lookup(owner->learnt, queue);
+
+	if (!state) {
+		state = g_new0(struct lrn_state, 1);
+		g_hash_table_insert(owner->learnt, g_strdup(queue), state);
+	}
+	return state;
+}
 
+void own_occurrence_add(struct own_owner *owner, struct jtp_job *job)
+{
+	struct jtp_occurrence *occurrence =
+		jtp_occurrence_begin(job, evl_now_ms(), evl_unix_ms());
+	const struct lrn_state *learnt = learnt_of(owner, job->queue);
+
+	for (guint i = 0; i < job->spec->steps->len; i++)
+		occurrence->groups[i].expected_ms = lrn_expect_ms(
+			learnt, occurrence->groups[i].step->estimate_ms);
+	occurrence->whole_chain_ms = jtp_chain_ms(occurrence, true);
 	occurrence->live_slot = owner->live->len;
 	g_ptr_array_add(owner->live, occurrence);
 }
@@ -229,6 +251,20 @@
 		cmt_mark(owner->log, job);
 }
 
+/* Notes what a task took; the rest of its step is expected to take as long. */
+static void duration_note(struct own_owner *owner, struct jtp_task *task)
+{
+	struct jtp_group *group = task->group;
+	uint64_t took_ms = evl_now_ms() - task->ordered_ms;
+
+	if (!task->worker || task->ordered_ms == 0)
+		return;
+	lrn_note(learnt_of(owner, group->occurrence->job->queue), took_ms);
+	group->took_ms += took_ms;
+	group->timed++;
+	group->expected_ms = (uint32_t)(group->took_ms / group->timed);
+}
+
 /* Marks a task as done; its run, if any is left elsewhere, is stopped. */
 static void task_done(struct own_owner *owner, struct jtp_task *task)
 {
@@ -272,7 +308,7 @@
 	uint32_t pause_ms = OWN_RESTART_MS;
 
 	job->begun = true;
-	worker->recent_failures++;
+	hlt_bad(&worker->health, evl_now_ms());
 	if (!lasts && jtp_task_count_failure(task, end->run)) {
 		cmt_mark(owner->log, job);
 		pause_ms <<= MIN(jtp_task_failures(task), 5);
@@ -311,6 +347,8 @@
 		 * way elsewhere: that one's end counts. */
 		if (task->worker && !current)
 			return;
+		hlt_good(&worker->health);
+		duration_note(owner, task);
 		if (task->group->step->is_gang)
 			gang_done(owner, task->group);
 		else
@@ -354,6 +392,8 @@
 	if (task->state == JTP_TASK_STARTING)
 		jtp_task_set_state(task, JTP_TASK_PRESENT);
 	task->present_clock_ms = clock_ms;
+	if (task->percent != running->percent)
+		task->moved_ms = evl_now_ms();
 	task->percent = running->percent;
 	task->usage = running->usage;
 	jtp_task_set_checkpoint(task, running->checkpoint);
@@ -394,17 +434,47 @@
 	}
 }
 
-/* A lasting task counts as at work once it shows its whole share. */
-static void watched_set(struct wrk_worker *worker)
+/* Sets how long the next look waits. A lasting task counts as at work once it
+ * shows its whole share; a task that stands still must be seen in time. */
+static void look_wait_set(struct wrk_worker *worker)
 {
-	worker->watched = own_pace_is_needed(worker);
+	bool starting = own_pace_is_needed(worker);
+	bool short_tasks = false;
+
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		const struct jtp_task *task =
 			g_ptr_array_index(worker->tasks, i);
 
-		if (task->group->step->is_lasting &&
-		    task->percent < task->pace_percent)
-			worker->watched = true;
+		if (!task->group->step->is_lasting)
+			short_tasks = true;
+		else if (task->percent < task->pace_percent)
+			starting = true;
+	}
+	worker->look_wait_ms = 0;
+	if (short_tasks)
+		worker->look_wait_ms = OWN_LOOK_SHORT_TASKS_MS;
+	if (starting)
+		worker->look_wait_ms = OWN_LOOK_STARTING_MS;
+}
+
+/* Takes tasks that stand still away from a worker. */
+static void still_tasks_stop(struct own_owner *owner, struct wrk_worker *worker)
+{
+	uint64_t now_ms = evl_now_ms();
+
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		struct jtp_task *task = g_ptr_array_index(worker->tasks, i);
+
+		if (task->group->step->is_lasting ||
+		    task->group->step->is_gang ||
+		    task->state != JTP_TASK_PRESENT ||
+		    task->taken_away >= OWN_TAKEN_AWAY_MAX ||
+		    !hlt_stands_still(task->percent, now_ms - task->moved_ms))
+			continue;
+		task->taken_away++;
+		hlt_bad(&worker->health, now_ms);
+		owner->counters.stood_still++;
+		own_task_stop(owner, task, "it stands still");
 	}
 }
 
@@ -430,7 +500,8 @@
 	for (size_t i = 0; i < report->running_count; i++)
 		running_take(owner, worker, &report->running[i],
 			     report->clock_ms);
-	watched_set(worker);
+	look_wait_set(worker);
+	still_tasks_stop(owner, worker);
 	own_pace_worker(owner, worker);
 	if (report->end_count < OWN_REPORT_ENDS_MAX)
 		missing_find(owner, worker, report, look_fence);
@@ -505,7 +576,7 @@
 
 		task->present_clock_ms = 0;
 	}
-	worker->recent_failures = 0;
+	memset(&worker->health, 0, sizeof(worker->health));
 }
 
 static void on_life_over(void *data, struct wrk_worker *worker)
@@ -519,7 +590,7 @@
 		owner->counters.tasks_lost++;
 		task_wait(owner, task, 0);
 	}
-	worker->recent_failures = 0;
+	memset(&worker->health, 0, sizeof(worker->health));
 }
 
 static void on_deposed(void *data)
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -8,8 +8,6 @@
 #define WRK_ORDER_TIMEOUT_MS 700
 /* Longest wait of a look, which the platform bounds at two seconds. */
 #define WRK_LOOK_WAIT_MS 2000
-/* As above while a task that lasts is starting up there. */
-#define WRK_LOOK_WATCHED_MS 400
 /* Pause before a look that got no answer is repeated. */
 #define WRK_LOOK_RETRY_MS 250
 /* An order without an answer is carried out within this time, if at all. A
@@ -250,8 +248,8 @@
 	if (at_once)
 		look_send(worker, 0);
 	else
-		look_send(worker, worker->watched ? WRK_LOOK_WATCHED_MS :
-						    WRK_LOOK_WAIT_MS);
+		look_send(worker, worker->look_wait_ms ? worker->look_wait_ms :
+							 WRK_LOOK_WAIT_MS);
 }
 
 static bool may_get_late_orders(const struct wrk_worker *worker)
--- a/packages/jobs/tests/emu_work.c
+++ b/packages/jobs/tests/emu_work.c
@@ -825,6 +825,7 @@
 		g_array_append_val(catalogue->services, service);
 		g_array_append_val(catalogue->queues, queue);
 	}
+	jcf_catalogue_index(catalogue);
 	return catalogue;
 }
 
