Probe a silent owner; refuse at once what was never sent; shorter lease

Change: the lease of a process lives one second; a process whose owner does not answer probes it, tells the balancer, and refuses with a time to come back what it never sent; what was sent waits for an answer until the caller's deadline.

--- a/bin/sassafrascartd/jpr.c
+++ b/bin/sassafrascartd/jpr.c
@@ -16,8 +16,9 @@
 #define JPR_STORE_TIMEOUT_MS 1000
 /* Calls to the store that one process may make at once. */
 #define JPR_STORE_BURST 200
-/* Life of a process's lease: bounds how long a dead owner is missed. */
-#define JPR_LEASE_TTL_S 2
+/* Life of a process's lease: bounds how long a dead owner is missed. It is
+ * renewed three times in it, and a slow store answers in some 300 ms. */
+#define JPR_LEASE_TTL_S 1
 /* Largest body of a request before the configuration tells another bound. */
 #define JPR_BODY_MAX_BYTES (1024u * 1024u)
 /* Descriptors left to the store, workers and peers. */
--- a/packages/jobs/src/jsv.c
+++ b/packages/jobs/src/jsv.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "cel.h"
 #include "ldr.h"
 #include "lgx.h"
 #include "own.h"
@@ -12,8 +13,15 @@
 #define JSV_ANSWER_MARGIN_MS 200
 /* When to come back if no owner was found. */
 #define JSV_RETRY_AFTER_MS 1000
-/* Pause before a call that could not be sent to the owner is tried again. */
+/* Pause before a call that could not be sent to the owner is tried again, and
+ * between two questions to an owner that does not answer. */
 #define JSV_RESEND_MS 60
+#define JSV_PROBE_MS 120
+/* Deadline of such a question. */
+#define JSV_PROBE_DEADLINE_MS 400
+/* An owner that has not answered for this long is taken as out of reach: calls
+ * are refused at once, and callers go to other processes. */
+#define JSV_UNREACHABLE_MS 700
 
 struct jsv_service {
 	struct evl_loop *loop;
@@ -31,6 +39,11 @@
 	GQueue calls;
 	GQueue pending;
 	bool ending;
+	/* since when the owner elsewhere does not answer, 0 if it does */
+	uint64_t silent_since_ms;
+	bool probing;
+	struct tmr_entry probe_timer;
+	struct cel_cell *cell;
 	uint64_t outcomes[JSV_OUTCOME_COUNT];
 	uint64_t handed_on;
 	uint64_t waited;
@@ -113,6 +126,12 @@
 	pending_end(pending, &answer);
 }
 
+static bool owner_is_out_of_reach(const struct jsv_service *service)
+{
+	return service->silent_since_ms != 0 &&
+	       evl_now_ms() - service->silent_since_ms > JSV_UNREACHABLE_MS;
+}
+
 static void on_pending_timer(void *data)
 {
 	struct jsv_pending *pending = data;
@@ -127,7 +146,9 @@
 {
 	uint64_t now_ms = evl_now_ms();
 
-	if (pending->service->ending || now_ms >= pending->give_up_ms) {
+	if (pending->service->ending || now_ms >= pending->give_up_ms ||
+	    (owner_is_out_of_reach(pending->service) &&
+	     !pending->maybe_done)) {
 		pending_fail(pending, "no owner is known");
 		return;
 	}
@@ -152,6 +173,71 @@
 	pending_end(pending, &told);
 }
 
+static void pending_run_all(struct jsv_service *service)
+{
+	guint count = service->pending.length;
+
+	for (guint i = 0; i < count && service->pending.head; i++)
+		pending_run(service->pending.head->data);
+}
+
+static void owner_answered(struct jsv_service *service)
+{
+	if (service->silent_since_ms == 0)
+		return;
+	lgx_info("owner-answers", "after %" G_GUINT64_FORMAT " ms",
+		 evl_now_ms() - service->silent_since_ms);
+	service->silent_since_ms = 0;
+	pending_run_all(service);
+}
+
+static void on_probed(void *data, enum err_kind err,
+		      const struct jsv_answer *answer)
+{
+	struct jsv_service *service = cel_leave(data);
+
+	if (!service)
+		return;
+	service->probing = false;
+	if (err == ERR_NONE)
+		owner_answered(service);
+	else if (service->silent_since_ms != 0)
+		evl_timer_set(service->loop, &service->probe_timer,
+			      JSV_PROBE_MS);
+}
+
+/* Asks an owner that did not answer for something small. */
+static void on_probe_timer(void *data)
+{
+	struct jsv_service *service = data;
+	const struct ldr_owner *owner = ldr_owner(service->election);
+	const struct jsv_call call = {
+		.verb = JSV_WAITING,
+		.queue = "",
+		.deadline_ms = JSV_PROBE_DEADLINE_MS,
+	};
+
+	if (service->probing || service->silent_since_ms == 0)
+		return;
+	if (service->owner || !owner) {
+		service->silent_since_ms = 0;
+		return;
+	}
+	service->probing = true;
+	service->peers->send(service->peers_self, owner->ip, owner->port, &call,
+			     on_probed, cel_enter(service->cell));
+}
+
+static void owner_silent(struct jsv_service *service, enum err_kind err)
+{
+	ldr_refresh(service->election);
+	if (service->silent_since_ms != 0)
+		return;
+	service->silent_since_ms = evl_now_ms();
+	lgx_warning("owner-silent", "%s", err_name(err));
+	evl_timer_set(service->loop, &service->probe_timer, 0);
+}
+
 /* A submission keeps its identity, so any call may be sent again. */
 static void on_handed_on(void *data, enum err_kind err,
 			 const struct jsv_answer *answer)
@@ -164,11 +250,21 @@
 		return;
 	}
 	if (err == ERR_NONE && answer->outcome != JSV_NOT_OWNER) {
+		owner_answered(pending->service);
 		on_answer(pending, answer);
 		return;
 	}
-	pending->maybe_done |= err != ERR_NONE && err != ERR_CONNECT;
-	ldr_refresh(pending->service->election);
+	if (err == ERR_NONE)
+		ldr_refresh(pending->service->election);
+	else
+		owner_silent(pending->service, err);
+	if (err != ERR_NONE && err != ERR_CONNECT) {
+		/* It may have taken effect: only an owner's answer tells. */
+		pending->maybe_done = true;
+		pending->give_up_ms =
+			pending->due_ms - MIN(pending->due_ms,
+					      JSV_ANSWER_MARGIN_MS);
+	}
 	if (evl_now_ms() + JSV_RESEND_MS >= pending->give_up_ms)
 		pending_fail(pending, "the owner cannot be reached");
 	else
@@ -203,7 +299,7 @@
 					     .outcome = JSV_NOT_OWNER });
 		return;
 	}
-	if (!owner || (strcmp(owner->id, service->config.id) == 0)) {
+	if (!owner || service->silent_since_ms != 0) {
 		pending_queue(pending);
 		return;
 	}
@@ -213,14 +309,6 @@
 			     &pending->call, on_handed_on, pending);
 }
 
-static void pending_run_all(struct jsv_service *service)
-{
-	guint count = service->pending.length;
-
-	for (guint i = 0; i < count && service->pending.head; i++)
-		pending_run(service->pending.head->data);
-}
-
 static void call_start(struct jsv_service *service, const struct jsv_call *call,
 		       bool may_hand_on, jsv_cb cb, void *data)
 {
@@ -325,6 +413,7 @@
 			 owner->ip, (unsigned int)owner->port, owner->fence);
 	else
 		lgx_info("owner-unknown", "the owner's key is absent");
+	service->silent_since_ms = 0;
 	if (owner)
 		pending_run_all(service);
 }
@@ -371,6 +460,9 @@
 	service->peers_self = peers_self;
 	g_queue_init(&service->pending);
 	g_queue_init(&service->calls);
+	service->probe_timer.cb = on_probe_timer;
+	service->probe_timer.data = service;
+	service->cell = cel_cell_create(service);
 	service->election = ldr_election_create(loop, platform, &election,
 						&election_ops, service);
 	return service;
@@ -388,6 +480,8 @@
 		pending->maybe_done |= pending->handed_on;
 		pending_fail(pending, "the process ends");
 	}
+	tmr_cancel(&service->probe_timer);
+	cel_cell_close(service->cell);
 	ldr_election_destroy(service->election);
 	jcf_catalogue_unref(service->catalogue);
 	g_free((char *)service->config.id);
@@ -419,7 +513,7 @@
 {
 	if (service->owner)
 		return own_is_ready(service->owner);
-	return ldr_owner(service->election) != NULL;
+	return ldr_owner(service->election) && !owner_is_out_of_reach(service);
 }
 
 void jsv_metrics(const struct jsv_service *service, GString *out)
--- a/packages/jobs/src/ldr.c
+++ b/packages/jobs/src/ldr.c
@@ -156,6 +156,11 @@
 	}
 	if (election->role == LDR_OWNS)
 		step_down(election, "another process owns the key");
+	/* The same owner may be read again. */
+	if (was_present && election->known &&
+	    election->owner.fence == owner.fence &&
+	    strcmp(election->owner.id, owner.id) == 0)
+		return;
 	election->owner = owner;
 	election->ops->on_owner(election->data, &election->owner);
 }
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -174,7 +174,7 @@
 		.availability_zone = "zone-1",
 		.ip = "10.0.0.1",
 		.port = (uint16_t)(number + 1),
-		.lease_ttl_s = 2,
+		.lease_ttl_s = 1,
 		.compete_delay_ms = 50,
 		.worker_lease_ms = EMU_LEASE_MAX_MS,
 		.status_ms = 120000,
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -4,6 +4,8 @@
 
 /* Time that the store takes, one way of its answer included. */
 #define EMU_STORE_MS 3
+/* Life of the leases that processes ask for. */
+#define EMU_TTL_S 1
 /* Deadline of a call that gets no answer. */
 #define EMU_STORE_TIMEOUT_MS 1000
 
@@ -353,10 +355,10 @@
 	if (!held)
 		call->err = ERR_NOT_FOUND;
 	else if (call->kind == EMU_CALL_KEEP)
-		*held = evl_now_ms() + 2000;
+		*held = evl_now_ms() + EMU_TTL_S * 1000;
 	else
 		lease_end(emu, call->lease);
-	call->ttl_s = 2;
+	call->ttl_s = EMU_TTL_S;
 }
 
 /* Carries a write out whose answer was lost before. */
@@ -518,12 +520,12 @@
 
 static void store_keep(void *self, int64_t lease, plt_lease_cb cb, void *data)
 {
-	lease_send(self, EMU_CALL_KEEP, lease, 2, cb, data);
+	lease_send(self, EMU_CALL_KEEP, lease, EMU_TTL_S, cb, data);
 }
 
 static void store_revoke(void *self, int64_t lease, plt_lease_cb cb, void *data)
 {
-	lease_send(self, EMU_CALL_REVOKE, lease, 2, cb, data);
+	lease_send(self, EMU_CALL_REVOKE, lease, EMU_TTL_S, cb, data);
 }
 
 static enum err_kind store_create(struct evl_loop *loop,
