Move VMs by the work that arrives, not by what waits alone

Cause: a move takes 1.5 s, and what waits shows a burst only once the pool is full, one VM after another.

--- a/packages/core/include/pls.h
+++ b/packages/core/include/pls.h
@@ -5,7 +5,9 @@
  * Prefix: pls_. Pure. Answers the load in which one pool after another asks
  * for more than it holds while the others are nearly idle: VMs without tasks
  * go from pools with more than they need to pools that are short, those of the
- * spare pool first. No period or order of the pools is assumed.
+ * spare pool first; what has been idle for some time goes to the spare pool,
+ * whose VMs are off and as near to any pool as those of another. No period or
+ * order of the pools is assumed.
  */
 #ifndef PLS_H
 #define PLS_H
@@ -19,13 +21,19 @@
 	/** VMs that take tasks, and VMs on their way here */
 	uint32_t up;
 	uint32_t arriving;
-	/** of those up, VMs without any task that may be moved */
+	/** of those up, VMs without any task that may be moved, and those that
+	 *  have been so for some time */
 	uint32_t idle;
+	uint32_t idle_long;
 	/** processor room of one VM */
 	int64_t vm_cpu_milli;
 	/** taken by tasks, and asked for by tasks that could start now */
 	int64_t used_milli;
 	int64_t waiting_milli;
+	/** taken by tasks that last */
+	int64_t lasting_milli;
+	/** processor room that work takes if it goes on arriving as of late */
+	int64_t inflow_milli;
 };
 
 /** A move of one VM. */
--- a/packages/core/src/pls.c
+++ b/packages/core/src/pls.c
@@ -10,12 +10,16 @@
 /* Pools that this module handles at once. */
 #define PLS_POOLS_MAX 256
 
-/* VMs that the work of a pool needs. */
+/* VMs that the work of a pool needs: what is there, or what arrives, since a
+ * move takes as long as a burst needs to fill the pool. */
 static uint32_t vms_needed(const struct pls_pool *pool)
 {
 	int64_t vm_milli = pool->vm_cpu_milli * PLS_FILL_PERMILLE / 1000;
 	int64_t asked = pool->used_milli + pool->waiting_milli;
+	int64_t to_come = pool->lasting_milli + pool->inflow_milli;
 
+	if (to_come > asked)
+		asked = to_come;
 	if (vm_milli <= 0)
 		return 0;
 	return (uint32_t)((asked + vm_milli - 1) / vm_milli);
@@ -78,6 +82,37 @@
 	return best;
 }
 
+static int32_t spare_find(const struct pls_pool *pools, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (pools[i].is_spare)
+			return (int32_t)i;
+	}
+	return -1;
+}
+
+/* Sends VMs that no pool needs to the spare pool. */
+static uint32_t give_back(const struct pls_pool *pools, uint32_t *given,
+			  const uint32_t *needed, uint32_t kept, uint32_t count,
+			  struct pls_move *moves, uint32_t most)
+{
+	int32_t spare = spare_find(pools, count);
+	uint32_t made = 0;
+
+	for (uint32_t i = 0; spare >= 0 && i < count; i++) {
+		uint32_t keep = needed[i] > kept ? needed[i] : kept;
+
+		while (made < most && !pools[i].is_spare &&
+		       given[i] < pools[i].idle_long &&
+		       pools[i].up - given[i] > keep) {
+			given[i]++;
+			moves[made++] = (struct pls_move){ i,
+							   (uint32_t)spare };
+		}
+	}
+	return made;
+}
+
 uint32_t pls_decide(const struct pls_pool *pools, uint32_t count,
 		    struct pls_move *moves, uint32_t most)
 {
@@ -105,5 +140,9 @@
 		moves[made++] = (struct pls_move){ (uint32_t)from,
 						   (uint32_t)to };
 	}
-	return made;
+	/* While a pool is short, what is idle may be for it soon. */
+	if (taker_find(pools, taken, needed, count) >= 0)
+		return made;
+	return made + give_back(pools, given, needed, kept, count, moves + made,
+				most - made);
 }
--- a/packages/jobs/src/own.c
+++ b/packages/jobs/src/own.c
@@ -338,6 +338,8 @@
 					       worker_free);
 	owner->learnt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      g_free);
+	owner->inflows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       g_free);
 	owner->live = g_ptr_array_new();
 	owner->cell = cel_cell_create(owner);
 	g_queue_init(&owner->waits);
@@ -370,6 +372,7 @@
 	g_hash_table_unref(owner->workers);
 	g_ptr_array_unref(owner->live);
 	g_hash_table_unref(owner->learnt);
+	g_hash_table_unref(owner->inflows);
 	g_hash_table_unref(owner->jobs);
 	jcf_catalogue_unref(owner->catalogue);
 	cel_cell_close(owner->cell);
--- a/packages/jobs/src/own_fleet.c
+++ b/packages/jobs/src/own_fleet.c
@@ -4,8 +4,6 @@
 
 #include "lgx.h"
 
-/* Pace of the fleet's decisions. */
-#define OWN_FLEET_TICK_MS 100
 /* Time between two reads of the list of VMs, and while an order is open. */
 #define OWN_VM_LIST_MS 1500
 #define OWN_VM_LIST_BUSY_MS 400
--- a/packages/jobs/src/own_fleet.h
+++ b/packages/jobs/src/own_fleet.h
@@ -8,6 +8,9 @@
 #include "fol.h"
 #include "own_private.h"
 
+/** Pace of the fleet's decisions. */
+#define OWN_FLEET_TICK_MS 100
+
 /** What is being done with a VM. */
 enum own_vm_phase {
 	OWN_VM_SETTLED,
@@ -25,6 +28,8 @@
 	bool listed;
 	enum own_vm_phase phase;
 	uint64_t phase_since_ms;
+	/** since when its worker has had no task, 0 if it has */
+	uint64_t idle_since_ms;
 	/** not taken for a wave before this, after it could not be emptied */
 	uint64_t not_before_ms;
 	/** a call is under way */
--- a/packages/jobs/src/own_pools.c
+++ b/packages/jobs/src/own_pools.c
@@ -3,6 +3,11 @@
 #include "own_fleet.h"
 #include "pls.h"
 
+/* A VM that has been idle for this long is given back. Pools whose demand comes
+ * in turns keep theirs, so that the next burst finds them. */
+#define OWN_IDLE_LONG_MS 30000
+/* Weight of the newest tick in the mean of what arrives: half a second's. */
+#define OWN_INFLOW_NEWEST 0.2
 /* Moves that one pass orders, at most. */
 #define OWN_MOVES_PER_PASS 32
 
@@ -52,6 +57,67 @@
 	return views;
 }
 
+void own_inflow_note(struct own_owner *owner, const char *service,
+		     const struct jtp_occurrence *occurrence)
+{
+	const GArray *steps = occurrence->job->spec->steps;
+	struct own_inflow *inflow =
+		g_hash_table_lookup(owner->inflows, service);
+
+	if (!inflow) {
+		inflow = g_new0(struct own_inflow, 1);
+		g_hash_table_insert(owner->inflows, g_strdup(service), inflow);
+	}
+	for (guint i = 0; i < steps->len; i++) {
+		const struct jtp_group *group = &occurrence->groups[i];
+
+		if (!group->step->is_lasting && !group->step->is_filler)
+			inflow->arrived += (double)group->step->count *
+					   (double)group->step->need.cpu_milli *
+					   group->expected_ms;
+	}
+}
+
+static void inflows_tick(struct own_owner *owner)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->inflows);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct own_inflow *inflow = value;
+		double now_milli = inflow->arrived / OWN_FLEET_TICK_MS;
+
+		inflow->mean_milli +=
+			OWN_INFLOW_NEWEST * (now_milli - inflow->mean_milli);
+		inflow->arrived = 0;
+	}
+}
+
+static void inflow_add(struct own_owner *owner, struct pool_view *view)
+{
+	const struct own_inflow *inflow =
+		g_hash_table_lookup(owner->inflows, view->name);
+
+	if (inflow)
+		view->pool.inflow_milli = (int64_t)inflow->mean_milli;
+}
+
+static int64_t lasting_milli(const struct wrk_worker *worker)
+{
+	int64_t sum = 0;
+
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct jtp_task *task =
+			g_ptr_array_index(worker->tasks, i);
+
+		if (task->group->step->is_lasting &&
+		    !task->group->step->is_filler)
+			sum += task->group->step->need.cpu_milli;
+	}
+	return sum;
+}
+
 static void worker_add(struct own_fleet *fleet, GArray *views,
 		       struct wrk_worker *worker)
 {
@@ -64,11 +130,18 @@
 	view->pool.vm_cpu_milli =
 		MAX(view->pool.vm_cpu_milli, worker->room.cpu_milli);
 	view->pool.used_milli += worker->used.cpu_milli;
+	view->pool.lasting_milli += lasting_milli(worker);
 	vm = worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm) : NULL;
+	if (vm && worker->tasks->len > 0)
+		vm->idle_since_ms = 0;
 	if (worker->tasks->len > 0 || !worker->known || !vm ||
 	    vm->phase != OWN_VM_SETTLED || vm->state != JPT_VM_UP)
 		return;
+	if (vm->idle_since_ms == 0)
+		vm->idle_since_ms = evl_now_ms();
 	view->pool.idle++;
+	if (evl_now_ms() - vm->idle_since_ms > OWN_IDLE_LONG_MS)
+		view->pool.idle_long++;
 	g_ptr_array_add(view->idle, vm);
 }
 
@@ -109,18 +182,21 @@
 	}
 }
 
-/* An idle VM that the pool has not refused before. */
+/* The VM that has been idle for longest and that the pool has not refused. */
 static struct own_vm *idle_take(struct pool_view *from, const char *to_pool)
 {
-	for (guint i = from->idle->len; i-- > 0;) {
+	struct own_vm *best = NULL;
+
+	for (guint i = 0; i < from->idle->len; i++) {
 		struct own_vm *vm = g_ptr_array_index(from->idle, i);
 
-		if (g_strcmp0(vm->refused_pool, to_pool) == 0)
-			continue;
-		g_ptr_array_remove_index_fast(from->idle, i);
-		return vm;
+		if (g_strcmp0(vm->refused_pool, to_pool) != 0 &&
+		    (!best || vm->idle_since_ms < best->idle_since_ms))
+			best = vm;
 	}
-	return NULL;
+	if (best)
+		g_ptr_array_remove_fast(from->idle, best);
+	return best;
 }
 
 static void moves_order(struct own_fleet *fleet, GArray *views)
@@ -153,6 +229,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	inflows_tick(owner);
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		worker_add(fleet, views, value);
@@ -173,6 +250,7 @@
 
 		if (view->pool.vm_cpu_milli == 0)
 			view->pool.vm_cpu_milli = vm_cpu_most;
+		inflow_add(owner, view);
 	}
 	moves_order(fleet, views);
 }
--- a/packages/jobs/src/own_private.h
+++ b/packages/jobs/src/own_private.h
@@ -39,6 +39,14 @@
 	uint64_t maintenances;
 };
 
+/** Work that arrives for a service. */
+struct own_inflow {
+	/** since the last tick, in milli-core milliseconds */
+	double arrived;
+	/** mean over the last ticks, in milli-cores */
+	double mean_milli;
+};
+
 struct own_fleet;
 
 struct own_owner {
@@ -63,6 +71,8 @@
 	GHashTable *workers;
 	/** queue to struct lrn_state, what its tasks took */
 	GHashTable *learnt;
+	/** service to struct own_inflow, the work that arrives for it */
+	GHashTable *inflows;
 	/** of struct jtp_occurrence, those that have not ended */
 	GPtrArray *live;
 	uint64_t reports;
@@ -118,6 +128,10 @@
 /* own_gang.c: stops members whose gang does not become whole. */
 void own_gangs_check(struct own_owner *owner);
 
+/* own_pools.c: notes work that has arrived for a service. */
+void own_inflow_note(struct own_owner *owner, const char *service,
+		     const struct jtp_occurrence *occurrence);
+
 /* own_pace.c: tasks that fill beside tasks that serve. */
 void own_pace_worker(struct own_owner *owner, struct wrk_worker *worker);
 bool own_pace_is_needed(const struct wrk_worker *worker);
--- a/packages/jobs/src/own_work.c
+++ b/packages/jobs/src/own_work.c
@@ -104,11 +104,14 @@
 	struct jtp_occurrence *occurrence =
 		jtp_occurrence_begin(job, evl_now_ms(), evl_unix_ms());
 	const struct lrn_state *learnt = learnt_of(owner, job->queue);
+	const struct jcf_queue *queue = own_queue_of(owner, job);
 
 	for (guint i = 0; i < job->spec->steps->len; i++)
 		occurrence->groups[i].expected_ms = lrn_expect_ms(
 			learnt, occurrence->groups[i].step->estimate_ms);
 	occurrence->whole_chain_ms = jtp_chain_ms(occurrence, true);
+	if (queue)
+		own_inflow_note(owner, queue->service, occurrence);
 	occurrence->live_slot = owner->live->len;
 	g_ptr_array_add(owner->live, occurrence);
 }
