--- a/bin/sassafrascartd/jpr.c
+++ b/bin/sassafrascartd/jpr.c
@@ -87,8 +87,7 @@
 			 "%s verb %d queue %s after %" G_GUINT64_FORMAT
 			 " ms: %s, %s",
 			 request->call.id, request->call.call.verb,
-			 request->call.queue,
-			 evl_now_ms() - request->began_ms,
+			 request->call.queue, evl_now_ms() - request->began_ms,
 			 jsv_outcome_name(answer->outcome),
 			 answer->why ? answer->why : "");
 	if (request->request) {
@@ -147,11 +146,10 @@
 		jsv_metrics(process->service, body);
 		return true;
 	}
-	answer->status = !process->stopping &&
-					 cfw_catalogue(process->config) &&
-					 jsv_has_owner(process->service) ?
-				 200 :
-				 503;
+	answer->status = !process->stopping && cfw_catalogue(process->config) &&
+					 jsv_has_owner(process->service)
+				 ? 200
+				 : 503;
 	return true;
 }
 
@@ -265,10 +263,9 @@
 	};
 
 	process->work = esa_work_create(process->loop, settings);
-	process->service = jsv_service_create(process->loop, process->store,
-					      &config, &esa_work_ops,
-					      process->work, &jch_peers,
-					      process->channel);
+	process->service = jsv_service_create(
+		process->loop, process->store, &config, &esa_work_ops,
+		process->work, &jch_peers, process->channel);
 	jch_serve(process->channel, on_peer_call, process);
 	process->config = cfw_watcher_create(process->loop, process->store,
 					     &esa_work_ops, on_config, process);
--- a/packages/core/include/pck.h
+++ b/packages/core/include/pck.h
@@ -47,6 +47,8 @@
 	bool serves;
 	/** fills: takes no processor room, away from those that serve */
 	bool fills;
+	/** has failed before: only workers without a bad end of late */
+	bool has_failed;
 	/** runs for long: away from VMs that leave soon */
 	bool lasts;
 };
--- a/packages/core/src/hlt.c
+++ b/packages/core/src/hlt.c
@@ -23,9 +23,9 @@
 	/* Ends of tasks that were started before it are no news. */
 	if (now_ms < state->quarantined_until_ms)
 		return;
-	state->quarantine_ms = state->quarantine_ms == 0 ?
-				       HLT_QUARANTINE_MIN_MS :
-				       2 * state->quarantine_ms;
+	state->quarantine_ms = state->quarantine_ms == 0
+				       ? HLT_QUARANTINE_MIN_MS
+				       : 2 * state->quarantine_ms;
 	if (state->quarantine_ms > HLT_QUARANTINE_MAX_MS)
 		state->quarantine_ms = HLT_QUARANTINE_MAX_MS;
 	state->quarantined_until_ms = now_ms + state->quarantine_ms;
--- a/packages/core/src/pck.c
+++ b/packages/core/src/pck.c
@@ -25,6 +25,8 @@
 		return false;
 	if (!need->fills && candidate->cpu_free_milli < need->cpu_milli)
 		return false;
+	if (need->has_failed && candidate->penalty > 0)
+		return false;
 	return need->most_per_worker == 0 ||
 	       candidate->same_group < need->most_per_worker;
 }
@@ -40,8 +42,7 @@
 		neighbours = candidate->fillers;
 	else if (need->fills)
 		neighbours = candidate->serving;
-	sum += PCK_WEIGHT_NEIGHBOUR *
-	       at_most(neighbours, PCK_NEIGHBOURS_MAX);
+	sum += PCK_WEIGHT_NEIGHBOUR * at_most(neighbours, PCK_NEIGHBOURS_MAX);
 	if (need->lasts && candidate->leaving_soon)
 		sum += PCK_WEIGHT_LEAVING;
 	sum += PCK_WEIGHT_PENALTY *
--- a/packages/core/src/pls.c
+++ b/packages/core/src/pls.c
@@ -106,8 +106,7 @@
 		       given[i] < pools[i].idle_long &&
 		       pools[i].up - given[i] > keep) {
 			given[i]++;
-			moves[made++] = (struct pls_move){ i,
-							   (uint32_t)spare };
+			moves[made++] = (struct pls_move){ i, (uint32_t)spare };
 		}
 	}
 	return made;
@@ -137,8 +136,8 @@
 			break;
 		given[from]++;
 		taken[to]++;
-		moves[made++] = (struct pls_move){ (uint32_t)from,
-						   (uint32_t)to };
+		moves[made++] =
+			(struct pls_move){ (uint32_t)from, (uint32_t)to };
 	}
 	/* While a pool is short, what is idle may be for it soon. */
 	if (taker_find(pools, taken, needed, count) >= 0)
--- a/packages/core/src/urg.c
+++ b/packages/core/src/urg.c
@@ -12,8 +12,7 @@
 
 enum urg_band urg_band_of(const struct urg_work *work, uint64_t now_ms)
 {
-	uint64_t end_ms =
-		now_ms + work->chain_ms * URG_CHAIN_PERMILLE / 1000;
+	uint64_t end_ms = now_ms + work->chain_ms * URG_CHAIN_PERMILLE / 1000;
 
 	if (work->lasting)
 		return URG_BAND_LASTING;
@@ -26,9 +25,9 @@
 
 uint64_t urg_key(const struct urg_work *work, uint64_t now_ms)
 {
-	uint64_t priority = work->priority < URG_PRIORITY_MAX ?
-				    work->priority :
-				    URG_PRIORITY_MAX;
+	uint64_t priority = work->priority < URG_PRIORITY_MAX
+				    ? work->priority
+				    : URG_PRIORITY_MAX;
 
 	return (uint64_t)urg_band_of(work, now_ms) << URG_BAND_SHIFT |
 	       priority << URG_PRIORITY_SHIFT |
--- /dev/null
+++ b/packages/core/tests/test_pck.c
@@ -0,0 +1,99 @@
+/**
+ * @file test_pck.c
+ * @brief The choice of a worker for a task.
+ */
+#include <check.h>
+
+#include "pck.h"
+
+static struct pck_candidate candidate(int64_t cpu_free_milli)
+{
+	return (struct pck_candidate){
+		.cpu_free_milli = cpu_free_milli,
+		.memory_free_mb = 1000,
+		.accelerators_free = 1,
+		.labelled = true,
+	};
+}
+
+START_TEST(test_fullest_that_fits)
+{
+	const struct pck_candidate candidates[] = { candidate(9000),
+						    candidate(1000),
+						    candidate(3000) };
+	const struct pck_need need = { .cpu_milli = 2000 };
+
+	ck_assert_int_eq(pck_choose(candidates, 3, &need), 2);
+}
+END_TEST
+
+START_TEST(test_none_fits)
+{
+	const struct pck_candidate candidates[] = { candidate(1000) };
+	const struct pck_need need = { .cpu_milli = 2000 };
+
+	ck_assert_int_eq(pck_choose(candidates, 1, &need), -1);
+}
+END_TEST
+
+START_TEST(test_filler_needs_no_processor_room_and_avoids_serving)
+{
+	struct pck_candidate candidates[] = { candidate(0), candidate(5000) };
+	const struct pck_need need = { .cpu_milli = 2000, .fills = true };
+
+	candidates[0].serving = 0;
+	candidates[1].serving = 2;
+	ck_assert_int_eq(pck_choose(candidates, 2, &need), 0);
+	candidates[0].serving = 3;
+	ck_assert_int_eq(pck_choose(candidates, 2, &need), 1);
+}
+END_TEST
+
+START_TEST(test_limits_per_worker_label_and_rack)
+{
+	struct pck_candidate candidates[] = { candidate(3000), candidate(4000),
+					      candidate(5000) };
+	const struct pck_need need = { .cpu_milli = 1000,
+				       .most_per_worker = 1,
+				       .has_data_rack = true };
+
+	candidates[0].same_group = 1;
+	candidates[1].labelled = false;
+	ck_assert_int_eq(pck_choose(candidates, 3, &need), 2);
+	candidates[0].same_group = 0;
+	candidates[2].on_data_rack = true;
+	ck_assert_int_eq(pck_choose(candidates, 3, &need), 2);
+}
+END_TEST
+
+START_TEST(test_failing_worker_comes_last)
+{
+	struct pck_candidate candidates[] = { candidate(3000),
+					      candidate(9000) };
+	const struct pck_need need = { .cpu_milli = 1000 };
+
+	candidates[0].penalty = 1;
+	ck_assert_int_eq(pck_choose(candidates, 2, &need), 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("pck");
+	TCase *tests = tcase_create("pck");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tests, 60);
+	tcase_add_test(tests, test_fullest_that_fits);
+	tcase_add_test(tests, test_none_fits);
+	tcase_add_test(tests,
+		       test_filler_needs_no_processor_room_and_avoids_serving);
+	tcase_add_test(tests, test_limits_per_worker_label_and_rack);
+	tcase_add_test(tests, test_failing_worker_comes_last);
+	suite_add_tcase(suite, tests);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/packages/core/tests/test_urg.c
@@ -0,0 +1,73 @@
+/**
+ * @file test_urg.c
+ * @brief The order of work that waits.
+ */
+#include <check.h>
+
+#include "urg.h"
+
+static const struct urg_work fresh = {
+	.since_ms = 1000,
+	.objective_ms = 2000,
+	.chain_ms = 1000,
+};
+
+START_TEST(test_bands)
+{
+	struct urg_work work = fresh;
+
+	ck_assert_int_eq(urg_band_of(&work, 1000), URG_BAND_IN_TIME);
+	ck_assert_int_eq(urg_band_of(&work, 2500), URG_BAND_LATE);
+	ck_assert_int_eq(urg_band_of(&work, 9000), URG_BAND_HOPELESS);
+	work.begun = true;
+	ck_assert_int_eq(urg_band_of(&work, 1000), URG_BAND_BEGUN);
+	work.lasting = true;
+	ck_assert_int_eq(urg_band_of(&work, 9000), URG_BAND_LASTING);
+}
+END_TEST
+
+START_TEST(test_begun_goes_before_fresh_and_late_after)
+{
+	struct urg_work begun = fresh;
+	struct urg_work late = fresh;
+	uint64_t now_ms = 2000;
+
+	begun.begun = true;
+	begun.since_ms = 1500;
+	late.since_ms = 0;
+	late.objective_ms = 1000;
+	ck_assert(urg_key(&begun, now_ms) < urg_key(&fresh, now_ms));
+	ck_assert(urg_key(&fresh, now_ms) < urg_key(&late, now_ms));
+}
+END_TEST
+
+START_TEST(test_priority_then_arrival)
+{
+	struct urg_work second = fresh;
+	struct urg_work lower = fresh;
+
+	second.since_ms++;
+	lower.priority = 1;
+	lower.since_ms--;
+	ck_assert(urg_key(&fresh, 1500) < urg_key(&second, 1500));
+	ck_assert(urg_key(&second, 1500) < urg_key(&lower, 1500));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("urg");
+	TCase *tests = tcase_create("urg");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tests, 60);
+	tcase_add_test(tests, test_bands);
+	tcase_add_test(tests, test_begun_goes_before_fresh_and_late_after);
+	tcase_add_test(tests, test_priority_then_arrival);
+	suite_add_tcase(suite, tests);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- a/packages/jobs/include/jcf.h
+++ b/packages/jobs/include/jcf.h
@@ -67,8 +67,8 @@
 void jcf_catalogue_unref(struct jcf_catalogue *catalogue);
 
 /** @brief Finds a queue by name. @return the queue or NULL */
-const struct jcf_queue *
-jcf_queue_find(const struct jcf_catalogue *catalogue, const char *name);
+const struct jcf_queue *jcf_queue_find(const struct jcf_catalogue *catalogue,
+				       const char *name);
 
 /**
  * @brief Finds the queue of a request: its host and the longest prefix.
--- a/packages/jobs/src/cfw.c
+++ b/packages/jobs/src/cfw.c
@@ -71,10 +71,9 @@
 	watcher->ops = ops;
 	watcher->cb = cb;
 	watcher->data = data;
-	watcher->follower = fol_follower_create(loop, platform,
-						ops->config_prefix,
-						CFW_WATCH_MS, &config_ops,
-						watcher);
+	watcher->follower =
+		fol_follower_create(loop, platform, ops->config_prefix,
+				    CFW_WATCH_MS, &config_ops, watcher);
 	return watcher;
 }
 
--- a/packages/jobs/src/cmt.c
+++ b/packages/jobs/src/cmt.c
@@ -149,8 +149,7 @@
 	uint64_t now_ms = evl_now_ms();
 	uint64_t due_ms = log->begun_ms + log->gap_ms;
 
-	if (!log->open || log->busy || log->fenced ||
-	    tmr_is_set(&log->timer) ||
+	if (!log->open || log->busy || log->fenced || tmr_is_set(&log->timer) ||
 	    (log->queue.length == 0 && log->extras.length == 0))
 		return;
 	evl_timer_set(log->loop, &log->timer,
@@ -356,12 +355,12 @@
 		log->epoch++;
 	value = log_value(log);
 	write.value = value;
-	compares[0] = (struct plt_compare){ log->guard_key,
-					    PLT_TARGET_MOD_REVISION,
-					    log->guard_revision };
-	compares[1] = (struct plt_compare){ CMT_KEY_LOG,
-					    PLT_TARGET_MOD_REVISION,
-					    kv ? kv->mod_revision : 0 };
+	compares[0] =
+		(struct plt_compare){ log->guard_key, PLT_TARGET_MOD_REVISION,
+				      log->guard_revision };
+	compares[1] =
+		(struct plt_compare){ CMT_KEY_LOG, PLT_TARGET_MOD_REVISION,
+				      kv ? kv->mod_revision : 0 };
 	plt_txn(log->platform, &txn, on_opened, cel_enter(log->cell));
 }
 
--- a/packages/jobs/src/jrc.c
+++ b/packages/jobs/src/jrc.c
@@ -7,7 +7,7 @@
 
 /* Names of the states in records. */
 static const char *const state_names[] = {
-	[JTP_PENDING] = "live",	    [JTP_RUNNING] = "live",
+	[JTP_PENDING] = "live",	       [JTP_RUNNING] = "live",
 	[JTP_SUCCEEDED] = "succeeded", [JTP_FAILED] = "failed",
 	[JTP_CANCELLED] = "cancelled",
 };
@@ -63,10 +63,9 @@
 	json_t *out = json_object();
 
 	for (guint i = 0; i < spec->steps->len; i++)
-		json_array_append_new(steps,
-				      step_encode(&g_array_index(
-					      spec->steps, struct jtp_step,
-					      i)));
+		json_array_append_new(
+			steps, step_encode(&g_array_index(spec->steps,
+							  struct jtp_step, i)));
 	json_object_set_new(out, "text", json_string(spec->text));
 	json_object_set_new(out, "steps", steps);
 	number_set(out, "times", spec->times);
@@ -195,8 +194,7 @@
 			     struct jtp_job **out)
 {
 	g_autoptr(json_t) json = json_loadb(text, len, 0, NULL);
-	const char *queue =
-		json_string_value(json_object_get(json, "queue"));
+	const char *queue = json_string_value(json_object_get(json, "queue"));
 	const json_t *spec = json_object_get(json, "spec");
 	enum jtp_state state;
 	struct jtp_job *job;
@@ -206,9 +204,8 @@
 			  &state) ||
 	    (state == JTP_PENDING && !json_is_object(spec)))
 		return ERR_MALFORMED;
-	job = jtp_job_create(id, queue,
-			     state == JTP_PENDING ? spec_from_json(spec) :
-						    NULL);
+	job = jtp_job_create(
+		id, queue, state == JTP_PENDING ? spec_from_json(spec) : NULL);
 	job->state = state;
 	job->stored_state = state;
 	job->sent_state = state;
@@ -254,8 +251,7 @@
 	for (uint32_t i = 0; i < group->step->count; i++) {
 		const struct jtp_task *task = &group->tasks[i];
 
-		if (!task->failed_runs ||
-		    task->state == JTP_TASK_DONE)
+		if (!task->failed_runs || task->state == JTP_TASK_DONE)
 			continue;
 		g_snprintf(key, sizeof(key), "%u.%u", group->step_index, i);
 		runs = json_array();
@@ -373,8 +369,7 @@
 		return false;
 	for (guint i = 0; i < job->spec->steps->len; i++) {
 		if (!group_decode(&occurrence->groups[i],
-				  json_string_value(
-					  json_array_get(groups, i))))
+				  json_string_value(json_array_get(groups, i))))
 			return false;
 	}
 	return tasks_decode(occurrence, json_object_get(json, "checkpoints"),
@@ -402,7 +397,6 @@
 	job->begun = true;
 	job->progress_stored = true;
 	job->occurrences_begun = number_get(json, "begun");
-	job->occurrences_done =
-		job->occurrences_begun - job->occurrences->len;
+	job->occurrences_done = job->occurrences_begun - job->occurrences->len;
 	return ERR_NONE;
 }
--- a/packages/jobs/src/jsv.c
+++ b/packages/jobs/src/jsv.c
@@ -147,8 +147,7 @@
 	uint64_t now_ms = evl_now_ms();
 
 	if (pending->service->ending || now_ms >= pending->give_up_ms ||
-	    (owner_is_out_of_reach(pending->service) &&
-	     !pending->maybe_done)) {
+	    (owner_is_out_of_reach(pending->service) && !pending->maybe_done)) {
 		pending_fail(pending, "no owner is known");
 		return;
 	}
@@ -262,8 +261,8 @@
 		/* It may have taken effect: only an owner's answer tells. */
 		pending->maybe_done = true;
 		pending->give_up_ms =
-			pending->due_ms - MIN(pending->due_ms,
-					      JSV_ANSWER_MARGIN_MS);
+			pending->due_ms -
+			MIN(pending->due_ms, JSV_ANSWER_MARGIN_MS);
 	}
 	if (evl_now_ms() + JSV_RESEND_MS >= pending->give_up_ms)
 		pending_fail(pending, "the owner cannot be reached");
@@ -283,8 +282,8 @@
 	pending->queued = false;
 	tmr_cancel(&pending->timer);
 	pending->call.deadline_ms =
-		pending->due_ms > now_ms ? (uint32_t)(pending->due_ms - now_ms) :
-					   0;
+		pending->due_ms > now_ms ? (uint32_t)(pending->due_ms - now_ms)
+					 : 0;
 	if (service->owner) {
 		if (own_is_ready(service->owner))
 			own_call(service->owner, &pending->call, on_answer,
@@ -295,8 +294,8 @@
 	}
 	owner = ldr_owner(service->election);
 	if (!pending->may_hand_on) {
-		pending_end(pending, &(struct jsv_answer){
-					     .outcome = JSV_NOT_OWNER });
+		pending_end(pending,
+			    &(struct jsv_answer){ .outcome = JSV_NOT_OWNER });
 		return;
 	}
 	if (!owner || service->silent_since_ms != 0) {
@@ -408,9 +407,9 @@
 	struct jsv_service *service = data;
 
 	if (owner)
-		lgx_info("owner-known",
-			 "%s at %s:%u, fence %" G_GINT64_FORMAT, owner->id,
-			 owner->ip, (unsigned int)owner->port, owner->fence);
+		lgx_info("owner-known", "%s at %s:%u, fence %" G_GINT64_FORMAT,
+			 owner->id, owner->ip, (unsigned int)owner->port,
+			 owner->fence);
 	else
 		lgx_info("owner-unknown", "the owner's key is absent");
 	service->silent_since_ms = 0;
--- a/packages/jobs/src/jtp.c
+++ b/packages/jobs/src/jtp.c
@@ -154,9 +154,8 @@
 	       job->occurrences_begun * job->spec->interval_ms;
 }
 
-struct jtp_occurrence *jtp_occurrence_begin(struct jtp_job *job,
-					    uint64_t now_ms,
-					    uint64_t now_unix_ms)
+struct jtp_occurrence *
+jtp_occurrence_begin(struct jtp_job *job, uint64_t now_ms, uint64_t now_unix_ms)
 {
 	struct jtp_occurrence *occurrence = g_new0(struct jtp_occurrence, 1);
 	uint64_t late_ms = 0;
--- a/packages/jobs/src/ldr.c
+++ b/packages/jobs/src/ldr.c
@@ -57,8 +57,8 @@
 
 static void compete_soon(struct ldr_election *election)
 {
-	uint32_t delay_ms = election->delay_ms +
-			    g_random_int_range(0, LDR_SPREAD_MS);
+	uint32_t delay_ms =
+		election->delay_ms + g_random_int_range(0, LDR_SPREAD_MS);
 
 	/* All processes start at about the same time, in any order. */
 	if (!election->known)
@@ -116,8 +116,7 @@
 /* The key outlives a process that was killed until its lease ends. */
 static void own_key_remove(struct ldr_election *election, int64_t revision)
 {
-	const struct plt_compare compare = { LDR_KEY,
-					     PLT_TARGET_MOD_REVISION,
+	const struct plt_compare compare = { LDR_KEY, PLT_TARGET_MOD_REVISION,
 					     revision };
 	const struct plt_write write = { .key = LDR_KEY };
 	const struct plt_txn txn = { &compare, 1, &write, 1 };
@@ -233,8 +232,8 @@
 static void compete(struct ldr_election *election)
 {
 	int64_t lease = lse_keeper_lease(election->lease);
-	const struct plt_compare compare = { LDR_KEY,
-					     PLT_TARGET_MOD_REVISION, 0 };
+	const struct plt_compare compare = { LDR_KEY, PLT_TARGET_MOD_REVISION,
+					     0 };
 	struct plt_write write = { .key = LDR_KEY, .lease = lease };
 	const struct plt_txn txn = { &compare, 1, &write, 1 };
 	g_autofree char *value = NULL;
@@ -242,12 +241,11 @@
 	if (lease == 0 || election->writing || election->bound ||
 	    election->role == LDR_RESIGNED)
 		return;
-	value = g_strdup_printf("{\"id\":\"%s\",\"ip\":\"%s\",\"port\":%u,"
-				"\"fence\":%" G_GINT64_FORMAT "}",
-				election->id, election->ip,
-				(unsigned int)election->port,
-				election->role == LDR_OWNS ? election->fence :
-							     0);
+	value = g_strdup_printf(
+		"{\"id\":\"%s\",\"ip\":\"%s\",\"port\":%u,"
+		"\"fence\":%" G_GINT64_FORMAT "}",
+		election->id, election->ip, (unsigned int)election->port,
+		election->role == LDR_OWNS ? election->fence : 0);
 	write.value = value;
 	election->writing = true;
 	plt_txn(election->platform, &txn, on_written,
@@ -267,8 +265,8 @@
 	struct ldr_election *election = data;
 
 	lgx_warning("lease-lost", "of the process; %s",
-		    election->role == LDR_OWNS ? "ownership is not proved" :
-						 "follows");
+		    election->role == LDR_OWNS ? "ownership is not proved"
+					       : "follows");
 	if (election->role != LDR_OWNS)
 		return;
 	election->bound = false;
@@ -301,9 +299,8 @@
 	election->lease = lse_keeper_create(loop, platform, config->ttl_s,
 					    &lease_ops, election);
 	election->cell = cel_cell_create(election);
-	election->follower = fol_follower_create(loop, platform, LDR_KEY,
-						 LDR_WATCH_MS, &key_ops,
-						 election);
+	election->follower = fol_follower_create(
+		loop, platform, LDR_KEY, LDR_WATCH_MS, &key_ops, election);
 	return election;
 }
 
@@ -356,6 +353,6 @@
 const struct ldr_owner *ldr_owner(const struct ldr_election *election)
 {
 	/* The key may be that of an earlier incarnation of this process. */
-	return election->present && election->owner.id[0] ? &election->owner :
-							    NULL;
+	return election->present && election->owner.id[0] ? &election->owner
+							  : NULL;
 }
--- a/packages/jobs/src/own.c
+++ b/packages/jobs/src/own.c
@@ -84,14 +84,13 @@
 	}
 	for (size_t i = 0; i < result->kv_count; i++) {
 		const struct plt_kv *kv = &result->kvs[i];
-		struct jtp_job *job = g_hash_table_lookup(
-			owner->jobs, kv->key + prefix_len);
+		struct jtp_job *job =
+			g_hash_table_lookup(owner->jobs, kv->key + prefix_len);
 
 		if (!job || job->state > JTP_RUNNING)
 			continue;
 		err = jrc_progress_decode(job, kv->value, kv->value_len,
-					  evl_now_ms(),
-					  evl_unix_ms());
+					  evl_now_ms(), evl_unix_ms());
 		if (err != ERR_NONE)
 			lgx_warning("progress-malformed", "%s", kv->key);
 		for (guint j = 0; j < job->occurrences->len; j++) {
@@ -313,8 +312,8 @@
 		.loop = owner->config.loop,
 		.platform = owner->config.platform,
 		.platform_self = owner->config.platform_self,
-		.fence_base = (uint64_t)owner->config.guard_revision *
-			      WRK_FENCE_SPAN,
+		.fence_base =
+			(uint64_t)owner->config.guard_revision * WRK_FENCE_SPAN,
 		.lease_ms = owner->config.service->worker_lease_ms,
 		.ops = &own_worker_ops,
 		.data = owner,
@@ -336,10 +335,12 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 	owner->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       worker_free);
-	owner->learnt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      g_free);
-	owner->inflows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       g_free);
+	owner->learnt =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	owner->inflows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	owner->vm_health =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	owner->live = g_ptr_array_new();
 	owner->cell = cel_cell_create(owner);
 	g_queue_init(&owner->waits);
@@ -372,6 +373,7 @@
 	g_hash_table_unref(owner->workers);
 	g_ptr_array_unref(owner->live);
 	g_hash_table_unref(owner->learnt);
+	g_hash_table_unref(owner->vm_health);
 	g_hash_table_unref(owner->inflows);
 	g_hash_table_unref(owner->jobs);
 	jcf_catalogue_unref(owner->catalogue);
@@ -402,8 +404,7 @@
 		  counters->cancelled },
 		{ "task_starts_total", counters->starts },
 		{ "task_starts_refused_total", counters->starts_refused },
-		{ "task_starts_unanswered_total",
-		  counters->starts_unanswered },
+		{ "task_starts_unanswered_total", counters->starts_unanswered },
 		{ "tasks_lost_total", counters->tasks_lost },
 		{ "tasks_adopted_total", counters->tasks_adopted },
 		{ "stray_runs_total", counters->strays },
@@ -416,10 +417,9 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
-		g_string_append_printf(out,
-				       "sassafrascart_%s %" G_GUINT64_FORMAT
-				       "\n",
-				       rows[i].name, rows[i].value);
+		g_string_append_printf(
+			out, "sassafrascart_%s %" G_GUINT64_FORMAT "\n",
+			rows[i].name, rows[i].value);
 	for (size_t i = 0; i < G_N_ELEMENTS(counters->ends); i++)
 		g_string_append_printf(out,
 				       "sassafrascart_task_ends_total{kind="
--- a/packages/jobs/src/own_advice.c
+++ b/packages/jobs/src/own_advice.c
@@ -116,8 +116,7 @@
 			  call->name, err_name(err), count, call->workers->len,
 			  valid_ms);
 		if (err == ERR_NONE)
-			advice_take(group->advice, call, rows, count,
-				    valid_ms);
+			advice_take(group->advice, call, rows, count, valid_ms);
 		else
 			group->advice->not_before_ms =
 				evl_now_ms() + OWN_ADVICE_PAUSE_MS;
@@ -138,10 +137,10 @@
 		return;
 	call = g_new0(struct advice_call, 1);
 	call->workers = g_ptr_array_new_with_free_func(g_free);
-	for (uint32_t i = 0; i < count && call->workers->len < OWN_ADVICE_WORKERS;
-	     i++) {
-		if (expired || !g_hash_table_contains(advice->tickets,
-						      workers[i]->id))
+	for (uint32_t i = 0;
+	     i < count && call->workers->len < OWN_ADVICE_WORKERS; i++) {
+		if (expired ||
+		    !g_hash_table_contains(advice->tickets, workers[i]->id))
 			g_ptr_array_add(call->workers,
 					g_strdup(workers[i]->id));
 	}
@@ -156,8 +155,9 @@
 	call->asked_ms = evl_now_ms();
 	advice->asking = true;
 	g_ptr_array_add(call->workers, NULL);
-	owner->config.platform->advise(owner->config.platform_self, step,
-				       (const char *const *)call->workers->pdata,
-				       OWN_ADVICE_TIMEOUT_MS, on_advice, call);
+	owner->config.platform->advise(
+		owner->config.platform_self, step,
+		(const char *const *)call->workers->pdata,
+		OWN_ADVICE_TIMEOUT_MS, on_advice, call);
 	g_ptr_array_set_size(call->workers, (gint)call->workers->len - 1);
 }
--- a/packages/jobs/src/own_calls.c
+++ b/packages/jobs/src/own_calls.c
@@ -170,8 +170,8 @@
 {
 	struct jtp_spec *spec = NULL;
 	struct jtp_job *job;
-	enum err_kind err = jrc_spec_decode(call->spec, strlen(call->spec),
-					    &spec);
+	enum err_kind err =
+		jrc_spec_decode(call->spec, strlen(call->spec), &spec);
 
 	if (err != ERR_NONE) {
 		lgx_warning("job-malformed", "%s from a peer: %s", call->id,
--- a/packages/jobs/src/own_fleet.c
+++ b/packages/jobs/src/own_fleet.c
@@ -204,10 +204,9 @@
 	for (uint32_t i = 0; i < group->step->count; i++) {
 		const struct jtp_task *other = &group->tasks[i];
 
-		if (other != task &&
-		    (other->state != JTP_TASK_PRESENT ||
-		     other->percent < other->pace_percent ||
-		     !wrk_is_reachable(other->worker)))
+		if (other != task && (other->state != JTP_TASK_PRESENT ||
+				      other->percent < other->pace_percent ||
+				      !wrk_is_reachable(other->worker)))
 			away++;
 	}
 	return away < MAX(group->step->may_miss, 1);
@@ -275,8 +274,7 @@
 		vm_settle(fleet, vm);
 		return;
 	}
-	if (!worker ||
-	    (worker->tasks->len == 0 && ends_are_stored(worker))) {
+	if (!worker || (worker->tasks->len == 0 && ends_are_stored(worker))) {
 		vm_order(fleet, vm);
 		return;
 	}
@@ -302,8 +300,8 @@
 static void ordered_run(struct own_fleet *fleet, struct own_vm *vm)
 {
 	const struct jsv_config *service = fleet->owner->config.service;
-	uint64_t takes_ms = vm->to_pool ? service->move_ms :
-					  service->maintain_ms;
+	uint64_t takes_ms =
+		vm->to_pool ? service->move_ms : service->maintain_ms;
 
 	if (fleet->listed_ms <
 		    vm->phase_since_ms + takes_ms + OWN_BACK_MARGIN_MS ||
@@ -361,8 +359,7 @@
 
 	if (ordered && vm->leaving_worker &&
 	    strcmp(vm->leaving_worker, worker->id) == 0 &&
-	    (vm->state != JPT_VM_UP ||
-	     g_strcmp0(vm->worker, worker->id) != 0))
+	    (vm->state != JPT_VM_UP || g_strcmp0(vm->worker, worker->id) != 0))
 		return "its VM is taken";
 	if (silent && vm->state == JPT_VM_DOWN)
 		return "its VM is down";
@@ -383,13 +380,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct wrk_worker *worker = value;
 		const struct own_vm *vm =
-			worker->vm ?
-				g_hash_table_lookup(fleet->vms, worker->vm) :
-				NULL;
-		const char *why =
-			vm && !worker->over ?
-				life_over_why(fleet, worker, vm) :
-				NULL;
+			worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm)
+				   : NULL;
+		const char *why = vm && !worker->over
+					  ? life_over_why(fleet, worker, vm)
+					  : NULL;
 
 		if (why)
 			wrk_end_life(worker, why);
@@ -447,8 +442,7 @@
 	uint64_t pause_ms = busy ? OWN_VM_LIST_BUSY_MS : OWN_VM_LIST_MS;
 
 	if (fleet->listing ||
-	    (fleet->listed_once &&
-	     evl_now_ms() - fleet->listed_ms < pause_ms))
+	    (fleet->listed_once && evl_now_ms() - fleet->listed_ms < pause_ms))
 		return;
 	fleet->listing = true;
 	fleet->asked_ms = evl_now_ms();
@@ -529,10 +523,10 @@
 	fleet->cell = cel_cell_create(fleet);
 	fleet->timer.cb = on_tick;
 	fleet->timer.data = fleet;
-	fleet->waves_follower = fol_follower_create(
-		owner->config.loop, owner->config.store,
-		owner->config.platform->waves_prefix, OWN_WAVES_WATCH_MS,
-		&own_waves_ops, fleet);
+	fleet->waves_follower =
+		fol_follower_create(owner->config.loop, owner->config.store,
+				    owner->config.platform->waves_prefix,
+				    OWN_WAVES_WATCH_MS, &own_waves_ops, fleet);
 	evl_timer_set(owner->config.loop, &fleet->timer, OWN_FLEET_TICK_MS);
 	return fleet;
 }
--- a/packages/jobs/src/own_gang.c
+++ b/packages/jobs/src/own_gang.c
@@ -28,8 +28,8 @@
 			    pool->candidates->len);
 	for (guint i = 0; i < pool->workers->len; i++) {
 		if (!rack_matches(g_ptr_array_index(pool->workers, i), rack))
-			g_array_index(choice->candidates,
-				      struct pck_candidate, i)
+			g_array_index(choice->candidates, struct pck_candidate,
+				      i)
 				.labelled = false;
 	}
 	for (uint32_t i = 0; i < group->step->count; i++) {
@@ -98,8 +98,7 @@
 		struct jtp_task *task = &group->tasks[i];
 
 		if (task->worker && task->state == JTP_TASK_PRESENT)
-			own_task_stop(owner, task,
-				      "its gang is not whole");
+			own_task_stop(owner, task, "its gang is not whole");
 	}
 }
 
@@ -143,9 +142,8 @@
 	bool found;
 
 	/* Some are there: the rest joins them soon, or all start anew. */
-	if (!starts_anew &&
-	    (group->gang_over ||
-	     now_ms - group->gang_since_ms > OWN_GANG_FILL_MS)) {
+	if (!starts_anew && (group->gang_over || now_ms - group->gang_since_ms >
+							 OWN_GANG_FILL_MS)) {
 		members_stop(owner, group);
 		return true;
 	}
--- a/packages/jobs/src/own_pace.c
+++ b/packages/jobs/src/own_pace.c
@@ -19,9 +19,9 @@
 		if (target_ms == 0 || task->group->step->is_filler ||
 		    task->state != JTP_TASK_PRESENT)
 			continue;
-		if (!worst || (uint64_t)task->usage *
-					      worst->group->step->target_ms >
-				      (uint64_t)worst->usage * target_ms)
+		if (!worst ||
+		    (uint64_t)task->usage * worst->group->step->target_ms >
+			    (uint64_t)worst->usage * target_ms)
 			worst = task;
 	}
 	return worst;
--- a/packages/jobs/src/own_plan.c
+++ b/packages/jobs/src/own_plan.c
@@ -49,13 +49,13 @@
 	       (leave == HLT_ONE && worker->tasks->len == 0);
 }
 
-static bool worker_takes_tasks(const struct wrk_worker *worker,
-			       uint64_t now_ms)
+static bool worker_takes_tasks(const struct wrk_worker *worker, uint64_t now_ms)
 {
-	return worker->known && !worker->over && worker->listed && worker->in_roster &&
-	       !worker->draining && !worker->cordoned &&
+	return worker->known && !worker->over && worker->listed &&
+	       worker->in_roster && !worker->draining && !worker->cordoned &&
 	       wrk_is_reachable(worker) && !worker->resolving &&
-	       worker->pause_until_ms <= now_ms && health_allows(worker, now_ms);
+	       worker->pause_until_ms <= now_ms &&
+	       health_allows(worker, now_ms);
 }
 
 static void candidate_add(struct plan_pool *pool, struct wrk_worker *worker,
@@ -71,8 +71,8 @@
 	};
 
 	candidate.penalty = worker->health.bad_in_row;
-	candidate.takes_one =
-		hlt_leave_of(&worker->health, now_ms) == HLT_ONE;
+	pool->has_clean |= candidate.penalty == 0;
+	candidate.takes_one = hlt_leave_of(&worker->health, now_ms) == HLT_ONE;
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		const struct jtp_task *task =
 			g_ptr_array_index(worker->tasks, i);
@@ -221,7 +221,7 @@
 {
 	const struct jcf_queue *queue =
 		own_queue_of(owner, group->occurrence->job);
-	const struct pck_need need = need_of(group->step);
+	struct pck_need need = need_of(group->step);
 	bool needs_ticket = queue && queue->needs_advice;
 
 	candidates_fit_group(pool, group, needs_ticket);
@@ -242,16 +242,22 @@
 			own_plan_soon(owner);
 			continue;
 		}
+		/* Another attempt is not spent on a worker in doubt, unless
+		 * all are. */
+		need.has_failed =
+			pool->has_clean && jtp_task_failures(task) > 0;
 		chosen = pck_choose(
 			(const struct pck_candidate *)pool->candidates->data,
 			pool->candidates->len, &need);
+		if (chosen < 0 && need.has_failed)
+			continue;
 		if (chosen < 0)
 			return true;
 		own_candidate_take(&g_array_index(pool->candidates,
-					      struct pck_candidate, chosen),
-			       &need);
+						  struct pck_candidate, chosen),
+				   &need);
 		own_task_start(owner, task,
-			   g_ptr_array_index(pool->workers, chosen));
+			       g_ptr_array_index(pool->workers, chosen));
 	}
 	return true;
 }
--- a/packages/jobs/src/own_plan.h
+++ b/packages/jobs/src/own_plan.h
@@ -14,6 +14,8 @@
 	/** of struct wrk_worker * and struct pck_candidate, in step */
 	GPtrArray *workers;
 	GArray *candidates;
+	/** there is a worker without a bad end of late */
+	bool has_clean;
 	/** of struct jtp_occurrence * with tasks that wait */
 	GPtrArray *work;
 };
--- a/packages/jobs/src/own_pools.c
+++ b/packages/jobs/src/own_pools.c
@@ -124,7 +124,11 @@
 	struct pool_view *view = view_find(views, worker->service);
 	struct own_vm *vm;
 
-	if (!view || worker->over || !worker->listed || worker->draining || worker->cordoned)
+	/* A worker in quarantine is no room, and would make tasks of another
+	 * pool fail as well. */
+	if (!view || worker->over || !worker->listed ||
+	    hlt_leave_of(&worker->health, evl_now_ms()) != HLT_ALL ||
+	    worker->draining || worker->cordoned)
 		return;
 	view->pool.up++;
 	view->pool.vm_cpu_milli =
@@ -201,8 +205,7 @@
 
 static void moves_order(struct own_fleet *fleet, GArray *views)
 {
-	g_autofree struct pls_pool *pools =
-		g_new(struct pls_pool, views->len);
+	g_autofree struct pls_pool *pools = g_new(struct pls_pool, views->len);
 	struct pls_move moves[OWN_MOVES_PER_PASS];
 	uint32_t count;
 
@@ -210,8 +213,8 @@
 		pools[i] = g_array_index(views, struct pool_view, i).pool;
 	count = pls_decide(pools, views->len, moves, OWN_MOVES_PER_PASS);
 	for (uint32_t i = 0; i < count; i++) {
-		struct pool_view *from = &g_array_index(
-			views, struct pool_view, moves[i].from);
+		struct pool_view *from =
+			&g_array_index(views, struct pool_view, moves[i].from);
 		struct pool_view *to =
 			&g_array_index(views, struct pool_view, moves[i].to);
 		struct own_vm *vm = idle_take(from, to->name);
@@ -239,10 +242,9 @@
 	for (guint i = 0; i < owner->live->len; i++)
 		work_add(owner, views, g_ptr_array_index(owner->live, i));
 	for (guint i = 0; i < views->len; i++)
-		vm_cpu_most = MAX(
-			vm_cpu_most,
-			g_array_index(views, struct pool_view, i)
-				.pool.vm_cpu_milli);
+		vm_cpu_most = MAX(vm_cpu_most,
+				  g_array_index(views, struct pool_view, i)
+					  .pool.vm_cpu_milli);
 	/* A pool without a VM is judged by the VMs of the others. */
 	for (guint i = 0; i < views->len; i++) {
 		struct pool_view *view =
--- a/packages/jobs/src/own_private.h
+++ b/packages/jobs/src/own_private.h
@@ -71,6 +71,8 @@
 	GHashTable *workers;
 	/** queue to struct lrn_state, what its tasks took */
 	GHashTable *learnt;
+	/** VM to struct hlt_state of its worker that ended last */
+	GHashTable *vm_health;
 	/** service to struct own_inflow, the work that arrives for it */
 	GHashTable *inflows;
 	/** of struct jtp_occurrence, those that have not ended */
@@ -119,6 +121,7 @@
 /* own_roster.c: workers, known and listed. */
 void own_roster_read(struct own_owner *owner);
 void own_list_workers(struct own_owner *owner);
+void own_health_keep(struct own_owner *owner, const struct wrk_worker *worker);
 void own_roster_settle(struct own_owner *owner);
 
 /* own_plan.c: what starts where. */
--- a/packages/jobs/src/own_roster.c
+++ b/packages/jobs/src/own_roster.c
@@ -28,8 +28,8 @@
 static json_t *roster_item(const struct wrk_worker *worker)
 {
 	return json_pack("{s:s, s:s, s:i, s:s, s:s, s:s*}", "id", worker->id,
-			 "ip", worker->ip, "port", (int)worker->port,
-			 "service", worker->service, "availability_zone",
+			 "ip", worker->ip, "port", (int)worker->port, "service",
+			 worker->service, "availability_zone",
 			 worker->availability_zone, "vm", worker->vm);
 }
 
@@ -69,11 +69,31 @@
 	json_decref(items);
 }
 
+/* A VM that makes all tasks fail does so under its next worker as well. */
+void own_health_keep(struct own_owner *owner, const struct wrk_worker *worker)
+{
+	if (worker->vm)
+		g_hash_table_insert(
+			owner->vm_health, g_strdup(worker->vm),
+			g_memdup2(&worker->health, sizeof(worker->health)));
+}
+
+static void health_load(struct own_owner *owner, struct wrk_worker *worker)
+{
+	const struct hlt_state *kept =
+		worker->vm ? g_hash_table_lookup(owner->vm_health, worker->vm)
+			   : NULL;
+
+	if (kept)
+		worker->health = *kept;
+}
+
 static struct wrk_worker *worker_add(struct own_owner *owner,
 				     const struct jpt_entry *entry)
 {
 	struct wrk_worker *worker = wrk_worker_create(&owner->env, entry);
 
+	health_load(owner, worker);
 	g_hash_table_insert(owner->workers, worker->id, worker);
 	owner->roster_dirty = true;
 	return worker;
@@ -163,8 +183,8 @@
 		return;
 	owner->listing = false;
 	evl_timer_set(owner->config.loop, &owner->list_timer,
-		      err == ERR_NONE ? list_pause_ms(owner) :
-					OWN_LIST_RETRY_MS);
+		      err == ERR_NONE ? list_pause_ms(owner)
+				      : OWN_LIST_RETRY_MS);
 	lapsed_sweep(owner);
 	if (owner->has_unknown)
 		own_roster_settle(owner);
@@ -206,8 +226,7 @@
 		.id = id,
 		.port = (uint16_t)json_integer_value(
 			json_object_get(item, "port")),
-		.service =
-			json_string_value(json_object_get(item, "service")),
+		.service = json_string_value(json_object_get(item, "service")),
 		.availability_zone = json_string_value(
 			json_object_get(item, "availability_zone")),
 		.vm = json_string_value(json_object_get(item, "vm")),
--- a/packages/jobs/src/own_waves.c
+++ b/packages/jobs/src/own_waves.c
@@ -61,8 +61,8 @@
 	struct wave_read *read = data;
 	struct own_owner *owner = cel_leave(read->cell);
 	struct own_wave *wave =
-		owner ? g_hash_table_lookup(owner->fleet->waves, &read->number) :
-			NULL;
+		owner ? g_hash_table_lookup(owner->fleet->waves, &read->number)
+		      : NULL;
 	json_t *done;
 	json_t *name;
 	size_t i;
--- a/packages/jobs/src/own_work.c
+++ b/packages/jobs/src/own_work.c
@@ -15,7 +15,8 @@
  * themselves, and at one with lasting tasks that are starting up. */
 #define OWN_LOOK_SHORT_TASKS_MS 700
 #define OWN_LOOK_STARTING_MS 400
-/* A task is taken away from a worker this often, at most: it may just be long. */
+/* A task is taken away from a worker this often, at most: it may just be long.
+ */
 #define OWN_TAKEN_AWAY_MAX 2
 /* A worker lists at most this many ends at once: a report with as many may
  * leave others out. */
@@ -403,7 +404,8 @@
 	if (!wanted && task->state != JTP_TASK_STOPPING)
 		own_task_stop(owner, task, "its job has ended");
 	else if (task->state == JTP_TASK_STOPPING)
-		/* An order to stop may have been lost; it does no harm twice. */
+		/* An order to stop may have been lost; it does no harm twice.
+		 */
 		wrk_stop(worker, task);
 }
 
@@ -527,17 +529,17 @@
 		 task->group->occurrence->job->id,
 		 task->group->occurrence->number, task->group->step_index,
 		 task->index, task->run, worker->id,
-		 reply->err != ERR_NONE ? err_name(reply->err) :
-					  jpt_verdict_name(reply->verdict));
+		 reply->err != ERR_NONE ? err_name(reply->err)
+					: jpt_verdict_name(reply->verdict));
 	if (reply->err == ERR_NONE && reply->verdict == JPT_REFUSED_TICKET)
 		own_advice_refused(task->group, worker);
 	if (reply->err != ERR_NONE || reply->verdict == JPT_REFUSED_ROOM ||
 	    reply->verdict == JPT_REFUSED_BUSY)
 		worker->pause_until_ms = now_ms + OWN_REFUSED_PAUSE_MS;
 	task_wait(owner, task,
-		  reply->verdict == JPT_REFUSED_OLD || group->step->is_gang ?
-			  0 :
-			  OWN_RESTART_MS);
+		  reply->verdict == JPT_REFUSED_OLD || group->step->is_gang
+			  ? 0
+			  : OWN_RESTART_MS);
 	/* A member that never ran may still join the others. */
 	if (reply->err != ERR_NONE || reply->verdict != JPT_REFUSED_OLD)
 		group->gang_over = gang_was_over;
@@ -579,7 +581,6 @@
 
 		task->present_clock_ms = 0;
 	}
-	memset(&worker->health, 0, sizeof(worker->health));
 }
 
 static void on_life_over(void *data, struct wrk_worker *worker)
@@ -593,7 +594,7 @@
 		owner->counters.tasks_lost++;
 		task_wait(owner, task, 0);
 	}
-	memset(&worker->health, 0, sizeof(worker->health));
+	own_health_keep(owner, worker);
 }
 
 static void on_deposed(void *data)
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -100,7 +100,8 @@
 		   worker->env->lease_ms;
 	worker->lease_until_ms = MAX(worker->lease_until_ms, until_ms);
 	left_ms = worker->lease_until_ms - worker->clock_ms;
-	left_ms += left_ms * WRK_CLOCK_SLOW_PERMILLE / (1000 - WRK_CLOCK_SLOW_PERMILLE);
+	left_ms += left_ms * WRK_CLOCK_SLOW_PERMILLE /
+		   (1000 - WRK_CLOCK_SLOW_PERMILLE);
 	worker->lease_over_ms =
 		MAX(worker->lease_over_ms,
 		    worker->clock_at_ms + left_ms + WRK_LEASE_MARGIN_MS);
@@ -248,8 +249,8 @@
 	if (at_once)
 		look_send(worker, 0);
 	else
-		look_send(worker, worker->look_wait_ms ? worker->look_wait_ms :
-							 WRK_LOOK_WAIT_MS);
+		look_send(worker, worker->look_wait_ms ? worker->look_wait_ms
+						       : WRK_LOOK_WAIT_MS);
 }
 
 static bool may_get_late_orders(const struct wrk_worker *worker)
@@ -264,8 +265,7 @@
 		look_plan(worker, 0);
 	else if (ends_wait_for_store(worker))
 		look_plan(worker, WRK_LOOK_UNSTORED_MS);
-	else if (worker->tasks->len > 0 ||
-		 worker->acked < worker->ends_seen ||
+	else if (worker->tasks->len > 0 || worker->acked < worker->ends_seen ||
 		 may_get_late_orders(worker))
 		look_plan(worker, 0);
 }
@@ -290,8 +290,7 @@
 		look_next(worker);
 }
 
-static void look_refused(struct wrk_worker *worker,
-			 const struct wrk_call *call,
+static void look_refused(struct wrk_worker *worker, const struct wrk_call *call,
 			 const struct jpt_reply *reply)
 {
 	switch (reply->verdict) {
@@ -321,9 +320,9 @@
 		worker->looking = false;
 		if (reply->err != ERR_NONE) {
 			silence_note(worker, reply->err);
-			look_plan(worker, may_get_late_orders(worker) ?
-						  WRK_LOOK_RETRY_LATE_MS :
-						  WRK_LOOK_RETRY_MS);
+			look_plan(worker, may_get_late_orders(worker)
+						  ? WRK_LOOK_RETRY_LATE_MS
+						  : WRK_LOOK_RETRY_MS);
 		} else {
 			answer_note(worker);
 			if (reply->verdict == JPT_TAKEN)
@@ -449,9 +448,9 @@
 	if (reply->err != ERR_NONE || reply->verdict != JPT_TAKEN)
 		lgx_info("pace-not-taken", "%s run %u at %s: %s",
 			 call->order.task, call->order.run, call->worker->id,
-			 reply->err != ERR_NONE ?
-				 err_name(reply->err) :
-				 jpt_verdict_name(reply->verdict));
+			 reply->err != ERR_NONE
+				 ? err_name(reply->err)
+				 : jpt_verdict_name(reply->verdict));
 	call_free(call);
 }
 
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -189,9 +189,9 @@
 	node->life++;
 	g_assert(plt_platform_create_with(emu->loop, &emu_store_ops, &store,
 					  &node->store) == ERR_NONE);
-	node->service = jsv_service_create(emu->loop, node->store, &config,
-					   &emu_work_ops, node, &emu_peers,
-					   node);
+	node->service =
+		jsv_service_create(emu->loop, node->store, &config,
+				   &emu_work_ops, node, &emu_peers, node);
 	{
 		struct jcf_catalogue *catalogue = emu_work_ops.config_decode(
 			emu_store_get(emu, "config"), 0);
@@ -235,8 +235,8 @@
 /* Notes that a disruption is near, as long as one lasts. */
 static void disturbances_note(struct emu *emu)
 {
-	bool any = emu->lost_permille || emu->late_permille ||
-		   emu->slow > 1 || emu->orders_late_permille;
+	bool any = emu->lost_permille || emu->late_permille || emu->slow > 1 ||
+		   emu->orders_late_permille;
 
 	for (uint32_t i = 0; i < emu->config.nodes; i++)
 		any |= !emu->nodes[i].alive ||
@@ -334,9 +334,8 @@
 	uint64_t end_ms = emu_now_ms + ms;
 
 	while (emu_now_ms < end_ms) {
-		emu_now_ms += tmr_queue_wait_ms(timers, emu_now_ms,
-						(uint32_t)(end_ms -
-							   emu_now_ms));
+		emu_now_ms += tmr_queue_wait_ms(
+			timers, emu_now_ms, (uint32_t)(end_ms - emu_now_ms));
 		tmr_queue_run(timers, emu_now_ms);
 	}
 }
@@ -360,8 +359,7 @@
 		.most_per_worker = job->lasting ? 1 : 0,
 		.target_ms = job->target_ms,
 		.is_filler = job->with_filler && index > 0,
-		.after = job->lasting || index == 0 ? 0 :
-						      1ULL << (index - 1),
+		.after = job->lasting || index == 0 ? 0 : 1ULL << (index - 1),
 	};
 
 	g_array_append_val(spec->steps, step);
@@ -629,9 +627,9 @@
 	for (guint i = 0; i < emu->jobs->len; i++) {
 		const struct emu_job_state *state =
 			g_ptr_array_index(emu->jobs, i);
-		bool in_time = state->ended &&
-			       state->shown_ms - state->sent_ms <=
-				       state->objective_ms;
+		bool in_time =
+			state->ended &&
+			state->shown_ms - state->sent_ms <= state->objective_ms;
 
 		out->accepted += state->accepted;
 		out->refused += state->refused && !state->accepted;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -26,6 +26,8 @@
 	int64_t vm_cpu_milli;
 	/** attempts of each queue */
 	uint32_t attempts;
+	/** VMs cannot be moved */
+	bool fixed_pools;
 };
 
 /** What the checker counts as broken. */
@@ -36,7 +38,8 @@
 	EMU_RULE_BUDGET,
 	/** a run before the steps that it waits for were done */
 	EMU_RULE_ORDER,
-	/** a run of a job that nobody submitted, or that was refused for good */
+	/** a run of a job that nobody submitted, or that was refused for good
+	 */
 	EMU_RULE_UNASKED,
 	/** a lasting task stopped while too many of its step were away */
 	EMU_RULE_AVAIL,
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -142,8 +142,7 @@
 		call->cb(call->data, call->err,
 			 call->err == ERR_NONE ? &result : NULL);
 	else if (node->alive && node->life == call->life)
-		call->lease_cb(call->data, call->err, call->lease,
-			       call->ttl_s);
+		call->lease_cb(call->data, call->err, call->lease, call->ttl_s);
 	call_free(call);
 }
 
@@ -172,8 +171,8 @@
 	struct emu *emu = call->node->emu;
 
 	emu_after(emu,
-		  call->unanswered ? EMU_STORE_TIMEOUT_MS :
-				     EMU_STORE_MS * emu->slow,
+		  call->unanswered ? EMU_STORE_TIMEOUT_MS
+				   : EMU_STORE_MS * emu->slow,
 		  call_answer, call);
 }
 
@@ -265,8 +264,8 @@
 {
 	struct emu_call *call = data;
 	const struct emu_item *item = value;
-	bool match = call->prefix ? g_str_has_prefix(key, call->key) :
-				    strcmp(key, call->key) == 0;
+	bool match = call->prefix ? g_str_has_prefix(key, call->key)
+				  : strcmp(key, call->key) == 0;
 
 	if (match)
 		kv_add(call, key, item->value, item->mod, item->made,
@@ -277,8 +276,8 @@
 static bool compares_hold(struct emu *emu, const struct emu_call *call)
 {
 	for (guint i = 0; i < call->compares->len; i++) {
-		const struct plt_compare *compare = &g_array_index(
-			call->compares, struct plt_compare, i);
+		const struct plt_compare *compare =
+			&g_array_index(call->compares, struct plt_compare, i);
 		const struct emu_item *item =
 			g_tree_lookup(emu->items, compare->key);
 
@@ -327,8 +326,7 @@
 		const struct emu_item *item = g_tree_node_value(node);
 
 		if (item->lease == lease)
-			g_ptr_array_add(keys,
-					g_strdup(g_tree_node_key(node)));
+			g_ptr_array_add(keys, g_strdup(g_tree_node_key(node)));
 	}
 	for (guint i = 0; i < keys->len; i++) {
 		emu->revision++;
@@ -345,10 +343,10 @@
 
 	if (call->kind == EMU_CALL_GRANT) {
 		call->lease = ++emu->next_lease;
-		g_hash_table_insert(emu->leases,
-				    g_memdup2(&call->lease,
-					      sizeof(call->lease)),
-				    g_memdup2(&until_ms, sizeof(until_ms)));
+		g_hash_table_insert(
+			emu->leases,
+			g_memdup2(&call->lease, sizeof(call->lease)),
+			g_memdup2(&until_ms, sizeof(until_ms)));
 		return;
 	}
 	held = g_hash_table_lookup(emu->leases, &call->lease);
@@ -377,12 +375,11 @@
 
 	copy->key = g_strdup(call->key);
 	copy->kvs = g_array_new(FALSE, TRUE, sizeof(struct plt_kv));
-	copy->compares =
-		g_array_new(FALSE, TRUE, sizeof(struct plt_compare));
+	copy->compares = g_array_new(FALSE, TRUE, sizeof(struct plt_compare));
 	copy->writes = g_array_new(FALSE, TRUE, sizeof(struct plt_write));
 	for (guint i = 0; i < call->compares->len; i++) {
-		struct plt_compare compare = g_array_index(
-			call->compares, struct plt_compare, i);
+		struct plt_compare compare =
+			g_array_index(call->compares, struct plt_compare, i);
 
 		compare.key = g_strdup(compare.key);
 		g_array_append_val(copy->compares, compare);
@@ -481,8 +478,7 @@
 {
 	struct emu_call *call = call_send(self, EMU_CALL_TXN, NULL);
 
-	call->compares =
-		g_array_new(FALSE, TRUE, sizeof(struct plt_compare));
+	call->compares = g_array_new(FALSE, TRUE, sizeof(struct plt_compare));
 	call->writes = g_array_new(FALSE, TRUE, sizeof(struct plt_write));
 	for (size_t i = 0; i < txn->compare_count; i++) {
 		struct plt_compare compare = txn->compares[i];
--- a/packages/jobs/tests/emu_work.c
+++ b/packages/jobs/tests/emu_work.c
@@ -63,8 +63,8 @@
 		vm->runs = g_array_new(FALSE, TRUE,
 				       sizeof(struct emu_run_of_task));
 		g_array_set_clear_func(vm->runs, run_clear);
-		vm->ends = g_array_new(FALSE, TRUE,
-				       sizeof(struct emu_end_of_run));
+		vm->ends =
+			g_array_new(FALSE, TRUE, sizeof(struct emu_end_of_run));
 		g_queue_init(&vm->looks);
 	}
 }
@@ -81,8 +81,8 @@
 	int64_t left = vm->emu->config.vm_cpu_milli;
 
 	for (guint i = 0; i < vm->runs->len; i++) {
-		const struct emu_run_of_task *run = &g_array_index(
-			vm->runs, struct emu_run_of_task, i);
+		const struct emu_run_of_task *run =
+			&g_array_index(vm->runs, struct emu_run_of_task, i);
 		const struct jtp_step *step =
 			step_of(vm->emu, run->job, run->step);
 
@@ -101,8 +101,7 @@
 	task->present--;
 	task->away_since_ms = evl_now_ms();
 	if (!counted)
-		vm->emu->tally.wasted_core_ms +=
-			evl_now_ms() - run->begun_ms;
+		vm->emu->tally.wasted_core_ms += evl_now_ms() - run->begun_ms;
 }
 
 /* Calls a function for each run of a gang. */
@@ -263,8 +262,8 @@
 				     .born_ms = vm->born_ms };
 
 	for (guint i = 0; i < vm->runs->len; i++) {
-		const struct emu_run_of_task *run = &g_array_index(
-			vm->runs, struct emu_run_of_task, i);
+		const struct emu_run_of_task *run =
+			&g_array_index(vm->runs, struct emu_run_of_task, i);
 		bool up = evl_now_ms() - run->begun_ms >= EMU_STARTUP_MS;
 		const struct jpt_running row = {
 			.task = run->task,
@@ -338,10 +337,9 @@
 {
 	lgx_debug("emu-worker-gone", "%s, runs %u", vm->worker, vm->runs->len);
 	for (guint i = 0; i < vm->runs->len; i++)
-		run_note_gone(vm,
-			      &g_array_index(vm->runs, struct emu_run_of_task,
-					     i),
-			      false);
+		run_note_gone(
+			vm, &g_array_index(vm->runs, struct emu_run_of_task, i),
+			false);
 	g_array_set_size(vm->runs, 0);
 	g_array_set_size(vm->ends, 0);
 	vm->up = false;
@@ -388,8 +386,8 @@
 	guint i;
 
 	for (i = 0; i < vm->runs->len; i++) {
-		const struct emu_run_of_task *row = &g_array_index(
-			vm->runs, struct emu_run_of_task, i);
+		const struct emu_run_of_task *row =
+			&g_array_index(vm->runs, struct emu_run_of_task, i);
 
 		if (strcmp(row->task, task) == 0 &&
 		    (run == 0 || row->run == run))
@@ -485,11 +483,11 @@
 	run.step = parts.step;
 	run.index = parts.index;
 	run.begun_ms = evl_now_ms();
-	run.ends_ms = state->job.lasting ?
-			      UINT64_MAX :
-			      run.begun_ms + state->job.work_ms +
-				      emu_random(emu, state->job.work_ms / 2 +
-							      1);
+	run.ends_ms =
+		state->job.lasting
+			? UINT64_MAX
+			: run.begun_ms + state->job.work_ms +
+				  emu_random(emu, state->job.work_ms / 2 + 1);
 	run.will_fail = state->job.poison || vm->grey ||
 			emu_random(emu, 1000) < state->job.fail_permille;
 	if (run.will_fail)
@@ -731,28 +729,28 @@
 		busy += emu->vms[i].state == JPT_VM_MAINTENANCE &&
 			emu->vms[i].maintained_for == order->wave;
 	if (order->fence < vm->vm_fence)
-		emu_break(emu, EMU_RULE_LIMIT, "%s: token went back",
-			  vm->name);
+		emu_break(emu, EMU_RULE_LIMIT, "%s: token went back", vm->name);
 	vm->vm_fence = MAX(vm->vm_fence, order->fence);
-	if (vm->state != JPT_VM_UP || vm->draining) {
+	if (order->pool && emu->config.fixed_pools) {
+		order->vm_verdict = JPT_VM_REFUSED_INVALID;
+	} else if (vm->state != JPT_VM_UP || vm->draining) {
 		order->vm_verdict = JPT_VM_REFUSED_BUSY;
-	} else if (order->pool ? pool == vm->pool :
-				 vm->maintained_for == order->wave) {
+	} else if (order->pool ? pool == vm->pool
+			       : vm->maintained_for == order->wave) {
 		/* Done before: nothing happens, and the answer is the same. */
 		order->vm_verdict = JPT_VM_TAKEN;
 	} else {
 		if (!order->pool && busy >= emu->wave_most)
 			emu_break(emu, EMU_RULE_LIMIT, "%u VMs at once", busy);
 		for (guint i = 0; i < vm->runs->len; i++)
-			stop_check(vm, &g_array_index(
-					       vm->runs,
-					       struct emu_run_of_task, i));
+			stop_check(vm,
+				   &g_array_index(vm->runs,
+						  struct emu_run_of_task, i));
 		emu_vm_stop(vm);
 		vm->state = order->pool ? JPT_VM_MOVING : JPT_VM_MAINTENANCE;
 		vm->pool = pool;
-		vm->leaves_ms = evl_now_ms() + (order->pool ?
-							EMU_MOVE_MS :
-							EMU_MAINTAIN_MS);
+		vm->leaves_ms = evl_now_ms() +
+				(order->pool ? EMU_MOVE_MS : EMU_MAINTAIN_MS);
 		if (order->pool)
 			emu->tally.moves++;
 		else
@@ -829,11 +827,9 @@
 	return catalogue;
 }
 
-static enum err_kind entry_decode(const char *key, const char *value,
-				  size_t len,
-				  void (*cb)(void *data,
-					     const struct jpt_entry *entry),
-				  void *data)
+static enum err_kind
+entry_decode(const char *key, const char *value, size_t len,
+	     void (*cb)(void *data, const struct jpt_entry *entry), void *data)
 {
 	const char *labels[] = { "kind", NULL };
 	unsigned int vm;
@@ -846,8 +842,8 @@
 	char pool_name[16];
 	struct jpt_entry entry = { .labels = labels, .ip = "10.0.0.1" };
 
-	if (sscanf(value, "%u %u %u %d %llu %lld", &vm, &pool, &port,
-		   &draining, &born, &cpu) != 6)
+	if (sscanf(value, "%u %u %u %d %llu %lld", &vm, &pool, &port, &draining,
+		   &born, &cpu) != 6)
 		return ERR_MALFORMED;
 	g_snprintf(vm_name, sizeof(vm_name), "vm-%u", vm);
 	g_snprintf(pool_name, sizeof(pool_name), "pool-%u", pool);
@@ -864,10 +860,9 @@
 	return ERR_NONE;
 }
 
-static enum err_kind wave_decode(const char *key, const char *value, size_t len,
-				 void (*cb)(void *data,
-					    const struct jpt_wave *wave),
-				 void *data)
+static enum err_kind
+wave_decode(const char *key, const char *value, size_t len,
+	    void (*cb)(void *data, const struct jpt_wave *wave), void *data)
 {
 	g_auto(GStrv) words = g_strsplit(value, " ", -1);
 	struct jpt_wave wave = { 0 };
@@ -913,11 +908,10 @@
 	bool lapsed = worker_clock(vm) > vm->lease_until_ms;
 
 	for (guint i = 0; lapsed && i < vm->ends->len; i++)
-		g_array_index(vm->ends, struct emu_end_of_run, i).lapsed =
-			true;
+		g_array_index(vm->ends, struct emu_end_of_run, i).lapsed = true;
 	for (guint i = vm->runs->len; i-- > 0;) {
-		const struct emu_run_of_task *run = &g_array_index(
-			vm->runs, struct emu_run_of_task, i);
+		const struct emu_run_of_task *run =
+			&g_array_index(vm->runs, struct emu_run_of_task, i);
 		const struct emu_job_state *state =
 			g_ptr_array_index(vm->emu->jobs, run->job);
 
--- a/packages/jobs/tests/test_chaos.c
+++ b/packages/jobs/tests/test_chaos.c
@@ -199,9 +199,8 @@
 	const char *first = getenv("CHAOS_SEED");
 	const char *count = getenv("CHAOS_SEEDS");
 	uint32_t seed = first ? (uint32_t)atoi(first) : 1;
-	uint32_t seeds =
-		count ? (uint32_t)atoi(count) :
-			(first ? 1 : CHAOS_SEEDS_DEFAULT);
+	uint32_t seeds = count ? (uint32_t)atoi(count)
+			       : (first ? 1 : CHAOS_SEEDS_DEFAULT);
 
 	for (uint32_t i = 0; i < seeds; i++)
 		seed_play(seed + i);
--- /dev/null
+++ b/packages/jobs/tests/test_load.c
@@ -0,0 +1,123 @@
+/**
+ * @file test_load.c
+ * @brief Load at its worst, replayed: what is served in time.
+ *
+ * One pool after another asks for more than it holds while the others are
+ * nearly idle. Each test compares two runs of the same load.
+ */
+#include <check.h>
+#include <stdio.h>
+
+#include "emu.h"
+
+/* Length of one pool's turn and of a replay. */
+#define TURN_MS 4500
+#define REPLAY_MS 27000
+
+static const struct emu_config fleet = {
+	.seed = 11,
+	.nodes = 3,
+	.pools = 3,
+	.vms_per_pool = 4,
+	.spare_vms = 2,
+	.vm_cpu_milli = 16000,
+	.attempts = 3,
+};
+
+static const struct emu_job draw = {
+	.steps = 2,
+	.width = 6,
+	.cpu_milli = 1800,
+	.work_ms = 600,
+};
+
+/* Plays turns of a number of jobs a second. @return share in time, permille */
+static uint32_t replay(const struct emu_config *config, uint32_t jobs_per_s,
+		       void (*disturb)(struct emu *emu))
+{
+	struct emu *emu = emu_create(config);
+	struct emu_tally tally;
+	uint32_t number = 0;
+
+	emu_run(emu, 3000);
+	if (disturb)
+		disturb(emu);
+	for (uint32_t past = 0; past < REPLAY_MS; past += 1000 / jobs_per_s) {
+		struct emu_job job = draw;
+
+		job.pool = past / TURN_MS % config->pools;
+		number = emu_submit(emu, past % config->nodes, &job);
+		emu_run(emu, 1000 / jobs_per_s);
+		for (uint32_t i = 0; i <= number; i++)
+			emu_ask(emu, 0, i);
+	}
+	for (int i = 0; i < 40; i++) {
+		emu_run(emu, 250);
+		for (uint32_t j = 0; j <= number; j++)
+			emu_ask(emu, 0, j);
+	}
+	emu_tally(emu, &tally);
+	ck_assert_msg(emu_broken_any(emu) == 0, "%s", emu_first_broken(emu));
+	printf("%u jobs a second: %u submitted, %u accepted, %u in time, "
+	       "%u succeeded, %u failed, runs %u, moves %u\n",
+	       jobs_per_s, tally.submitted, tally.accepted, tally.in_time,
+	       tally.succeeded, tally.failed, tally.runs, tally.moves);
+	emu_destroy(emu);
+	return tally.in_time * 1000 / tally.submitted;
+}
+
+START_TEST(test_moves_serve_turns_better_than_fixed_pools)
+{
+	struct emu_config fixed = fleet;
+	uint32_t with_moves = replay(&fleet, 7, NULL);
+	uint32_t without;
+
+	fixed.fixed_pools = true;
+	without = replay(&fixed, 7, NULL);
+	/* A third more at the least, or moves are not worth their price. */
+	ck_assert_msg(with_moves * 3 >= without * 4, "%u against %u permille",
+		      with_moves, without);
+}
+END_TEST
+
+static void grey_make(struct emu *emu)
+{
+	emu_grey(emu, 0, true);
+	emu_grey(emu, 5, true);
+}
+
+static void down_make(struct emu *emu)
+{
+	emu_crash(emu, 0, 10 * REPLAY_MS);
+	emu_crash(emu, 5, 10 * REPLAY_MS);
+}
+
+/* Workers that fail all they start always have room, and must not draw the
+ * work of the others: they cost little more than if they were down. */
+START_TEST(test_failing_workers_cost_no_more_than_their_room)
+{
+	uint32_t down = replay(&fleet, 5, down_make);
+	uint32_t grey = replay(&fleet, 5, grey_make);
+
+	ck_assert_msg(grey * 100 >= down * 95, "%u against %u permille", grey,
+		      down);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("load");
+	TCase *tests = tcase_create("load");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tests, 60);
+	tcase_add_test(tests, test_moves_serve_turns_better_than_fixed_pools);
+	tcase_add_test(tests,
+		       test_failing_workers_cost_no_more_than_their_room);
+	suite_add_tcase(suite, tests);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- a/packages/peer/include/jch.h
+++ b/packages/peer/include/jch.h
@@ -16,8 +16,8 @@
 struct jch_channel;
 
 /** What the listening side calls; answer by jch_answer(). */
-typedef void (*jch_call_cb)(void *data, const struct jsv_call *call,
-			    jsv_cb cb, void *cb_data);
+typedef void (*jch_call_cb)(void *data, const struct jsv_call *call, jsv_cb cb,
+			    void *cb_data);
 
 /**
  * @brief Opens the channel and listens.
--- a/packages/peer/src/jch.c
+++ b/packages/peer/src/jch.c
@@ -271,8 +271,7 @@
 {
 	struct sockaddr_in addr = { .sin_family = AF_INET,
 				    .sin_port = htons(port) };
-	g_autofree char *key =
-		g_strdup_printf("%s:%u", ip, (unsigned int)port);
+	g_autofree char *key = g_strdup_printf("%s:%u", ip, (unsigned int)port);
 	struct jch_link *link = g_hash_table_lookup(channel->links, key);
 
 	if (link)
--- a/packages/peer/src/jch_wire.c
+++ b/packages/peer/src/jch_wire.c
@@ -13,9 +13,8 @@
 	GByteArray *out = g_byte_array_new();
 
 	/* XDR pads each text to a multiple of four. */
-	g_byte_array_set_size(out,
-			      (guint)(JCW_MARK_BYTES + JCW_FRAME_BYTES +
-				      text_bytes));
+	g_byte_array_set_size(
+		out, (guint)(JCW_MARK_BYTES + JCW_FRAME_BYTES + text_bytes));
 	return out;
 }
 
@@ -141,8 +140,7 @@
 	memcpy(&direction, record + sizeof(direction), sizeof(direction));
 	out->is_reply = GUINT32_FROM_BE(direction) == REPLY;
 	xdrmem_create(&xdrs, (char *)record, (u_int)len, XDR_DECODE);
-	ok = out->is_reply ? reply_decode(&xdrs, out) :
-			     call_decode(&xdrs, out);
+	ok = out->is_reply ? reply_decode(&xdrs, out) : call_decode(&xdrs, out);
 	if (ok)
 		return ERR_NONE;
 	jcw_message_clear(out);
--- a/packages/peer/src/peer_jobs.h
+++ b/packages/peer/src/peer_jobs.h
@@ -8,7 +8,6 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -40,26 +39,26 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define SASSAFRASCART_JOB_CALL 1
-extern  pjb_answer * sassafrascart_job_call_1(pjb_call *, CLIENT *);
-extern  pjb_answer * sassafrascart_job_call_1_svc(pjb_call *, struct svc_req *);
-extern int sassafrascart_jobs_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern pjb_answer *sassafrascart_job_call_1(pjb_call *, CLIENT *);
+extern pjb_answer *sassafrascart_job_call_1_svc(pjb_call *, struct svc_req *);
+extern int sassafrascart_jobs_1_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define SASSAFRASCART_JOB_CALL 1
-extern  pjb_answer * sassafrascart_job_call_1();
-extern  pjb_answer * sassafrascart_job_call_1_svc();
-extern int sassafrascart_jobs_1_freeresult ();
+extern pjb_answer *sassafrascart_job_call_1();
+extern pjb_answer *sassafrascart_job_call_1_svc();
+extern int sassafrascart_jobs_1_freeresult();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_pjb_call (XDR *, pjb_call*);
-extern  bool_t xdr_pjb_answer (XDR *, pjb_answer*);
+extern bool_t xdr_pjb_call(XDR *, pjb_call *);
+extern bool_t xdr_pjb_answer(XDR *, pjb_answer *);
 
 #else /* K&R C */
-extern bool_t xdr_pjb_call ();
-extern bool_t xdr_pjb_answer ();
+extern bool_t xdr_pjb_call();
+extern bool_t xdr_pjb_answer();
 
 #endif /* K&R C */
 
--- a/packages/peer/src/peer_jobs_xdr.c
+++ b/packages/peer/src/peer_jobs_xdr.c
@@ -5,83 +5,80 @@
 
 #include "peer_jobs.h"
 
-bool_t
-xdr_pjb_call (XDR *xdrs, pjb_call *objp)
+bool_t xdr_pjb_call(XDR *xdrs, pjb_call *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_int (xdrs, &objp->verb))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->queue, PJB_TEXT_MAX))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->id, PJB_ID_MAX))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->spec, PJB_SPEC_MAX))
-		 return FALSE;
+	if (!xdr_u_int(xdrs, &objp->verb))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->deadline_ms))
+		return FALSE;
+	if (!xdr_string(xdrs, &objp->queue, PJB_TEXT_MAX))
+		return FALSE;
+	if (!xdr_string(xdrs, &objp->id, PJB_ID_MAX))
+		return FALSE;
+	if (!xdr_string(xdrs, &objp->spec, PJB_SPEC_MAX))
+		return FALSE;
 	return TRUE;
 }
 
-bool_t
-xdr_pjb_answer (XDR *xdrs, pjb_answer *objp)
+bool_t xdr_pjb_answer(XDR *xdrs, pjb_answer *objp)
 {
 	register int32_t *buf;
 
-
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->outcome))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->state))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->waiting))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-				 return FALSE;
+			if (!xdr_u_int(xdrs, &objp->outcome))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->state))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->waiting))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->retry_after_ms))
+				return FALSE;
 
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->outcome);
-		IXDR_PUT_U_LONG(buf, objp->state);
-		IXDR_PUT_U_LONG(buf, objp->waiting);
-		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
+			IXDR_PUT_U_LONG(buf, objp->outcome);
+			IXDR_PUT_U_LONG(buf, objp->state);
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
 		}
-		 if (!xdr_string (xdrs, &objp->why, PJB_TEXT_MAX))
-			 return FALSE;
+		if (!xdr_string(xdrs, &objp->why, PJB_TEXT_MAX))
+			return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->outcome))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->state))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->waiting))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-				 return FALSE;
+			if (!xdr_u_int(xdrs, &objp->outcome))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->state))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->waiting))
+				return FALSE;
+			if (!xdr_u_int(xdrs, &objp->retry_after_ms))
+				return FALSE;
 
 		} else {
-		objp->outcome = IXDR_GET_U_LONG(buf);
-		objp->state = IXDR_GET_U_LONG(buf);
-		objp->waiting = IXDR_GET_U_LONG(buf);
-		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
+			objp->outcome = IXDR_GET_U_LONG(buf);
+			objp->state = IXDR_GET_U_LONG(buf);
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->retry_after_ms = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->why, PJB_TEXT_MAX))
-			 return FALSE;
-	 return TRUE;
+		if (!xdr_string(xdrs, &objp->why, PJB_TEXT_MAX))
+			return FALSE;
+		return TRUE;
 	}
 
-	 if (!xdr_u_int (xdrs, &objp->outcome))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->state))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->waiting))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->why, PJB_TEXT_MAX))
-		 return FALSE;
+	if (!xdr_u_int(xdrs, &objp->outcome))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->state))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->waiting))
+		return FALSE;
+	if (!xdr_u_int(xdrs, &objp->retry_after_ms))
+		return FALSE;
+	if (!xdr_string(xdrs, &objp->why, PJB_TEXT_MAX))
+		return FALSE;
 	return TRUE;
 }
--- a/packages/platform/include/plt.h
+++ b/packages/platform/include/plt.h
@@ -126,7 +126,8 @@
 	PLT_ACTION_RESUME,
 };
 
-/** Ends a range, watch or transaction; result is NULL unless err is ERR_NONE. */
+/** Ends a range, watch or transaction; result is NULL unless err is ERR_NONE.
+ */
 typedef void (*plt_cb)(void *data, enum err_kind err,
 		       const struct plt_result *result);
 /** Ends a lease call; ERR_NOT_FOUND when the lease has expired. */
--- a/packages/platform/src/fol.c
+++ b/packages/platform/src/fol.c
@@ -38,9 +38,9 @@
 		lgx_warning("watch-lost", "%s: %s", follower->prefix,
 			    err_name(err));
 	follower->revision = 0;
-	evl_timer_set(follower->loop, &follower->timer,
-		      bko_delay_ms(&limits, follower->failures,
-				   g_random_int()));
+	evl_timer_set(
+		follower->loop, &follower->timer,
+		bko_delay_ms(&limits, follower->failures, g_random_int()));
 }
 
 static void answered(struct fol_follower *follower)
