--- a/packages/jobs/include/jtp.h
+++ b/packages/jobs/include/jtp.h
@@ -107,7 +107,7 @@
 	GArray *failed_runs;
 	/** times that it was taken away from a worker as it stood still */
 	uint32_t taken_away;
-	/** report in which it was seen last, see own_work.c */
+	/** report in which it was seen last, see own_report.c */
 	uint64_t seen_in_report;
 	/** worker of the newest run, NULL when it is on none */
 	struct wrk_worker *worker;
--- a/packages/jobs/src/jsv.c
+++ b/packages/jobs/src/jsv.c
@@ -102,6 +102,7 @@
 {
 	struct jsv_service *service = pending->service;
 
+	g_assert(service);
 	service->outcomes[answer->outcome]++;
 	tmr_cancel(&pending->timer);
 	if (pending->queued)
@@ -277,6 +278,7 @@
 	const struct ldr_owner *owner;
 	uint64_t now_ms = evl_now_ms();
 
+	g_assert(service);
 	if (pending->queued)
 		g_queue_unlink(&service->pending, &pending->link);
 	pending->queued = false;
--- a/packages/jobs/src/own_private.h
+++ b/packages/jobs/src/own_private.h
@@ -2,8 +2,8 @@
  * @file own_private.h
  * @brief What the files of the owner share.
  *
- * Calls go one way: own.c calls the others; own_plan.c and own_fleet.c call
- * own_work.c, which calls none of them but own_plan_soon().
+ * Calls go one way: own.c calls the others; own_report.c, own_plan.c and
+ * own_fleet.c call own_task.c, which asks for a plan by own_plan_soon().
  */
 #ifndef OWN_PRIVATE_H
 #define OWN_PRIVATE_H
@@ -19,6 +19,11 @@
 /** Runs of one task that one owner may order; successors count from above. */
 #define OWN_RUNS_PER_EPOCH 1000
 
+/** Pause before a task that failed or was refused is started again; longer
+ * after each failure, so that a worker that fails all has time to be seen. */
+#define OWN_RESTART_MS 50
+#define OWN_RESTART_MAX_MS 1000
+
 /** Counters of the owner. */
 struct own_counters {
 	uint64_t accepted;
@@ -95,8 +100,18 @@
 	struct cel_cell *cell;
 };
 
-/* own_work.c: tasks, their ends and their places. */
+/* own_report.c: what workers report and how they take orders. */
 extern const struct wrk_ops own_worker_ops;
+
+/* own_task.c: jobs, their tasks and the places of these. */
+bool own_job_is_live(const struct jtp_job *job);
+void own_task_wait(struct own_owner *owner, struct jtp_task *task,
+		   uint32_t pause_ms);
+void own_task_done(struct own_owner *owner, struct jtp_task *task);
+void own_gang_done(struct own_owner *owner, struct jtp_group *group);
+void own_task_failed(struct own_owner *owner, struct wrk_worker *worker,
+		     struct jtp_task *task, const struct jpt_end *end);
+void own_duration_note(struct own_owner *owner, struct jtp_task *task);
 void own_task_place(struct own_owner *owner, struct jtp_task *task,
 		    struct wrk_worker *worker);
 void own_task_unplace(struct own_owner *owner, struct jtp_task *task);
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -261,11 +261,12 @@
 /* Plans the look after a report. */
 static void look_next(struct wrk_worker *worker)
 {
-	if (worker->resolving)
-		look_plan(worker, 0);
-	else if (ends_wait_for_store(worker))
+	bool unstored = ends_wait_for_store(worker) && !worker->resolving;
+
+	if (unstored)
 		look_plan(worker, WRK_LOOK_UNSTORED_MS);
-	else if (worker->tasks->len > 0 || worker->acked < worker->ends_seen ||
+	else if (worker->resolving || worker->tasks->len > 0 ||
+		 worker->acked < worker->ends_seen ||
 		 may_get_late_orders(worker))
 		look_plan(worker, 0);
 }
--- /dev/null
+++ b/packages/jobs/tests/emu_callers.c
@@ -0,0 +1,183 @@
+#include <string.h>
+
+#include "emu_private.h"
+
+/* How long a caller waits for an answer. */
+#define EMU_DEADLINE_MS 3000
+
+static void step_add(struct jtp_spec *spec, const struct emu_job *job,
+		     uint32_t index)
+{
+	struct jtp_step step = {
+		.count = job->width,
+		.need.cpu_milli = job->cpu_milli,
+		.need.memory_mb = 100,
+		.estimate_ms = job->work_ms,
+		.is_gang = job->gang,
+		.is_lasting = job->lasting,
+		.may_miss = job->lasting ? job->may_miss : -1,
+		.most_per_worker = job->lasting ? 1 : 0,
+		.target_ms = job->target_ms,
+		.is_filler = job->with_filler && index > 0,
+		.after = job->lasting || index == 0 ? 0 : 1ULL << (index - 1),
+	};
+
+	g_array_append_val(spec->steps, step);
+}
+
+static void on_submitted(void *data, const struct jsv_answer *answer)
+{
+	struct emu_job_state *state = data;
+
+	state->attempts--;
+	if (answer->outcome == JSV_OK) {
+		if (state->started && state->refused && !state->accepted)
+			state->maybe = true;
+		state->accepted = true;
+	} else if (answer->outcome == JSV_REFUSED) {
+		state->refused = true;
+	} else {
+		state->maybe = true;
+	}
+}
+
+/* Callers whose process is away reach another. */
+static struct emu_node *living_node(struct emu *emu, uint32_t first)
+{
+	for (uint32_t i = 0; i < emu->config.nodes; i++) {
+		struct emu_node *node =
+			&emu->nodes[(first + i) % emu->config.nodes];
+
+		if (node->alive)
+			return node;
+	}
+	return NULL;
+}
+
+static void call_send(struct emu *emu, uint32_t node, enum jsv_verb verb,
+		      struct emu_job_state *state, jsv_cb cb, void *data)
+{
+	g_autofree char *queue = g_strdup_printf("queue-%u", state->job.pool);
+	const struct jsv_call call = {
+		.verb = verb,
+		.queue = queue,
+		.id = state->id,
+		.spec = state->record,
+		.deadline_ms = EMU_DEADLINE_MS,
+	};
+
+	jsv_call(living_node(emu, node)->service, &call, cb, data);
+}
+
+uint32_t emu_submit(struct emu *emu, uint32_t node, const struct emu_job *job)
+{
+	struct emu_job_state *state = g_new0(struct emu_job_state, 1);
+	struct jtp_spec *spec = jtp_spec_create();
+	uint32_t number = emu->jobs->len;
+	uint32_t chain_ms = job->steps * job->work_ms;
+
+	state->job = *job;
+	g_snprintf(state->id, sizeof(state->id), "%016x", number);
+	spec->text = g_strdup("emulated");
+	for (uint32_t i = 0; i < job->steps; i++)
+		step_add(spec, job, i);
+	state->record = jrc_spec_encode(spec);
+	state->spec = spec;
+	state->task_count = job->steps * job->width;
+	state->tasks = g_new0(struct emu_task, state->task_count);
+	for (uint32_t i = 0; i < state->task_count; i++)
+		state->tasks[i].failed_runs =
+			g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	state->sent_ms = evl_now_ms();
+	state->objective_ms = chain_ms * 3 / 2 * 8 / 5 + 600;
+	g_ptr_array_add(emu->jobs, state);
+	emu->tally.submitted++;
+	emu_submit_again(emu, node, number);
+	return number;
+}
+
+void emu_submit_again(struct emu *emu, uint32_t node, uint32_t job)
+{
+	struct emu_job_state *state = g_ptr_array_index(emu->jobs, job);
+
+	if (!living_node(emu, node))
+		return;
+	state->attempts++;
+	call_send(emu, node, JSV_SUBMIT, state, on_submitted, state);
+}
+
+static void on_cancelled(void *data, const struct jsv_answer *answer)
+{
+	struct emu_job_state *state = data;
+
+	if (answer->outcome == JSV_OK)
+		state->cancelled = true;
+}
+
+void emu_cancel(struct emu *emu, uint32_t node, uint32_t job)
+{
+	struct emu_job_state *state = g_ptr_array_index(emu->jobs, job);
+
+	if (!living_node(emu, node))
+		return;
+	state->cancel_sent = true;
+	call_send(emu, node, JSV_CANCEL, state, on_cancelled, state);
+}
+
+struct emu_question {
+	struct emu *emu;
+	struct emu_job_state *state;
+	bool accepted;
+};
+
+static void succeeded_check(struct emu *emu, struct emu_job_state *state)
+{
+	for (uint32_t i = 0; i < state->task_count && !state->job.gang; i++) {
+		if (state->tasks[i].present > 0)
+			emu_break(emu, EMU_RULE_STATE,
+				  "%s is shown as succeeded while it runs",
+				  state->id);
+	}
+	if (state->job.poison)
+		emu_break(emu, EMU_RULE_STATE, "%s cannot succeed", state->id);
+	if (state->ended)
+		return;
+	state->ended = true;
+	state->shown_ms = evl_now_ms();
+}
+
+static void on_state(void *data, const struct jsv_answer *answer)
+{
+	struct emu_question *question = data;
+	struct emu_job_state *state = question->state;
+	struct emu *emu = question->emu;
+
+	if (answer->outcome == JSV_NO_JOB && question->accepted)
+		emu_break(emu, EMU_RULE_STATE, "%s is not known", state->id);
+	if (answer->outcome == JSV_OK) {
+		state->state = answer->state;
+		if (answer->state == JTP_SUCCEEDED)
+			succeeded_check(emu, state);
+		if (answer->state == JTP_CANCELLED && !state->cancel_sent)
+			emu_break(emu, EMU_RULE_STATE,
+				  "%s is shown as cancelled", state->id);
+		if (answer->state == JTP_FAILED && !state->job.poison &&
+		    state->job.fail_permille == 0 && emu->tally.open == 0)
+			emu_break(emu, EMU_RULE_STATE, "%s is shown as failed",
+				  state->id);
+	}
+	g_free(question);
+}
+
+void emu_ask(struct emu *emu, uint32_t node, uint32_t job)
+{
+	struct emu_question *question;
+
+	if (!living_node(emu, node))
+		return;
+	question = g_new0(struct emu_question, 1);
+	question->emu = emu;
+	question->state = g_ptr_array_index(emu->jobs, job);
+	question->accepted = question->state->accepted;
+	call_send(emu, node, JSV_STATE, question->state, on_state, question);
+}
--- /dev/null
+++ b/packages/jobs/tests/emu_codec.c
@@ -0,0 +1,93 @@
+#include <string.h>
+
+#include "emu_private.h"
+
+struct jcf_catalogue *emu_config_decode(const char *value, size_t len)
+{
+	unsigned int pools = 0;
+	unsigned int version = 0;
+	unsigned int attempts = 0;
+	struct jcf_catalogue *catalogue;
+
+	if (sscanf(value, "%u %u %u", &version, &pools, &attempts) != 3)
+		return NULL;
+	catalogue = jcf_catalogue_create(version);
+	for (unsigned int i = 0; i <= pools; i++) {
+		struct jcf_service service = {
+			.name = g_strdup_printf("pool-%u", i),
+			.enforces_capacity = true,
+			.is_spare = i == pools,
+		};
+		struct jcf_queue queue = {
+			.name = g_strdup_printf("queue-%u", i),
+			.host = g_strdup("jobs.example"),
+			.prefix = g_strdup_printf("/queue-%u/", i),
+			.service = g_strdup_printf("pool-%u", i),
+			.attempts = attempts,
+			.stretch_permille = 1600,
+			.slo_ms = 600,
+		};
+
+		g_array_append_val(catalogue->services, service);
+		g_array_append_val(catalogue->queues, queue);
+	}
+	jcf_catalogue_index(catalogue);
+	return catalogue;
+}
+
+enum err_kind emu_entry_decode(const char *key, const char *value, size_t len,
+			       void (*cb)(void *data,
+					  const struct jpt_entry *entry),
+			       void *data)
+{
+	const char *labels[] = { "kind", NULL };
+	unsigned int vm;
+	unsigned int pool;
+	unsigned int port;
+	int draining;
+	unsigned long long born;
+	long long cpu;
+	char vm_name[16];
+	char pool_name[16];
+	struct jpt_entry entry = { .labels = labels, .ip = "10.0.0.1" };
+
+	if (sscanf(value, "%u %u %u %d %llu %lld", &vm, &pool, &port, &draining,
+		   &born, &cpu) != 6)
+		return ERR_MALFORMED;
+	g_snprintf(vm_name, sizeof(vm_name), "vm-%u", vm);
+	g_snprintf(pool_name, sizeof(pool_name), "pool-%u", pool);
+	entry.id = key + strlen("workers/");
+	entry.port = (uint16_t)port;
+	entry.service = pool_name;
+	entry.vm = vm_name;
+	entry.availability_zone = "zone-1";
+	entry.draining = draining != 0;
+	entry.born_ms = born;
+	entry.room.cpu_milli = cpu;
+	entry.room.memory_mb = 1000000;
+	cb(data, &entry);
+	return ERR_NONE;
+}
+
+enum err_kind
+emu_wave_decode(const char *key, const char *value, size_t len,
+		void (*cb)(void *data, const struct jpt_wave *wave), void *data)
+{
+	g_auto(GStrv) words = g_strsplit(value, " ", -1);
+	struct jpt_wave wave = { 0 };
+
+	if (g_strv_length(words) < 4)
+		return ERR_MALFORMED;
+	wave.number = g_ascii_strtoull(words[0], NULL, 10);
+	wave.duration_ms = g_ascii_strtoull(words[1], NULL, 10);
+	wave.most = (uint32_t)g_ascii_strtoull(words[2], NULL, 10);
+	wave.vms = (const char **)words + 3;
+	cb(data, &wave);
+	return ERR_NONE;
+}
+
+void emu_wave_status(uint64_t number, bool succeeded, char **key, char **value)
+{
+	*key = g_strdup_printf("wave-status/%" G_GUINT64_FORMAT, number);
+	*value = g_strdup(succeeded ? "succeeded" : "running");
+}
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -189,7 +189,73 @@
 void emu_vm_tick(struct emu_vm *vm);
 void emu_vm_stop(struct emu_vm *vm);
 int64_t emu_vm_free_cpu(struct emu_vm *vm);
+
+/* A call to a worker or on a VM under way. */
+struct emu_order {
+	struct emu_node *node;
+	uint32_t life;
+	struct emu_vm *vm;
+	char worker[24];
+	char task[JTP_TASK_NAME_BYTES];
+	uint32_t run;
+	uint64_t fence;
+	uint64_t lease_until_ms;
+	uint64_t acked_upto;
+	uint32_t wait_ms;
+	uint32_t percent;
+	uint32_t timeout_ms;
+	char *checkpoint;
+	char kind;
+	jpt_worker_cb cb;
+	jpt_vm_cb vm_cb;
+	jpt_vms_cb vms_cb;
+	void *data;
+	char *pool;
+	uint64_t wave;
+	struct jpt_reply reply;
+	enum err_kind vm_err;
+	enum jpt_vm_verdict vm_verdict;
+	uint64_t due_ms;
+	GList link;
+};
+
+/* emu_work.c, shared with emu_orders.c and emu_vms.c */
+uint64_t emu_worker_clock(const struct emu_vm *vm);
+void emu_order_run(struct emu_vm *vm, struct emu_order *order);
+void emu_order_finish(struct emu_order *order);
+void emu_order_silent(struct emu_order *order);
+void emu_order_free(struct emu_order *order);
+void emu_order_answer(void *data);
+void emu_stop_check(struct emu_vm *vm, const struct emu_run_of_task *run);
+
+/* emu_orders.c */
+bool emu_order_is_for(const struct emu_order *order);
+
+/* emu_vms.c */
+void emu_vm_list(void *self, uint32_t timeout_ms, jpt_vms_cb cb, void *data);
+void emu_vm_move(void *self, const char *vm, const char *pool,
+		 const char *holder, uint64_t fence, uint32_t timeout_ms,
+		 jpt_vm_cb cb, void *data);
+void emu_vm_maintain(void *self, const char *vm, uint64_t wave,
+		     const char *holder, uint64_t fence, uint32_t timeout_ms,
+		     jpt_vm_cb cb, void *data);
+
+/* emu_gang.c */
 /** @brief Starts the work of gangs that are whole. */
 void emu_gangs_tick(struct emu *emu);
+/** @brief Ends all members of a gang as broken. */
+void emu_gang_break(struct emu *emu, uint32_t job, uint32_t step);
+
+/* emu_codec.c: what the operator and the workers write in the store */
+struct jcf_catalogue *emu_config_decode(const char *value, size_t len);
+enum err_kind emu_entry_decode(const char *key, const char *value, size_t len,
+			       void (*cb)(void *data,
+					  const struct jpt_entry *entry),
+			       void *data);
+enum err_kind emu_wave_decode(const char *key, const char *value, size_t len,
+			      void (*cb)(void *data,
+					 const struct jpt_wave *wave),
+			      void *data);
+void emu_wave_status(uint64_t number, bool succeeded, char **key, char **value);
 
 #endif
--- a/packages/jobs/tests/emu_work.c
+++ b/packages/jobs/tests/emu_work.c
@@ -3,36 +3,7 @@
 #include "emu_private.h"
 #include "lgx.h"
 
-/* A call to a worker or on a VM under way. */
-struct emu_order {
-	struct emu_node *node;
-	uint32_t life;
-	struct emu_vm *vm;
-	char worker[24];
-	char task[JTP_TASK_NAME_BYTES];
-	uint32_t run;
-	uint64_t fence;
-	uint64_t lease_until_ms;
-	uint64_t acked_upto;
-	uint32_t wait_ms;
-	uint32_t percent;
-	uint32_t timeout_ms;
-	char *checkpoint;
-	char kind;
-	jpt_worker_cb cb;
-	jpt_vm_cb vm_cb;
-	jpt_vms_cb vms_cb;
-	void *data;
-	char *pool;
-	uint64_t wave;
-	struct jpt_reply reply;
-	enum err_kind vm_err;
-	enum jpt_vm_verdict vm_verdict;
-	uint64_t due_ms;
-	GList link;
-};
-
-static uint64_t worker_clock(const struct emu_vm *vm)
+uint64_t emu_worker_clock(const struct emu_vm *vm)
 {
 	return evl_now_ms() - vm->born_ms + 1000;
 }
@@ -104,71 +75,6 @@
 		vm->emu->tally.wasted_core_ms += evl_now_ms() - run->begun_ms;
 }
 
-/* Calls a function for each run of a gang. */
-static void gang_each(struct emu *emu, uint32_t job, uint32_t step,
-		      void (*each)(struct emu_run_of_task *run, void *data),
-		      void *data)
-{
-	for (uint32_t i = 0; i < emu->vm_count; i++) {
-		struct emu_vm *vm = &emu->vms[i];
-
-		for (guint j = 0; vm->up && j < vm->runs->len; j++) {
-			struct emu_run_of_task *run = &g_array_index(
-				vm->runs, struct emu_run_of_task, j);
-
-			if (run->job == job && run->step == step)
-				each(run, data);
-		}
-	}
-}
-
-static void member_break(struct emu_run_of_task *run, void *data)
-{
-	run->gang_broken = true;
-}
-
-struct gang_count {
-	uint32_t run;
-	uint32_t members;
-};
-
-static void member_count(struct emu_run_of_task *run, void *data)
-{
-	struct gang_count *count = data;
-
-	count->members += run->run == count->run;
-}
-
-static void member_begin(struct emu_run_of_task *run, void *data)
-{
-	run->gang_waits = false;
-	run->ends_ms = *(uint64_t *)data;
-}
-
-void emu_gangs_tick(struct emu *emu)
-{
-	for (uint32_t i = 0; i < emu->vm_count; i++) {
-		struct emu_vm *vm = &emu->vms[i];
-
-		for (guint j = 0; vm->up && j < vm->runs->len; j++) {
-			const struct emu_run_of_task *run = &g_array_index(
-				vm->runs, struct emu_run_of_task, j);
-			const struct emu_job_state *state =
-				g_ptr_array_index(emu->jobs, run->job);
-			struct gang_count count = { .run = run->run };
-			uint64_t ends_ms = evl_now_ms() + state->job.work_ms;
-
-			if (!run->gang_waits)
-				continue;
-			gang_each(emu, run->job, run->step, member_count,
-				  &count);
-			if (count.members == state->job.width)
-				gang_each(emu, run->job, run->step,
-					  member_begin, &ends_ms);
-		}
-	}
-}
-
 /* One end of a gang represents all members. */
 static void done_note(struct emu *emu, const struct emu_run_of_task *run)
 {
@@ -206,7 +112,7 @@
 	if (((struct emu_job_state *)g_ptr_array_index(vm->emu->jobs, end.job))
 		    ->job.gang &&
 	    kind != JPT_END_DONE)
-		gang_each(vm->emu, end.job, end.step, member_break, NULL);
+		emu_gang_break(vm->emu, end.job, end.step);
 	/* The rule holds where no disruption was near. */
 	if (kind == JPT_END_ALONE &&
 	    evl_now_ms() - vm->emu->disturbed_ms > 2 * EMU_GANG_MS)
@@ -214,7 +120,7 @@
 			  end.task, end.run);
 }
 
-static void order_free(struct emu_order *order)
+void emu_order_free(struct emu_order *order)
 {
 	g_free(order->checkpoint);
 	g_free(order->pool);
@@ -258,7 +164,7 @@
 		g_array_new(FALSE, TRUE, sizeof(struct jpt_running));
 	g_autoptr(GArray) ends =
 		g_array_new(FALSE, TRUE, sizeof(struct jpt_end));
-	struct jpt_report report = { .clock_ms = worker_clock(vm),
+	struct jpt_report report = { .clock_ms = emu_worker_clock(vm),
 				     .born_ms = vm->born_ms };
 
 	for (guint i = 0; i < vm->runs->len; i++) {
@@ -296,7 +202,7 @@
 	order->cb(order->data, &order->reply);
 }
 
-static void order_answer(void *data)
+void emu_order_answer(void *data)
 {
 	struct emu_order *order = data;
 	struct emu_node *node = order->node;
@@ -312,7 +218,7 @@
 		report_answer(order);
 	else
 		order->cb(order->data, &order->reply);
-	order_free(order);
+	emu_order_free(order);
 }
 
 void emu_vm_close(struct emu_vm *vm)
@@ -321,15 +227,15 @@
 		struct emu_order *order = vm->looks.head->data;
 
 		g_queue_unlink(&vm->looks, &order->link);
-		order_answer(order);
+		emu_order_answer(order);
 	}
 	g_array_unref(vm->runs);
 	g_array_unref(vm->ends);
 }
 
-static void order_finish(struct emu_order *order)
+void emu_order_finish(struct emu_order *order)
 {
-	emu_after(order->node->emu, EMU_WAY_MS, order_answer, order);
+	emu_after(order->node->emu, EMU_WAY_MS, emu_order_answer, order);
 }
 
 /* Everything on the VM is gone without a word. */
@@ -349,19 +255,19 @@
 
 		g_queue_unlink(&vm->looks, &order->link);
 		order->reply.err = vm->cut ? ERR_TIMEOUT : ERR_CUT;
-		order_finish(order);
+		emu_order_finish(order);
 	}
 }
 
-static void order_silent(struct emu_order *order)
+void emu_order_silent(struct emu_order *order)
 {
 	order->reply.err = ERR_TIMEOUT;
 	order->vm_err = ERR_TIMEOUT;
-	emu_after(order->node->emu, order->timeout_ms, order_answer, order);
+	emu_after(order->node->emu, order->timeout_ms, emu_order_answer, order);
 }
 
 /* Whether too many others of the step are away for this one to be stopped. */
-static void stop_check(struct emu_vm *vm, const struct emu_run_of_task *run)
+void emu_stop_check(struct emu_vm *vm, const struct emu_run_of_task *run)
 {
 	struct emu *emu = vm->emu;
 	const struct emu_job_state *state =
@@ -466,7 +372,7 @@
 	if (run_find(vm, order->task, 0) < vm->runs->len ||
 	    run_is_old(vm, order->task, order->run))
 		return JPT_REFUSED_OLD;
-	if (order->lease_until_ms <= worker_clock(vm))
+	if (order->lease_until_ms <= emu_worker_clock(vm))
 		return JPT_REFUSED_LATE;
 	if (!jtp_name_parse(order->task, &parts) ||
 	    !job_find(emu, parts.job, &job)) {
@@ -501,7 +407,7 @@
 	return JPT_TAKEN;
 }
 
-static void order_run(struct emu_vm *vm, struct emu_order *order)
+void emu_order_run(struct emu_vm *vm, struct emu_order *order)
 {
 	guint index;
 
@@ -511,7 +417,7 @@
 		vm->lease_until_ms =
 			MAX(vm->lease_until_ms,
 			    MIN(order->lease_until_ms,
-				worker_clock(vm) + EMU_LEASE_MAX_MS));
+				emu_worker_clock(vm) + EMU_LEASE_MAX_MS));
 		order->reply.verdict = start_run(vm, order);
 		break;
 	case 'x':
@@ -521,7 +427,7 @@
 				vm->runs, struct emu_run_of_task, index);
 
 			if (!run->stopping)
-				stop_check(vm, run);
+				emu_stop_check(vm, run);
 			run->stopping = true;
 			run->ends_ms =
 				MIN(run->ends_ms, evl_now_ms() + EMU_STOP_MS);
@@ -535,377 +441,19 @@
 		break;
 	default:
 		if (order->lease_until_ms != 0)
-			vm->lease_until_ms =
-				MAX(vm->lease_until_ms,
-				    MIN(order->lease_until_ms,
-					worker_clock(vm) + EMU_LEASE_MAX_MS));
+			vm->lease_until_ms = MAX(
+				vm->lease_until_ms,
+				MIN(order->lease_until_ms,
+				    emu_worker_clock(vm) + EMU_LEASE_MAX_MS));
 		ends_noted(vm, order->acked_upto);
 		break;
 	}
 }
 
-static bool order_is_for(const struct emu_order *order)
-{
-	return order->vm && order->vm->up &&
-	       strcmp(order->worker, order->vm->worker) == 0;
-}
-
-static void order_late(void *data)
-{
-	struct emu_order *order = data;
-
-	if (order_is_for(order) && order->fence >= order->vm->fence)
-		order_run(order->vm, order);
-	order_free(order);
-}
-
-static void order_arrive(void *data)
-{
-	struct emu_order *order = data;
-	struct emu_vm *vm = order->vm;
-	struct emu *emu = order->node->emu;
-
-	if (order->kind == 'l')
-		emu->tally.looks++;
-	if (vm->cut) {
-		order_silent(order);
-		return;
-	}
-	if (!vm->up) {
-		order->reply.err = ERR_CONNECT;
-		order_finish(order);
-		return;
-	}
-	if (!order_is_for(order)) {
-		order->reply.verdict = JPT_REFUSED_INCARNATION;
-		order_finish(order);
-		return;
-	}
-	if (order->kind == 's' &&
-	    emu_random(emu, 1000) < emu->orders_late_permille) {
-		struct emu_order *late = g_memdup2(order, sizeof(*order));
-
-		late->checkpoint = NULL;
-		late->pool = NULL;
-		emu_after(emu, 2000 + emu_random(emu, 8000), order_late, late);
-		order_silent(order);
-		return;
-	}
-	order->reply.clock_ms = worker_clock(vm);
-	if (order->fence < vm->fence) {
-		order->reply.verdict = JPT_REFUSED_FENCE;
-		order_finish(order);
-		return;
-	}
-	order_run(vm, order);
-	if (order->kind == 'l' && order->wait_ms > 0 && vm->ends->len == 0) {
-		order->due_ms = evl_now_ms() + order->wait_ms;
-		order->link.data = order;
-		g_queue_push_tail_link(&vm->looks, &order->link);
-		return;
-	}
-	order_finish(order);
-}
-
-static struct emu_order *order_send(struct emu_node *node,
-				    const struct jpt_target *target, char kind,
-				    uint64_t fence, uint32_t timeout_ms,
-				    jpt_worker_cb cb, void *data)
-{
-	struct emu *emu = node->emu;
-	struct emu_order *order = g_new0(struct emu_order, 1);
-	unsigned int number = 0;
-
-	order->node = node;
-	order->life = node->life;
-	order->kind = kind;
-	order->fence = fence;
-	order->timeout_ms = timeout_ms;
-	order->cb = cb;
-	order->data = data;
-	g_strlcpy(order->worker, target->id, sizeof(order->worker));
-	g_assert(sscanf(target->id, "w-%u-", &number) == 1);
-	order->vm = &emu->vms[number];
-	emu_after(emu, EMU_WAY_MS + emu_random(emu, 2), order_arrive, order);
-	return order;
-}
-
-static void work_start(void *self, const struct jpt_target *target,
-		       const struct jpt_start *start, uint32_t timeout_ms,
-		       jpt_worker_cb cb, void *data)
-{
-	struct emu_order *order = order_send(self, target, 's', start->fence,
-					     timeout_ms, cb, data);
-
-	g_strlcpy(order->task, start->task, sizeof(order->task));
-	order->run = start->run;
-	order->lease_until_ms = start->lease_until_ms;
-}
-
-static void work_stop(void *self, const struct jpt_target *target,
-		      const char *task, uint32_t run, uint64_t fence,
-		      uint32_t timeout_ms, jpt_worker_cb cb, void *data)
-{
-	struct emu_order *order =
-		order_send(self, target, 'x', fence, timeout_ms, cb, data);
-
-	g_strlcpy(order->task, task, sizeof(order->task));
-	order->run = run;
-}
-
-static void work_look(void *self, const struct jpt_target *target,
-		      const struct jpt_look *look, uint32_t timeout_ms,
-		      jpt_worker_cb cb, void *data)
-{
-	struct emu_order *order = order_send(self, target, 'l', look->fence,
-					     timeout_ms, cb, data);
-
-	order->lease_until_ms = look->lease_until_ms;
-	order->acked_upto = look->acked_upto;
-	order->wait_ms = look->wait_ms;
-}
-
-static void work_pace(void *self, const struct jpt_target *target,
-		      const char *task, uint32_t run, uint32_t percent,
-		      uint64_t fence, uint32_t timeout_ms, jpt_worker_cb cb,
-		      void *data)
-{
-	struct emu_order *order =
-		order_send(self, target, 'p', fence, timeout_ms, cb, data);
-
-	g_strlcpy(order->task, task, sizeof(order->task));
-	order->run = run;
-	order->percent = percent;
-}
-
-static void vms_answer(void *data)
-{
-	struct emu_order *order = data;
-	struct emu *emu = order->node->emu;
-	g_autoptr(GArray) rows =
-		g_array_new(FALSE, TRUE, sizeof(struct jpt_vm));
-	char pools[EMU_VMS_MAX][16];
-
-	for (uint32_t i = 0; i < emu->vm_count; i++) {
-		const struct emu_vm *vm = &emu->vms[i];
-		struct jpt_vm row = { .name = vm->name,
-				      .pool = pools[i],
-				      .state = vm->state,
-				      .availability_zone = "zone-1",
-				      .worker = vm->up ? vm->worker : NULL };
-
-		g_snprintf(pools[i], sizeof(pools[i]), "pool-%u", vm->pool);
-		g_array_append_val(rows, row);
-	}
-	order->vms_cb(order->data, ERR_NONE, (const struct jpt_vm *)rows->data,
-		      rows->len);
-	order_free(order);
-}
-
-static void work_vm_list(void *self, uint32_t timeout_ms, jpt_vms_cb cb,
-			 void *data)
-{
-	struct emu_node *node = self;
-	struct emu_order *order = g_new0(struct emu_order, 1);
-
-	order->node = node;
-	order->life = node->life;
-	order->vms_cb = cb;
-	order->data = data;
-	emu_after(node->emu, 2 * EMU_WAY_MS, vms_answer, order);
-}
-
-static void vm_order_arrive(void *data)
-{
-	struct emu_order *order = data;
-	struct emu_vm *vm = order->vm;
-	struct emu *emu = vm->emu;
-	uint32_t pool = vm->pool;
-	uint32_t busy = 0;
-
-	if (order->pool)
-		g_assert(sscanf(order->pool, "pool-%u", &pool) == 1);
-	for (uint32_t i = 0; i < emu->vm_count; i++)
-		busy += emu->vms[i].state == JPT_VM_MAINTENANCE &&
-			emu->vms[i].maintained_for == order->wave;
-	if (order->fence < vm->vm_fence)
-		emu_break(emu, EMU_RULE_LIMIT, "%s: token went back", vm->name);
-	vm->vm_fence = MAX(vm->vm_fence, order->fence);
-	if (order->pool && emu->config.fixed_pools) {
-		order->vm_verdict = JPT_VM_REFUSED_INVALID;
-	} else if (vm->state != JPT_VM_UP || vm->draining) {
-		order->vm_verdict = JPT_VM_REFUSED_BUSY;
-	} else if (order->pool ? pool == vm->pool
-			       : vm->maintained_for == order->wave) {
-		/* Done before: nothing happens, and the answer is the same. */
-		order->vm_verdict = JPT_VM_TAKEN;
-	} else {
-		if (!order->pool && busy >= emu->wave_most)
-			emu_break(emu, EMU_RULE_LIMIT, "%u VMs at once", busy);
-		for (guint i = 0; i < vm->runs->len; i++)
-			stop_check(vm,
-				   &g_array_index(vm->runs,
-						  struct emu_run_of_task, i));
-		emu_vm_stop(vm);
-		vm->state = order->pool ? JPT_VM_MOVING : JPT_VM_MAINTENANCE;
-		vm->pool = pool;
-		vm->leaves_ms = evl_now_ms() +
-				(order->pool ? EMU_MOVE_MS : EMU_MAINTAIN_MS);
-		if (order->pool)
-			emu->tally.moves++;
-		else
-			emu->tally.maintained++;
-		if (!order->pool)
-			vm->maintained_for = order->wave;
-	}
-	emu_after(emu, EMU_WAY_MS, order_answer, order);
-}
-
-static void vm_order_send(struct emu_node *node, const char *vm,
-			  const char *pool, uint64_t wave, uint64_t fence,
-			  jpt_vm_cb cb, void *data)
-{
-	struct emu_order *order = g_new0(struct emu_order, 1);
-	unsigned int number = 0;
-
-	order->node = node;
-	order->life = node->life;
-	g_assert(sscanf(vm, "vm-%u", &number) == 1);
-	order->vm = &node->emu->vms[number];
-	order->pool = g_strdup(pool);
-	order->wave = wave;
-	order->fence = fence;
-	order->vm_cb = cb;
-	order->data = data;
-	emu_after(node->emu, EMU_WAY_MS, vm_order_arrive, order);
-}
-
-static void work_vm_move(void *self, const char *vm, const char *pool,
-			 const char *holder, uint64_t fence,
-			 uint32_t timeout_ms, jpt_vm_cb cb, void *data)
-{
-	vm_order_send(self, vm, pool, 0, fence, cb, data);
-}
-
-static void work_vm_maintain(void *self, const char *vm, uint64_t wave,
-			     const char *holder, uint64_t fence,
-			     uint32_t timeout_ms, jpt_vm_cb cb, void *data)
-{
-	vm_order_send(self, vm, NULL, wave, fence, cb, data);
-}
-
-static struct jcf_catalogue *config_decode(const char *value, size_t len)
-{
-	unsigned int pools = 0;
-	unsigned int version = 0;
-	unsigned int attempts = 0;
-	struct jcf_catalogue *catalogue;
-
-	if (sscanf(value, "%u %u %u", &version, &pools, &attempts) != 3)
-		return NULL;
-	catalogue = jcf_catalogue_create(version);
-	for (unsigned int i = 0; i <= pools; i++) {
-		struct jcf_service service = {
-			.name = g_strdup_printf("pool-%u", i),
-			.enforces_capacity = true,
-			.is_spare = i == pools,
-		};
-		struct jcf_queue queue = {
-			.name = g_strdup_printf("queue-%u", i),
-			.host = g_strdup("jobs.example"),
-			.prefix = g_strdup_printf("/queue-%u/", i),
-			.service = g_strdup_printf("pool-%u", i),
-			.attempts = attempts,
-			.stretch_permille = 1600,
-			.slo_ms = 600,
-		};
-
-		g_array_append_val(catalogue->services, service);
-		g_array_append_val(catalogue->queues, queue);
-	}
-	jcf_catalogue_index(catalogue);
-	return catalogue;
-}
-
-static enum err_kind
-entry_decode(const char *key, const char *value, size_t len,
-	     void (*cb)(void *data, const struct jpt_entry *entry), void *data)
-{
-	const char *labels[] = { "kind", NULL };
-	unsigned int vm;
-	unsigned int pool;
-	unsigned int port;
-	int draining;
-	unsigned long long born;
-	long long cpu;
-	char vm_name[16];
-	char pool_name[16];
-	struct jpt_entry entry = { .labels = labels, .ip = "10.0.0.1" };
-
-	if (sscanf(value, "%u %u %u %d %llu %lld", &vm, &pool, &port, &draining,
-		   &born, &cpu) != 6)
-		return ERR_MALFORMED;
-	g_snprintf(vm_name, sizeof(vm_name), "vm-%u", vm);
-	g_snprintf(pool_name, sizeof(pool_name), "pool-%u", pool);
-	entry.id = key + strlen("workers/");
-	entry.port = (uint16_t)port;
-	entry.service = pool_name;
-	entry.vm = vm_name;
-	entry.availability_zone = "zone-1";
-	entry.draining = draining != 0;
-	entry.born_ms = born;
-	entry.room.cpu_milli = cpu;
-	entry.room.memory_mb = 1000000;
-	cb(data, &entry);
-	return ERR_NONE;
-}
-
-static enum err_kind
-wave_decode(const char *key, const char *value, size_t len,
-	    void (*cb)(void *data, const struct jpt_wave *wave), void *data)
-{
-	g_auto(GStrv) words = g_strsplit(value, " ", -1);
-	struct jpt_wave wave = { 0 };
-
-	if (g_strv_length(words) < 4)
-		return ERR_MALFORMED;
-	wave.number = g_ascii_strtoull(words[0], NULL, 10);
-	wave.duration_ms = g_ascii_strtoull(words[1], NULL, 10);
-	wave.most = (uint32_t)g_ascii_strtoull(words[2], NULL, 10);
-	wave.vms = (const char **)words + 3;
-	cb(data, &wave);
-	return ERR_NONE;
-}
-
-static void wave_status(uint64_t number, bool succeeded, char **key,
-			char **value)
-{
-	*key = g_strdup_printf("wave-status/%" G_GUINT64_FORMAT, number);
-	*value = g_strdup(succeeded ? "succeeded" : "running");
-}
-
-const struct jpt_ops emu_work_ops = {
-	.start = work_start,
-	.stop = work_stop,
-	.look = work_look,
-	.pace = work_pace,
-	.vm_list = work_vm_list,
-	.vm_move = work_vm_move,
-	.vm_maintain = work_vm_maintain,
-	.config_key = "config",
-	.config_prefix = "config",
-	.workers_prefix = "workers/",
-	.waves_prefix = "waves/",
-	.config_decode = config_decode,
-	.entry_decode = entry_decode,
-	.wave_decode = wave_decode,
-	.wave_status = wave_status,
-};
-
 static void runs_tick(struct emu_vm *vm)
 {
 	uint64_t now_ms = evl_now_ms();
-	bool lapsed = worker_clock(vm) > vm->lease_until_ms;
+	bool lapsed = emu_worker_clock(vm) > vm->lease_until_ms;
 
 	for (guint i = 0; lapsed && i < vm->ends->len; i++)
 		g_array_index(vm->ends, struct emu_end_of_run, i).lapsed = true;
@@ -981,14 +529,14 @@
 		struct emu_order *order = at->data;
 
 		next = at->next;
-		if (vm->up && order_is_for(order) && vm->ends->len == 0 &&
+		if (vm->up && emu_order_is_for(order) && vm->ends->len == 0 &&
 		    now_ms < order->due_ms)
 			continue;
 		g_queue_unlink(&vm->looks, &order->link);
-		if (!vm->up || !order_is_for(order))
+		if (!vm->up || !emu_order_is_for(order))
 			order->reply.err = ERR_CUT;
 		else if (vm->cut)
 			order->reply.err = ERR_TIMEOUT;
-		order_finish(order);
+		emu_order_finish(order);
 	}
 }
