Bound the logs, write them to standard output, serve histograms

Each process of the job service writes at most 100 lines a second that are not warnings, never waits for its output, and tells how many lines it held back.

--- a/bin/sassafrascartd/jpr.c
+++ b/bin/sassafrascartd/jpr.c
@@ -3,12 +3,14 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "cfw.h"
 #include "esa_front.h"
 #include "esa_settings.h"
 #include "esa_store.h"
 #include "esa_work.h"
+#include "hst.h"
 #include "jch.h"
 #include "lgx.h"
 
@@ -38,6 +40,8 @@
 struct jpr_options {
 	char *node_file;
 	char *log_level;
+	uint32_t log_lines_per_s;
+	uint32_t metrics_port;
 	bool check_config;
 };
 
@@ -48,6 +52,10 @@
 	  "settings file of the machine, as the platform writes it", "FILE" },
 	{ "log-level", CFG_TEXT, AT(log_level), "info", 0, 0,
 	  "error, warning, info or debug", "LEVEL" },
+	{ "log-lines-per-s", CFG_U32, AT(log_lines_per_s), "100", 1, 100000,
+	  "lines a second that are not warnings, at most", "N" },
+	{ "metrics-port", CFG_U32, AT(metrics_port), "0", 0, 65535,
+	  "port of the metrics page /metrics; 0 for none", "PORT" },
 	{ "check-config", CFG_BOOL, AT(check_config), NULL, 0, 0,
 	  "check the settings and exit", NULL },
 	{ 0 },
@@ -63,10 +71,14 @@
 	struct cfw_watcher *config;
 	struct clr_server *front;
 	struct clr_server *ready;
+	/* NULL without a port for it */
+	struct clr_server *metrics;
+	uint16_t metrics_port;
+	/* time to answer the calls of callers, by verb */
+	struct hst_histogram *took[JSV_WAITING + 1];
 	bool stopping;
 	uint64_t stopping_since_ms;
 	struct tmr_entry stop_timer;
-	uint64_t statuses[6];
 };
 
 /* A request of a caller on its way. */
@@ -75,21 +87,44 @@
 	/* NULL once the caller has left */
 	struct clr_request *request;
 	struct esa_front_call call;
+	uint64_t config_version;
 	uint64_t began_ms;
 };
 
+static const char *const jpr_verbs[] = {
+	[JSV_SUBMIT] = "submit",
+	[JSV_STATE] = "state",
+	[JSV_CANCEL] = "cancel",
+	[JSV_WAITING] = "waiting",
+};
+
+/* Questions that are answered change nothing, so they are not logged. */
+static void answer_log(const struct jpr_request *request,
+		       const struct jsv_answer *answer, uint64_t took_ms)
+{
+	enum jsv_verb verb = request->call.call.verb;
+	bool served =
+		answer->outcome == JSV_OK || answer->outcome == JSV_NO_JOB;
+
+	if (served && (verb == JSV_STATE || verb == JSV_WAITING))
+		return;
+	lgx_info(served ? "call-served" : "call-not-served",
+		 "%s %s queue %s, config %" G_GUINT64_FORMAT
+		 ", %s, after %" G_GUINT64_FORMAT " ms: %s%s%s",
+		 request->call.id, jpr_verbs[verb], request->call.queue,
+		 request->config_version,
+		 request->request ? "caller waits" : "caller has left", took_ms,
+		 jsv_outcome_name(answer->outcome), answer->why ? ", " : "",
+		 answer->why ? answer->why : "");
+}
+
 static void on_answer(void *data, const struct jsv_answer *answer)
 {
 	struct jpr_request *request = data;
+	uint64_t took_ms = evl_now_ms() - request->began_ms;
 
-	if (answer->outcome != JSV_OK && answer->outcome != JSV_NO_JOB)
-		lgx_info("call-not-served",
-			 "%s verb %d queue %s after %" G_GUINT64_FORMAT
-			 " ms: %s, %s",
-			 request->call.id, request->call.call.verb,
-			 request->call.queue, evl_now_ms() - request->began_ms,
-			 jsv_outcome_name(answer->outcome),
-			 answer->why ? answer->why : "");
+	hst_note(request->process->took[request->call.call.verb], took_ms);
+	answer_log(request, answer, took_ms);
 	if (request->request) {
 		clr_request_set_data(request->request, NULL);
 		esa_front_answer(request->request, request->call.call.verb,
@@ -119,6 +154,7 @@
 	request->process = process;
 	request->request = caller;
 	request->began_ms = evl_now_ms();
+	request->config_version = cfw_catalogue(process->config)->version;
 	clr_request_set_data(caller, request);
 	jsv_call(process->service, &request->call.call, on_answer, request);
 }
@@ -137,15 +173,30 @@
 	return false;
 }
 
-static bool on_ready_page(void *data, const char *path,
-			  struct clr_answer *answer, GString *body)
+static bool on_metrics_page(void *data, const char *path,
+			    struct clr_answer *answer, GString *body)
 {
 	struct jpr_process *process = data;
 
-	if (strcmp(path, "/-/metrics") == 0) {
-		jsv_metrics(process->service, body);
+	if (strcmp(path, "/metrics") != 0) {
+		answer->status = 404;
 		return true;
 	}
+	jsv_metrics(process->service, body);
+	for (size_t i = 0; i < G_N_ELEMENTS(process->took); i++)
+		hst_render(process->took[i], body);
+	g_string_append_printf(body,
+			       "sassafrascart_log_lines_held_back_total "
+			       "%" G_GUINT64_FORMAT "\n",
+			       lgx_held_back());
+	return true;
+}
+
+static bool on_ready_page(void *data, const char *path,
+			  struct clr_answer *answer, GString *body)
+{
+	struct jpr_process *process = data;
+
 	answer->status = !process->stopping && cfw_catalogue(process->config) &&
 					 jsv_has_owner(process->service)
 				 ? 200
@@ -165,6 +216,12 @@
 	.on_page = on_ready_page,
 };
 
+static const struct clr_ops metrics_ops = {
+	.on_request = on_request,
+	.on_gone = on_gone,
+	.on_page = on_metrics_page,
+};
+
 static void on_peer_call(void *data, const struct jsv_call *call, jsv_cb cb,
 			 void *cb_data)
 {
@@ -271,6 +328,14 @@
 					     &esa_work_ops, on_config, process);
 }
 
+static enum err_kind metrics_open(struct jpr_process *process)
+{
+	struct cfg_endpoint endpoint = { .port = process->metrics_port };
+
+	g_strlcpy(endpoint.ip, process->settings.ip, sizeof(endpoint.ip));
+	return server_open(process, &endpoint, &metrics_ops, &process->metrics);
+}
+
 static enum err_kind process_open(struct jpr_process *process)
 {
 	const struct esa_settings *settings = &process->settings;
@@ -287,6 +352,8 @@
 	if (err == ERR_NONE)
 		err = server_open(process, &settings->ready, &ready_ops,
 				  &process->ready);
+	if (err == ERR_NONE && process->metrics_port != 0)
+		err = metrics_open(process);
 	if (err == ERR_NONE)
 		err = evl_signals_watch(process->loop, on_signal, process);
 	return err;
@@ -298,6 +365,7 @@
 	cfw_watcher_destroy(process->config);
 	clr_server_destroy(process->front);
 	clr_server_destroy(process->ready);
+	clr_server_destroy(process->metrics);
 	jch_channel_destroy(process->channel);
 	esa_work_destroy(process->work);
 	plt_platform_destroy(process->store);
@@ -307,6 +375,15 @@
 {
 	enum err_kind err;
 
+	static const char *const labels[] = {
+		[JSV_SUBMIT] = "call=\"submit\"",
+		[JSV_STATE] = "call=\"state\"",
+		[JSV_CANCEL] = "call=\"cancel\"",
+		[JSV_WAITING] = "call=\"waiting\"",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(process->took); i++)
+		process->took[i] = hst_create("job_call", labels[i]);
 	process->loop = evl_loop_create();
 	process->stop_timer.cb = on_stop_poll;
 	process->stop_timer.data = process;
@@ -325,6 +402,8 @@
 			err_describe(err));
 	}
 	process_close(process);
+	for (size_t i = 0; i < G_N_ELEMENTS(process->took); i++)
+		hst_destroy(process->took[i]);
 	evl_loop_destroy(process->loop);
 	return err_exit_code(err);
 }
@@ -372,6 +451,8 @@
 	} else if (options.check_config) {
 		puts("the settings are valid");
 	} else {
+		lgx_bound(STDOUT_FILENO, options.log_lines_per_s);
+		process.metrics_port = (uint16_t)options.metrics_port;
 		status = process_run(&process);
 	}
 	esa_settings_clear(&process.settings);
--- a/packages/jobs/src/own_plan.c
+++ b/packages/jobs/src/own_plan.c
@@ -139,6 +139,15 @@
 	task->seen_in_report = 0;
 	own_task_place(owner, task, worker);
 	jtp_task_set_state(task, JTP_TASK_STARTING);
+	if (!occurrence->begun)
+		lgx_info("job-begun",
+			 "%s occurrence %u queue %s after %" G_GUINT64_FORMAT
+			 " ms, config %" G_GUINT64_FORMAT
+			 ", expected chain %u ms",
+			 occurrence->job->id, occurrence->number,
+			 occurrence->job->queue,
+			 evl_now_ms() - occurrence->since_ms,
+			 owner->catalogue->version, occurrence->whole_chain_ms);
 	occurrence->begun = true;
 	occurrence->job->begun = true;
 	owner->counters.starts++;
--- a/packages/jobs/src/own_report.c
+++ b/packages/jobs/src/own_report.c
@@ -25,8 +25,14 @@
 	bool current;
 
 	owner->counters.ends[end->kind]++;
-	lgx_debug("task-end", "%s run %u at %s: %s", end->task, end->run,
-		  worker->id, jpt_end_name(end->kind));
+	if (end->kind == JPT_END_DONE || end->kind == JPT_END_STOPPED)
+		lgx_debug("task-end", "%s run %u at %s: %s", end->task,
+			  end->run, worker->id, jpt_end_name(end->kind));
+	else
+		lgx_info("task-end",
+			 "%s run %u at %s, bad ends in a row %u: %s", end->task,
+			 end->run, worker->id, worker->health.bad_in_row,
+			 jpt_end_name(end->kind));
 	if (!task || task->state == JTP_TASK_DONE)
 		return;
 	current = task->worker == worker && task->run == end->run;
--- a/packages/runtime/include/lgx.h
+++ b/packages/runtime/include/lgx.h
@@ -1,6 +1,6 @@
 /**
  * @file lgx.h
- * @brief GLib structured logging written as JSON lines to standard error.
+ * @brief GLib structured logging written as JSON lines.
  *
  * Prefix: lgx_. Each line has ts (RFC 3339, UTC), steady_ms
  * (time since boot, which does not jump), level, message and the
@@ -10,6 +10,7 @@
 #define LGX_H
 
 #include <glib.h>
+#include <stdint.h>
 
 #include "err.h"
 
@@ -21,6 +22,21 @@
  */
 enum err_kind lgx_install(const char *process, const char *level);
 
+/**
+ * @brief Writes the lines to a descriptor from here on, without ever waiting.
+ *
+ * Lines that are not warnings are bounded to a number a second; those that the
+ * bound or a full descriptor holds back are counted and told in a line of their
+ * own.
+ *
+ * @param fd made non-blocking
+ * @param lines_per_s bound, 0 for none
+ */
+void lgx_bound(int fd, uint32_t lines_per_s);
+
+/** @brief Returns how many lines have been held back. */
+uint64_t lgx_held_back(void);
+
 /** Writes one line with an event name and printf-style text fields. */
 #define lgx_info(event, ...)                                                   \
 	g_log_structured("sassafrascart", G_LOG_LEVEL_INFO, "EVENT", event,    \
--- a/packages/runtime/src/lgx.c
+++ b/packages/runtime/src/lgx.c
@@ -2,18 +2,32 @@
 
 #include "evl.h"
 
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+/* Bursts may take the lines of this many seconds at once. */
+#define LGX_BURST_S 3
 
 struct lgx_writer {
 	char process[64];
 	GLogLevelFlags mask;
+	/* -1 for standard error, which waits */
+	int fd;
+	uint32_t lines_per_s;
+	/* lines that may be written now, in thousandths */
+	uint64_t tokens_milli;
+	uint64_t refilled_ms;
+	uint64_t held_back;
+	uint64_t told_held_back;
+	uint64_t told_ms;
 };
 
 /* GLib's writer function is process-wide, so its settings are as well. */
-static struct lgx_writer lgx_writer;
+static struct lgx_writer lgx_writer = { .fd = -1 };
 
 static const char *level_name(GLogLevelFlags level)
 {
@@ -65,33 +79,113 @@
 	}
 }
 
+static void text_write(struct lgx_writer *writer, const char *text)
+{
+	g_autofree char *line = g_strconcat(text ? text : "{}", "\n", NULL);
+	size_t len = strlen(line);
+
+	if (writer->fd < 0)
+		fputs(line, stderr);
+	else if (write(writer->fd, line, len) != (ssize_t)len)
+		writer->held_back++;
+}
+
+static json_t *line_begin(const struct lgx_writer *writer, const char *level)
+{
+	GDateTime *now = g_date_time_new_now_utc();
+	char *stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
+	json_t *line = json_pack("{s:s, s:I, s:s, s:s}", "ts", stamp,
+				 "steady_ms", (json_int_t)evl_now_ms(), "level",
+				 level, "process", writer->process);
+
+	g_free(stamp);
+	g_date_time_unref(now);
+	return line;
+}
+
+static void line_end(struct lgx_writer *writer, json_t *line)
+{
+	char *text = json_dumps(line, JSON_COMPACT);
+
+	text_write(writer, text);
+	free(text);
+	json_decref(line);
+}
+
+/* Tells once a second how many lines were held back. */
+static void held_back_tell(struct lgx_writer *writer, uint64_t now_ms)
+{
+	json_t *line;
+
+	if (writer->held_back == writer->told_held_back ||
+	    now_ms - writer->told_ms < 1000)
+		return;
+	line = line_begin(writer, "warning");
+	json_object_set_new(line, "event", json_string("log-held-back"));
+	json_object_set_new(line, "lines",
+			    json_integer((json_int_t)(writer->held_back -
+						      writer->told_held_back)));
+	writer->told_held_back = writer->held_back;
+	writer->told_ms = now_ms;
+	line_end(writer, line);
+}
+
+/* Takes the right to write a line; warnings need none. */
+static bool token_take(struct lgx_writer *writer, GLogLevelFlags level)
+{
+	uint64_t most_milli =
+		(uint64_t)writer->lines_per_s * LGX_BURST_S * 1000;
+	uint64_t now_ms = evl_now_ms();
+
+	if (writer->lines_per_s == 0 ||
+	    !(level &
+	      (G_LOG_LEVEL_INFO | G_LOG_LEVEL_MESSAGE | G_LOG_LEVEL_DEBUG)))
+		return true;
+	writer->tokens_milli +=
+		(now_ms - writer->refilled_ms) * writer->lines_per_s;
+	writer->tokens_milli = MIN(writer->tokens_milli, most_milli);
+	writer->refilled_ms = now_ms;
+	held_back_tell(writer, now_ms);
+	if (writer->tokens_milli < 1000) {
+		writer->held_back++;
+		return false;
+	}
+	writer->tokens_milli -= 1000;
+	return true;
+}
+
 static GLogWriterOutput write_line(GLogLevelFlags level,
 				   const GLogField *fields, gsize count,
 				   gpointer data)
 {
 	struct lgx_writer *writer = data;
-	GDateTime *now;
-	char *stamp;
-	char *text;
 	json_t *line;
 
-	if (!(level & writer->mask))
+	if (!(level & writer->mask) || !token_take(writer, level))
 		return G_LOG_WRITER_HANDLED;
-	now = g_date_time_new_now_utc();
-	stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
-	line = json_pack("{s:s, s:I, s:s, s:s}", "ts", stamp, "steady_ms",
-			 (json_int_t)evl_now_ms(), "level", level_name(level),
-			 "process", writer->process);
+	line = line_begin(writer, level_name(level));
 	fields_add(line, fields, count);
-	text = json_dumps(line, JSON_COMPACT);
-	fprintf(stderr, "%s\n", text ? text : "{}");
-	free(text);
-	json_decref(line);
-	g_free(stamp);
-	g_date_time_unref(now);
+	line_end(writer, line);
 	return G_LOG_WRITER_HANDLED;
 }
 
+void lgx_bound(int fd, uint32_t lines_per_s)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	lgx_writer.fd = fd;
+	lgx_writer.lines_per_s = lines_per_s;
+	lgx_writer.refilled_ms = evl_now_ms();
+	lgx_writer.tokens_milli = (uint64_t)lines_per_s * LGX_BURST_S * 1000;
+}
+
+uint64_t lgx_held_back(void)
+{
+	return lgx_writer.held_back;
+}
+
 static const GLogLevelFlags lgx_always =
 	G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_FLAG_FATAL;
 
