--- a/packages/platform/src/lse.c
+++ b/packages/platform/src/lse.c
@@ -3,7 +3,7 @@
 #include "bko.h"
 
 /* Renewals in one life of the lease. */
-#define LSE_RENEWALS 3
+#define LSE_RENEWALS 4
 #define LSE_RETRY_BASE_MS 200
 /* Tries that fit in one life of the lease, however often they fail. */
 #define LSE_RETRIES 6
--- a/packages/runtime/src/evl.c
+++ b/packages/runtime/src/evl.c
@@ -45,13 +45,20 @@
 
 void evl_loop_run(struct evl_loop *loop)
 {
+	uint32_t wait_ms = 0;
+
 	loop->stopping = false;
 	while (!loop->stopping) {
-		uint32_t wait_ms = tmr_queue_wait_ms(loop->timers, evl_now_ms(),
-						     EVL_MAX_WAIT_MS);
-
 		h2o_evloop_run(loop->h2o, (int32_t)wait_ms);
-		tmr_queue_run(loop->timers, evl_now_ms());
+		/*
+		 * h2o 2.2.5 runs the callbacks of what a timer has written, and
+		 * begins to read its answer, only in its next turn: that turn
+		 * must not wait.
+		 */
+		wait_ms = tmr_queue_wait_ms(loop->timers, evl_now_ms(),
+					    EVL_MAX_WAIT_MS);
+		if (wait_ms == 0)
+			tmr_queue_run(loop->timers, evl_now_ms());
 	}
 }
 
