Hand calls on to the next owner when ownership ends

Cause: an owner that was stopped refused what it had not sent and left the rest unknown; the callers' processes knew the next owner 50 ms later. Change: such calls go back to the process that took them, which repeats them to the next owner.

--- a/packages/jobs/include/jsv.h
+++ b/packages/jobs/include/jsv.h
@@ -34,8 +34,12 @@
 	JSV_UNKNOWN,
 	/** the identity belongs to a job of another queue */
 	JSV_CONFLICT,
-	/** this process cannot answer; between processes only */
+	/** this process does not own the service, and has done nothing; between
+	 *  processes only */
 	JSV_NOT_OWNER,
+	/** its ownership ended while it had the call, which may have taken
+	 *  effect; between processes only */
+	JSV_OWNER_GONE,
 	JSV_OUTCOME_COUNT
 };
 
--- a/packages/jobs/src/jsv.c
+++ b/packages/jobs/src/jsv.c
@@ -83,6 +83,7 @@
 		[JSV_UNKNOWN] = "unknown",
 		[JSV_CONFLICT] = "conflict",
 		[JSV_NOT_OWNER] = "not-owner",
+		[JSV_OWNER_GONE] = "owner-gone",
 	};
 
 	g_assert(outcome < G_N_ELEMENTS(names));
@@ -159,11 +160,39 @@
 		pending->give_up_ms);
 }
 
+/* It may have taken effect: only an owner's answer tells. */
+static void maybe_done_set(struct jsv_pending *pending)
+{
+	pending->maybe_done = true;
+	pending->give_up_ms = pending->due_ms -
+			      MIN(pending->due_ms, JSV_ANSWER_MARGIN_MS);
+}
+
+/* A submission keeps its identity, so any call may be sent again. */
+static void pending_resend(struct jsv_pending *pending)
+{
+	if (evl_now_ms() + JSV_RESEND_MS >= pending->give_up_ms)
+		pending_fail(pending, "the owner cannot be reached");
+	else
+		evl_timer_set(pending->service->loop, &pending->timer,
+			      JSV_RESEND_MS);
+}
+
+/* Ends a call by an owner's answer, or looks for the next owner. */
 static void on_answer(void *data, const struct jsv_answer *answer)
 {
 	struct jsv_pending *pending = data;
+	bool elsewhere = answer->outcome == JSV_NOT_OWNER ||
+			 answer->outcome == JSV_OWNER_GONE;
 	struct jsv_answer told = *answer;
 
+	if (elsewhere && pending->may_hand_on && !pending->service->ending) {
+		if (answer->outcome == JSV_OWNER_GONE)
+			maybe_done_set(pending);
+		ldr_refresh(pending->service->election);
+		pending_resend(pending);
+		return;
+	}
 	/* A refusal says that the job never runs, which an earlier try that is
 	 * still on its way could belie. */
 	if (told.outcome == JSV_REFUSED && pending->maybe_done) {
@@ -238,7 +267,6 @@
 	evl_timer_set(service->loop, &service->probe_timer, 0);
 }
 
-/* A submission keeps its identity, so any call may be sent again. */
 static void on_handed_on(void *data, enum err_kind err,
 			 const struct jsv_answer *answer)
 {
@@ -249,27 +277,15 @@
 		pending_free(pending);
 		return;
 	}
-	if (err == ERR_NONE && answer->outcome != JSV_NOT_OWNER) {
+	if (err == ERR_NONE) {
 		owner_answered(pending->service);
 		on_answer(pending, answer);
 		return;
 	}
-	if (err == ERR_NONE)
-		ldr_refresh(pending->service->election);
-	else
-		owner_silent(pending->service, err);
-	if (err != ERR_NONE && err != ERR_CONNECT) {
-		/* It may have taken effect: only an owner's answer tells. */
-		pending->maybe_done = true;
-		pending->give_up_ms =
-			pending->due_ms -
-			MIN(pending->due_ms, JSV_ANSWER_MARGIN_MS);
-	}
-	if (evl_now_ms() + JSV_RESEND_MS >= pending->give_up_ms)
-		pending_fail(pending, "the owner cannot be reached");
-	else
-		evl_timer_set(pending->service->loop, &pending->timer,
-			      JSV_RESEND_MS);
+	owner_silent(pending->service, err);
+	if (err != ERR_CONNECT)
+		maybe_done_set(pending);
+	pending_resend(pending);
 }
 
 static void pending_run(struct jsv_pending *pending)
--- a/packages/jobs/src/own_calls.c
+++ b/packages/jobs/src/own_calls.c
@@ -142,14 +142,20 @@
 	}
 }
 
+/* The next owner answers: what was never sent as a new call, the rest as one
+ * that is repeated. */
 void own_calls_end(struct own_owner *owner)
 {
 	while (owner->waits.length > 0) {
 		struct own_wait *wait = owner->waits.head->data;
-
-		if (wait->verb != JSV_SUBMIT || !wait->job ||
-		    !job_withdraw(owner, wait->job, "ownership has ended"))
-			answer_unknown(wait, "ownership has ended");
+		bool sent = wait->verb != JSV_SUBMIT || !wait->job ||
+			    wait->job->is_sent;
+		const struct jsv_answer answer = {
+			.outcome = sent ? JSV_OWNER_GONE : JSV_NOT_OWNER,
+			.why = "ownership has ended",
+		};
+
+		wait_end(wait, &answer);
 	}
 }
 
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -87,6 +87,13 @@
 	       g_strv_contains((const char *const *)worker->labels, label);
 }
 
+/* Time after which a lease is over for sure, by a clock that is not slow. */
+static uint64_t lease_whole_ms(uint64_t lease_ms)
+{
+	return lease_ms * 1000 / (1000 - WRK_CLOCK_SLOW_PERMILLE) +
+	       WRK_LEASE_MARGIN_MS;
+}
+
 /* The end of the lease that orders sent now carry, on the worker's clock. */
 static uint64_t lease_grant(struct wrk_worker *worker)
 {
@@ -100,11 +107,9 @@
 		   worker->env->lease_ms;
 	worker->lease_until_ms = MAX(worker->lease_until_ms, until_ms);
 	left_ms = worker->lease_until_ms - worker->clock_ms;
-	left_ms += left_ms * WRK_CLOCK_SLOW_PERMILLE /
-		   (1000 - WRK_CLOCK_SLOW_PERMILLE);
 	worker->lease_over_ms =
 		MAX(worker->lease_over_ms,
-		    worker->clock_at_ms + left_ms + WRK_LEASE_MARGIN_MS);
+		    worker->clock_at_ms + lease_whole_ms(left_ms));
 	return worker->lease_until_ms;
 }
 
@@ -166,6 +171,9 @@
 	worker->over = false;
 	worker->env->ops->on_life_changed(worker->env->data, worker);
 	life_reset(worker);
+	/* Orders to the incarnation before may have leased this one. */
+	worker->lease_over_ms =
+		evl_now_ms() + lease_whole_ms(worker->env->lease_ms);
 	worker->resolving = true;
 	tmr_cancel(&worker->look_timer);
 	look_plan(worker, 0);
