Settle takeovers by the list of VMs

Change: a worker without a report under this owner is over when a list of VMs that was asked for since shows its VM as not up or with another worker.

--- a/packages/jobs/include/wrk.h
+++ b/packages/jobs/include/wrk.h
@@ -82,6 +82,8 @@
 	struct jpt_room room;
 	uint64_t born_ms;
 	bool draining;
+	/** when it became known of */
+	uint64_t added_ms;
 	/** listed in the store when it was read last, and since when not */
 	bool listed;
 	uint64_t unlisted_since_ms;
--- a/packages/jobs/src/own_fleet.c
+++ b/packages/jobs/src/own_fleet.c
@@ -347,24 +347,27 @@
 }
 
 /* Tells why the list shows that a worker's life is over, NULL if it does not.
- * Only a silent worker's life is ended by what may be an older list. */
+ * A worker that answers is believed more than the list. */
 static const char *life_over_why(struct own_fleet *fleet,
 				 const struct wrk_worker *worker,
 				 const struct own_vm *vm)
 {
 	bool ordered = vm->phase == OWN_VM_ORDERED &&
 		       vm->phase_since_ms < fleet->asked_ms;
-	bool silent = !wrk_is_reachable(worker) &&
-		      worker->silent_since_ms < fleet->asked_ms;
+	/* Silent since before the list was asked for, or known of by then and
+	 * without any report under this owner. */
+	bool in_doubt = (!wrk_is_reachable(worker) &&
+			 worker->silent_since_ms < fleet->asked_ms) ||
+			(!worker->known &&
+			 worker->added_ms < fleet->asked_ms);
 
 	if (ordered && vm->leaving_worker &&
 	    strcmp(vm->leaving_worker, worker->id) == 0 &&
 	    (vm->state != JPT_VM_UP || g_strcmp0(vm->worker, worker->id) != 0))
 		return "its VM is taken";
-	if (silent && vm->state == JPT_VM_DOWN)
-		return "its VM is down";
-	if (silent && vm->state == JPT_VM_UP && vm->worker &&
-	    strcmp(vm->worker, worker->id) != 0)
+	if (in_doubt && vm->state != JPT_VM_UP)
+		return "its VM is not up";
+	if (in_doubt && vm->worker && strcmp(vm->worker, worker->id) != 0)
 		return "its VM has another worker";
 	return NULL;
 }
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -525,6 +525,7 @@
 	worker->env = env;
 	worker->id = g_strdup(entry->id);
 	worker->born_ms = entry->born_ms;
+	worker->added_ms = evl_now_ms();
 	worker->ends = g_array_new(FALSE, FALSE, sizeof(struct wrk_end));
 	worker->tasks = g_ptr_array_new();
 	worker->look_timer.cb = on_look_timer;
