Refuse at once where only a former owner is in reach

Change: such an answer counts as silence; without an owner in reach for 700 ms calls are refused at once and the process is not ready; so is an owner whose store is away.

--- a/packages/jobs/include/own.h
+++ b/packages/jobs/include/own.h
@@ -51,6 +51,9 @@
 /** @brief Tells whether calls can be answered. */
 bool own_is_ready(const struct own_owner *owner);
 
+/** @brief Tells whether the store has not answered for some time. */
+bool own_store_is_away(const struct own_owner *owner);
+
 /** @brief Makes a call on the owner; only when it is ready. */
 void own_call(struct own_owner *owner, const struct jsv_call *call, jsv_cb cb,
 	      void *data);
--- a/packages/jobs/src/jsv.c
+++ b/packages/jobs/src/jsv.c
@@ -41,6 +41,8 @@
 	bool ending;
 	/* since when the owner elsewhere does not answer, 0 if it does */
 	uint64_t silent_since_ms;
+	/* since when no owner is known, 0 if one is */
+	uint64_t ownerless_since_ms;
 	bool probing;
 	struct tmr_entry probe_timer;
 	struct cel_cell *cell;
@@ -130,8 +132,11 @@
 
 static bool owner_is_out_of_reach(const struct jsv_service *service)
 {
-	return service->silent_since_ms != 0 &&
-	       evl_now_ms() - service->silent_since_ms > JSV_UNREACHABLE_MS;
+	uint64_t since_ms = service->silent_since_ms != 0
+				    ? service->silent_since_ms
+				    : service->ownerless_since_ms;
+
+	return since_ms != 0 && evl_now_ms() - since_ms > JSV_UNREACHABLE_MS;
 }
 
 static void on_pending_timer(void *data)
@@ -164,8 +169,8 @@
 static void maybe_done_set(struct jsv_pending *pending)
 {
 	pending->maybe_done = true;
-	pending->give_up_ms = pending->due_ms -
-			      MIN(pending->due_ms, JSV_ANSWER_MARGIN_MS);
+	pending->give_up_ms =
+		pending->due_ms - MIN(pending->due_ms, JSV_ANSWER_MARGIN_MS);
 }
 
 /* A submission keeps its identity, so any call may be sent again. */
@@ -178,15 +183,21 @@
 			      JSV_RESEND_MS);
 }
 
+/* Tells whether a process answers that it is not, or no longer, the owner. */
+static bool is_elsewhere(const struct jsv_answer *answer)
+{
+	return answer->outcome == JSV_NOT_OWNER ||
+	       answer->outcome == JSV_OWNER_GONE;
+}
+
 /* Ends a call by an owner's answer, or looks for the next owner. */
 static void on_answer(void *data, const struct jsv_answer *answer)
 {
 	struct jsv_pending *pending = data;
-	bool elsewhere = answer->outcome == JSV_NOT_OWNER ||
-			 answer->outcome == JSV_OWNER_GONE;
 	struct jsv_answer told = *answer;
 
-	if (elsewhere && pending->may_hand_on && !pending->service->ending) {
+	if (is_elsewhere(answer) && pending->may_hand_on &&
+	    !pending->service->ending) {
 		if (answer->outcome == JSV_OWNER_GONE)
 			maybe_done_set(pending);
 		ldr_refresh(pending->service->election);
@@ -228,7 +239,7 @@
 	if (!service)
 		return;
 	service->probing = false;
-	if (err == ERR_NONE)
+	if (err == ERR_NONE && !is_elsewhere(answer))
 		owner_answered(service);
 	else if (service->silent_since_ms != 0)
 		evl_timer_set(service->loop, &service->probe_timer,
@@ -278,7 +289,12 @@
 		return;
 	}
 	if (err == ERR_NONE) {
-		owner_answered(pending->service);
+		/* The process that the key named last may be cut off from the
+		 * store together with this one. */
+		if (is_elsewhere(answer))
+			owner_silent(pending->service, ERR_STALE);
+		else
+			owner_answered(pending->service);
 		on_answer(pending, answer);
 		return;
 	}
@@ -417,6 +433,7 @@
 	struct jsv_service *service = data;
 
 	service->guard_revision = revision;
+	service->ownerless_since_ms = 0;
 	owner_begin(service);
 }
 
@@ -431,6 +448,7 @@
 	else
 		lgx_info("owner-unknown", "the owner's key is absent");
 	service->silent_since_ms = 0;
+	service->ownerless_since_ms = owner ? 0 : evl_now_ms();
 	if (owner)
 		pending_run_all(service);
 }
@@ -441,6 +459,7 @@
 	struct own_owner *owner = g_steal_pointer(&service->owner);
 
 	service->guard_revision = 0;
+	service->ownerless_since_ms = evl_now_ms();
 	own_owner_destroy(owner);
 }
 
@@ -529,7 +548,8 @@
 bool jsv_has_owner(const struct jsv_service *service)
 {
 	if (service->owner)
-		return own_is_ready(service->owner);
+		return own_is_ready(service->owner) &&
+		       !own_store_is_away(service->owner);
 	return ldr_owner(service->election) && !owner_is_out_of_reach(service);
 }
 
--- a/packages/jobs/src/own_calls.c
+++ b/packages/jobs/src/own_calls.c
@@ -100,7 +100,7 @@
 	evl_timer_set(owner->config.loop, &wait->timer, wait_ms);
 }
 
-static bool store_is_away(const struct own_owner *owner)
+bool own_store_is_away(const struct own_owner *owner)
 {
 	uint64_t since_ms = cmt_silent_since_ms(owner->log);
 
@@ -113,7 +113,7 @@
 {
 	GList *next;
 
-	if (!store_is_away(owner))
+	if (!own_store_is_away(owner))
 		return;
 	for (GList *at = owner->waits.head; at; at = next) {
 		struct own_wait *wait = at->data;
@@ -185,7 +185,7 @@
 		answer_now(cb, data, JSV_REFUSED, "the record is malformed");
 		return;
 	}
-	if (store_is_away(owner)) {
+	if (own_store_is_away(owner)) {
 		jtp_spec_destroy(spec);
 		owner->counters.refused++;
 		answer_now(cb, data, JSV_REFUSED, "the store is away");
--- a/packages/jobs/src/own_fleet.c
+++ b/packages/jobs/src/own_fleet.c
@@ -358,8 +358,7 @@
 	 * without any report under this owner. */
 	bool in_doubt = (!wrk_is_reachable(worker) &&
 			 worker->silent_since_ms < fleet->asked_ms) ||
-			(!worker->known &&
-			 worker->added_ms < fleet->asked_ms);
+			(!worker->known && worker->added_ms < fleet->asked_ms);
 
 	if (ordered && vm->leaving_worker &&
 	    strcmp(vm->leaving_worker, worker->id) == 0 &&
--- a/packages/jobs/tests/test_faults.c
+++ b/packages/jobs/tests/test_faults.c
@@ -275,6 +275,36 @@
 }
 END_TEST
 
+/* A process that is cut off from the store together with an old owner still
+ * reaches that one, which knows no better: it refuses at once. */
+START_TEST(test_cut_off_with_old_owner_refuses_at_once)
+{
+	struct emu *emu = emu_create(&fleet);
+	struct emu_tally tally;
+	uint32_t owner;
+	uint32_t other;
+
+	emu_run(emu, 2000);
+	load(emu, 4, &lasting);
+	owner = emu_owner(emu);
+	other = (owner + 1) % fleet.nodes;
+	emu_store(emu, owner, EMU_STORE_SILENT);
+	emu_store(emu, other, EMU_STORE_SILENT);
+	emu_store_revoke(emu, owner);
+	emu_run(emu, 3000);
+	emu_submit(emu, other, &batch);
+	emu_run(emu, 1500);
+	for (int i = 0; i < 5; i++)
+		emu_submit(emu, other, &batch);
+	emu_run(emu, 50);
+	emu_tally(emu, &tally);
+	ck_assert_uint_ge(tally.refused, 5);
+	ck_assert_uint_eq(tally.unknown, 0);
+	ck_assert_msg(emu_broken_any(emu) == 0, "%s", emu_first_broken(emu));
+	emu_destroy(emu);
+}
+END_TEST
+
 START_TEST(test_cancel_during_takeover)
 {
 	struct emu *emu = emu_create(&fleet);
@@ -338,6 +368,7 @@
 	tcase_add_test(tests, test_writes_lost_and_late);
 	tcase_add_test(tests, test_store_away_keeps_work_running);
 	tcase_add_test(tests, test_ownership_revoked_in_silence);
+	tcase_add_test(tests, test_cut_off_with_old_owner_refuses_at_once);
 	tcase_add_test(tests, test_cancel_during_takeover);
 	tcase_add_test(tests, test_draining_worker_hands_lasting_tasks_on);
 	suite_add_tcase(suite, tests);
