--- a/bin/sassafrascartd/jpr.c
+++ b/bin/sassafrascartd/jpr.c
@@ -283,7 +283,13 @@
 		.idle_timeout_ms = JPR_IDLE_TIMEOUT_MS,
 	};
 
-	return clr_server_create(process->loop, &config, ops, process, out);
+	enum err_kind err =
+		clr_server_create(process->loop, &config, ops, process, out);
+
+	if (err != ERR_NONE)
+		lgx_warning("listen-failed", "%s:%u: %s", endpoint->ip,
+			    endpoint->port, err_name(err));
+	return err;
 }
 
 static enum err_kind store_open(struct jpr_process *process)
@@ -341,11 +347,15 @@
 	const struct esa_settings *settings = &process->settings;
 	enum err_kind err = store_open(process);
 
-	if (err == ERR_NONE)
-		err = jch_channel_create(process->loop, settings->ip,
-					 settings->own_port, &process->channel);
 	if (err != ERR_NONE)
 		return err;
+	err = jch_channel_create(process->loop, settings->ip,
+				 settings->own_port, &process->channel);
+	if (err != ERR_NONE) {
+		lgx_warning("listen-failed", "%s:%u: %s", settings->ip,
+			    settings->own_port, err_name(err));
+		return err;
+	}
 	service_open(process);
 	err = server_open(process, &settings->front, &front_ops,
 			  &process->front);
--- a/packages/jobs/src/own_report.c
+++ b/packages/jobs/src/own_report.c
@@ -83,6 +83,7 @@
 		task->group->gang_run = running->run;
 	}
 	if (!task || task->worker != worker || task->run != running->run) {
+		g_assert(worker);
 		owner->counters.strays++;
 		lgx_info("stray-run", "%s run %u at %s is stopped",
 			 running->task, running->run, worker->id);
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -139,6 +139,9 @@
 uint32_t emu_job_add(struct emu *emu, const struct emu_job *job);
 /** @brief Returns a job's identity. */
 const char *emu_job_id(const struct emu *emu, uint32_t job);
+/** Notes that a caller outside sends the job now; emu_told() ends it. */
+void emu_sending(struct emu *emu, uint32_t job);
+
 /** @brief Notes what a caller was told of a job elsewhere. */
 void emu_told(struct emu *emu, uint32_t job, enum jsv_verb verb,
 	      const struct jsv_answer *answer);
--- a/packages/jobs/tests/emu_callers.c
+++ b/packages/jobs/tests/emu_callers.c
@@ -196,6 +196,13 @@
 	call_send(emu, node, JSV_STATE, question->state, on_state, question);
 }
 
+void emu_sending(struct emu *emu, uint32_t job)
+{
+	struct emu_job_state *state = g_ptr_array_index(emu->jobs, job);
+
+	state->attempts++;
+}
+
 void emu_told(struct emu *emu, uint32_t job, enum jsv_verb verb,
 	      const struct jsv_answer *answer)
 {
@@ -203,7 +210,6 @@
 	struct emu_question *question;
 
 	if (verb == JSV_SUBMIT) {
-		state->attempts++;
 		on_submitted(state, answer);
 	} else if (verb == JSV_CANCEL) {
 		state->cancel_sent = true;
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -24,6 +24,11 @@
 #include "runner_process.h"
 #include "runner_udp.h"
 
+/* Ports given to programs; Linux takes 32768 and up for connections. */
+#define PORT_FIRST 10000
+#define PORT_LAST 32000
+#define PORT_TRIES 100
+
 struct runner *runner_of(lua_State *lua)
 {
 	return *(struct runner **)lua_getextraspace(lua);
@@ -69,7 +74,8 @@
 	return 1;
 }
 
-/* free_port(kind) -> a port free for "tcp" or "udp" at this moment */
+/* free_port(kind) -> a port free for "tcp" or "udp" at this moment; below those
+ * that the kernel gives to outgoing connections, which would take it again */
 static int verb_free_port(lua_State *lua)
 {
 	bool udp = strcmp(luaL_optstring(lua, 1, "tcp"), "udp") == 0;
@@ -77,11 +83,15 @@
 				    .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	socklen_t len = sizeof(addr);
 	int fd = socket(AF_INET, udp ? SOCK_DGRAM : SOCK_STREAM, 0);
+	int tries = PORT_TRIES;
 
-	if (bind(fd, (struct sockaddr *)&addr, len) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&addr, &len) != 0)
-		return luaL_error(lua, "no free port");
+	do {
+		addr.sin_port = htons((uint16_t)g_random_int_range(
+			PORT_FIRST, PORT_LAST + 1));
+	} while (bind(fd, (struct sockaddr *)&addr, len) != 0 && --tries > 0);
 	close(fd);
+	if (tries == 0)
+		return luaL_error(lua, "no free port");
 	lua_pushinteger(lua, ntohs(addr.sin_port));
 	return 1;
 }
--- a/tests/runner_process.c
+++ b/tests/runner_process.c
@@ -14,24 +14,28 @@
 {
 	int err = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
-	dup2(out, STDOUT_FILENO);
+	dup2(out < 0 ? err : out, STDOUT_FILENO);
 	dup2(err, STDERR_FILENO);
 	execv(argv[0], argv);
 	_exit(127);
 }
 
+/* Starts a program; out takes the reading end of its standard output, which
+ * goes to the log where out is NULL. */
 static pid_t child_start(char **argv, const char *log, int *out)
 {
-	int pipe_fds[2];
+	int pipe_fds[2] = { -1, -1 };
 	pid_t pid;
 
-	if (pipe2(pipe_fds, O_CLOEXEC) != 0)
+	if (out && pipe2(pipe_fds, O_CLOEXEC) != 0)
 		return -1;
 	pid = fork();
 	if (pid == 0)
 		child_exec(argv, log, pipe_fds[1]);
-	close(pipe_fds[1]);
-	*out = pipe_fds[0];
+	if (out) {
+		close(pipe_fds[1]);
+		*out = pipe_fds[0];
+	}
 	return pid;
 }
 
@@ -53,7 +57,7 @@
 	return g_build_filename(runner_of(lua)->bin_dir, name, NULL);
 }
 
-/* Starts a verb's program; fills the reading end of its standard output. */
+/* Starts a verb's program, see child_start(). */
 static pid_t program_start(lua_State *lua, int *out)
 {
 	char *argv[ARGUMENTS_MAX];
@@ -73,10 +77,8 @@
 /* spawn{program, arguments..., log=FILE} -> pid */
 static int verb_spawn(lua_State *lua)
 {
-	int out = -1;
-	pid_t pid = program_start(lua, &out);
+	pid_t pid = program_start(lua, NULL);
 
-	close(out);
 	g_array_append_val(runner_of(lua)->pids, pid);
 	lua_pushinteger(lua, pid);
 	return 1;
--- a/tests/standin/srv.c
+++ b/tests/standin/srv.c
@@ -69,6 +69,7 @@
 
 	req->res.status = status;
 	req->res.reason = "OK";
+	req->res.content_length = strlen(text);
 	h2o_add_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
 		       NULL, H2O_STRLIT("application/json"));
 	h2o_send_inline(req, text, strlen(text));
@@ -78,7 +79,10 @@
 
 bool srv_is(const h2o_req_t *req, const char *method, const char *path)
 {
+	size_t path_len =
+		req->query_at == SIZE_MAX ? req->path.len : req->query_at;
+
 	return h2o_memis(req->method.base, req->method.len, method,
 			 strlen(method)) &&
-	       h2o_memis(req->path.base, req->path.len, path, strlen(path));
+	       h2o_memis(req->path.base, path_len, path, strlen(path));
 }
--- a/tests/standin/srv.h
+++ b/tests/standin/srv.h
@@ -24,7 +24,8 @@
 /** @brief Answers with a JSON body, which is released. */
 void srv_answer(h2o_req_t *req, int status, json_t *body);
 
-/** @brief Tells whether the request has this method and path. */
+/** @brief Tells whether the request has this method and path, leaving aside
+ *  its query. */
 bool srv_is(const h2o_req_t *req, const char *method, const char *path);
 
 #endif
