--- a/packages/peer/src/jch_wire.c
+++ b/packages/peer/src/jch_wire.c
@@ -99,13 +99,19 @@
 
 static bool call_decode(XDR *xdrs, struct jcw_message *out)
 {
+	/* Without buffers, the decoder allocates them and nobody frees them. */
+	char credentials[MAX_AUTH_BYTES];
+	char verifier[MAX_AUTH_BYTES];
 	struct rpc_msg header = { 0 };
-	bool ok = xdr_callmsg(xdrs, &header) &&
-		  header.rm_call.cb_rpcvers == RPC_MSG_VERSION &&
-		  header.rm_call.cb_prog == SASSAFRASCART_JOBS &&
-		  header.rm_call.cb_vers == SASSAFRASCART_JOBS_V1 &&
-		  header.rm_call.cb_proc == SASSAFRASCART_JOB_CALL;
+	bool ok;
 
+	header.rm_call.cb_cred.oa_base = credentials;
+	header.rm_call.cb_verf.oa_base = verifier;
+	ok = xdr_callmsg(xdrs, &header) &&
+	     header.rm_call.cb_rpcvers == RPC_MSG_VERSION &&
+	     header.rm_call.cb_prog == SASSAFRASCART_JOBS &&
+	     header.rm_call.cb_vers == SASSAFRASCART_JOBS_V1 &&
+	     header.rm_call.cb_proc == SASSAFRASCART_JOB_CALL;
 	out->xid = header.rm_xid;
 	return ok && xdr_pjb_call(xdrs, &out->call) &&
 	       out->call.verb <= JSV_WAITING;
@@ -113,10 +119,11 @@
 
 static bool reply_decode(XDR *xdrs, struct jcw_message *out)
 {
+	char verifier[MAX_AUTH_BYTES];
 	struct rpc_msg header = { 0 };
 	bool ok;
 
-	header.acpted_rply.ar_verf = _null_auth;
+	header.acpted_rply.ar_verf.oa_base = verifier;
 	header.acpted_rply.ar_results.where = (caddr_t)&out->answer;
 	header.acpted_rply.ar_results.proc = (xdrproc_t)xdr_pjb_answer;
 	ok = xdr_replymsg(xdrs, &header) &&
--- /dev/null
+++ b/tests/fuzz/fuzz_esoa.c
@@ -0,0 +1,28 @@
+#include <glib.h>
+
+#include "esa_spec.h"
+#include "esa_work.h"
+#include "jcf.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
+
+static void on_entry(void *data, const struct jpt_entry *entry)
+{
+}
+
+static void on_wave(void *data, const struct jpt_wave *wave)
+{
+}
+
+/* Jobs of callers, and what others write in the store. */
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len)
+{
+	const char *text = (const char *)bytes;
+	const char *why;
+
+	jtp_spec_destroy(esa_spec_decode(text, len, &why));
+	jcf_catalogue_unref(esa_config_decode(text, len));
+	esa_entry_decode("servers/w", text, len, on_entry, NULL);
+	esa_wave_decode("op/wave/1", text, len, on_wave, NULL);
+	return 0;
+}
