Harm connections in the soak: delay, reset, silence, one way

A relay on the loopback stands before each process, for its callers and for its store. soak.lua writes the mode to a file that the relay reads.

--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -1,6 +1,7 @@
 -- Jobs through random faults, by seed: processes are killed, frozen and
--- stopped, workers are lost, the store is away, slow or loses answers. No rule
--- may break, and every accepted job ends once the faults are over.
+-- stopped, connections of callers and to the platform are delayed, reset,
+-- silenced or cut one way by relays, workers are lost, the store is away, slow
+-- or loses answers. No rule may break, and every accepted job ends once the faults are over.
 local fleet = require("fleet")
 
 local PROCESSES = 3
@@ -9,7 +10,7 @@
 local CALM_MS = 40000
 local HOST = "jobs.example"
 local JOB_EVERY_MS = 60
-local FAULT_EVERY_MS = 1000
+local FAULT_EVERY_MS = 600
 local SENDS, AGAIN_MS = 5, 800
 local SUBMIT, STATE = 0, 1
 local ENDED = {succeeded = true, failed = true, canceled = true}
@@ -32,7 +33,17 @@
   return fleet.http{url = fleet.url(port, "/control/report")}.status == 200
 end)
 
-local processes = {}
+local processes, relays = {}, {}
+
+-- Starts a relay to a port; returns the port that leads to it.
+local function relay_to(target, name)
+  local relay = {port = free_port(), file = DIR .. "/" .. name .. ".mode"}
+  fleet.write(relay.file, "pass")
+  spawn{"standin_relay", tostring(relay.port), tostring(target), relay.file,
+        log = DIR .. "/" .. name .. ".log"}
+  table.insert(relays, relay)
+  return relay.port
+end
 
 local function start(process)
   process.lives = process.lives + 1
@@ -43,14 +54,16 @@
 
 for i = 1, PROCESSES do
   local process = {name = "vm-entry-" .. i, front = free_port(), lives = 0}
+  process.callers = relay_to(process.front, process.name .. "-callers")
+  local platform = relay_to(port, process.name .. "-platform")
   process.file = DIR .. "/" .. process.name .. ".conf"
   fleet.write(process.file, table.concat({
     "node=" .. process.name, "zone=zone-" .. i, "ip=127.0.0.1",
     "listen.front=127.0.0.1:" .. process.front,
     "listen.ready=127.0.0.1:" .. free_port(),
     "port_range=" .. free_port() .. ",65535",
-    "platform.address=127.0.0.1:" .. port,
-    "cloud.address=127.0.0.1:" .. port}, "\n") .. "\n")
+    "platform.address=127.0.0.1:" .. platform,
+    "cloud.address=127.0.0.1:" .. platform}, "\n") .. "\n")
   processes[i] = process
   start(process)
 end
@@ -66,7 +79,7 @@
   local process = processes[random(PROCESSES)]
   local id = http_start{method = method, body = body, timeout_ms = 4000,
                         headers = {host = HOST},
-                        url = fleet.url(process.front, "/queue-" .. job.pool .. "/" .. job.id)}
+                        url = fleet.url(process.callers, "/queue-" .. job.pool .. "/" .. job.id)}
   calls[id] = done
 end
 
@@ -130,6 +143,13 @@
   end)
 end
 
+local function relay_harm(relay, mode, for_ms)
+  fleet.write(relay.file, mode)
+  after(for_ms, function() fleet.write(relay.file, "pass") end)
+end
+
+local function relay_any() return relays[random(#relays)] end
+
 local faults = {
   function(p) process_down(p, "KILL", random(300, 1500)) end,
   function(p) process_down(p, "TERM", random(2500, 4000)) end,
@@ -145,6 +165,10 @@
   function() fault("crash", random(0, 7), random(300, 1500)) end,
   function() local vm = random(0, 7) fault("cut", vm, 1) after(random(500, 3000), function() fault("cut", vm, 0) end) end,
   function() control("/control/wave", "{}") end,
+  function() relay_harm(relay_any(), "delay " .. random(20, 300), random(500, 3000)) end,
+  function() relay_harm(relay_any(), "reset", 100) end,
+  function() relay_harm(relay_any(), "silent", random(500, 3000)) end,
+  function() relay_harm(relay_any(), "oneway", random(500, 3000)) end,
 }
 
 local function turn()
