Answer a second submission 'unknown' while the first one waits

The caller's library sent a submission again by itself after its kept connection was reset. The second call came when no owner had been known for 0.7 s and was refused at once; the first one still waited in the same process, and was accepted 0.4 s later by the new owner. Change: a call is 'not run' only if no other call here may submit the same job. The soak sends submissions on connections of their own, since two calls look like one to it otherwise. Before: test_second_call_for_a_waiting_job_is_not_refused failed, 1 refused. Ruled out: an outcome noted wrongly by the stand-in; the logs show both calls. Left: a second call at another process cannot know of the first.

--- a/packages/jobs/src/jsv.c
+++ b/packages/jobs/src/jsv.c
@@ -117,10 +117,26 @@
 		pending_free(pending);
 }
 
+/* Tells whether another call here may yet submit the same job, as that of a
+ * caller whose connection ended and who came again. */
+static bool is_submitted_beside(const struct jsv_pending *pending)
+{
+	for (GList *link = pending->service->calls.head; link;
+	     link = link->next) {
+		const struct jsv_pending *other = link->data;
+
+		if (other != pending && other->call.verb == JSV_SUBMIT &&
+		    g_strcmp0(other->id, pending->id) == 0)
+			return true;
+	}
+	return false;
+}
+
 /* Ends a call that this process has given up on. */
 static void pending_fail(struct jsv_pending *pending, const char *why)
 {
-	bool not_run = pending->call.verb == JSV_SUBMIT && !pending->maybe_done;
+	bool not_run = pending->call.verb == JSV_SUBMIT &&
+		       !pending->maybe_done && !is_submitted_beside(pending);
 	const struct jsv_answer answer = {
 		.outcome = not_run ? JSV_REFUSED : JSV_UNKNOWN,
 		.retry_after_ms = JSV_RETRY_AFTER_MS,
--- a/packages/jobs/tests/test_faults.c
+++ b/packages/jobs/tests/test_faults.c
@@ -305,6 +305,41 @@
 }
 END_TEST
 
+/* A caller whose connection ended comes again while its first call still waits
+ * here: the second one cannot tell that the job will not run. */
+START_TEST(test_second_call_for_a_waiting_job_is_not_refused)
+{
+	struct emu *emu = emu_create(&fleet);
+	struct emu_tally tally;
+	uint32_t other;
+	uint32_t job;
+
+	emu_run(emu, 2000);
+	other = (emu_owner(emu) + 1) % fleet.nodes;
+	emu_resign(emu, emu_owner(emu));
+	emu_run(emu, 8);
+	for (uint32_t i = 0; i < fleet.nodes; i++)
+		emu_store(emu, i, EMU_STORE_SILENT);
+	job = emu_submit(emu, other, &batch);
+	emu_run(emu, 900);
+	emu_submit_again(emu, other, job);
+	emu_run(emu, 20);
+	emu_tally(emu, &tally);
+	ck_assert_uint_eq(tally.refused, 0);
+	ck_assert_uint_eq(tally.unknown, 1);
+	emu_run(emu, 3000);
+	for (uint32_t i = 0; i < fleet.nodes; i++)
+		emu_store(emu, i, EMU_STORE_OK);
+	emu_run(emu, 3000);
+	emu_submit_again(emu, other, job);
+	emu_run(emu, 3000);
+	emu_tally(emu, &tally);
+	ck_assert_uint_eq(tally.accepted, 1);
+	ck_assert_msg(emu_broken_any(emu) == 0, "%s", emu_first_broken(emu));
+	emu_destroy(emu);
+}
+END_TEST
+
 START_TEST(test_cancel_during_takeover)
 {
 	struct emu *emu = emu_create(&fleet);
@@ -369,6 +404,8 @@
 	tcase_add_test(tests, test_store_away_keeps_work_running);
 	tcase_add_test(tests, test_ownership_revoked_in_silence);
 	tcase_add_test(tests, test_cut_off_with_old_owner_refuses_at_once);
+	tcase_add_test(tests,
+		       test_second_call_for_a_waiting_job_is_not_refused);
 	tcase_add_test(tests, test_cancel_during_takeover);
 	tcase_add_test(tests, test_draining_worker_hands_lasting_tasks_on);
 	suite_add_tcase(suite, tests);
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -77,7 +77,9 @@
 -- A call of a caller; done gets its status and body, or 0 without an answer.
 local function call(method, job, body, done)
   local process = processes[random(PROCESSES)]
+  -- A submission that is sent again unseen would be two calls.
   local id = http_start{method = method, body = body, timeout_ms = 4000,
+                        fresh = method == "POST" and 1 or 0,
                         headers = {host = HOST},
                         url = fleet.url(process.callers, "/queue-" .. job.pool .. "/" .. job.id)}
   calls[id] = done
