--- a/packages/jobs/src/own.c
+++ b/packages/jobs/src/own.c
@@ -69,19 +69,28 @@
 	own_plan_soon(owner);
 }
 
+/* Ends a reading of records; the owner goes on with them unless it is NULL. */
+static struct own_owner *read_end(void *data, enum err_kind err)
+{
+	struct own_owner *owner = cel_leave(data);
+
+	if (!owner)
+		return NULL;
+	owner->reading_records = false;
+	if (err == ERR_NONE)
+		return owner;
+	own_read_again(owner, err);
+	return NULL;
+}
+
 static void on_progress_read(void *data, enum err_kind err,
 			     const struct plt_result *result)
 {
-	struct own_owner *owner = cel_leave(data);
+	struct own_owner *owner = read_end(data, err);
 	size_t prefix_len = strlen(JRC_PREFIX_PROGRESS);
 
 	if (!owner)
 		return;
-	owner->reading_records = false;
-	if (err != ERR_NONE) {
-		own_read_again(owner, err);
-		return;
-	}
 	for (size_t i = 0; i < result->kv_count; i++) {
 		const struct plt_kv *kv = &result->kvs[i];
 		struct jtp_job *job =
@@ -115,16 +124,11 @@
 static void on_jobs_read(void *data, enum err_kind err,
 			 const struct plt_result *result)
 {
-	struct own_owner *owner = cel_leave(data);
+	struct own_owner *owner = read_end(data, err);
 	size_t prefix_len = strlen(JRC_PREFIX_JOB);
 
 	if (!owner)
 		return;
-	owner->reading_records = false;
-	if (err != ERR_NONE) {
-		own_read_again(owner, err);
-		return;
-	}
 	for (size_t i = 0; i < result->kv_count; i++) {
 		const struct plt_kv *kv = &result->kvs[i];
 		struct jtp_job *job = NULL;
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -383,6 +383,23 @@
 	return emu->first_broken;
 }
 
+void emu_store(struct emu *emu, uint32_t node, enum emu_store_mode mode)
+{
+	emu->nodes[node].store_mode = mode;
+}
+
+void emu_store_lost(struct emu *emu, uint32_t lost_permille,
+		    uint32_t late_permille)
+{
+	emu->lost_permille = lost_permille;
+	emu->late_permille = late_permille;
+}
+
+void emu_store_slow(struct emu *emu, uint32_t factor)
+{
+	emu->slow = factor;
+}
+
 void emu_tally(const struct emu *emu, struct emu_tally *out)
 {
 	*out = emu->tally;
