Let the admission's random test fit its time limit on a slow machine

It takes 14.5 s of processor time there, all of it in assertions that hold: each one writes to check's runner. The limit is 4 s. Change: the same four conditions at each of the same 400,000 steps, reported only when one does not hold. No condition, seed or step is left out.

--- a/packages/core/tests/test_adm.c
+++ b/packages/core/tests/test_adm.c
@@ -27,10 +27,14 @@
 		bytes += items[i].bytes;
 		in_line += items[i].queued;
 	}
-	ck_assert_msg(count <= limits.max_requests, "seed %u", seed);
-	ck_assert_msg(bytes <= limits.max_bytes, "seed %u", seed);
-	ck_assert_uint_eq(adm_queue_bytes(queue), bytes);
-	ck_assert_uint_eq(adm_queue_length(queue), in_line);
+	/* An assertion that holds costs a write to check's runner; 1.6 million
+	 * of them took longer than its time limit on a slow machine. */
+	if (count > limits.max_requests || bytes > limits.max_bytes ||
+	    adm_queue_bytes(queue) != bytes ||
+	    adm_queue_length(queue) != in_line)
+		ck_abort_msg("seed %u: %u requests, %" G_GUINT64_FORMAT
+			     " bytes, %u in line",
+			     seed, count, bytes, in_line);
 }
 
 static void item_step(struct adm_queue *queue, struct adm_item *item,
