--- a/packages/core/tests/test_sel.c
+++ b/packages/core/tests/test_sel.c
@@ -48,8 +48,9 @@
 			now_ms += (uint64_t)g_rand_int_range(rand, 0, 50);
 			ejections += sel_record(set, vm, evidence, now_ms,
 						now_ms, g_rand_int(rand));
-			ck_assert_msg(limited_count(set) <= count / 2,
-				      "seed %u", seed);
+			/* One that holds costs a write to check's runner. */
+			if (limited_count(set) > count / 2)
+				ck_abort_msg("seed %u", seed);
 		}
 		sel_set_destroy(set);
 		g_rand_free(rand);
