--- a/bin/sassafrascartd/jpr.c
+++ b/bin/sassafrascartd/jpr.c
@@ -19,7 +19,7 @@
 /* Calls to the store that one process may make at once. */
 #define JPR_STORE_BURST 200
 /* Life of a process's lease: bounds how long a dead owner is missed. It is
- * renewed three times in it, and a slow store answers in some 300 ms. */
+ * renewed four times in it, and a slow store answers in some 300 ms. */
 #define JPR_LEASE_TTL_S 1
 /* Largest body of a request before the configuration tells another bound. */
 #define JPR_BODY_MAX_BYTES (1024u * 1024u)
@@ -282,7 +282,6 @@
 		.connections_max = JPR_CONNECTIONS_MAX,
 		.idle_timeout_ms = JPR_IDLE_TIMEOUT_MS,
 	};
-
 	enum err_kind err =
 		clr_server_create(process->loop, &config, ops, process, out);
 
@@ -384,7 +383,6 @@
 static int process_run(struct jpr_process *process)
 {
 	enum err_kind err;
-
 	static const char *const labels[] = {
 		[JSV_SUBMIT] = "call=\"submit\"",
 		[JSV_STATE] = "call=\"state\"",
--- a/packages/jobs/include/jpt.h
+++ b/packages/jobs/include/jpt.h
@@ -248,9 +248,8 @@
 			    const char *holder, uint64_t fence,
 			    uint32_t timeout_ms, jpt_vm_cb cb, void *data);
 
-	/** key of the configuration, and the prefix to watch for it */
+	/** key of the configuration */
 	const char *config_key;
-	const char *config_prefix;
 	/** prefixes of the workers' entries and of the operator's waves */
 	const char *workers_prefix;
 	const char *waves_prefix;
--- a/packages/jobs/include/ldr.h
+++ b/packages/jobs/include/ldr.h
@@ -79,9 +79,6 @@
 /** @brief Tells whether this process owns and its lease runs for sure. */
 bool ldr_is_proved(const struct ldr_election *election);
 
-/** @brief Tells whether this process owns, proved or not. */
-bool ldr_is_owner(const struct ldr_election *election);
-
 /** @brief Returns the owner that was seen last, NULL for none. */
 const struct ldr_owner *ldr_owner(const struct ldr_election *election);
 
--- a/packages/jobs/src/cfw.c
+++ b/packages/jobs/src/cfw.c
@@ -72,7 +72,7 @@
 	watcher->cb = cb;
 	watcher->data = data;
 	watcher->follower =
-		fol_follower_create(loop, platform, ops->config_prefix,
+		fol_follower_create(loop, platform, ops->config_key,
 				    CFW_WATCH_MS, &config_ops, watcher);
 	return watcher;
 }
--- a/packages/jobs/src/ldr.c
+++ b/packages/jobs/src/ldr.c
@@ -14,15 +14,15 @@
  * without an answer is tried again. */
 #define LDR_SPREAD_MS 50
 
+/* Factor of the pause before the first competition of a process. */
+#define LDR_FIRST_FACTOR 4
+
 enum ldr_role {
 	LDR_FOLLOWS,
 	LDR_OWNS,
 	LDR_RESIGNED,
 };
 
-/* Factor of the pause before the first competition of a process. */
-#define LDR_FIRST_FACTOR 4
-
 struct ldr_election {
 	struct evl_loop *loop;
 	struct plt_platform *platform;
@@ -345,11 +345,6 @@
 	       lse_keeper_lease(election->lease) != 0;
 }
 
-bool ldr_is_owner(const struct ldr_election *election)
-{
-	return election->role == LDR_OWNS;
-}
-
 const struct ldr_owner *ldr_owner(const struct ldr_election *election)
 {
 	/* The key may be that of an earlier incarnation of this process. */
--- a/packages/jobs/src/own.c
+++ b/packages/jobs/src/own.c
@@ -33,27 +33,13 @@
 
 		job->accepted_ms = now_ms;
 		job->ended_ms = now_ms;
-		if (job->state > JTP_RUNNING)
+		if (!own_job_is_live(job))
 			continue;
 		live++;
 		if (job->occurrences->len == 0 && job->spec->times == 0)
 			own_occurrence_add(owner, job);
 	}
-	for (guint i = 0; i < owner->live->len; i++) {
-		struct jtp_occurrence *occurrence =
-			g_ptr_array_index(owner->live, i);
-		const GArray *steps = occurrence->job->spec->steps;
-
-		for (guint j = 0; j < steps->len; j++) {
-			struct jtp_group *group = &occurrence->groups[j];
-
-			for (uint32_t k = 0; k < group->step->count; k++) {
-				if (group->tasks[k].state == JTP_TASK_WAITING)
-					jtp_task_set_state(&group->tasks[k],
-							   JTP_TASK_UNKNOWN);
-			}
-		}
-	}
+	own_tasks_restate(owner, JTP_TASK_WAITING, JTP_TASK_UNKNOWN);
 	owner->has_unknown = true;
 	lgx_info("takeover-read",
 		 "epoch %" G_GUINT64_FORMAT ": %u jobs, %u of them live, "
@@ -96,7 +82,7 @@
 		struct jtp_job *job =
 			g_hash_table_lookup(owner->jobs, kv->key + prefix_len);
 
-		if (!job || job->state > JTP_RUNNING)
+		if (!job || !own_job_is_live(job))
 			continue;
 		err = jrc_progress_decode(job, kv->value, kv->value_len,
 					  evl_now_ms(), evl_unix_ms());
@@ -188,7 +174,7 @@
 
 	if (job->stored_state <= JTP_RUNNING && job->spec &&
 	    job->spec->times == 0 && job->occurrences_begun == 0 &&
-	    job->state <= JTP_RUNNING) {
+	    own_job_is_live(job)) {
 		owner->counters.accepted++;
 		lgx_info("job-accepted",
 			 "%s queue %s, steps %u, stored after "
@@ -275,13 +261,13 @@
 		struct jtp_job *job = value;
 
 		while (job->spec && job->spec->times > 0 &&
-		       job->state <= JTP_RUNNING && job->is_sent &&
+		       own_job_is_live(job) && job->is_sent &&
 		       !job->in_flight &&
 		       jtp_next_due_unix_ms(job) <= unix_ms) {
 			own_occurrence_add(owner, job);
 			own_plan_soon(owner);
 		}
-		if (job->state <= JTP_RUNNING || job->spec || job->dirty ||
+		if (own_job_is_live(job) || job->spec || job->dirty ||
 		    job->in_flight || job->waiters ||
 		    now_ms - job->ended_ms < keep_ms)
 			continue;
--- a/packages/jobs/src/own_calls.c
+++ b/packages/jobs/src/own_calls.c
@@ -214,19 +214,31 @@
 		answer_now(cb, data, JSV_OK, NULL);
 }
 
+static struct jtp_job *job_of(struct own_owner *owner,
+			      const struct jsv_call *call)
+{
+	struct jtp_job *job = g_hash_table_lookup(owner->jobs, call->id);
+
+	return job && strcmp(job->queue, call->queue) == 0 ? job : NULL;
+}
+
+/* Another owner may have accepted it meanwhile. */
+static void answer_no_job(struct own_owner *owner, jsv_cb cb, void *data)
+{
+	if (owner->ops->is_proved(owner->data))
+		answer_now(cb, data, JSV_NO_JOB, NULL);
+	else
+		answer_now(cb, data, JSV_UNKNOWN, "ownership is not proved");
+}
+
 static void tell_state(struct own_owner *owner, const struct jsv_call *call,
 		       jsv_cb cb, void *data)
 {
-	const struct jtp_job *job = g_hash_table_lookup(owner->jobs, call->id);
+	const struct jtp_job *job = job_of(owner, call);
 	struct jsv_answer answer = { .outcome = JSV_OK };
 
-	if (!job || strcmp(job->queue, call->queue) != 0) {
-		/* Another owner may have accepted it meanwhile. */
-		if (owner->ops->is_proved(owner->data))
-			answer_now(cb, data, JSV_NO_JOB, NULL);
-		else
-			answer_now(cb, data, JSV_UNKNOWN,
-				   "ownership is not proved");
+	if (!job) {
+		answer_no_job(owner, cb, data);
 		return;
 	}
 	answer.state = job->stored_state;
@@ -238,14 +250,10 @@
 static void cancel(struct own_owner *owner, const struct jsv_call *call,
 		   jsv_cb cb, void *data)
 {
-	struct jtp_job *job = g_hash_table_lookup(owner->jobs, call->id);
+	struct jtp_job *job = job_of(owner, call);
 
-	if (!job || strcmp(job->queue, call->queue) != 0) {
-		if (owner->ops->is_proved(owner->data))
-			answer_now(cb, data, JSV_NO_JOB, NULL);
-		else
-			answer_now(cb, data, JSV_UNKNOWN,
-				   "ownership is not proved");
+	if (!job) {
+		answer_no_job(owner, cb, data);
 		return;
 	}
 	if (job->state == JTP_SUCCEEDED || job->state == JTP_FAILED) {
@@ -271,7 +279,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct jtp_job *job = value;
 
-		if (!job->begun && job->state <= JTP_RUNNING &&
+		if (!job->begun && own_job_is_live(job) &&
 		    strcmp(job->queue, call->queue) == 0)
 			answer.waiting++;
 	}
--- a/packages/jobs/src/own_gang.c
+++ b/packages/jobs/src/own_gang.c
@@ -105,7 +105,7 @@
 static uint32_t next_run(const struct own_owner *owner,
 			 const struct jtp_group *group)
 {
-	uint32_t run = (uint32_t)(owner->epoch * OWN_RUNS_PER_EPOCH);
+	uint32_t run = own_run_base(owner);
 
 	for (uint32_t i = 0; i < group->step->count; i++)
 		run = MAX(run, group->tasks[i].run);
--- a/packages/jobs/src/own_plan.c
+++ b/packages/jobs/src/own_plan.c
@@ -7,6 +7,7 @@
 
 /* Changes that arrive within this time share one pass. */
 #define OWN_PLAN_GAP_MS 3
+
 static void on_pool_free(gpointer data)
 {
 	struct plan_pool *pool = data;
@@ -89,7 +90,7 @@
 {
 	const GArray *steps = occurrence->job->spec->steps;
 
-	if (occurrence->job->state > JTP_RUNNING)
+	if (!own_job_is_live(occurrence->job))
 		return false;
 	for (guint i = 0; i < steps->len; i++) {
 		const struct jtp_group *group = &occurrence->groups[i];
@@ -127,13 +128,17 @@
 	return left->sort_key < right->sort_key ? -1 : 1;
 }
 
+uint32_t own_run_base(const struct own_owner *owner)
+{
+	return (uint32_t)(owner->epoch * OWN_RUNS_PER_EPOCH);
+}
+
 void own_task_start(struct own_owner *owner, struct jtp_task *task,
 		    struct wrk_worker *worker)
 {
 	struct jtp_occurrence *occurrence = task->group->occurrence;
-	uint32_t base = (uint32_t)(owner->epoch * OWN_RUNS_PER_EPOCH);
 
-	task->run = MAX(task->run, base) + 1;
+	task->run = MAX(task->run, own_run_base(owner)) + 1;
 	task->ordered_ms = evl_now_ms();
 	task->moved_ms = task->ordered_ms;
 	task->seen_in_report = 0;
--- a/packages/jobs/src/own_plan.h
+++ b/packages/jobs/src/own_plan.h
@@ -24,6 +24,9 @@
 void own_candidate_take(struct pck_candidate *candidate,
 			const struct pck_need *need);
 
+/** Runs that this owner orders are numbered above it. */
+uint32_t own_run_base(const struct own_owner *owner);
+
 /** @brief Orders the next run of a task at a worker. */
 void own_task_start(struct own_owner *owner, struct jtp_task *task,
 		    struct wrk_worker *worker);
--- a/packages/jobs/src/own_pools.c
+++ b/packages/jobs/src/own_pools.c
@@ -174,7 +174,7 @@
 	struct pool_view *view =
 		queue ? view_find(views, queue->service) : NULL;
 
-	if (!view || occurrence->job->state > JTP_RUNNING)
+	if (!view || !own_job_is_live(occurrence->job))
 		return;
 	for (guint i = 0; i < steps->len; i++) {
 		const struct jtp_group *group = &occurrence->groups[i];
--- a/packages/jobs/src/own_private.h
+++ b/packages/jobs/src/own_private.h
@@ -115,6 +115,10 @@
 void own_task_place(struct own_owner *owner, struct jtp_task *task,
 		    struct wrk_worker *worker);
 void own_task_unplace(struct own_owner *owner, struct jtp_task *task);
+/** Sets the state of all live tasks that are in another one; returns how many.
+ */
+uint32_t own_tasks_restate(struct own_owner *owner, enum jtp_task_state from,
+			   enum jtp_task_state to);
 struct jtp_task *own_task_find(struct own_owner *owner, const char *name);
 void own_occurrence_add(struct own_owner *owner, struct jtp_job *job);
 void own_job_finish(struct own_owner *owner, struct jtp_job *job,
--- a/packages/jobs/src/own_roster.c
+++ b/packages/jobs/src/own_roster.c
@@ -281,25 +281,9 @@
 
 static void unknown_release(struct own_owner *owner)
 {
-	uint32_t released = 0;
-
-	for (guint i = 0; i < owner->live->len; i++) {
-		struct jtp_occurrence *occurrence =
-			g_ptr_array_index(owner->live, i);
-		const GArray *steps = occurrence->job->spec->steps;
-
-		for (guint j = 0; j < steps->len; j++) {
-			struct jtp_group *group = &occurrence->groups[j];
-
-			for (uint32_t k = 0; k < group->step->count; k++) {
-				if (group->tasks[k].state != JTP_TASK_UNKNOWN)
-					continue;
-				jtp_task_set_state(&group->tasks[k],
-						   JTP_TASK_WAITING);
-				released++;
-			}
-		}
-	}
+	uint32_t released =
+		own_tasks_restate(owner, JTP_TASK_UNKNOWN, JTP_TASK_WAITING);
+
 	owner->has_unknown = false;
 	lgx_info("takeover-settled",
 		 "%u tasks wait again, %" G_GUINT64_FORMAT " ms after it began",
@@ -313,8 +297,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!owner->roster_read || !owner->workers_read || !owner->jobs_read ||
-	    !owner->progress_read)
+	if (!owner->roster_read || !owner->workers_read || !own_is_ready(owner))
 		return;
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (!leases_over && g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/packages/jobs/src/own_task.c
+++ b/packages/jobs/src/own_task.c
@@ -53,6 +53,38 @@
 	return job->state <= JTP_RUNNING;
 }
 
+/* Sets the state of tasks of one occurrence that are in another one. */
+static uint32_t occurrence_restate(struct jtp_occurrence *occurrence,
+				   enum jtp_task_state from,
+				   enum jtp_task_state to)
+{
+	const GArray *steps = occurrence->job->spec->steps;
+	uint32_t changed = 0;
+
+	for (guint i = 0; i < steps->len; i++) {
+		struct jtp_group *group = &occurrence->groups[i];
+
+		for (uint32_t j = 0; j < group->step->count; j++) {
+			if (group->tasks[j].state != from)
+				continue;
+			jtp_task_set_state(&group->tasks[j], to);
+			changed++;
+		}
+	}
+	return changed;
+}
+
+uint32_t own_tasks_restate(struct own_owner *owner, enum jtp_task_state from,
+			   enum jtp_task_state to)
+{
+	uint32_t changed = 0;
+
+	for (guint i = 0; i < owner->live->len; i++)
+		changed += occurrence_restate(g_ptr_array_index(owner->live, i),
+					      from, to);
+	return changed;
+}
+
 struct jtp_task *own_task_find(struct own_owner *owner, const char *name)
 {
 	struct jtp_occurrence *occurrence;
--- a/packages/jobs/src/own_waves.c
+++ b/packages/jobs/src/own_waves.c
@@ -19,10 +19,15 @@
 	g_free(wave);
 }
 
+static char *wave_key(const struct own_wave *wave)
+{
+	return g_strdup_printf(OWN_PREFIX_WAVE "%" G_GUINT64_FORMAT,
+			       wave->number);
+}
+
 static void wave_store(struct own_fleet *fleet, const struct own_wave *wave)
 {
-	g_autofree char *key = g_strdup_printf(
-		OWN_PREFIX_WAVE "%" G_GUINT64_FORMAT, wave->number);
+	g_autofree char *key = wave_key(wave);
 	json_t *done = json_array();
 	GHashTableIter iter;
 	gpointer name;
@@ -94,8 +99,7 @@
 static void progress_read(struct own_fleet *fleet, const struct own_wave *wave)
 {
 	struct wave_read *read = g_new0(struct wave_read, 1);
-	g_autofree char *key = g_strdup_printf(
-		OWN_PREFIX_WAVE "%" G_GUINT64_FORMAT, wave->number);
+	g_autofree char *key = wave_key(wave);
 
 	read->cell = cel_enter(fleet->owner->cell);
 	read->number = wave->number;
--- a/packages/jobs/src/wrk.c
+++ b/packages/jobs/src/wrk.c
@@ -402,8 +402,6 @@
 				     call);
 }
 
-static void stop_send(struct wrk_call *call);
-
 static void on_stopped(void *data, const struct jpt_reply *reply)
 {
 	struct wrk_call *call = data;
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -364,11 +364,6 @@
 	return emu->vm_count;
 }
 
-uint32_t emu_broken(const struct emu *emu, enum emu_rule rule)
-{
-	return emu->broken[rule];
-}
-
 uint32_t emu_broken_any(const struct emu *emu)
 {
 	uint32_t sum = 0;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -197,8 +197,6 @@
 /** @brief VMs whose worker is up. */
 uint32_t emu_vm_count(const struct emu *emu);
 
-/** @brief Number of times that a rule was broken. */
-uint32_t emu_broken(const struct emu *emu, enum emu_rule rule);
 /** @brief Number of times that any rule was broken. */
 uint32_t emu_broken_any(const struct emu *emu);
 /** @brief Text of what was broken first, "" for nothing. */
--- a/packages/jobs/tests/emu_orders.c
+++ b/packages/jobs/tests/emu_orders.c
@@ -146,7 +146,6 @@
 	.vm_move = emu_vm_move,
 	.vm_maintain = emu_vm_maintain,
 	.config_key = "config",
-	.config_prefix = "config",
 	.workers_prefix = "workers/",
 	.waves_prefix = "waves/",
 	.config_decode = emu_config_decode,
--- a/packages/peer/include/jch.h
+++ b/packages/peer/include/jch.h
@@ -15,7 +15,7 @@
 /** Both sides of the channel in one process, opaque. */
 struct jch_channel;
 
-/** What the listening side calls; answer by jch_answer(). */
+/** What the listening side calls; answer by cb. */
 typedef void (*jch_call_cb)(void *data, const struct jsv_call *call, jsv_cb cb,
 			    void *cb_data);
 
--- a/packages/runtime/src/hst.c
+++ b/packages/runtime/src/hst.c
@@ -45,7 +45,7 @@
 	histogram->sum_ms += took_ms;
 	/* What is longer than the last bound counts in the total alone; asked
 	 * for first, since GSL reports it as an error. */
-	if (took_ms < 30000 &&
+	if ((double)took_ms < hst_bounds_ms[G_N_ELEMENTS(hst_bounds_ms) - 1] &&
 	    gsl_histogram_find(histogram->buckets, (double)took_ms, &bucket) ==
 		    0)
 		gsl_histogram_increment(histogram->buckets, (double)took_ms);
