Log each job that the owner refuses, at once too

Cause: OPERATIONS.md sends from 'refused, the owner's answer' to the owner's 'job-refused' line, which was written only for jobs withdrawn after they had waited. Jobs refused on arrival, the most, had none. Nothing else changes.

--- a/packages/jobs/src/own_calls.c
+++ b/packages/jobs/src/own_calls.c
@@ -55,13 +55,18 @@
 	wait_end(wait, &answer);
 }
 
+static void refusal_log(const char *id, const char *queue, const char *why)
+{
+	lgx_info("job-refused", "%s queue %s: %s", id, queue, why);
+}
+
 /* Refuses a job that was never sent to the store, with all who wait for it. */
 static bool job_withdraw(struct own_owner *owner, struct jtp_job *job,
 			 const char *why)
 {
 	if (!cmt_withdraw(owner->log, job))
 		return false;
-	lgx_info("job-refused", "%s queue %s: %s", job->id, job->queue, why);
+	refusal_log(job->id, job->queue, why);
 	while (job->waiters)
 		answer_refused(job->waiters->data, why);
 	own_job_remove(owner, job);
@@ -188,6 +193,7 @@
 	if (own_store_is_away(owner)) {
 		jtp_spec_destroy(spec);
 		owner->counters.refused++;
+		refusal_log(call->id, call->queue, "the store is away");
 		answer_now(cb, data, JSV_REFUSED, "the store is away");
 		return;
 	}
