Unlink the shutdown timer before a drained server is freed

Cause: h2o keeps a timer of one second after a request to shut down. A process that stopped with no open caller connection freed the timer list with that timer in it, and ended by an assertion instead of code 0.

Change: the timer is unlinked first.

Ruled out: SIGHUP during the stop; the abort comes without it as well.

--- a/packages/caller/src/ingress.c
+++ b/packages/caller/src/ingress.c
@@ -279,6 +279,9 @@
 	if (!h2o_linklist_is_empty(&server->ctx.http1._conns) ||
 	    !h2o_linklist_is_empty(&server->ctx.http2._conns))
 		return;
+	/* Set by a shutdown request and only cleared when it fires; a timeout
+	 * list must be empty when it is freed. */
+	h2o_timeout_unlink(&server->ctx.http2._graceful_shutdown_timeout);
 	h2o_context_dispose(&server->ctx);
 	h2o_config_dispose(&server->config);
 	g_free(server);
--- a/packages/caller/tests/test_ingress_server.c
+++ b/packages/caller/tests/test_ingress_server.c
@@ -1,7 +1,7 @@
 /**
  * @file test_ingress_server.c
  * @brief Destroying a server while a connection is open must not lead to
- *        further callbacks.
+ *        further callbacks, and destroying a drained one must not abort.
  */
 #include <arpa/inet.h>
 #include <check.h>
@@ -106,6 +106,25 @@
 }
 END_TEST
 
+START_TEST(test_drained_server_without_connections_is_destroyed)
+{
+	const struct ingress_config config = { .ip = "127.0.0.1",
+					       .body_max_bytes = 1024,
+					       .connections_max = 4,
+					       .idle_timeout_ms = 10000 };
+	struct calls calls = { .loop = loop_create() };
+	struct ingress_server *server;
+
+	ck_assert_int_eq(ingress_server_create(calls.loop, &config, &ops,
+					       &calls, &server),
+			 ERR_NONE);
+	loop_run(calls.loop);
+	ingress_server_drain(server);
+	ingress_server_destroy(server);
+	loop_destroy(calls.loop);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("ingress_server");
@@ -114,6 +133,8 @@
 	int failed;
 
 	tcase_add_test(tcase, test_destroyed_server_runs_no_callbacks);
+	tcase_add_test(tcase,
+		       test_drained_server_without_connections_is_destroyed);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
