Read settings again on SIGHUP and when the file changes

Change: both modes of sassafrascartd read their settings files again on SIGHUP and when a look once a second shows a changed file. A file is read and checked whole before anything is applied; a missing, invalid or incomplete one changes nothing and is logged as an error and counted. Settings that cannot change while the process runs are kept and named.

Ruled out: inotify, which the platform does not offer.

--- a/bin/sassafrascartd/daemon.c
+++ b/bin/sassafrascartd/daemon.c
@@ -393,6 +393,7 @@
 	daemon->manager = manager_create(daemon);
 	daemon->sync = sync_create(&sync, on_state_applied, daemon);
 	sync_set_peers(daemon->sync, daemon->peers, on_head_changed);
+	daemon_reload_start(daemon);
 	peers_seed(daemon);
 	daemon_slots_start(daemon);
 	daemon->members_timer.cb = on_members_due;
@@ -461,6 +462,8 @@
 	mgr_manager_destroy(daemon->manager);
 	sync_destroy(daemon->sync);
 	platform_destroy(daemon->platform);
+	reload_destroy(daemon->reload);
+	g_strfreev(daemon->key_checksums);
 	signing_trust_store_destroy(daemon->trust);
 	g_free(daemon);
 }
--- a/bin/sassafrascartd/daemon.h
+++ b/bin/sassafrascartd/daemon.h
@@ -37,4 +37,13 @@
  */
 void daemon_shut_down(struct daemon *daemon);
 
+/**
+ * @brief Reads the files of the operator keys again, from the event loop.
+ *
+ * The other settings come from the command line and the environment, which do
+ * not change while the process runs. A bundle that is in force stays in force
+ * if its key was withdrawn; bundles read from now on need the new keys.
+ */
+void daemon_reload(struct daemon *daemon);
+
 #endif
--- a/bin/sassafrascartd/daemon_pages.c
+++ b/bin/sassafrascartd/daemon_pages.c
@@ -31,6 +31,7 @@
 	ingress_server_connection_counts(daemon->server, &connections,
 					 &refused);
 	counter_render(&daemon->counters, body);
+	reload_metrics_append(daemon->reload, body);
 	gateway_metrics_render(daemon->gateway, body);
 	mgr_metrics_render(daemon->manager, body);
 	platform_call_counts(daemon->platform, &calls, &limited);
--- a/bin/sassafrascartd/daemon_private.h
+++ b/bin/sassafrascartd/daemon_private.h
@@ -13,6 +13,7 @@
 #include "member.h"
 #include "mgr.h"
 #include "gossip.h"
+#include "reload.h"
 #include "signing.h"
 #include "sync.h"
 
@@ -24,6 +25,9 @@
 	struct member self;
 	struct platform *platform;
 	struct signing_trust_store *trust;
+	struct reload *reload;
+	/** checksum of each operator key file as last loaded */
+	char **key_checksums;
 	struct lease *lease;
 	struct mgr_manager *manager;
 	struct sync *sync;
@@ -59,6 +63,9 @@
 /** A peer without a heartbeat for this long counts as unreachable. */
 #define DAEMON_PEER_TIMEOUT_MS 8000
 
+/** @brief Watches the files of the operator keys. */
+void daemon_reload_start(struct daemon *daemon);
+
 /** @brief Starts the periodic update of the gateway's list of processes. */
 void daemon_slots_start(struct daemon *daemon);
 
--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -13,6 +13,7 @@
 #include "histogram.h"
 #include "job_rpc.h"
 #include "log.h"
+#include "reload.h"
 
 /* Timeout of a call to the store, whose slow answers take about 300 ms. */
 #define JOBD_STORE_TIMEOUT_MS 1000
@@ -75,12 +76,14 @@
 
 struct jobd_process {
 	struct loop *loop;
+	const char *node_file;
 	struct esoa_settings settings;
 	struct platform *store;
 	struct esoa_adapter *adapter;
 	struct job_rpc_channel *channel;
 	struct jobs_service *service;
 	struct config_watcher *config;
+	struct reload *reload;
 	struct ingress_server *caller_server;
 	struct ingress_server *readiness_server;
 	/* NULL if no metrics port is set */
@@ -207,6 +210,7 @@
 			       "sassafrascart_log_lines_held_back_total "
 			       "%" G_GUINT64_FORMAT "\n",
 			       log_dropped_count());
+	reload_metrics_append(process->reload, body);
 	return true;
 }
 
@@ -279,10 +283,8 @@
 	loop_timer_set(process->loop, &process->stop_timer, JOBD_STOP_POLL_MS);
 }
 
-static void on_signal(void *data, int signo)
+static void process_stop(struct jobd_process *process, int signo)
 {
-	struct jobd_process *process = data;
-
 	if (process->stopping)
 		return;
 	log_info("process-stopping",
@@ -294,6 +296,16 @@
 	on_stop_poll(process);
 }
 
+static void on_signal(void *data, int signo)
+{
+	struct jobd_process *process = data;
+
+	if (signo == SIGHUP)
+		reload_request(process->reload);
+	else
+		process_stop(process, signo);
+}
+
 static enum err_kind server_open(struct jobd_process *process,
 				 const struct cfg_endpoint *endpoint,
 				 const struct ingress_ops *ops,
@@ -315,21 +327,48 @@
 	return err;
 }
 
-static enum err_kind store_open(struct jobd_process *process)
+static struct platform_config store_config(const struct esoa_settings *settings)
 {
-	const struct esoa_settings *settings = &process->settings;
-	const struct platform_config config = {
+	return (struct platform_config){
 		.ip = settings->store.ip,
 		.port = settings->store.port,
 		.timeout_ms = JOBD_STORE_TIMEOUT_MS,
 		.rate_per_s = settings->store_calls_per_s,
 		.rate_burst = JOBD_STORE_BURST,
 	};
+}
+
+static enum err_kind store_open(struct jobd_process *process)
+{
+	const struct platform_config config = store_config(&process->settings);
 
 	return platform_create_with_ops(process->loop, &esoa_store_ops, &config,
 					&process->store);
 }
 
+static uint32_t compete_delay_ms(const struct esoa_settings *settings)
+{
+	return JOBD_ELECTION_DELAY_MS * 1000 / MAX(settings->cpu_permille, 1);
+}
+
+/* The adapter and the stop deadline read the settings directly. */
+static bool on_reload(void *data, GString *applied, GString *kept,
+		      GError **error)
+{
+	struct jobd_process *process = data;
+	const struct esoa_settings *settings = &process->settings;
+	struct platform_config config;
+
+	if (!esoa_settings_reload(process->node_file, &process->settings,
+				  applied, kept, error))
+		return false;
+	config = store_config(settings);
+	platform_reconfigure(process->store, &config);
+	jobs_set_limits(process->service, compete_delay_ms(settings),
+			settings->ended_retention_ms);
+	return true;
+}
+
 static void service_open(struct jobd_process *process)
 {
 	const struct esoa_settings *settings = &process->settings;
@@ -339,8 +378,7 @@
 		.ip = settings->ip,
 		.port = settings->peer_port,
 		.lease_ttl_s = JOBD_LEASE_TTL_S,
-		.compete_delay_ms = JOBD_ELECTION_DELAY_MS * 1000 /
-				    MAX(settings->cpu_permille, 1),
+		.compete_delay_ms = compete_delay_ms(settings),
 		.worker_lease_ms = settings->worker_lease_ms,
 		.ended_retention_ms = settings->ended_retention_ms,
 		.vm_order_interval_ms = settings->vm_order_interval_ms,
@@ -370,6 +408,7 @@
 static enum err_kind process_open(struct jobd_process *process)
 {
 	const struct esoa_settings *settings = &process->settings;
+	const char *const files[] = { process->node_file, NULL };
 	enum err_kind err = store_open(process);
 
 	if (err != ERR_NONE)
@@ -382,6 +421,8 @@
 		return err;
 	}
 	service_open(process);
+	process->reload =
+		reload_create(process->loop, files, on_reload, process);
 	err = server_open(process, &settings->caller_listen, &caller_ops,
 			  &process->caller_server);
 	if (err == ERR_NONE)
@@ -396,6 +437,7 @@
 
 static void process_close(struct jobd_process *process)
 {
+	reload_destroy(process->reload);
 	jobs_service_destroy(process->service);
 	config_watcher_destroy(process->config);
 	ingress_server_destroy(process->caller_server);
@@ -493,6 +535,7 @@
 				"worker-fetch-unsupported",
 				"the node file says that workers fetch their "
 				"orders; sending orders to workers instead");
+		process.node_file = options.node_file;
 		process.metrics_port = (uint16_t)options.metrics_port;
 		status = process_run(&process);
 	}
--- a/bin/sassafrascartd/main.c
+++ b/bin/sassafrascartd/main.c
@@ -9,7 +9,10 @@
 
 static void on_signal(void *data, int signo)
 {
-	daemon_shut_down(data);
+	if (signo == SIGHUP)
+		daemon_reload(data);
+	else
+		daemon_shut_down(data);
 }
 
 static int daemon_run(const struct settings *settings)
@@ -96,7 +99,7 @@
 	GError *error = NULL;
 	int status;
 
-	signal(SIGPIPE, SIG_IGN);
+	loop_signals_block();
 	if (jobd_is_requested(argc, argv))
 		return jobd_main(argc, argv);
 	if (!settings_parse(&argc, &argv, &settings, &error)) {
--- /dev/null
+++ b/bin/sassafrascartd/reload.h
@@ -0,0 +1,44 @@
+/**
+ * @file reload.h
+ * @brief Reads the settings of a running process again, after SIGHUP or when
+ * one of its settings files has changed.
+ *
+ * Prefix: reload_. Requests that come in a burst lead to one reload.
+ */
+#ifndef RELOAD_H
+#define RELOAD_H
+
+#include <glib.h>
+
+#include "loop.h"
+
+/** The reloader of a process, opaque. */
+struct reload;
+
+/**
+ * @brief Reads and checks the settings, then applies what may change.
+ * @param applied receives what was applied, as text; left empty if nothing was
+ * @param kept receives what differs but needs a restart
+ * @param error set on failure; all settings then stay as they were
+ */
+typedef bool (*reload_apply_cb)(void *data, GString *applied, GString *kept,
+				GError **error);
+
+/**
+ * @brief Starts to watch the settings files.
+ * @param paths NULL-terminated list of files, copied
+ * @return the reloader, to be freed with reload_destroy()
+ */
+struct reload *reload_create(struct loop *loop, const char *const *paths,
+			     reload_apply_cb apply, void *data);
+
+/** @brief Stops watching. @param reload may be NULL */
+void reload_destroy(struct reload *reload);
+
+/** @brief Requests a reload, which runs from the event loop. */
+void reload_request(struct reload *reload);
+
+/** @brief Appends the metrics of the reloader, one per line. */
+void reload_metrics_append(const struct reload *reload, GString *out);
+
+#endif
--- a/packages/jobs/include/election.h
+++ b/packages/jobs/include/election.h
@@ -66,6 +66,9 @@
  *  @param election may be NULL */
 void election_destroy(struct election *election);
 
+/** @brief Changes the delay before competing for ownership. */
+void election_set_delay(struct election *election, uint32_t delay_ms);
+
 /** @brief Releases ownership at once and stops competing. */
 void election_resign(struct election *election);
 
--- a/packages/jobs/include/jobs.h
+++ b/packages/jobs/include/jobs.h
@@ -141,6 +141,10 @@
 void jobs_set_catalogue(struct jobs_service *service,
 			struct catalogue *catalogue);
 
+/** @brief Changes the limits that may change while the service runs. */
+void jobs_set_limits(struct jobs_service *service, uint32_t compete_delay_ms,
+		     uint32_t ended_retention_ms);
+
 /** @brief Releases ownership for good, before the process exits. */
 void jobs_resign(struct jobs_service *service);
 
--- a/packages/jobs/src/election.c
+++ b/packages/jobs/src/election.c
@@ -371,6 +371,11 @@
 	g_free(election);
 }
 
+void election_set_delay(struct election *election, uint32_t delay_ms)
+{
+	election->delay_ms = delay_ms;
+}
+
 void election_resign(struct election *election)
 {
 	ownership_release(election, "resigned");
--- a/packages/jobs/src/jobs.c
+++ b/packages/jobs/src/jobs.c
@@ -564,6 +564,14 @@
 		owner_start(service);
 }
 
+void jobs_set_limits(struct jobs_service *service, uint32_t compete_delay_ms,
+		     uint32_t ended_retention_ms)
+{
+	/* The owner, if any, reads its limits here. */
+	service->config.ended_retention_ms = ended_retention_ms;
+	election_set_delay(service->election, compete_delay_ms);
+}
+
 void jobs_resign(struct jobs_service *service)
 {
 	election_resign(service->election);
--- a/packages/operator/include/signing.h
+++ b/packages/operator/include/signing.h
@@ -37,6 +37,15 @@
 					 uint32_t required,
 					 struct signing_trust_store **out);
 
+/**
+ * @brief Replaces the keys of a trust store by those that the files hold now.
+ * @param trust keeps its keys unless the result is ERR_NONE
+ * @param paths NULL-terminated list of files
+ * @return as signing_trust_store_create()
+ */
+enum err_kind signing_trust_store_reload(struct signing_trust_store *trust,
+					 const char *const *paths);
+
 /** @brief Frees the trust store and its keys. @param trust may be NULL */
 void signing_trust_store_destroy(struct signing_trust_store *trust);
 
--- a/packages/operator/src/signing.c
+++ b/packages/operator/src/signing.c
@@ -138,6 +138,22 @@
 	return ERR_NONE;
 }
 
+enum err_kind signing_trust_store_reload(struct signing_trust_store *trust,
+					 const char *const *paths)
+{
+	struct signing_trust_store *fresh = NULL;
+	enum err_kind err =
+		signing_trust_store_create(paths, trust->required, &fresh);
+	GPtrArray *replaced = trust->keys;
+
+	if (err != ERR_NONE)
+		return err;
+	trust->keys = fresh->keys;
+	fresh->keys = replaced;
+	signing_trust_store_destroy(fresh);
+	return ERR_NONE;
+}
+
 void signing_trust_store_destroy(struct signing_trust_store *trust)
 {
 	if (!trust)
--- a/packages/platform/include/platform_client.h
+++ b/packages/platform/include/platform_client.h
@@ -149,6 +149,9 @@
 				const struct platform_config *config,
 				void **out);
 	void (*destroy)(void *self);
+	/** takes over an address and timeout for later calls; NULL if the
+	 * adapter has a fixed address */
+	void (*reconfigure)(void *self, const struct platform_config *config);
 	/** returns the traffic counters, owned by the adapter */
 	const struct http_client_counts *(*counts)(const void *self);
 	void (*range)(void *self, const char *key, bool prefix, platform_cb cb,
@@ -201,6 +204,11 @@
  */
 void platform_destroy(struct platform *platform);
 
+/** @brief Changes the rate limit, and for calls sent from now on the address
+ * and timeout where the adapter supports it. */
+void platform_reconfigure(struct platform *platform,
+			  const struct platform_config *config);
+
 /** @brief Reads one key, or all keys under a prefix. */
 void platform_range(struct platform *platform, const char *key, bool prefix,
 		    platform_cb cb, void *data);
--- a/packages/platform/src/platform_client.c
+++ b/packages/platform/src/platform_client.c
@@ -99,6 +99,15 @@
 	g_free(platform);
 }
 
+void platform_reconfigure(struct platform *platform,
+			  const struct platform_config *config)
+{
+	platform->rate_per_s = config->rate_per_s;
+	platform->rate_burst = config->rate_burst;
+	if (platform->ops->reconfigure)
+		platform->ops->reconfigure(platform->adapter, config);
+}
+
 static bool rate_limit_acquire(struct platform *platform)
 {
 	uint64_t now_ms = loop_now_ms();
--- a/packages/runtime/include/log.h
+++ b/packages/runtime/include/log.h
@@ -42,6 +42,11 @@
 #define log_info(event, ...)                                                   \
 	g_log_structured("sassafrascart", G_LOG_LEVEL_INFO, "EVENT", event,    \
 			 "MESSAGE", __VA_ARGS__)
+/** Logs an event with a printf-style message at level error. GLib ends the
+ *  process on its own level of that name, so its critical level is used. */
+#define log_error(event, ...)                                                  \
+	g_log_structured("sassafrascart", G_LOG_LEVEL_CRITICAL, "EVENT",       \
+			 event, "MESSAGE", __VA_ARGS__)
 /** Logs an event with a printf-style message at level warning. */
 #define log_warning(event, ...)                                                \
 	g_log_structured("sassafrascart", G_LOG_LEVEL_WARNING, "EVENT", event, \
--- a/packages/runtime/include/loop.h
+++ b/packages/runtime/include/loop.h
@@ -16,7 +16,7 @@
 /** The loop, opaque. */
 struct loop;
 
-/** Called for each SIGTERM and SIGINT that arrives. */
+/** Called for each SIGTERM, SIGINT and SIGHUP that arrives. */
 typedef void (*loop_signal_cb)(void *data, int signo);
 
 /** @brief Creates the loop, freed by loop_destroy(). */
@@ -47,7 +47,16 @@
 void loop_timer_set(struct loop *loop, struct timer *timer, uint64_t delay_ms);
 
 /**
- * @brief Blocks SIGTERM and SIGINT and delivers them to a callback.
+ * @brief Blocks the signals that loop_signals_watch() delivers, and ignores
+ * those that have no meaning for the process but would end it.
+ *
+ * To be called first in main(): a blocked signal that arrives before the loop
+ * runs is delivered once it does.
+ */
+void loop_signals_block(void);
+
+/**
+ * @brief Delivers SIGTERM, SIGINT and SIGHUP to a callback.
  * @return ERR_NONE, or ERR_IO if signalfd() fails
  */
 enum err_kind loop_signals_watch(struct loop *loop, loop_signal_cb cb,
--- a/packages/runtime/src/loop.c
+++ b/packages/runtime/src/loop.c
@@ -8,6 +8,13 @@
 #include <unistd.h>
 
 #define LOOP_WAIT_MAX_MS 1000
+/* Signals that are delivered to the callback. */
+static const int loop_signals[] = { SIGTERM, SIGINT, SIGHUP };
+/* Signals that would end the process although they have no meaning for it, for
+ * example after a mistyped kill command. SIGQUIT keeps its meaning: end with a
+ * core dump. */
+static const int loop_meaningless_signals[] = { SIGUSR1,   SIGUSR2, SIGALRM,
+						SIGVTALRM, SIGPOLL, SIGPWR };
 #define LOOP_LISTEN_BACKLOG 1024
 
 struct loop {
@@ -95,16 +102,32 @@
 		loop->signal_cb(loop->signal_data, (int)info.ssi_signo);
 }
 
+static void watched_signals_fill(sigset_t *set)
+{
+	sigemptyset(set);
+	for (size_t i = 0; i < G_N_ELEMENTS(loop_signals); i++)
+		sigaddset(set, loop_signals[i]);
+}
+
+void loop_signals_block(void)
+{
+	sigset_t set;
+
+	watched_signals_fill(&set);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	for (size_t i = 0; i < G_N_ELEMENTS(loop_meaningless_signals); i++)
+		signal(loop_meaningless_signals[i], SIG_IGN);
+}
+
 enum err_kind loop_signals_watch(struct loop *loop, loop_signal_cb cb,
 				 void *data)
 {
 	sigset_t set;
 	int fd;
 
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigprocmask(SIG_BLOCK, &set, NULL);
+	loop_signals_block();
+	watched_signals_fill(&set);
 	fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	if (fd < 0)
 		return ERR_IO;
--- a/tests/runner_process.c
+++ b/tests/runner_process.c
@@ -111,9 +111,10 @@
 	static const struct {
 		const char *name;
 		int signo;
-	} signals[] = { { "KILL", SIGKILL },
-			{ "TERM", SIGTERM },
-			{ "STOP", SIGSTOP },
+	} signals[] = { { "KILL", SIGKILL }, { "TERM", SIGTERM },
+			{ "HUP", SIGHUP },   { "PIPE", SIGPIPE },
+			{ "USR1", SIGUSR1 }, { "USR2", SIGUSR2 },
+			{ "ALRM", SIGALRM }, { "STOP", SIGSTOP },
 			{ "CONT", SIGCONT } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
--- /dev/null
+++ b/tests/scenarios/jobfleet.lua
@@ -0,0 +1,119 @@
+-- Test fixture: the ESOA platform's stand-in with its emulated workers, and gateway
+-- processes that run in job mode, each with a node file.
+local fleet = require("fleet")
+
+local jobfleet = {}
+jobfleet.__index = jobfleet
+
+local HOST = "127.0.0.1"
+-- Host name of the queues of the stand-in's configuration.
+jobfleet.QUEUE_HOST = "jobs.example"
+
+-- Starts the platform's stand-in.
+function jobfleet.new(seed)
+  local self = setmetatable({processes = {}, port = free_port()}, jobfleet)
+  spawn{"standin_esoa", tostring(self.port), tostring(seed), log = DIR .. "/platform.log"}
+  fleet.wait_until("the platform responds", 5000, function()
+    return fleet.http{url = fleet.url(self.port, "/control/report")}.status == 200
+  end)
+  return self
+end
+
+-- Calls the stand-in's test interface; returns the decoded response.
+function jobfleet:control(path, body)
+  local answer = fleet.http{method = "POST", url = fleet.url(self.port, path), body = body}
+  assert(answer.status == 200, path .. " failed: " .. (answer.error or answer.status))
+  return json(answer.body)
+end
+
+function jobfleet:report() return fleet.get_json(self.port, "/control/report") end
+
+-- Writes the node file of a process from its settings, a list of {name, value}.
+function jobfleet.write_node_file(process)
+  local lines = {}
+  for _, setting in ipairs(process.settings) do table.insert(lines, setting[1] .. "=" .. setting[2]) end
+  fleet.write(process.file, table.concat(lines, "\n") .. "\n")
+end
+
+-- Sets a setting of a process for the next write of its node file.
+function jobfleet.set(process, name, value)
+  for _, setting in ipairs(process.settings) do
+    if setting[1] == name then
+      setting[2] = value
+      return
+    end
+  end
+  table.insert(process.settings, {name, value})
+end
+
+-- Adds a process whose calls to the platform go to platform_port. It is not started.
+function jobfleet:add_process(platform_port)
+  local index = #self.processes + 1
+  local process = {name = "vm-entry-" .. index, front = free_port(), ready = free_port(),
+                   metrics = free_port(), starts = 0}
+  process.file = DIR .. "/" .. process.name .. ".conf"
+  process.settings = {
+    {"node", process.name}, {"zone", "zone-" .. index}, {"ip", HOST},
+    {"listen.front", HOST .. ":" .. process.front}, {"listen.ready", HOST .. ":" .. process.ready},
+    {"port_range", free_port() .. ",65535"}, {"platform.address", HOST .. ":" .. platform_port},
+    {"cloud.address", HOST .. ":" .. platform_port}}
+  self.processes[index] = process
+  jobfleet.write_node_file(process)
+  return process
+end
+
+function jobfleet.start(process)
+  process.starts = process.starts + 1
+  process.log = string.format("%s/%s.%d.log", DIR, process.name, process.starts)
+  process.pid = spawn{"sassafrascartd", "--node-file", process.file, "--metrics-port",
+                      tostring(process.metrics), log = process.log}
+end
+
+function jobfleet.is_ready(process)
+  return fleet.http{url = fleet.url(process.ready, "/-/readyz"), timeout_ms = 500}.status == 200
+end
+
+-- Returns the value of a metric of a process, or nil if it has none.
+function jobfleet.metric(process, name)
+  local page = fleet.http{url = fleet.url(process.metrics, "/metrics"), timeout_ms = 1000}
+  for line in (page.body or ""):gmatch("[^\n]+") do
+    local metric, value = line:match("^(%S+) (%S+)$")
+    if metric == "sassafrascart_" .. name then return tonumber(value) end
+  end
+end
+
+-- Returns how many log lines of a process have an event.
+function jobfleet.event_count(process, event)
+  local count = 0
+  for _ in fleet.read(process.log):gmatch('"event":"' .. event:gsub("%-", "%%-") .. '"') do count = count + 1 end
+  return count
+end
+
+-- Starts a call for a job at an entry port; returns the number of the call.
+function jobfleet.call(port, method, job, body)
+  -- On a reused connection curl could silently resend a submission, as a second call.
+  return http_start{method = method, body = body, timeout_ms = 4000, fresh = method == "POST" and 1 or 0,
+                    headers = {host = jobfleet.QUEUE_HOST},
+                    url = fleet.url(port, "/queue-" .. job.pool .. "/" .. job.id)}
+end
+
+-- Registers a job with the stand-in: steps of `width` tasks.
+function jobfleet:create_job(job)
+  local created = self:control("/control/job", string.format(
+    '{"pool":%d,"steps":%d,"width":%d,"cpu":%d,"work_ms":%d,"poison":%s}', job.pool, job.steps or 1,
+    job.width or 1, job.cpu or 500, job.work_ms or 50, tostring(job.poison or false)))
+  job.number, job.id, job.body = created.job, created.id, created.body
+  return job
+end
+
+-- Announces to the stand-in that a caller sends a job.
+function jobfleet:announce(job) self:control("/control/sending", string.format('{"job":%d}', job.number)) end
+
+-- Reports a response that a caller received to the stand-in, which checks it.
+jobfleet.SUBMIT, jobfleet.STATE = 0, 1
+function jobfleet:told(job, verb, status, state)
+  self:control("/control/told", string.format('{"job":%d,"verb":%d,"status":%d,"state":"%s"}',
+                                              job.number, verb, status, state or ""))
+end
+
+return jobfleet
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -4,38 +4,24 @@
 -- platform stand-in checks its rules throughout, and every accepted job must end once
 -- the faults are over.
 local fleet = require("fleet")
+local jobfleet = require("jobfleet")
 
 local PROCESSES = 3
 local FAULTS_MS = 12000
 -- Long enough for the lease of a frozen owner to expire, for the takeover and for the
 -- longest delayed order.
 local SETTLE_MS = 40000
-local HOST = "jobs.example"
 local JOB_EVERY_MS = 60
 local FAULT_EVERY_MS = 600
 local SUBMIT_ATTEMPTS, RETRY_DELAY_MS = 5, 800
-local SUBMIT, STATE = 0, 1
 local ENDED = {succeeded = true, failed = true, canceled = true}
 
 math.randomseed(SEED)
 local random = math.random
 
-local port = free_port()
-spawn{"standin_esoa", tostring(port), tostring(SEED), log = DIR .. "/platform.log"}
+local platform = jobfleet.new(SEED)
 
-local function control(path, body)
-  local answer = fleet.http{method = "POST", url = fleet.url(port, path), body = body}
-  assert(answer.status == 200, path .. " failed: " .. (answer.error or answer.status))
-  return json(answer.body)
-end
-
-local function report() return fleet.get_json(port, "/control/report") end
-
-fleet.wait_until("the platform responds", 5000, function()
-  return fleet.http{url = fleet.url(port, "/control/report")}.status == 200
-end)
-
-local processes, relays = {}, {}
+local processes, relays = platform.processes, {}
 
 -- Starts a relay to a target port; returns the relay's port.
 local function relay_to(target, name)
@@ -48,25 +34,13 @@
 end
 
 local function start(process)
-  process.starts = process.starts + 1
   process.unavailable = false
-  process.pid = spawn{"sassafrascartd", "--node-file", process.file,
-                      log = string.format("%s/%s.%d.log", DIR, process.name, process.starts)}
+  jobfleet.start(process)
 end
 
 for i = 1, PROCESSES do
-  local process = {name = "vm-entry-" .. i, front = free_port(), starts = 0}
+  local process = platform:add_process(relay_to(platform.port, "vm-entry-" .. i .. "-platform"))
   process.callers = relay_to(process.front, process.name .. "-callers")
-  local platform = relay_to(port, process.name .. "-platform")
-  process.file = DIR .. "/" .. process.name .. ".conf"
-  fleet.write(process.file, table.concat({
-    "node=" .. process.name, "zone=zone-" .. i, "ip=127.0.0.1",
-    "listen.front=127.0.0.1:" .. process.front,
-    "listen.ready=127.0.0.1:" .. free_port(),
-    "port_range=" .. free_port() .. ",65535",
-    "platform.address=127.0.0.1:" .. platform,
-    "cloud.address=127.0.0.1:" .. platform}, "\n") .. "\n")
-  processes[i] = process
   start(process)
 end
 
@@ -79,25 +53,15 @@
 -- Sends a caller's request; done gets the response, with status 0 if there is none.
 local function call(method, job, body, done)
   local process = processes[random(PROCESSES)]
-  -- On a reused connection curl could silently resend a submission, as a second call.
-  local id = http_start{method = method, body = body, timeout_ms = 4000,
-                        fresh = method == "POST" and 1 or 0,
-                        headers = {host = HOST},
-                        url = fleet.url(process.callers, "/queue-" .. job.pool .. "/" .. job.id)}
+  local id = jobfleet.call(process.callers, method, job, body)
   calls[id] = done
 end
 
--- Reports a response to the platform stand-in, which checks it.
-local function report_response(job, verb, status, state)
-  control("/control/told", string.format('{"job":%d,"verb":%d,"status":%d,"state":"%s"}',
-                                         job.number, verb, status, state or ""))
-end
-
 local function poll_state(job)
   job.polled = true
   call("GET", job, nil, function(answer)
     local job_state = answer.status == 200 and json(answer.body).state or nil
-    report_response(job, STATE, answer.status, job_state)
+    platform:told(job, jobfleet.STATE, answer.status, job_state)
     job.polled = false
     job.ended = job.ended or ENDED[job_state]
   end)
@@ -105,9 +69,9 @@
 
 -- Submits a job; makes up to `attempts` attempts while it is refused or unanswered.
 local function submit_job(job, attempts)
-  control("/control/sending", string.format('{"job":%d}', job.number))
+  platform:announce(job)
   call("POST", job, job.body, function(answer)
-    report_response(job, SUBMIT, answer.status)
+    platform:told(job, jobfleet.SUBMIT, answer.status)
     job.accepted = answer.status == 200
     if not job.accepted and attempts > 1 then
       schedule(RETRY_DELAY_MS, function() submit_job(job, attempts - 1) end)
@@ -117,10 +81,8 @@
 
 local function create_job()
   local pool = random(0, 1)
-  local created = control("/control/job", string.format(
-    '{"pool":%d,"steps":%d,"width":%d,"cpu":%d,"work_ms":%d,"poison":%s}', pool, random(3),
-    random(3), 500 * random(3), 50 * random(12), tostring(random(30) == 1)))
-  local job = {number = created.job, id = created.id, pool = pool, body = created.body}
+  local job = platform:create_job{pool = pool, steps = random(3), width = random(3), cpu = 500 * random(3),
+                                  work_ms = 50 * random(12), poison = random(30) == 1}
   table.insert(jobs, job)
   submit_job(job, SUBMIT_ATTEMPTS)
 end
@@ -136,7 +98,7 @@
 end
 
 local function fault(kind, vm, value)
-  control("/control/fault", string.format('{"kind":"%s","vm":%d,"x":%d}', kind, vm, value))
+  platform:control("/control/fault", string.format('{"kind":"%s","vm":%d,"x":%d}', kind, vm, value))
 end
 
 local function restart_process(process, signal_name, down_ms)
@@ -169,7 +131,7 @@
   function() fault("compact", 0, 0) end,
   function() fault("crash", random(0, 7), random(300, 1500)) end,
   function() local vm = random(0, 7) fault("cut", vm, 1) schedule(random(500, 3000), function() fault("cut", vm, 0) end) end,
-  function() control("/control/wave", "{}") end,
+  function() platform:control("/control/wave", "{}") end,
   function() set_relay_mode(random_relay(), "delay " .. random(20, 300), random(500, 3000)) end,
   function() set_relay_mode(random_relay(), "reset", 100) end,
   function() set_relay_mode(random_relay(), "silent", random(500, 3000)) end,
@@ -222,7 +184,7 @@
   return unfinished == 0 and #scheduled == 0 and next(calls) == nil
 end)
 
-local final = report()
+local final = platform:report()
 local accepted = 0
 for _, job in ipairs(jobs) do if job.accepted then accepted = accepted + 1 end end
 print(string.format("%d of %d jobs accepted, %d runs, %d moves, %d maintained", accepted, #jobs,
