Grow a pool for long-running tasks that fit on none of its workers

Cause: pool sizes followed CPU alone. A step that allows two tasks per worker lost one of the pool's three workers to a drain; the other two had CPU left but could take no further task of the step, so no VM was requested and the task stayed down for 4.6 s, until other work made the pool grow.

Change: the scheduling pass marks groups whose next task fits on no worker; for long-running ones the pool counts as short of VMs, unless it has an idle VM, which did not fit either.

--- a/packages/core/src/capacity.c
+++ b/packages/core/src/capacity.c
@@ -18,12 +18,18 @@
 	int64_t vm_milli = pool->vm_cpu_milli * CAPACITY_USABLE_PERMILLE / 1000;
 	int64_t required_milli = pool->used_milli + pool->waiting_milli;
 	int64_t expected_milli = pool->long_running_milli + pool->inflow_milli;
+	uint32_t needed;
 
 	if (expected_milli > required_milli)
 		required_milli = expected_milli;
 	if (vm_milli <= 0)
 		return 0;
-	return (uint32_t)((required_milli + vm_milli - 1) / vm_milli);
+	needed = (uint32_t)((required_milli + vm_milli - 1) / vm_milli);
+	/* A VM that is idle did not fit either, and another one would not. */
+	if (pool->unplaced_vms > 0 && pool->idle == 0 &&
+	    needed < pool->up + pool->unplaced_vms)
+		needed = pool->up + pool->unplaced_vms;
+	return needed;
 }
 
 /* Number of VMs that each pool keeps while it is idle. */
--- a/packages/core/tests/test_capacity.c
+++ b/packages/core/tests/test_capacity.c
@@ -66,6 +66,27 @@
 }
 END_TEST
 
+/* At most so many tasks of a step may run on one worker: the pool has enough
+ * CPU and still no worker for the next task. */
+START_TEST(test_unplaced_tasks_bring_vms)
+{
+	struct capacity_pool pools[] = { pool(3, 0, 3000), pool(8, 8, 0) };
+	struct capacity_move moves[MOVES_MAX];
+	uint32_t count;
+
+	ck_assert_uint_eq(capacity_moves_choose(pools, 2, moves, MOVES_MAX), 0);
+	pools[0].unplaced_vms = 2;
+	count = capacity_moves_choose(pools, 2, moves, MOVES_MAX);
+	ck_assert_uint_eq(moves_to(moves, count, 1, 0), 2);
+	pools[0].arriving = 2;
+	ck_assert_uint_eq(capacity_moves_choose(pools, 2, moves, MOVES_MAX), 0);
+	pools[0].arriving = 0;
+	/* An idle worker that fits none of them shows that VMs do not help. */
+	pools[0].idle = 1;
+	ck_assert_uint_eq(capacity_moves_choose(pools, 2, moves, MOVES_MAX), 0);
+}
+END_TEST
+
 /* At the start of a burst more work is forecast than is queued. */
 START_TEST(test_forecast_work_counts)
 {
@@ -104,6 +125,7 @@
 	tcase_add_test(tests, test_shortage_is_met_from_spare_pool_first);
 	tcase_add_test(tests, test_donor_keeps_reserve);
 	tcase_add_test(tests, test_arriving_vms_count);
+	tcase_add_test(tests, test_unplaced_tasks_bring_vms);
 	tcase_add_test(tests, test_forecast_work_counts);
 	tcase_add_test(tests, test_long_idle_vms_return_to_spare_pool);
 	suite_add_tcase(suite, tests);
--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -160,6 +160,8 @@
 	uint32_t timed_tasks;
 	/** number of waiting tasks, whether or not the step is ready */
 	uint32_t tasks_waiting;
+	/** the last scheduling pass found no worker that fits a waiting task */
+	bool fits_nowhere;
 	/** gang: run that the members share, and the local time of its start */
 	uint32_t gang_run;
 	uint64_t gang_since_ms;
--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -174,6 +174,16 @@
 	}
 }
 
+/* VMs without tasks that the waiting tasks of a group need. */
+static uint32_t unplaced_vms(const struct job_group *group)
+{
+	uint32_t per_vm = group->step->max_per_worker;
+
+	if (!group->step->is_long_running || !group->fits_nowhere)
+		return 0;
+	return per_vm == 0 ? 1 : (group->tasks_waiting + per_vm - 1) / per_vm;
+}
+
 static void waiting_add(struct owner *owner, GArray *views,
 			const struct job_occurrence *occurrence)
 {
@@ -192,6 +202,9 @@
 		    job_group_is_ready(group))
 			view->pool.waiting_milli += group->tasks_waiting *
 						    group->step->need.cpu_milli;
+		if (group->tasks_waiting > 0)
+			view->pool.unplaced_vms = MAX(view->pool.unplaced_vms,
+						      unplaced_vms(group));
 	}
 }
 
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -250,6 +250,7 @@
 	struct binpack_request need = step_need(group->step);
 	bool needs_ticket = queue && queue->needs_advice;
 
+	group->fits_nowhere = false;
 	candidates_set_group(pool, group, needs_ticket);
 	if (needs_ticket)
 		owner_advice_request(
@@ -278,8 +279,10 @@
 					pool->candidates->len, &need);
 		if (chosen < 0 && need.has_failed)
 			continue;
-		if (chosen < 0)
+		if (chosen < 0) {
+			group->fits_nowhere = !needs_ticket;
 			return true;
+		}
 		owner_candidate_reserve(&g_array_index(pool->candidates,
 						       struct binpack_candidate,
 						       chosen),
