Treat workers of removed VMs as ended

Cause: a VM that is removed for good disappears from the platform's list of VMs.

Change: an unreachable worker whose VM is missing from two successive lists, requested after it stopped answering, has ended.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -141,6 +141,8 @@
 	bool discovered_without_lease;
 	/** name of its VM, NULL if unknown */
 	char *vm;
+	/** owner: number of successive lists of VMs that lacked its VM */
+	uint32_t vm_unlisted_count;
 	/** owner: how long a poll waits for an end, 0 for the maximum */
 	uint32_t poll_wait_ms;
 };
--- a/packages/jobs/src/owner_fleet.c
+++ b/packages/jobs/src/owner_fleet.c
@@ -23,6 +23,9 @@
 #define OWNER_MOVE_DRAIN_TIMEOUT_MS 1500
 /* Delay before an operation that was not accepted is requested again. */
 #define OWNER_ORDER_RETRY_MS 300
+/* A VM that this many successive lists lack was removed for good. The pages of
+ * one list are not a snapshot, so a single list may miss a VM that changes. */
+#define OWNER_VM_REMOVED_LISTS 2
 /* Added to an operation's duration, as lists of VMs may show its end later. */
 #define OWNER_OPERATION_MARGIN_MS 200
 /* Time-out of one watch on the maintenance waves. */
@@ -410,6 +413,32 @@
 	return NULL;
 }
 
+/* Returns whether the worker's VM was removed for good, and with it the worker.
+ * An unreachable worker whose VM is listed may still run. */
+static bool vm_is_removed(struct owner_fleet *fleet, struct worker *worker)
+{
+	if (g_hash_table_contains(fleet->vms, worker->vm) ||
+	    worker_is_reachable(worker) ||
+	    worker->unanswered_since_ms >= fleet->list_requested_ms)
+		worker->vm_unlisted_count = 0;
+	else
+		worker->vm_unlisted_count++;
+	return worker->vm_unlisted_count >= OWNER_VM_REMOVED_LISTS;
+}
+
+static const char *worker_check(struct owner_fleet *fleet,
+				struct worker *worker)
+{
+	const struct owner_vm *vm;
+
+	if (!worker->vm || worker->ended)
+		return NULL;
+	if (vm_is_removed(fleet, worker))
+		return "its VM was removed";
+	vm = g_hash_table_lookup(fleet->vms, worker->vm);
+	return vm ? worker_end_reason(fleet, worker, vm) : NULL;
+}
+
 /* Detects workers that have ended according to the list of VMs, so that their
  * tasks need not wait until the worker's lease has expired. */
 static void ended_workers_detect(struct owner_fleet *fleet)
@@ -420,12 +449,7 @@
 	g_hash_table_iter_init(&iter, fleet->owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct worker *worker = value;
-		const struct owner_vm *vm =
-			worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm)
-				   : NULL;
-		const char *why = vm && !worker->ended
-					  ? worker_end_reason(fleet, worker, vm)
-					  : NULL;
+		const char *why = worker_check(fleet, worker);
 
 		if (why)
 			worker_end_incarnation(worker, why);
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -331,6 +331,22 @@
 	emu->vms[vm].transition_ms = loop_now_ms() + down_ms;
 }
 
+void emu_vm_remove(struct emu *emu, uint32_t vm)
+{
+	emu_vm_crash(emu, vm, 0);
+	emu->vms[vm].transition_ms = 0;
+	emu->vms[vm].removed = true;
+}
+
+uint32_t emu_active_run_count(const struct emu *emu)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < emu->vm_count; i++)
+		count += emu->vms[i].up ? emu->vms[i].runs->len : 0;
+	return count;
+}
+
 void emu_worker_restart(struct emu *emu, uint32_t number)
 {
 	struct emu_vm *vm = &emu->vms[number];
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -228,6 +228,10 @@
 void emu_worker_set_partitioned(struct emu *emu, uint32_t vm, bool partitioned);
 /** @brief Crashes a VM; it starts a new worker after a time. */
 void emu_vm_crash(struct emu *emu, uint32_t vm, uint32_t down_ms);
+/** @brief Removes a VM for good: it stops and is no longer listed. */
+void emu_vm_remove(struct emu *emu, uint32_t vm);
+/** @brief Returns how many runs have not ended on workers that are up. */
+uint32_t emu_active_run_count(const struct emu *emu);
 /** @brief Restarts a VM's worker at once, under the same identity. */
 void emu_worker_restart(struct emu *emu, uint32_t vm);
 /** @brief Lets a worker announce that it drains, and stop after a time. */
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -70,6 +70,8 @@
 	char name[16];
 	uint32_t pool;
 	enum adapter_vm_state state;
+	/* removed for good; the list of VMs does not contain it */
+	bool removed;
 	/* newest wave in which the VM was maintained */
 	uint64_t maintained_wave;
 	/* the worker runs; the fields below describe it */
--- a/packages/jobs/tests/emu_vms.c
+++ b/packages/jobs/tests/emu_vms.c
@@ -19,6 +19,8 @@
 					  .worker =
 						  vm->up ? vm->worker : NULL };
 
+		if (vm->removed)
+			continue;
 		g_snprintf(pools[i], sizeof(pools[i]), "pool-%u", vm->pool);
 		g_array_append_val(rows, row);
 	}
--- a/packages/jobs/tests/test_faults.c
+++ b/packages/jobs/tests/test_faults.c
@@ -443,6 +443,53 @@
 }
 END_TEST
 
+/* A VM that is no longer in the platform's list was removed for good. What ran
+ * there is started elsewhere without waiting for the worker's lease to expire,
+ * also if the owner changes at that moment. */
+START_TEST(test_tasks_of_removed_vm_restart_at_once)
+{
+	struct emu *emu = emu_create(&fleet);
+	uint32_t before;
+
+	emu_advance(emu, 2000);
+	jobs_submit(emu, 4, &long_running_job);
+	emu_advance(emu, 1000);
+	before = emu_active_run_count(emu);
+	ck_assert_uint_eq(before, 12);
+	emu_vm_remove(emu, 0);
+	ck_assert_uint_lt(emu_active_run_count(emu), before);
+	if (_i == 1)
+		emu_node_resign(emu, emu_owner(emu));
+	emu_advance(emu, 3000);
+	ck_assert_uint_eq(emu_active_run_count(emu), before);
+	settle_and_check(emu, 4, 5000);
+	emu_destroy(emu);
+}
+END_TEST
+
+/* The pool has free CPU, but at most one task of the step may run on a worker.
+ * When a worker drains, the pool needs another VM for the task. */
+START_TEST(test_pool_grows_for_task_that_fits_on_no_worker)
+{
+	struct emu_config config = fleet;
+	struct emu_job job = long_running_job;
+	struct emu *emu;
+
+	config.vms_per_pool = 3;
+	emu = emu_create(&config);
+	emu_advance(emu, 2000);
+	job.pool = 0;
+	emu_submit(emu, 0, &job);
+	emu_advance(emu, 2000);
+	ck_assert_uint_eq(emu_active_run_count(emu), 3);
+	emu_worker_drain(emu, 0, 30000);
+	emu_advance(emu, 4500);
+	ck_assert_uint_eq(emu_active_run_count(emu), 3);
+	settle_and_check(emu, 1, 2000);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("faults");
@@ -470,6 +517,9 @@
 	tcase_add_test(tests, test_cancel_during_takeover);
 	tcase_add_test(tests,
 		       test_draining_worker_hands_over_long_running_tasks);
+	tcase_add_loop_test(tests, test_tasks_of_removed_vm_restart_at_once, 0,
+			    2);
+	tcase_add_test(tests, test_pool_grows_for_task_that_fits_on_no_worker);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
