--- a/packages/jobs/src/owner_fleet.c
+++ b/packages/jobs/src/owner_fleet.c
@@ -163,8 +163,9 @@
 	case ADAPTER_VM_REFUSED_BUSY:
 		if (vm->target_pool)
 			vm_operation_end(fleet, vm);
-		else
-			vm->phase_started_ms = loop_now_ms();
+		vm->phase_started_ms = loop_now_ms();
+		vm->request_not_before_ms =
+			loop_now_ms() + OWNER_ORDER_RETRY_MS;
 		break;
 	case ADAPTER_VM_REFUSED_WAVE:
 		owner_wave_mark_vm_done(fleet, vm);
@@ -274,7 +275,8 @@
 	struct worker *worker = owner_vm_worker(fleet, vm);
 	uint64_t elapsed_ms = loop_now_ms() - vm->phase_started_ms;
 
-	if (vm->call_in_flight || outcome_is_unknown(fleet, vm))
+	if (vm->call_in_flight || outcome_is_unknown(fleet, vm) ||
+	    loop_now_ms() < vm->request_not_before_ms)
 		return;
 	if (vm->phase != OWNER_VM_DRAINING)
 		return;
--- a/packages/jobs/src/owner_fleet.h
+++ b/packages/jobs/src/owner_fleet.h
@@ -36,6 +36,8 @@
 	bool listed;
 	enum owner_vm_phase phase;
 	uint64_t phase_started_ms;
+	/** local time before which a refused request is not repeated */
+	uint64_t request_not_before_ms;
 	/** since when its worker has had no tasks, 0 if it has tasks */
 	uint64_t idle_since_ms;
 	/** not drained for a wave before this local time, which is set when a
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -43,10 +43,11 @@
 {
 	static const char *const names[] = { "TWICE",	"BUDGET", "ORDER",
 					     "UNASKED", "AVAIL",  "LIMIT",
-					     "STATE",	"GANG" };
+					     "STATE",	"GANG",	  "ONE" };
 	g_autofree char *text = NULL;
 	va_list args;
 
+	G_STATIC_ASSERT(G_N_ELEMENTS(names) == EMU_RULE_COUNT);
 	emu->violations[rule]++;
 	if (emu->first_violation[0])
 		return;
