--- a/packages/jobs/src/owner_fleet.h
+++ b/packages/jobs/src/owner_fleet.h
@@ -16,6 +16,9 @@
 /** Interval between decisions on VMs. */
 #define OWNER_FLEET_TICK_MS 100
 
+/** Timeout of a request about VMs. */
+#define OWNER_VM_CALL_TIMEOUT_MS 800
+
 /** Progress of an operation on a VM. */
 enum owner_vm_phase {
 	/** no operation is planned */
@@ -118,6 +121,10 @@
 /* Advances the operations of all VMs that are drained or operated on. */
 void owner_vms_advance(struct owner_fleet *fleet);
 
+/* owner_vm_list.c: reads the list of VMs when it is due, and detects workers
+ * that have ended according to it. */
+void owner_vm_list_refresh(struct owner_fleet *fleet);
+
 /* owner_intents.c: write-ahead intents. An owner stores the name of a VM before
  * it requests an operation on it, so that its successor knows which VMs need
  * not wait for the minimum interval between requests of two owners, see
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -132,6 +132,8 @@
 void owner_job_remove(struct owner *owner, struct job *job);
 void owner_task_stop(struct owner *owner, struct job_task *task,
 		     const char *why);
+/* Returns whether the step's disruption budget allows stopping the task. */
+bool owner_task_disruption_is_allowed(const struct job_task *task);
 const struct catalogue_queue *owner_job_queue(const struct owner *owner,
 					      const struct job *job);
 
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -70,6 +70,15 @@
 	}
 }
 
+/* The stop was allowed when it was first ordered. Another task of the step may
+ * have become unavailable since. */
+static bool stop_may_be_repeated(const struct worker *worker,
+				 const struct job_task *task, bool wanted)
+{
+	return !wanted || !task->group->step->is_long_running ||
+	       worker->draining || owner_task_disruption_is_allowed(task);
+}
+
 static void reported_run_process(struct owner *owner, struct worker *worker,
 				 const struct adapter_run *running,
 				 uint64_t clock_ms)
@@ -114,7 +123,8 @@
 	job_task_set_checkpoint(task, running->checkpoint);
 	if (!wanted && task->state != JOB_TASK_STOPPING)
 		owner_task_stop(owner, task, "its job has ended");
-	else if (task->state == JOB_TASK_STOPPING)
+	else if (task->state == JOB_TASK_STOPPING &&
+		 stop_may_be_repeated(worker, task, wanted))
 		/* The stop order may have been lost, and is idempotent. */
 		worker_task_stop(worker, task);
 }
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -360,3 +360,20 @@
 				   MIN(pause_ms, OWNER_RESTART_DELAY_MAX_MS));
 	}
 }
+
+bool owner_task_disruption_is_allowed(const struct job_task *task)
+{
+	const struct job_group *group = task->group;
+	int32_t unavailable = 0;
+
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		const struct job_task *other = &group->tasks[i];
+
+		if (other != task &&
+		    (other->state != JOB_TASK_RUNNING ||
+		     other->speed_percent < other->ordered_speed_percent ||
+		     !worker_is_reachable(other->worker)))
+			unavailable++;
+	}
+	return unavailable < MAX(group->step->max_unavailable, 1);
+}
