--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -114,6 +114,9 @@
 	uint64_t acked;
 	uint64_t ends_seen;
 	GArray *ends;
+	/** the last poll was answered, so the incarnation that reported the
+	 * ends certainly still ran then */
+	bool may_ack;
 	/** unanswered orders wait to be resolved by a poll */
 	bool resolving;
 	/** a poll is in flight; poll_serial is that of the newest poll */
--- a/packages/jobs/src/owner_calls.c
+++ b/packages/jobs/src/owner_calls.c
@@ -25,6 +25,8 @@
 	uint64_t commit_mark;
 	struct timer timer;
 	GList queue_link;
+	/** for a read of the store that this call waits for */
+	struct weak_ref *weak_ref;
 };
 
 static void pending_call_finish(struct pending_call *pending,
@@ -35,6 +37,7 @@
 	if (pending->job)
 		pending->job->waiters =
 			g_slist_remove(pending->job->waiters, pending);
+	weak_ref_invalidate(pending->weak_ref);
 	pending->cb(pending->data, answer);
 	g_free(pending);
 }
@@ -92,9 +95,11 @@
 	pending_answer_unknown(pending, "the store did not answer in time");
 }
 
-static void pending_call_add(struct owner *owner, struct job *job,
-			     const struct jobs_call *call, jobs_cb cb,
-			     void *data)
+/* Adds a call that waits for the store; job is NULL if there is none. */
+static struct pending_call *pending_call_add(struct owner *owner,
+					     struct job *job,
+					     const struct jobs_call *call,
+					     jobs_cb cb, void *data)
 {
 	struct pending_call *pending = g_new0(struct pending_call, 1);
 	uint32_t wait_ms = call->deadline_ms;
@@ -105,13 +110,16 @@
 	pending->cb = cb;
 	pending->data = data;
 	pending->verb = call->verb;
-	pending->commit_mark = job->commit_mark;
+	pending->commit_mark = job ? job->commit_mark : 0;
+	pending->weak_ref = weak_ref_create(pending);
 	pending->timer.cb = on_deadline;
 	pending->timer.data = pending;
 	pending->queue_link.data = pending;
 	g_queue_push_tail_link(&owner->pending_calls, &pending->queue_link);
-	job->waiters = g_slist_prepend(job->waiters, pending);
+	if (job)
+		job->waiters = g_slist_prepend(job->waiters, pending);
 	loop_timer_set(owner->config.loop, &pending->timer, wait_ms);
+	return pending;
 }
 
 bool owner_store_is_unavailable(const struct owner *owner)
@@ -243,13 +251,41 @@
 	return job && strcmp(job->queue, call->queue) == 0 ? job : NULL;
 }
 
-/* Without a valid lease, another owner may have accepted the job meanwhile. */
-static void call_answer_not_found(struct owner *owner, jobs_cb cb, void *data)
+static void on_definition_read(void *data, enum err_kind err,
+			       const struct platform_result *result)
 {
-	if (owner->ops->lease_is_valid(owner->data))
-		call_answer(cb, data, JOBS_NO_JOB, NULL);
+	struct pending_call *pending = weak_ref_release(data);
+	const struct jobs_answer absent = { .outcome = JOBS_NO_JOB };
+
+	if (!pending)
+		return;
+	if (err != ERR_NONE)
+		pending_answer_unknown(pending, "the store cannot be read");
+	else if (result->kv_count > 0)
+		pending_answer_unknown(pending,
+				       "another owner has accepted the job");
 	else
+		pending_call_finish(pending, &absent);
+}
+
+/* Another owner may have accepted the job meanwhile: without a valid lease, but
+ * also with one that the platform has revoked without notice. Only the store
+ * proves that there is no such job. */
+static void call_answer_not_found(struct owner *owner,
+				  const struct jobs_call *call, jobs_cb cb,
+				  void *data)
+{
+	g_autofree char *key =
+		g_strconcat(JOB_RECORD_PREFIX_DEFINITION, call->id, NULL);
+	struct pending_call *pending;
+
+	if (!owner->ops->lease_is_valid(owner->data)) {
 		call_answer(cb, data, JOBS_UNKNOWN, "ownership is not proved");
+		return;
+	}
+	pending = pending_call_add(owner, NULL, call, cb, data);
+	platform_range(owner->config.store, key, false, on_definition_read,
+		       weak_ref_acquire(pending->weak_ref));
 }
 
 static void call_answer_state(struct owner *owner, const struct jobs_call *call,
@@ -259,7 +295,7 @@
 	struct jobs_answer answer = { .outcome = JOBS_OK };
 
 	if (!job) {
-		call_answer_not_found(owner, cb, data);
+		call_answer_not_found(owner, call, cb, data);
 		return;
 	}
 	answer.state = job->stored_state;
@@ -274,7 +310,7 @@
 	struct job *job = job_of_call(owner, call);
 
 	if (!job) {
-		call_answer_not_found(owner, cb, data);
+		call_answer_not_found(owner, call, cb, data);
 		return;
 	}
 	if (job->state == JOB_SUCCEEDED || job->state == JOB_FAILED) {
--- a/packages/jobs/src/owner_intents.c
+++ b/packages/jobs/src/owner_intents.c
@@ -19,13 +19,8 @@
 
 bool owner_vm_order_interval_has_elapsed(const struct owner_fleet *fleet)
 {
-	/* The platform may revoke the previous owner's lease before its time.
-	 * That owner may then go on until its own record of the lease ends. */
-	uint64_t previous_owner_ms =
-		(uint64_t)fleet->owner->config.service->lease_ttl_s * 1000;
-
-	return loop_now_ms() - fleet->owner->takeover_started_ms >=
-	       previous_owner_ms + vm_order_interval_ms(fleet);
+	return loop_now_ms() >= owner_previous_acts_until_ms(fleet->owner) +
+					vm_order_interval_ms(fleet);
 }
 
 /* Writes complete in the order in which they were made. */
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -152,6 +152,10 @@
 void owner_roster_load(struct owner *owner);
 void owner_workers_list(struct owner *owner);
 void owner_vm_health_save(struct owner *owner, const struct worker *worker);
+/* Time until which the previous owner may have acted. The platform may revoke
+ * its lease early and without notice; that owner then goes on until its own
+ * record of the lease ends. */
+uint64_t owner_previous_acts_until_ms(const struct owner *owner);
 /* Releases tasks of earlier owners once no worker can still hold them. */
 void owner_takeover_try_finish(struct owner *owner);
 /* Records whether a worker was discovered, or has restarted, while the lease of
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -25,10 +25,16 @@
  * arrived late. */
 #define OWNER_LEASE_MARGIN_MS 500
 
+uint64_t owner_previous_acts_until_ms(const struct owner *owner)
+{
+	return owner->takeover_started_ms +
+	       (uint64_t)owner->config.service->lease_ttl_s * 1000;
+}
+
 /* Time by which all leases that earlier owners granted have expired. */
 static uint64_t earlier_leases_expired_ms(const struct owner *owner)
 {
-	return owner->takeover_started_ms + owner->env.lease_ms +
+	return owner_previous_acts_until_ms(owner) + owner->env.lease_ms +
 	       OWNER_LEASE_MARGIN_MS;
 }
 
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -216,7 +216,10 @@
 	struct adapter_target target = worker_target(worker);
 	struct worker_call *call = call_create(worker);
 	struct adapter_poll poll = {
-		.acked_upto = worker->acked,
+		/* A restarted worker counts its ends anew. It would forget ends
+		 * that it has never reported if it got the count of its earlier
+		 * incarnation. */
+		.acked_upto = worker->may_ack ? worker->acked : 0,
 		.wait_ms = wait_ms,
 	};
 
@@ -230,6 +233,7 @@
 	call->serial = ++worker->poll_serial;
 	call->resolves_orders = worker->resolving;
 	worker->polling = true;
+	worker->may_ack = false;
 	timer_cancel(&worker->poll_timer);
 	worker->env->platform->poll(worker->env->platform_self, &target, &poll,
 				    wait_ms + WORKER_ORDER_TIMEOUT_MS,
@@ -305,6 +309,7 @@
 	if (call->resolves_orders && call->order.fence == worker_fence(worker))
 		worker->resolving = false;
 	worker->has_reported = true;
+	worker->may_ack = true;
 	worker->env->ops->on_report(worker->env->data, worker, report,
 				    call->order.fence);
 	if (!worker->dropped)
--- a/packages/jobs/tests/emu_orders.c
+++ b/packages/jobs/tests/emu_orders.c
@@ -2,6 +2,19 @@
 #include <string.h>
 
 #include "emu_private.h"
+#include "worker.h"
+
+bool emu_order_is_of_current_owner(const struct emu_order *order)
+{
+	const struct emu *emu = order->node->emu;
+
+	for (uint32_t i = 0; i < emu->vm_count; i++) {
+		if (emu->vms[i].fence / WORKER_FENCE_SPAN >
+		    order->fence / WORKER_FENCE_SPAN)
+			return false;
+	}
+	return true;
+}
 
 bool emu_order_matches_worker(const struct emu_order *order)
 {
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -24,6 +24,9 @@
 /** Age from which a stop order no longer reflects the owner's present view, so
  * that EMU_RULE_AVAIL is not checked. */
 #define EMU_ORDER_STALE_MS 100
+/** Time after the answer to a cancellation within which an earlier owner may
+ * still start tasks of the job, as the platform allows. */
+#define EMU_CANCEL_MS 3000
 /** Interval at which a worker writes its entry in the store. */
 #define EMU_HEARTBEAT_INTERVAL_MS 1500
 /** Time until a long-running task counts as available after its start. */
@@ -321,6 +324,8 @@
 /* emu_orders.c */
 /** @brief Returns whether the worker that the order is meant for runs. */
 bool emu_order_matches_worker(const struct emu_order *order);
+/** @brief Returns whether no worker has seen the token of a later owner. */
+bool emu_order_is_of_current_owner(const struct emu_order *order);
 
 /* emu_vms.c: the calls about VMs of struct adapter_ops */
 void emu_vm_list(void *self, uint32_t timeout_ms, adapter_vms_cb cb,
