Report a wave as done only when all of its VMs were maintained

(2) After a maintenance request without an answer, a VM that was down or had another worker counted as maintained, also if it had crashed.

Change: a VM counts as removed when two successive lists lack it; an unanswered maintenance request is repeated unless the list shows the maintenance, since the platform answers a repeated one as done.

The emulator checks each reported wave, also in chaos.

--- a/packages/jobs/src/owner_fleet.c
+++ b/packages/jobs/src/owner_fleet.c
@@ -246,8 +246,10 @@
 	    fleet->list_requested_ms <= vm->unanswered_since_ms)
 		return true;
 	vm->unanswered_since_ms = 0;
-	if (moved || vm->state != ADAPTER_VM_UP ||
-	    g_strcmp0(vm->worker, vm->drained_worker) != 0)
+	/* Maintenance is requested again, which is harmless if it was carried
+	 * out: a VM may also be down or have another worker after a crash. */
+	if (moved || (vm->target_pool ? vm->state == ADAPTER_VM_MOVING
+				      : vm->state == ADAPTER_VM_MAINTENANCE))
 		vm_operation_accept(fleet, vm);
 	return false;
 }
--- a/packages/jobs/src/owner_fleet.h
+++ b/packages/jobs/src/owner_fleet.h
@@ -35,8 +35,8 @@
 	char *name;
 	char *pool;
 	enum adapter_vm_state state;
-	/** in the newest list */
-	bool listed;
+	/** number of successive lists that lacked it, 0 if the newest has it */
+	uint32_t missing_lists;
 	enum owner_vm_phase phase;
 	uint64_t phase_started_ms;
 	/** local time before which a refused request is not repeated */
--- a/packages/jobs/src/owner_vm_list.c
+++ b/packages/jobs/src/owner_vm_list.c
@@ -47,7 +47,7 @@
 		vm->worker = g_strdup(listed->worker);
 	}
 	vm->state = listed->state;
-	vm->listed = true;
+	vm->missing_lists = 0;
 }
 
 /* Returns why the list of VMs proves that a worker has ended, NULL if it does
@@ -81,8 +81,9 @@
  * An unreachable worker whose VM is listed may still run. */
 static bool vm_is_removed(struct owner_fleet *fleet, struct worker *worker)
 {
-	if (g_hash_table_contains(fleet->vms, worker->vm) ||
-	    worker_is_reachable(worker) ||
+	const struct owner_vm *vm = g_hash_table_lookup(fleet->vms, worker->vm);
+
+	if ((vm && vm->missing_lists == 0) || worker_is_reachable(worker) ||
 	    worker->unanswered_since_ms >= fleet->list_requested_ms)
 		worker->vm_unlisted_count = 0;
 	else
@@ -153,13 +154,15 @@
 	fleet->list_received = true;
 	g_hash_table_iter_init(&iter, fleet->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct owner_vm *)value)->listed = false;
+		((struct owner_vm *)value)->missing_lists++;
 	for (size_t i = 0; i < count; i++)
 		vm_update(fleet, &vms[i]);
 	g_hash_table_iter_init(&iter, fleet->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!((struct owner_vm *)value)->listed &&
-		    !((struct owner_vm *)value)->call_in_flight)
+		const struct owner_vm *vm = value;
+
+		if (vm->missing_lists >= OWNER_VM_REMOVED_LISTS &&
+		    !vm->call_in_flight)
 			g_hash_table_iter_remove(&iter);
 	}
 	ended_workers_detect(fleet);
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -239,6 +239,25 @@
 		emu->last_fault_ms = loop_now_ms();
 }
 
+/* A wave may only be reported as succeeded once all of its VMs that exist were
+ * maintained. */
+static void wave_check(struct emu *emu)
+{
+	if (emu->wave_checked == emu->wave_number || !emu_wave_succeeded(emu))
+		return;
+	emu->wave_checked = emu->wave_number;
+	for (uint32_t i = 0; i < emu->vm_count; i++) {
+		const struct emu_vm *vm = &emu->vms[i];
+
+		if (vm->requested_wave == emu->wave_number && !vm->removed &&
+		    vm->highest_maintained_wave != emu->wave_number)
+			emu_fail(emu, EMU_RULE_STATE,
+				 "wave %u was reported as succeeded, %s was "
+				 "not maintained",
+				 emu->wave_number, vm->name);
+	}
+}
+
 static void on_tick(void *data)
 {
 	struct emu *emu = data;
@@ -249,6 +268,7 @@
 	for (uint32_t i = 0; i < emu->vm_count; i++)
 		emu_vm_tick(&emu->vms[i]);
 	emu_gangs_tick(emu);
+	wave_check(emu);
 }
 
 struct emu *emu_create(const struct emu_config *config)
@@ -302,8 +322,10 @@
 	g_string_printf(text, "%u %u %u", emu->wave_number, duration_ms,
 			max_parallel);
 	for (uint32_t i = 0; i < emu->vm_count; i++) {
-		if (emu_random(emu, 100) < percent)
-			g_string_append_printf(text, " vm-%u", i);
+		if (emu_random(emu, 100) >= percent)
+			continue;
+		g_string_append_printf(text, " vm-%u", i);
+		emu->vms[i].requested_wave = emu->wave_number;
 	}
 	key = g_strdup_printf("waves/%u", emu->wave_number);
 	emu_store_put(emu, key, text->str, 0);
@@ -339,6 +361,16 @@
 	emu->vms[vm].removed = true;
 }
 
+void emu_vm_omit_from_lists(struct emu *emu, uint32_t vm, uint32_t lists)
+{
+	emu->vms[vm].lists_without = lists;
+}
+
+void emu_vm_requests_set_lost(struct emu *emu, uint32_t permille)
+{
+	emu->vm_requests_lost_permille = permille;
+}
+
 uint32_t emu_active_run_count(const struct emu *emu)
 {
 	uint32_t count = 0;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -230,6 +230,10 @@
 void emu_vm_crash(struct emu *emu, uint32_t vm, uint32_t down_ms);
 /** @brief Removes a VM for good: it stops and is no longer listed. */
 void emu_vm_remove(struct emu *emu, uint32_t vm);
+/** @brief Lets the next lists of VMs lack one that exists. */
+void emu_vm_omit_from_lists(struct emu *emu, uint32_t vm, uint32_t lists);
+/** @brief Sets the share of requests about VMs that time out without effect. */
+void emu_vm_requests_set_lost(struct emu *emu, uint32_t permille);
 /** @brief Returns how many runs have not ended on workers that are up. */
 uint32_t emu_active_run_count(const struct emu *emu);
 /** @brief Restarts a VM's worker at once, under the same identity. */
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -75,6 +75,12 @@
 	enum adapter_vm_state state;
 	/* removed for good; the list of VMs does not contain it */
 	bool removed;
+	/* how many more lists lack it, although it exists */
+	uint32_t lists_without;
+	/* newest wave that it belongs to, and the highest number of those that
+	 * it was maintained for, in whatever order */
+	uint64_t requested_wave;
+	uint64_t highest_maintained_wave;
 	/* newest wave in which the VM was maintained */
 	uint64_t maintained_wave;
 	/* the worker runs; the fields below describe it */
@@ -217,6 +223,10 @@
 	uint64_t last_fault_ms;
 	uint32_t wave_number;
 	uint32_t wave_max_parallel;
+	/* newest wave that was found to be reported as succeeded */
+	uint32_t wave_checked;
+	/* share of the requests about VMs that are lost without effect */
+	uint32_t vm_requests_lost_permille;
 	uint32_t next_port;
 	struct timer tick;
 	uint32_t violations[EMU_RULE_COUNT];
--- a/packages/jobs/tests/emu_vms.c
+++ b/packages/jobs/tests/emu_vms.c
@@ -11,7 +11,7 @@
 	char pools[EMU_VMS_MAX][16];
 
 	for (uint32_t i = 0; i < emu->vm_count; i++) {
-		const struct emu_vm *vm = &emu->vms[i];
+		struct emu_vm *vm = &emu->vms[i];
 		struct adapter_vm row = { .name = vm->name,
 					  .pool = pools[i],
 					  .state = vm->state,
@@ -19,6 +19,10 @@
 					  .worker =
 						  vm->up ? vm->worker : NULL };
 
+		if (vm->lists_without > 0) {
+			vm->lists_without--;
+			continue;
+		}
 		if (vm->removed)
 			continue;
 		g_snprintf(pools[i], sizeof(pools[i]), "pool-%u", vm->pool);
@@ -94,8 +98,11 @@
 			emu->stats.vm_moves++;
 		else
 			emu->stats.vm_maintenances++;
-		if (!order->pool)
+		if (!order->pool) {
 			vm->maintained_wave = order->wave;
+			vm->highest_maintained_wave =
+				MAX(vm->highest_maintained_wave, order->wave);
+		}
 	}
 	emu_schedule(emu, EMU_ONE_WAY_LATENCY_MS, emu_order_reply_deliver,
 		     order);
@@ -103,7 +110,7 @@
 
 static void vm_action_send(struct emu_node *node, const char *vm,
 			   const char *pool, uint64_t wave, uint64_t fence,
-			   adapter_vm_cb cb, void *data)
+			   uint32_t timeout_ms, adapter_vm_cb cb, void *data)
 {
 	struct emu_order *order = g_new0(struct emu_order, 1);
 	unsigned int number = 0;
@@ -117,6 +124,12 @@
 	order->fence = fence;
 	order->vm_cb = cb;
 	order->data = data;
+	order->timeout_ms = timeout_ms;
+	if (emu_random(node->emu, 1000) <
+	    node->emu->vm_requests_lost_permille) {
+		emu_order_time_out(order);
+		return;
+	}
 	emu_schedule(node->emu, EMU_ONE_WAY_LATENCY_MS, vm_action_deliver,
 		     order);
 }
@@ -125,12 +138,12 @@
 		 const char *holder, uint64_t fence, uint32_t timeout_ms,
 		 adapter_vm_cb cb, void *data)
 {
-	vm_action_send(self, vm, pool, 0, fence, cb, data);
+	vm_action_send(self, vm, pool, 0, fence, timeout_ms, cb, data);
 }
 
 void emu_vm_maintain(void *self, const char *vm, uint64_t wave,
 		     const char *holder, uint64_t fence, uint32_t timeout_ms,
 		     adapter_vm_cb cb, void *data)
 {
-	vm_action_send(self, vm, NULL, wave, fence, cb, data);
+	vm_action_send(self, vm, NULL, wave, fence, timeout_ms, cb, data);
 }
--- a/packages/jobs/tests/test_faults.c
+++ b/packages/jobs/tests/test_faults.c
@@ -467,6 +467,45 @@
 }
 END_TEST
 
+/* The pages of a list of VMs are not a snapshot, so one list may lack a VM. */
+START_TEST(test_wave_maintains_vm_that_one_list_lacked)
+{
+	struct emu *emu = emu_create(&fleet);
+
+	emu_advance(emu, 6000);
+	emu_wave_request(emu, 100, 2, 60000);
+	for (uint32_t i = 0; i < 20; i++) {
+		emu_vm_omit_from_lists(emu, i % emu_vm_count(emu), 1);
+		emu_advance(emu, 500);
+	}
+	emu_advance(emu, 50000);
+	ck_assert(emu_wave_succeeded(emu));
+	settle_and_check(emu, 0, 100);
+	emu_destroy(emu);
+}
+END_TEST
+
+/* Requests for maintenance are lost, and the VMs crash meanwhile: a restarted
+ * worker is no sign that its VM was maintained. */
+START_TEST(test_crash_is_not_taken_for_maintenance)
+{
+	struct emu *emu = emu_create(&fleet);
+
+	emu_advance(emu, 6000);
+	emu_vm_requests_set_lost(emu, 1000);
+	emu_wave_request(emu, 100, 2, 60000);
+	for (uint32_t i = 0; i < emu_vm_count(emu); i++) {
+		emu_advance(emu, 300);
+		emu_vm_crash(emu, i, 700);
+	}
+	emu_vm_requests_set_lost(emu, 0);
+	emu_advance(emu, 50000);
+	ck_assert(emu_wave_succeeded(emu));
+	settle_and_check(emu, 0, 100);
+	emu_destroy(emu);
+}
+END_TEST
+
 /* The pool has free CPU, but at most one task of the step may run on a worker.
  * When a worker drains, the pool needs another VM for the task. */
 START_TEST(test_pool_grows_for_task_that_fits_on_no_worker)
@@ -519,6 +558,8 @@
 		       test_draining_worker_hands_over_long_running_tasks);
 	tcase_add_loop_test(tests, test_tasks_of_removed_vm_restart_at_once, 0,
 			    2);
+	tcase_add_test(tests, test_wave_maintains_vm_that_one_list_lacked);
+	tcase_add_test(tests, test_crash_is_not_taken_for_maintenance);
 	tcase_add_test(tests, test_pool_grows_for_task_that_fits_on_no_worker);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
