Repeat a failed refresh of a watched prefix

Cause: a process that stepped down reads its key again to delete it. The read failed once and was not repeated, and the watch reports only changes, so the key stayed, kept alive by the process's lease: no process owned the service any more, and all submissions were refused.

Change: the watcher repeats a refresh that failed or was older than a change that it had delivered.

--- a/packages/platform/src/watcher.c
+++ b/packages/platform/src/watcher.c
@@ -20,6 +20,8 @@
 	uint32_t failures;
 	bool refreshing;
 	struct timer timer;
+	/* repeats the read of a refresh */
+	struct timer refresh_timer;
 	struct weak_ref *weak_ref;
 };
 
@@ -112,16 +114,27 @@
 
 	if (!watcher)
 		return;
-	watcher->refreshing = false;
-	if (err != ERR_NONE) {
-		log_info("refresh-failed", "%s: read of all keys failed: %s",
+	/* The requester relies on a snapshot: a failed read is repeated, and so
+	 * is one that is older than a change delivered by the watch. */
+	if (err != ERR_NONE)
+		log_info("refresh-failed",
+			 "%s: read of all keys failed, retrying: %s",
 			 watcher->prefix, err_name(err));
+	if (err != ERR_NONE || result->revision < watcher->revision) {
+		loop_timer_set(watcher->loop, &watcher->refresh_timer,
+			       WATCHER_BACKOFF_MIN_MS);
 		return;
 	}
-	/* Ignores a read that is older than a change delivered by the watch. */
-	if (result->revision >= watcher->revision)
-		watcher->ops->on_snapshot(watcher->data, result->kvs,
-					  result->kv_count);
+	watcher->refreshing = false;
+	watcher->ops->on_snapshot(watcher->data, result->kvs, result->kv_count);
+}
+
+static void on_refresh_due(void *data)
+{
+	struct watcher *watcher = data;
+
+	platform_range(watcher->platform, watcher->prefix, true,
+		       on_refresh_read, weak_ref_acquire(watcher->weak_ref));
 }
 
 void watcher_refresh(struct watcher *watcher)
@@ -129,8 +142,7 @@
 	if (watcher->refreshing)
 		return;
 	watcher->refreshing = true;
-	platform_range(watcher->platform, watcher->prefix, true,
-		       on_refresh_read, weak_ref_acquire(watcher->weak_ref));
+	on_refresh_due(watcher);
 }
 
 struct watcher *watcher_create(struct loop *loop, struct platform *platform,
@@ -147,6 +159,8 @@
 	watcher->data = data;
 	watcher->timer.cb = on_timer;
 	watcher->timer.data = watcher;
+	watcher->refresh_timer.cb = on_refresh_due;
+	watcher->refresh_timer.data = watcher;
 	watcher->weak_ref = weak_ref_create(watcher);
 	next_call_start(watcher);
 	return watcher;
@@ -157,6 +171,7 @@
 	if (!watcher)
 		return;
 	timer_cancel(&watcher->timer);
+	timer_cancel(&watcher->refresh_timer);
 	weak_ref_invalidate(watcher->weak_ref);
 	g_free(watcher->prefix);
 	g_free(watcher);
