Refuse requests that wait for a pool that a roll has removed

Cause: the dispatcher skipped pools that the bundle no longer has, so requests in their queues were held until their deadline although no VM would serve them.

--- a/bin/sassafrascartd/gateway_slots.c
+++ b/bin/sassafrascartd/gateway_slots.c
@@ -112,10 +112,23 @@
 			       SLOT_REPORT_MIN_INTERVAL_MS);
 }
 
+/* No VM serves a pool that the bundle no longer has, so waiting cannot help. A
+ * repeated request is routed by the new bundle. */
+static void removed_pool_refuse(struct gateway_pool *pool)
+{
+	struct admission_item *item;
+
+	while ((item = admission_queue_pop(pool->queue)))
+		gateway_exchange_refuse(gateway_exchange_of_item(item),
+					OUTCOME_NO_VM);
+}
+
 void gateway_pool_dispatch(struct gateway *gateway, struct gateway_pool *pool)
 {
-	if (pool->index == BUNDLE_INDEX_NONE)
+	if (pool->index == BUNDLE_INDEX_NONE) {
+		removed_pool_refuse(pool);
 		return;
+	}
 	do {
 		if (gateway->config.may_dispatch(gateway->config.data))
 			queue_dispatch(gateway, pool);
