--- a/packages/jobs/src/jobs.c
+++ b/packages/jobs/src/jobs.c
@@ -1,11 +1,8 @@
-#include "jobs.h"
-
 #include <string.h>
 
-#include "weak_ref.h"
-#include "election.h"
+#include "jobs_private.h"
 #include "log.h"
-#include "owner.h"
+#include "weak_ref.h"
 
 /* How long a call waits for an owner; longer than a takeover. */
 #define JOBS_OWNER_WAIT_MS 1500
@@ -22,34 +19,6 @@
  * are refused at once, so that callers go to other processes. */
 #define JOBS_UNREACHABLE_MS 700
 
-struct jobs_service {
-	struct loop *loop;
-	struct platform *store;
-	struct jobs_config config;
-	const struct adapter_ops *ops;
-	void *ops_self;
-	const struct jobs_peers *peers;
-	void *peers_self;
-	struct catalogue *catalogue;
-	struct election *election;
-	int64_t guard_revision;
-	struct owner *owner;
-	/* of struct jobs_request: all, and those that wait for an owner */
-	GQueue requests;
-	GQueue waiting;
-	bool closing;
-	/* local time since which a remote owner has not answered, else 0 */
-	uint64_t unanswered_since_ms;
-	/* local time since which no owner is known, 0 if one is */
-	uint64_t ownerless_since_ms;
-	bool probing;
-	struct timer probe_timer;
-	struct weak_ref *weak_ref;
-	uint64_t outcomes[JOBS_OUTCOME_COUNT];
-	uint64_t forwarded;
-	uint64_t waited;
-};
-
 /* An open call; owns copies of the strings of struct jobs_call. */
 struct jobs_request {
 	/* NULL once the call has been answered; a forwarded request is then
@@ -76,22 +45,6 @@
 
 static void request_dispatch(struct jobs_request *request);
 
-const char *jobs_outcome_name(enum jobs_outcome outcome)
-{
-	static const char *const names[] = {
-		[JOBS_OK] = "ok",
-		[JOBS_NO_JOB] = "no-job",
-		[JOBS_REFUSED] = "refused",
-		[JOBS_UNKNOWN] = "unknown",
-		[JOBS_CONFLICT] = "conflict",
-		[JOBS_NOT_OWNER] = "not-owner",
-		[JOBS_OWNERSHIP_LOST] = "owner-gone",
-	};
-
-	g_assert(outcome < G_N_ELEMENTS(names));
-	return names[outcome];
-}
-
 static void request_free(struct jobs_request *request)
 {
 	g_free(request->queue);
@@ -585,23 +538,3 @@
 	return election_owner(service->election) &&
 	       !owner_is_unreachable(service);
 }
-
-void jobs_metrics(const struct jobs_service *service, GString *out)
-{
-	for (size_t i = 0; i < JOBS_OUTCOME_COUNT; i++)
-		g_string_append_printf(out,
-				       "sassafrascart_job_calls_total{outcome="
-				       "\"%s\"} %" G_GUINT64_FORMAT "\n",
-				       jobs_outcome_name(i),
-				       service->outcomes[i]);
-	g_string_append_printf(out,
-			       "sassafrascart_job_calls_handed_on_total "
-			       "%" G_GUINT64_FORMAT "\n"
-			       "sassafrascart_job_calls_waited_total "
-			       "%" G_GUINT64_FORMAT "\n"
-			       "sassafrascart_is_owner %d\n",
-			       service->forwarded, service->waited,
-			       service->owner != NULL);
-	if (service->owner)
-		owner_metrics_append(service->owner, out);
-}
