Count a VM as removed from a wave only after it was missing for ten seconds

Cause: a VM that two lists lacked counted as done for good. The VMs of a rack that went down were missing from the lists until they came back 6 s later; the wave was then reported as done without them. A read of the wave's progress that failed counted as no progress.

Change: a missing VM counts as done only while it has been missing for ten seconds, and needs maintenance if it returns; a failed read is repeated.

--- a/packages/jobs/src/owner_fleet.h
+++ b/packages/jobs/src/owner_fleet.h
@@ -75,8 +75,11 @@
 	GPtrArray *vms;
 	/** set of names of the VMs that are maintained, owned */
 	GHashTable *done_vms;
+	/** local time since when a VM is missing from the lists, by name */
+	GHashTable *missing_since_ms;
 	/** the progress made by earlier owners has been read */
 	bool progress_loaded;
+	bool progress_loading;
 	bool finished;
 };
 
--- a/packages/jobs/src/owner_waves.c
+++ b/packages/jobs/src/owner_waves.c
@@ -11,6 +11,9 @@
 /* A wave may drain a VM of a pool while no other VM of the pool is unavailable,
  * or while less than one in this many of its VMs is. */
 #define OWNER_POOL_DRAIN_DIVISOR 3
+/* A VM that has been missing from the lists of VMs for this long was removed.
+ * One that is down may be missing until it restarts. */
+#define OWNER_WAVE_VM_REMOVED_MS 10000
 
 void owner_wave_free(gpointer data)
 {
@@ -18,6 +21,7 @@
 
 	g_ptr_array_unref(wave->vms);
 	g_hash_table_unref(wave->done_vms);
+	g_hash_table_unref(wave->missing_since_ms);
 	g_free(wave);
 }
 
@@ -78,12 +82,15 @@
 	g_free(read);
 	if (!wave)
 		return;
-	if (err != ERR_NONE)
+	wave->progress_loading = false;
+	if (err != ERR_NONE) {
 		log_warning("wave-progress-read-failed",
 			    "progress of wave %" G_GUINT64_FORMAT
-			    " cannot be read, no VM counts as done: %s",
+			    " cannot be read, retrying: %s",
 			    wave->number, err_name(err));
-	if (err != ERR_NONE || result->kv_count == 0) {
+		return;
+	}
+	if (result->kv_count == 0) {
 		wave->progress_loaded = true;
 		wave_status_write(owner->fleet, wave, false);
 		return;
@@ -101,13 +108,14 @@
 }
 
 static void wave_progress_load(struct owner_fleet *fleet,
-			       const struct owner_wave *wave)
+			       struct owner_wave *wave)
 {
 	struct wave_read *read = g_new0(struct wave_read, 1);
 	g_autofree char *key = wave_key(wave);
 
 	read->owner_ref = weak_ref_acquire(fleet->owner->weak_ref);
 	read->number = wave->number;
+	wave->progress_loading = true;
 	platform_range(fleet->owner->config.store, key, false, on_progress_read,
 		       read);
 }
@@ -126,6 +134,8 @@
 	wave->vms = g_ptr_array_new_with_free_func(g_free);
 	wave->done_vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	wave->missing_since_ms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (const char **vm = requested->vms; *vm; vm++)
 		g_ptr_array_add(wave->vms, g_strdup(*vm));
 	log_info("wave-requested",
@@ -169,12 +179,41 @@
 	.on_change = on_change,
 };
 
-static void wave_finish_if_done(struct owner_fleet *fleet,
-				struct owner_wave *wave)
+/* Returns whether a VM that is not in the lists was removed for good. */
+static bool vm_is_removed(struct owner_wave *wave, const char *name)
+{
+	uint64_t now_ms = loop_now_ms();
+	const uint64_t *since_ms =
+		g_hash_table_lookup(wave->missing_since_ms, name);
+
+	if (!since_ms) {
+		g_hash_table_insert(wave->missing_since_ms, g_strdup(name),
+				    g_memdup2(&now_ms, sizeof(now_ms)));
+		return false;
+	}
+	return now_ms - *since_ms >= OWNER_WAVE_VM_REMOVED_MS;
+}
+
+/* Returns whether each VM of a wave is maintained or was removed. */
+static bool wave_is_done(struct owner_fleet *fleet, struct owner_wave *wave)
+{
+	bool done = true;
+
+	for (guint i = 0; i < wave->vms->len; i++) {
+		const char *name = g_ptr_array_index(wave->vms, i);
+
+		if (g_hash_table_contains(fleet->vms, name)) {
+			g_hash_table_remove(wave->missing_since_ms, name);
+			done &= g_hash_table_contains(wave->done_vms, name);
+		} else if (!g_hash_table_contains(wave->done_vms, name)) {
+			done &= vm_is_removed(wave, name);
+		}
+	}
+	return done;
+}
+
+static void wave_finish(struct owner_fleet *fleet, struct owner_wave *wave)
 {
-	if (wave->finished ||
-	    g_hash_table_size(wave->done_vms) < wave->vms->len)
-		return;
 	wave->finished = true;
 	log_info("wave-succeeded",
 		 "wave %" G_GUINT64_FORMAT ": all VMs are done", wave->number);
@@ -263,10 +302,9 @@
 	return best;
 }
 
-/* Counts the VMs of a wave that are drained or maintained. A VM that is missing
- * from the platform's list no longer exists and counts as done. */
+/* Counts the VMs of a wave that are drained or maintained. */
 static uint32_t wave_count_in_progress(struct owner_fleet *fleet,
-				       struct owner_wave *wave)
+				       const struct owner_wave *wave)
 {
 	uint32_t in_progress = 0;
 
@@ -275,10 +313,8 @@
 		const struct owner_vm *vm =
 			g_hash_table_lookup(fleet->vms, name);
 
-		if (!vm)
-			g_hash_table_add(wave->done_vms, g_strdup(name));
-		else if ((vm->wave == wave && vm->phase != OWNER_VM_STEADY) ||
-			 vm->state == ADAPTER_VM_MAINTENANCE)
+		if (vm && ((vm->wave == wave && vm->phase != OWNER_VM_STEADY) ||
+			   vm->state == ADAPTER_VM_MAINTENANCE))
 			in_progress++;
 	}
 	return in_progress;
@@ -288,8 +324,8 @@
 {
 	uint32_t in_progress = wave_count_in_progress(fleet, wave);
 
-	if (in_progress == 0)
-		wave_finish_if_done(fleet, wave);
+	if (wave_is_done(fleet, wave) && in_progress == 0)
+		wave_finish(fleet, wave);
 	for (; in_progress < wave->max_parallel; in_progress++) {
 		struct owner_vm *vm = next_vm_select(fleet, wave);
 
@@ -308,6 +344,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct owner_wave *wave = value;
 
+		if (!wave->progress_loaded && !wave->progress_loading)
+			wave_progress_load(fleet, wave);
 		if (wave->progress_loaded && !wave->finished)
 			wave_advance(fleet, wave);
 	}
--- a/packages/jobs/tests/test_faults.c
+++ b/packages/jobs/tests/test_faults.c
@@ -467,15 +467,21 @@
 }
 END_TEST
 
-/* The pages of a list of VMs are not a snapshot, so one list may lack a VM. */
-START_TEST(test_wave_maintains_vm_that_one_list_lacked)
+/* The pages of a list of VMs are not a snapshot, so one list may lack a VM. A
+ * VM that is down may be missing for seconds until it returns. */
+START_TEST(test_wave_maintains_vm_that_lists_lacked)
 {
 	struct emu *emu = emu_create(&fleet);
 
 	emu_advance(emu, 6000);
 	emu_wave_request(emu, 100, 2, 60000);
+	if (_i == 1) {
+		emu_vm_crash(emu, 3, 7000);
+		emu_vm_omit_from_lists(emu, 3, 7000 / 400);
+	}
 	for (uint32_t i = 0; i < 20; i++) {
-		emu_vm_omit_from_lists(emu, i % emu_vm_count(emu), 1);
+		if (_i == 0)
+			emu_vm_omit_from_lists(emu, i % emu_vm_count(emu), 1);
 		emu_advance(emu, 500);
 	}
 	emu_advance(emu, 50000);
@@ -558,7 +564,8 @@
 		       test_draining_worker_hands_over_long_running_tasks);
 	tcase_add_loop_test(tests, test_tasks_of_removed_vm_restart_at_once, 0,
 			    2);
-	tcase_add_test(tests, test_wave_maintains_vm_that_one_list_lacked);
+	tcase_add_loop_test(tests, test_wave_maintains_vm_that_lists_lacked, 0,
+			    2);
 	tcase_add_test(tests, test_crash_is_not_taken_for_maintenance);
 	tcase_add_test(tests, test_pool_grows_for_task_that_fits_on_no_worker);
 	suite_add_tcase(suite, tests);
