Release what calls to the store hold when the process ends

Cause: calls in flight were dropped with their data when the connection to the store was freed, so a process under the leak checker ended with code 1.

Change: the adapter ends them with an error; the lease is referred to weakly, since it is freed before. A release of the lease while a grant is in flight stays harmless: no key is bound to the granted lease, which expires.

--- a/packages/jobs/tests/emu_orders.c
+++ b/packages/jobs/tests/emu_orders.c
@@ -4,6 +4,14 @@
 #include "emu_private.h"
 #include "worker.h"
 
+void emu_order_time_out(struct emu_order *order)
+{
+	order->reply.err = ERR_TIMEOUT;
+	order->vm_err = ERR_TIMEOUT;
+	emu_schedule(order->node->emu, order->timeout_ms,
+		     emu_order_reply_deliver, order);
+}
+
 bool emu_order_is_of_current_owner(const struct emu_order *order)
 {
 	const struct emu *emu = order->node->emu;
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -323,8 +323,6 @@
 void emu_order_execute(struct emu_vm *vm, struct emu_order *order);
 /** @brief Sends the reply, which arrives after the network latency. */
 void emu_order_reply(struct emu_order *order);
-/** @brief Lets the call fail with ERR_TIMEOUT when its timeout has passed. */
-void emu_order_time_out(struct emu_order *order);
 void emu_order_free(struct emu_order *order);
 /** @brief Passes the reply to the caller and frees the order. */
 void emu_order_reply_deliver(void *data);
@@ -332,6 +330,8 @@
 void emu_availability_check(struct emu_vm *vm, const struct emu_task_run *run);
 
 /* emu_orders.c */
+/** @brief Lets the call fail with ERR_TIMEOUT when its timeout has passed. */
+void emu_order_time_out(struct emu_order *order);
 /** @brief Returns whether the worker that the order is meant for runs. */
 bool emu_order_matches_worker(const struct emu_order *order);
 /** @brief Returns whether no worker has seen the token of a later owner. */
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -266,14 +266,6 @@
 	}
 }
 
-void emu_order_time_out(struct emu_order *order)
-{
-	order->reply.err = ERR_TIMEOUT;
-	order->vm_err = ERR_TIMEOUT;
-	emu_schedule(order->node->emu, order->timeout_ms,
-		     emu_order_reply_deliver, order);
-}
-
 /* A task is unavailable once the owner has stopped it, or once it has not run
  * for so long that the owner must have noticed. */
 static bool task_is_unavailable(const struct emu_task *task)
--- a/packages/platform/include/platform_client.h
+++ b/packages/platform/include/platform_client.h
@@ -199,7 +199,8 @@
 				       struct platform **out);
 
 /**
- * @brief Frees the connection; calls in flight end without their callbacks.
+ * @brief Frees the connection. Depending on the adapter, calls in flight end
+ * without their callbacks or with ERR_CUT.
  * @param platform may be NULL
  */
 void platform_destroy(struct platform *platform);
--- a/packages/platform/src/lease.c
+++ b/packages/platform/src/lease.c
@@ -1,6 +1,7 @@
 #include "lease.h"
 
 #include "backoff.h"
+#include "weak_ref.h"
 
 /* Renewals sent within one time-to-live. */
 #define LEASE_RENEWALS_PER_TTL 4
@@ -24,6 +25,8 @@
 	bool call_in_flight;
 	bool released;
 	bool revoking;
+	/* calls in flight may outlive the lease */
+	struct weak_ref *weak_ref;
 	struct timer renew_timer;
 	struct timer expiry_timer;
 };
@@ -81,9 +84,9 @@
 static void on_renewed(void *data, enum err_kind err, int64_t id,
 		       uint32_t ttl_s)
 {
-	struct lease *lease = data;
+	struct lease *lease = weak_ref_release(data);
 
-	if (!call_complete(lease, err))
+	if (!lease || !call_complete(lease, err))
 		return;
 	if (err == ERR_NOT_FOUND)
 		lease_invalidate(lease);
@@ -94,9 +97,9 @@
 static void on_granted(void *data, enum err_kind err, int64_t id,
 		       uint32_t ttl_s)
 {
-	struct lease *lease = data;
+	struct lease *lease = weak_ref_release(data);
 
-	if (!call_complete(lease, err) || err != ERR_NONE)
+	if (!lease || !call_complete(lease, err) || err != ERR_NONE)
 		return;
 	lease->id = id;
 	validity_extend(lease, ttl_s);
@@ -113,10 +116,11 @@
 	lease->sent_ms = loop_now_ms();
 	if (lease->id == 0)
 		platform_lease_grant(lease->platform, lease->ttl_s, on_granted,
-				     lease);
+				     weak_ref_acquire(lease->weak_ref));
 	else
 		platform_lease_keep_alive(lease->platform, lease->id,
-					  on_renewed, lease);
+					  on_renewed,
+					  weak_ref_acquire(lease->weak_ref));
 }
 
 struct lease *lease_create(struct loop *loop, struct platform *platform,
@@ -134,6 +138,7 @@
 	lease->renew_timer.data = lease;
 	lease->expiry_timer.cb = on_expiry;
 	lease->expiry_timer.data = lease;
+	lease->weak_ref = weak_ref_create(lease);
 	loop_timer_set(loop, &lease->renew_timer, 0);
 	return lease;
 }
@@ -144,6 +149,7 @@
 		return;
 	timer_cancel(&lease->renew_timer);
 	timer_cancel(&lease->expiry_timer);
+	weak_ref_invalidate(lease->weak_ref);
 	g_free(lease);
 }
 
@@ -155,9 +161,10 @@
 static void on_revoked(void *data, enum err_kind err, int64_t id,
 		       uint32_t ttl_s)
 {
-	struct lease *lease = data;
+	struct lease *lease = weak_ref_release(data);
 
-	lease->revoking = false;
+	if (lease)
+		lease->revoking = false;
 }
 
 void lease_release(struct lease *lease)
@@ -172,7 +179,8 @@
 	if (id == 0)
 		return;
 	lease->revoking = true;
-	platform_lease_revoke(lease->platform, id, on_revoked, lease);
+	platform_lease_revoke(lease->platform, id, on_revoked,
+			      weak_ref_acquire(lease->weak_ref));
 }
 
 bool lease_is_released(const struct lease *lease)
