--- a/packages/core/include/capacity.h
+++ b/packages/core/include/capacity.h
@@ -34,7 +34,7 @@
 	int64_t waiting_milli;
 	/** CPU used by long-running tasks */
 	int64_t long_running_milli;
-	/** VMs without tasks that long-running tasks need which fit on none of
+	/** further VMs needed by waiting long-running tasks that fit on none of
 	 *  the pool's workers, although it may have enough CPU in total */
 	uint32_t unplaced_vms;
 	/** CPU that future work needs if it arrives at the forecast rate */
--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -174,7 +174,8 @@
 	}
 }
 
-/* VMs without tasks that the waiting tasks of a group need. */
+/* Further VMs that the waiting tasks of a group need if they fit on no worker.
+ */
 static uint32_t unplaced_vms(const struct job_group *group)
 {
 	uint32_t per_vm = group->step->max_per_worker;
--- a/packages/jobs/src/owner_vm_list.c
+++ b/packages/jobs/src/owner_vm_list.c
@@ -8,9 +8,10 @@
 #define OWNER_VM_LIST_INTERVAL_MS 1500
 #define OWNER_VM_LIST_BUSY_INTERVAL_MS 400
 
-/* A VM that this many successive lists lack was removed for good. The pages of
- * one list are not a snapshot, so a single list may miss a VM that changes. */
-#define OWNER_VM_REMOVED_LISTS 2
+/* A VM that this many successive lists lack was removed, or is down and may
+ * return. The pages of one list are not a snapshot, so a single list may lack a
+ * VM that changes. */
+#define OWNER_VM_MISSING_LISTS 2
 
 static bool has_open_operation(struct owner_fleet *fleet)
 {
@@ -77,9 +78,9 @@
 	return NULL;
 }
 
-/* Returns whether the worker's VM was removed for good, and with it the worker.
- * An unreachable worker whose VM is listed may still run. */
-static bool vm_is_removed(struct owner_fleet *fleet, struct worker *worker)
+/* Returns whether the worker has ended because its VM is no longer listed. An
+ * unreachable worker whose VM is listed may still run. */
+static bool vm_is_missing(struct owner_fleet *fleet, struct worker *worker)
 {
 	const struct owner_vm *vm = g_hash_table_lookup(fleet->vms, worker->vm);
 
@@ -88,7 +89,7 @@
 		worker->vm_unlisted_count = 0;
 	else
 		worker->vm_unlisted_count++;
-	return worker->vm_unlisted_count >= OWNER_VM_REMOVED_LISTS;
+	return worker->vm_unlisted_count >= OWNER_VM_MISSING_LISTS;
 }
 
 static const char *worker_check(struct owner_fleet *fleet,
@@ -98,8 +99,8 @@
 
 	if (!worker->vm || worker->ended)
 		return NULL;
-	if (vm_is_removed(fleet, worker))
-		return "its VM was removed";
+	if (vm_is_missing(fleet, worker))
+		return "its VM is no longer listed";
 	vm = g_hash_table_lookup(fleet->vms, worker->vm);
 	return vm ? worker_end_reason(fleet, worker, vm) : NULL;
 }
@@ -161,7 +162,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct owner_vm *vm = value;
 
-		if (vm->missing_lists >= OWNER_VM_REMOVED_LISTS &&
+		if (vm->missing_lists >= OWNER_VM_MISSING_LISTS &&
 		    !vm->call_in_flight)
 			g_hash_table_iter_remove(&iter);
 	}
