End lease calls of stopped processes in the emulator as well

Cause: the emulator dropped them, since the lease could not tell that it had been freed.

Change: they end with an error, like all other calls.

--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -143,7 +143,7 @@
 	if (call->cb)
 		call->cb(call->data, call->err,
 			 call->err == ERR_NONE ? &result : NULL);
-	else if (node->alive && node->incarnation == call->node_incarnation)
+	else
 		call->lease_cb(call->data, call->err, call->lease, call->ttl_s);
 	call_free(call);
 }
