Allocate the weak reference of a waiting call only where it is used

Each accepted submission allocated one, although only the read that looks up an unknown job refers to it. A refused move also set the start of its phase twice. No change of behaviour.

--- a/packages/jobs/src/owner_calls.c
+++ b/packages/jobs/src/owner_calls.c
@@ -25,7 +25,7 @@
 	uint64_t commit_mark;
 	struct timer timer;
 	GList queue_link;
-	/** for a read of the store that this call waits for */
+	/** for a read of the store that this call waits for, else NULL */
 	struct weak_ref *weak_ref;
 };
 
@@ -37,7 +37,8 @@
 	if (pending->job)
 		pending->job->waiters =
 			g_slist_remove(pending->job->waiters, pending);
-	weak_ref_invalidate(pending->weak_ref);
+	if (pending->weak_ref)
+		weak_ref_invalidate(pending->weak_ref);
 	pending->cb(pending->data, answer);
 	g_free(pending);
 }
@@ -111,7 +112,6 @@
 	pending->data = data;
 	pending->verb = call->verb;
 	pending->commit_mark = job ? job->commit_mark : 0;
-	pending->weak_ref = weak_ref_create(pending);
 	pending->timer.cb = on_deadline;
 	pending->timer.data = pending;
 	pending->queue_link.data = pending;
@@ -284,6 +284,7 @@
 		return;
 	}
 	pending = pending_call_add(owner, NULL, call, cb, data);
+	pending->weak_ref = weak_ref_create(pending);
 	platform_range(owner->config.store, key, false, on_definition_read,
 		       weak_ref_acquire(pending->weak_ref));
 }
--- a/packages/jobs/src/owner_fleet.c
+++ b/packages/jobs/src/owner_fleet.c
@@ -154,7 +154,8 @@
 	case ADAPTER_VM_REFUSED_BUSY:
 		if (vm->target_pool)
 			vm_operation_end(fleet, vm);
-		vm->phase_started_ms = loop_now_ms();
+		else
+			vm->phase_started_ms = loop_now_ms();
 		vm->request_not_before_ms =
 			loop_now_ms() + OWNER_ORDER_RETRY_MS;
 		break;
