Let scenarios start programs with limits, closed descriptors and other outputs

spawn() and run() can ignore a signal as nohup does, close standard descriptors, set a limit on descriptors and address space, and send standard output to a file such as a FIFO. fifo_create() and link_create() make files that Lua cannot. signal() knows further names.

--- a/tests/runner.c
+++ b/tests/runner.c
@@ -20,6 +20,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "runner_file.h"
 #include "runner_http.h"
 #include "runner_process.h"
 #include "runner_udp.h"
@@ -203,6 +204,7 @@
 	for (const luaL_Reg *binding = bindings; binding->name; binding++)
 		lua_register(lua, binding->name, binding->func);
 	runner_process_register(lua);
+	runner_file_register(lua);
 	runner_http_register(lua);
 	runner_udp_register(lua);
 	lua_pushstring(lua, runner->dir);
--- a/tests/runner_process.c
+++ b/tests/runner_process.c
@@ -4,25 +4,59 @@
 #include <lauxlib.h>
 #include <signal.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #define ARGUMENTS_MAX 64
 
-static void child_exec(char **argv, const char *log, int out)
+/* How a child process is set up before its program starts. */
+struct child_setup {
+	const char *log;
+	/* file for standard output, opened for reading too so that a FIFO
+	 * without a reader can be opened; NULL for the log */
+	const char *standard_output;
+	/* digits of the standard descriptors that are closed, or "" */
+	const char *closed;
+	/* signal that is ignored, as after nohup; 0 for none */
+	int ignored_signal;
+	/* limits, 0 for those of the runner */
+	uint64_t descriptors_max;
+	uint64_t address_space_bytes;
+};
+
+static void child_limit(int resource, uint64_t limit)
 {
-	int err = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	const struct rlimit both = { .rlim_cur = limit, .rlim_max = limit };
 
+	if (limit > 0 && setrlimit(resource, &both) != 0)
+		_exit(126);
+}
+
+static void child_exec(char **argv, const struct child_setup *setup, int out)
+{
+	int err = open(setup->log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+	if (setup->standard_output)
+		out = open(setup->standard_output, O_RDWR | O_CREAT | O_APPEND,
+			   0644);
 	dup2(out < 0 ? err : out, STDOUT_FILENO);
 	dup2(err, STDERR_FILENO);
+	for (const char *digit = setup->closed; *digit; digit++)
+		close(*digit - '0');
+	if (setup->ignored_signal != 0)
+		signal(setup->ignored_signal, SIG_IGN);
+	child_limit(RLIMIT_NOFILE, setup->descriptors_max);
+	child_limit(RLIMIT_AS, setup->address_space_bytes);
 	execv(argv[0], argv);
 	_exit(127);
 }
 
 /* Starts a program. If out is not NULL, it receives the read end of a pipe from
  * the program's standard output, which otherwise goes to the log. */
-static pid_t child_start(char **argv, const char *log, int *out)
+static pid_t child_start(char **argv, const struct child_setup *setup, int *out)
 {
 	int pipe_fds[2] = { -1, -1 };
 	pid_t pid;
@@ -31,7 +65,7 @@
 		return -1;
 	pid = fork();
 	if (pid == 0)
-		child_exec(argv, log, pipe_fds[1]);
+		child_exec(argv, setup, pipe_fds[1]);
 	if (out) {
 		close(pipe_fds[1]);
 		*out = pipe_fds[0];
@@ -58,24 +92,67 @@
 	return g_build_filename(runner_from_lua(lua)->bin_dir, name, NULL);
 }
 
+static int signal_number(lua_State *lua, const char *name)
+{
+	const struct {
+		const char *name;
+		int signo;
+	} signals[] = { { "KILL", SIGKILL },   { "TERM", SIGTERM },
+			{ "INT", SIGINT },     { "QUIT", SIGQUIT },
+			{ "HUP", SIGHUP },     { "PIPE", SIGPIPE },
+			{ "USR1", SIGUSR1 },   { "USR2", SIGUSR2 },
+			{ "ALRM", SIGALRM },   { "VTALRM", SIGVTALRM },
+			{ "PROF", SIGPROF },   { "POLL", SIGPOLL },
+			{ "PWR", SIGPWR },     { "CHLD", SIGCHLD },
+			{ "URG", SIGURG },     { "WINCH", SIGWINCH },
+			{ "TSTP", SIGTSTP },   { "TTIN", SIGTTIN },
+			{ "TTOU", SIGTTOU },   { "XCPU", SIGXCPU },
+			{ "XFSZ", SIGXFSZ },   { "STKFLT", SIGSTKFLT },
+			{ "RTMIN", SIGRTMIN }, { "STOP", SIGSTOP },
+			{ "CONT", SIGCONT } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+		if (strcmp(signals[i].name, name) == 0)
+			return signals[i].signo;
+	}
+	return luaL_error(lua, "unknown signal %s", name);
+}
+
+static void setup_read(lua_State *lua, struct child_setup *setup)
+{
+	const char *ignored = runner_table_string(lua, "ignored", NULL);
+
+	setup->log = runner_table_string(lua, "log", "/dev/null");
+	setup->standard_output = runner_table_string(lua, "stdout", NULL);
+	setup->closed = runner_table_string(lua, "closed", "");
+	if (ignored)
+		setup->ignored_signal = signal_number(lua, ignored);
+	setup->descriptors_max =
+		(uint64_t)runner_table_integer(lua, "descriptors_max", 0);
+	setup->address_space_bytes =
+		(uint64_t)runner_table_integer(lua, "address_space_bytes", 0);
+}
+
 /* Starts the program named in a binding's argument table, see child_start(). */
 static pid_t program_start(lua_State *lua, int *out)
 {
 	char *argv[ARGUMENTS_MAX];
-	const char *log = runner_table_string(lua, "log", "/dev/null");
+	struct child_setup setup = { 0 };
 	g_autofree char *program = NULL;
 	pid_t pid;
 
+	setup_read(lua, &setup);
 	argv_read(lua, argv);
 	program = program_path(lua, argv[0]);
 	argv[0] = program;
-	pid = child_start(argv, log, out);
+	pid = child_start(argv, &setup, out);
 	if (pid < 0)
 		luaL_error(lua, "cannot start %s", program);
 	return pid;
 }
 
-/* spawn{program, arguments..., log=FILE} -> pid */
+/* spawn{program, arguments..., log=FILE, stdout=FILE, closed=DIGITS,
+ * ignored=SIGNAL, descriptors_max=N, address_space_bytes=N} -> pid */
 static int binding_spawn(lua_State *lua)
 {
 	pid_t pid = program_start(lua, NULL);
@@ -106,24 +183,6 @@
 	return 2;
 }
 
-static int signal_number(lua_State *lua, const char *name)
-{
-	static const struct {
-		const char *name;
-		int signo;
-	} signals[] = { { "KILL", SIGKILL }, { "TERM", SIGTERM },
-			{ "HUP", SIGHUP },   { "PIPE", SIGPIPE },
-			{ "USR1", SIGUSR1 }, { "USR2", SIGUSR2 },
-			{ "ALRM", SIGALRM }, { "STOP", SIGSTOP },
-			{ "CONT", SIGCONT } };
-
-	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
-		if (strcmp(signals[i].name, name) == 0)
-			return signals[i].signo;
-	}
-	return luaL_error(lua, "unknown signal %s", name);
-}
-
 static bool pid_is_child(const struct runner *runner, pid_t pid)
 {
 	for (guint i = 0; i < runner->pids->len; i++) {
