Test that SIGHUP during the start does not end a process

A process that was started with SIGHUP ignored, as by a start script or nohup, gets SIGHUP from its first instruction on; another one from the moment it has blocked its signals. Both must become ready and reload. The runner sets a child up before it can be signalled.

Command: build/programs/runner build/programs tests/scenarios/reload_start.lua 1

--- a/tests/runner_process.c
+++ b/tests/runner_process.c
@@ -35,7 +35,8 @@
 		_exit(126);
 }
 
-static void child_exec(char **argv, const struct child_setup *setup, int out)
+static void child_exec(char **argv, const struct child_setup *setup, int out,
+		       const sigset_t *mask)
 {
 	int err = open(setup->log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
@@ -48,6 +49,7 @@
 		close(*digit - '0');
 	if (setup->ignored_signal != 0)
 		signal(setup->ignored_signal, SIG_IGN);
+	sigprocmask(SIG_SETMASK, mask, NULL);
 	child_limit(RLIMIT_NOFILE, setup->descriptors_max);
 	child_limit(RLIMIT_AS, setup->address_space_bytes);
 	execv(argv[0], argv);
@@ -59,13 +61,19 @@
 static pid_t child_start(char **argv, const struct child_setup *setup, int *out)
 {
 	int pipe_fds[2] = { -1, -1 };
+	sigset_t all;
+	sigset_t mask;
 	pid_t pid;
 
 	if (out && pipe2(pipe_fds, O_CLOEXEC) != 0)
 		return -1;
+	/* A signal sent at once waits until the child has set it up. */
+	sigfillset(&all);
+	sigprocmask(SIG_SETMASK, &all, &mask);
 	pid = fork();
 	if (pid == 0)
-		child_exec(argv, setup, pipe_fds[1]);
+		child_exec(argv, setup, pipe_fds[1], &mask);
+	sigprocmask(SIG_SETMASK, &mask, NULL);
 	if (out) {
 		close(pipe_fds[1]);
 		*out = pipe_fds[0];
