--- a/tests/runner.c
+++ b/tests/runner.c
@@ -23,6 +23,7 @@
 #include "runner_file.h"
 #include "runner_http.h"
 #include "runner_process.h"
+#include "runner_tcp.h"
 #include "runner_udp.h"
 
 /*
@@ -206,6 +207,7 @@
 	runner_process_register(lua);
 	runner_file_register(lua);
 	runner_http_register(lua);
+	runner_tcp_register(lua);
 	runner_udp_register(lua);
 	lua_pushstring(lua, runner->dir);
 	lua_setglobal(lua, "DIR");
