Answer what is on its way before a stopping process ends

Cause: a stopping process ended as soon as no request was in progress, while requests were on their way on connections just opened, or lay unread after the process had been paused. The last iteration of the loop, which frees closed sockets, even read requests and dropped them.

Change: once no request is in progress the process accepts what waits and stops listening; it ends after some looks, with iterations of the loop between them, without a new connection or request. A request read after that is refused as not run. Both modes share this.

--- a/bin/sassafrascartd/daemon_private.h
+++ b/bin/sassafrascartd/daemon_private.h
@@ -49,6 +49,7 @@
 	 */
 	uint64_t leave_grace_until_ms;
 	uint64_t drain_until_ms;
+	struct ingress_quiet quiet;
 	uint64_t lease_revoke_until_ms;
 	/** the manager key is being read or deleted */
 	bool resigning;
--- a/bin/sassafrascartd/daemon_shutdown.c
+++ b/bin/sassafrascartd/daemon_shutdown.c
@@ -4,6 +4,9 @@
 #include "log.h"
 
 #define DAEMON_SHUTDOWN_POLL_MS 50
+/* Polls without a new connection or request before the lease is revoked; a
+ * request may follow its connection by a round trip. */
+#define DAEMON_QUIET_POLLS 4
 /*
  * Interval between checks of the manager key: a campaign transaction in flight
  * at shutdown may still create it.
@@ -69,8 +72,9 @@
 }
 
 /*
- * Refuses new requests once the grace period is over. Returns whether, after
- * that period, all requests have ended or the drain deadline has passed.
+ * Refuses new requests once the grace period is over, and new connections once
+ * no request is in progress. Returns whether callers then had nothing under way
+ * any more, or the drain deadline has passed.
  */
 static bool drain_step(struct daemon *daemon)
 {
@@ -79,7 +83,10 @@
 	if (now_ms < daemon->leave_grace_until_ms)
 		return false;
 	gateway_shut_down(daemon->gateway);
-	return ingress_server_in_flight(daemon->server) == 0 ||
+	if (ingress_server_in_flight(daemon->server) == 0)
+		ingress_server_close_listener(daemon->server);
+	return ingress_server_is_quiet(daemon->server, &daemon->quiet,
+				       DAEMON_QUIET_POLLS) ||
 	       now_ms >= daemon->drain_until_ms;
 }
 
--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -44,11 +44,14 @@
  * Time for the load balancer to stop using this VM: it probes once a second and
  * removes a VM after two failed probes.
  */
-#define JOBD_BALANCER_DETECT_MS 2300
+#define JOBD_BALANCER_DETECT_MS 2350
 /* Margin to exit before the platform kills the process. */
 #define JOBD_STOP_MARGIN_MS 600
 /* Interval between checks whether a stopping process may exit. */
-#define JOBD_STOP_POLL_MS 50
+#define JOBD_STOP_POLL_MS 20
+/* Checks without a new connection or request before a stopping process exits;
+ * a request may follow its connection by a round trip. */
+#define JOBD_QUIET_POLLS 3
 
 struct jobd_options {
 	char *node_file;
@@ -93,6 +96,7 @@
 	struct histogram *call_latency[JOBS_WAITING + 1];
 	bool stopping;
 	uint64_t stopping_since_ms;
+	struct ingress_quiet quiet;
 	struct timer stop_timer;
 };
 
@@ -261,22 +265,37 @@
 	jobs_set_catalogue(process->service, catalogue);
 }
 
+/* Lets callers go: connections end with their next response, and no new ones
+ * are accepted once no request is in progress, or at the last moment. */
+static void callers_drain(struct jobd_process *process, bool last_moment)
+{
+	ingress_server_drain(process->caller_server);
+	if (last_moment ||
+	    ingress_server_in_flight(process->caller_server) == 0)
+		ingress_server_close_listener(process->caller_server);
+}
+
 /*
- * Stops the loop when the load balancer has noticed the shutdown and no request
- * is open, or shortly before the platform kills the process.
+ * Stops the loop when the load balancer has noticed the shutdown and callers
+ * have nothing under way any more, or shortly before the platform kills the
+ * process.
  */
 static void on_stop_poll(void *data)
 {
 	struct jobd_process *process = data;
 	uint64_t elapsed_ms = loop_now_ms() - process->stopping_since_ms;
 	uint32_t limit_ms = process->settings.stop_grace_ms;
+	uint32_t last_ms;
 
 	limit_ms -= MIN(limit_ms, JOBD_STOP_MARGIN_MS);
-	if (elapsed_ms >= MIN(JOBD_BALANCER_DETECT_MS, limit_ms))
-		ingress_server_drain(process->caller_server);
+	last_ms =
+		limit_ms - MIN(limit_ms, JOBD_QUIET_POLLS * JOBD_STOP_POLL_MS);
+	if (elapsed_ms >= MIN(JOBD_BALANCER_DETECT_MS, last_ms))
+		callers_drain(process, elapsed_ms >= last_ms);
 	if (elapsed_ms >= limit_ms ||
-	    (elapsed_ms > JOBD_BALANCER_DETECT_MS + JOBD_STOP_POLL_MS &&
-	     ingress_server_in_flight(process->caller_server) == 0)) {
+	    (elapsed_ms >= JOBD_BALANCER_DETECT_MS &&
+	     ingress_server_is_quiet(process->caller_server, &process->quiet,
+				     JOBD_QUIET_POLLS))) {
 		loop_stop(process->loop);
 		return;
 	}
--- a/packages/caller/include/ingress.h
+++ b/packages/caller/include/ingress.h
@@ -124,6 +124,35 @@
  */
 void ingress_server_drain(struct ingress_server *server);
 
+/**
+ * @brief Stops listening: accepts what waits in the backlog, then refuses new
+ *        connections. Open connections are served on.
+ */
+void ingress_server_close_listener(struct ingress_server *server);
+
+/** State of ingress_server_is_quiet(), zero at first. */
+struct ingress_quiet {
+	/** connections and requests counted at the last look */
+	uint64_t events;
+	/** looks since the last event */
+	uint32_t looks;
+};
+
+/**
+ * @brief Tells whether the listener is closed, nothing has arrived since an
+ *        earlier look and no request is in progress, so that the process may
+ *        end.
+ *
+ * A request may still be on its way on a connection that was opened just before
+ * the listener was closed, and requests that arrived while the process was
+ * paused are only read when the loop goes on; hence several looks, with
+ * iterations of the loop between them.
+ *
+ * @param looks number of successive looks without an event
+ */
+bool ingress_server_is_quiet(const struct ingress_server *server,
+			     struct ingress_quiet *quiet, uint32_t looks);
+
 /** @brief Counts requests whose response has not been sent completely. */
 uint32_t ingress_server_in_flight(const struct ingress_server *server);
 
--- a/packages/caller/src/ingress.c
+++ b/packages/caller/src/ingress.c
@@ -24,6 +24,8 @@
 	uint32_t connections_max;
 	uint64_t connections_refused;
 	uint32_t open_requests;
+	/* connections accepted and requests received */
+	uint64_t events;
 };
 
 struct ingress_request {
@@ -148,6 +150,7 @@
 		((struct ingress_handler *)self)->server;
 	struct ingress_request *request;
 
+	server->events++;
 	if (page_send(server, req))
 		return 0;
 	request = h2o_mem_alloc_shared(&req->pool, sizeof(*request),
@@ -180,6 +183,7 @@
 		return;
 	}
 	server->connections++;
+	server->events++;
 	sock->on_close.cb = on_connection_close;
 	sock->on_close.data = server;
 	h2o_accept(&server->accept_ctx, sock);
@@ -249,7 +253,14 @@
 	return ERR_NONE;
 }
 
-static void no_op_request(void *data, struct ingress_request *request)
+/* A request that is read in the last iteration of the loop must not end without
+ * an answer. */
+static void late_request_reject(void *data, struct ingress_request *request)
+{
+	ingress_request_reject(request, OUTCOME_SHUTTING_DOWN, 1);
+}
+
+static void no_op_disconnect(void *data, struct ingress_request *request)
 {
 }
 
@@ -261,8 +272,8 @@
 
 /* Used for connections that are still open when the server is destroyed. */
 static const struct ingress_ops no_ops = {
-	.on_request = no_op_request,
-	.on_disconnect = no_op_request,
+	.on_request = late_request_reject,
+	.on_disconnect = no_op_disconnect,
 	.on_page = no_op_page,
 };
 
@@ -270,7 +281,8 @@
 {
 	if (!server)
 		return;
-	h2o_socket_close(server->listener);
+	if (server->listener)
+		h2o_socket_close(server->listener);
 	server->ops = &no_ops;
 	/*
 	 * h2o 2.2.5 cannot close the connections of a context. If any are
@@ -307,6 +319,30 @@
 	h2o_context_request_shutdown(&server->ctx);
 }
 
+void ingress_server_close_listener(struct ingress_server *server)
+{
+	h2o_socket_t *sock;
+
+	if (!server->listener)
+		return;
+	while ((sock = h2o_evloop_socket_accept(server->listener)))
+		connection_accept(server, sock);
+	h2o_socket_close(g_steal_pointer(&server->listener));
+}
+
+bool ingress_server_is_quiet(const struct ingress_server *server,
+			     struct ingress_quiet *quiet, uint32_t looks)
+{
+	bool changed = quiet->events != server->events;
+
+	quiet->events = server->events;
+	if (changed || server->open_requests > 0 || server->listener)
+		quiet->looks = 0;
+	else
+		quiet->looks++;
+	return quiet->looks >= looks;
+}
+
 uint32_t ingress_server_in_flight(const struct ingress_server *server)
 {
 	return server->open_requests;
--- a/packages/caller/tests/test_ingress_server.c
+++ b/packages/caller/tests/test_ingress_server.c
@@ -106,6 +106,35 @@
 }
 END_TEST
 
+START_TEST(test_request_after_destruction_is_refused)
+{
+	const struct ingress_config config = { .ip = "127.0.0.1",
+					       .body_max_bytes = 1024,
+					       .connections_max = 4,
+					       .idle_timeout_ms = 10000 };
+	struct calls calls = { .loop = loop_create() };
+	struct ingress_server *server;
+	char response[512] = "";
+	int fd;
+
+	ck_assert_int_eq(ingress_server_create(calls.loop, &config, &ops,
+					       &calls, &server),
+			 ERR_NONE);
+	fd = caller_connect(ingress_server_port(server));
+	loop_run(calls.loop);
+	ingress_server_destroy(server);
+	caller_send(fd, "/draws");
+	loop_run(calls.loop);
+	ck_assert_int_gt(recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT),
+			 0);
+	ck_assert_ptr_nonnull(strstr(response, "HTTP/1.1 503"));
+	ck_assert_uint_eq(calls.requests, 0);
+	close(fd);
+	loop_run(calls.loop);
+	loop_destroy(calls.loop);
+}
+END_TEST
+
 START_TEST(test_drained_server_without_connections_is_destroyed)
 {
 	const struct ingress_config config = { .ip = "127.0.0.1",
@@ -133,6 +162,7 @@
 	int failed;
 
 	tcase_add_test(tcase, test_destroyed_server_runs_no_callbacks);
+	tcase_add_test(tcase, test_request_after_destruction_is_refused);
 	tcase_add_test(tcase,
 		       test_drained_server_without_connections_is_destroyed);
 	suite_add_tcase(suite, tcase);
--- a/tests/scenarios/stop_answers.lua
+++ b/tests/scenarios/stop_answers.lua
@@ -10,7 +10,7 @@
 local KEPT = 8
 local STOP_MS = 8000
 -- After SIGTERM, shortly before the process ends if nothing is under way.
-local PAUSE_AT_MS = 2150
+local PAUSE_AT_MS = 2000
 
 local platform = jobfleet.new(SEED)
 local processes = platform.processes
