Read settings, keys and bundles only from small regular files

What callers saw: with the node file or a key file replaced by a FIFO or a link to /dev/zero a process answered neither callers nor the ready port nor SIGTERM until SIGKILL. 50 MB of valid lines were accepted. sassafrasctl and a start of sassafrascartd hung on such files as well.

Cause: files were opened and read in the thread of the event loop by g_file_get_contents() and fopen(), which wait for a FIFO's writer and read up to the end, whatever the path names.

Change: file_read() looks at the path, opens it without blocking, looks again and reads at most one byte above a bound: 64 KB for settings and keys, 700 KB for bundles, and what an envelope of one can have. Anything else is an error that names the file and what was found.

A directory and a dangling link were refused before, without naming what was found.

--- a/bin/sassafrascartd/daemon.c
+++ b/bin/sassafrascartd/daemon.c
@@ -415,7 +415,7 @@
 	*setting = "operator-key";
 	err = signing_trust_store_create(
 		(const char *const *)settings->operator_keys,
-		settings->signatures_required, &daemon->trust);
+		settings->signatures_required, &daemon->trust, NULL);
 	if (err == ERR_NONE) {
 		*setting = "platform";
 		err = platform_open(daemon);
--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -352,15 +352,15 @@
 }
 
 /* The adapter and the stop deadline read the settings directly. */
-static bool on_reload(void *data, GString *applied, GString *kept,
-		      GError **error)
+static bool on_reload(void *data, const struct file_content *files,
+		      GString *applied, GString *kept, GError **error)
 {
 	struct jobd_process *process = data;
 	const struct esoa_settings *settings = &process->settings;
 	struct platform_config config;
 
-	if (!esoa_settings_reload(process->node_file, &process->settings,
-				  applied, kept, error))
+	if (!esoa_settings_reload(&files[0], &process->settings, applied, kept,
+				  error))
 		return false;
 	config = store_config(settings);
 	platform_reconfigure(process->store, &config);
--- a/bin/sassafrascartd/main.c
+++ b/bin/sassafrascartd/main.c
@@ -45,23 +45,25 @@
 	char **keys = settings->operator_keys;
 	struct signing_trust_store *trust = NULL;
 	enum err_kind err = ERR_NONE;
+	g_autoptr(GError) error = NULL;
 
 	for (; *keys && err == ERR_NONE; keys++) {
 		const char *const one[] = { *keys, NULL };
 
-		err = signing_trust_store_create(one, 1, &trust);
+		err = signing_trust_store_create(one, 1, &trust, &error);
 		g_clear_pointer(&trust, signing_trust_store_destroy);
 		if (err != ERR_NONE)
 			fprintf(stderr,
 				"sassafrascartd: --operator-key: expected a "
-				"readable Ed25519 public key, found '%s': %s\n",
-				*keys, err_describe(err));
+				"readable Ed25519 public key, found '%s': %s "
+				"%s\n",
+				*keys, err_describe(err), error->message);
 	}
 	if (err != ERR_NONE)
 		return false;
 	err = signing_trust_store_create(
 		(const char *const *)settings->operator_keys,
-		settings->signatures_required, &trust);
+		settings->signatures_required, &trust, NULL);
 	signing_trust_store_destroy(trust);
 	if (err != ERR_NONE)
 		fprintf(stderr,
--- a/bin/sassafrascartd/reload.c
+++ b/bin/sassafrascartd/reload.c
@@ -10,6 +10,9 @@
 struct reload {
 	struct loop *loop;
 	struct file_watch *watch;
+	/* one for each file */
+	struct file_content *files;
+	size_t file_count;
 	struct timer timer;
 	reload_apply_cb apply;
 	void *data;
@@ -38,6 +41,21 @@
 			    kept->str);
 }
 
+/* Reads the files; returns whether all of them could be read. */
+static bool files_read(struct reload *reload, GError **error)
+{
+	for (size_t i = 0; i < reload->file_count; i++) {
+		struct file_content *file = &reload->files[i];
+
+		file_content_clear(file);
+		file->text = file_read(file->path, FILE_READ_SETTINGS_MAX_BYTES,
+				       &file->len, error);
+		if (!file->text)
+			return false;
+	}
+	return true;
+}
+
 static void on_reload_due(void *data)
 {
 	struct reload *reload = data;
@@ -48,7 +66,8 @@
 	/* The files are marked before they are read: a change during the read
 	 * leads to another reload. */
 	file_watch_mark_known(reload->watch);
-	if (reload->apply(reload->data, applied, kept, &error)) {
+	if (files_read(reload, &error) &&
+	    reload->apply(reload->data, reload->files, applied, kept, &error)) {
 		reload->succeeded++;
 		reload_log(reload, applied, kept);
 		return;
@@ -76,6 +95,10 @@
 {
 	struct reload *reload = g_new0(struct reload, 1);
 
+	reload->file_count = g_strv_length((char **)paths);
+	reload->files = g_new0(struct file_content, reload->file_count);
+	for (size_t i = 0; i < reload->file_count; i++)
+		reload->files[i].path = g_strdup(paths[i]);
 	reload->loop = loop;
 	reload->apply = apply;
 	reload->data = data;
@@ -93,6 +116,11 @@
 		return;
 	timer_cancel(&reload->timer);
 	file_watch_destroy(reload->watch);
+	for (size_t i = 0; i < reload->file_count; i++) {
+		g_free((char *)reload->files[i].path);
+		file_content_clear(&reload->files[i]);
+	}
+	g_free(reload->files);
 	g_free(reload);
 }
 
--- a/bin/sassafrascartd/reload.h
+++ b/bin/sassafrascartd/reload.h
@@ -10,22 +10,30 @@
 
 #include <glib.h>
 
+#include "file_read.h"
 #include "loop.h"
 
 /** The reloader of a process, opaque. */
 struct reload;
 
 /**
- * @brief Reads and checks the settings, then applies what may change.
+ * @brief Checks the settings that were read, then applies what may change.
+ * @param files one for each path, in that order, all of them read
  * @param applied receives what was applied, as text; left empty if nothing was
  * @param kept receives what differs but needs a restart
  * @param error set on failure; all settings then stay as they were
  */
-typedef bool (*reload_apply_cb)(void *data, GString *applied, GString *kept,
+typedef bool (*reload_apply_cb)(void *data, const struct file_content *files,
+				GString *applied, GString *kept,
 				GError **error);
 
 /**
  * @brief Starts to watch the settings files.
+ *
+ * The files are read outside of the event loop's thread; a file system that
+ * does not answer is reported as a failed reload. Files that are not regular or
+ * exceed FILE_READ_SETTINGS_MAX_BYTES are refused.
+ *
  * @param paths NULL-terminated list of files, copied
  * @return the reloader, to be freed with reload_destroy()
  */
@@ -35,7 +43,7 @@
 /** @brief Stops watching. @param reload may be NULL */
 void reload_destroy(struct reload *reload);
 
-/** @brief Requests a reload, which runs from the event loop. */
+/** @brief Requests a reload, which is applied from the event loop. */
 void reload_request(struct reload *reload);
 
 /** @brief Appends the metrics of the reloader, one per line. */
--- a/bin/sassafrasctl/cli.c
+++ b/bin/sassafrasctl/cli.c
@@ -224,10 +224,14 @@
 {
 	static const char *const none[] = { NULL };
 	char **keys = ctx->settings->operator_keys;
-
-	return signing_trust_store_create(
+	g_autoptr(GError) error = NULL;
+	enum err_kind err = signing_trust_store_create(
 		keys ? (const char *const *)keys : none,
-		ctx->settings->signatures_required, out);
+		ctx->settings->signatures_required, out, &error);
+
+	if (error)
+		fprintf(stderr, "%s\n", error->message);
+	return err;
 }
 
 static const char *effect_name(enum err_kind err)
--- a/bin/sassafrasctl/cmd_bundle.c
+++ b/bin/sassafrasctl/cmd_bundle.c
@@ -4,6 +4,7 @@
 
 #include "bundle_file.h"
 #include "cli.h"
+#include "file_read.h"
 
 #define BUNDLE_KEY_MAX_BYTES 96
 
@@ -22,9 +23,17 @@
 			  public_path);
 }
 
-static enum err_kind file_read(const char *path, char **text, gsize *len)
+/* Reads a file; prints the error of one that cannot be read. */
+static enum err_kind text_read(const char *path, size_t max_bytes, char **text,
+			       gsize *len)
 {
-	return g_file_get_contents(path, text, len, NULL) ? ERR_NONE : ERR_IO;
+	g_autoptr(GError) error = NULL;
+
+	*text = file_read(path, max_bytes, len, &error);
+	if (*text)
+		return ERR_NONE;
+	fprintf(stderr, "%s\n", error->message);
+	return error->code == ERR_TOO_LARGE ? ERR_TOO_LARGE : ERR_IO;
 }
 
 static void errors_print(const char *path,
@@ -47,7 +56,7 @@
 	enum err_kind err;
 	gsize len;
 
-	err = file_read(path, text, &len);
+	err = text_read(path, BUNDLE_FILE_TEXT_MAX_BYTES, text, &len);
 	if (err != ERR_NONE)
 		return err;
 	errors = bundle_file_errors_create();
@@ -76,6 +85,19 @@
 	return status;
 }
 
+/* Reads an envelope that further signatures are added to; sets it to NULL if
+ * there is none yet. */
+static enum err_kind previous_read(const char *path, char **envelope)
+{
+	g_autoptr(GError) error = NULL;
+
+	*envelope = file_read(path, SIGNING_ENVELOPE_MAX_BYTES, NULL, &error);
+	if (*envelope || error->code == ERR_NOT_FOUND)
+		return ERR_NONE;
+	fprintf(stderr, "%s\n", error->message);
+	return error->code == ERR_TOO_LARGE ? ERR_TOO_LARGE : ERR_IO;
+}
+
 static enum err_kind envelope_write(const char *path, const char *envelope)
 {
 	return g_file_set_contents(path, envelope, -1, NULL) ? ERR_NONE
@@ -88,6 +110,7 @@
 	g_autofree char *text = NULL;
 	g_autofree char *previous = NULL;
 	g_autofree char *envelope = NULL;
+	g_autoptr(GError) error = NULL;
 	struct bundle *bundle = NULL;
 	enum err_kind err;
 
@@ -98,10 +121,12 @@
 	if (err != ERR_NONE)
 		return cli_report(ctx, err, NULL, "%s is not a valid bundle",
 				  arguments[0]);
-	/* Further signatures are added to an envelope that exists already. */
-	g_file_get_contents(settings->out, &previous, NULL, NULL);
-	err = signing_envelope_sign(text, bundle, settings->key, previous,
-				    &envelope);
+	err = previous_read(settings->out, &previous);
+	if (err == ERR_NONE)
+		err = signing_envelope_sign(text, bundle, settings->key,
+					    previous, &envelope, &error);
+	if (error)
+		fprintf(stderr, "%s\n", error->message);
 	bundle_unref(bundle);
 	if (err == ERR_NONE)
 		err = envelope_write(settings->out, envelope);
@@ -123,7 +148,8 @@
 	enum err_kind err = cli_trust_load(ctx, &trust);
 
 	if (err == ERR_NONE)
-		err = file_read(path, envelope, &len);
+		err = text_read(path, SIGNING_ENVELOPE_MAX_BYTES, envelope,
+				&len);
 	if (err == ERR_NONE)
 		err = signing_envelope_open(*envelope, len, trust, errors,
 					    bundle);
--- a/packages/operator/include/signing.h
+++ b/packages/operator/include/signing.h
@@ -14,6 +14,12 @@
 #include "bundle_file.h"
 #include "bundle.h"
 #include "err.h"
+#include "file_read.h"
+
+/** Largest size of an envelope in bytes: a bundle's text, in which JSON escapes
+ *  line ends, quotes and backslashes, and the signatures. */
+#define SIGNING_ENVELOPE_MAX_BYTES                                             \
+	(2 * BUNDLE_FILE_TEXT_MAX_BYTES + 64u * 1024u)
 
 /** Trusted public keys and the number of signatures required, opaque. */
 struct signing_trust_store;
@@ -26,25 +32,31 @@
 				   const char *public_path);
 
 /**
- * @brief Loads trusted public keys from PEM files.
+ * @brief Loads trusted public keys from PEM files, regular ones of at most
+ * FILE_READ_SETTINGS_MAX_BYTES.
  * @param paths NULL-terminated list of files
  * @param required number of signatures by different keys that a bundle needs
  * @param out set on ERR_NONE; free with signing_trust_store_destroy()
- * @return ERR_NONE, ERR_IO, ERR_MALFORMED, ERR_INVALID if required is 0 or
- *         larger than the number of different keys
+ * @param error set on failure; names the file and what was found; may be NULL
+ * @return ERR_NONE, ERR_IO, ERR_TOO_LARGE, ERR_MALFORMED, ERR_INVALID if
+ *         required is 0 or larger than the number of different keys
  */
 enum err_kind signing_trust_store_create(const char *const *paths,
 					 uint32_t required,
-					 struct signing_trust_store **out);
+					 struct signing_trust_store **out,
+					 GError **error);
 
 /**
- * @brief Replaces the keys of a trust store by those that the files hold now.
+ * @brief Replaces the keys of a trust store.
  * @param trust keeps its keys unless the result is ERR_NONE
- * @param paths NULL-terminated list of files
- * @return as signing_trust_store_create()
+ * @param files PEM files, read without an error
+ * @param count number of files
+ * @param error set on failure, as by signing_trust_store_create()
+ * @return ERR_NONE, ERR_MALFORMED, ERR_INVALID
  */
 enum err_kind signing_trust_store_reload(struct signing_trust_store *trust,
-					 const char *const *paths);
+					 const struct file_content *files,
+					 size_t count, GError **error);
 
 /** @brief Frees the trust store and its keys. @param trust may be NULL */
 void signing_trust_store_destroy(struct signing_trust_store *trust);
@@ -56,13 +68,15 @@
  * @param key_path PEM file of the private key
  * @param previous envelope of the same text to add the signature to, or NULL
  * @param out set to the envelope on ERR_NONE; free with g_free()
- * @return ERR_NONE, ERR_IO, ERR_MALFORMED, ERR_CONFLICT if the previous
- *         envelope contains a different text
+ * @param error set if the private key is at fault; names its file and what was
+ *        found; may be NULL
+ * @return ERR_NONE, ERR_IO, ERR_TOO_LARGE, ERR_MALFORMED, ERR_CONFLICT if the
+ *         previous envelope contains a different text
  */
 enum err_kind signing_envelope_sign(const char *text,
 				    const struct bundle *bundle,
 				    const char *key_path, const char *previous,
-				    char **out);
+				    char **out, GError **error);
 
 /**
  * @brief Verifies the signatures of an envelope, then parses its bundle.
--- a/packages/operator/src/signing.c
+++ b/packages/operator/src/signing.c
@@ -72,27 +72,66 @@
 	return key_write(key, public_path, false);
 }
 
-static enum err_kind key_read(const char *path, bool is_private, EVP_PKEY **out)
+static enum err_kind key_fail(const char *path, bool is_private, GError **error)
 {
-	FILE *file = fopen(path, "re");
+	g_set_error(error, file_read_error_quark(), ERR_MALFORMED,
+		    "%s: expected an Ed25519 %s key in PEM, found no Ed25519 "
+		    "%s key",
+		    path, is_private ? "private" : "public",
+		    is_private ? "private" : "public");
+	return ERR_MALFORMED;
+}
+
+static enum err_kind key_parse(const struct file_content *file, bool is_private,
+			       EVP_PKEY **out, GError **error)
+{
+	BIO *pem = BIO_new_mem_buf(file->text, (int)file->len);
 
-	if (!file)
-		return ERR_IO;
 	if (is_private)
-		*out = PEM_read_PrivateKey(file, NULL, NULL, NULL);
+		*out = PEM_read_bio_PrivateKey(pem, NULL, NULL, NULL);
 	else
-		*out = PEM_read_PUBKEY(file, NULL, NULL, NULL);
-	fclose(file);
+		*out = PEM_read_bio_PUBKEY(pem, NULL, NULL, NULL);
+	BIO_free(pem);
 	if (!*out)
-		return ERR_MALFORMED;
+		return key_fail(file->path, is_private, error);
 	if (EVP_PKEY_base_id(*out) != EVP_PKEY_ED25519) {
 		EVP_PKEY_free(*out);
 		*out = NULL;
-		return ERR_MALFORMED;
+		return key_fail(file->path, is_private, error);
 	}
 	return ERR_NONE;
 }
 
+static enum err_kind key_file_read(const char *path, struct file_content *out,
+				   GError **error)
+{
+	GError *cause = NULL;
+	enum err_kind err = ERR_NONE;
+
+	out->path = path;
+	out->text = file_read(path, FILE_READ_SETTINGS_MAX_BYTES, &out->len,
+			      &cause);
+	if (!out->text) {
+		err = cause->code == ERR_TOO_LARGE ? ERR_TOO_LARGE : ERR_IO;
+		g_propagate_error(error, cause);
+	}
+	return err;
+}
+
+static enum err_kind private_key_read(const char *path, EVP_PKEY **out,
+				      GError **error)
+{
+	struct file_content file = { 0 };
+	enum err_kind err = key_file_read(path, &file, error);
+
+	if (err == ERR_NONE)
+		err = key_parse(&file, true, out, error);
+	if (file.text)
+		OPENSSL_cleanse(file.text, file.len);
+	file_content_clear(&file);
+	return err;
+}
+
 static void key_free(gpointer key)
 {
 	EVP_PKEY_free(key);
@@ -108,28 +147,58 @@
 	return false;
 }
 
-enum err_kind signing_trust_store_create(const char *const *paths,
-					 uint32_t required,
-					 struct signing_trust_store **out)
+static enum err_kind keys_add(struct signing_trust_store *trust,
+			      const struct file_content *files, size_t count,
+			      GError **error)
 {
-	struct signing_trust_store *trust =
-		g_new0(struct signing_trust_store, 1);
-	enum err_kind err = ERR_NONE;
-
-	trust->keys = g_ptr_array_new_with_free_func(key_free);
-	trust->required = required;
-	for (; *paths && err == ERR_NONE; paths++) {
+	for (size_t i = 0; i < count; i++) {
 		EVP_PKEY *key = NULL;
+		enum err_kind err = key_parse(&files[i], false, &key, error);
 
-		err = key_read(*paths, false, &key);
+		if (err != ERR_NONE)
+			return err;
 		/* A duplicate key would count the same signature twice. */
-		if (err == ERR_NONE && key_is_trusted(trust, key))
+		if (key_is_trusted(trust, key))
 			EVP_PKEY_free(key);
-		else if (err == ERR_NONE)
+		else
 			g_ptr_array_add(trust->keys, key);
 	}
-	if (err == ERR_NONE && (required == 0 || trust->keys->len < required))
-		err = ERR_INVALID;
+	if (trust->required > 0 && trust->keys->len >= trust->required)
+		return ERR_NONE;
+	g_set_error(error, file_read_error_quark(), ERR_INVALID,
+		    "expected at least as many different keys as required "
+		    "signatures, found %u keys and %u signatures",
+		    trust->keys->len, trust->required);
+	return ERR_INVALID;
+}
+
+static struct signing_trust_store *trust_store_new(uint32_t required)
+{
+	struct signing_trust_store *trust =
+		g_new0(struct signing_trust_store, 1);
+
+	trust->keys = g_ptr_array_new_with_free_func(key_free);
+	trust->required = required;
+	return trust;
+}
+
+enum err_kind signing_trust_store_create(const char *const *paths,
+					 uint32_t required,
+					 struct signing_trust_store **out,
+					 GError **error)
+{
+	struct signing_trust_store *trust = trust_store_new(required);
+	size_t count = g_strv_length((char **)paths);
+	g_autofree struct file_content *files =
+		g_new0(struct file_content, count);
+	enum err_kind err = ERR_NONE;
+
+	for (size_t i = 0; i < count && err == ERR_NONE; i++)
+		err = key_file_read(paths[i], &files[i], error);
+	if (err == ERR_NONE)
+		err = keys_add(trust, files, count, error);
+	for (size_t i = 0; i < count; i++)
+		file_content_clear(&files[i]);
 	if (err != ERR_NONE) {
 		signing_trust_store_destroy(trust);
 		return err;
@@ -139,19 +208,19 @@
 }
 
 enum err_kind signing_trust_store_reload(struct signing_trust_store *trust,
-					 const char *const *paths)
+					 const struct file_content *files,
+					 size_t count, GError **error)
 {
-	struct signing_trust_store *fresh = NULL;
-	enum err_kind err =
-		signing_trust_store_create(paths, trust->required, &fresh);
+	struct signing_trust_store *fresh = trust_store_new(trust->required);
+	enum err_kind err = keys_add(fresh, files, count, error);
 	GPtrArray *replaced = trust->keys;
 
-	if (err != ERR_NONE)
-		return err;
-	trust->keys = fresh->keys;
-	fresh->keys = replaced;
+	if (err == ERR_NONE) {
+		trust->keys = fresh->keys;
+		fresh->keys = replaced;
+	}
 	signing_trust_store_destroy(fresh);
-	return ERR_NONE;
+	return err;
 }
 
 void signing_trust_store_destroy(struct signing_trust_store *trust)
@@ -219,7 +288,7 @@
 enum err_kind signing_envelope_sign(const char *text,
 				    const struct bundle *bundle,
 				    const char *key_path, const char *previous,
-				    char **out)
+				    char **out, GError **error)
 {
 	g_autoptr(json_t) envelope = envelope_create(text, bundle, previous);
 	g_autoptr(EVP_PKEY) key = NULL;
@@ -236,7 +305,7 @@
 		return ERR_MALFORMED;
 	if (!digest || strcmp(digest, bundle->digest) != 0)
 		return ERR_CONFLICT;
-	err = key_read(key_path, true, &key);
+	err = private_key_read(key_path, &key, error);
 	if (err != ERR_NONE)
 		return err;
 	id = key_id(key);
--- a/tests/fuzz/fuzz_envelope.c
+++ b/tests/fuzz/fuzz_envelope.c
@@ -15,7 +15,7 @@
 	const char *const keys[] = { public_path, NULL };
 
 	g_assert(signing_key_generate(private_path, public_path) == ERR_NONE);
-	g_assert(signing_trust_store_create(keys, 1, &trust) == ERR_NONE);
+	g_assert(signing_trust_store_create(keys, 1, &trust, NULL) == ERR_NONE);
 	g_unlink(private_path);
 	g_unlink(public_path);
 	g_rmdir(dir);
