Read settings files in a thread that a hung file system may hold

What callers would see: while the file system of the node file or of a key file did not answer, the process answered nobody.

Cause: the look at the files once a second and the read after a change were made in the thread of the event loop. No flag makes stat(), open() or read() of a regular file return.

The loop checks its progress every 5 s. An operation in progress at two checks is logged once with the file's name and counts as a failed reload; nothing further is started meanwhile, and the end of the process does not wait for it. Looks are 1.25 s apart, so that looks and checks together are one wake-up a second, as before.

--- a/bin/sassafrascartd/daemon_reload.c
+++ b/bin/sassafrascartd/daemon_reload.c
@@ -69,10 +69,11 @@
 void daemon_reload_start(struct daemon *daemon)
 {
 	char **paths = daemon->settings->operator_keys;
+	const struct file_watch_config watch =
+		reload_watch_config((const char *const *)paths);
 
 	daemon->key_checksums = key_checksums_read(paths);
-	daemon->reload = reload_create(daemon->loop, (const char *const *)paths,
-				       on_reload, daemon);
+	daemon->reload = reload_create(daemon->loop, &watch, on_reload, daemon);
 }
 
 void daemon_reload(struct daemon *daemon)
--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -409,6 +409,7 @@
 {
 	const struct esoa_settings *settings = &process->settings;
 	const char *const files[] = { process->node_file, NULL };
+	const struct file_watch_config watch = reload_watch_config(files);
 	enum err_kind err = store_open(process);
 
 	if (err != ERR_NONE)
@@ -422,7 +423,7 @@
 	}
 	service_open(process);
 	process->reload =
-		reload_create(process->loop, files, on_reload, process);
+		reload_create(process->loop, &watch, on_reload, process);
 	err = server_open(process, &settings->caller_listen, &caller_ops,
 			  &process->caller_server);
 	if (err == ERR_NONE)
--- a/bin/sassafrascartd/reload.c
+++ b/bin/sassafrascartd/reload.c
@@ -5,34 +5,33 @@
 #include "log.h"
 
 /* Interval between two looks at the settings files. */
-#define RELOAD_LOOK_MS 1000
+#define RELOAD_LOOK_MS 1250
+/* How long a file operation may take before it is reported. */
+#define RELOAD_STALL_MS 5000
 
 struct reload {
-	struct loop *loop;
+	/* NULL if it could not be created */
 	struct file_watch *watch;
-	/* one for each file */
-	struct file_content *files;
+	/* number of files */
 	size_t file_count;
-	struct timer timer;
+	uint32_t stall_ms;
 	reload_apply_cb apply;
 	void *data;
-	/* what asked for the next reload */
-	const char *cause;
 	/* number of the settings in force; those read at the start are 1 */
 	uint64_t revision;
 	uint64_t succeeded;
 	uint64_t failed;
 };
 
-static void reload_log(struct reload *reload, const GString *applied,
-		       const GString *kept)
+static void reload_log(struct reload *reload, const char *cause,
+		       const GString *applied, const GString *kept)
 {
 	if (applied->len > 0)
 		reload->revision++;
 	log_info("settings-reloaded",
 		 "settings read again after %s, revision %" G_GUINT64_FORMAT
 		 " is in force: %s",
-		 reload->cause, reload->revision,
+		 cause, reload->revision,
 		 applied->len > 0 ? applied->str : "no change");
 	if (kept->len > 0)
 		log_warning("settings-need-restart",
@@ -41,72 +40,97 @@
 			    kept->str);
 }
 
-/* Reads the files; returns whether all of them could be read. */
-static bool files_read(struct reload *reload, GError **error)
+static void reload_fail(struct reload *reload, const char *cause,
+			const char *message)
 {
-	for (size_t i = 0; i < reload->file_count; i++) {
-		struct file_content *file = &reload->files[i];
+	reload->failed++;
+	log_error("settings-reload-failed",
+		  "settings read again after %s are not valid, revision "
+		  "%" G_GUINT64_FORMAT " stays in force: %s",
+		  cause, reload->revision, message);
+}
 
-		file_content_clear(file);
-		file->text = file_read(file->path, FILE_READ_SETTINGS_MAX_BYTES,
-				       &file->len, error);
-		if (!file->text)
-			return false;
+static const GError *read_error(const struct reload *reload,
+				const struct file_content *files)
+{
+	for (size_t i = 0; i < reload->file_count; i++) {
+		if (files[i].error)
+			return files[i].error;
 	}
-	return true;
+	return NULL;
 }
 
-static void on_reload_due(void *data)
+static void on_read(void *data, const struct file_content *files,
+		    bool requested)
 {
 	struct reload *reload = data;
+	const char *cause = requested ? "SIGHUP" : "a change of the file";
+	const GError *unread = read_error(reload, files);
 	g_autoptr(GString) applied = g_string_new(NULL);
 	g_autoptr(GString) kept = g_string_new(NULL);
 	g_autoptr(GError) error = NULL;
 
-	/* The files are marked before they are read: a change during the read
-	 * leads to another reload. */
-	file_watch_mark_known(reload->watch);
-	if (files_read(reload, &error) &&
-	    reload->apply(reload->data, reload->files, applied, kept, &error)) {
+	if (unread) {
+		reload_fail(reload, cause, unread->message);
+	} else if (reload->apply(reload->data, files, applied, kept, &error)) {
 		reload->succeeded++;
-		reload_log(reload, applied, kept);
-		return;
+		reload_log(reload, cause, applied, kept);
+	} else {
+		reload_fail(reload, cause, error->message);
 	}
+}
+
+static void on_stall(void *data, const char *path)
+{
+	struct reload *reload = data;
+
 	reload->failed++;
-	log_error("settings-reload-failed",
-		  "settings read again after %s are not valid, revision "
-		  "%" G_GUINT64_FORMAT " stays in force: %s",
-		  reload->cause, reload->revision, error->message);
+	log_error("settings-file-stalled",
+		  "%s: expected an answer of the file system within %u ms, "
+		  "found none; revision %" G_GUINT64_FORMAT
+		  " stays in force, and no file is read until it answers",
+		  path, reload->stall_ms, reload->revision);
 }
 
-static void reload_schedule(struct reload *reload, const char *cause)
+static void on_resume(void *data, const char *path)
 {
-	reload->cause = cause;
-	loop_timer_set(reload->loop, &reload->timer, 0);
+	log_info("settings-file-answers", "%s: the file system answers again",
+		 path);
 }
 
-static void on_file_changed(void *data)
+static const struct file_watch_ops watch_ops = {
+	.on_read = on_read,
+	.on_stall = on_stall,
+	.on_resume = on_resume,
+};
+
+struct file_watch_config reload_watch_config(const char *const *paths)
 {
-	reload_schedule(data, "a change of the file");
+	return (struct file_watch_config){
+		.paths = paths,
+		.ops = &file_read_system_ops,
+		.max_bytes = FILE_READ_SETTINGS_MAX_BYTES,
+		.period_ms = RELOAD_LOOK_MS,
+		.stall_ms = RELOAD_STALL_MS,
+	};
 }
 
-struct reload *reload_create(struct loop *loop, const char *const *paths,
+struct reload *reload_create(struct loop *loop,
+			     const struct file_watch_config *config,
 			     reload_apply_cb apply, void *data)
 {
 	struct reload *reload = g_new0(struct reload, 1);
 
-	reload->file_count = g_strv_length((char **)paths);
-	reload->files = g_new0(struct file_content, reload->file_count);
-	for (size_t i = 0; i < reload->file_count; i++)
-		reload->files[i].path = g_strdup(paths[i]);
-	reload->loop = loop;
+	reload->file_count = g_strv_length((char **)config->paths);
+	reload->stall_ms = config->stall_ms;
 	reload->apply = apply;
 	reload->data = data;
 	reload->revision = 1;
-	reload->timer.cb = on_reload_due;
-	reload->timer.data = reload;
-	reload->watch = file_watch_create(loop, paths, RELOAD_LOOK_MS,
-					  on_file_changed, reload);
+	reload->watch = file_watch_create(loop, config, &watch_ops, reload);
+	if (!reload->watch)
+		log_error("settings-watch-failed",
+			  "the settings files cannot be watched: no thread or "
+			  "descriptor is available");
 	return reload;
 }
 
@@ -114,19 +138,16 @@
 {
 	if (!reload)
 		return;
-	timer_cancel(&reload->timer);
 	file_watch_destroy(reload->watch);
-	for (size_t i = 0; i < reload->file_count; i++) {
-		g_free((char *)reload->files[i].path);
-		file_content_clear(&reload->files[i]);
-	}
-	g_free(reload->files);
 	g_free(reload);
 }
 
 void reload_request(struct reload *reload)
 {
-	reload_schedule(reload, "SIGHUP");
+	if (reload->watch)
+		file_watch_request(reload->watch);
+	else
+		reload_fail(reload, "SIGHUP", "the files cannot be read");
 }
 
 void reload_metrics_append(const struct reload *reload, GString *out)
--- a/bin/sassafrascartd/reload.h
+++ b/bin/sassafrascartd/reload.h
@@ -10,8 +10,7 @@
 
 #include <glib.h>
 
-#include "file_read.h"
-#include "loop.h"
+#include "file_watch.h"
 
 /** The reloader of a process, opaque. */
 struct reload;
@@ -27,6 +26,12 @@
 				GString *applied, GString *kept,
 				GError **error);
 
+/**
+ * @brief Returns how settings files are watched.
+ * @param paths NULL-terminated list of files, not copied
+ */
+struct file_watch_config reload_watch_config(const char *const *paths);
+
 /**
  * @brief Starts to watch the settings files.
  *
@@ -34,10 +39,11 @@
  * does not answer is reported as a failed reload. Files that are not regular or
  * exceed FILE_READ_SETTINGS_MAX_BYTES are refused.
  *
- * @param paths NULL-terminated list of files, copied
+ * @param config from reload_watch_config(), copied
  * @return the reloader, to be freed with reload_destroy()
  */
-struct reload *reload_create(struct loop *loop, const char *const *paths,
+struct reload *reload_create(struct loop *loop,
+			     const struct file_watch_config *config,
 			     reload_apply_cb apply, void *data);
 
 /** @brief Stops watching. @param reload may be NULL */
