Give up a file at the start of a program after five seconds

What callers would see: nothing, as the process serves none yet; but a start or a sassafrasctl whose file system did not answer stayed for good, and SIGTERM did not end it, since it is blocked until the event loop runs.

Cause: the files were read in the main thread, which then waited in the kernel.

Change: file_read() reads in a thread that is given up after 5 s; the program ends with the usual message and exit code.

--- a/packages/runtime/include/file_read.h
+++ b/packages/runtime/include/file_read.h
@@ -10,11 +10,15 @@
 #define FILE_READ_H
 
 #include <glib.h>
+#include <stdint.h>
 #include <sys/stat.h>
 
 /** Size in bytes up to which settings files and key files are read. */
 #define FILE_READ_SETTINGS_MAX_BYTES 65536u
 
+/** How long file_read() waits for the file system. */
+#define FILE_READ_TIMEOUT_MS 5000u
+
 /** The file operations, which a test may replace; each as in POSIX. */
 struct file_read_ops {
 	int (*stat)(const char *path, struct stat *out);
@@ -55,7 +59,22 @@
 char *file_read_with_ops(const struct file_read_ops *ops, const char *path,
 			 size_t max_bytes, size_t *len, GError **error);
 
-/** @brief Calls file_read_with_ops() with the operations of the system. */
+/**
+ * @brief Reads a regular file as file_read_with_ops() does, in a thread of its
+ * own that is waited for at most for a time.
+ *
+ * A thread whose file system does not answer is left behind; it ends once the
+ * file system answers, or with the process.
+ *
+ * @param ops file operations, valid until the process ends
+ * @param timeout_ms the time; after that the error's code is ERR_IO
+ */
+char *file_read_within(const struct file_read_ops *ops, const char *path,
+		       size_t max_bytes, uint32_t timeout_ms, size_t *len,
+		       GError **error);
+
+/** @brief Calls file_read_within() with the operations of the system and
+ *  FILE_READ_TIMEOUT_MS. */
 char *file_read(const char *path, size_t max_bytes, size_t *len,
 		GError **error);
 
--- a/packages/runtime/src/file_read.c
+++ b/packages/runtime/src/file_read.c
@@ -169,10 +169,122 @@
 	return text;
 }
 
+/* A read in a thread of its own; the last of the two threads frees it. */
+struct read_task {
+	/* constant */
+	const struct file_read_ops *ops;
+	char *path;
+	size_t max_bytes;
+
+	/* guarded by the mutex */
+	GMutex mutex;
+	GCond finished;
+	bool is_finished;
+	struct file_content content;
+};
+
+static void task_clear(gpointer data)
+{
+	struct read_task *task = data;
+
+	file_content_clear(&task->content);
+	g_free(task->path);
+	g_mutex_clear(&task->mutex);
+	g_cond_clear(&task->finished);
+}
+
+static void task_release(struct read_task *task)
+{
+	g_atomic_rc_box_release_full(task, task_clear);
+}
+
+static gpointer task_run(gpointer data)
+{
+	struct read_task *task = data;
+	struct file_content content = { 0 };
+
+	content.text =
+		file_read_with_ops(task->ops, task->path, task->max_bytes,
+				   &content.len, &content.error);
+	g_mutex_lock(&task->mutex);
+	task->content = content;
+	task->is_finished = true;
+	g_cond_signal(&task->finished);
+	g_mutex_unlock(&task->mutex);
+	task_release(task);
+	return NULL;
+}
+
+static struct read_task *task_create(const struct file_read_ops *ops,
+				     const char *path, size_t max_bytes)
+{
+	struct read_task *task = g_atomic_rc_box_new0(struct read_task);
+
+	task->ops = ops;
+	task->path = g_strdup(path);
+	task->max_bytes = max_bytes;
+	g_mutex_init(&task->mutex);
+	g_cond_init(&task->finished);
+	return task;
+}
+
+/* Takes the result of a task; returns false if there is none in time. */
+static bool task_wait(struct read_task *task, uint32_t timeout_ms,
+		      struct file_content *out)
+{
+	int64_t until_us = g_get_monotonic_time() + (int64_t)timeout_ms * 1000;
+	bool finished;
+
+	g_mutex_lock(&task->mutex);
+	while (!task->is_finished) {
+		if (!g_cond_wait_until(&task->finished, &task->mutex, until_us))
+			break;
+	}
+	finished = task->is_finished;
+	if (finished) {
+		*out = task->content;
+		task->content = (struct file_content){ 0 };
+	}
+	g_mutex_unlock(&task->mutex);
+	return finished;
+}
+
+char *file_read_within(const struct file_read_ops *ops, const char *path,
+		       size_t max_bytes, uint32_t timeout_ms, size_t *len,
+		       GError **error)
+{
+	struct read_task *task = task_create(ops, path, max_bytes);
+	GThread *thread = g_thread_try_new(
+		"file-read", task_run, g_atomic_rc_box_acquire(task), error);
+	struct file_content content = { 0 };
+
+	if (!thread) {
+		g_prefix_error(error, "%s: ", path);
+		task_release(task);
+		task_release(task);
+		return NULL;
+	}
+	if (task_wait(task, timeout_ms, &content)) {
+		g_thread_join(thread);
+	} else {
+		g_thread_unref(thread);
+		g_set_error(&content.error, file_read_error_quark(), ERR_IO,
+			    "%s: expected an answer of the file system within "
+			    "%u ms, found none",
+			    path, timeout_ms);
+	}
+	task_release(task);
+	if (content.error)
+		g_propagate_error(error, content.error);
+	else if (len)
+		*len = content.len;
+	return content.text;
+}
+
 char *file_read(const char *path, size_t max_bytes, size_t *len, GError **error)
 {
-	return file_read_with_ops(&file_read_system_ops, path, max_bytes, len,
-				  error);
+	return file_read_within(&file_read_system_ops, path, max_bytes,
+				FILE_READ_TIMEOUT_MS, len, error);
 }
 
 void file_content_clear(struct file_content *content)
--- a/packages/runtime/tests/test_file_read.c
+++ b/packages/runtime/tests/test_file_read.c
@@ -7,6 +7,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
+#include <stdbool.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/un.h>
@@ -16,6 +17,8 @@
 #include "file_read.h"
 
 #define MAX_BYTES 8
+#define TIMEOUT_MS 50
+#define LONG_TIMEOUT_MS 20000
 
 struct probe {
 	char *directory;
@@ -236,6 +239,108 @@
 }
 END_TEST
 
+/* Operations that wait while the gate is closed. */
+static GMutex gate_mutex;
+static GCond gate_opened;
+static bool gate_closed;
+
+static void gate_set(bool closed)
+{
+	g_mutex_lock(&gate_mutex);
+	gate_closed = closed;
+	g_cond_broadcast(&gate_opened);
+	g_mutex_unlock(&gate_mutex);
+}
+
+static void gate_pass(void)
+{
+	g_mutex_lock(&gate_mutex);
+	while (gate_closed)
+		g_cond_wait(&gate_opened, &gate_mutex);
+	g_mutex_unlock(&gate_mutex);
+}
+
+static int gate_stat(const char *path, struct stat *out)
+{
+	gate_pass();
+	return stat(path, out);
+}
+
+static int gate_open(const char *path, int flags)
+{
+	gate_pass();
+	return open(path, flags);
+}
+
+static ssize_t gate_read(int fd, void *buffer, size_t len)
+{
+	gate_pass();
+	return read(fd, buffer, len);
+}
+
+/* Which operation does not return; the table outlives the threads. */
+static struct file_read_ops gate_ops[3];
+
+static const struct file_read_ops *gate_ops_create(int operation)
+{
+	struct file_read_ops *ops = &gate_ops[operation];
+
+	*ops = file_read_system_ops;
+	if (operation == 0)
+		ops->stat = gate_stat;
+	else if (operation == 1)
+		ops->open = gate_open;
+	else
+		ops->read = gate_read;
+	return ops;
+}
+
+static void assert_times_out(const struct file_read_ops *ops, const char *path)
+{
+	GError *error = NULL;
+
+	ck_assert_ptr_null(file_read_within(ops, path, MAX_BYTES, TIMEOUT_MS,
+					    NULL, &error));
+	ck_assert_int_eq(error->code, ERR_IO);
+	ck_assert_ptr_nonnull(strstr(error->message, path));
+	ck_assert_ptr_nonnull(strstr(error->message, "within 50 ms"));
+	g_error_free(error);
+}
+
+START_TEST(test_hung_file_system_is_given_up)
+{
+	const struct file_read_ops *ops = gate_ops_create(_i);
+	struct probe probe;
+	char *text;
+
+	probe_open(&probe);
+	ck_assert(g_file_set_contents(probe.path, "a=1\n", -1, NULL));
+	gate_set(true);
+	assert_times_out(ops, probe.path);
+	gate_set(false);
+	text = file_read_within(ops, probe.path, MAX_BYTES, LONG_TIMEOUT_MS,
+				NULL, NULL);
+	ck_assert_str_eq(text, "a=1\n");
+	g_free(text);
+	/* The first thread ends too, and a leak checker finds nothing. */
+	g_usleep(TIMEOUT_MS * 1000);
+	probe_close(&probe);
+}
+END_TEST
+
+START_TEST(test_process_ends_while_a_file_system_hangs)
+{
+	const struct file_read_ops *ops = gate_ops_create(_i);
+	struct probe probe;
+
+	probe_open(&probe);
+	ck_assert(g_file_set_contents(probe.path, "a=1\n", -1, NULL));
+	gate_set(true);
+	assert_times_out(ops, probe.path);
+	probe_close(&probe);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("file_read");
@@ -250,6 +355,10 @@
 	tcase_add_test(tests,
 		       test_file_replaced_before_the_open_is_checked_again);
 	tcase_add_test(tests, test_reading_stops_at_the_bound);
+	tcase_add_loop_test(tests, test_hung_file_system_is_given_up, 0,
+			    G_N_ELEMENTS(gate_ops));
+	tcase_add_loop_test(tests, test_process_ends_while_a_file_system_hangs,
+			    0, G_N_ELEMENTS(gate_ops));
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/tests/scenarios/reload_files.lua
+++ b/tests/scenarios/reload_files.lua
@@ -4,7 +4,7 @@
 local fleet = require("fleet")
 local jobfleet = require("jobfleet")
 
--- The file is looked at about once a second, and a change must have settled for one look.
+-- The file is looked at every 1.25 s, and a change must have settled for one look.
 local NOTICE_MS = 6000
 local ANSWER_MS = 1000
 local START_MS = 5000
--- a/tests/scenarios/reload_jobs.lua
+++ b/tests/scenarios/reload_jobs.lua
@@ -6,7 +6,7 @@
 local jobfleet = require("jobfleet")
 
 local PROCESSES = 3
--- The file is looked at once a second, and a change must have settled for one look.
+-- The file is looked at every 1.25 s, and a change must have settled for one look.
 local NOTICE_MS = 6000
 local TAKEOVER_MS = 15000
 local STOP_MS = 15000
