--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -371,15 +371,15 @@
 }
 
 /* The adapter and the stop deadline read the settings directly. */
-static bool on_reload(void *data, GString *applied, GString *kept,
-		      GError **error)
+static bool on_reload(void *data, const struct file_content *files,
+		      GString *applied, GString *kept, GError **error)
 {
 	struct jobd_process *process = data;
 	const struct esoa_settings *settings = &process->settings;
 	struct platform_config config;
 
-	if (!esoa_settings_reload(process->node_file, &process->settings,
-				  applied, kept, error))
+	if (!esoa_settings_reload(&files[0], &process->settings, applied, kept,
+				  error))
 		return false;
 	config = store_config(settings);
 	platform_reconfigure(process->store, &config);
@@ -428,6 +428,7 @@
 {
 	const struct esoa_settings *settings = &process->settings;
 	const char *const files[] = { process->node_file, NULL };
+	const struct file_watch_config watch = reload_watch_config(files);
 	enum err_kind err = store_open(process);
 
 	if (err != ERR_NONE)
@@ -441,7 +442,7 @@
 	}
 	service_open(process);
 	process->reload =
-		reload_create(process->loop, files, on_reload, process);
+		reload_create(process->loop, &watch, on_reload, process);
 	err = server_open(process, &settings->caller_listen, &caller_ops,
 			  &process->caller_server);
 	if (err == ERR_NONE)
