Ignore the signals that stop a process or end it for no meaning

What callers saw: a process that got SIGPROF, SIGSTKFLT, SIGXCPU or SIGXFSZ ended, and one that got SIGTSTP, SIGTTIN or SIGTTOU could stop; each request in flight there ended without an answer.

Cause: loop_signals_block() ignored six signals by name and left the others to their defaults.

Change: those seven are ignored too. A signal that has a handler, which a profiler may have installed before main(), keeps it. SIGQUIT and the signals of faults still end the process with a core dump. jobfleet.start() takes options for spawn(), so that a process can start with a signal ignored.

Test: inputs_signals sends each signal without a meaning three times to the owner and to another process, each time beside two submissions that must be accepted.

--- a/packages/runtime/include/loop.h
+++ b/packages/runtime/include/loop.h
@@ -48,7 +48,8 @@
 
 /**
  * @brief Blocks the signals that loop_signals_watch() delivers, and ignores
- * those that have no meaning for the process but would end it.
+ * those that have no meaning for the process but would end or stop it, unless
+ * a library has installed a handler.
  *
  * To be called first in main(): a blocked signal that arrives before the loop
  * runs is delivered once it does.
--- a/packages/runtime/src/loop.c
+++ b/packages/runtime/src/loop.c
@@ -10,11 +10,13 @@
 #define LOOP_WAIT_MAX_MS 1000
 /* Signals that are delivered to the callback. */
 static const int loop_signals[] = { SIGTERM, SIGINT, SIGHUP };
-/* Signals that would end the process although they have no meaning for it, for
- * example after a mistyped kill command. SIGQUIT keeps its meaning: end with a
- * core dump. */
-static const int loop_meaningless_signals[] = { SIGUSR1,   SIGUSR2, SIGALRM,
-						SIGVTALRM, SIGPOLL, SIGPWR };
+/* Signals that would end or stop the process although they have no meaning for
+ * it, for example after a mistyped kill command. SIGQUIT and the signals of
+ * faults keep their meaning: end with a core dump. */
+static const int loop_meaningless_signals[] = {
+	SIGUSR1, SIGUSR2, SIGPIPE, SIGALRM, SIGVTALRM, SIGPROF, SIGPOLL,
+	SIGPWR,	 SIGTSTP, SIGTTIN, SIGTTOU, SIGXCPU,   SIGXFSZ, SIGSTKFLT
+};
 #define LOOP_LISTEN_BACKLOG 1024
 
 struct loop {
@@ -109,15 +111,25 @@
 		sigaddset(set, loop_signals[i]);
 }
 
+/* Keeps a handler, which a profiler or another library has installed. */
+static void signal_ignore(int signo)
+{
+	const struct sigaction ignore = { .sa_handler = SIG_IGN };
+	struct sigaction current;
+
+	if (sigaction(signo, NULL, &current) == 0 &&
+	    !(current.sa_flags & SA_SIGINFO) && current.sa_handler == SIG_DFL)
+		sigaction(signo, &ignore, NULL);
+}
+
 void loop_signals_block(void)
 {
 	sigset_t set;
 
 	watched_signals_fill(&set);
 	sigprocmask(SIG_BLOCK, &set, NULL);
-	signal(SIGPIPE, SIG_IGN);
 	for (size_t i = 0; i < G_N_ELEMENTS(loop_meaningless_signals); i++)
-		signal(loop_meaningless_signals[i], SIG_IGN);
+		signal_ignore(loop_meaningless_signals[i]);
 }
 
 enum err_kind loop_signals_watch(struct loop *loop, loop_signal_cb cb,
--- a/tests/runner_process.c
+++ b/tests/runner_process.c
@@ -108,8 +108,8 @@
 			{ "TSTP", SIGTSTP },   { "TTIN", SIGTTIN },
 			{ "TTOU", SIGTTOU },   { "XCPU", SIGXCPU },
 			{ "XFSZ", SIGXFSZ },   { "STKFLT", SIGSTKFLT },
-			{ "RTMIN", SIGRTMIN }, { "STOP", SIGSTOP },
-			{ "CONT", SIGCONT } };
+			{ "RTMIN", SIGRTMIN }, { "RTMAX", SIGRTMAX },
+			{ "STOP", SIGSTOP },   { "CONT", SIGCONT } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
 		if (strcmp(signals[i].name, name) == 0)
--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -62,11 +62,14 @@
   return process
 end
 
-function jobfleet.start(process)
+-- Starts a process; the entries of options, if given, go to spawn().
+function jobfleet.start(process, options)
   process.starts = process.starts + 1
   process.log = string.format("%s/%s.%d.log", DIR, process.name, process.starts)
-  process.pid = spawn{"sassafrascartd", "--node-file", process.file, "--metrics-port",
-                      tostring(process.metrics), log = process.log}
+  local argv = {"sassafrascartd", "--node-file", process.file, "--metrics-port",
+                tostring(process.metrics), log = process.log}
+  for name, value in pairs(options or {}) do argv[name] = value end
+  process.pid = spawn(argv)
 end
 
 function jobfleet.is_ready(process)
