Ignore real-time signals that have no handler

What callers saw: a process that got a real-time signal ended, and each request in flight there ended without an answer.

Cause: the default of signals 34 to 64 ends a process; nothing in it uses them.

Change: those without a handler are ignored. A platform or a library that uses one installs its handler before main() and keeps it; one that installs it later replaces the choice made here.

Before, inputs_signals with SIGRTMIN and SIGRTMAX added: 'SIGRTMIN: a job was answered with 0'. Command: build/programs/runner build/programs tests/scenarios/inputs_signals.lua 1

--- a/packages/runtime/src/loop.c
+++ b/packages/runtime/src/loop.c
@@ -130,6 +130,8 @@
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(loop_meaningless_signals); i++)
 		signal_ignore(loop_meaningless_signals[i]);
+	for (int signo = SIGRTMIN; signo <= SIGRTMAX; signo++)
+		signal_ignore(signo);
 }
 
 enum err_kind loop_signals_watch(struct loop *loop, loop_signal_cb cb,
--- a/tests/scenarios/inputs_signals.lua
+++ b/tests/scenarios/inputs_signals.lua
@@ -7,7 +7,7 @@
 
 local BURST = 3
 local MEANINGLESS = {"PIPE", "USR1", "USR2", "ALRM", "VTALRM", "PROF", "POLL", "PWR", "CHLD", "URG", "WINCH",
-                     "CONT", "TSTP", "TTIN", "TTOU", "XCPU", "XFSZ", "STKFLT"}
+                     "CONT", "TSTP", "TTIN", "TTOU", "XCPU", "XFSZ", "STKFLT", "RTMIN", "RTMAX"}
 
 local run = inputs.new(3, {{ignored = "HUP"}, {ignored = "TERM"}})
 local owner, other = run:find(true), run:find(false)
