Report all log lines that were dropped while the output was stalled

What operators saw: after standard output had been stalled, 'log-held-back' named a few lines where hundreds were missing; without a rate limit it was never logged.

Cause: dropped_report() took the dropped lines for reported although its own line had not been written either, and it ran only behind the rate limit.

Change: only a report that was written counts; it is tried once a second, rate limit or not.

Before, test_log: 'reported == 2, log_dropped_count() == 11' with a rate limit, no report without one. After: passes. Command: build/packages/runtime/tests/test_log

--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -79,15 +79,15 @@
 	}
 }
 
-static void line_write(struct log_writer *writer, const char *text)
+/* Returns false if the line was not written as a whole. */
+static bool line_write(struct log_writer *writer, const char *text)
 {
 	g_autofree char *line = g_strconcat(text ? text : "{}", "\n", NULL);
 	size_t len = strlen(line);
 
 	if (writer->fd < 0)
-		fputs(line, stderr);
-	else if (write(writer->fd, line, len) != (ssize_t)len)
-		writer->dropped++;
+		return fputs(line, stderr) >= 0;
+	return write(writer->fd, line, len) == (ssize_t)len;
 }
 
 static json_t *line_create(const struct log_writer *writer, const char *level)
@@ -103,16 +103,17 @@
 	return line;
 }
 
-static void line_finish(struct log_writer *writer, json_t *line)
+static bool line_finish(struct log_writer *writer, json_t *line)
 {
 	char *text = json_dumps(line, JSON_COMPACT);
+	bool written = line_write(writer, text);
 
-	line_write(writer, text);
 	free(text);
 	json_decref(line);
+	return written;
 }
 
-/* Logs at most once per second how many lines were dropped. */
+/* Logs how many lines were dropped, trying at most once per second. */
 static void dropped_report(struct log_writer *writer, uint64_t now_ms)
 {
 	json_t *line;
@@ -126,9 +127,9 @@
 		line, "lines",
 		json_integer((json_int_t)(writer->dropped -
 					  writer->reported_dropped)));
-	writer->reported_dropped = writer->dropped;
 	writer->reported_ms = now_ms;
-	line_finish(writer, line);
+	if (line_finish(writer, line))
+		writer->reported_dropped = writer->dropped;
 }
 
 /* Takes a token of the rate limit, which does not apply to warnings and
@@ -146,7 +147,6 @@
 		(now_ms - writer->refilled_ms) * writer->lines_per_s;
 	writer->tokens_milli = MIN(writer->tokens_milli, max_milli);
 	writer->refilled_ms = now_ms;
-	dropped_report(writer, now_ms);
 	if (writer->tokens_milli < 1000) {
 		writer->dropped++;
 		return false;
@@ -161,11 +161,15 @@
 	struct log_writer *writer = data;
 	json_t *line;
 
-	if (!(level & writer->mask) || !rate_limit_acquire(writer, level))
+	if (!(level & writer->mask))
+		return G_LOG_WRITER_HANDLED;
+	dropped_report(writer, loop_now_ms());
+	if (!rate_limit_acquire(writer, level))
 		return G_LOG_WRITER_HANDLED;
 	line = line_create(writer, level_name(level));
 	fields_add(line, fields, count);
-	line_finish(writer, line);
+	if (!line_finish(writer, line))
+		writer->dropped++;
 	return G_LOG_WRITER_HANDLED;
 }
 
--- /dev/null
+++ b/packages/runtime/tests/test_log.c
@@ -0,0 +1,129 @@
+/**
+ * @file test_log.c
+ * @brief Log lines while the reader of the output is slow, and what the log
+ *        says about lines that were dropped meanwhile.
+ */
+#include <check.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "log.h"
+#include "loop.h"
+
+#define STEP_MS 1100
+#define STEPS 5
+
+/* Virtual time; these definitions replace the clock of the event loop. */
+static uint64_t test_now_ms = 1000000;
+
+uint64_t loop_now_ms(void)
+{
+	return test_now_ms;
+}
+
+uint64_t loop_unix_ms(void)
+{
+	return test_now_ms;
+}
+
+static void output_open(int pipe_fds[2], uint32_t lines_per_s)
+{
+	ck_assert_int_eq(pipe2(pipe_fds, O_NONBLOCK | O_CLOEXEC), 0);
+	ck_assert_int_eq(log_install("p", "info"), ERR_NONE);
+	log_set_output(pipe_fds[1], lines_per_s);
+}
+
+/* Reads all that the pipe holds. */
+static GString *output_read(int fd)
+{
+	GString *text = g_string_new(NULL);
+	char chunk[4096];
+	ssize_t count;
+
+	while ((count = read(fd, chunk, sizeof(chunk))) > 0)
+		g_string_append_len(text, chunk, count);
+	return text;
+}
+
+/* Counts the lines that are JSON and adds up the dropped lines that they
+ * report. */
+static uint32_t lines_parse(const GString *text, uint64_t *reported)
+{
+	g_auto(GStrv) lines = g_strsplit(text->str, "\n", -1);
+	uint32_t whole = 0;
+
+	for (char **line = lines; *line; line++) {
+		json_t *json = json_loads(*line, 0, NULL);
+
+		if (!json)
+			continue;
+		whole++;
+		*reported += (uint64_t)json_integer_value(
+			json_object_get(json, "lines"));
+		json_decref(json);
+	}
+	return whole;
+}
+
+/* Logs until a line is dropped. */
+static void output_fill(void)
+{
+	uint64_t dropped = log_dropped_count();
+
+	while (log_dropped_count() == dropped)
+		log_info("filling", "a line of a few dozen bytes");
+}
+
+START_TEST(test_report_of_dropped_lines_is_complete)
+{
+	static const uint32_t rates[] = { 0, 100000 };
+	uint64_t reported = 0;
+	GString *text;
+	int fds[2];
+
+	output_open(fds, rates[_i]);
+	output_fill();
+	for (int i = 0; i < STEPS; i++) {
+		test_now_ms += STEP_MS;
+		log_info("stalled", "a line that nobody can read");
+	}
+	g_string_free(output_read(fds[0]), TRUE);
+	test_now_ms += STEP_MS;
+	log_info("resumed", "the reader is back");
+	text = output_read(fds[0]);
+	ck_assert_uint_eq(lines_parse(text, &reported), 2);
+	ck_assert_uint_eq(reported, log_dropped_count());
+	g_string_free(text, TRUE);
+}
+END_TEST
+
+START_TEST(test_output_without_a_reader_only_drops_lines)
+{
+	int fds[2];
+
+	output_open(fds, 0);
+	signal(SIGPIPE, SIG_IGN);
+	close(fds[0]);
+	log_info("unread", "nobody can read this line");
+	ck_assert_uint_ge(log_dropped_count(), 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("log");
+	TCase *tests = tcase_create("log");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_loop_test(tests, test_report_of_dropped_lines_is_complete, 0,
+			    2);
+	tcase_add_test(tests, test_output_without_a_reader_only_drops_lines);
+	suite_add_tcase(suite, tests);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
