Start a new line after a log line that was cut short

What operators saw: when a pipe from standard output took only a part of a long line, the next line, which was whole, stood behind the fragment and could not be parsed either.

Change: the line after a fragment starts with a newline. The fragment itself is counted as dropped, as before.

Before, test_log: test_line_after_one_cut_short_is_whole finds 1 whole line of 2. After: passes. Command: build/packages/runtime/tests/test_log

--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -21,6 +21,8 @@
 	/* token bucket, in thousandths of a line */
 	uint64_t tokens_milli;
 	uint64_t refilled_ms;
+	/* the last line was cut short: the next one starts with a newline */
+	bool torn;
 	uint64_t dropped;
 	uint64_t reported_dropped;
 	uint64_t reported_ms;
@@ -82,12 +84,17 @@
 /* Returns false if the line was not written as a whole. */
 static bool line_write(struct log_writer *writer, const char *text)
 {
-	g_autofree char *line = g_strconcat(text ? text : "{}", "\n", NULL);
+	g_autofree char *line = g_strconcat(writer->torn ? "\n" : "",
+					    text ? text : "{}", "\n", NULL);
 	size_t len = strlen(line);
+	ssize_t written;
 
 	if (writer->fd < 0)
 		return fputs(line, stderr) >= 0;
-	return write(writer->fd, line, len) == (ssize_t)len;
+	written = write(writer->fd, line, len);
+	if (written > 0)
+		writer->torn = line[written - 1] != '\n';
+	return written == (ssize_t)len;
 }
 
 static json_t *line_create(const struct log_writer *writer, const char *level)
--- a/packages/runtime/tests/test_log.c
+++ b/packages/runtime/tests/test_log.c
@@ -12,6 +12,8 @@
 #include "log.h"
 #include "loop.h"
 
+/* More than the pipe takes at once, so that a write is cut short. */
+#define LONG_MESSAGE_BYTES 60000
 #define STEP_MS 1100
 #define STEPS 5
 
@@ -99,6 +101,28 @@
 }
 END_TEST
 
+START_TEST(test_line_after_one_cut_short_is_whole)
+{
+	g_autofree char *message = g_strnfill(LONG_MESSAGE_BYTES, 'x');
+	uint64_t reported = 0;
+	GString *text;
+	int fds[2];
+
+	output_open(fds, 0);
+	log_info("long", "%s", message);
+	log_info("cut", "%s", message);
+	ck_assert_uint_eq(log_dropped_count(), 1);
+	text = output_read(fds[0]);
+	log_info("after", "a short line");
+	g_string_free(text, TRUE);
+	text = output_read(fds[0]);
+	ck_assert_uint_eq(lines_parse(text, &reported), 2);
+	ck_assert_uint_eq(reported, 1);
+	ck_assert_int_eq(text->str[0], '\n');
+	g_string_free(text, TRUE);
+}
+END_TEST
+
 START_TEST(test_output_without_a_reader_only_drops_lines)
 {
 	int fds[2];
@@ -120,6 +144,7 @@
 
 	tcase_add_loop_test(tests, test_report_of_dropped_lines_is_complete, 0,
 			    2);
+	tcase_add_test(tests, test_line_after_one_cut_short_is_whole);
 	tcase_add_test(tests, test_output_without_a_reader_only_drops_lines);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
