Open /dev/null for standard descriptors closed at start

What could be seen: a process started with descriptor 1 or 2 closed gave the number to its event loop or to a socket and wrote its log lines, or GLib its error messages, there.

Change: /dev/null is opened in place of what is closed, first in main().

The runner's spawn() gets stdout_unread, file_bytes_max and environment, and fleet:add_gateway() options for spawn().

Test: inputs_output runs processes with standard descriptors closed, output full, without a reader, stalled, and at the limit of a file's size; submissions must be accepted, the lines dropped must be reported and those written whole.

--- a/bin/sassafrascartd/main.c
+++ b/bin/sassafrascartd/main.c
@@ -100,6 +100,7 @@
 	int status;
 
 	loop_signals_block();
+	log_standard_descriptors_open();
 	if (jobd_is_requested(argc, argv))
 		return jobd_main(argc, argv);
 	if (!settings_parse(&argc, &argv, &settings, &error)) {
--- a/packages/runtime/include/log.h
+++ b/packages/runtime/include/log.h
@@ -14,6 +14,14 @@
 
 #include "err.h"
 
+/**
+ * @brief Opens /dev/null as each standard descriptor that is closed, so that no
+ *        socket takes its number and receives log lines or error messages.
+ *
+ * To be called before any other descriptor is opened.
+ */
+void log_standard_descriptors_open(void);
+
 /**
  * @brief Installs the log writer of the process. Called once, before other
  *        threads exist.
--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -180,6 +180,18 @@
 	return G_LOG_WRITER_HANDLED;
 }
 
+void log_standard_descriptors_open(void)
+{
+	int fd;
+
+	/* open() returns the lowest free number. */
+	do
+		fd = open("/dev/null", O_RDWR);
+	while (fd >= 0 && fd <= STDERR_FILENO);
+	if (fd >= 0)
+		close(fd);
+}
+
 void log_set_output(int fd, uint32_t lines_per_s)
 {
 	int flags = fcntl(fd, F_GETFL);
--- a/tests/runner_process.c
+++ b/tests/runner_process.c
@@ -18,13 +18,18 @@
 	/* file for standard output, opened for reading too so that a FIFO
 	 * without a reader can be opened; NULL for the log */
 	const char *standard_output;
+	/* standard output is a pipe whose reading end is closed */
+	bool stdout_unread;
 	/* digits of the standard descriptors that are closed, or "" */
 	const char *closed;
+	/* NULL-terminated list of NAME=VALUE, added to the environment */
+	char **environment;
 	/* signal that is ignored, as after nohup; 0 for none */
 	int ignored_signal;
 	/* limits, 0 for those of the runner */
 	uint64_t descriptors_max;
 	uint64_t address_space_bytes;
+	uint64_t file_bytes_max;
 };
 
 static void child_limit(int resource, uint64_t limit)
@@ -35,13 +40,24 @@
 		_exit(126);
 }
 
+static int child_output_open(const struct child_setup *setup, int out)
+{
+	int pipe_fds[2];
+
+	if (setup->standard_output)
+		return open(setup->standard_output, O_RDWR | O_CREAT | O_APPEND,
+			    0644);
+	if (!setup->stdout_unread || pipe2(pipe_fds, O_CLOEXEC) != 0)
+		return out;
+	close(pipe_fds[0]);
+	return pipe_fds[1];
+}
+
 static void child_exec(char **argv, const struct child_setup *setup, int out)
 {
 	int err = open(setup->log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
-	if (setup->standard_output)
-		out = open(setup->standard_output, O_RDWR | O_CREAT | O_APPEND,
-			   0644);
+	out = child_output_open(setup, out);
 	dup2(out < 0 ? err : out, STDOUT_FILENO);
 	dup2(err, STDERR_FILENO);
 	for (const char *digit = setup->closed; *digit; digit++)
@@ -50,6 +66,9 @@
 		signal(setup->ignored_signal, SIG_IGN);
 	child_limit(RLIMIT_NOFILE, setup->descriptors_max);
 	child_limit(RLIMIT_AS, setup->address_space_bytes);
+	child_limit(RLIMIT_FSIZE, setup->file_bytes_max);
+	for (char **variable = setup->environment; *variable; variable++)
+		putenv(*variable);
 	execv(argv[0], argv);
 	_exit(127);
 }
@@ -118,19 +137,40 @@
 	return luaL_error(lua, "unknown signal %s", name);
 }
 
+static char **environment_read(lua_State *lua)
+{
+	GPtrArray *variables = g_ptr_array_new();
+
+	if (lua_getfield(lua, 1, "environment") == LUA_TTABLE) {
+		for (lua_pushnil(lua); lua_next(lua, -2); lua_pop(lua, 1))
+			g_ptr_array_add(variables,
+					g_strconcat(lua_tostring(lua, -2), "=",
+						    lua_tostring(lua, -1),
+						    NULL));
+	}
+	lua_pop(lua, 1);
+	g_ptr_array_add(variables, NULL);
+	return (char **)g_ptr_array_free(variables, FALSE);
+}
+
 static void setup_read(lua_State *lua, struct child_setup *setup)
 {
 	const char *ignored = runner_table_string(lua, "ignored", NULL);
 
 	setup->log = runner_table_string(lua, "log", "/dev/null");
 	setup->standard_output = runner_table_string(lua, "stdout", NULL);
+	setup->stdout_unread =
+		runner_table_integer(lua, "stdout_unread", 0) != 0;
 	setup->closed = runner_table_string(lua, "closed", "");
+	setup->environment = environment_read(lua);
 	if (ignored)
 		setup->ignored_signal = signal_number(lua, ignored);
 	setup->descriptors_max =
 		(uint64_t)runner_table_integer(lua, "descriptors_max", 0);
 	setup->address_space_bytes =
 		(uint64_t)runner_table_integer(lua, "address_space_bytes", 0);
+	setup->file_bytes_max =
+		(uint64_t)runner_table_integer(lua, "file_bytes_max", 0);
 }
 
 /* Starts the program named in a binding's argument table, see child_start(). */
@@ -146,13 +186,15 @@
 	program = program_path(lua, argv[0]);
 	argv[0] = program;
 	pid = child_start(argv, &setup, out);
+	g_strfreev(setup.environment);
 	if (pid < 0)
 		luaL_error(lua, "cannot start %s", program);
 	return pid;
 }
 
 /* spawn{program, arguments..., log=FILE, stdout=FILE, closed=DIGITS,
- * ignored=SIGNAL, descriptors_max=N, address_space_bytes=N} -> pid */
+ * stdout_unread=1, environment={NAME=VALUE}, ignored=SIGNAL, descriptors_max=N,
+ * address_space_bytes=N, file_bytes_max=N} -> pid */
 static int binding_spawn(lua_State *lua)
 {
 	pid_t pid = program_start(lua, NULL);
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -123,7 +123,8 @@
   return report
 end
 
-function fleet:add_gateway(name, extra)
+-- Starts a gateway process with extra flags; the entries of options go to spawn().
+function fleet:add_gateway(name, extra, options)
   local gateway = {name = name, port = free_port(), rpc = free_port("udp")}
   local argv = {"sassafrascartd", "--id", name,
                 "--listen", HOST .. ":" .. gateway.port,
@@ -133,6 +134,7 @@
                 log = DIR .. "/" .. name .. ".log"}
   for _, word in ipairs(self.flags) do table.insert(argv, word) end
   for _, word in ipairs(extra or {}) do table.insert(argv, word) end
+  for key, value in pairs(options or {}) do argv[key] = value end
   gateway.pid = spawn(argv)
   wait_for_port(gateway.port)
   self.gateways[name] = gateway
