Write the gateway's log without waiting for its reader

What callers saw: a gateway process whose standard error was a pipe that nobody read stopped in its first log line after the pipe was full; callers, health page and SIGTERM got no answer until SIGKILL.

Cause: only the job service directed its log to standard output with writes that do not block. The gateway's went to standard error with blocking writes, against the operations page, which names standard output.

Change: the gateway's log goes to standard output too, non-blocking, without a rate limit. Messages about its settings stay on standard error.

Test: the last part of inputs_output starts a gateway process whose output, standard error included, is a full FIFO, and sends requests.

--- a/bin/sassafrascartd/main.c
+++ b/bin/sassafrascartd/main.c
@@ -1,5 +1,6 @@
 #include <signal.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include "daemon.h"
 #include "jobd.h"
@@ -90,6 +91,7 @@
 		puts("the settings are valid");
 		return 0;
 	}
+	log_set_output(STDOUT_FILENO, 0);
 	return daemon_run(settings);
 }
 
--- a/tests/scenarios/inputs_output.lua
+++ b/tests/scenarios/inputs_output.lua
@@ -111,3 +111,18 @@
   assert(code == 0, case.what .. ": the process ended with code " .. code)
 end
 run:finish()
+
+-- 4. A gateway process whose output, standard error included, is stalled from the start.
+local full = DIR .. "/full"
+holder = full_fifo_create(full)
+local gateways = fleet.new{backends = {{name = "vm-1", zone = "zone-1", rack = "rack-1"}}}
+gateways:publish(1, {{name = "draws", vms = {"vm-1"}}}, {{path = "/draws", pool = "draws"}})
+local gateway = gateways:add_gateway("entry-1", nil, {log = full})
+gateways:must_ctl("roll", 1)
+gateways:wait_serving(gateway)
+for _ = 1, BATCH do
+  local answer = fleet.http{url = fleet.url(gateway.port, "/draws/1"), timeout_ms = 2000}
+  assert(answer.status == 200, "the gateway process answered " .. answer.status)
+end
+holder:close()
+gateways:stop()
