Keep the owner's key from a process with the same name and address

What could be seen: a second process started with the name and address of the owner, but ports of its own, deleted the owner's key every 8 ms, until a third process became owner.

Cause: a key with the own name and address was taken for that of an earlier incarnation that was killed, and deleted to shorten the takeover. Two processes at one address differ only in their ports. In the other direction an owner took the key of such a process for its own and remained owner beside it.

Change: the peer port, which the key holds already, must be the same too. That one shows that the earlier incarnation is gone: the process listens there now.

Test: inputs_process. Before: 'the owner has lost the ownership'.

--- a/packages/jobs/src/election.c
+++ b/packages/jobs/src/election.c
@@ -109,6 +109,16 @@
 	return id && ip;
 }
 
+/* Whether the key is of this process or of an earlier incarnation, which no
+ * longer runs if this one listens at its address. */
+static bool owner_is_self(const struct election *election,
+			  const struct election_owner *owner)
+{
+	return strcmp(owner->id, election->id) == 0 &&
+	       strcmp(owner->ip, election->ip) == 0 &&
+	       owner->port == election->port;
+}
+
 static void on_stale_key_deleted(void *data, enum err_kind err,
 				 const struct platform_result *result)
 {
@@ -155,7 +165,7 @@
 		return;
 	}
 	election->key_present = kv && !kv->deleted;
-	if (election->key_present && strcmp(owner.id, election->id) == 0 &&
+	if (election->key_present && owner_is_self(election, &owner) &&
 	    election->role == ELECTION_OWNER)
 		return;
 	if (!election->key_present) {
@@ -165,8 +175,7 @@
 		compete_schedule(election);
 		return;
 	}
-	if (strcmp(owner.id, election->id) == 0 &&
-	    strcmp(owner.ip, election->ip) == 0) {
+	if (owner_is_self(election, &owner)) {
 		memset(&election->owner, 0, sizeof(election->owner));
 		if (!election->writing && election->role == ELECTION_FOLLOWER)
 			stale_key_delete(election, kv->mod_revision);
--- a/tests/scenarios/inputs.lua
+++ b/tests/scenarios/inputs.lua
@@ -56,10 +56,10 @@
 end
 
 -- Starts the submission of a job; returns the job, whose `call` is the call's number.
-function inputs:submit_start(process, work_ms)
+function inputs:submit_start(process, work_ms, timeout_ms)
   local job = self.platform:create_job{pool = 0, work_ms = work_ms or 50}
   self.platform:announce(job)
-  job.call = jobfleet.call(process.front, "POST", job, job.body)
+  job.call = jobfleet.call(process.front, "POST", job, job.body, timeout_ms)
   return job
 end
 
--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -93,9 +93,9 @@
 end
 
 -- Starts a call for a job at an entry port; returns the number of the call.
-function jobfleet.call(port, method, job, body)
+function jobfleet.call(port, method, job, body, timeout_ms)
   -- On a reused connection curl could silently resend a submission, as a second call.
-  return http_start{method = method, body = body, timeout_ms = 4000, fresh = method == "POST" and 1 or 0,
+  return http_start{method = method, body = body, timeout_ms = timeout_ms or 4000, fresh = method == "POST" and 1 or 0,
                     headers = {host = jobfleet.QUEUE_HOST},
                     url = fleet.url(port, "/queue-" .. job.pool .. "/" .. job.id)}
 end
