Test that a failed allocation ends the process with a clear line

GLib ends the process when an allocation fails; the line that says so passes the log writer, which allocates itself. test_log shows that the line is written both when one allocation is refused and when no memory is left at all. Not run under AddressSanitizer, whose allocator ends the process itself.

--- a/packages/runtime/tests/test_log.c
+++ b/packages/runtime/tests/test_log.c
@@ -6,7 +6,11 @@
 #include <check.h>
 #include <fcntl.h>
 #include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "log.h"
@@ -14,6 +18,9 @@
 
 /* More than the pipe takes at once, so that a write is cut short. */
 #define LONG_MESSAGE_BYTES 60000
+#define ADDRESS_SPACE_BYTES (64 * 1024 * 1024)
+/* More than any machine has. */
+#define ALLOCATION_BYTES (1ULL << 50)
 #define STEP_MS 1100
 #define STEPS 5
 
@@ -135,6 +142,51 @@
 }
 END_TEST
 
+#ifndef __SANITIZE_ADDRESS__
+/* Allocates all memory below the limit, down to the smallest block. */
+static void memory_exhaust(void)
+{
+	const struct rlimit limit = { ADDRESS_SPACE_BYTES,
+				      ADDRESS_SPACE_BYTES };
+
+	ck_assert_int_eq(setrlimit(RLIMIT_AS, &limit), 0);
+	for (size_t size = ADDRESS_SPACE_BYTES; size > 0; size /= 2) {
+		while (malloc(size))
+			;
+	}
+}
+
+START_TEST(test_allocation_failure_ends_with_a_line)
+{
+	static const bool exhausted[] = { false, true };
+	struct rlimit no_core = { 0 };
+	GString *text;
+	int fds[2];
+	int status;
+	pid_t pid;
+
+	output_open(fds, 0);
+	log_info("started", "the writer has been used before");
+	setrlimit(RLIMIT_CORE, &no_core);
+	pid = fork();
+	if (pid == 0) {
+		dup2(fds[1], STDERR_FILENO);
+		if (exhausted[_i])
+			memory_exhaust();
+		for (;;)
+			log_info("allocated", "%p", g_malloc(ALLOCATION_BYTES));
+	}
+	ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+	text = output_read(fds[0]);
+	ck_assert(WIFSIGNALED(status));
+	ck_assert_int_ne(WTERMSIG(status), SIGSEGV);
+	ck_assert_msg(strstr(text->str, "failed to allocate"), "found: %s",
+		      text->str);
+	g_string_free(text, TRUE);
+}
+END_TEST
+#endif
+
 int main(void)
 {
 	Suite *suite = suite_create("log");
@@ -146,6 +198,11 @@
 			    2);
 	tcase_add_test(tests, test_line_after_one_cut_short_is_whole);
 	tcase_add_test(tests, test_output_without_a_reader_only_drops_lines);
+#ifndef __SANITIZE_ADDRESS__
+	/* AddressSanitizer's allocator ends the process itself. */
+	tcase_add_loop_test(tests, test_allocation_failure_ends_with_a_line, 0,
+			    2);
+#endif
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
