--- a/tests/scenarios/inputs_process.lua
+++ b/tests/scenarios/inputs_process.lua
@@ -1,15 +1,12 @@
--- A port that is taken, a second process with the same settings or the same name, odd
--- environment variables and a process that is stopped for seconds: a process that cannot
--- run ends with a line that names the cause; the others serve, and what was accepted ends.
+-- A port that is taken, a second process with the same settings or the same name, and odd
+-- environment variables: a process that cannot run ends with a line that names the cause;
+-- the others serve, and what was accepted ends.
 local fleet = require("fleet")
 local jobfleet = require("jobfleet")
 local inputs = require("inputs")
 
 local HOST = "127.0.0.1:"
 local EXIT_USAGE, EXIT_IO = 2, 20
-local STOPPED_MS = 3000
--- Longer than the stop and the takeover, so that a caller waits for its answer.
-local PATIENT_MS = STOPPED_MS + 12000
 local TWIN_MS = 2000
 
 local run = inputs.new(2)
@@ -91,30 +88,4 @@
 run:submit(process, "unknown variables")
 run:wait_job(other, before, "after the inputs")
 
--- 5. A process that is stopped and goes on: a request that reached it is answered then,
--- and callers of the others are served meanwhile.
-for _, wanted in ipairs{false, true} do
-  local stopped = run:find(wanted)
-  local serving = stopped == owner and other or owner
-  local what = wanted and "owner stopped" or "another process stopped"
-  local accepted = run:submit(stopped, what, 1500)
-  local open = run:submit_start(stopped, nil, PATIENT_MS)
-  signal(stopped.pid, "STOP")
-  local late = run:submit_start(stopped, nil, PATIENT_MS)
-  fleet.wait_until(what .. ": a job is accepted", STOPPED_MS, function()
-    local job = run:submit_start(serving)
-    local status = run:submit_finish(job)
-    assert(status ~= 0, what .. ": a caller got no answer")
-    return status == 200
-  end)
-  fleet.pause(STOPPED_MS)
-  signal(stopped.pid, "CONT")
-  for _, job in ipairs{open, late} do
-    local status = run:submit_finish(job, PATIENT_MS)
-    assert(status ~= 0, what .. ": a request got no answer")
-  end
-  run:wait_job(serving, accepted, what)
-  inputs.assert_running(stopped, what)
-  run:submit(stopped, what .. ", then continued")
-end
 run:finish()
