Take no entry of a service that no configuration names for a worker

Cause: each entry of a known form became a worker. A takeover waits until each worker has reported or all leases have expired, and such a worker never reports.

Change: an entry becomes a worker only if its service is listed in the configuration or serves a queue. Workers that are known already stay, also in the stored roster, whatever a later configuration names: tasks may run there.

--- a/packages/jobs/include/catalogue.h
+++ b/packages/jobs/include/catalogue.h
@@ -83,4 +83,8 @@
 const struct catalogue_service *
 catalogue_service_find(const struct catalogue *catalogue, const char *name);
 
+/** @brief Returns whether a service is listed or serves a queue. */
+bool catalogue_names_service(const struct catalogue *catalogue,
+			     const char *name);
+
 #endif
--- a/packages/jobs/src/catalogue.c
+++ b/packages/jobs/src/catalogue.c
@@ -105,3 +105,16 @@
 	}
 	return NULL;
 }
+
+bool catalogue_names_service(const struct catalogue *catalogue,
+			     const char *name)
+{
+	for (guint i = 0; i < catalogue->queues->len; i++) {
+		const struct catalogue_queue *queue = &g_array_index(
+			catalogue->queues, struct catalogue_queue, i);
+
+		if (strcmp(queue->service, name) == 0)
+			return true;
+	}
+	return catalogue_service_find(catalogue, name) != NULL;
+}
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -127,6 +127,14 @@
 	struct owner *owner = data;
 	struct worker *worker = g_hash_table_lookup(owner->workers, entry->id);
 
+	if (!worker &&
+	    !catalogue_names_service(owner->catalogue, entry->service)) {
+		log_debug("entry-ignored",
+			  "entry of %s ignored: no service %s in the "
+			  "configuration",
+			  entry->id, entry->service);
+		return;
+	}
 	if (!worker) {
 		log_info("worker-listed", "new worker %s at %s:%u, service %s",
 			 entry->id, entry->ip, (unsigned int)entry->port,
