Report entries of the worker list that name no worker

What operators saw: nothing; an entry that cannot be used was ignored with a line of level debug at each read of the list.

Change: it is reported once for each change of it, with key, revision and kind of error, at level info, which the limit of the log's rate holds for.

Before, inputs_store: '0 odd entries were reported'. Command: build/programs/runner build/programs tests/scenarios/inputs_store.lua 1

--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -66,6 +66,8 @@
 	bool ends_read;
 	bool progress_read;
 	bool roster_read;
+	/** newest revision of an entry that names no worker and was reported */
+	int64_t odd_entries_revision;
 	bool workers_read;
 	/** an earlier owner may have started tasks on a worker that has not
 	 *  reported yet, see JOB_TASK_UNKNOWN */
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -214,6 +214,36 @@
 		   MAX(vm_return_ms, OWNER_LIST_INTERVAL_ARRIVING_MS));
 }
 
+/* Reports an entry that names no worker once for each change of it. */
+static void odd_entry_report(const struct owner *owner,
+			     const struct platform_kv *kv, const char *reason)
+{
+	if (kv->mod_revision > owner->odd_entries_revision)
+		log_info("entry-malformed",
+			 "entry %s at revision %" G_GINT64_FORMAT
+			 " of the worker list names no worker and is ignored: "
+			 "%s",
+			 kv->key, kv->mod_revision, reason);
+}
+
+static void entries_decode(struct owner *owner,
+			   const struct platform_result *result)
+{
+	int64_t revision = owner->odd_entries_revision;
+
+	for (size_t i = 0; i < result->kv_count; i++) {
+		const struct platform_kv *kv = &result->kvs[i];
+		enum err_kind err = owner->config.platform->entry_decode(
+			kv->key, kv->value, kv->value_len, on_entry, owner);
+
+		if (err == ERR_NONE)
+			continue;
+		odd_entry_report(owner, kv, err_name(err));
+		revision = MAX(revision, kv->mod_revision);
+	}
+	owner->odd_entries_revision = revision;
+}
+
 static void on_workers_listed(void *data, enum err_kind err,
 			      const struct platform_result *result)
 {
@@ -235,16 +265,7 @@
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct worker *)value)->listed = false;
-	for (size_t i = 0; i < result->kv_count; i++) {
-		const struct platform_kv *kv = &result->kvs[i];
-		enum err_kind decoded = owner->config.platform->entry_decode(
-			kv->key, kv->value, kv->value_len, on_entry, owner);
-
-		if (decoded != ERR_NONE)
-			log_debug("entry-ignored",
-				  "entry %s of the worker list ignored: %s",
-				  kv->key, err_name(decoded));
-	}
+	entries_decode(owner, result);
 	owner->workers_read = true;
 	unlisted_workers_remove(owner);
 	roster_write(owner);
--- a/tests/scenarios/inputs_store.lua
+++ b/tests/scenarios/inputs_store.lua
@@ -60,6 +60,11 @@
 for i in ipairs(odd) do
   assert(not log:find("new worker odd-" .. i .. " ", 1, true), "entry " .. i .. " was taken for a worker: " .. odd[i])
 end
+-- All but the last one, whose form is right, and the one without a name.
+local reports = jobfleet.event_count(owner, "entry-malformed")
+assert(reports >= #odd, reports .. " odd entries were reported")
+fleet.pause(1000)
+assert(jobfleet.event_count(owner, "entry-malformed") == reports, "an unchanged entry was reported again")
 
 -- 2. A takeover beside odd entries.
 local other = run:find(false)
