Bound the tasks of a job whose occurrences are due at once

What callers saw: one submission that every caller may send, 10,000 occurrences of 4,096 tasks whose first run lies in the past, ended the owner in less than a second, and each next owner after it had read the job. A time of day that jumps forward by hours does the same to a job that runs every second.

Change: a further occurrence begins only while the live ones of its job have at most as many tasks together as a job may have; the next one begins as one ends.

Test: inputs_occurrences, three processes with 260 MB of address space. Before: 'all occurrences are due: a job was answered with 0', the owner's log ends with 'failed to allocate 622592 bytes'. Command: build/programs/runner build/programs tests/scenarios/inputs_occurrences.lua 1

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -276,6 +276,10 @@
  *  for none. */
 uint64_t job_next_due_unix_ms(const struct job *job);
 
+/** @brief Returns whether the next occurrence is due and may begin: the live
+ *  occurrences of a job have at most JOB_TASKS_MAX tasks together. */
+bool job_next_may_begin(const struct job *job, uint64_t now_unix_ms);
+
 /** @brief Finds an occurrence that has not ended. @return NULL if not found */
 struct job_occurrence *job_occurrence_find(const struct job *job,
 					   uint32_t number);
--- a/packages/jobs/src/job.c
+++ b/packages/jobs/src/job.c
@@ -153,6 +153,18 @@
 	       job->occurrences_begun * job->spec->interval_ms;
 }
 
+bool job_next_may_begin(const struct job *job, uint64_t now_unix_ms)
+{
+	uint64_t tasks = 0;
+
+	if (job_next_due_unix_ms(job) > now_unix_ms)
+		return false;
+	for (guint i = 0; i < job->spec->steps->len; i++)
+		tasks += g_array_index(job->spec->steps, struct job_step, i)
+				 .count;
+	return (job->occurrences->len + 1) * tasks <= JOB_TASKS_MAX;
+}
+
 struct job_occurrence *job_occurrence_begin(struct job *job, uint64_t now_ms,
 					    uint64_t now_unix_ms)
 {
--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -105,8 +105,7 @@
 
 		while (job->spec && job->spec->occurrence_count > 0 &&
 		       owner_job_is_live(job) && job->is_sent &&
-		       !job->in_flight &&
-		       job_next_due_unix_ms(job) <= unix_ms) {
+		       !job->in_flight && job_next_may_begin(job, unix_ms)) {
 			owner_occurrence_add(owner, job);
 			owner_schedule_request(owner);
 		}
