--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -184,6 +184,9 @@
 			const struct jobs_answer *answer);
 /** @brief Advances the virtual time and runs the timers that become due. */
 void emu_advance(struct emu *emu, uint32_t ms);
+/** @brief Sets the time of day of all processes forward or back. */
+void emu_wall_clock_jump(int64_t ms);
+
 /** @brief Returns the virtual time. */
 uint64_t emu_time_ms(const struct emu *emu);
 
--- a/packages/jobs/tests/emu_clock.c
+++ b/packages/jobs/tests/emu_clock.c
@@ -2,6 +2,7 @@
 
 /* Virtual time; these definitions replace the clock of the event loop. */
 static uint64_t emu_now_ms = 100000;
+static uint64_t emu_unix_at_zero_ms = 1700000000000;
 
 uint64_t loop_now_ms(void)
 {
@@ -10,7 +11,7 @@
 
 uint64_t loop_unix_ms(void)
 {
-	return 1700000000000 + emu_now_ms;
+	return emu_unix_at_zero_ms + emu_now_ms;
 }
 
 static void job_free(struct emu_job_state *state)
@@ -54,6 +55,11 @@
 	}
 }
 
+void emu_wall_clock_jump(int64_t ms)
+{
+	emu_unix_at_zero_ms += (uint64_t)ms;
+}
+
 uint64_t emu_time_ms(const struct emu *emu)
 {
 	return emu_now_ms;
