--- a/packages/core/tests/test_slot.c
+++ b/packages/core/tests/test_slot.c
@@ -492,6 +492,40 @@
 }
 END_TEST
 
+/* An incarnation is the time of day at which a process started. */
+START_TEST(a_process_restarted_with_its_clock_back_gets_slots_again)
+{
+	struct slot_owner *owner = slot_owner_create(POOL, 5000);
+	const uint64_t members[1] = { 1 };
+	struct slot_report report = { .pool = POOL,
+				      .holder = 1,
+				      .incarnation = 36000000,
+				      .sequence = 9,
+				      .waiting = 4 };
+	struct slot_grant grant;
+	uint64_t now_ms = 5000;
+
+	slot_owner_set_vms(owner, pool_vms, VMS);
+	slot_owner_set_members(owner, members, 1);
+	slot_owner_record_report(owner, &report, now_ms);
+	while (slot_owner_next_grant(owner, &grant))
+		;
+	report.incarnation = 1000;
+	report.sequence = 1;
+	slot_owner_record_report(owner, &report, now_ms);
+	ck_assert(!slot_owner_next_grant(owner, &grant));
+	for (; now_ms <= 5000 + SLOT_OWNER_LEASE_MS; now_ms += 100) {
+		slot_owner_record_report(owner, &report, now_ms);
+		slot_owner_tick(owner, now_ms);
+	}
+	slot_owner_record_report(owner, &report, now_ms);
+	ck_assert(slot_owner_next_grant(owner, &grant));
+	ck_assert_uint_eq(grant.incarnation, report.incarnation);
+	ck_assert_uint_gt(grant.count, 0);
+	slot_owner_destroy(owner);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("slot");
@@ -508,6 +542,9 @@
 	tcase_add_test(cases,
 		       slots_that_waiting_requests_cannot_use_are_returned);
 	tcase_add_test(cases, a_full_pool_is_shared_in_proportion_to_demand);
+	tcase_add_test(
+		cases,
+		a_process_restarted_with_its_clock_back_gets_slots_again);
 	tcase_add_test(cases, random_sequences_never_use_more_than_the_slots);
 	tcase_set_timeout(cases, 50);
 	suite_add_tcase(suite, cases);
