--- a/tests/scenarios/inputs_process.lua
+++ b/tests/scenarios/inputs_process.lua
@@ -47,6 +47,21 @@
 process.metrics = owner.metrics
 expect_end(process, nil, EXIT_IO, "cannot listen at " .. HOST .. owner.metrics, "metrics port")
 
+-- The same for a gateway process.
+local gateways = fleet.new{backends = {}}
+local gateway = gateways:add_gateway("entry-1")
+for flag, port in pairs{listen = gateway.port, rpc = gateway.rpc} do
+  local ports = {listen = free_port(), rpc = free_port("udp")}
+  ports[flag] = port
+  local log = DIR .. "/gateway-" .. flag .. ".log"
+  local pid = spawn{"sassafrascartd", "--id", "entry-2", "--listen", HOST .. ports.listen, "--rpc", HOST .. ports.rpc,
+                    "--platform", HOST .. gateways.platform_port, "--operator-key", DIR .. "/desk.public.pem", log = log}
+  assert(inputs.wait_end{name = "entry-2", pid = pid} == EXIT_IO)
+  assert(fleet.read(log):find("--" .. flag .. ":", 1, true), fleet.read(log))
+  assert(fleet.http{url = fleet.url(gateway.port, "/status")}.status == 200, "the first process does not answer")
+end
+gateways:stop()
+
 -- 2. A second process with the same settings.
 for _, twin in ipairs{owner, other} do
   process = {name = "twin", file = twin.file, metrics = free_port(), starts = 0}
