--- a/tests/scenarios/inputs_signals.lua
+++ b/tests/scenarios/inputs_signals.lua
@@ -1,6 +1,6 @@
 -- Signals that have no meaning for a process do not end or stop it, at the owner and at
--- another process; callers are served, and jobs submitted before end. SIGHUP and SIGTERM
--- keep their meaning if they are ignored when the process starts, as after nohup.
+-- another process; callers are served, and jobs submitted before end. SIGHUP, SIGTERM
+-- and SIGINT keep their meaning if they are ignored when the process starts, as after nohup.
 local fleet = require("fleet")
 local jobfleet = require("jobfleet")
 local inputs = require("inputs")
@@ -9,7 +9,7 @@
 local MEANINGLESS = {"PIPE", "USR1", "USR2", "ALRM", "VTALRM", "PROF", "POLL", "PWR", "CHLD", "URG", "WINCH",
                      "CONT", "TSTP", "TTIN", "TTOU", "XCPU", "XFSZ", "STKFLT", "RTMIN", "RTMAX"}
 
-local run = inputs.new(3, {{ignored = "HUP"}, {ignored = "TERM"}})
+local run = inputs.new(4, {{ignored = "HUP"}, {ignored = "TERM"}, {}, {ignored = "INT"}})
 local owner, other = run:find(true), run:find(false)
 local before = run:submit(other, "before the signals", 1500)
 
@@ -37,9 +37,11 @@
 fleet.wait_until("SIGHUP reads the settings", 6000, function() return jobfleet.metric(first, ok) > reloads end)
 inputs.assert_running(first, "SIGHUP")
 
--- 3. SIGTERM of a process that was started with SIGTERM ignored.
+-- 3. SIGTERM and SIGINT of processes that were started with them ignored.
 signal(run.processes[2].pid, "TERM")
+signal(run.processes[4].pid, "INT")
 assert(inputs.wait_end(run.processes[2]) == 0)
+assert(inputs.wait_end(run.processes[4]) == 0)
 
 -- 4. SIGQUIT ends a process at once; the others serve.
 local third = run.processes[3]
