Bound the length of a log message and keep those with odd bytes

What operators saw: a caller's path of up to 400 KB, which h2o accepts, went into a log line as a whole, and a path with bytes that are not UTF-8 turned the whole message into '(not UTF-8)'.

Change: a value is cut at 8,192 bytes and its length given; bytes that are not UTF-8 are replaced one by one.

--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -11,6 +11,8 @@
 
 /* Size of the token bucket, in seconds of the rate limit. */
 #define LOG_BURST_S 3
+/* Maximum length of a field's value; the rest is cut. */
+#define LOG_VALUE_MAX_BYTES 8192
 
 struct log_writer {
 	char process[64];
@@ -57,15 +59,18 @@
 	return true;
 }
 
+/* Callers determine parts of messages, so a value may have any length and any
+ * bytes. */
 static json_t *field_value(const GLogField *field)
 {
-	json_t *value;
-
-	if (field->length >= 0)
-		value = json_stringn(field->value, (size_t)field->length);
-	else
-		value = json_string(field->value);
-	return value ? value : json_string("(not UTF-8)");
+	size_t len = field->length >= 0 ? (size_t)field->length
+					: strlen(field->value);
+	g_autofree char *text = g_utf8_make_valid(
+		field->value, (gssize)MIN(len, LOG_VALUE_MAX_BYTES));
+
+	if (len <= LOG_VALUE_MAX_BYTES)
+		return json_string(text);
+	return json_sprintf("%s... (%zu bytes)", text, len);
 }
 
 static void fields_add(json_t *line, const GLogField *fields, gsize count)
