--- a/bin/sassafrascartd/main.c
+++ b/bin/sassafrascartd/main.c
@@ -1,5 +1,6 @@
 #include <signal.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include "daemon.h"
 #include "jobd.h"
@@ -92,6 +93,7 @@
 		puts("the settings are valid");
 		return 0;
 	}
+	log_set_output(STDOUT_FILENO, 0);
 	return daemon_run(settings);
 }
 
@@ -102,6 +104,7 @@
 	int status;
 
 	loop_signals_block();
+	log_standard_descriptors_open();
 	if (jobd_is_requested(argc, argv))
 		return jobd_main(argc, argv);
 	if (!settings_parse(&argc, &argv, &settings, &error)) {
--- a/packages/runtime/src/log.c
+++ b/packages/runtime/src/log.c
@@ -11,6 +11,8 @@
 
 /* Size of the token bucket, in seconds of the rate limit. */
 #define LOG_BURST_S 3
+/* Maximum length of a field's value; the rest is cut. */
+#define LOG_VALUE_MAX_BYTES 8192
 
 struct log_writer {
 	char process[64];
@@ -21,6 +23,8 @@
 	/* token bucket, in thousandths of a line */
 	uint64_t tokens_milli;
 	uint64_t refilled_ms;
+	/* the last line was cut short: the next one starts with a newline */
+	bool torn;
 	uint64_t dropped;
 	uint64_t reported_dropped;
 	uint64_t reported_ms;
@@ -55,15 +59,18 @@
 	return true;
 }
 
+/* Callers determine parts of messages, so a value may have any length and any
+ * bytes. */
 static json_t *field_value(const GLogField *field)
 {
-	json_t *value;
-
-	if (field->length >= 0)
-		value = json_stringn(field->value, (size_t)field->length);
-	else
-		value = json_string(field->value);
-	return value ? value : json_string("(not UTF-8)");
+	size_t len = field->length >= 0 ? (size_t)field->length
+					: strlen(field->value);
+	g_autofree char *text = g_utf8_make_valid(
+		field->value, (gssize)MIN(len, LOG_VALUE_MAX_BYTES));
+
+	if (len <= LOG_VALUE_MAX_BYTES)
+		return json_string(text);
+	return json_sprintf("%s... (%zu bytes)", text, len);
 }
 
 static void fields_add(json_t *line, const GLogField *fields, gsize count)
@@ -79,15 +86,20 @@
 	}
 }
 
-static void line_write(struct log_writer *writer, const char *text)
+/* Returns false if the line was not written as a whole. */
+static bool line_write(struct log_writer *writer, const char *text)
 {
-	g_autofree char *line = g_strconcat(text ? text : "{}", "\n", NULL);
+	g_autofree char *line = g_strconcat(writer->torn ? "\n" : "",
+					    text ? text : "{}", "\n", NULL);
 	size_t len = strlen(line);
+	ssize_t written;
 
 	if (writer->fd < 0)
-		fputs(line, stderr);
-	else if (write(writer->fd, line, len) != (ssize_t)len)
-		writer->dropped++;
+		return fputs(line, stderr) >= 0;
+	written = write(writer->fd, line, len);
+	if (written > 0)
+		writer->torn = line[written - 1] != '\n';
+	return written == (ssize_t)len;
 }
 
 static json_t *line_create(const struct log_writer *writer, const char *level)
@@ -103,16 +115,17 @@
 	return line;
 }
 
-static void line_finish(struct log_writer *writer, json_t *line)
+static bool line_finish(struct log_writer *writer, json_t *line)
 {
 	char *text = json_dumps(line, JSON_COMPACT);
+	bool written = line_write(writer, text);
 
-	line_write(writer, text);
 	free(text);
 	json_decref(line);
+	return written;
 }
 
-/* Logs at most once per second how many lines were dropped. */
+/* Logs how many lines were dropped, trying at most once per second. */
 static void dropped_report(struct log_writer *writer, uint64_t now_ms)
 {
 	json_t *line;
@@ -126,9 +139,9 @@
 		line, "lines",
 		json_integer((json_int_t)(writer->dropped -
 					  writer->reported_dropped)));
-	writer->reported_dropped = writer->dropped;
 	writer->reported_ms = now_ms;
-	line_finish(writer, line);
+	if (line_finish(writer, line))
+		writer->reported_dropped = writer->dropped;
 }
 
 /* Takes a token of the rate limit, which does not apply to warnings and
@@ -146,7 +159,6 @@
 		(now_ms - writer->refilled_ms) * writer->lines_per_s;
 	writer->tokens_milli = MIN(writer->tokens_milli, max_milli);
 	writer->refilled_ms = now_ms;
-	dropped_report(writer, now_ms);
 	if (writer->tokens_milli < 1000) {
 		writer->dropped++;
 		return false;
@@ -161,14 +173,30 @@
 	struct log_writer *writer = data;
 	json_t *line;
 
-	if (!(level & writer->mask) || !rate_limit_acquire(writer, level))
+	if (!(level & writer->mask))
+		return G_LOG_WRITER_HANDLED;
+	dropped_report(writer, loop_now_ms());
+	if (!rate_limit_acquire(writer, level))
 		return G_LOG_WRITER_HANDLED;
 	line = line_create(writer, level_name(level));
 	fields_add(line, fields, count);
-	line_finish(writer, line);
+	if (!line_finish(writer, line))
+		writer->dropped++;
 	return G_LOG_WRITER_HANDLED;
 }
 
+void log_standard_descriptors_open(void)
+{
+	int fd;
+
+	/* open() returns the lowest free number. */
+	do
+		fd = open("/dev/null", O_RDWR);
+	while (fd >= 0 && fd <= STDERR_FILENO);
+	if (fd >= 0)
+		close(fd);
+}
+
 void log_set_output(int fd, uint32_t lines_per_s)
 {
 	int flags = fcntl(fd, F_GETFL);
--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -62,14 +62,14 @@
   return process
 end
 
--- Starts a process; options are those of spawn(), or nil.
+-- Starts a process; the entries of options, if given, go to spawn().
 function jobfleet.start(process, options)
   process.starts = process.starts + 1
   process.log = string.format("%s/%s.%d.log", DIR, process.name, process.starts)
-  local command = {"sassafrascartd", "--node-file", process.file, "--metrics-port",
-                   tostring(process.metrics), log = process.log}
-  for name, value in pairs(options or {}) do command[name] = value end
-  process.pid = spawn(command)
+  local argv = {"sassafrascartd", "--node-file", process.file, "--metrics-port",
+                tostring(process.metrics), log = process.log}
+  for name, value in pairs(options or {}) do argv[name] = value end
+  process.pid = spawn(argv)
 end
 
 function jobfleet.is_ready(process)
@@ -93,9 +93,9 @@
 end
 
 -- Starts a call for a job at an entry port; returns the number of the call.
-function jobfleet.call(port, method, job, body)
+function jobfleet.call(port, method, job, body, timeout_ms)
   -- On a reused connection curl could silently resend a submission, as a second call.
-  return http_start{method = method, body = body, timeout_ms = 4000, fresh = method == "POST" and 1 or 0,
+  return http_start{method = method, body = body, timeout_ms = timeout_ms or 4000, fresh = method == "POST" and 1 or 0,
                     headers = {host = jobfleet.QUEUE_HOST},
                     url = fleet.url(port, "/queue-" .. job.pool .. "/" .. job.id)}
 end
