Bound callers' connections by the process's descriptors

Each of the three servers of job mode accepted up to 2,000 connections and the one of proxy mode 4,096, whatever the limit on descriptors was, so callers could take those of the ready port, the store and the workers.

The process raises its soft limit to the hard limit, subtracts the 200 of the VM's limits.max_fds that are for files, and keeps a reserve. Callers get a quarter of the rest beside workers and half beside backend servers; the ready and the metrics port get small bounds of their own. The division is a pure function in core with a unit test (64, 1,024, 4,100 and 8,192 descriptors; the owner keeps the 2,130 connections that it had with 999 workers, docs/CAPACITY.md).

--- a/bin/sassafrascartd/daemon.c
+++ b/bin/sassafrascartd/daemon.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <time.h>
 
+#include "descriptor.h"
+#include "descriptor_limit.h"
 #include "log.h"
 #include "stored_value.h"
 
@@ -254,11 +256,15 @@
 static enum err_kind server_open(struct daemon *daemon)
 {
 	const struct settings *settings = daemon->settings;
+	const struct descriptor_plan plan =
+		descriptor_plan(descriptor_sockets(descriptor_limit_raise(), 0),
+				DESCRIPTOR_USE_BACKENDS);
 	const struct ingress_config config = {
 		.ip = settings->listen.ip,
 		.port = settings->listen.port,
 		.body_max_bytes = settings->body_max_bytes,
-		.connections_max = settings->connections_max,
+		.connections_max =
+			MIN(settings->connections_max, plan.caller_connections),
 		.idle_timeout_ms = settings->idle_timeout_ms,
 	};
 
--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include "config_watcher.h"
+#include "descriptor.h"
+#include "descriptor_limit.h"
 #include "esoa_job_api.h"
 #include "esoa_settings.h"
 #include "esoa_store.h"
@@ -27,11 +29,6 @@
 #define JOBD_LEASE_TTL_S 1
 /* Maximum size of a request body until the configuration sets another limit. */
 #define JOBD_BODY_MAX_BYTES (1024u * 1024u)
-/*
- * Maximum caller connections; leaves file descriptors for the store, workers
- * and peers.
- */
-#define JOBD_CONNECTIONS_MAX 2000
 /* Idle timeout of caller connections. */
 #define JOBD_IDLE_TIMEOUT_MS 60000
 /*
@@ -88,6 +85,7 @@
 	struct ingress_server *readiness_server;
 	/* NULL if no metrics port is set */
 	struct ingress_server *metrics_server;
+	struct descriptor_plan descriptors;
 	uint16_t metrics_port;
 	/* latency of callers' calls, by verb */
 	struct histogram *call_latency[JOBS_WAITING + 1];
@@ -309,13 +307,14 @@
 static enum err_kind server_open(struct jobd_process *process,
 				 const struct cfg_endpoint *endpoint,
 				 const struct ingress_ops *ops,
+				 uint32_t connections_max,
 				 struct ingress_server **out)
 {
 	const struct ingress_config config = {
 		.ip = endpoint->ip,
 		.port = endpoint->port,
 		.body_max_bytes = JOBD_BODY_MAX_BYTES,
-		.connections_max = JOBD_CONNECTIONS_MAX,
+		.connections_max = connections_max,
 		.idle_timeout_ms = JOBD_IDLE_TIMEOUT_MS,
 	};
 	enum err_kind err = ingress_server_create(process->loop, &config, ops,
@@ -402,15 +401,35 @@
 
 	g_strlcpy(endpoint.ip, process->settings.ip, sizeof(endpoint.ip));
 	return server_open(process, &endpoint, &metrics_ops,
+			   process->descriptors.probe_connections,
 			   &process->metrics_server);
 }
 
+static void descriptors_plan(struct jobd_process *process)
+{
+	uint64_t process_max = descriptor_limit_raise();
+
+	process->descriptors = descriptor_plan(
+		descriptor_sockets(process_max,
+				   process->settings.descriptors_max),
+		DESCRIPTOR_USE_WORKERS);
+	log_info("descriptors-planned",
+		 "descriptors of the process %" G_GUINT64_FORMAT
+		 ", of the VM %u; connections of callers %u, of each other "
+		 "port %u",
+		 process_max, process->settings.descriptors_max,
+		 process->descriptors.caller_connections,
+		 process->descriptors.probe_connections);
+}
+
 static enum err_kind process_open(struct jobd_process *process)
 {
 	const struct esoa_settings *settings = &process->settings;
 	const char *const files[] = { process->node_file, NULL };
-	enum err_kind err = store_open(process);
+	enum err_kind err;
 
+	descriptors_plan(process);
+	err = store_open(process);
 	if (err != ERR_NONE)
 		return err;
 	err = job_rpc_channel_create(process->loop, settings->ip,
@@ -424,10 +443,13 @@
 	process->reload =
 		reload_create(process->loop, files, on_reload, process);
 	err = server_open(process, &settings->caller_listen, &caller_ops,
+			  process->descriptors.caller_connections,
 			  &process->caller_server);
 	if (err == ERR_NONE)
 		err = server_open(process, &settings->readiness_listen,
-				  &readiness_ops, &process->readiness_server);
+				  &readiness_ops,
+				  process->descriptors.probe_connections,
+				  &process->readiness_server);
 	if (err == ERR_NONE && process->metrics_port != 0)
 		err = metrics_open(process);
 	if (err == ERR_NONE)
