Keep serving when callers use up connections or send half requests

What callers saw: with 64 descriptors and 200 connections that send half a request, the callers' port and the ready port answered nothing until those connections went, and the process took a whole core.

Cause: a connection was bounded only by the idle timeout of 60 s, whatever it had sent; without a descriptor the listener stayed readable and accept failed again in every iteration of the loop; a connection over the bound was closed without an answer.

Change: an error of accept stops reading the listener until a connection closes or 20 ms have passed, with a counter and one warning in 10 s. At the bound a new connection takes the place of the one that has waited longest without a request in progress and without unread bytes; a slow body counts as waiting. If all have requests in progress, a few more are accepted whose requests are refused as not run, with Retry-After. A head must be complete within 10 s, a body bring 5 KB in 10 s. Closing shuts down the receiving direction first, so that a request that arrives meanwhile is read and refused, not lost. The metrics of connections are per port; caller_connections and caller_connections_refused_total of proxy mode are now connections_open and connections_refused_total with port="callers".

Evidence: descriptors.lua with standin_flood, 200 connections, 64 descriptors, 2.5 s a mode, honest callers and probes each 10 a second:

It asserts at most 0.25 of a core.

refusal_connections.lua expected every request to be answered or its connection to be closed in silence. A request over the bound now gets 503, so the check takes a 503 with Retry-After and not-run as the refusal; that no refused request ran, and that at most 20 are answered, is checked as before.

--- a/bin/sassafrascartd/daemon_pages.c
+++ b/bin/sassafrascartd/daemon_pages.c
@@ -23,20 +23,15 @@
 	const struct gossip_counts *peers = gossip_node_counts(daemon->peers);
 	const struct http_client_counts *platform =
 		platform_byte_counts(daemon->platform);
-	uint32_t connections;
-	uint64_t refused;
 	uint64_t calls;
 	uint64_t limited;
 
-	ingress_server_connection_counts(daemon->server, &connections,
-					 &refused);
 	counter_render(&daemon->counters, body);
 	reload_metrics_append(daemon->reload, body);
 	gateway_metrics_render(daemon->gateway, body);
 	mgr_metrics_render(daemon->manager, body);
 	platform_call_counts(daemon->platform, &calls, &limited);
-	counter_render_gauge(body, "caller_connections", connections);
-	counter_render_gauge(body, "caller_connections_refused_total", refused);
+	ingress_server_metrics_append(daemon->server, "callers", body);
 	counter_render_gauge(body, "platform_calls_total", calls);
 	counter_render_gauge(body, "platform_rate_limited_total", limited);
 	counter_render_gauge(body, "platform_bytes_sent_total",
--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -209,6 +209,10 @@
 			       "%" G_GUINT64_FORMAT "\n",
 			       log_dropped_count());
 	reload_metrics_append(process->reload, body);
+	ingress_server_metrics_append(process->caller_server, "callers", body);
+	ingress_server_metrics_append(process->readiness_server, "readiness",
+				      body);
+	ingress_server_metrics_append(process->metrics_server, "metrics", body);
 	return true;
 }
 
--- a/packages/caller/include/ingress.h
+++ b/packages/caller/include/ingress.h
@@ -42,12 +42,32 @@
 	/** 0 for any free port */
 	uint16_t port;
 	uint64_t body_max_bytes;
-	/** further connections are closed when accepted */
+	/**
+	 * A further connection takes the place of the one that has waited
+	 * longest without a request in progress. If all have one, a few more
+	 * are accepted, whose requests are refused with
+	 * OUTCOME_CONNECTION_LIMIT, and the others wait in the listen queue.
+	 */
 	uint32_t connections_max;
 	/** timeout of an idle connection and of an incomplete request */
 	uint32_t idle_timeout_ms;
 };
 
+/** Counts of a server's connections. */
+struct ingress_counts {
+	/** open now */
+	uint32_t open;
+	/** requests refused because of connections_max */
+	uint64_t refused;
+	/** closed because the rest of a request did not arrive in time */
+	uint64_t half_sent;
+	/** closed to make room for another one */
+	uint64_t evicted;
+	/** times that accepting was paused for want of connections or
+	 *  descriptors */
+	uint64_t accept_pauses;
+};
+
 /** Parsed request; its strings are NUL-terminated and owned by the request. */
 struct ingress_view {
 	const char *method;
@@ -107,13 +127,16 @@
 /** @brief Returns the TCP port that the server listens on. */
 uint16_t ingress_server_port(const struct ingress_server *server);
 
+/** @brief Returns the counts of connections, owned by the server. */
+const struct ingress_counts *
+ingress_server_counts(const struct ingress_server *server);
+
 /**
- * @brief Counts connections.
- * @param open connections open now
- * @param refused connections closed on accept because of connections_max
+ * @brief Appends the counts in the Prometheus text format.
+ * @param port value of the label that tells the process's servers apart
  */
-void ingress_server_connection_counts(const struct ingress_server *server,
-				      uint32_t *open, uint64_t *refused);
+void ingress_server_metrics_append(const struct ingress_server *server,
+				   const char *port, GString *out);
 
 /**
  * @brief Starts draining: each connection closes after its next response.
--- a/packages/caller/src/ingress.c
+++ b/packages/caller/src/ingress.c
@@ -5,26 +5,10 @@
 #include <sys/socket.h>
 
 #include "http_syntax.h"
+#include "ingress_private.h"
 
-#define INGRESS_ACCEPTS_PER_EVENT 16
-/* Limit on the size of a request's target and headers together. */
-#define INGRESS_HEAD_MAX_BYTES 32768
-
-struct ingress_server {
-	struct loop *loop;
-	const struct ingress_ops *ops;
-	void *data;
-	h2o_globalconf_t config;
-	h2o_context_t ctx;
-	h2o_accept_ctx_t accept_ctx;
-	h2o_socket_t *listener;
-	uint16_t port;
-	bool shutting_down;
-	uint32_t connections;
-	uint32_t connections_max;
-	uint64_t connections_refused;
-	uint32_t open_requests;
-};
+/* Retry-After of a request that is refused for want of connections. */
+#define INGRESS_RETRY_AFTER_S 1
 
 struct ingress_request {
 	struct ingress_server *server;
@@ -146,6 +130,7 @@
 {
 	struct ingress_server *server =
 		((struct ingress_handler *)self)->server;
+	struct ingress_connection *connection = ingress_connection_hold(req);
 	struct ingress_request *request;
 
 	if (page_send(server, req))
@@ -156,6 +141,13 @@
 	request->server = server;
 	server->open_requests++;
 	request->req = req;
+	if (ingress_connection_is_refused(connection)) {
+		server->counts.refused++;
+		req->http1_is_persistent = 0;
+		ingress_request_reject(request, OUTCOME_CONNECTION_LIMIT,
+				       INGRESS_RETRY_AFTER_S);
+		return 0;
+	}
 	if (!request_is_valid(req)) {
 		ingress_request_reject(request, OUTCOME_BAD_REQUEST, 1);
 		return 0;
@@ -165,41 +157,6 @@
 	return 0;
 }
 
-static void on_connection_close(void *data)
-{
-	struct ingress_server *server = data;
-
-	server->connections--;
-}
-
-static void connection_accept(struct ingress_server *server, h2o_socket_t *sock)
-{
-	if (server->connections >= server->connections_max) {
-		server->connections_refused++;
-		h2o_socket_close(sock);
-		return;
-	}
-	server->connections++;
-	sock->on_close.cb = on_connection_close;
-	sock->on_close.data = server;
-	h2o_accept(&server->accept_ctx, sock);
-}
-
-static void on_accept(h2o_socket_t *listener, const char *err)
-{
-	struct ingress_server *server = listener->data;
-
-	if (err)
-		return;
-	for (int i = 0; i < INGRESS_ACCEPTS_PER_EVENT; i++) {
-		h2o_socket_t *sock = h2o_evloop_socket_accept(listener);
-
-		if (!sock)
-			return;
-		connection_accept(server, sock);
-	}
-}
-
 static void server_configure(struct ingress_server *server,
 			     const struct ingress_config *config)
 {
@@ -234,7 +191,9 @@
 	server->ops = ops;
 	server->data = data;
 	server->connections_max = config->connections_max;
-	err = loop_listen(loop, config->ip, config->port, on_accept, server,
+	ingress_accept_init(server);
+	err = loop_listen(loop, config->ip, config->port,
+			  ingress_accept_on_readable, server,
 			  &server->listener);
 	if (err != ERR_NONE) {
 		g_free(server);
@@ -270,7 +229,7 @@
 {
 	if (!server)
 		return;
-	h2o_socket_close(server->listener);
+	ingress_accept_stop(server);
 	server->ops = &no_ops;
 	/*
 	 * h2o 2.2.5 cannot close the connections of a context. If any are
@@ -287,11 +246,33 @@
 	g_free(server);
 }
 
-void ingress_server_connection_counts(const struct ingress_server *server,
-				      uint32_t *open, uint64_t *refused)
+const struct ingress_counts *
+ingress_server_counts(const struct ingress_server *server)
+{
+	return &server->counts;
+}
+
+void ingress_server_metrics_append(const struct ingress_server *server,
+				   const char *port, GString *out)
 {
-	*open = server->connections;
-	*refused = server->connections_refused;
+	const struct ingress_counts *counts = &server->counts;
+	const struct {
+		const char *name;
+		uint64_t value;
+	} metrics[] = {
+		{ "connections_open", counts->open },
+		{ "connections_bound", server->connections_max },
+		{ "connections_refused_total", counts->refused },
+		{ "connections_half_sent_total", counts->half_sent },
+		{ "connections_evicted_total", counts->evicted },
+		{ "accept_pauses_total", counts->accept_pauses },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(metrics); i++)
+		g_string_append_printf(out,
+				       "sassafrascart_%s{port=\"%s\"} "
+				       "%" G_GUINT64_FORMAT "\n",
+				       metrics[i].name, port, metrics[i].value);
 }
 
 uint16_t ingress_server_port(const struct ingress_server *server)
--- /dev/null
+++ b/packages/caller/src/ingress_private.h
@@ -0,0 +1,122 @@
+/**
+ * @file ingress_private.h
+ * @brief Parts that the files of the callers' server share.
+ */
+#ifndef INGRESS_PRIVATE_H
+#define INGRESS_PRIVATE_H
+
+#include "ingress.h"
+
+/** Limit on the size of a request's target and headers together. */
+#define INGRESS_HEAD_MAX_BYTES 32768
+
+/** An accepted connection; freed when its socket is closed and its last
+ *  request has ended. */
+struct ingress_connection {
+	struct ingress_server *server;
+	/** NULL after the socket was closed */
+	h2o_socket_t *sock;
+	/** place in one of the server's lists while no request is in progress
+	 */
+	GList link;
+	GQueue *list;
+	uint32_t requests;
+	/** no request is read from it any more */
+	bool closing;
+	/** closing was repeated, as the first attempt had no effect */
+	bool forced;
+	bool http2;
+	/** bytes of the head if the input holds a whole one and its body is
+	 *  incomplete, else 0 */
+	uint64_t head_bytes;
+	/** when the connection was accepted, or its last request ended */
+	uint64_t silent_ms;
+	/** last time at which no byte of a next request had arrived */
+	uint64_t empty_ms;
+	/** when the incomplete request began, 0 for none */
+	uint64_t begun_ms;
+	uint64_t input_bytes;
+	/** start of the window in which the body must make progress */
+	uint64_t window_ms;
+	uint64_t window_bytes;
+};
+
+struct ingress_server {
+	struct loop *loop;
+	const struct ingress_ops *ops;
+	void *data;
+	h2o_globalconf_t config;
+	h2o_context_t ctx;
+	h2o_accept_ctx_t accept_ctx;
+	/** NULL after the server was destroyed */
+	h2o_socket_t *listener;
+	uint16_t port;
+	bool shutting_down;
+	uint32_t open_requests;
+	uint32_t connections_max;
+	struct ingress_counts counts;
+	/** connections without a request in progress, by waiting time: those
+	 *  that never had a whole request, those that had one, and those that
+	 *  are closing */
+	GQueue fresh;
+	GQueue idle;
+	GQueue closing;
+	/** the listener is not read until a connection closes or the timer
+	 *  fires */
+	bool paused;
+	struct timer resume_timer;
+	struct timer check_timer;
+	uint64_t warned_ms;
+};
+
+/** @brief Prepares the lists and timers. */
+void ingress_accept_init(struct ingress_server *server);
+
+/** @brief h2o callback of the listener. */
+void ingress_accept_on_readable(h2o_socket_t *listener, const char *err);
+
+/** @brief Resumes accepting in the next iteration of the loop if it is paused.
+ */
+void ingress_accept_resume_soon(struct ingress_server *server);
+
+/** @brief Stops accepting and cancels the timers; open connections stay. */
+void ingress_accept_stop(struct ingress_server *server);
+
+/** @brief Starts to track an accepted socket. */
+void ingress_connection_create(struct ingress_server *server,
+			       h2o_socket_t *sock);
+
+/**
+ * @brief Marks the request's connection as in use until the request ends.
+ * @return the connection
+ */
+struct ingress_connection *ingress_connection_hold(h2o_req_t *req);
+
+/**
+ * @brief Returns whether the request that has arrived must be refused because
+ * connections_max others have requests in progress.
+ */
+bool ingress_connection_is_refused(const struct ingress_connection *connection);
+
+/** @brief Returns the number of open connections that are not closing. */
+uint32_t ingress_connection_live_count(const struct ingress_server *server);
+
+/** Result of the search for a connection that may be closed. */
+enum ingress_eviction {
+	INGRESS_EVICTED,
+	/** it is too early to tell for some, whose bytes are not read yet or
+	 *  whose bodies have only begun */
+	INGRESS_EVICTION_UNDECIDED,
+	/** all connections have requests in progress */
+	INGRESS_EVICTION_NONE,
+};
+
+/** @brief Closes the connection that has waited longest without a request in
+ *  progress. */
+enum ingress_eviction ingress_connection_evict(struct ingress_server *server);
+
+/** @brief Closes connections whose requests stay incomplete; called once every
+ *  INGRESS_CHECK_MS while there are connections. */
+void ingress_connection_check_all(struct ingress_server *server);
+
+#endif
--- a/packages/core/src/outcome.c
+++ b/packages/core/src/outcome.c
@@ -53,6 +53,10 @@
 	[OUTCOME_ANSWER_TOO_LARGE] = { "answer-too-large", 502,
 				       OUTCOME_RUN_UNKNOWN, false,
 				       "The answer is larger than the limit." },
+	[OUTCOME_CONNECTION_LIMIT] = { "connection-limit", 503, OUTCOME_RUN_NO,
+				       true,
+				       "This process has no connections to "
+				       "spare." },
 };
 
 const struct outcome_row *outcome_row(enum outcome kind)
