Move accepting and its pauses out of the callers' server

The peer port of job mode accepts connections too and needs the same handling of a process without descriptors. No change of behaviour:

build/packages/caller/tests/test_ingress_server: 6 of 6 pass

--- a/packages/caller/include/ingress.h
+++ b/packages/caller/include/ingress.h
@@ -127,9 +127,9 @@
 /** @brief Returns the TCP port that the server listens on. */
 uint16_t ingress_server_port(const struct ingress_server *server);
 
-/** @brief Returns the counts of connections, owned by the server. */
-const struct ingress_counts *
-ingress_server_counts(const struct ingress_server *server);
+/** @brief Fills the counts of connections. */
+void ingress_server_counts(const struct ingress_server *server,
+			   struct ingress_counts *out);
 
 /**
  * @brief Appends the counts in the Prometheus text format.
--- a/packages/caller/src/ingress.c
+++ b/packages/caller/src/ingress.c
@@ -191,15 +191,11 @@
 	server->ops = ops;
 	server->data = data;
 	server->connections_max = config->connections_max;
-	ingress_accept_init(server);
-	err = loop_listen(loop, config->ip, config->port,
-			  ingress_accept_on_readable, server,
-			  &server->listener);
+	err = ingress_accept_start(server, config->ip, config->port);
 	if (err != ERR_NONE) {
 		g_free(server);
 		return err;
 	}
-	server->port = loop_listen_port(server->listener);
 	server_configure(server, config);
 	h2o_context_init(&server->ctx, loop_h2o(loop), &server->config);
 	server->accept_ctx.ctx = &server->ctx;
@@ -246,10 +242,11 @@
 	g_free(server);
 }
 
-const struct ingress_counts *
-ingress_server_counts(const struct ingress_server *server)
+void ingress_server_counts(const struct ingress_server *server,
+			   struct ingress_counts *out)
 {
-	return &server->counts;
+	*out = server->counts;
+	out->accept_pauses = acceptor_pause_count(server->acceptor);
 }
 
 void ingress_server_metrics_append(const struct ingress_server *server,
@@ -265,7 +262,8 @@
 		{ "connections_refused_total", counts->refused },
 		{ "connections_half_sent_total", counts->half_sent },
 		{ "connections_evicted_total", counts->evicted },
-		{ "accept_pauses_total", counts->accept_pauses },
+		{ "accept_pauses_total",
+		  acceptor_pause_count(server->acceptor) },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(metrics); i++)
@@ -277,7 +275,7 @@
 
 uint16_t ingress_server_port(const struct ingress_server *server)
 {
-	return server->port;
+	return acceptor_port(server->acceptor);
 }
 
 void ingress_server_drain(struct ingress_server *server)
--- a/packages/caller/src/ingress_connection.c
+++ b/packages/caller/src/ingress_connection.c
@@ -33,6 +33,12 @@
 		g_free(connection);
 }
 
+static void accept_resume(struct ingress_server *server)
+{
+	if (server->acceptor)
+		acceptor_resume_soon(server->acceptor);
+}
+
 static void on_socket_close(void *data)
 {
 	struct ingress_connection *connection = data;
@@ -41,7 +47,7 @@
 	list_set(connection, NULL);
 	connection->sock = NULL;
 	server->counts.open--;
-	ingress_accept_resume_soon(server);
+	accept_resume(server);
 	connection_release(connection);
 }
 
@@ -88,7 +94,7 @@
 		connection->silent_ms = connection->empty_ms;
 		list_set(connection, connection->closing ? &server->closing
 							 : &server->idle);
-		ingress_accept_resume_soon(server);
+		accept_resume(server);
 	}
 	connection_release(connection);
 }
--- a/packages/caller/src/ingress_private.h
+++ b/packages/caller/src/ingress_private.h
@@ -5,6 +5,7 @@
 #ifndef INGRESS_PRIVATE_H
 #define INGRESS_PRIVATE_H
 
+#include "acceptor.h"
 #include "ingress.h"
 
 /** Limit on the size of a request's target and headers together. */
@@ -49,8 +50,7 @@
 	h2o_context_t ctx;
 	h2o_accept_ctx_t accept_ctx;
 	/** NULL after the server was destroyed */
-	h2o_socket_t *listener;
-	uint16_t port;
+	struct acceptor *acceptor;
 	bool shutting_down;
 	uint32_t open_requests;
 	uint32_t connections_max;
@@ -61,23 +61,15 @@
 	GQueue fresh;
 	GQueue idle;
 	GQueue closing;
-	/** the listener is not read until a connection closes or the timer
-	 *  fires */
-	bool paused;
-	struct timer resume_timer;
 	struct timer check_timer;
-	uint64_t warned_ms;
 };
 
-/** @brief Prepares the lists and timers. */
-void ingress_accept_init(struct ingress_server *server);
-
-/** @brief h2o callback of the listener. */
-void ingress_accept_on_readable(h2o_socket_t *listener, const char *err);
-
-/** @brief Resumes accepting in the next iteration of the loop if it is paused.
+/**
+ * @brief Starts to listen and to accept connections.
+ * @return ERR_NONE, ERR_INVALID for a bad address, ERR_IO
  */
-void ingress_accept_resume_soon(struct ingress_server *server);
+enum err_kind ingress_accept_start(struct ingress_server *server,
+				   const char *ip, uint16_t port);
 
 /** @brief Stops accepting and cancels the timers; open connections stay. */
 void ingress_accept_stop(struct ingress_server *server);
--- a/packages/caller/tests/test_ingress_server.c
+++ b/packages/caller/tests/test_ingress_server.c
@@ -148,6 +148,14 @@
 	return server;
 }
 
+static struct ingress_counts server_counts(const struct ingress_server *server)
+{
+	struct ingress_counts counts;
+
+	ingress_server_counts(server, &counts);
+	return counts;
+}
+
 /* Frees what a server with requests in progress still uses. */
 static void server_close(struct calls *calls, struct ingress_server *server,
 			 const int *fds, size_t count)
@@ -196,9 +204,8 @@
 	ck_assert_ptr_nonnull(strstr(answer, "200"));
 	ck_assert(caller_is_closed(fds[0]));
 	ck_assert(caller_is_closed(fds[1]));
-	ck_assert_uint_le(ingress_server_counts(server)->open,
-			  CONNECTIONS_MAX + 1);
-	ck_assert_uint_ge(ingress_server_counts(server)->evicted,
+	ck_assert_uint_le(server_counts(server).open, CONNECTIONS_MAX + 1);
+	ck_assert_uint_ge(server_counts(server).evicted,
 			  count - CONNECTIONS_MAX - 1);
 	server_close(&calls, server, fds, count);
 }
@@ -219,7 +226,7 @@
 		loop_run(calls.loop);
 	}
 	ck_assert_uint_eq(calls.requests, CONNECTIONS_MAX);
-	ck_assert_uint_eq(ingress_server_counts(server)->refused, REFUSALS);
+	ck_assert_uint_eq(server_counts(server).refused, REFUSALS);
 	for (size_t i = CONNECTIONS_MAX; i < G_N_ELEMENTS(fds); i++) {
 		caller_receive(fds[i], answer, sizeof(answer));
 		ck_assert_ptr_nonnull(strstr(answer, "HTTP/1.1 503 "));
@@ -228,8 +235,8 @@
 		ck_assert_ptr_nonnull(strstr(answer, "retry-after: "));
 		ck_assert(caller_is_closed(fds[i]));
 	}
-	ck_assert_uint_eq(ingress_server_counts(server)->open, CONNECTIONS_MAX);
-	ck_assert_uint_eq(ingress_server_counts(server)->evicted, 0);
+	ck_assert_uint_eq(server_counts(server).open, CONNECTIONS_MAX);
+	ck_assert_uint_eq(server_counts(server).evicted, 0);
 	server_close(&calls, server, fds, G_N_ELEMENTS(fds));
 }
 END_TEST
@@ -255,7 +262,7 @@
 	caller_send(fds[0], "/page");
 	loop_run(calls.loop);
 	ck_assert_uint_eq(calls.pages, 2);
-	ck_assert_uint_ge(ingress_server_counts(server)->evicted, 1);
+	ck_assert_uint_ge(server_counts(server).evicted, 1);
 	server_close(&calls, server, fds, G_N_ELEMENTS(fds));
 }
 END_TEST
@@ -277,8 +284,8 @@
 	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
 	loop_run(calls.loop);
 	ck_assert_uint_eq(calls.pages, 0);
-	ck_assert_uint_ge(ingress_server_counts(server)->accept_pauses, 1);
-	ck_assert_uint_le(ingress_server_counts(server)->accept_pauses, 20);
+	ck_assert_uint_ge(server_counts(server).accept_pauses, 1);
+	ck_assert_uint_le(server_counts(server).accept_pauses, 20);
 	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &before), 0);
 	loop_run(calls.loop);
 	ck_assert_uint_eq(calls.pages, 1);
