Bound unknown connections to the peer port of job mode

What was seen: with 64 descriptors and 200 idle connections to the peer port, which a process accepted without a bound, it took 0.76 of a core in accept and had no descriptor for callers, workers or the store.

Change: the port uses the acceptor, which pauses without a descriptor, and accepts only a few connections that have sent no valid call yet; the one that has waited longest gives way, unless it has unread bytes. Connections of peers that have sent a call are not bounded and not closed.

--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -436,8 +436,9 @@
 	err = store_open(process);
 	if (err != ERR_NONE)
 		return err;
-	err = job_rpc_channel_create(process->loop, settings->ip,
-				     settings->peer_port, &process->channel);
+	err = job_rpc_channel_create(
+		process->loop, settings->ip, settings->peer_port,
+		process->descriptors.probe_connections, &process->channel);
 	if (err != ERR_NONE) {
 		log_warning("listen-failed", "cannot listen at %s:%u: %s",
 			    settings->ip, settings->peer_port, err_name(err));
--- a/packages/core/include/descriptor.h
+++ b/packages/core/include/descriptor.h
@@ -23,8 +23,8 @@
 struct descriptor_plan {
 	/** connections of callers */
 	uint32_t caller_connections;
-	/** connections to each of the process's own ports for probes and
-	 *  metrics */
+	/** connections to each of the process's other ports, for probes,
+	 *  metrics and peers; of peers those that have sent no call yet */
 	uint32_t probe_connections;
 };
 
--- a/packages/core/tests/test_descriptor.c
+++ b/packages/core/tests/test_descriptor.c
@@ -11,8 +11,8 @@
 /* Descriptors that a process uses before any caller or worker connects:
  * listeners, event queue, standard streams, the platform and peers. */
 #define BASE_DESCRIPTORS 20
-/* Ports with probe connections. */
-#define PROBE_PORTS 2
+/* Ports for probes, metrics and peers. */
+#define PROBE_PORTS 3
 /* Connections beyond a bound for which a server answers 503. */
 #define REFUSAL_SHARE 16
 #define REFUSALS_MIN 4
@@ -27,14 +27,25 @@
 	       (refusals > REFUSALS_MIN ? refusals : REFUSALS_MIN);
 }
 
-static uint32_t accepted_max(uint32_t sockets, enum descriptor_use use)
+/* In job mode. */
+static uint32_t accepted_max(uint32_t sockets)
 {
-	struct descriptor_plan plan = descriptor_plan(sockets, use);
+	struct descriptor_plan plan =
+		descriptor_plan(sockets, DESCRIPTOR_USE_WORKERS);
 
 	return with_refusals(plan.caller_connections) +
 	       PROBE_PORTS * with_refusals(plan.probe_connections);
 }
 
+/* In proxy mode, with a connection to a backend server for each caller's. */
+static uint32_t connections_max(uint32_t sockets)
+{
+	uint32_t callers = descriptor_plan(sockets, DESCRIPTOR_USE_BACKENDS)
+				   .caller_connections;
+
+	return with_refusals(callers) + callers;
+}
+
 START_TEST(test_files_are_subtracted_from_the_limit_of_the_vm)
 {
 	ck_assert_uint_eq(descriptor_sockets(64, 0), 64);
@@ -60,26 +71,19 @@
 			descriptor_plan(sockets, DESCRIPTOR_USE_WORKERS)
 				.caller_connections,
 			8);
-		ck_assert_uint_le(
-			accepted_max(sockets, DESCRIPTOR_USE_WORKERS) +
-				BASE_DESCRIPTORS,
-			sockets);
-		ck_assert_uint_le(
-			accepted_max(sockets, DESCRIPTOR_USE_BACKENDS) +
-				BASE_DESCRIPTORS,
-			sockets);
+		ck_assert_uint_le(accepted_max(sockets) + BASE_DESCRIPTORS,
+				  sockets);
+		ck_assert_uint_le(connections_max(sockets) + BASE_DESCRIPTORS,
+				  sockets);
 	}
 }
 END_TEST
 
 START_TEST(test_the_owner_keeps_its_connections_to_workers)
 {
-	ck_assert_uint_ge(3900 - accepted_max(3900, DESCRIPTOR_USE_WORKERS) -
-				  BASE_DESCRIPTORS,
+	ck_assert_uint_ge(3900 - accepted_max(3900) - BASE_DESCRIPTORS,
 			  OWNER_CONNECTIONS);
-	ck_assert_uint_ge(7992 - accepted_max(7992, DESCRIPTOR_USE_WORKERS) -
-				  BASE_DESCRIPTORS,
-			  4000);
+	ck_assert_uint_ge(7992 - accepted_max(7992) - BASE_DESCRIPTORS, 4000);
 }
 END_TEST
 
--- a/packages/peer/include/job_rpc.h
+++ b/packages/peer/include/job_rpc.h
@@ -23,10 +23,12 @@
 
 /**
  * @brief Creates a channel and starts to listen for calls.
+ * @param strangers_max accepted connections that have sent no valid record yet;
+ *                      the oldest gives way to a new one
  * @return ERR_NONE, ERR_INVALID for a bad address, ERR_IO
  */
 enum err_kind job_rpc_channel_create(struct loop *loop, const char *ip,
-				     uint16_t port,
+				     uint16_t port, uint32_t strangers_max,
 				     struct job_rpc_channel **out);
 
 /** @brief Sets the callback that serves calls received from other processes.
--- a/packages/peer/src/job_rpc.c
+++ b/packages/peer/src/job_rpc.c
@@ -2,7 +2,9 @@
 
 #include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
 
+#include "acceptor.h"
 #include "job_wire.h"
 #include "log.h"
 
@@ -12,18 +14,23 @@
  * this timeout is replaced.
  */
 #define JOB_RPC_INACTIVITY_TIMEOUT_MS 900
-/* Bounds the work per event, so that other sockets are not starved. */
-#define JOB_RPC_ACCEPTS_PER_EVENT 16
+/* Time for the first bytes of an accepted connection. */
+#define JOB_RPC_SILENT_GRACE_MS 10
+/* Pause in which accepted connections are read. */
+#define JOB_RPC_SETTLE_MS 2
 
 struct job_rpc_channel {
 	struct loop *loop;
-	h2o_socket_t *listener;
+	struct acceptor *acceptor;
 	job_rpc_call_cb on_call;
 	void *on_call_data;
 	/* outgoing: "ip:port" to struct job_rpc_connection */
 	GHashTable *connections;
-	/* incoming: list of struct job_rpc_connection */
+	/* incoming, of struct job_rpc_connection: those that have sent a valid
+	 * record, and those that have not, oldest first */
 	GQueue incoming;
+	GQueue strangers;
+	uint32_t strangers_max;
 	uint32_t next_xid;
 };
 
@@ -38,12 +45,16 @@
 	/* held by the channel and by each call on the connection */
 	uint32_t refs;
 	uint64_t received_ms;
+	/* when an incoming connection was accepted */
+	uint64_t accepted_ms;
 	/* bytes to write next, and those of the write in flight, else NULL */
 	GByteArray *write_queue;
 	GByteArray *write_buffer;
 	/* calls in flight: xid to struct job_rpc_outgoing */
 	GHashTable *calls;
 	GList node;
+	/* the list of the channel that an incoming connection is in */
+	GQueue *list;
 };
 
 /* A call to another process, until its reply or timeout. */
@@ -118,7 +129,8 @@
 	if (conn->outgoing)
 		g_hash_table_remove(conn->channel->connections, conn->key);
 	else
-		g_queue_unlink(&conn->channel->incoming, &conn->node);
+		g_queue_unlink(conn->list, &conn->node);
+	acceptor_resume_soon(conn->channel->acceptor);
 	for (;;) {
 		struct job_rpc_outgoing *out;
 
@@ -217,6 +229,14 @@
 		outgoing_finish(out, ERR_NONE, &answer);
 }
 
+static void list_set(struct job_rpc_connection *conn, GQueue *list)
+{
+	if (conn->list)
+		g_queue_unlink(conn->list, &conn->node);
+	conn->list = list;
+	g_queue_push_tail_link(list, &conn->node);
+}
+
 /*
  * Processes the first record received. Returns false if it is incomplete or the
  * connection was closed.
@@ -242,6 +262,8 @@
 		return false;
 	}
 	h2o_buffer_consume(&conn->sock->input, size);
+	if (conn->list == &conn->channel->strangers)
+		list_set(conn, &conn->channel->incoming);
 	if (message.is_reply)
 		reply_dispatch(conn, &message);
 	else
@@ -369,43 +391,81 @@
 
 const struct jobs_peers job_rpc_peers = { .send = send_call };
 
-static void on_accept(h2o_socket_t *listener, const char *err)
+static void on_accept(void *data, h2o_socket_t *sock)
 {
-	struct job_rpc_channel *channel = listener->data;
+	struct job_rpc_channel *channel = data;
+	struct job_rpc_connection *conn = connection_create(channel, false);
 
-	if (err)
-		return;
-	for (int i = 0; i < JOB_RPC_ACCEPTS_PER_EVENT; i++) {
-		h2o_socket_t *sock = h2o_evloop_socket_accept(listener);
-		struct job_rpc_connection *conn;
-
-		if (!sock)
-			return;
-		conn = connection_create(channel, false);
-		conn->sock = sock;
-		conn->connected = true;
-		sock->data = conn;
-		g_queue_push_tail_link(&channel->incoming, &conn->node);
-		h2o_socket_read_start(sock, on_read);
-	}
+	conn->sock = sock;
+	conn->connected = true;
+	sock->data = conn;
+	list_set(conn, &channel->strangers);
+	conn->accepted_ms = loop_now_ms();
+	h2o_socket_read_start(sock, on_read);
 }
 
+static bool has_unread_bytes(const struct job_rpc_connection *conn)
+{
+	char byte;
+
+	return recv(h2o_socket_get_fd(conn->sock), &byte, sizeof(byte),
+		    MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Closes the stranger that has waited longest; false if it may still send its
+ * first record. */
+static bool stranger_evict(struct job_rpc_channel *channel)
+{
+	struct job_rpc_connection *conn =
+		g_queue_peek_head(&channel->strangers);
+
+	if (!conn || has_unread_bytes(conn) ||
+	    loop_now_ms() - conn->accepted_ms < JOB_RPC_SILENT_GRACE_MS)
+		return false;
+	connection_close(conn);
+	return true;
+}
+
+static bool may_accept(void *data)
+{
+	struct job_rpc_channel *channel = data;
+
+	if (channel->strangers.length < channel->strangers_max ||
+	    stranger_evict(channel))
+		return true;
+	acceptor_pause(channel->acceptor, JOB_RPC_SETTLE_MS);
+	return false;
+}
+
+static void on_exhausted(void *data)
+{
+	stranger_evict(data);
+}
+
+static const struct acceptor_ops accept_ops = {
+	.may_accept = may_accept,
+	.on_accept = on_accept,
+	.on_exhausted = on_exhausted,
+};
+
 enum err_kind job_rpc_channel_create(struct loop *loop, const char *ip,
-				     uint16_t port,
+				     uint16_t port, uint32_t strangers_max,
 				     struct job_rpc_channel **out)
 {
 	struct job_rpc_channel *channel = g_new0(struct job_rpc_channel, 1);
-	enum err_kind err = loop_listen(loop, ip, port, on_accept, channel,
-					&channel->listener);
+	enum err_kind err = acceptor_create(loop, ip, port, &accept_ops,
+					    channel, &channel->acceptor);
 
 	if (err != ERR_NONE) {
 		g_free(channel);
 		return err;
 	}
 	channel->loop = loop;
+	channel->strangers_max = strangers_max;
 	channel->connections = g_hash_table_new(g_str_hash, g_str_equal);
 	channel->next_xid = g_random_int();
 	g_queue_init(&channel->incoming);
+	g_queue_init(&channel->strangers);
 	*out = channel;
 	return ERR_NONE;
 }
@@ -424,7 +484,8 @@
 
 	if (!channel)
 		return;
-	h2o_socket_close(channel->listener);
+	while (channel->strangers.head)
+		connection_close(channel->strangers.head->data);
 	while (channel->incoming.head)
 		connection_close(channel->incoming.head->data);
 	for (;;) {
@@ -434,5 +495,6 @@
 		connection_close(value);
 	}
 	g_hash_table_unref(channel->connections);
+	acceptor_destroy(channel->acceptor);
 	g_free(channel);
 }
--- a/tests/scenarios/descriptors.lua
+++ b/tests/scenarios/descriptors.lua
@@ -35,11 +35,13 @@
   flood.check(mode, result, CPU_SHARE_MAX)
 end
 
--- A flood of the readiness port takes no descriptors of callers.
-local result = flood.run{platform = platform, process = process, port = process.ready, mode = "half",
-                         connections = FLOOD_CONNECTIONS, for_ms = MODE_MS}
-print(flood.describe("half at the readiness port", result))
-flood.check("half at the readiness port", result, CPU_SHARE_MAX)
+-- Floods of the other ports take no descriptors of callers.
+for name, port in pairs{["the readiness port"] = process.ready, ["the peer port"] = process.peer} do
+  local result = flood.run{platform = platform, process = process, port = port, mode = "idle",
+                           connections = FLOOD_CONNECTIONS, for_ms = MODE_MS}
+  print(flood.describe("idle at " .. name, result))
+  flood.check("idle at " .. name, result, CPU_SHARE_MAX)
+end
 
 fleet.wait_until("half requests are closed", math.max(1, half_began_ms + HALF_CLOSED_MS + 2000 - now_ms()),
                  function() return flood.closed(half_log) >= HALF_CONNECTIONS end)
--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -50,12 +50,12 @@
 function jobfleet:add_process(platform_port)
   local index = #self.processes + 1
   local process = {name = "vm-entry-" .. index, front = free_port(), ready = free_port(),
-                   metrics = free_port(), starts = 0}
+                   metrics = free_port(), peer = free_port(), starts = 0}
   process.file = DIR .. "/" .. process.name .. ".conf"
   process.settings = {
     {"node", process.name}, {"zone", "zone-" .. index}, {"ip", HOST},
     {"listen.front", HOST .. ":" .. process.front}, {"listen.ready", HOST .. ":" .. process.ready},
-    {"port_range", free_port() .. ",65535"}, {"platform.address", HOST .. ":" .. platform_port},
+    {"port_range", process.peer .. ",65535"}, {"platform.address", HOST .. ":" .. platform_port},
     {"cloud.address", HOST .. ":" .. platform_port}}
   self.processes[index] = process
   jobfleet.write_node_file(process)
