--- a/tests/scenarios/flood.lua
+++ b/tests/scenarios/flood.lua
@@ -75,6 +75,7 @@
     return #open == 0
   end)
   result.line = flood.last_line(log)
+  result.closed = flood.closed(log)
   result.memory_kb = flood.memory_kb(process, "VmHWM")
   signal(pid, "KILL")
   fleet.wait_until("the flood has ended", 2000, function() return exited(pid) end)
