--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -50,12 +50,12 @@
 function jobfleet:add_process(platform_port)
   local index = #self.processes + 1
   local process = {name = "vm-entry-" .. index, front = free_port(), ready = free_port(),
-                   metrics = free_port(), starts = 0}
+                   metrics = free_port(), peer = free_port(), starts = 0}
   process.file = DIR .. "/" .. process.name .. ".conf"
   process.settings = {
     {"node", process.name}, {"zone", "zone-" .. index}, {"ip", HOST},
     {"listen.front", HOST .. ":" .. process.front}, {"listen.ready", HOST .. ":" .. process.ready},
-    {"port_range", free_port() .. ",65535"}, {"platform.address", HOST .. ":" .. platform_port},
+    {"port_range", process.peer .. ",65535"}, {"platform.address", HOST .. ":" .. platform_port},
     {"cloud.address", HOST .. ":" .. platform_port}}
   self.processes[index] = process
   jobfleet.write_node_file(process)
@@ -67,7 +67,8 @@
   process.starts = process.starts + 1
   process.log = string.format("%s/%s.%d.log", DIR, process.name, process.starts)
   local argv = {"sassafrascartd", "--node-file", process.file, "--metrics-port",
-                tostring(process.metrics), log = process.log}
+                tostring(process.metrics), log = process.log,
+                descriptors_max = process.descriptors_max}
   for name, value in pairs(options or {}) do argv[name] = value end
   process.pid = spawn(argv)
 end
