--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -495,6 +495,18 @@
 	platform_destroy(process->store);
 }
 
+static void stopped_log(const struct jobd_process *process)
+{
+	struct ingress_counts counts;
+
+	ingress_server_counts(process->caller_server, &counts);
+	log_info("process-stopped",
+		 "ended %" G_GUINT64_FORMAT " ms after the stop signal, "
+		 "requests in progress %u, caller connections %u",
+		 loop_now_ms() - process->stopping_since_ms,
+		 ingress_server_in_flight(process->caller_server), counts.open);
+}
+
 static int process_run(struct jobd_process *process)
 {
 	enum err_kind err;
@@ -519,9 +531,7 @@
 			 process->settings.node_name,
 			 process->settings.availability_zone);
 		loop_run_until_stopped(process->loop);
-		log_info("process-stopped",
-			 "ended %" G_GUINT64_FORMAT " ms after the stop signal",
-			 loop_now_ms() - process->stopping_since_ms);
+		stopped_log(process);
 	} else {
 		fprintf(stderr, "sassafrascartd: cannot start: %s\n",
 			err_describe(err));
