Bound the bytes of incomplete requests held in memory

What was seen: 300 connections that each sent a body of 1 MB but its end, as fast as a link of 0.5 Gbit/s, took a process of job mode to 303 MB; VMs have 160 to 512 MB and kill a process beyond that.

Cause: h2o holds each request in memory until it is complete, and only the size of one was bounded.

Change: while all incomplete requests together hold more than 32 MB (256 MB in proxy mode), connections with large ones are closed, first those that made no progress since the last check. The check runs every 250 ms while there are so many connections that they could exceed the bound.

--- a/bin/sassafrascartd/daemon.c
+++ b/bin/sassafrascartd/daemon.c
@@ -24,6 +24,8 @@
  */
 #define DAEMON_PEER_POLLS_PER_WINDOW 4
 #define DAEMON_PEER_FAN_OUT 3
+/* Bytes of all incomplete requests together. */
+#define DAEMON_INPUT_MAX_BYTES (256u * 1024u * 1024u)
 
 static void on_request(void *data, struct ingress_request *request)
 {
@@ -263,6 +265,7 @@
 		.ip = settings->listen.ip,
 		.port = settings->listen.port,
 		.body_max_bytes = settings->body_max_bytes,
+		.input_max_bytes = DAEMON_INPUT_MAX_BYTES,
 		.connections_max =
 			MIN(settings->connections_max, plan.caller_connections),
 		.idle_timeout_ms = settings->idle_timeout_ms,
--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -29,6 +29,8 @@
 #define JOBD_LEASE_TTL_S 1
 /* Maximum size of a request body until the configuration sets another limit. */
 #define JOBD_BODY_MAX_BYTES (1024u * 1024u)
+/* Bytes of all incomplete requests together. */
+#define JOBD_INPUT_MAX_BYTES (32u * 1024u * 1024u)
 /* Idle timeout of caller connections. */
 #define JOBD_IDLE_TIMEOUT_MS 60000
 /*
@@ -318,6 +320,7 @@
 		.ip = endpoint->ip,
 		.port = endpoint->port,
 		.body_max_bytes = JOBD_BODY_MAX_BYTES,
+		.input_max_bytes = JOBD_INPUT_MAX_BYTES,
 		.connections_max = connections_max,
 		.idle_timeout_ms = JOBD_IDLE_TIMEOUT_MS,
 	};
--- a/packages/caller/include/ingress.h
+++ b/packages/caller/include/ingress.h
@@ -42,6 +42,9 @@
 	/** 0 for any free port */
 	uint16_t port;
 	uint64_t body_max_bytes;
+	/** bytes of all incomplete requests together, beyond which connections
+	 *  with large ones are closed; 0 for no bound */
+	uint64_t input_max_bytes;
 	/**
 	 * A further connection takes the place of the one that has waited
 	 * longest without a request in progress. If all have one, a few more
@@ -59,7 +62,8 @@
 	uint32_t open;
 	/** requests refused because of connections_max */
 	uint64_t refused;
-	/** closed because the rest of a request did not arrive in time */
+	/** closed because the rest of a request did not arrive in time, or
+	 *  incomplete requests held too many bytes */
 	uint64_t half_sent;
 	/** closed to make room for another one */
 	uint64_t evicted;
--- a/packages/caller/src/ingress.c
+++ b/packages/caller/src/ingress.c
@@ -191,6 +191,9 @@
 	server->ops = ops;
 	server->data = data;
 	server->connections_max = config->connections_max;
+	server->input_max_bytes = config->input_max_bytes > 0
+					  ? config->input_max_bytes
+					  : UINT64_MAX;
 	err = ingress_accept_start(server, config->ip, config->port);
 	if (err != ERR_NONE) {
 		g_free(server);
--- a/packages/caller/src/ingress_accept.c
+++ b/packages/caller/src/ingress_accept.c
@@ -8,8 +8,10 @@
 #define INGRESS_CLOSING_MAX 4
 /* Pause in which accepted connections are read and closing ones are closed. */
 #define INGRESS_SETTLE_MS 2
-/* Interval between checks for incomplete requests. */
+/* Interval between checks for incomplete requests, and while these could exceed
+ * the bound on their bytes. */
 #define INGRESS_CHECK_MS 1000
+#define INGRESS_CHECK_BYTES_MS 250
 
 static uint32_t refusals_max(const struct ingress_server *server)
 {
@@ -48,14 +50,24 @@
 	return false;
 }
 
+static void check_schedule(struct ingress_server *server)
+{
+	bool bytes_may_exceed =
+		server->counts.open * server->config.max_request_entity_size >
+		server->input_max_bytes;
+
+	loop_timer_set(server->loop, &server->check_timer,
+		       bytes_may_exceed ? INGRESS_CHECK_BYTES_MS
+					: INGRESS_CHECK_MS);
+}
+
 static void on_check(void *data)
 {
 	struct ingress_server *server = data;
 
 	ingress_connection_check_all(server);
 	if (server->counts.open > 0)
-		loop_timer_set(server->loop, &server->check_timer,
-			       INGRESS_CHECK_MS);
+		check_schedule(server);
 }
 
 static void on_accept(void *data, h2o_socket_t *sock)
@@ -64,8 +76,7 @@
 
 	ingress_connection_create(server, sock);
 	if (!timer_is_set(&server->check_timer))
-		loop_timer_set(server->loop, &server->check_timer,
-			       INGRESS_CHECK_MS);
+		check_schedule(server);
 	h2o_accept(&server->accept_ctx, sock);
 }
 
--- a/packages/caller/src/ingress_connection.c
+++ b/packages/caller/src/ingress_connection.c
@@ -163,6 +163,7 @@
 		connection->window_ms = now_ms;
 		connection->window_bytes = bytes;
 	}
+	connection->grew = bytes > connection->input_bytes;
 	connection->input_bytes = bytes;
 }
 
@@ -265,19 +266,48 @@
 	return !body_makes_progress(connection, now_ms);
 }
 
-static void list_check(GQueue *list, uint64_t now_ms)
+static void half_sent_close(struct ingress_connection *connection)
 {
+	connection->server->counts.half_sent++;
+	connection_close(connection);
+}
+
+/* Returns the bytes of the incomplete requests that remain. */
+static uint64_t list_check(GQueue *list, uint64_t now_ms)
+{
+	uint64_t bytes = 0;
 	GList *next;
 
 	for (GList *node = list->head; node; node = next) {
 		struct ingress_connection *connection = node->data;
 
 		next = node->next;
-		if (!request_is_overdue(connection, now_ms))
+		if (request_is_overdue(connection, now_ms))
+			half_sent_close(connection);
+		else
+			bytes += connection->input_bytes;
+	}
+	return bytes;
+}
+
+/* Closes connections with large incomplete requests until these are within the
+ * bound; returns the bytes that remain. */
+static uint64_t list_bound(GQueue *list, uint64_t bytes, uint64_t max_bytes,
+			   bool growing)
+{
+	GList *next;
+
+	for (GList *node = list->head; node && bytes > max_bytes; node = next) {
+		struct ingress_connection *connection = node->data;
+
+		next = node->next;
+		if (connection->grew != growing ||
+		    connection->input_bytes <= INGRESS_HEAD_MAX_BYTES)
 			continue;
-		connection->server->counts.half_sent++;
-		connection_close(connection);
+		bytes -= connection->input_bytes;
+		half_sent_close(connection);
 	}
+	return bytes;
 }
 
 static void closing_check(GQueue *closing)
@@ -294,9 +324,18 @@
 
 void ingress_connection_check_all(struct ingress_server *server)
 {
+	GQueue *const lists[] = { &server->fresh, &server->idle };
 	uint64_t now_ms = loop_now_ms();
+	uint64_t bytes = 0;
 
 	closing_check(&server->closing);
-	list_check(&server->fresh, now_ms);
-	list_check(&server->idle, now_ms);
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		bytes += list_check(lists[i], now_ms);
+	/* Those that make no progress go first. */
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		bytes = list_bound(lists[i], bytes, server->input_max_bytes,
+				   false);
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		bytes = list_bound(lists[i], bytes, server->input_max_bytes,
+				   true);
 }
--- a/packages/caller/src/ingress_private.h
+++ b/packages/caller/src/ingress_private.h
@@ -37,6 +37,8 @@
 	/** when the incomplete request began, 0 for none */
 	uint64_t begun_ms;
 	uint64_t input_bytes;
+	/** bytes have arrived between the last two checks */
+	bool grew;
 	/** start of the window in which the body must make progress */
 	uint64_t window_ms;
 	uint64_t window_bytes;
@@ -54,6 +56,7 @@
 	bool shutting_down;
 	uint32_t open_requests;
 	uint32_t connections_max;
+	uint64_t input_max_bytes;
 	struct ingress_counts counts;
 	/** connections without a request in progress, by waiting time: those
 	 *  that never had a whole request, those that had one, and those that
@@ -107,8 +110,8 @@
  *  progress. */
 enum ingress_eviction ingress_connection_evict(struct ingress_server *server);
 
-/** @brief Closes connections whose requests stay incomplete; called once every
- *  INGRESS_CHECK_MS while there are connections. */
+/** @brief Closes connections whose requests stay incomplete, or together hold
+ *  too many bytes; called repeatedly while there are connections. */
 void ingress_connection_check_all(struct ingress_server *server);
 
 #endif
--- a/tests/scenarios/inputs_ports.lua
+++ b/tests/scenarios/inputs_ports.lua
@@ -13,6 +13,8 @@
 local MEMORY_GROWTH_MAX_KB = 16 * 1024
 -- Bound of the process on a request's head, and what the flood sends of it in a second.
 local HEAD_MAX_BYTES, HEADER_BYTES_PER_S = 32768, 20480
+-- Bodies of 1 MB, which a VM with the least memory, 160 MB, could not hold.
+local FILL_CONNECTIONS, FILL_MS, FILL_MEMORY_MAX_KB = 300, 5500, 128 * 1024
 local PEER_DATAGRAMS = 2000
 local AT_ONCE_MS = 1000
 
@@ -49,6 +51,13 @@
   end
 end
 
+-- Bodies that do not end hold a bounded amount of memory.
+local result = flood.run{platform = platform, process = process, port = process.front, mode = "fill",
+                         connections = FILL_CONNECTIONS, for_ms = FILL_MS}
+print(flood.describe("fill", result))
+flood.check("fill", result, CPU_SHARE_MAX)
+assert(result.memory_kb < FILL_MEMORY_MAX_KB, "incomplete bodies took " .. result.memory_kb .. " KB")
+
 -- The peer port of proxy mode gets datagrams.
 local f = fleet.new{backends = {{name = "vm-a", zone = "z1", rack = "r1"}}}
 local gateway = f:add_gateway("entry-1")
--- a/tests/standin/flood.c
+++ b/tests/standin/flood.c
@@ -12,6 +12,8 @@
  *   header  sends a header that does not end
  *   body    announces a body of FLOOD_BODY_BYTES and sends it without end
  *   upload  sends a body of FLOOD_UPLOAD_BYTES, one byte a second
+ *   fill    sends all of a body of FLOOD_FILL_BYTES but its end, in parts of
+ *           FLOOD_FILL_PART_BYTES per tick
  *   reset   sends a request and aborts the connection at the first byte of the
  *           answer
  *
@@ -40,6 +42,8 @@
 #define FLOOD_CHUNK_BYTES 2048
 #define FLOOD_BODY_BYTES "1000000000"
 #define FLOOD_UPLOAD_BYTES "500000"
+#define FLOOD_FILL_BYTES 1000000
+#define FLOOD_FILL_PART_BYTES 20000
 #define FLOOD_STATUS_MAX 600
 
 enum flood_mode {
@@ -49,15 +53,16 @@
 	FLOOD_HEADER,
 	FLOOD_BODY,
 	FLOOD_UPLOAD,
+	FLOOD_FILL,
 	FLOOD_RESET,
 	FLOOD_MODE_COUNT
 };
 
 static const char *const flood_mode_names[FLOOD_MODE_COUNT] = {
-	[FLOOD_IDLE] = "idle",	 [FLOOD_HALF] = "half",
-	[FLOOD_DRIP] = "drip",	 [FLOOD_HEADER] = "header",
-	[FLOOD_BODY] = "body",	 [FLOOD_UPLOAD] = "upload",
-	[FLOOD_RESET] = "reset",
+	[FLOOD_IDLE] = "idle", [FLOOD_HALF] = "half",
+	[FLOOD_DRIP] = "drip", [FLOOD_HEADER] = "header",
+	[FLOOD_BODY] = "body", [FLOOD_UPLOAD] = "upload",
+	[FLOOD_FILL] = "fill", [FLOOD_RESET] = "reset",
 };
 
 struct flood_connection {
@@ -71,6 +76,9 @@
 	/* bytes of the request sent so far, in the modes that send single ones
 	 */
 	size_t dripped_bytes;
+	/* bytes of the body sent so far, in the mode that sends all but its end
+	 */
+	size_t filled_bytes;
 	char byte;
 };
 
@@ -89,6 +97,7 @@
 	uint64_t connect_failed;
 	uint64_t answers[FLOOD_STATUS_MAX];
 	char chunk[FLOOD_CHUNK_BYTES];
+	char *fill;
 };
 
 static void connection_close(struct flood_connection *connection)
@@ -183,6 +192,7 @@
 
 	connection->answered = false;
 	connection->writing = false;
+	connection->filled_bytes = 0;
 	connection->dripped_bytes = 0;
 	connection->sock = h2o_socket_connect(
 		loop_h2o(flood->loop), (struct sockaddr *)&flood->target,
@@ -214,6 +224,15 @@
 	struct flood *flood = connection->flood;
 
 	switch (flood->mode) {
+	case FLOOD_FILL:
+		if (connection->writing ||
+		    connection->filled_bytes + FLOOD_FILL_PART_BYTES >=
+			    FLOOD_FILL_BYTES)
+			break;
+		connection->filled_bytes += FLOOD_FILL_PART_BYTES;
+		connection_write(connection, flood->fill,
+				 FLOOD_FILL_PART_BYTES);
+		break;
 	case FLOOD_HEADER:
 	case FLOOD_BODY:
 		connection_write(connection, flood->chunk,
@@ -284,6 +303,9 @@
 	case FLOOD_UPLOAD:
 		return g_strconcat("POST ", path, head, "content-length: ",
 				   FLOOD_UPLOAD_BYTES "\r\n\r\n", NULL);
+	case FLOOD_FILL:
+		return g_strdup_printf("POST %s%scontent-length: %d\r\n\r\n",
+				       path, head, FLOOD_FILL_BYTES);
 	default:
 		return g_strconcat("GET ", path, head, "\r\n", NULL);
 	}
@@ -318,6 +340,7 @@
 			connection_close(&flood->connections[i]);
 	}
 	loop_destroy(flood->loop);
+	g_free(flood->fill);
 	g_free(flood->connections);
 	g_free(flood->request);
 }
@@ -329,7 +352,7 @@
 	if ((argc != 4 && argc != 5) || !mode_parse(argv[3], &flood.mode)) {
 		fprintf(stderr,
 			"usage: %s PORT COUNT "
-			"idle|half|drip|header|body|upload|reset [PATH]\n",
+			"idle|half|drip|header|body|upload|fill|reset [PATH]\n",
 			argv[0]);
 		return 2;
 	}
@@ -340,6 +363,7 @@
 	flood.count = (uint32_t)atoi(argv[2]);
 	flood.request = request_text(flood.mode, argc == 5 ? argv[4] : "/");
 	memset(flood.chunk, 'x', sizeof(flood.chunk));
+	flood.fill = g_malloc0(FLOOD_FILL_PART_BYTES);
 	flood.connections = g_new0(struct flood_connection, flood.count);
 	for (uint32_t i = 0; i < flood.count; i++)
 		flood.connections[i].flood = &flood;
