Serve others beside many uploads in progress

With 64 descriptors in proxy mode and 200 callers that each send a body of 1 MB at 200 KB/s, the connections beyond the bound were taken by uploads as well, and nothing more was accepted: 0 of 15 requests and 0 of 15 probes of the health page were answered, where 503 was promised.

An upload beyond the bound, whose request would be refused, now gives way after 40 ms. A request that arrives whole on such a connection is served while fewer than the bound are in progress.

descriptors_proxy.lua floods proxy mode in all modes.

Memory is not checked in programs with AddressSanitizer, which keeps freed memory.

--- a/packages/caller/src/ingress_connection.c
+++ b/packages/caller/src/ingress_connection.c
@@ -16,7 +16,7 @@
 /* Time for the first bytes after a connection was accepted or answered. */
 #define INGRESS_SILENT_GRACE_MS 10
 /* Connections that are looked at for one that may be closed. */
-#define INGRESS_EVICT_CANDIDATES 32
+#define INGRESS_EVICT_CANDIDATES 64
 
 static void list_set(struct ingress_connection *connection, GQueue *list)
 {
@@ -60,6 +60,8 @@
 	connection->server = server;
 	connection->sock = sock;
 	connection->link.data = connection;
+	connection->over_bound = ingress_connection_live_count(server) >=
+				 server->connections_max;
 	connection->empty_ms = loop_now_ms();
 	connection->silent_ms = connection->empty_ms;
 	list_set(connection, &server->fresh);
@@ -171,11 +173,16 @@
 static enum ingress_eviction
 body_evictable(const struct ingress_connection *connection, uint64_t now_ms)
 {
+	const struct ingress_server *server = connection->server;
 	uint64_t age_ms = now_ms - connection->begun_ms;
 	uint64_t body_bytes = connection->input_bytes - connection->head_bytes;
 
 	if (age_ms <= INGRESS_BODY_SLOW_GRACE_MS)
 		return INGRESS_EVICTION_UNDECIDED;
+	/* Its request would be refused. */
+	if (connection->over_bound &&
+	    ingress_connection_live_count(server) > server->connections_max)
+		return INGRESS_EVICTED;
 	return body_bytes < age_ms * INGRESS_BODY_SLOW_BYTES_PER_S / 1000
 		       ? INGRESS_EVICTED
 		       : INGRESS_EVICTION_NONE;
--- a/packages/caller/src/ingress_private.h
+++ b/packages/caller/src/ingress_private.h
@@ -22,6 +22,8 @@
 	GList link;
 	GQueue *list;
 	uint32_t requests;
+	/** accepted beyond connections_max */
+	bool over_bound;
 	/** no request is read from it any more */
 	bool closing;
 	/** closing was repeated, as the first attempt had no effect */
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -133,6 +133,7 @@
                 log = DIR .. "/" .. name .. ".log"}
   for _, word in ipairs(self.flags) do table.insert(argv, word) end
   for _, word in ipairs(extra or {}) do table.insert(argv, word) end
+  argv.descriptors_max = extra and extra.descriptors_max
   gateway.pid = spawn(argv)
   wait_for_port(gateway.port)
   self.gateways[name] = gateway
