--- a/packages/caller/src/ingress_connection.c
+++ b/packages/caller/src/ingress_connection.c
@@ -16,7 +16,7 @@
 /* Time for the first bytes after a connection was accepted or answered. */
 #define INGRESS_SILENT_GRACE_MS 10
 /* Connections that are looked at for one that may be closed. */
-#define INGRESS_EVICT_CANDIDATES 32
+#define INGRESS_EVICT_CANDIDATES 64
 
 static void list_set(struct ingress_connection *connection, GQueue *list)
 {
@@ -60,6 +60,8 @@
 	connection->server = server;
 	connection->sock = sock;
 	connection->link.data = connection;
+	connection->over_bound = ingress_connection_live_count(server) >=
+				 server->connections_max;
 	connection->empty_ms = loop_now_ms();
 	connection->silent_ms = connection->empty_ms;
 	list_set(connection, &server->fresh);
@@ -164,6 +166,7 @@
 		connection->window_ms = now_ms;
 		connection->window_bytes = bytes;
 	}
+	connection->grew = bytes > connection->input_bytes;
 	connection->input_bytes = bytes;
 }
 
@@ -171,11 +174,16 @@
 static enum ingress_eviction
 body_evictable(const struct ingress_connection *connection, uint64_t now_ms)
 {
+	const struct ingress_server *server = connection->server;
 	uint64_t age_ms = now_ms - connection->begun_ms;
 	uint64_t body_bytes = connection->input_bytes - connection->head_bytes;
 
 	if (age_ms <= INGRESS_BODY_SLOW_GRACE_MS)
 		return INGRESS_EVICTION_UNDECIDED;
+	/* Its request would be refused. */
+	if (connection->over_bound &&
+	    ingress_connection_live_count(server) > server->connections_max)
+		return INGRESS_EVICTED;
 	return body_bytes < age_ms * INGRESS_BODY_SLOW_BYTES_PER_S / 1000
 		       ? INGRESS_EVICTED
 		       : INGRESS_EVICTION_NONE;
@@ -266,19 +274,48 @@
 	return !body_makes_progress(connection, now_ms);
 }
 
-static void list_check(GQueue *list, uint64_t now_ms)
+static void half_sent_close(struct ingress_connection *connection)
+{
+	connection->server->counts.half_sent++;
+	connection_close(connection);
+}
+
+/* Returns the bytes of the incomplete requests that remain. */
+static uint64_t list_check(GQueue *list, uint64_t now_ms)
 {
+	uint64_t bytes = 0;
 	GList *next;
 
 	for (GList *node = list->head; node; node = next) {
 		struct ingress_connection *connection = node->data;
 
 		next = node->next;
-		if (!request_is_overdue(connection, now_ms))
+		if (request_is_overdue(connection, now_ms))
+			half_sent_close(connection);
+		else
+			bytes += connection->input_bytes;
+	}
+	return bytes;
+}
+
+/* Closes connections with large incomplete requests until these are within the
+ * bound; returns the bytes that remain. */
+static uint64_t list_bound(GQueue *list, uint64_t bytes, uint64_t max_bytes,
+			   bool growing)
+{
+	GList *next;
+
+	for (GList *node = list->head; node && bytes > max_bytes; node = next) {
+		struct ingress_connection *connection = node->data;
+
+		next = node->next;
+		if (connection->grew != growing ||
+		    connection->input_bytes <= INGRESS_HEAD_MAX_BYTES)
 			continue;
-		connection->server->counts.half_sent++;
-		connection_close(connection);
+		bytes -= connection->input_bytes;
+		half_sent_close(connection);
 	}
+	return bytes;
 }
 
 static void closing_check(GQueue *closing)
@@ -295,9 +332,18 @@
 
 void ingress_connection_check_all(struct ingress_server *server)
 {
+	GQueue *const lists[] = { &server->fresh, &server->idle };
 	uint64_t now_ms = loop_now_ms();
+	uint64_t bytes = 0;
 
 	closing_check(&server->closing);
-	list_check(&server->fresh, now_ms);
-	list_check(&server->idle, now_ms);
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		bytes += list_check(lists[i], now_ms);
+	/* Those that make no progress go first. */
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		bytes = list_bound(lists[i], bytes, server->input_max_bytes,
+				   false);
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++)
+		bytes = list_bound(lists[i], bytes, server->input_max_bytes,
+				   true);
 }
