--- a/tests/runner.c
+++ b/tests/runner.c
@@ -2,9 +2,10 @@
  * @file runner.c
  * @brief Runs a scenario: a Lua file that starts processes and sends requests.
  *
- * Usage: runner BIN_DIR SCENARIO.lua [SEED]. Prints one line with PASS or FAIL
- * and exits with 0 only if the scenario raised no error. Processes that the
- * scenario left running are killed. The log directory is kept on failure.
+ * Usage: runner BIN_DIR SCENARIO.lua [SEED [ARGUMENT...]]. Prints one line with
+ * PASS or FAIL and exits with 0 only if the scenario raised no error. Processes
+ * that the scenario left running are killed. The log directory is kept on
+ * failure. A scenario finds the arguments after the seed in the list ARGUMENTS.
  */
 #include "runner.h"
 
@@ -23,6 +24,7 @@
 #include "runner_file.h"
 #include "runner_http.h"
 #include "runner_process.h"
+#include "runner_tcp.h"
 #include "runner_udp.h"
 
 /*
@@ -206,11 +208,18 @@
 	runner_process_register(lua);
 	runner_file_register(lua);
 	runner_http_register(lua);
+	runner_tcp_register(lua);
 	runner_udp_register(lua);
 	lua_pushstring(lua, runner->dir);
 	lua_setglobal(lua, "DIR");
 	lua_pushinteger(lua, runner->seed);
 	lua_setglobal(lua, "SEED");
+	lua_newtable(lua);
+	for (int i = 0; runner->arguments[i]; i++) {
+		lua_pushstring(lua, runner->arguments[i]);
+		lua_seti(lua, -2, i + 1);
+	}
+	lua_setglobal(lua, "ARGUMENTS");
 	lua_getglobal(lua, "package");
 	lua_pushstring(lua, path);
 	lua_setfield(lua, -2, "path");
@@ -258,11 +267,15 @@
 	int status;
 
 	if (argc < 3 || !dir) {
-		fputs("usage: runner BIN_DIR SCENARIO.lua [SEED]\n", stderr);
+		fputs("usage: runner BIN_DIR SCENARIO.lua [SEED "
+		      "[ARGUMENT...]]\n",
+		      stderr);
 		return 2;
 	}
 	if (argc > 3)
 		runner.seed = (guint32)strtoul(argv[3], NULL, 10);
+	/* argv ends with a null pointer. */
+	runner.arguments = argv + MIN(argc, 4);
 	runner.bin_dir = argv[1];
 	runner.dir = dir;
 	runner.pids = g_array_new(FALSE, FALSE, sizeof(pid_t));
--- a/tests/runner.h
+++ b/tests/runner.h
@@ -18,6 +18,8 @@
 	/** directory for the logs and files of the run */
 	const char *dir;
 	guint32 seed;
+	/** arguments of the scenario, ends with NULL */
+	char **arguments;
 	/** child processes that have not been reaped, of pid_t */
 	GArray *pids;
 	/** curl handle of all transfers in progress */
