--- a/tests/runner_tcp.c
+++ b/tests/runner_tcp.c
@@ -21,7 +21,7 @@
 	if (fd < 0)
 		return luaL_error(lua, "cannot open a TCP socket");
 	/* A failure is reported by the first send or receive. */
-	connect(fd, (struct sockaddr *)&to, sizeof(to));
+	(void)connect(fd, (struct sockaddr *)&to, sizeof(to));
 	lua_pushinteger(lua, fd);
 	return 1;
 }
@@ -39,8 +39,8 @@
 {
 	size_t len;
 	const char *bytes = luaL_checklstring(lua, 2, &len);
-	ssize_t sent = send((int)luaL_checkinteger(lua, 1), bytes, len,
-			    MSG_NOSIGNAL);
+	ssize_t sent =
+		send((int)luaL_checkinteger(lua, 1), bytes, len, MSG_NOSIGNAL);
 
 	if (sent < 0 && errno != EAGAIN)
 		return failure_push(lua);
--- a/tests/scenarios/descriptors_proxy.lua
+++ b/tests/scenarios/descriptors_proxy.lua
@@ -9,7 +9,7 @@
 local MODE_MS = 1500
 
 local f = fleet.new{backends = {{name = "vm-a", zone = "z1", rack = "r1"}}}
-local gateway = f:add_gateway("entry-1", {descriptors_max = DESCRIPTORS_MAX})
+local gateway = f:add_gateway("entry-1", nil, {descriptors_max = DESCRIPTORS_MAX})
 f:publish(1, {{name = "draws", vms = {"vm-a"}}}, {{path = "/draws", pool = "draws", deadline_ms = 3000}})
 f:must_ctl("roll", 1)
 f:wait_serving(gateway)
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -135,7 +135,6 @@
   for _, word in ipairs(self.flags) do table.insert(argv, word) end
   for _, word in ipairs(extra or {}) do table.insert(argv, word) end
   for key, value in pairs(options or {}) do argv[key] = value end
-  argv.descriptors_max = extra and extra.descriptors_max
   gateway.pid = spawn(argv)
   wait_for_port(gateway.port)
   self.gateways[name] = gateway
