Refuse submissions that do not fit a message or a value

What callers saw: after a submission with a label, rack or image of about 1 MiB, the process that forwarded it ended with SIGABRT; its other requests in flight ended without an answer. A queue name of 256 bytes in the configuration did the same for each forwarded call.

Cause: only the payload of a job was bounded. The encoder of calls between processes asserted that its input fits the protocol, while the encoding of a job is longer than the caller's text: by member names, and up to six times by escaped characters.

Evidence: scenario large_submission, non-owner first, at: "label of 1 MiB at vm-entry-1: vm-entry-1 ended with code -6". Sent to the owner first: answered with 200.

Change: a label, rack or image has at most 1,024 bytes (400), an encoded specification at most 256 KiB (413), checked where the caller's body is decoded and again where a call from a peer is. The encoder returns ERR_TOO_LARGE, which ends just this call, a submission as "not run". A longer reason in a reply is cut.

That a call of ERR_TOO_LARGE from the encoder ends as "not run" is by reading: no input reaches it any more.

--- a/packages/jobs/include/catalogue.h
+++ b/packages/jobs/include/catalogue.h
@@ -12,6 +12,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Maximum length of a queue's name, which calls between processes carry. */
+#define CATALOGUE_QUEUE_NAME_MAX_BYTES 255
+
 /** A queue of jobs. */
 struct catalogue_queue {
 	char *name;
--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -20,6 +20,8 @@
 #define JOB_ID_LEN 16
 /** Maximum length of the payload, in bytes. */
 #define JOB_PAYLOAD_MAX_BYTES 4000
+/** Maximum length of a step's label, rack and image, in bytes. */
+#define JOB_TEXT_MAX_BYTES 1024
 /** Maximum number of steps of a job; dependencies are a 64-bit mask. */
 #define JOB_STEPS_MAX 64
 /** Maximum number of tasks per occurrence; bounds the memory of a job. */
--- a/packages/jobs/include/job_record.h
+++ b/packages/jobs/include/job_record.h
@@ -22,13 +22,20 @@
 /** Prefix of keys with end records, followed by epoch and sequence. */
 #define JOB_RECORD_PREFIX_END "/sassafrascart/job-end/"
 
+/**
+ * Maximum length of an encoded specification. It leaves room in a message
+ * between processes, and in a value of the store, for what surrounds it.
+ */
+#define JOB_RECORD_SPEC_MAX_BYTES (256u * 1024u)
+
 /** @brief Encodes a specification. @return JSON text, owned by the caller */
 char *job_record_spec_encode(const struct job_spec *spec);
 
 /**
  * @brief Decodes a specification.
  * @param out owned by the caller, set with ERR_NONE
- * @return ERR_NONE, ERR_MALFORMED, or an error of job_spec_check()
+ * @return ERR_NONE, ERR_MALFORMED, ERR_TOO_LARGE if the text is longer than
+ *         JOB_RECORD_SPEC_MAX_BYTES, or an error of job_spec_check()
  */
 enum err_kind job_record_spec_decode(const char *text, size_t len,
 				     struct job_spec **out);
--- a/packages/jobs/include/jobs.h
+++ b/packages/jobs/include/jobs.h
@@ -77,7 +77,9 @@
 struct jobs_peers {
 	/**
 	 * Sends a call. The callback gets ERR_NONE and the answer, ERR_CONNECT
-	 * if nothing was sent, or another kind if the effect is unknown.
+	 * if nothing was sent, ERR_TOO_LARGE if nothing was sent because the
+	 * call does not fit a message, or another kind if the effect is
+	 * unknown.
 	 */
 	void (*send)(void *self, const char *ip, uint16_t port,
 		     const struct jobs_call *call,
--- a/packages/jobs/src/job.c
+++ b/packages/jobs/src/job.c
@@ -32,6 +32,11 @@
 	g_free(spec);
 }
 
+static bool text_is_valid(const char *text)
+{
+	return !text || strlen(text) <= JOB_TEXT_MAX_BYTES;
+}
+
 static const char *step_check(const struct job_step *step, guint index)
 {
 	if (step->count == 0)
@@ -41,6 +46,9 @@
 	if (step->need.cpu_milli < 0 || step->need.memory_mb < 0 ||
 	    step->need.accelerators < 0)
 		return "a step has a negative resource need";
+	if (!text_is_valid(step->label) || !text_is_valid(step->data_rack) ||
+	    !text_is_valid(step->image))
+		return "a label, rack or image is too long";
 	return NULL;
 }
 
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -150,11 +150,14 @@
 enum err_kind job_record_spec_decode(const char *text, size_t len,
 				     struct job_spec **out)
 {
-	g_autoptr(json_t) json = json_loadb(text, len, 0, NULL);
+	g_autoptr(json_t) json = NULL;
 	struct job_spec *spec;
 	const char *why;
 	enum err_kind err;
 
+	if (len > JOB_RECORD_SPEC_MAX_BYTES)
+		return ERR_TOO_LARGE;
+	json = json_loadb(text, len, 0, NULL);
 	if (!json_is_object(json))
 		return ERR_MALFORMED;
 	spec = spec_from_json(json);
--- a/packages/jobs/src/jobs.c
+++ b/packages/jobs/src/jobs.c
@@ -272,6 +272,10 @@
 		on_answer(request, answer);
 		return;
 	}
+	if (err == ERR_TOO_LARGE) {
+		request_fail(request, "the call does not fit a message");
+		return;
+	}
 	owner_unreachable(request->service, err);
 	if (err != ERR_CONNECT)
 		effect_unknown_set(request);
--- a/packages/jobs/tests/test_segment.c
+++ b/packages/jobs/tests/test_segment.c
@@ -161,6 +161,28 @@
 }
 END_TEST
 
+START_TEST(test_too_large_specification_is_refused)
+{
+	static const char empty[] = "{\"text\":\"\",\"steps\":[{\"count\":1}],"
+				    "\"later\":\"\"}";
+
+	for (size_t over = 0; over < 2; over++) {
+		g_autofree char *fill = g_strnfill(
+			JOB_RECORD_SPEC_MAX_BYTES - strlen(empty) + over, 'a');
+		g_autofree char *text = g_strdup_printf(
+			"{\"text\":\"\",\"steps\":[{\"count\":1}],"
+			"\"later\":\"%s\"}",
+			fill);
+		struct job_spec *spec = NULL;
+
+		ck_assert_int_eq(
+			job_record_spec_decode(text, strlen(text), &spec),
+			over ? ERR_TOO_LARGE : ERR_NONE);
+		job_spec_destroy(spec);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("segment");
@@ -174,6 +196,7 @@
 	tcase_add_test(tests, test_end_record_round_trip);
 	tcase_add_test(tests, test_progress_record_round_trip);
 	tcase_add_test(tests, test_malformed_records_are_rejected);
+	tcase_add_test(tests, test_too_large_specification_is_refused);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
--- a/packages/peer/src/job_rpc.c
+++ b/packages/peer/src/job_rpc.c
@@ -343,17 +343,26 @@
 		      void *data)
 {
 	struct job_rpc_channel *channel = self;
-	struct job_rpc_connection *conn = connection_open(channel, ip, port);
+	uint32_t xid = ++channel->next_xid;
+	struct job_rpc_connection *conn;
 	struct job_rpc_outgoing *out;
+	GByteArray *bytes = NULL;
+	enum err_kind err = job_wire_call_encode(xid, call, &bytes);
 
+	if (err != ERR_NONE) {
+		cb(data, err, NULL);
+		return;
+	}
+	conn = connection_open(channel, ip, port);
 	if (!conn) {
+		g_byte_array_unref(bytes);
 		cb(data, ERR_CONNECT, NULL);
 		return;
 	}
 	out = g_new0(struct job_rpc_outgoing, 1);
 	out->conn = conn;
 	conn->refs++;
-	out->xid = ++channel->next_xid;
+	out->xid = xid;
 	out->sent = conn->connected;
 	out->sent_ms = loop_now_ms();
 	out->deadline_ms = out->sent_ms + call->deadline_ms;
@@ -364,7 +373,7 @@
 	g_hash_table_insert(conn->calls, GUINT_TO_POINTER(out->xid), out);
 	loop_timer_set(channel->loop, &out->timer,
 		       MIN(call->deadline_ms, JOB_RPC_INACTIVITY_TIMEOUT_MS));
-	connection_send(conn, job_wire_call_encode(out->xid, call));
+	connection_send(conn, bytes);
 }
 
 const struct jobs_peers job_rpc_peers = { .send = send_call };
--- a/packages/peer/src/job_wire.c
+++ b/packages/peer/src/job_wire.c
@@ -28,7 +28,8 @@
 	g_byte_array_set_size(out, JOB_WIRE_MARK_BYTES + record_bytes);
 }
 
-GByteArray *job_wire_call_encode(uint32_t xid, const struct jobs_call *call)
+enum err_kind job_wire_call_encode(uint32_t xid, const struct jobs_call *call,
+				   GByteArray **out)
 {
 	struct pjb_call wire = {
 		.verb = call->verb,
@@ -38,10 +39,8 @@
 		.spec = (char *)(call->spec ? call->spec : ""),
 	};
 	struct rpc_msg header = { .rm_xid = xid, .rm_direction = CALL };
-	GByteArray *out = buffer_create(strlen(wire.queue) + strlen(wire.id) +
-					strlen(wire.spec));
+	g_autoptr(GByteArray) bytes = NULL;
 	XDR xdrs;
-	bool ok;
 
 	header.rm_call.cb_rpcvers = RPC_MSG_VERSION;
 	header.rm_call.cb_prog = SASSAFRASCART_JOBS;
@@ -49,23 +48,28 @@
 	header.rm_call.cb_proc = SASSAFRASCART_JOB_CALL;
 	header.rm_call.cb_cred = _null_auth;
 	header.rm_call.cb_verf = _null_auth;
-	xdrmem_create(&xdrs, (char *)out->data + JOB_WIRE_MARK_BYTES,
-		      out->len - JOB_WIRE_MARK_BYTES, XDR_ENCODE);
-	ok = xdr_callmsg(&xdrs, &header) && xdr_pjb_call(&xdrs, &wire);
-	g_assert(ok);
-	buffer_finish(out, xdr_getpos(&xdrs));
-	return out;
+	bytes = buffer_create(strlen(wire.queue) + strlen(wire.id) +
+			      strlen(wire.spec));
+	xdrmem_create(&xdrs, (char *)bytes->data + JOB_WIRE_MARK_BYTES,
+		      bytes->len - JOB_WIRE_MARK_BYTES, XDR_ENCODE);
+	if (!xdr_callmsg(&xdrs, &header) || !xdr_pjb_call(&xdrs, &wire))
+		return ERR_TOO_LARGE;
+	buffer_finish(bytes, xdr_getpos(&xdrs));
+	*out = g_steal_pointer(&bytes);
+	return ERR_NONE;
 }
 
 GByteArray *job_wire_reply_encode(uint32_t xid,
 				  const struct jobs_answer *answer)
 {
+	g_autofree char *why =
+		g_strndup(answer->why ? answer->why : "", PJB_TEXT_MAX);
 	struct pjb_answer wire = {
 		.outcome = answer->outcome,
 		.state = answer->state,
 		.waiting = answer->waiting,
 		.retry_after_ms = answer->retry_after_ms,
-		.why = (char *)(answer->why ? answer->why : ""),
+		.why = why,
 	};
 	struct rpc_msg header = { .rm_xid = xid, .rm_direction = REPLY };
 	GByteArray *out = buffer_create(strlen(wire.why));
--- a/packages/peer/src/job_wire.h
+++ b/packages/peer/src/job_wire.h
@@ -25,11 +25,15 @@
 	struct pjb_answer answer;
 };
 
-/** @brief Encodes a call with its record mark.
- *  @return record, free with g_byte_array_unref() */
-GByteArray *job_wire_call_encode(uint32_t xid, const struct jobs_call *call);
+/**
+ * @brief Encodes a call with its record mark.
+ * @param out set to the record on ERR_NONE, free with g_byte_array_unref()
+ * @return ERR_NONE, or ERR_TOO_LARGE if a string does not fit the protocol
+ */
+enum err_kind job_wire_call_encode(uint32_t xid, const struct jobs_call *call,
+				   GByteArray **out);
 
-/** @brief Encodes a reply with its record mark.
+/** @brief Encodes a reply with its record mark; a longer reason is cut.
  *  @return record, free with g_byte_array_unref() */
 GByteArray *job_wire_reply_encode(uint32_t xid,
 				  const struct jobs_answer *answer);
--- a/packages/peer/tests/test_job_wire.c
+++ b/packages/peer/tests/test_job_wire.c
@@ -21,9 +21,17 @@
 	.deadline_ms = 9,
 };
 
+static GByteArray *call_encode(const struct jobs_call *from)
+{
+	GByteArray *bytes = NULL;
+
+	ck_assert_int_eq(job_wire_call_encode(XID, from, &bytes), ERR_NONE);
+	return bytes;
+}
+
 START_TEST(test_call_round_trip)
 {
-	g_autoptr(GByteArray) bytes = job_wire_call_encode(XID, &call);
+	g_autoptr(GByteArray) bytes = call_encode(&call);
 	struct job_wire_message message;
 	size_t size = 0;
 
@@ -65,7 +73,7 @@
 
 START_TEST(test_truncated_records_are_rejected)
 {
-	g_autoptr(GByteArray) bytes = job_wire_call_encode(XID, &call);
+	g_autoptr(GByteArray) bytes = call_encode(&call);
 	struct job_wire_message message;
 	size_t size;
 
@@ -89,7 +97,7 @@
 	 * checker of the sanitizer build reports.
 	 */
 	static const guint8 credentials[] = { 0, 0, 0, 4, 1, 2, 3, 4 };
-	g_autoptr(GByteArray) bytes = job_wire_call_encode(XID, &call);
+	g_autoptr(GByteArray) bytes = call_encode(&call);
 	struct job_wire_message message;
 
 	g_byte_array_remove_range(bytes, 0, MARK_BYTES);
@@ -121,6 +129,54 @@
 }
 END_TEST
 
+START_TEST(test_call_that_does_not_fit_is_an_error)
+{
+	g_autofree char *text = g_strnfill(PJB_SPEC_MAX + 1, 'a');
+	const struct jobs_call spec = { .verb = JOBS_SUBMIT,
+					.queue = "q",
+					.id = "0123456789abcdef",
+					.spec = text };
+	const struct jobs_call queue = {
+		.verb = JOBS_WAITING,
+		.queue = text + PJB_SPEC_MAX - PJB_TEXT_MAX,
+	};
+	const struct jobs_call id = {
+		.verb = JOBS_STATE,
+		.queue = "q",
+		.id = text + PJB_SPEC_MAX - PJB_ID_MAX,
+	};
+	struct jobs_call longest = spec;
+	GByteArray *bytes = NULL;
+
+	ck_assert_int_eq(job_wire_call_encode(XID, &spec, &bytes),
+			 ERR_TOO_LARGE);
+	ck_assert_int_eq(job_wire_call_encode(XID, &queue, &bytes),
+			 ERR_TOO_LARGE);
+	ck_assert_int_eq(job_wire_call_encode(XID, &id, &bytes), ERR_TOO_LARGE);
+	ck_assert_ptr_null(bytes);
+	longest.spec = text + 1;
+	longest.queue = queue.queue + 1;
+	bytes = call_encode(&longest);
+	g_byte_array_unref(bytes);
+}
+END_TEST
+
+START_TEST(test_long_reason_of_a_reply_is_cut)
+{
+	g_autofree char *why = g_strnfill(PJB_TEXT_MAX + 1, 'a');
+	const struct jobs_answer answer = { .outcome = JOBS_REFUSED,
+					    .why = why };
+	g_autoptr(GByteArray) bytes = job_wire_reply_encode(XID, &answer);
+	struct job_wire_message message;
+
+	ck_assert_int_eq(job_wire_decode((char *)bytes->data + MARK_BYTES,
+					 bytes->len - MARK_BYTES, &message),
+			 ERR_NONE);
+	ck_assert_uint_eq(strlen(message.answer.why), PJB_TEXT_MAX);
+	job_wire_message_clear(&message);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("job_wire");
@@ -134,6 +190,8 @@
 	tcase_add_test(tests, test_credentials_do_not_leak);
 	tcase_add_test(tests,
 		       test_fragmented_and_oversized_records_are_rejected);
+	tcase_add_test(tests, test_call_that_does_not_fit_is_an_error);
+	tcase_add_test(tests, test_long_reason_of_a_reply_is_cut);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
