Keep a refused write from holding up the commit log

What callers saw: once the platform's store refused one transaction of the owner, every later submission waited and was refused (503), until the owner changed; the next one met the same state.

Cause: the commit log repeated a transaction on any error but a failed comparison, and all later writes wait for it. Values were not bounded by the store's value_bytes: definitions, checkpoints in progress records, the roster.

No answer, 429 and 5xx are repeated as before. - A refused transaction is first made void: the log key alone is written under the same condition. If that succeeds, no earlier attempt was or can be executed, so "not run" is true; if it shows that one was executed, the transaction counts as committed. Then its entries return to the front of the queue and are written one by one. - Refused alone, a new job is answered "not run" and removed; a further write reports the error to its writer, and roster and intents are written again; records of running jobs are sent without checkpoints, then every 5 s alone, while the durable mark stays before them. Callers wait for the mark of their own job. - Segments take effect when their transaction is committed, so an undone one leaves the records that were stored before. Keys of segments that become obsolete are deleted one transaction later than before. - Every value is bounded by three quarters of platform.value_bytes (default 1,048,576; values travel as base64, and PROTOCOL.md does not say which form counts): jobs that do not fit are refused at once, checkpoints and workers of the roster that do not fit are left out with an error line. - An entry of the worker list with a name over 255 bytes is malformed.

--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -403,6 +403,7 @@
 		.vm_order_interval_ms = settings->vm_order_interval_ms,
 		.move_ms = settings->move_ms,
 		.maintain_ms = settings->maintain_ms,
+		.value_bytes = settings->value_bytes,
 	};
 
 	process->adapter = esoa_adapter_create(process->loop, settings);
--- a/packages/jobs/include/commit_log.h
+++ b/packages/jobs/include/commit_log.h
@@ -8,6 +8,12 @@
  * late, therefore fails once any later transaction has been committed. At most
  * one transaction is in flight; it is retried until its outcome is known.
  *
+ * A transaction that the store definitely refuses is first made void by a write
+ * of the log key alone, then its entries are written one by one. An entry that
+ * is refused alone does not hold up the others: a new job is refused, a further
+ * write fails, and records of other jobs are sent again later, at first without
+ * their checkpoints.
+ *
  * A transaction writes one definition key per new job, one key with the
  * progress records and one with the end records of all its jobs, and deletes
  * obsolete keys.
@@ -29,6 +35,9 @@
 struct commit_ops {
 	/** the log is open; each owner gets a higher epoch */
 	void (*on_open)(void *data, uint64_t epoch);
+	/** the store refuses the definition of a new job: none of it is or
+	 *  will be stored */
+	void (*on_refused)(void *data, struct job *job);
 	/** a transaction with the newest record of the job was committed */
 	void (*on_committed)(void *data, struct job *job);
 	/** a transaction was committed; commit_durable_mark() may have
@@ -38,21 +47,22 @@
 	void (*on_fenced)(void *data);
 };
 
-/** Called when a write of commit_put() is durable. */
-typedef void (*commit_put_cb)(void *data);
+/** Called when a write of commit_put() is durable, or with ERR_TOO_LARGE or
+ *  ERR_INVALID if it was not and will not be executed. */
+typedef void (*commit_put_cb)(void *data, enum err_kind err);
 
 /**
  * @brief Opens the log if the guard key still has the given revision.
  *
  * @param guard_key key whose revision proves ownership of the service
  * @param min_interval_ms minimum time between the starts of two transactions
+ * @param value_max_bytes maximum size of a value; larger ones are not sent
  */
-struct commit_log *commit_log_create(struct loop *loop,
-				     struct platform *platform,
-				     const char *guard_key,
-				     int64_t guard_revision,
-				     uint32_t min_interval_ms,
-				     const struct commit_ops *ops, void *data);
+struct commit_log *
+commit_log_create(struct loop *loop, struct platform *platform,
+		  const char *guard_key, int64_t guard_revision,
+		  uint32_t min_interval_ms, size_t value_max_bytes,
+		  const struct commit_ops *ops, void *data);
 
 /** @brief Frees the log and drops unwritten changes. @param log may be NULL */
 void commit_log_destroy(struct commit_log *log);
@@ -92,6 +102,9 @@
 void commit_put(struct commit_log *log, const char *key, const char *value,
 		commit_put_cb cb, void *data);
 
+/** @brief Returns the maximum size of a value, in bytes. */
+size_t commit_value_max_bytes(const struct commit_log *log);
+
 /** @brief Returns the number of the newest change, see job.commit_mark. */
 uint64_t commit_newest_mark(const struct commit_log *log);
 
--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -238,6 +238,14 @@
 	bool in_flight;
 	GList queue_link;
 	uint64_t commit_mark;
+	/** number of the oldest change that is not stored, if dirty, and of the
+	 *  newest one that is stored */
+	uint64_t oldest_mark;
+	uint64_t stored_mark;
+	/** its records are written without checkpoints */
+	bool is_reduced;
+	/** number of checkpoints that its newest record leaves out */
+	uint32_t checkpoints_left_out;
 	/** calls that wait for the job to be stored; managed by the owner */
 	GSList *waiters;
 };
--- a/packages/jobs/include/job_record.h
+++ b/packages/jobs/include/job_record.h
@@ -47,8 +47,13 @@
 enum err_kind job_record_job_decode(const char *id, const char *text,
 				    size_t len, struct job **out);
 
-/** @brief Adds the progress record of a running job to a JSON object. */
-void job_record_progress_add(json_t *records, const struct job *job);
+/**
+ * @brief Adds the progress record of a running job to a JSON object.
+ * @param max_bytes checkpoints that make the record longer are left out
+ * @return number of checkpoints left out
+ */
+uint32_t job_record_progress_add(json_t *records, const struct job *job,
+				 size_t max_bytes);
 
 /** @brief Adds the end record of a job to a JSON object. */
 void job_record_end_add(json_t *records, const struct job *job);
--- a/packages/jobs/include/jobs.h
+++ b/packages/jobs/include/jobs.h
@@ -108,6 +108,8 @@
 	/** time that a move takes, and that the maintenance of a VM takes */
 	uint32_t move_ms;
 	uint32_t maintain_ms;
+	/** maximum size of a value of the store, encoded as base64 */
+	uint32_t value_bytes;
 };
 
 /** The service, opaque. */
--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -133,6 +133,8 @@
 	GPtrArray *tasks;
 	/** owner: written to the roster, so that the next owner polls it */
 	bool in_roster;
+	/** owner: part of the newest roster, which may not be stored yet */
+	bool in_sent_roster;
 	/** owner: gets no new tasks, because of maintenance or a move */
 	bool cordoned;
 	/** owner: gets no new tasks before this local time */
--- a/packages/jobs/src/commit_log.c
+++ b/packages/jobs/src/commit_log.c
@@ -1,82 +1,18 @@
-#include "commit_log.h"
+#include "commit_private.h"
 
-#include <jansson.h>
 #include <string.h>
 
 #include "backoff.h"
-#include "weak_ref.h"
-#include "job_record.h"
 #include "log.h"
-#include "segment.h"
 
-/* The store allows 32 entries per transaction; one is the comparison. */
-#define COMMIT_WRITES_MAX 31
-/* Writes reserved for segments, and minimum reserved for deletions. */
-#define COMMIT_WRITES_FOR_RECORDS 2
-#define COMMIT_WRITES_FOR_DELETIONS 3
-/* How long deletions wait for other writes that they can be sent with. */
-#define COMMIT_CLEANUP_INTERVAL_MS 500
-/* Keeps a transaction well below the store's limit of 1 MB per value. */
-#define COMMIT_BYTES_MAX (512u * 1024u)
 /* Backoff limits for retries of a transaction. */
 #define COMMIT_RETRY_MIN_MS 40
 #define COMMIT_RETRY_MAX_MS 400
 
-/* A write requested by commit_put(). */
-struct commit_extra {
-	char *key;
-	char *value;
-	commit_put_cb cb;
-	void *data;
-};
-
-struct commit_log {
-	struct loop *loop;
-	struct platform *platform;
-	char *guard_key;
-	int64_t guard_revision;
-	uint32_t min_interval_ms;
-	const struct commit_ops *ops;
-	void *data;
-	/* lets callbacks of calls in flight outlive the log */
-	struct weak_ref *weak_ref;
-	bool open;
-	bool fenced;
-	uint64_t epoch;
-	uint64_t sequence;
-	int64_t log_revision;
-	/* of struct job: changed, and not part of the transaction in flight */
-	GQueue queue;
-	/* of struct commit_extra */
-	GQueue extras;
-	struct segment_table *segments;
-	/* of struct job: ended jobs whose definition is still stored */
-	GQueue ended_jobs;
-	uint64_t newest_mark;
-	uint64_t durable_mark;
-	/* a transaction is in flight, with these jobs and writes */
-	bool in_flight;
-	GPtrArray *jobs;
-	/* of struct job: those whose definition it deletes */
-	GPtrArray *deleted_definitions;
-	GPtrArray *sent_extras;
-	GPtrArray *keys;
-	GPtrArray *values;
-	uint64_t in_flight_mark;
-	uint64_t sent_ms;
-	uint32_t failures;
-	uint64_t unanswered_since_ms;
-	struct timer timer;
-};
-
-static void extra_free(gpointer data)
-{
-	struct commit_extra *extra = data;
-
-	g_free(extra->key);
-	g_free(extra->value);
-	g_free(extra);
-}
+/* Interval between attempts to store a job whose records the store refuses. */
+#define COMMIT_HELD_RETRY_MS 5000
+/* How long deletions wait for other writes that they can be sent with. */
+#define COMMIT_CLEANUP_INTERVAL_MS 500
 
 static bool has_writes(const struct commit_log *log)
 {
@@ -100,7 +36,8 @@
 		return;
 	if (!log->open)
 		log_fetch(log);
-	else if (log->in_flight || has_writes(log) || has_deletions(log))
+	else if (log->txn || has_writes(log) || log->held.length > 0 ||
+		 has_deletions(log))
 		transaction_send(log);
 }
 
@@ -140,7 +77,7 @@
 	log->ops->on_fenced(log->data);
 }
 
-static char *log_value_encode(const struct commit_log *log)
+char *commit_log_value_encode(const struct commit_log *log)
 {
 	return g_strdup_printf("{\"epoch\":%" G_GUINT64_FORMAT
 			       ",\"sequence\":%" G_GUINT64_FORMAT "}",
@@ -170,6 +107,23 @@
 	return NULL;
 }
 
+/* Returns whether a failed comparison shows that this owner's write with a
+ * sequence number was committed, and takes over its revision. */
+static bool log_was_written(struct commit_log *log,
+			    const struct platform_result *result,
+			    uint64_t expected_sequence)
+{
+	const struct platform_kv *kv = kv_find(result, COMMIT_KEY_LOG);
+	uint64_t epoch = 0;
+	uint64_t sequence = 0;
+
+	if (!kv || !log_value_decode(kv, &epoch, &sequence) ||
+	    epoch != log->epoch || sequence != expected_sequence)
+		return false;
+	log->log_revision = kv->mod_revision;
+	return true;
+}
+
 static void next_schedule(struct commit_log *log)
 {
 	uint64_t interval_ms = has_writes(log) ? log->min_interval_ms
@@ -177,8 +131,15 @@
 	uint64_t now_ms = loop_now_ms();
 	uint64_t due_ms = log->sent_ms + interval_ms;
 
-	if (!log->open || log->in_flight || log->fenced ||
-	    (!has_writes(log) && !has_deletions(log)))
+	if (!log->open || log->txn || log->fenced)
+		return;
+	if (!has_writes(log) && !has_deletions(log))
+		due_ms = UINT64_MAX;
+	if (log->singles > 0 && has_writes(log))
+		due_ms = now_ms;
+	if (log->held.length > 0)
+		due_ms = MIN(due_ms, log->held_due_ms);
+	if (due_ms == UINT64_MAX)
 		return;
 	due_ms = MAX(due_ms, now_ms);
 	if (!timer_is_set(&log->timer) || log->timer.due_ms > due_ms)
@@ -187,47 +148,83 @@
 
 static void transaction_end(struct commit_log *log)
 {
-	GPtrArray *jobs = g_steal_pointer(&log->jobs);
-	GPtrArray *deleted = g_steal_pointer(&log->deleted_definitions);
-	GPtrArray *extras = g_steal_pointer(&log->sent_extras);
-
-	g_clear_pointer(&log->keys, g_ptr_array_unref);
-	g_clear_pointer(&log->values, g_ptr_array_unref);
-	log->in_flight = false;
-	log->durable_mark = log->in_flight_mark;
-	for (guint i = 0; i < deleted->len; i++)
-		((struct job *)g_ptr_array_index(deleted, i))->has_definition =
-			false;
-	g_ptr_array_unref(deleted);
-	for (guint i = 0; i < jobs->len; i++) {
-		struct job *job = g_ptr_array_index(jobs, i);
-
-		job->in_flight = false;
-		job->stored_state = job->sent_state;
-		log->ops->on_committed(log->data, job);
-	}
-	for (guint i = 0; i < extras->len; i++) {
-		struct commit_extra *extra = g_ptr_array_index(extras, i);
+	commit_txn_commit(log);
+	log->ops->on_progress(log->data);
+	next_schedule(log);
+}
+
+static void job_refuse(struct commit_log *log, bool defines)
+{
+	struct job *job = g_queue_peek_head(&log->queue);
 
-		if (extra->cb)
-			extra->cb(extra->data);
+	if (!defines && !job->is_reduced) {
+		job->is_reduced = true;
+		return;
+	}
+	log->singles--;
+	g_queue_unlink(&log->queue, &job->queue_link);
+	if (defines) {
+		job->dirty = false;
+		log->ops->on_refused(log->data, job);
+		return;
+	}
+	log_error("job-not-stored",
+		  "the store refuses the records of job %s; they are sent "
+		  "again every %d ms, and no end of a run is acknowledged "
+		  "before",
+		  job->id, COMMIT_HELD_RETRY_MS);
+	g_queue_push_tail_link(&log->held, &job->queue_link);
+	log->held_due_ms = loop_now_ms() + COMMIT_HELD_RETRY_MS;
+}
+
+/*
+ * Ends a transaction that the store refuses and whose attempts are all void.
+ * Its entries are written one by one; one that is refused alone is at fault.
+ */
+static void transaction_refuse(struct commit_log *log)
+{
+	guint jobs = log->txn->items->len;
+	guint extras = log->txn->extras->len;
+	bool defines =
+		jobs > 0 &&
+		g_array_index(log->txn->items, struct commit_item, 0).defines;
+
+	commit_txn_undo(log);
+	if (log->void_refused) {
+		log->void_refused = false;
+	} else if (jobs + extras > 1) {
+		log_warning("transaction-refused",
+			    "the store refused a transaction; its %u entries "
+			    "are written one by one",
+			    jobs + extras);
+		log->singles = jobs + extras;
+	} else if (extras == 1) {
+		log->singles -= MIN(log->singles, 1);
+		commit_extra_refuse(g_queue_pop_head(&log->extras),
+				    ERR_INVALID);
+	} else if (jobs == 1) {
+		log->singles = MAX(log->singles, 1);
+		job_refuse(log, defines);
 	}
-	g_ptr_array_unref(jobs);
-	g_ptr_array_unref(extras);
-	log->ops->on_progress(log->data);
 	next_schedule(log);
 }
 
+static void void_send(struct commit_log *log);
+
 static void on_transaction_done(void *data, enum err_kind err,
 				const struct platform_result *result)
 {
 	struct commit_log *log = weak_ref_release(data);
-	const struct platform_kv *kv;
-	uint64_t epoch = 0;
-	uint64_t sequence = 0;
 
 	if (!log)
 		return;
+	if (err == ERR_INVALID) {
+		store_answered(log);
+		log->voiding = true;
+		log->sequence++;
+		void_send(log);
+		return;
+	}
 	if (err != ERR_NONE) {
 		retry_schedule(log, err);
 		return;
@@ -239,148 +236,52 @@
 		return;
 	}
 	/* An earlier attempt may have been committed without an answer. */
-	kv = kv_find(result, COMMIT_KEY_LOG);
-	if (kv && log_value_decode(kv, &epoch, &sequence) &&
-	    epoch == log->epoch && sequence == log->sequence) {
-		log->log_revision = kv->mod_revision;
+	if (log_was_written(log, result, log->txn->sequence))
 		transaction_end(log);
-		return;
-	}
-	log_fence(log, "another owner has written");
-}
-
-static void write_add(struct commit_log *log, char *key, char *value)
-{
-	g_ptr_array_add(log->keys, key);
-	g_ptr_array_add(log->values, value);
+	else
+		log_fence(log, "another owner has written");
 }
 
-/* Records of one kind in a transaction, and their segment. */
-struct commit_records {
-	const char *prefix;
-	enum job_segment_kind kind;
-	json_t *records;
-	struct segment *segment;
-};
-
-static void records_attach(struct commit_log *log,
-			   struct commit_records *records, struct job *job)
+static void on_voided(void *data, enum err_kind err,
+		      const struct platform_result *result)
 {
-	if (!records->segment) {
-		/* Zero-padded so that keys sort by age. */
-		g_autofree char *key = g_strdup_printf(
-			"%s%010" G_GUINT64_FORMAT "-%010" G_GUINT64_FORMAT,
-			records->prefix, log->epoch, log->sequence);
-
-		records->segment = segment_add(log->segments, key);
-		records->records = json_object();
-	}
-	segment_attach(records->segment, job, records->kind);
-}
+	struct commit_log *log = weak_ref_release(data);
 
-static void records_write(struct commit_log *log,
-			  struct commit_records *records)
-{
-	if (!records->segment)
+	if (!log)
+		return;
+	if (err != ERR_NONE) {
+		log->void_refused |= err == ERR_INVALID;
+		retry_schedule(log, err);
 		return;
-	write_add(log, g_strdup(segment_key(records->segment)),
-		  json_dumps(records->records, JSON_COMPACT));
-	json_decref(records->records);
-}
-
-static char *definition_key(const struct job *job)
-{
-	return g_strconcat(JOB_RECORD_PREFIX_DEFINITION, job->id, NULL);
-}
-
-/* Adds the writes of a job. @return approximate number of bytes added */
-static size_t job_writes_add(struct commit_log *log, struct job *job,
-			     struct commit_records *progress,
-			     struct commit_records *ends)
-{
-	bool ended = job->state > JOB_RUNNING;
-	size_t bytes = strlen(job->id);
-
-	if (!job->is_sent && !ended) {
-		char *text = job_record_job_encode(job);
-
-		bytes += strlen(text);
-		write_add(log, definition_key(job), text);
-		job->has_definition = true;
 	}
-	if (ended) {
-		records_attach(log, ends, job);
-		job_record_end_add(ends->records, job);
-		segment_detach(job, JOB_SEGMENT_PROGRESS);
-		if (job->has_definition)
-			g_queue_push_tail(&log->ended_jobs, job);
-	} else if (job->has_started) {
-		records_attach(log, progress, job);
-		job_record_progress_add(progress->records, job);
-		for (guint i = 0; i < job->spec->steps->len; i++)
-			bytes += g_array_index(job->spec->steps,
-					       struct job_step, i)
-					 .count;
+	store_answered(log);
+	if (result->succeeded)
+		log->log_revision = result->revision;
+	if (result->succeeded || log_was_written(log, result, log->sequence)) {
+		log->voiding = false;
+		transaction_refuse(log);
+	} else if (log_was_written(log, result, log->txn->sequence)) {
+		log->voiding = false;
+		transaction_end(log);
+	} else {
+		log_fence(log, "another owner has written");
 	}
-	job->dirty = false;
-	job->in_flight = true;
-	job->is_sent = true;
-	job->sent_state = job->state;
-	log->in_flight_mark = job->commit_mark;
-	g_ptr_array_add(log->jobs, job);
-	return bytes;
 }
 
-/* Fills up the transaction with deletions of obsolete keys. A definition is
- * deleted together with or after the write of the job's end record. */
-static void deletions_add(struct commit_log *log)
+/* Writes the log key alone: attempts of the refused transaction that were not
+ * answered cannot be executed after that. */
+static void void_send(struct commit_log *log)
 {
-	while (log->ended_jobs.length > 0 &&
-	       log->keys->len < COMMIT_WRITES_MAX) {
-		struct job *job = g_queue_pop_head(&log->ended_jobs);
-
-		write_add(log, definition_key(job), NULL);
-		g_ptr_array_add(log->deleted_definitions, job);
-	}
-	while (segment_garbage_count(log->segments) > 0 &&
-	       log->keys->len < COMMIT_WRITES_MAX)
-		write_add(log, segment_garbage_pop(log->segments), NULL);
-}
-
-static void transaction_fill(struct commit_log *log)
-{
-	const guint max_writes = COMMIT_WRITES_MAX - COMMIT_WRITES_FOR_RECORDS -
-				 COMMIT_WRITES_FOR_DELETIONS;
-	struct commit_records progress = { .prefix = JOB_RECORD_PREFIX_PROGRESS,
-					   .kind = JOB_SEGMENT_PROGRESS };
-	struct commit_records ends = { .prefix = JOB_RECORD_PREFIX_END,
-				       .kind = JOB_SEGMENT_END };
-	size_t bytes = 0;
-
-	log->in_flight = true;
-	log->sequence++;
-	log->in_flight_mark = log->durable_mark;
-	log->jobs = g_ptr_array_new();
-	log->deleted_definitions = g_ptr_array_new();
-	log->sent_extras = g_ptr_array_new_with_free_func(extra_free);
-	log->keys = g_ptr_array_new_with_free_func(g_free);
-	log->values = g_ptr_array_new_with_free_func(g_free);
-	write_add(log, g_strdup(COMMIT_KEY_LOG), log_value_encode(log));
-	while (log->extras.length > 0 && log->keys->len < max_writes) {
-		struct commit_extra *extra = g_queue_pop_head(&log->extras);
-
-		write_add(log, g_strdup(extra->key), g_strdup(extra->value));
-		g_ptr_array_add(log->sent_extras, extra);
-	}
-	while (log->queue.length > 0 && log->keys->len < max_writes &&
-	       bytes < COMMIT_BYTES_MAX) {
-		GList *link = g_queue_pop_head_link(&log->queue);
+	g_autofree char *value = commit_log_value_encode(log);
+	const struct platform_write write = { .key = COMMIT_KEY_LOG,
+					      .value = value };
+	const struct platform_compare compare = { COMMIT_KEY_LOG,
+						  PLATFORM_TARGET_MOD_REVISION,
+						  log->log_revision };
+	const struct platform_txn txn = { &compare, 1, &write, 1 };
 
-		bytes += job_writes_add(log, link->data, &progress, &ends);
-	}
-	records_write(log, &progress);
-	records_write(log, &ends);
-	deletions_add(log);
+	platform_txn(log->platform, &txn, on_voided,
+		     weak_ref_acquire(log->weak_ref));
 }
 
 static void transaction_send(struct commit_log *log)
@@ -393,15 +294,19 @@
 				    .compare_count = 1,
 				    .writes = writes };
 
-	if (!log->in_flight)
-		transaction_fill(log);
+	if (!log->txn)
+		commit_txn_fill(log);
 	log->sent_ms = loop_now_ms();
-	for (guint i = 0; i < log->keys->len; i++)
+	if (log->voiding) {
+		void_send(log);
+		return;
+	}
+	for (guint i = 0; i < log->txn->keys->len; i++)
 		writes[i] = (struct platform_write){
-			.key = g_ptr_array_index(log->keys, i),
-			.value = g_ptr_array_index(log->values, i),
+			.key = g_ptr_array_index(log->txn->keys, i),
+			.value = g_ptr_array_index(log->txn->values, i),
 		};
-	txn.write_count = log->keys->len;
+	txn.write_count = log->txn->keys->len;
 	platform_txn(log->platform, &txn, on_transaction_done,
 		     weak_ref_acquire(log->weak_ref));
 }
@@ -457,7 +362,7 @@
 	log->epoch = 0;
 	if (kv && log_value_decode(kv, &log->epoch, &sequence))
 		log->epoch++;
-	value = log_value_encode(log);
+	value = commit_log_value_encode(log);
 	write.value = value;
 	compares[0] = (struct platform_compare){ log->guard_key,
 						 PLATFORM_TARGET_MOD_REVISION,
@@ -475,12 +380,11 @@
 		       weak_ref_acquire(log->weak_ref));
 }
 
-struct commit_log *commit_log_create(struct loop *loop,
-				     struct platform *platform,
-				     const char *guard_key,
-				     int64_t guard_revision,
-				     uint32_t min_interval_ms,
-				     const struct commit_ops *ops, void *data)
+struct commit_log *
+commit_log_create(struct loop *loop, struct platform *platform,
+		  const char *guard_key, int64_t guard_revision,
+		  uint32_t min_interval_ms, size_t value_max_bytes,
+		  const struct commit_ops *ops, void *data)
 {
 	struct commit_log *log = g_new0(struct commit_log, 1);
 
@@ -489,12 +393,14 @@
 	log->guard_key = g_strdup(guard_key);
 	log->guard_revision = guard_revision;
 	log->min_interval_ms = min_interval_ms;
+	log->value_max_bytes = value_max_bytes;
 	log->ops = ops;
 	log->data = data;
 	log->weak_ref = weak_ref_create(log);
 	log->timer.cb = on_timer;
 	log->timer.data = log;
 	g_queue_init(&log->queue);
+	g_queue_init(&log->held);
 	g_queue_init(&log->extras);
 	g_queue_init(&log->ended_jobs);
 	log->segments = segment_table_create();
@@ -507,16 +413,13 @@
 	if (!log)
 		return;
 	timer_cancel(&log->timer);
-	while (g_queue_pop_head_link(&log->queue))
+	while (g_queue_pop_head_link(&log->queue) ||
+	       g_queue_pop_head_link(&log->held))
 		;
-	g_queue_clear_full(&log->extras, extra_free);
+	g_queue_clear_full(&log->extras, commit_extra_free);
 	g_queue_clear(&log->ended_jobs);
 	segment_table_destroy(log->segments);
-	g_clear_pointer(&log->jobs, g_ptr_array_unref);
-	g_clear_pointer(&log->deleted_definitions, g_ptr_array_unref);
-	g_clear_pointer(&log->sent_extras, g_ptr_array_unref);
-	g_clear_pointer(&log->keys, g_ptr_array_unref);
-	g_clear_pointer(&log->values, g_ptr_array_unref);
+	commit_txn_free(log->txn);
 	weak_ref_invalidate(log->weak_ref);
 	g_free(log->guard_key);
 	g_free(log);
@@ -524,10 +427,17 @@
 
 void commit_mark_dirty(struct commit_log *log, struct job *job)
 {
-	if (job->dirty)
+	if (job->dirty) {
+		/* An end record is short, so it may be accepted. */
+		if (job->state > JOB_RUNNING && g_queue_find(&log->held, job)) {
+			log->held_due_ms = loop_now_ms();
+			next_schedule(log);
+		}
 		return;
+	}
 	job->dirty = true;
 	job->commit_mark = ++log->newest_mark;
+	job->oldest_mark = job->commit_mark;
 	g_queue_push_tail_link(&log->queue, &job->queue_link);
 	next_schedule(log);
 }
@@ -597,3 +507,8 @@
 {
 	return log->unanswered_since_ms;
 }
+
+size_t commit_value_max_bytes(const struct commit_log *log)
+{
+	return log->value_max_bytes;
+}
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -273,18 +273,40 @@
 	return json_string(text->str);
 }
 
-static void checkpoints_encode(const struct job_group *group, json_t *out)
+/* Space in a record for the identity of its job, and for the key of a
+ * checkpoint with its punctuation. */
+#define RECORD_KEY_BYTES 32
+#define RECORD_CHECKPOINT_KEY_BYTES 32
+
+/* Adds the checkpoints that fit into the room left, in bytes; returns how many
+ * do not. */
+static uint32_t checkpoints_encode(const struct job_group *group, json_t *out,
+				   size_t *room)
 {
+	uint32_t left_out = 0;
 	char key[32];
 
 	for (uint32_t i = 0; i < group->step->count; i++) {
 		const struct job_task *task = &group->tasks[i];
 
+		json_t *value;
+		size_t bytes;
+
 		if (!task->checkpoint || task->state == JOB_TASK_DONE)
 			continue;
+		value = json_string(task->checkpoint);
+		bytes = json_dumpb(value, NULL, 0, JSON_ENCODE_ANY) +
+			RECORD_CHECKPOINT_KEY_BYTES;
+		if (bytes > *room) {
+			json_decref(value);
+			left_out++;
+			continue;
+		}
+		*room -= bytes;
 		g_snprintf(key, sizeof(key), "%u.%u", group->step_index, i);
-		json_object_set_new(out, key, json_string(task->checkpoint));
+		json_object_set_new(out, key, value);
 	}
+	return left_out;
 }
 
 static void failed_runs_encode(const struct job_group *group, json_t *out)
@@ -310,7 +332,6 @@
 static json_t *occurrence_encode(const struct job_occurrence *occurrence)
 {
 	const GArray *steps = occurrence->job->spec->steps;
-	json_t *checkpoints = json_object();
 	json_t *failed_runs = json_object();
 	json_t *groups = json_array();
 	json_t *out = json_object();
@@ -318,20 +339,35 @@
 	for (guint i = 0; i < steps->len; i++) {
 		json_array_append_new(groups,
 				      group_encode(&occurrence->groups[i]));
-		checkpoints_encode(&occurrence->groups[i], checkpoints);
 		failed_runs_encode(&occurrence->groups[i], failed_runs);
 	}
 	json_object_set_new(out, "number", json_integer(occurrence->number));
 	json_object_set_new(out, "tasks", groups);
-	json_object_set_new(out, "checkpoints", checkpoints);
+	json_object_set_new(out, "checkpoints", json_object());
 	json_object_set_new(out, "failed_runs", failed_runs);
 	return out;
 }
 
-void job_record_progress_add(json_t *records, const struct job *job)
+static uint32_t
+occurrence_checkpoints_encode(const struct job_occurrence *occurrence,
+			      json_t *out, size_t *room)
+{
+	uint32_t left_out = 0;
+
+	for (guint i = 0; i < occurrence->job->spec->steps->len; i++)
+		left_out +=
+			checkpoints_encode(&occurrence->groups[i], out, room);
+	return left_out;
+}
+
+uint32_t job_record_progress_add(json_t *records, const struct job *job,
+				 size_t max_bytes)
 {
 	json_t *json = json_object();
 	json_t *occurrences = json_array();
+	uint32_t left_out = 0;
+	size_t bytes;
+	size_t room;
 
 	for (guint i = 0; i < job->occurrences->len; i++)
 		json_array_append_new(occurrences,
@@ -340,7 +376,16 @@
 	json_object_set_new(json, "begun",
 			    json_integer(job->occurrences_begun));
 	json_object_set_new(json, "occurrences", occurrences);
+	bytes = json_dumpb(json, NULL, 0, JSON_COMPACT) + RECORD_KEY_BYTES;
+	room = max_bytes - MIN(max_bytes, bytes);
+	for (guint i = 0; i < job->occurrences->len; i++)
+		left_out += occurrence_checkpoints_encode(
+			g_ptr_array_index(job->occurrences, i),
+			json_object_get(json_array_get(occurrences, i),
+					"checkpoints"),
+			&room);
 	json_object_set_new(records, job->id, json);
+	return left_out;
 }
 
 static bool group_decode(struct job_group *group, const char *text)
--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -38,6 +38,11 @@
 	owner_calls_answer_committed(owner, job);
 }
 
+static void on_refused(void *data, struct job *job)
+{
+	owner_calls_refuse_job(data, job, "the store refuses it");
+}
+
 static void on_progress(void *data)
 {
 	struct owner *owner = data;
@@ -63,6 +68,7 @@
 
 static const struct commit_ops log_ops = {
 	.on_open = on_open,
+	.on_refused = on_refused,
 	.on_committed = on_committed,
 	.on_progress = on_progress,
 	.on_fenced = on_fenced,
@@ -152,6 +158,12 @@
 	};
 }
 
+/* Values are sent as base64, and the limit may apply to the encoded form. */
+static size_t value_max_bytes(const struct jobs_config *service)
+{
+	return (size_t)service->value_bytes / 4 * 3;
+}
+
 struct owner *owner_create(const struct owner_config *config,
 			   struct catalogue *catalogue,
 			   const struct owner_ops *ops, void *data)
@@ -183,10 +195,10 @@
 	timer_init(&owner->read_retry_timer, owner_on_read_retry, owner);
 	worker_env_init(owner);
 	owner->fleet = owner_fleet_create(owner);
-	owner->log =
-		commit_log_create(config->loop, config->store,
-				  config->guard_key, config->guard_revision,
-				  OWNER_COMMIT_INTERVAL_MS, &log_ops, owner);
+	owner->log = commit_log_create(
+		config->loop, config->store, config->guard_key,
+		config->guard_revision, OWNER_COMMIT_INTERVAL_MS,
+		value_max_bytes(config->service), &log_ops, owner);
 	return owner;
 }
 
--- a/packages/jobs/src/owner_calls.c
+++ b/packages/jobs/src/owner_calls.c
@@ -13,6 +13,8 @@
 /* Retry-after time of a call that is refused while the store is unavailable or
  * the service is being taken over. */
 #define OWNER_RETRY_AFTER_MS 1000
+/* Maximum size of what surrounds the specification in a job's definition. */
+#define OWNER_DEFINITION_EXTRA_BYTES 2048
 
 /* A call that waits until its effect is stored. */
 struct pending_call {
@@ -21,7 +23,7 @@
 	jobs_cb cb;
 	void *data;
 	enum jobs_verb verb;
-	/** mark of the commit log that covers the call's effect */
+	/** number of the change to the job that is the call's effect */
 	uint64_t commit_mark;
 	struct timer timer;
 	GList queue_link;
@@ -71,16 +73,22 @@
 		 why);
 }
 
+void owner_calls_refuse_job(struct owner *owner, struct job *job,
+			    const char *why)
+{
+	refusal_log(job->id, job->queue, why);
+	while (job->waiters)
+		pending_answer_refused(job->waiters->data, why);
+	owner_job_remove(owner, job);
+}
+
 /* Refuses a job that was never sent to the store, together with all calls that
  * wait for it. Returns false if the job has been sent. */
 static bool job_withdraw(struct owner *owner, struct job *job, const char *why)
 {
 	if (!commit_withdraw(owner->log, job))
 		return false;
-	refusal_log(job->id, job->queue, why);
-	while (job->waiters)
-		pending_answer_refused(job->waiters->data, why);
-	owner_job_remove(owner, job);
+	owner_calls_refuse_job(owner, job, why);
 	return true;
 }
 
@@ -162,7 +170,7 @@
 		struct pending_call *pending = at->data;
 
 		next = at->next;
-		if (pending->commit_mark <= commit_durable_mark(owner->log))
+		if (pending->commit_mark <= job->stored_mark)
 			pending_call_finish(pending, &answer);
 	}
 }
@@ -220,6 +228,14 @@
 		call_answer(cb, data, JOBS_REFUSED, "the store is away");
 		return;
 	}
+	if (strlen(call->spec) + OWNER_DEFINITION_EXTRA_BYTES >
+	    commit_value_max_bytes(owner->log)) {
+		job_spec_destroy(spec);
+		owner->counters.refused++;
+		refusal_log(call->id, call->queue, "the job does not fit");
+		call_answer(cb, data, JOBS_REFUSED, "the job does not fit");
+		return;
+	}
 	job = job_create(call->id, call->queue, spec);
 	job->accepted_unix_ms = loop_unix_ms();
 	job->accepted_ms = loop_now_ms();
--- a/packages/jobs/src/owner_intents.c
+++ b/packages/jobs/src/owner_intents.c
@@ -24,13 +24,19 @@
 }
 
 /* Writes complete in the order in which they were made. */
-static void on_stored(void *data)
+static void on_stored(void *data, enum err_kind err)
 {
 	struct owner *owner = data;
 	struct owner_fleet *fleet = owner->fleet;
-
-	fleet->stored_intent =
+	uint64_t number =
 		GPOINTER_TO_SIZE(g_queue_pop_head(&fleet->intent_writes));
+
+	if (err != ERR_NONE) {
+		/* The next call of owner_intents_write() tries again. */
+		fleet->written_intent = fleet->stored_intent;
+		return;
+	}
+	fleet->stored_intent = number;
 	owner_vms_advance(fleet);
 }
 
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -95,6 +95,8 @@
 	struct owner_counters counters;
 	/** workers were added or removed since the roster was last written */
 	bool roster_dirty;
+	/** number of workers that the roster has no room for */
+	uint32_t roster_left_out;
 	bool workers_list_in_flight;
 	bool records_read_in_flight;
 	bool roster_read_in_flight;
@@ -141,6 +143,10 @@
 
 /* owner_calls.c: calls from callers. */
 void owner_calls_answer_committed(struct owner *owner, struct job *job);
+/** @brief Refuses all calls for a new job that is not and will not be stored,
+ *  and removes it. */
+void owner_calls_refuse_job(struct owner *owner, struct job *job,
+			    const char *why);
 void owner_calls_abort(struct owner *owner);
 void owner_calls_refuse_unsent(struct owner *owner);
 
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -46,27 +46,84 @@
 			 worker->availability_zone, "vm", worker->vm);
 }
 
-static void on_roster_stored(void *data)
+static void on_roster_stored(void *data, enum err_kind err)
 {
 	struct owner *owner = data;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (err != ERR_NONE)
+		owner->roster_dirty = true;
 	if (owner->roster_dirty)
 		return;
 	g_hash_table_iter_init(&iter, owner->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct worker *)value)->in_roster = true;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		worker->in_roster = worker->in_sent_roster;
+	}
 	owner_schedule_request(owner);
 }
 
+/* Adds the workers that are in the newest roster already, or the others, as far
+ * as they fit; returns how many do not. */
+static uint32_t roster_items_add(struct owner *owner, json_t *items,
+				 bool in_sent_roster, size_t *room)
+{
+	uint32_t left_out = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct worker *worker = value;
+		json_t *item;
+		size_t bytes;
+
+		if (worker->in_sent_roster != in_sent_roster)
+			continue;
+		item = roster_item_encode(worker);
+		bytes = json_dumpb(item, NULL, 0, JSON_COMPACT) + 1;
+		if (bytes > *room) {
+			json_decref(item);
+			left_out++;
+			continue;
+		}
+		*room -= bytes;
+		json_array_append_new(items, item);
+	}
+	return left_out;
+}
+
+/* Marks the workers of a roster that is about to be written. */
+static void roster_items_mark(struct owner *owner, const json_t *items)
+{
+	GHashTableIter iter;
+	gpointer value;
+	json_t *item;
+	size_t i;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct worker *)value)->in_sent_roster = false;
+	json_array_foreach((json_t *)items, i, item)
+	{
+		struct worker *worker = g_hash_table_lookup(
+			owner->workers,
+			json_string_value(json_object_get(item, "id")));
+
+		worker->in_sent_roster = true;
+	}
+}
+
 /* Stores the roster of all known workers. A worker gets tasks only once it is
  * in the stored roster, so that a successor polls it even if the worker list
- * does not contain it. */
+ * does not contain it. Workers that were in an earlier roster come first,
+ * because they may have tasks. */
 static void roster_write(struct owner *owner)
 {
-	GHashTableIter iter;
-	gpointer value;
+	size_t room = commit_value_max_bytes(owner->log);
+	uint32_t left_out;
 	json_t *items;
 	char *text;
 
@@ -74,9 +131,15 @@
 		return;
 	owner->roster_dirty = false;
 	items = json_array();
-	g_hash_table_iter_init(&iter, owner->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		json_array_append_new(items, roster_item_encode(value));
+	room -= MIN(room, strlen("[]"));
+	left_out = roster_items_add(owner, items, true, &room);
+	left_out += roster_items_add(owner, items, false, &room);
+	roster_items_mark(owner, items);
+	if (left_out != owner->roster_left_out)
+		log_error("roster-full",
+			  "%u workers do not fit the roster and get no tasks",
+			  left_out);
+	owner->roster_left_out = left_out;
 	text = json_dumps(items, JSON_COMPACT);
 	commit_put(owner->log, OWNER_KEY_ROSTER, text, on_roster_stored, owner);
 	free(text);
@@ -299,11 +362,16 @@
 	};
 	struct worker *worker;
 
-	if (!id || !ip || !entry.service ||
-	    g_hash_table_contains(owner->workers, id))
+	if (!id || !ip || !entry.service)
 		return;
+	worker = g_hash_table_lookup(owner->workers, id);
+	if (worker) {
+		worker->in_sent_roster = true;
+		return;
+	}
 	g_strlcpy(entry.ip, ip, sizeof(entry.ip));
 	worker = worker_add(owner, &entry);
+	worker->in_sent_roster = true;
 	worker->listed = false;
 	worker->unlisted_since_ms = loop_now_ms();
 }
--- a/packages/jobs/src/segment.c
+++ b/packages/jobs/src/segment.c
@@ -96,3 +96,8 @@
 {
 	return g_queue_pop_head(&table->garbage);
 }
+
+void segment_garbage_push(struct segment_table *table, char *key)
+{
+	g_queue_push_head(&table->garbage, key);
+}
--- a/packages/jobs/src/segment.h
+++ b/packages/jobs/src/segment.h
@@ -48,6 +48,9 @@
 /** @brief Returns the number of garbage keys. */
 uint32_t segment_garbage_count(const struct segment_table *table);
 
+/** @brief Adds a garbage key, which the table owns, as the next one. */
+void segment_garbage_push(struct segment_table *table, char *key);
+
 /**
  * @brief Removes a garbage key from the table.
  * @return key owned by the caller, or NULL if there is none
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -220,6 +220,17 @@
  *  that times out and is executed only seconds later. */
 void emu_store_set_write_faults(struct emu *emu, uint32_t lost_permille,
 				uint32_t late_permille);
+/** @brief Sets the maximum size of a value, which is 1 MiB otherwise. A
+ *  transaction with a larger one is refused. */
+void emu_store_set_value_bytes(struct emu *emu, uint32_t bytes);
+/** @brief Sets a text; the store refuses transactions with a value or a key
+ *  that contains it. NULL for none. */
+void emu_store_set_refused(struct emu *emu, const char *text);
+/** @brief Sets the share of transactions with more than one write that the
+ *  store refuses, whatever they contain. */
+void emu_store_set_refused_permille(struct emu *emu, uint32_t permille);
+/** @brief Returns the number of transactions that the store refused. */
+uint32_t emu_store_refusals(const struct emu *emu);
 /** @brief Sets the factor by which the store's answers take longer. */
 void emu_store_set_slowdown(struct emu *emu, uint32_t factor);
 /** @brief Compacts the store's history, so that watches must read again. */
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -216,6 +216,10 @@
 	uint32_t late_permille;
 	/* factor of the time that the store takes to answer */
 	uint32_t slowdown;
+	uint32_t value_bytes;
+	const char *refused;
+	uint32_t refused_permille;
+	uint32_t refusals;
 	uint32_t delayed_order_permille;
 	/* delayed orders survive the restart of the worker that holds them */
 	bool orders_outlive_worker;
@@ -244,7 +248,16 @@
 struct emu_task *emu_task_get(struct emu *emu, uint32_t job, uint32_t step,
 			      uint32_t index);
 
+/** Maximum size of a value of the store, unless it is set. */
+#define EMU_VALUE_BYTES (1024u * 1024u)
+
 extern const struct platform_ops emu_store_ops;
+
+/** @brief Checks a transaction. @return ERR_NONE, ERR_INVALID if the store
+ *  refuses it, or ERR_NOT_FOUND if a lease does not exist */
+enum err_kind emu_store_check(struct emu *emu, const GArray *compares,
+			      const GArray *writes);
+
 extern const struct adapter_ops emu_adapter_ops;
 
 /* emu_store.c */
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -78,6 +78,7 @@
 	emu->history = g_array_new(FALSE, TRUE, sizeof(struct emu_change));
 	emu->revision = 1;
 	emu->slowdown = 1;
+	emu->value_bytes = EMU_VALUE_BYTES;
 	g_queue_init(&emu->watches);
 }
 
@@ -281,23 +282,11 @@
 	return true;
 }
 
-static bool leases_exist(const struct emu *emu, const struct emu_call *call)
-{
-	for (guint i = 0; i < call->writes->len; i++) {
-		int64_t lease = TXN_WRITE(call, i).lease;
-
-		if (lease != 0 && !g_hash_table_contains(emu->leases, &lease))
-			return false;
-	}
-	return true;
-}
-
 static void txn_run(struct emu *emu, struct emu_call *call)
 {
-	if (!leases_exist(emu, call)) {
-		call->err = ERR_NOT_FOUND;
+	call->err = emu_store_check(emu, call->compares, call->writes);
+	if (call->err != ERR_NONE)
 		return;
-	}
 	call->succeeded = compares_hold(emu, call);
 	if (!call->succeeded) {
 		for (guint i = 0; i < call->compares->len; i++) {
--- a/packages/jobs/tests/test_segment.c
+++ b/packages/jobs/tests/test_segment.c
@@ -119,7 +119,7 @@
 
 	job_task_set_state(&occurrence->groups[0].tasks[1], JOB_TASK_DONE);
 	job_task_count_failure(&occurrence->groups[0].tasks[2], 7);
-	job_record_progress_add(records, job);
+	job_record_progress_add(records, job, SIZE_MAX);
 	ck_assert_int_eq(job_record_progress_apply(
 				 read, json_object_get(records, ID_A), 1, 1),
 			 ERR_NONE);
--- a/packages/platform/include/platform_client.h
+++ b/packages/platform/include/platform_client.h
@@ -7,6 +7,8 @@
  * functions. All calls are asynchronous: the callback runs once, from the event
  * loop, after the call has returned. A write that fails with ERR_TIMEOUT,
  * ERR_CUT or ERR_UNAVAILABLE may have taken effect; read the key to find out.
+ * A transaction that fails with ERR_INVALID was refused for what it contains,
+ * as with a value that is too large, and has not taken effect.
  */
 #ifndef PLATFORM_CLIENT_H
 #define PLATFORM_CLIENT_H
--- a/tests/scenarios/inputs.lua
+++ b/tests/scenarios/inputs.lua
@@ -11,9 +11,10 @@
 local END_MS = 15000
 local ENDED = {succeeded = true, failed = true, canceled = true}
 
--- Starts a platform and processes; options[i] are the spawn options of process i.
-function inputs.new(count, options)
-  local self = setmetatable({platform = jobfleet.new(SEED)}, inputs)
+-- Starts a platform and processes; options[i] are the spawn options of process i. The
+-- store refuses values over value_bytes, if given.
+function inputs.new(count, options, value_bytes)
+  local self = setmetatable({platform = jobfleet.new(SEED, value_bytes)}, inputs)
   self.processes = self.platform.processes
   for i = 1, count do
     jobfleet.start(self.platform:add_process(self.platform.port), (options or {})[i])
--- a/tests/scenarios/inputs_store.lua
+++ b/tests/scenarios/inputs_store.lua
@@ -44,6 +44,7 @@
   "{" .. VALID:gsub('64000', '"64000"') .. "}",
   "{" .. VALID:gsub('64000', '-64000') .. "}",
   "{" .. VALID:gsub("127.0.0.1:1", "127.0.0.1") .. "}",
+  "{" .. VALID:gsub("zone%-1", string.rep("z", 100000)) .. "}",
   -- A service that no configuration names, so nothing can run there.
   "{" .. VALID:gsub("pool%-0", "unnamed") .. "}",
 }
--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -9,10 +9,11 @@
 -- Host name of the queues of the stand-in's configuration.
 jobfleet.QUEUE_HOST = "jobs.example"
 
--- Starts the platform's stand-in.
-function jobfleet.new(seed)
+-- Starts the platform's stand-in, whose store refuses values over value_bytes if given.
+function jobfleet.new(seed, value_bytes)
   local self = setmetatable({processes = {}, port = free_port()}, jobfleet)
-  spawn{"standin_esoa", tostring(self.port), tostring(seed), log = DIR .. "/platform.log"}
+  spawn{"standin_esoa", tostring(self.port), tostring(seed), value_bytes and tostring(value_bytes),
+        log = DIR .. "/platform.log"}
   fleet.wait_until("the platform responds", 5000, function()
     return fleet.http{url = fleet.url(self.port, "/control/report")}.status == 200
   end)
