--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -20,6 +20,8 @@
 #define JOB_ID_LEN 16
 /** Maximum length of the payload, in bytes. */
 #define JOB_PAYLOAD_MAX_BYTES 4000
+/** Maximum length of a step's label, rack and image, in bytes. */
+#define JOB_TEXT_MAX_BYTES 1024
 /** Maximum number of steps of a job; dependencies are a 64-bit mask. */
 #define JOB_STEPS_MAX 64
 /** Maximum number of tasks per occurrence; bounds the memory of a job. */
@@ -236,6 +238,14 @@
 	bool in_flight;
 	GList queue_link;
 	uint64_t commit_mark;
+	/** number of the oldest change that is not stored, if dirty, and of the
+	 *  newest one that is stored */
+	uint64_t oldest_mark;
+	uint64_t stored_mark;
+	/** its records are written without checkpoints */
+	bool is_reduced;
+	/** number of checkpoints that its newest record leaves out */
+	uint32_t checkpoints_left_out;
 	/** calls that wait for the job to be stored; managed by the owner */
 	GSList *waiters;
 };
