Look up the worker of a VM by identity, not by a kept pointer

What callers saw: nothing seen in service. The owner read freed memory, and could end by it, if the VM in a listed entry changed while that VM drained.

Cause: the owner's table from VM to worker held pointers to workers and, as keys, the VM names inside them. It was rebuilt every 100 ms and after each answer to a VM operation, but not when a write of VM intents completed, which advances operations as well. In between, the list of workers replaces names and removes workers.

Change: the table holds copies of both names; a worker is looked up by its identity, so one that has gone is not found. The table is also updated before VMs are advanced after a completed write.

Other tables of the owner were read: their keys go together with their values.

--- a/packages/jobs/src/owner_fleet.c
+++ b/packages/jobs/src/owner_fleet.c
@@ -42,30 +42,38 @@
 	g_free(vm);
 }
 
-static void worker_by_vm_rebuild(struct owner_fleet *fleet)
+static struct worker *worker_of_vm(struct owner_fleet *fleet, const char *vm)
+{
+	const char *id = g_hash_table_lookup(fleet->worker_id_by_vm, vm);
+
+	return id ? g_hash_table_lookup(fleet->owner->workers, id) : NULL;
+}
+
+void owner_vm_workers_update(struct owner_fleet *fleet)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_remove_all(fleet->worker_by_vm);
+	g_hash_table_remove_all(fleet->worker_id_by_vm);
 	g_hash_table_iter_init(&iter, fleet->owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct worker *worker = value;
+		const struct worker *worker = value;
 		const struct worker *other;
 
 		if (worker->ended || !worker->vm)
 			continue;
-		other = g_hash_table_lookup(fleet->worker_by_vm, worker->vm);
+		other = worker_of_vm(fleet, worker->vm);
 		if (!other || worker->started_unix_ms > other->started_unix_ms)
-			g_hash_table_insert(fleet->worker_by_vm, worker->vm,
-					    worker);
+			g_hash_table_replace(fleet->worker_id_by_vm,
+					     g_strdup(worker->vm),
+					     g_strdup(worker->id));
 	}
 }
 
 struct worker *owner_vm_worker(struct owner_fleet *fleet,
 			       const struct owner_vm *vm)
 {
-	return g_hash_table_lookup(fleet->worker_by_vm, vm->name);
+	return worker_of_vm(fleet, vm->name);
 }
 
 static void vm_phase_set(struct owner_vm *vm, enum owner_vm_phase phase)
@@ -133,7 +141,7 @@
 	g_free(call);
 	if (!vm)
 		return;
-	worker_by_vm_rebuild(fleet);
+	owner_vm_workers_update(fleet);
 	vm->call_in_flight = false;
 	if (err != ERR_NONE || verdict != ADAPTER_VM_ACCEPTED)
 		log_info("vm-operation-not-accepted",
@@ -387,7 +395,7 @@
 		       OWNER_FLEET_TICK_MS);
 	if (!owner_is_ready(fleet->owner) || fleet->owner->fenced)
 		return;
-	worker_by_vm_rebuild(fleet);
+	owner_vm_workers_update(fleet);
 	draining_workers_stop_tasks(fleet);
 	owner_vm_list_refresh(fleet);
 	owner_intents_load(fleet);
@@ -411,7 +419,8 @@
 					     owner_wave_free);
 	fleet->vms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vm_free);
-	fleet->worker_by_vm = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->worker_id_by_vm =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&fleet->intent_writes);
 	fleet->prior_intents =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -434,7 +443,7 @@
 	watcher_destroy(fleet->waves_watcher);
 	g_hash_table_unref(fleet->waves);
 	g_hash_table_unref(fleet->vms);
-	g_hash_table_unref(fleet->worker_by_vm);
+	g_hash_table_unref(fleet->worker_id_by_vm);
 	g_hash_table_unref(fleet->prior_intents);
 	g_queue_clear(&fleet->intent_writes);
 	weak_ref_invalidate(fleet->weak_ref);
--- a/packages/jobs/src/owner_fleet.h
+++ b/packages/jobs/src/owner_fleet.h
@@ -90,8 +90,9 @@
 	GHashTable *waves;
 	/** name to struct owner_vm */
 	GHashTable *vms;
-	/** VM to its newest worker that has not ended; rebuilt each tick */
-	GHashTable *worker_by_vm;
+	/** name of a VM to the identity of its newest worker that has not
+	 *  ended; see owner_vm_workers_update() */
+	GHashTable *worker_id_by_vm;
 	bool list_in_flight;
 	/** at least one list of VMs has been received */
 	bool list_received;
@@ -116,6 +117,11 @@
 };
 
 /* owner_fleet.c */
+/* Assigns the known workers to their VMs anew. Called before VMs are acted on,
+ * since workers come and go, and entries name another VM, at any time. */
+void owner_vm_workers_update(struct owner_fleet *fleet);
+
+/* Returns the worker of a VM as of the last update, NULL if it is gone. */
 struct worker *owner_vm_worker(struct owner_fleet *fleet,
 			       const struct owner_vm *vm);
 void owner_vm_drain(struct owner_fleet *fleet, struct owner_vm *vm,
--- a/packages/jobs/src/owner_intents.c
+++ b/packages/jobs/src/owner_intents.c
@@ -31,6 +31,7 @@
 
 	fleet->stored_intent =
 		GPOINTER_TO_SIZE(g_queue_pop_head(&fleet->intent_writes));
+	owner_vm_workers_update(fleet);
 	owner_vms_advance(fleet);
 }
 
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -295,6 +295,7 @@
 
 		vm->emu = emu;
 		vm->number = i;
+		vm->entry_vm = i;
 		g_snprintf(vm->name, sizeof(vm->name), "vm-%u", i);
 		emu_vm_start(vm, MIN(i / config->vms_per_pool, config->pools));
 	}
@@ -366,6 +367,13 @@
 	emu->vms[vm].lists_without = lists;
 }
 
+void emu_worker_set_entry_vm(struct emu *emu, uint32_t vm, uint32_t named)
+{
+	emu->vms[vm].entry_vm = named;
+	/* The entry is written at the next tick. */
+	emu->vms[vm].heartbeat_ms = 0;
+}
+
 void emu_vm_requests_set_lost(struct emu *emu, uint32_t permille)
 {
 	emu->vm_requests_lost_permille = permille;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -254,6 +254,8 @@
 /** @brief Makes orders that a worker holds survive its restart: the next
  *  incarnation executes them. */
 void emu_orders_outlive_worker(struct emu *emu);
+/** @brief Lets a worker's entry name another VM, or its own one again. */
+void emu_worker_set_entry_vm(struct emu *emu, uint32_t vm, uint32_t named);
 /** @brief Makes a worker fail every run that it starts. */
 void emu_worker_set_failing(struct emu *emu, uint32_t vm, bool failing);
 /** @brief Returns the number of VMs, in whatever state. */
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -111,6 +111,8 @@
 	/* when a draining worker stops, or a VM that is down comes back up;
 	 * 0 for never */
 	uint64_t transition_ms;
+	/* number of the VM that the worker's entry names */
+	uint32_t entry_vm;
 	/* when the worker last wrote its entry in the store */
 	uint64_t heartbeat_ms;
 	/* long polls without an answer yet, of struct emu_order */
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -536,7 +536,7 @@
 		format ? format->encode(vm->emu, vm->number)
 		       : g_strdup_printf("%u %u %u %d %" G_GUINT64_FORMAT
 					 " %" G_GINT64_FORMAT,
-					 vm->number, vm->pool, vm->port,
+					 vm->entry_vm, vm->pool, vm->port,
 					 vm->draining, vm->started_ms,
 					 vm->emu->config.vm_cpu_milli);
 
