Write and read the owner key by the JSON library and cut no name

What callers saw: with a quotation mark or backslash in `node`, processes other than the owner refused every call, as they could not read the owner's key. With a name of more than 63 bytes the owner took its own key for that of another process.

Cause: the key's value was printed by hand, without escapes, and a name, address or port that did not fit its member was cut when the key was read.

Change: the value is packed by the JSON library. A key with a name, address or port that does not fit is malformed and ignored with `owner-malformed`, as other malformed keys are.

--- a/packages/jobs/src/election.c
+++ b/packages/jobs/src/election.c
@@ -98,15 +98,22 @@
 	const char *id = json_string_value(json_object_get(json, "id"));
 	const char *ip = json_string_value(json_object_get(json, "ip"));
 
+	json_int_t port = json_integer_value(json_object_get(json, "port"));
+	bool valid = id && ip && strlen(id) < sizeof(out->id) &&
+		     strlen(ip) < sizeof(out->ip) && port > 0 &&
+		     port <= UINT16_MAX;
+
 	memset(out, 0, sizeof(*out));
-	g_strlcpy(out->id, id ? id : "", sizeof(out->id));
-	g_strlcpy(out->ip, ip ? ip : "", sizeof(out->ip));
-	out->port = (uint16_t)json_integer_value(json_object_get(json, "port"));
-	out->fence = json_integer_value(json_object_get(json, "fence"));
-	if (out->fence == 0)
-		out->fence = kv->mod_revision;
+	if (valid) {
+		g_strlcpy(out->id, id, sizeof(out->id));
+		g_strlcpy(out->ip, ip, sizeof(out->ip));
+		out->port = (uint16_t)port;
+		out->fence = json_integer_value(json_object_get(json, "fence"));
+		if (out->fence == 0)
+			out->fence = kv->mod_revision;
+	}
 	json_decref(json);
-	return id && ip;
+	return valid;
 }
 
 /* Whether the key is of this process or of an earlier incarnation, which no
@@ -279,6 +286,20 @@
 	}
 }
 
+/* Returns the value of the key. The caller frees it with free(). */
+static char *owner_encode(const struct election *election)
+{
+	json_int_t fence =
+		election->role == ELECTION_OWNER ? election->fence : 0;
+	json_t *json = json_pack("{s:s, s:s, s:i, s:I}", "id", election->id,
+				 "ip", election->ip, "port",
+				 (int)election->port, "fence", fence);
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	json_decref(json);
+	return text;
+}
+
 static void compete(struct election *election)
 {
 	int64_t lease = lease_id(election->lease);
@@ -297,21 +318,18 @@
 					  election->role == ELECTION_OWNER ? 2
 									   : 1,
 					  writes, G_N_ELEMENTS(writes) };
-	g_autofree char *value = NULL;
+	char *value;
 
 	if (lease == 0 || election->writing || election->key_leased ||
 	    election->role == ELECTION_RESIGNED)
 		return;
-	value = g_strdup_printf(
-		"{\"id\":\"%s\",\"ip\":\"%s\",\"port\":%u,"
-		"\"fence\":%" G_GINT64_FORMAT "}",
-		election->id, election->ip, (unsigned int)election->port,
-		election->role == ELECTION_OWNER ? election->fence : 0);
+	value = owner_encode(election);
 	writes[0].value = value;
 	writes[1].value = value;
 	election->writing = true;
 	platform_txn(election->platform, &txn, on_written,
 		     weak_ref_acquire(election->weak_ref));
+	free(value);
 }
 
 static void on_lease_granted(void *data, int64_t lease)
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -302,8 +302,9 @@
 	for (uint32_t i = 0; i < config->nodes; i++) {
 		emu->nodes[i].emu = emu;
 		emu->nodes[i].number = i;
-		g_snprintf(emu->nodes[i].id, sizeof(emu->nodes[i].id),
-			   "node-%u", i);
+		g_snprintf(emu->nodes[i].id, sizeof(emu->nodes[i].id), "%s%u",
+			   config->node_prefix ? config->node_prefix : "node-",
+			   i);
 		emu_node_start(emu, i);
 	}
 	emu->tick.cb = on_tick;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -33,6 +33,8 @@
 	uint32_t attempts;
 	/** the platform refuses to move VMs between pools */
 	bool fixed_pools;
+	/** start of the processes' names, NULL for the usual one */
+	const char *node_prefix;
 };
 
 /** Rules whose violations the checker counts. */
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -125,7 +125,7 @@
 struct emu_node {
 	struct emu *emu;
 	uint32_t number;
-	char id[16];
+	char id[64];
 	bool alive;
 	/* counts the starts of the process */
 	uint32_t incarnation;
