Refuse settings that would stop the service

What callers saw: after platform.reads_per_s=0 and SIGHUP every process refused everything as soon as its burst of 200 store calls was used up.

Cause: a number was only checked to be positive or 0 and to fit 32 bits. A rate, share, lease or retention of 0 was applied, as were names, addresses and ports that cannot work.

--- a/tests/scenarios/reload_jobs.lua
+++ b/tests/scenarios/reload_jobs.lua
@@ -107,6 +107,7 @@
   ["a truncated file"] = text:sub(1, text:find("platform.address", 1, true) + 5),
   ["a file without a setting that it had"] = text:gsub("limits.cpu_share=0.5\n", ""),
   ["an empty file"] = "",
+  ["a rate without calls to the store"] = text .. "platform.reads_per_s=0\n",
 }
 for what, content in pairs(broken) do
   expect_reload(first, "failed", what .. " is refused", function()
