Check the record of a job as a submission is checked

What callers saw: nothing seen in service. A stored job of 4 thousand million tasks, or with steps that depend on themselves, was taken over by each new owner.

Cause: job_record_job_decode() did not call job_spec_check(), unlike job_record_spec_decode() and the decoder of submissions.

Change: both functions share one decoder that checks.

Evidence: build/packages/jobs/tests/test_segment, seven records. After: all are refused.

--- a/packages/jobs/include/job_record.h
+++ b/packages/jobs/include/job_record.h
@@ -36,7 +36,8 @@
 /** @brief Encodes a job's definition. @return JSON text, owned by the caller */
 char *job_record_job_encode(const struct job *job);
 
-/** @brief Decodes a job's definition. @return ERR_NONE or ERR_MALFORMED */
+/** @brief Decodes a job's definition.
+ *  @return ERR_NONE, ERR_MALFORMED, or an error of job_spec_check() */
 enum err_kind job_record_job_decode(const char *id, const char *text,
 				    size_t len, struct job **out);
 
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -147,10 +147,9 @@
 	return spec;
 }
 
-enum err_kind job_record_spec_decode(const char *text, size_t len,
-				     struct job_spec **out)
+/* Decodes a specification and checks it as that of a submission. */
+static enum err_kind spec_decode(const json_t *json, struct job_spec **out)
 {
-	g_autoptr(json_t) json = json_loadb(text, len, 0, NULL);
 	struct job_spec *spec;
 	const char *why;
 	enum err_kind err;
@@ -166,6 +165,14 @@
 	return err;
 }
 
+enum err_kind job_record_spec_decode(const char *text, size_t len,
+				     struct job_spec **out)
+{
+	g_autoptr(json_t) json = json_loadb(text, len, 0, NULL);
+
+	return spec_decode(json, out);
+}
+
 char *job_record_job_encode(const struct job *job)
 {
 	g_autoptr(json_t) json = json_object();
@@ -203,11 +210,15 @@
 				    size_t len, struct job **out)
 {
 	g_autoptr(json_t) json = json_loadb(text, len, 0, NULL);
-	const json_t *spec = json_object_get(json, "spec");
+	struct job_spec *spec;
+	enum err_kind err;
 
-	if (!record_is_valid(id, json) || !json_is_object(spec))
+	if (!record_is_valid(id, json))
 		return ERR_MALFORMED;
-	*out = job_from_record(id, json, spec_from_json(spec), JOB_PENDING);
+	err = spec_decode(json_object_get(json, "spec"), &spec);
+	if (err != ERR_NONE)
+		return err;
+	*out = job_from_record(id, json, spec, JOB_PENDING);
 	(*out)->has_definition = true;
 	return ERR_NONE;
 }
--- a/packages/jobs/tests/test_segment.c
+++ b/packages/jobs/tests/test_segment.c
@@ -161,6 +161,32 @@
 }
 END_TEST
 
+/* A stored job is checked like a submitted one. */
+START_TEST(test_stored_jobs_that_no_caller_may_submit_are_rejected)
+{
+	static const char *const specs[] = {
+		"{\"text\":\"x\",\"steps\":[]}",
+		"{\"steps\":[{\"count\":1}]}",
+		"{\"text\":\"x\",\"steps\":[{\"count\":0}]}",
+		"{\"text\":\"x\",\"steps\":[{\"count\":4097}]}",
+		"{\"text\":\"x\",\"steps\":[{\"count\":4000000000}]}",
+		"{\"text\":\"x\",\"steps\":[{\"count\":1,\"after\":1}]}",
+		"{\"text\":\"x\",\"times\":10001,\"steps\":[{\"count\":1}]}",
+	};
+	struct job *job = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"queue\":\"q\",\"spec\":%s}", specs[i]);
+
+		ck_assert_msg(job_record_job_decode(ID_A, text, strlen(text),
+						    &job) != ERR_NONE,
+			      "%s", text);
+		ck_assert_ptr_null(job);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("segment");
@@ -174,6 +200,8 @@
 	tcase_add_test(tests, test_end_record_round_trip);
 	tcase_add_test(tests, test_progress_record_round_trip);
 	tcase_add_test(tests, test_malformed_records_are_rejected);
+	tcase_add_test(tests,
+		       test_stored_jobs_that_no_caller_may_submit_are_rejected);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
