Keep no key of a freed job when a record is listed twice

What callers saw: nothing seen in service. A new owner read freed memory, and could end by it, if the list of jobs that it took over had a record twice.

Cause: the table of jobs uses the identity inside each job as its key. Inserting the second copy of a job freed the first one but kept its key.

Change: the key is replaced together with the job. The other tables of this kind look an item up first.

Evidence: test_jobs, test_record_that_is_listed_twice_is_restored_once, under ASan (-DSANITIZE=ON; ASAN_OPTIONS=detect_leaks=0 build-sanitized/packages/jobs/tests/test_jobs). Before: heap-use-after-free, owner_task_find_by_name <- on_start_answered. After: 8 of 8 pass.

--- a/packages/jobs/src/owner_recovery.c
+++ b/packages/jobs/src/owner_recovery.c
@@ -209,7 +209,7 @@
 
 		if (job_record_job_decode(kv->key + prefix_len, kv->value,
 					  kv->value_len, &job) == ERR_NONE)
-			g_hash_table_insert(owner->jobs, job->id, job);
+			g_hash_table_replace(owner->jobs, job->id, job);
 		else
 			log_warning(
 				"job-record-malformed",
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -284,6 +284,7 @@
 	emu->random = g_rand_new_with_seed(config->seed);
 	g_random_set_seed(config->seed);
 	emu->jobs = g_ptr_array_new();
+	emu->range_copies = 1;
 	emu_store_open(emu);
 	value = g_strdup_printf("1 %u %u", config->pools, config->attempts);
 	emu_store_put(emu, "config", value, 0);
@@ -466,6 +467,11 @@
 	emu->slowdown = factor;
 }
 
+void emu_store_set_range_copies(struct emu *emu, uint32_t copies)
+{
+	emu->range_copies = copies;
+}
+
 void emu_store_compact(struct emu *emu)
 {
 	emu->revision++;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -224,6 +224,8 @@
 				uint32_t late_permille);
 /** @brief Sets the factor by which the store's answers take longer. */
 void emu_store_set_slowdown(struct emu *emu, uint32_t factor);
+/** @brief Sets how often a range of the store has each item. */
+void emu_store_set_range_copies(struct emu *emu, uint32_t copies);
 /** @brief Compacts the store's history, so that watches must read again. */
 void emu_store_compact(struct emu *emu);
 /** @brief Revokes the ownership lease if the process holds it, without
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -216,6 +216,8 @@
 	 * late */
 	uint32_t lost_permille;
 	uint32_t late_permille;
+	/* how often a range has each item */
+	uint32_t range_copies;
 	/* factor of the time that the store takes to answer */
 	uint32_t slowdown;
 	uint32_t delayed_order_permille;
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -262,7 +262,7 @@
 	bool match = call->prefix ? g_str_has_prefix(key, call->key)
 				  : strcmp(key, call->key) == 0;
 
-	if (match)
+	for (uint32_t i = 0; match && i < call->node->emu->range_copies; i++)
 		kv_add(call, key, item->value, item->mod_revision,
 		       item->create_revision, item->lease, false);
 	return FALSE;
--- a/packages/jobs/tests/test_jobs.c
+++ b/packages/jobs/tests/test_jobs.c
@@ -190,6 +190,29 @@
 }
 END_TEST
 
+/* Pages of a list are not a snapshot: a record may be in two of them. */
+START_TEST(test_record_that_is_listed_twice_is_restored_once)
+{
+	struct emu *emu = emu_create(&fleet);
+	struct emu_stats stats;
+
+	emu_advance(emu, 2000);
+	for (uint32_t i = 0; i < 10; i++)
+		emu_submit(emu, i % fleet.nodes, &batch);
+	emu_advance(emu, 300);
+	emu_store_set_range_copies(emu, 2);
+	emu_node_kill(emu, emu_owner(emu));
+	emu_advance(emu, 15000);
+	for (uint32_t i = 0; i < 10; i++)
+		emu_state_query(emu, i % fleet.nodes, i);
+	emu_advance(emu, 500);
+	emu_stats(emu, &stats);
+	ck_assert_uint_eq(stats.unfinished, 0);
+	expect_no_violations(emu);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("jobs");
@@ -205,6 +228,8 @@
 	tcase_add_test(tests, test_gang_members_start_together);
 	tcase_add_test(tests, test_wave_keeps_long_running_tasks_and_completes);
 	tcase_add_test(tests, test_burst_moves_idle_vms_from_other_pools);
+	tcase_add_test(tests,
+		       test_record_that_is_listed_twice_is_restored_once);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
