State which limits of the configuration are not applied

What callers saw: max_body_bytes and idle_timeout_ms of the configuration had no effect, while a comment said that they had.

Cause: both are decoded, and nothing uses them. The server of callers takes its limits when it is created.

They stay as they are: a smaller limit could refuse the repetition of a submission that was accepted, whose answer was lost.

Evidence: none was run; no behaviour changed.

--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -25,7 +25,7 @@
  * about 300 ms to answer.
  */
 #define JOBD_LEASE_TTL_S 1
-/* Maximum size of a request body until the configuration sets another limit. */
+/* Maximum size of a request body. */
 #define JOBD_BODY_MAX_BYTES (1024u * 1024u)
 /*
  * Maximum caller connections; leaves file descriptors for the store, workers
--- a/packages/jobs/include/catalogue.h
+++ b/packages/jobs/include/catalogue.h
@@ -51,6 +51,7 @@
 	GArray *services;
 	/** name to queue, filled by catalogue_index() */
 	GHashTable *queue_by_name;
+	/** limits of callers' connections; read, but not applied */
 	uint32_t body_max_bytes;
 	uint32_t idle_timeout_ms;
 };
