--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -27,7 +27,7 @@
  * about 300 ms to answer.
  */
 #define JOBD_LEASE_TTL_S 1
-/* Maximum size of a request body until the configuration sets another limit. */
+/* Maximum size of a request body. */
 #define JOBD_BODY_MAX_BYTES (1024u * 1024u)
 /* Bytes of all incomplete requests together. */
 #define JOBD_INPUT_MAX_BYTES (32u * 1024u * 1024u)
--- a/packages/jobs/src/owner_intents.c
+++ b/packages/jobs/src/owner_intents.c
@@ -37,6 +37,7 @@
 		return;
 	}
 	fleet->stored_intent = number;
+	owner_vm_workers_update(fleet);
 	owner_vms_advance(fleet);
 }
 
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -285,6 +285,7 @@
 	emu->random = g_rand_new_with_seed(config->seed);
 	g_random_set_seed(config->seed);
 	emu->jobs = g_ptr_array_new();
+	emu->range_copies = 1;
 	emu_store_open(emu);
 	value = g_strdup_printf("1 %u %u", config->pools, config->attempts);
 	emu_store_put(emu, "config", value, 0);
@@ -296,14 +297,16 @@
 
 		vm->emu = emu;
 		vm->number = i;
+		vm->entry_vm = i;
 		g_snprintf(vm->name, sizeof(vm->name), "vm-%u", i);
 		emu_vm_start(vm, MIN(i / config->vms_per_pool, config->pools));
 	}
 	for (uint32_t i = 0; i < config->nodes; i++) {
 		emu->nodes[i].emu = emu;
 		emu->nodes[i].number = i;
-		g_snprintf(emu->nodes[i].id, sizeof(emu->nodes[i].id),
-			   "node-%u", i);
+		g_snprintf(emu->nodes[i].id, sizeof(emu->nodes[i].id), "%s%u",
+			   config->node_prefix ? config->node_prefix : "node-",
+			   i);
 		emu_node_start(emu, i);
 	}
 	emu->tick.cb = on_tick;
@@ -367,6 +370,13 @@
 	emu->vms[vm].lists_without = lists;
 }
 
+void emu_worker_set_entry_vm(struct emu *emu, uint32_t vm, uint32_t named)
+{
+	emu->vms[vm].entry_vm = named;
+	/* The entry is written at the next tick. */
+	emu->vms[vm].heartbeat_ms = 0;
+}
+
 void emu_vm_requests_set_lost(struct emu *emu, uint32_t permille)
 {
 	emu->vm_requests_lost_permille = permille;
@@ -458,6 +468,11 @@
 	emu->slowdown = factor;
 }
 
+void emu_store_set_range_copies(struct emu *emu, uint32_t copies)
+{
+	emu->range_copies = copies;
+}
+
 void emu_store_compact(struct emu *emu)
 {
 	emu->revision++;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -33,6 +33,8 @@
 	uint32_t attempts;
 	/** the platform refuses to move VMs between pools */
 	bool fixed_pools;
+	/** start of the processes' names, NULL for the usual one */
+	const char *node_prefix;
 };
 
 /** Rules whose violations the checker counts. */
@@ -233,6 +235,8 @@
 uint32_t emu_store_refusals(const struct emu *emu);
 /** @brief Sets the factor by which the store's answers take longer. */
 void emu_store_set_slowdown(struct emu *emu, uint32_t factor);
+/** @brief Sets how often a range of the store has each item. */
+void emu_store_set_range_copies(struct emu *emu, uint32_t copies);
 /** @brief Compacts the store's history, so that watches must read again. */
 void emu_store_compact(struct emu *emu);
 /** @brief Revokes the ownership lease if the process holds it, without
@@ -265,6 +269,8 @@
 /** @brief Makes orders that a worker holds survive its restart: the next
  *  incarnation executes them. */
 void emu_orders_outlive_worker(struct emu *emu);
+/** @brief Lets a worker's entry name another VM, or its own one again. */
+void emu_worker_set_entry_vm(struct emu *emu, uint32_t vm, uint32_t named);
 /** @brief Makes a worker fail every run that it starts. */
 void emu_worker_set_failing(struct emu *emu, uint32_t vm, bool failing);
 /** @brief Returns the number of VMs, in whatever state. */
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -111,6 +111,8 @@
 	/* when a draining worker stops, or a VM that is down comes back up;
 	 * 0 for never */
 	uint64_t transition_ms;
+	/* number of the VM that the worker's entry names */
+	uint32_t entry_vm;
 	/* when the worker last wrote its entry in the store */
 	uint64_t heartbeat_ms;
 	/* long polls without an answer yet, of struct emu_order */
@@ -123,7 +125,7 @@
 struct emu_node {
 	struct emu *emu;
 	uint32_t number;
-	char id[16];
+	char id[64];
 	bool alive;
 	/* counts the starts of the process */
 	uint32_t incarnation;
@@ -214,6 +216,8 @@
 	 * late */
 	uint32_t lost_permille;
 	uint32_t late_permille;
+	/* how often a range has each item */
+	uint32_t range_copies;
 	/* factor of the time that the store takes to answer */
 	uint32_t slowdown;
 	uint32_t value_bytes;
