--- a/packages/caller/src/ingress_connection.c
+++ b/packages/caller/src/ingress_connection.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
--- a/tests/scenarios/descriptors_proxy.lua
+++ b/tests/scenarios/descriptors_proxy.lua
@@ -15,10 +15,11 @@
 f:wait_serving(gateway)
 
 local sent = 0
+-- Sends a request, in turn over HTTP/1.1 and HTTP/2.
 local function submit()
   sent = sent + 1
   return {id = http_start{method = "POST", url = fleet.url(gateway.port, "/draws"), body = "x", timeout_ms = 3000,
-                          fresh = 1, headers = {["x-test-id"] = "t" .. sent}}}
+                          fresh = 1, h2 = sent % 2, headers = {["x-test-id"] = "t" .. sent}}}
 end
 
 for _, mode in ipairs{"half", "idle", "drip", "header", "body", "upload", "reset"} do
