Soak with SIGHUP, bad settings files, floods and kept connections

Its callers opened a connection for each submission, so it did not see what happens on open ones.

Each start gets SIGHUP at a random moment after its signals are blocked; bursts come while processes run, stop and take over. A missing, empty, truncated, invalid, huge file, a FIFO, a device, a dangling link or a directory takes the place of the settings file of a process, with and without SIGHUP, also when it starts. standin_flood fills the callers' ports of processes with 256 descriptors. Restarts by SIGTERM, SIGKILL, SIGSTOP and SIGCONT come in series, overlap each other and all of these.

Callers on kept connections use them until the process is gone. New checks: a whole request of theirs is answered within 4 s of the process's running time unless the process was killed; a connection reset at an exit is accepted only for requests that arrived within 500 ms of running time before it and were not read. A process ends with code 0 within 6 s of SIGTERM, never by itself, and names the reason if it cannot start; it stays under 512 MB; at the end every process is ready and has read its settings. Failures name process, start, time, faults and log lines, and do not end the run.

A longer run: build/programs/runner build/programs tests/scenarios/soak.lua SEED [PROCESSES [SECONDS]]

--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -66,7 +66,8 @@
   process.starts = process.starts + 1
   process.log = string.format("%s/%s.%d.log", DIR, process.name, process.starts)
   process.pid = spawn{"sassafrascartd", "--node-file", process.file, "--metrics-port",
-                      tostring(process.metrics), log = process.log}
+                      tostring(process.metrics), log = process.log,
+                      descriptors_max = process.descriptors_max}
 end
 
 function jobfleet.is_ready(process)
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -1,18 +1,26 @@
 -- Runs jobs under random faults, chosen by the seed. Processes are killed, frozen and
--- stopped; relays delay, reset or stall the connections of callers and those to the
--- platform; workers crash; the store is unavailable, slow or loses responses. The
--- platform stand-in checks its rules throughout, and every accepted job must end once
--- the faults are over.
+-- stopped, get SIGHUP, bad settings files and floods of connections; relays delay, reset
+-- or stall the connections of callers and those to the platform; workers crash; the store
+-- is unavailable, slow or loses responses. The platform stand-in checks its rules
+-- throughout, every whole request of callers on kept connections must be answered unless
+-- its process was killed, and every accepted job must end once the faults are over.
+-- Optional arguments after the seed: count of processes, seconds of faults.
 local fleet = require("fleet")
 local jobfleet = require("jobfleet")
+local soak_callers = require("soak_callers")
+local soak_processes = require("soak_processes")
 
-local PROCESSES = 3
-local FAULTS_MS = 12000
+local PROCESSES = tonumber(ARGUMENTS[1]) or 3
+local FAULTS_MS = (tonumber(ARGUMENTS[2]) or 12) * 1000
 -- Long enough for the lease of a frozen owner to expire, for the takeover and for the
 -- longest delayed order.
 local SETTLE_MS = 40000
 local JOB_EVERY_MS = 60
-local FAULT_EVERY_MS = 600
+local FAULT_EVERY_MS = 1200 // PROCESSES
+-- Callers on kept connections of each process, and the share of their requests that submit.
+local KEPT_CALLERS, SUBMIT_SHARE = 4, 0.3
+-- For the processes with odd numbers, whose callers' ports are flooded.
+local DESCRIPTORS_MAX = 256
 local SUBMIT_ATTEMPTS, RETRY_DELAY_MS = 5, 800
 local ENDED = {succeeded = true, failed = true, canceled = true}
 
@@ -33,23 +41,20 @@
   return relay.port
 end
 
-local function start(process)
-  process.unavailable = false
-  jobfleet.start(process)
-end
+-- Scheduled callbacks: {at_ms, callback}.
+local scheduled = {}
+local function schedule(ms, callback) table.insert(scheduled, {now_ms() + ms, callback}) end
 
+local runs = soak_processes.new(processes, schedule)
 for i = 1, PROCESSES do
   local process = platform:add_process(relay_to(platform.port, "vm-entry-" .. i .. "-platform"))
   process.callers = relay_to(process.front, process.name .. "-callers")
-  start(process)
+  process.descriptors_max = i % 2 == 1 and DESCRIPTORS_MAX or nil
+  runs:start(process)
 end
 
 local jobs, calls = {}, {}
 
--- Scheduled callbacks: {at_ms, callback}.
-local scheduled = {}
-local function schedule(ms, callback) table.insert(scheduled, {now_ms() + ms, callback}) end
-
 -- Sends a caller's request; done gets the response, with status 0 if there is none.
 local function call(method, job, body, done)
   local process = processes[random(PROCESSES)]
@@ -57,26 +62,32 @@
   calls[id] = done
 end
 
+local function state_told(job, status, body)
+  local job_state = status == 200 and json(body).state or nil
+  platform:told(job, jobfleet.STATE, status, job_state)
+  job.polled = false
+  job.ended = job.ended or ENDED[job_state]
+end
+
 local function poll_state(job)
   job.polled = true
-  call("GET", job, nil, function(answer)
-    local job_state = answer.status == 200 and json(answer.body).state or nil
-    platform:told(job, jobfleet.STATE, answer.status, job_state)
-    job.polled = false
-    job.ended = job.ended or ENDED[job_state]
-  end)
+  call("GET", job, nil, function(answer) state_told(job, answer.status, answer.body) end)
+end
+
+local submit_job
+
+-- Makes up to `attempts` further attempts while a job is refused or unanswered.
+local function submission_told(job, status, attempts)
+  platform:told(job, jobfleet.SUBMIT, status)
+  job.accepted = status == 200
+  if not job.accepted and attempts > 0 then
+    schedule(RETRY_DELAY_MS, function() submit_job(job, attempts) end)
+  end
 end
 
--- Submits a job; makes up to `attempts` attempts while it is refused or unanswered.
-local function submit_job(job, attempts)
+function submit_job(job, attempts)
   platform:announce(job)
-  call("POST", job, job.body, function(answer)
-    platform:told(job, jobfleet.SUBMIT, answer.status)
-    job.accepted = answer.status == 200
-    if not job.accepted and attempts > 1 then
-      schedule(RETRY_DELAY_MS, function() submit_job(job, attempts - 1) end)
-    end
-  end)
+  call("POST", job, job.body, function(answer) submission_told(job, answer.status, attempts - 1) end)
 end
 
 local function create_job()
@@ -84,9 +95,25 @@
   local job = platform:create_job{pool = pool, steps = random(3), width = random(3), cpu = 500 * random(3),
                                   work_ms = 50 * random(12), poison = random(30) == 1}
   table.insert(jobs, job)
-  submit_job(job, SUBMIT_ATTEMPTS)
+  return job
+end
+
+-- The next request of a caller on a kept connection.
+local function next_request()
+  local job = #jobs > 0 and jobs[random(#jobs)]
+  if job and job.accepted and not job.polled and random() >= SUBMIT_SHARE then
+    job.polled = true
+    return {method = "GET", job = job, done = function(status, body) state_told(job, status, body) end}
+  end
+  job = create_job()
+  platform:announce(job)
+  return {method = "POST", job = job,
+          done = function(status) submission_told(job, status, SUBMIT_ATTEMPTS - 1) end}
 end
 
+local callers = soak_callers.new(function(run, what) runs:fail(run, what) end, next_request)
+for _, process in ipairs(processes) do callers:add(process, KEPT_CALLERS) end
+
 local function complete_calls()
   for id, done in pairs(calls) do
     local answer = http_result(id)
@@ -98,49 +125,56 @@
 end
 
 local function fault(kind, vm, value)
+  soak_processes.log_fault(string.format("platform %s %d %d", kind, vm, value))
   platform:control("/control/fault", string.format('{"kind":"%s","vm":%d,"x":%d}', kind, vm, value))
 end
 
-local function restart_process(process, signal_name, down_ms)
-  process.unavailable = true
-  signal(process.pid, signal_name)
-  schedule(down_ms, function()
-    fleet.wait_until(process.name .. " ends", 20000, function() return exited(process.pid) end)
-    start(process)
-  end)
+local function write_relay_mode(relay, mode)
+  soak_processes.log_fault(relay.file:match("[^/]*$") .. " " .. mode)
+  fleet.write(relay.file, mode)
 end
 
 local function set_relay_mode(relay, mode, for_ms)
-  fleet.write(relay.file, mode)
-  schedule(for_ms, function() fleet.write(relay.file, "pass") end)
+  write_relay_mode(relay, mode)
+  schedule(for_ms, function() write_relay_mode(relay, "pass") end)
 end
 
 local function random_relay() return relays[random(#relays)] end
 
+local function random_run() return processes[random(PROCESSES)].run end
+
+local function random_limited() return processes[2 * random((PROCESSES + 1) // 2) - 1] end
+
 local faults = {
-  function(p) restart_process(p, "KILL", random(300, 1500)) end,
-  function(p) restart_process(p, "TERM", random(2500, 4000)) end,
-  function(p)
-    p.unavailable = true
-    signal(p.pid, "STOP")
-    schedule(random(500, 3000), function() signal(p.pid, "CONT") p.unavailable = false end)
-  end,
+  function() runs:restart(processes[random(PROCESSES)], random(3)) end,
+  function() runs:restart(processes[random(PROCESSES)], random(3)) end,
+  function() runs:stop_for(random_run(), random(500, 3000)) end,
+  function() runs:hang_up(random_run(), random(8)) end,
+  function() runs:hang_up_all(random(0, 2000)) end,
+  function() runs:break_file(processes[random(PROCESSES)]) end,
+  function() runs:break_file(processes[random(PROCESSES)]) end,
+  function() runs:break_file(processes[random(PROCESSES)]) end,
+  function() runs:flood(random_limited()) end,
+  function() runs:flood(random_limited()) end,
   function() fault("store", 0, 1) schedule(random(300, 2500), function() fault("store", 0, 0) end) end,
   function() fault("lost", 0, 200) schedule(2000, function() fault("lost", 0, 0) end) end,
   function() fault("slow", 0, 200) schedule(2000, function() fault("slow", 0, 0) end) end,
   function() fault("compact", 0, 0) end,
   function() fault("crash", random(0, 7), random(300, 1500)) end,
   function() local vm = random(0, 7) fault("cut", vm, 1) schedule(random(500, 3000), function() fault("cut", vm, 0) end) end,
-  function() platform:control("/control/wave", "{}") end,
+  function() soak_processes.log_fault("wave") platform:control("/control/wave", "{}") end,
   function() set_relay_mode(random_relay(), "delay " .. random(20, 300), random(500, 3000)) end,
   function() set_relay_mode(random_relay(), "reset", 100) end,
   function() set_relay_mode(random_relay(), "silent", random(500, 3000)) end,
   function() set_relay_mode(random_relay(), "oneway", random(500, 3000)) end,
 }
 
+local traffic = true
 local function step()
   poll(10)
   complete_calls()
+  callers:step(traffic)
+  runs:step()
   for i = #scheduled, 1, -1 do
     if scheduled[i][1] <= now_ms() then
       local callback = table.remove(scheduled, i)[2]
@@ -159,16 +193,13 @@
 run_for(FAULTS_MS, function()
   if now_ms() >= next_job then
     next_job = now_ms() + JOB_EVERY_MS
-    create_job()
+    submit_job(create_job(), SUBMIT_ATTEMPTS)
     local job = jobs[random(#jobs)]
     if job.accepted and not job.polled then poll_state(job) end
   end
   if now_ms() >= next_fault then
     next_fault = now_ms() + FAULT_EVERY_MS
-    local process = processes[random(PROCESSES)]
-    local choice = random(#faults)
-    -- Faults 1 to 3 act on a process and need one that runs.
-    if choice > 3 or not process.unavailable then faults[choice](process) end
+    faults[random(#faults)]()
   end
 end)
 
@@ -181,14 +212,21 @@
       if not job.polled and unfinished < 8 then poll_state(job) end
     end
   end
-  return unfinished == 0 and #scheduled == 0 and next(calls) == nil
+  -- The callers go on until all processes run undisturbed.
+  traffic = #scheduled > 0 or not runs:are_up()
+  return not traffic and unfinished == 0 and next(calls) == nil and callers:is_idle()
 end)
 
+runs:check_serving()
 local final = platform:report()
 local accepted = 0
 for _, job in ipairs(jobs) do if job.accepted then accepted = accepted + 1 end end
 print(string.format("%d of %d jobs accepted, %d runs, %d moves, %d maintained", accepted, #jobs,
                     final.runs, final.moves, final.maintained))
+print(string.format("kept connections: %d requests answered, %d not read at an exit, %d of killed "
+                    .. "processes, %d not sent; %d connections ended while idle", callers.answered,
+                    callers.unread, callers.killed, callers.unsent, callers.idle_ended))
+assert(runs.failures == 0, runs.failures .. " failures, see above")
 assert(final.broken == 0, final.first)
 assert(unfinished == 0, unfinished .. " accepted jobs have not ended")
 assert(accepted * 2 > #jobs, "at most half of the jobs were accepted")
