--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -125,12 +125,18 @@
 end
 
 local function fault(kind, vm, value)
+  soak_processes.log_fault(string.format("platform %s %d %d", kind, vm, value))
   platform:control("/control/fault", string.format('{"kind":"%s","vm":%d,"x":%d}', kind, vm, value))
 end
 
-local function set_relay_mode(relay, mode, for_ms)
+local function write_relay_mode(relay, mode)
+  soak_processes.log_fault(relay.file:match("[^/]*$") .. " " .. mode)
   fleet.write(relay.file, mode)
-  schedule(for_ms, function() fleet.write(relay.file, "pass") end)
+end
+
+local function set_relay_mode(relay, mode, for_ms)
+  write_relay_mode(relay, mode)
+  schedule(for_ms, function() write_relay_mode(relay, "pass") end)
 end
 
 local function random_relay() return relays[random(#relays)] end
@@ -156,7 +162,7 @@
   function() fault("compact", 0, 0) end,
   function() fault("crash", random(0, 7), random(300, 1500)) end,
   function() local vm = random(0, 7) fault("cut", vm, 1) schedule(random(500, 3000), function() fault("cut", vm, 0) end) end,
-  function() platform:control("/control/wave", "{}") end,
+  function() soak_processes.log_fault("wave") platform:control("/control/wave", "{}") end,
   function() set_relay_mode(random_relay(), "delay " .. random(20, 300), random(500, 3000)) end,
   function() set_relay_mode(random_relay(), "reset", 100) end,
   function() set_relay_mode(random_relay(), "silent", random(500, 3000)) end,
--- a/tests/scenarios/soak_processes.lua
+++ b/tests/scenarios/soak_processes.lua
@@ -35,10 +35,21 @@
   return ms
 end
 
+local faults_log = assert(io.open(DIR .. "/faults.log", "w"))
+faults_log:setvbuf("line")
+
+-- Writes a fault to faults.log, with the time that the logs of the processes have.
+function soak_processes.log_fault(text)
+  local ms = wall_ms()
+  faults_log:write(string.format("%s.%03d %s %s\n", os.date("!%H:%M:%S", ms // 1000), ms % 1000,
+                                 soak_processes.time_text(now_ms()), text))
+end
+
 -- Records a fault of a process for the reports.
 local function note(process, text)
   process.faults = process.faults or {}
   table.insert(process.faults, "    " .. soak_processes.time_text(now_ms()) .. " " .. text)
+  soak_processes.log_fault(process.name .. " " .. text)
 end
 
 local function last(lines, count) return table.concat(lines, "\n", math.max(1, #lines - count + 1)) end
