Keep the connections of served callers during a flood

What callers saw: a burst of 400 new connections closed all 12 kept connections of a process with 256 descriptors, between two of their requests.

Cause: at the bound a new connection takes the place of those that never had a request, then of idle ones. While all of the former were within their first 10 ms, none could be chosen, and the search went on to the idle ones.

Change: in that case an idle connection gives way only if its last request ended a second ago.

flood_kept: 'idle: 0 of 12 kept connections are left' before, passes after; descriptors and descriptors_proxy pass. Ruled out: never to go on to idle ones in that case, with which descriptors (11 of 25 jobs unanswered) and descriptors_proxy (6 of 15 probes) fail, since among floods there is always a young one.

--- a/packages/caller/src/ingress_connection.c
+++ b/packages/caller/src/ingress_connection.c
@@ -14,6 +14,10 @@
 #define INGRESS_BODY_SLOW_GRACE_MS 40
 /* Time for the first bytes after a connection was accepted or answered. */
 #define INGRESS_SILENT_GRACE_MS 10
+/* The same for a connection that had a request, while there are new ones that
+ * are only too young to be closed: a burst of them must not close those of
+ * callers that are served. */
+#define INGRESS_SERVED_GRACE_MS 1000
 /* Connections that are looked at for one that may be closed. */
 #define INGRESS_EVICT_CANDIDATES 64
 
@@ -189,13 +193,14 @@
 }
 
 static enum ingress_eviction
-connection_evict(struct ingress_connection *connection, uint64_t now_ms)
+connection_evict(struct ingress_connection *connection, uint32_t grace_ms,
+		 uint64_t now_ms)
 {
 	enum ingress_eviction result = INGRESS_EVICTED;
 
 	request_observe(connection, now_ms);
 	if (has_unread_bytes(connection) ||
-	    now_ms - connection->silent_ms < INGRESS_SILENT_GRACE_MS)
+	    now_ms - connection->silent_ms < grace_ms)
 		return INGRESS_EVICTION_UNDECIDED;
 	if (connection->begun_ms != 0 &&
 	    (connection->http2 || head_is_complete(connection)))
@@ -207,7 +212,8 @@
 	return result;
 }
 
-static enum ingress_eviction list_evict(GQueue *list, uint64_t now_ms)
+static enum ingress_eviction list_evict(GQueue *list, uint32_t grace_ms,
+					uint64_t now_ms)
 {
 	uint32_t candidates = MIN(list->length, INGRESS_EVICT_CANDIDATES);
 	enum ingress_eviction result = INGRESS_EVICTION_NONE;
@@ -215,7 +221,7 @@
 	for (uint32_t i = 0; i < candidates; i++) {
 		struct ingress_connection *connection = list->head->data;
 		enum ingress_eviction one =
-			connection_evict(connection, now_ms);
+			connection_evict(connection, grace_ms, now_ms);
 
 		if (one == INGRESS_EVICTED)
 			return one;
@@ -229,11 +235,16 @@
 enum ingress_eviction ingress_connection_evict(struct ingress_server *server)
 {
 	uint64_t now_ms = loop_now_ms();
-	enum ingress_eviction fresh = list_evict(&server->fresh, now_ms);
+	enum ingress_eviction fresh =
+		list_evict(&server->fresh, INGRESS_SILENT_GRACE_MS, now_ms);
 
 	if (fresh == INGRESS_EVICTED)
 		return fresh;
-	return MIN(fresh, list_evict(&server->idle, now_ms));
+	return MIN(fresh, list_evict(&server->idle,
+				     fresh == INGRESS_EVICTION_UNDECIDED
+					     ? INGRESS_SERVED_GRACE_MS
+					     : INGRESS_SILENT_GRACE_MS,
+				     now_ms));
 }
 
 bool ingress_connection_is_refused(const struct ingress_connection *connection)
