--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -5,17 +5,11 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "config_watcher.h"
-#include "descriptor.h"
 #include "descriptor_limit.h"
 #include "esoa_job_api.h"
-#include "esoa_settings.h"
 #include "esoa_store.h"
-#include "esoa_adapter.h"
-#include "histogram.h"
-#include "job_rpc.h"
+#include "jobd_private.h"
 #include "log.h"
-#include "reload.h"
 
 /* Timeout of a call to the store, whose slow answers take about 300 ms. */
 #define JOBD_STORE_TIMEOUT_MS 1000
@@ -39,19 +33,6 @@
  * owner.
  */
 #define JOBD_ELECTION_DELAY_MS 25
-/*
- * Time for the load balancer to stop using this VM: it probes once a second and
- * removes a VM after two failed probes.
- */
-#define JOBD_BALANCER_DETECT_MS 2350
-/* Margin to exit before the platform kills the process. */
-#define JOBD_STOP_MARGIN_MS 600
-/* Interval between checks whether a stopping process may exit. */
-#define JOBD_STOP_POLL_MS 20
-/* Checks without a new connection or request before a stopping process exits;
- * a request may follow its connection by a round trip. */
-#define JOBD_QUIET_POLLS 3
-
 struct jobd_options {
 	char *node_file;
 	char *log_level;
@@ -76,30 +57,6 @@
 	{ 0 },
 };
 
-struct jobd_process {
-	struct loop *loop;
-	const char *node_file;
-	struct esoa_settings settings;
-	struct platform *store;
-	struct esoa_adapter *adapter;
-	struct job_rpc_channel *channel;
-	struct jobs_service *service;
-	struct config_watcher *config;
-	struct reload *reload;
-	struct ingress_server *caller_server;
-	struct ingress_server *readiness_server;
-	/* NULL if no metrics port is set */
-	struct ingress_server *metrics_server;
-	struct descriptor_plan descriptors;
-	uint16_t metrics_port;
-	/* latency of callers' calls, by verb */
-	struct histogram *call_latency[JOBS_WAITING + 1];
-	bool stopping;
-	uint64_t stopping_since_ms;
-	struct ingress_quiet quiet;
-	struct timer stop_timer;
-};
-
 /* A caller's request in progress. */
 struct jobd_request {
 	struct jobd_process *process;
@@ -269,56 +226,6 @@
 	jobs_set_catalogue(process->service, catalogue);
 }
 
-/* Lets callers go: connections end with their next response, and no new ones
- * are accepted once no request is in progress, or at the last moment. */
-static void callers_drain(struct jobd_process *process, bool last_moment)
-{
-	ingress_server_drain(process->caller_server);
-	if (last_moment ||
-	    ingress_server_in_flight(process->caller_server) == 0)
-		ingress_server_close_listener(process->caller_server);
-}
-
-/*
- * Stops the loop when the load balancer has noticed the shutdown and callers
- * have nothing under way any more, or shortly before the platform kills the
- * process.
- */
-static void on_stop_poll(void *data)
-{
-	struct jobd_process *process = data;
-	uint64_t elapsed_ms = loop_now_ms() - process->stopping_since_ms;
-	uint32_t limit_ms = process->settings.stop_grace_ms;
-	uint32_t last_ms;
-
-	limit_ms -= MIN(limit_ms, JOBD_STOP_MARGIN_MS);
-	last_ms =
-		limit_ms - MIN(limit_ms, JOBD_QUIET_POLLS * JOBD_STOP_POLL_MS);
-	if (elapsed_ms >= MIN(JOBD_BALANCER_DETECT_MS, last_ms))
-		callers_drain(process, elapsed_ms >= last_ms);
-	if (elapsed_ms >= limit_ms ||
-	    (elapsed_ms >= JOBD_BALANCER_DETECT_MS &&
-	     ingress_server_is_quiet(process->caller_server, &process->quiet,
-				     JOBD_QUIET_POLLS))) {
-		loop_stop(process->loop);
-		return;
-	}
-	loop_timer_set(process->loop, &process->stop_timer, JOBD_STOP_POLL_MS);
-}
-
-static void process_stop(struct jobd_process *process, int signo)
-{
-	if (process->stopping)
-		return;
-	log_info("process-stopping",
-		 "signal %d received, requests in progress %u", signo,
-		 ingress_server_in_flight(process->caller_server));
-	process->stopping = true;
-	process->stopping_since_ms = loop_now_ms();
-	jobs_resign(process->service);
-	on_stop_poll(process);
-}
-
 static void on_signal(void *data, int signo)
 {
 	struct jobd_process *process = data;
@@ -326,7 +233,7 @@
 	if (signo == SIGHUP)
 		reload_request(process->reload);
 	else
-		process_stop(process, signo);
+		jobd_stop(process, signo);
 }
 
 static enum err_kind server_open(struct jobd_process *process,
@@ -499,18 +406,6 @@
 	platform_destroy(process->store);
 }
 
-static void stopped_log(const struct jobd_process *process)
-{
-	struct ingress_counts counts;
-
-	ingress_server_counts(process->caller_server, &counts);
-	log_info("process-stopped",
-		 "ended %" G_GUINT64_FORMAT " ms after the stop signal, "
-		 "requests in progress %u, caller connections %u",
-		 loop_now_ms() - process->stopping_since_ms,
-		 ingress_server_in_flight(process->caller_server), counts.open);
-}
-
 static int process_run(struct jobd_process *process)
 {
 	enum err_kind err;
@@ -525,8 +420,7 @@
 		process->call_latency[i] =
 			histogram_create("job_call", labels[i]);
 	process->loop = loop_create();
-	process->stop_timer.cb = on_stop_poll;
-	process->stop_timer.data = process;
+	jobd_stop_init(process);
 	err = process_open(process);
 	if (err == ERR_NONE) {
 		log_info("process-started",
@@ -535,7 +429,7 @@
 			 process->settings.node_name,
 			 process->settings.availability_zone);
 		loop_run_until_stopped(process->loop);
-		stopped_log(process);
+		jobd_stopped_log(process);
 	} else {
 		fprintf(stderr, "sassafrascartd: cannot start: %s\n",
 			err_describe(err));
--- /dev/null
+++ b/bin/sassafrascartd/jobd_private.h
@@ -0,0 +1,56 @@
+/**
+ * @file jobd_private.h
+ * @brief State that the files of a job service process share.
+ *
+ * Prefix: jobd_.
+ */
+#ifndef JOBD_PRIVATE_H
+#define JOBD_PRIVATE_H
+
+#include "config_watcher.h"
+#include "descriptor.h"
+#include "esoa_adapter.h"
+#include "esoa_settings.h"
+#include "histogram.h"
+#include "ingress.h"
+#include "job_rpc.h"
+#include "reload.h"
+
+struct jobd_process {
+	struct loop *loop;
+	const char *node_file;
+	struct esoa_settings settings;
+	struct platform *store;
+	struct esoa_adapter *adapter;
+	struct job_rpc_channel *channel;
+	struct jobs_service *service;
+	struct config_watcher *config;
+	struct reload *reload;
+	struct ingress_server *caller_server;
+	struct ingress_server *readiness_server;
+	/** NULL if no metrics port is set */
+	struct ingress_server *metrics_server;
+	struct descriptor_plan descriptors;
+	uint16_t metrics_port;
+	/** latency of callers' calls, by verb */
+	struct histogram *call_latency[JOBS_WAITING + 1];
+	bool stopping;
+	uint64_t stopping_since_ms;
+	struct ingress_quiet quiet;
+	struct timer stop_timer;
+};
+
+/** @brief Sets up the timer of a later stop. */
+void jobd_stop_init(struct jobd_process *process);
+
+/**
+ * @brief Begins to stop: gives up ownership, lets callers go and ends the loop
+ *        within the platform's grace period. Does nothing if it has begun.
+ * @param signo the signal that asked for it
+ */
+void jobd_stop(struct jobd_process *process, int signo);
+
+/** @brief Logs how long the stop took and what callers still had open. */
+void jobd_stopped_log(const struct jobd_process *process);
+
+#endif
