--- a/packages/caller/src/ingress_connection.c
+++ b/packages/caller/src/ingress_connection.c
@@ -88,10 +88,15 @@
 	connection->input_bytes = 0;
 }
 
+/* Part of a request; tells the connection when the request ends. */
+struct connection_hold {
+	struct ingress_connection *connection;
+};
+
 static void on_request_end(void *memory)
 {
-	struct ingress_connection *connection =
-		*(struct ingress_connection **)memory;
+	const struct connection_hold *hold = memory;
+	struct ingress_connection *connection = hold->connection;
 	struct ingress_server *server = connection->server;
 
 	connection->requests--;
@@ -109,10 +114,10 @@
 {
 	h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
 	struct ingress_connection *connection = sock->on_close.data;
-	struct ingress_connection **hold = h2o_mem_alloc_shared(
-		&req->pool, sizeof(connection), on_request_end);
+	struct connection_hold *hold =
+		h2o_mem_alloc_shared(&req->pool, sizeof(*hold), on_request_end);
 
-	*hold = connection;
+	hold->connection = connection;
 	connection->requests++;
 	connection->http2 = req->version >= 0x200;
 	/* One that is closing stays counted as such. */
