Use one set-up for the tests of the callers' server

Three tests repeated server_create(), which stands first now. The comment of ingress_server_drain() named the wrong end of accepting.

--- a/packages/caller/include/ingress.h
+++ b/packages/caller/include/ingress.h
@@ -145,7 +145,7 @@
 /**
  * @brief Starts draining: each connection closes after its next response.
  *
- * New connections are accepted until the server is destroyed, since a load
+ * New connections are accepted until the listener is closed, since a load
  * balancer keeps sending requests until its health check fails. They too close
  * after their response.
  */
--- a/packages/caller/tests/test_ingress_server.c
+++ b/packages/caller/tests/test_ingress_server.c
@@ -84,19 +84,28 @@
 	ck_assert_int_eq(write(fd, text, strlen(text)), (ssize_t)strlen(text));
 }
 
-START_TEST(test_destroyed_server_runs_no_callbacks)
+static struct ingress_server *server_create(struct calls *calls)
 {
 	const struct ingress_config config = { .ip = "127.0.0.1",
 					       .body_max_bytes = 1024,
-					       .connections_max = 4,
+					       .connections_max =
+						       CONNECTIONS_MAX,
 					       .idle_timeout_ms = 10000 };
-	struct calls calls = { .loop = loop_create() };
 	struct ingress_server *server;
-	int fd;
 
-	ck_assert_int_eq(ingress_server_create(calls.loop, &config, &ops,
-					       &calls, &server),
+	calls->loop = loop_create();
+	ck_assert_int_eq(ingress_server_create(calls->loop, &config, &ops,
+					       calls, &server),
 			 ERR_NONE);
+	return server;
+}
+
+START_TEST(test_destroyed_server_runs_no_callbacks)
+{
+	struct calls calls = { 0 };
+	struct ingress_server *server = server_create(&calls);
+	int fd;
+
 	fd = caller_connect(ingress_server_port(server));
 	caller_send(fd, "/page");
 	loop_run(calls.loop);
@@ -115,18 +124,11 @@
 
 START_TEST(test_request_after_destruction_is_refused)
 {
-	const struct ingress_config config = { .ip = "127.0.0.1",
-					       .body_max_bytes = 1024,
-					       .connections_max = 4,
-					       .idle_timeout_ms = 10000 };
-	struct calls calls = { .loop = loop_create() };
-	struct ingress_server *server;
+	struct calls calls = { 0 };
+	struct ingress_server *server = server_create(&calls);
 	char response[512] = "";
 	int fd;
 
-	ck_assert_int_eq(ingress_server_create(calls.loop, &config, &ops,
-					       &calls, &server),
-			 ERR_NONE);
 	fd = caller_connect(ingress_server_port(server));
 	loop_run(calls.loop);
 	ingress_server_destroy(server);
@@ -144,16 +146,9 @@
 
 START_TEST(test_drained_server_without_connections_is_destroyed)
 {
-	const struct ingress_config config = { .ip = "127.0.0.1",
-					       .body_max_bytes = 1024,
-					       .connections_max = 4,
-					       .idle_timeout_ms = 10000 };
-	struct calls calls = { .loop = loop_create() };
-	struct ingress_server *server;
+	struct calls calls = { 0 };
+	struct ingress_server *server = server_create(&calls);
 
-	ck_assert_int_eq(ingress_server_create(calls.loop, &config, &ops,
-					       &calls, &server),
-			 ERR_NONE);
 	loop_run(calls.loop);
 	ingress_server_drain(server);
 	ingress_server_destroy(server);
@@ -161,22 +156,6 @@
 }
 END_TEST
 
-static struct ingress_server *server_create(struct calls *calls)
-{
-	const struct ingress_config config = { .ip = "127.0.0.1",
-					       .body_max_bytes = 1024,
-					       .connections_max =
-						       CONNECTIONS_MAX,
-					       .idle_timeout_ms = 10000 };
-	struct ingress_server *server;
-
-	calls->loop = loop_create();
-	ck_assert_int_eq(ingress_server_create(calls->loop, &config, &ops,
-					       calls, &server),
-			 ERR_NONE);
-	return server;
-}
-
 static struct ingress_counts server_counts(const struct ingress_server *server)
 {
 	struct ingress_counts counts;
