Log which tasks were on a worker that has ended, and why it ended

No line named the tasks that were on a worker when it ended, or how long they had run, so the hypotheses about tasks that crash their workers could not be told apart. The end of an incarnation now has a cause (crashed, removed, unreachable), each task on it gets a line 'task-lost', and two counters tell crashes and the tasks lost in them. No decision changes.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -29,6 +29,16 @@
 	uint64_t fence;
 };
 
+/** Why an incarnation, or the right of a worker to its tasks, has ended. */
+enum worker_end_cause {
+	/** it ended by itself: its VM is down or has another worker */
+	WORKER_CRASHED,
+	/** its VM was moved, maintained or removed */
+	WORKER_REMOVED,
+	/** it does not answer, and its lease has expired */
+	WORKER_LEASE_EXPIRED,
+};
+
 /** Callbacks of the workers. */
 struct worker_ops {
 	/** a poll returned a report; poll_fence is the token of the poll */
@@ -43,8 +53,9 @@
 	/** the worker has restarted; orders sent to the earlier incarnation may
 	 *  have reached the new one, which the next report shows */
 	void (*on_restarted)(void *data, struct worker *worker);
-	/** the incarnation has ended and none of its runs is left */
-	void (*on_ended)(void *data, struct worker *worker);
+	/** none of the worker's runs is left */
+	void (*on_ended)(void *data, struct worker *worker,
+			 enum worker_end_cause cause);
 	/** the worker has seen the fencing token of another owner */
 	void (*on_deposed)(void *data);
 };
@@ -191,7 +202,8 @@
  * @brief Declares the incarnation ended, with all of its runs.
  * @param why constant reason for the log
  */
-void worker_end_incarnation(struct worker *worker, const char *why);
+void worker_end_incarnation(struct worker *worker, enum worker_end_cause cause,
+			    const char *why);
 
 /** @brief Returns the current fencing token for orders to the worker. */
 uint64_t worker_fence(const struct worker *worker);
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -42,6 +42,10 @@
 	uint64_t starts_unanswered;
 	uint64_t ends[ADAPTER_END_GANG_INCOMPLETE + 1];
 	uint64_t tasks_lost;
+	/** workers that ended by themselves with tasks on them, and those
+	 *  tasks */
+	uint64_t worker_crashes;
+	uint64_t tasks_lost_in_crashes;
 	uint64_t tasks_adopted;
 	uint64_t orphaned_runs;
 	uint64_t stalled;
@@ -183,6 +187,10 @@
 void owner_demand_record(struct owner *owner, const char *service,
 			 const struct job_occurrence *occurrence);
 
+/* owner_crash.c: which tasks were on a worker that has ended. */
+void owner_crash_log(struct owner *owner, const struct worker *worker,
+		     enum worker_end_cause cause);
+
 /* owner_throttle.c: throttles best-effort tasks that slow down
  * latency-sensitive tasks on the same worker. */
 void owner_throttle_worker(struct owner *owner, struct worker *worker);
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -330,10 +330,12 @@
 	}
 }
 
-static void on_worker_ended(void *data, struct worker *worker)
+static void on_worker_ended(void *data, struct worker *worker,
+			    enum worker_end_cause cause)
 {
 	struct owner *owner = data;
 
+	owner_crash_log(owner, worker, cause);
 	while (worker->tasks->len > 0) {
 		struct job_task *task = g_ptr_array_index(
 			worker->tasks, worker->tasks->len - 1);
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -262,7 +262,7 @@
 			 " ms, tasks %u",
 			 worker->id, now_ms - worker->unanswered_since_ms,
 			 worker->tasks->len);
-		owner->env.ops->on_ended(owner, worker);
+		owner->env.ops->on_ended(owner, worker, WORKER_LEASE_EXPIRED);
 	}
 }
 
--- a/packages/jobs/src/owner_vm_list.c
+++ b/packages/jobs/src/owner_vm_list.c
@@ -52,10 +52,12 @@
 }
 
 /* Returns why the list of VMs proves that a worker has ended, NULL if it does
- * not. A worker that still answers takes precedence over the list. */
+ * not, and sets the cause. A worker that still answers takes precedence over
+ * the list. */
 static const char *worker_end_reason(struct owner_fleet *fleet,
 				     const struct worker *worker,
-				     const struct owner_vm *vm)
+				     const struct owner_vm *vm,
+				     enum worker_end_cause *cause)
 {
 	bool is_operated_on = vm->phase == OWNER_VM_OPERATING &&
 			      vm->phase_started_ms < fleet->list_requested_ms;
@@ -66,11 +68,16 @@
 		(!worker->has_reported &&
 		 worker->discovered_ms < fleet->list_requested_ms);
 
+	*cause = WORKER_REMOVED;
 	if (is_operated_on && vm->drained_worker &&
 	    strcmp(vm->drained_worker, worker->id) == 0 &&
 	    (vm->state != ADAPTER_VM_UP ||
 	     g_strcmp0(vm->worker, worker->id) != 0))
 		return "its VM is moved or maintained";
+	if (maybe_ended && (vm->state == ADAPTER_VM_MOVING ||
+			    vm->state == ADAPTER_VM_MAINTENANCE))
+		return "its VM is moved or maintained";
+	*cause = WORKER_CRASHED;
 	if (maybe_ended && vm->state != ADAPTER_VM_UP)
 		return "its VM is not up";
 	if (maybe_ended && vm->worker && strcmp(vm->worker, worker->id) != 0)
@@ -93,16 +100,18 @@
 }
 
 static const char *worker_check(struct owner_fleet *fleet,
-				struct worker *worker)
+				struct worker *worker,
+				enum worker_end_cause *cause)
 {
 	const struct owner_vm *vm;
 
 	if (!worker->vm || worker->ended)
 		return NULL;
+	*cause = WORKER_REMOVED;
 	if (vm_is_missing(fleet, worker))
 		return "its VM is no longer listed";
 	vm = g_hash_table_lookup(fleet->vms, worker->vm);
-	return vm ? worker_end_reason(fleet, worker, vm) : NULL;
+	return vm ? worker_end_reason(fleet, worker, vm, cause) : NULL;
 }
 
 /* Detects workers that have ended according to the list of VMs, so that their
@@ -115,10 +124,11 @@
 	g_hash_table_iter_init(&iter, fleet->owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct worker *worker = value;
-		const char *why = worker_check(fleet, worker);
+		enum worker_end_cause cause;
+		const char *why = worker_check(fleet, worker, &cause);
 
 		if (why)
-			worker_end_incarnation(worker, why);
+			worker_end_incarnation(worker, cause, why);
 	}
 }
 
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -189,14 +189,15 @@
 	poll_schedule(worker, 0);
 }
 
-void worker_end_incarnation(struct worker *worker, const char *why)
+void worker_end_incarnation(struct worker *worker, enum worker_end_cause cause,
+			    const char *why)
 {
 	if (worker->ended)
 		return;
 	log_info("worker-incarnation-ended",
 		 "incarnation of worker %s has ended, service %s, tasks %u: %s",
 		 worker->id, worker->service, worker->tasks->len, why);
-	worker->env->ops->on_ended(worker->env->data, worker);
+	worker->env->ops->on_ended(worker->env->data, worker, cause);
 	incarnation_reset(worker);
 	worker->ended = true;
 	timer_cancel(&worker->poll_timer);
@@ -328,7 +329,8 @@
 		break;
 	case ADAPTER_REFUSED_INCARNATION:
 		worker_end_incarnation(
-			worker, "another incarnation answers at its address");
+			worker, WORKER_CRASHED,
+			"another incarnation answers at its address");
 		break;
 	default:
 		log_warning("poll-refused",
@@ -387,7 +389,8 @@
 		if (reply->err == ERR_NONE &&
 		    reply->verdict == ADAPTER_REFUSED_INCARNATION)
 			worker_end_incarnation(
-				worker, "another incarnation answers an order");
+				worker, WORKER_CRASHED,
+				"another incarnation answers an order");
 		if (reply->err == ERR_NONE &&
 		    reply->verdict == ADAPTER_REFUSED_FENCE &&
 		    fence_is_current(worker, call->order.fence))
