Show that a task that crashes its workers is started without end

The emulator gets tasks that crash their worker some time after their start, and the users' rule on them: no third start after three workers have crashed. A job may be reported as failed only if a task of it crashed two workers or its runs fail.

--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -43,7 +43,8 @@
 {
 	static const char *const names[] = { "TWICE",	"BUDGET", "ORDER",
 					     "UNASKED", "AVAIL",  "LIMIT",
-					     "STATE",	"GANG",	  "ONE" };
+					     "STATE",	"GANG",	  "ONE",
+					     "CRASHES" };
 	g_autofree char *text = NULL;
 	va_list args;
 
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -63,6 +63,9 @@
 	EMU_RULE_GANG,
 	/** two owners acted on one VM within the minimum interval */
 	EMU_RULE_VM_INTERVAL,
+	/** a task that crashes its workers was started for the third time
+	 *  after three of them had crashed */
+	EMU_RULE_CRASHES,
 	EMU_RULE_COUNT
 };
 
@@ -89,6 +92,10 @@
 	/** share of runs that fail */
 	uint32_t fail_permille;
 	bool long_running;
+	/** number of tasks of the first step that crash their worker, and the
+	 *  time from their start until they do */
+	uint32_t crashing_tasks;
+	uint32_t crash_after_ms;
 	/** the tasks of a step start and end together */
 	bool gang;
 	/** of a long-running job: how many tasks of a step may be unavailable,
@@ -129,6 +136,9 @@
 	uint64_t polls;
 	/** sum of the durations of runs that did not complete */
 	uint64_t wasted_run_ms;
+	/** workers that tasks crashed, and the runs of other tasks there */
+	uint32_t worker_crashes;
+	uint32_t runs_lost_in_crashes;
 };
 
 /** Format of the workers' entries in the store, if not the emulator's own. */
--- a/packages/jobs/tests/emu_callers.c
+++ b/packages/jobs/tests/emu_callers.c
@@ -168,6 +168,16 @@
 	state->success_seen_ms = loop_now_ms();
 }
 
+/* Returns whether a job may be reported as failed. */
+static bool job_may_fail(const struct emu_job_state *state)
+{
+	for (uint32_t i = 0; i < state->job.crashing_tasks; i++) {
+		if (state->tasks[i].crashes >= EMU_CRASHES_GIVE_UP)
+			return true;
+	}
+	return state->job.always_fails || state->job.fail_permille > 0;
+}
+
 static void on_state(void *data, const struct jobs_answer *answer)
 {
 	struct emu_state_request *request = data;
@@ -186,8 +196,7 @@
 				 "%s was reported as cancelled "
 				 "without a request",
 				 state->id);
-		if (answer->state == JOB_FAILED && !state->job.always_fails &&
-		    state->job.fail_permille == 0 && emu->stats.unfinished == 0)
+		if (answer->state == JOB_FAILED && !job_may_fail(state))
 			emu_fail(emu, EMU_RULE_STATE,
 				 "%s was reported as failed but is not set to "
 				 "fail",
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -29,6 +29,13 @@
 #define EMU_CANCEL_MS 3000
 /** Interval at which a worker writes its entry in the store. */
 #define EMU_HEARTBEAT_INTERVAL_MS 1500
+/** Crashes of workers after which a task may be started twice more. */
+#define EMU_CRASHES_MAX 3
+#define EMU_STARTS_AFTER_CRASHES_MAX 2
+/** Crashes of workers after which a task may be given up. */
+#define EMU_CRASHES_GIVE_UP 2
+/** Time for which a worker that a task has crashed is down. */
+#define EMU_CRASH_DOWN_MS 3000
 /** Time until a long-running task counts as available after its start. */
 #define EMU_TASK_STARTUP_MS 500
 /** Time that a gang member waits for the other members to start. */
@@ -45,6 +52,8 @@
 	/* when it ends, unless it still waits for its gang */
 	uint64_t ends_ms;
 	bool will_fail;
+	/* when it crashes its worker, 0 for never */
+	uint64_t crashes_ms;
 	bool stopping;
 	uint32_t speed_percent;
 	bool awaits_gang;
@@ -151,6 +160,9 @@
 	bool completion_acked;
 	/* numbers of runs whose failure the owner has acknowledged */
 	GArray *failed_runs;
+	/* workers that it crashed, and its starts after the third of them */
+	uint32_t crashes;
+	uint32_t starts_after_crashes;
 	/* current runs on all workers */
 	uint32_t active_runs;
 	uint64_t inactive_since_ms;
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -358,6 +358,11 @@
 		emu_fail(emu, EMU_RULE_BUDGET,
 			 "%s started after %u failed runs", name,
 			 task->failed_runs->len);
+	if (task->crashes >= EMU_CRASHES_MAX &&
+	    ++task->starts_after_crashes > EMU_STARTS_AFTER_CRASHES_MAX)
+		emu_fail(emu, EMU_RULE_CRASHES,
+			 "%s started %u times after %u workers had crashed",
+			 name, task->starts_after_crashes, EMU_CRASHES_MAX);
 	if (parts->step == 0 || state->job.long_running)
 		return;
 	for (uint32_t i = 0; i < state->job.tasks_per_step; i++) {
@@ -433,6 +438,8 @@
 	if (run.will_fail)
 		run.ends_ms = run.started_ms + state->job.task_ms / 3 + 1;
 	run.awaits_gang = state->job.gang;
+	if (parts.step == 0 && parts.index < state->job.crashing_tasks)
+		run.crashes_ms = run.started_ms + state->job.crash_after_ms;
 	emu_task_get(emu, job, parts.step, parts.index)->active_runs++;
 	emu_task_get(emu, job, parts.step, parts.index)->stopped_by_owner =
 		false;
@@ -490,6 +497,25 @@
 	}
 }
 
+/* Crashes the worker if one of its tasks does so now. */
+static bool crash_tick(struct emu_vm *vm)
+{
+	for (guint i = 0; i < vm->runs->len; i++) {
+		const struct emu_task_run *run =
+			&g_array_index(vm->runs, struct emu_task_run, i);
+
+		if (run->crashes_ms == 0 || run->crashes_ms > loop_now_ms())
+			continue;
+		emu_task_get(vm->emu, run->job, run->step, run->index)
+			->crashes++;
+		vm->emu->stats.worker_crashes++;
+		vm->emu->stats.runs_lost_in_crashes += vm->runs->len - 1;
+		emu_vm_crash(vm->emu, vm->number, EMU_CRASH_DOWN_MS);
+		return true;
+	}
+	return false;
+}
+
 static void runs_tick(struct emu_vm *vm)
 {
 	uint64_t now_ms = loop_now_ms();
@@ -572,6 +598,8 @@
 		if (now_ms - vm->heartbeat_ms > 3 * EMU_HEARTBEAT_INTERVAL_MS)
 			entry_remove(vm);
 	} else if (vm->pool < vm->emu->config.pools) {
+		if (crash_tick(vm))
+			return;
 		runs_tick(vm);
 		if (now_ms - vm->heartbeat_ms >= EMU_HEARTBEAT_INTERVAL_MS ||
 		    vm->heartbeat_ms == 0)
