Give up tasks that crash their workers, and run suspects apart

Cause: a task that ended with its worker was requeued at once and uncounted. The end of a worker was taken as the worker's fault alone; only ends that a worker reports counted as attempts. What was on a crashed worker went on together to the next one.

Change: a crash makes the tasks on the worker suspects (core/suspect.h, no I/O). A suspect that had just been started, or that was on two crashed workers, is started where the least is lost, apart from other suspects; for that a worker is closed to other tasks, at most a quarter of a pool at a time. The next crash names it, or it runs past the time after which its companions ended and is cleared. It is given up after two crashes shortly after its start, after three otherwise, if the chance that unexplained crashes would have done the same to a harmless task is small. Workers that drain, are moved or maintained or are only silent give no evidence; several that end at one moment single out none. The evidence is part of the job's progress record, and a suspect starts only once that is stored, so a successor knows of it. Nothing is written for an ordinary start.

--- a/packages/core/include/binpack.h
+++ b/packages/core/include/binpack.h
@@ -36,6 +36,14 @@
 	bool single_task_only;
 	/** its VM will soon leave the pool or undergo maintenance */
 	bool disruption_expected;
+	/** hash of its VM, 0 if unknown */
+	uint32_t vm;
+	/** weighted number of the tasks that a crash would take with it */
+	uint32_t crash_loss;
+	/** has other tasks that would be suspects if it crashed soon */
+	bool has_suspects;
+	/** kept free of new tasks for one that may crash it */
+	bool reserved;
 };
 
 /** Requirements and preferences of a task. */
@@ -54,6 +62,13 @@
 	bool has_failed;
 	/** avoids VMs with an expected disruption */
 	bool long_running;
+	/** may crash its worker; goes where the least is lost, to a reserved
+	 *  worker as well */
+	bool may_crash;
+	/** VM that it avoids, as a hash; 0 for none */
+	uint32_t avoided_vm;
+	/** needs a worker without suspects, so that a crash names the cause */
+	bool apart_from_suspects;
 };
 
 /**
--- /dev/null
+++ b/packages/core/include/suspect.h
@@ -0,0 +1,136 @@
+/**
+ * @file suspect.h
+ * @brief Finds the tasks that crash the workers on which they run.
+ *
+ * Prefix: suspect_. No I/O. A worker that crashes does not tell which of its
+ * tasks was the cause, or whether one was. Each task on it becomes a suspect.
+ * Tasks that crash a worker do so again, and about as long after their start,
+ * so suspects are started apart from each other: the next crash either names
+ * one of them, or there is none and they are cleared.
+ *
+ * While a suspect has run for no longer than it had when a worker crashed under
+ * it, with a margin, it is on probation.
+ */
+#ifndef SUSPECT_H
+#define SUSPECT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Evidence against one task; zero-initialized for none. */
+struct suspect {
+	/** crashes that it may have caused, since it was last cleared */
+	uint32_t crashes;
+	/** those of them for which no other task was a suspect */
+	uint32_t sole;
+	/** chance that those would have happened to a harmless task, in parts
+	 *  per million; valid if there are any */
+	uint32_t chance_ppm;
+	/** those of them shortly after it was started */
+	uint32_t prompt;
+	/** VM of the last one, as a hash; 0 if unknown */
+	uint32_t place;
+	/** shortest and longest time that it had run at a crash; the longest
+	 *  one is kept when it is cleared */
+	uint32_t shortest_ms;
+	uint32_t longest_ms;
+};
+
+/** What a crash means for a task that was on the worker. */
+enum suspect_verdict {
+	/** another task is the cause, or its end has another cause */
+	SUSPECT_EXONERATED,
+	/** it may be the cause, and so may others */
+	SUSPECT_POSSIBLE,
+	/** no other task is a suspect */
+	SUSPECT_SOLE,
+};
+
+/** A task that was on a worker when it crashed. */
+struct suspect_task {
+	/** updated by suspect_judge() */
+	struct suspect *evidence;
+	/** time that it had run, and whether that is its whole time */
+	uint32_t age_ms;
+	bool age_known;
+	/** the same for the tasks of one gang, different for all others */
+	uint64_t unit;
+	/** VM on which it ran, as a hash; 0 if unknown */
+	uint32_t place;
+	/** runs until its job is cancelled */
+	bool long_running;
+	/** set by suspect_judge() */
+	enum suspect_verdict verdict;
+};
+
+/** Recent crashes that are not explained by a task that was convicted;
+ * zero-initialized. */
+struct suspect_background {
+	/** their number, which decays with time, and when that was computed */
+	double count;
+	uint64_t updated_ms;
+};
+
+/** @brief Adds crashes, or removes some that have been explained if the number
+ *  is negative. */
+void suspect_background_add(struct suspect_background *background,
+			    int32_t crashes, uint64_t now_ms);
+
+/** The crash of a worker. */
+struct suspect_crash {
+	/** several workers crashed at the same moment, possibly for a common
+	 *  cause, so that the crash cannot single out a task */
+	bool common_cause;
+	/** the unexplained crashes before this one, the number of workers that
+	 *  they were spread over, and the time of the crash */
+	const struct suspect_background *background;
+	uint32_t workers;
+	uint64_t now_ms;
+};
+
+/** @brief Adds a crash to the evidence against the tasks of a worker. */
+void suspect_judge(const struct suspect_crash *crash,
+		   struct suspect_task *tasks, uint32_t count);
+
+/** @brief Returns whether a task is on probation after running for a time. */
+bool suspect_on_probation(const struct suspect *evidence, uint64_t age_ms);
+
+/**
+ * @brief Clears a task that has run past its probation.
+ * @return whether it was cleared now
+ */
+bool suspect_try_clear(struct suspect *evidence, uint64_t age_ms);
+
+/** @brief Returns whether a task would be a suspect if its worker crashed now:
+ *  it is on probation, or was just started. */
+bool suspect_is_likely(const struct suspect *evidence, uint64_t age_ms);
+
+/** @brief Returns whether a task may only be started apart from other suspects.
+ */
+bool suspect_needs_isolation(const struct suspect *evidence);
+
+/** @brief Returns whether the evidence suffices to give up the task. */
+bool suspect_is_convicted(const struct suspect *evidence);
+
+/** @brief Returns how many suspects may be on probation in isolation at once in
+ *  a pool of workers. */
+uint32_t suspect_isolation_limit(uint32_t workers);
+
+/** @brief Returns whether a suspect may be started in isolation so soon after
+ *  the last one. Crashes at distinct moments can be told from a common cause.
+ */
+bool suspect_isolation_may_begin(uint64_t last_ms, uint64_t now_ms);
+
+/** @brief Returns whether workers crashed so close together that there may be a
+ *  common cause. @param count number of workers that crashed at about the same
+ *  time, see SUSPECT_SAME_MOMENT_MS */
+bool suspect_cause_may_be_common(uint32_t count);
+
+/** Time for which a worker is kept free of new tasks until its tasks are no
+ * likely suspects any more and one can be started there in isolation. */
+#define SUSPECT_RESERVATION_MS 400
+
+/** Crashes within this time count as one moment. */
+#define SUSPECT_SAME_MOMENT_MS 20
+
+#endif
--- a/packages/core/src/binpack.c
+++ b/packages/core/src/binpack.c
@@ -28,6 +28,9 @@
 		return false;
 	if (request->has_failed && candidate->penalty > 0)
 		return false;
+	if ((candidate->reserved && !request->may_crash) ||
+	    (candidate->has_suspects && request->apart_from_suspects))
+		return false;
 	return request->max_per_worker == 0 ||
 	       candidate->same_group < request->max_per_worker;
 }
@@ -39,13 +42,16 @@
 	uint32_t interfering = 0;
 	int64_t sum = candidate->cpu_free_milli;
 
-	if (request->latency_sensitive)
+	if (request->may_crash)
+		interfering = candidate->crash_loss;
+	else if (request->latency_sensitive)
 		interfering = candidate->best_effort_tasks;
 	else if (request->best_effort)
 		interfering = candidate->latency_sensitive_tasks;
 	sum += BINPACK_WEIGHT_INTERFERENCE *
 	       min_u32(interfering, BINPACK_INTERFERENCE_MAX);
-	if (request->long_running && candidate->disruption_expected)
+	if ((request->long_running && candidate->disruption_expected) ||
+	    (request->avoided_vm != 0 && request->avoided_vm == candidate->vm))
 		sum += BINPACK_WEIGHT_DISRUPTION;
 	sum += BINPACK_WEIGHT_PENALTY *
 	       min_u32(candidate->penalty, BINPACK_PENALTY_MAX);
--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "adapter.h"
+#include "suspect.h"
 
 /** Length of a job's identity, which is hexadecimal. */
 #define JOB_ID_LEN 16
@@ -112,6 +113,17 @@
 	/** numbers of the failed runs, NULL for none; not kept for long-running
 	 *  tasks, which are restarted without limit */
 	GArray *failed_runs;
+	/** evidence that it crashes its workers; owned, NULL for none */
+	struct suspect *suspect;
+	/** newest run that was on a worker when it crashed, and the number of
+	 *  that crash */
+	uint32_t crashed_run;
+	uint32_t crash_number;
+	/** change that records that crash, see commit_durable_mark() */
+	uint64_t crash_mark;
+	/** the newest run was started by an earlier owner, which alone knows
+	 *  when */
+	bool adopted;
 	/** number of times it was moved off a worker because it stalled */
 	uint32_t stall_evictions;
 	/** number of the report that last listed it */
@@ -315,6 +327,9 @@
  */
 uint32_t job_task_failures(const struct job_task *task);
 
+/** @brief Returns the evidence against a task, creating it if there is none. */
+struct suspect *job_task_suspect(struct job_task *task);
+
 /** @brief Replaces a task's checkpoint by a copy; empty or NULL keeps it. */
 void job_task_set_checkpoint(struct job_task *task, const char *checkpoint);
 
--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -109,6 +109,8 @@
 	/** consecutive unanswered polls, and the local time of the first */
 	uint32_t unanswered_calls;
 	uint64_t unanswered_since_ms;
+	/** local time until which it certainly ran before that */
+	uint64_t ran_until_ms;
 	/** local time at which every granted lease has certainly expired */
 	uint64_t lease_expired_ms;
 	/** last reading of the worker's steady clock, and its local time */
@@ -150,6 +152,9 @@
 	bool cordoned;
 	/** owner: gets no new tasks before this local time */
 	uint64_t pause_until_ms;
+	/** owner: gets no new tasks before this local time but one that may
+	 *  crash it */
+	uint64_t reserved_until_ms;
 	/** owner: health, derived from how its tasks end */
 	struct breaker health;
 	/** owner: restarted or discovered while the owner's lease was not
--- a/packages/jobs/src/job.c
+++ b/packages/jobs/src/job.c
@@ -98,6 +98,7 @@
 {
 	for (uint32_t i = 0; i < group->step->count; i++) {
 		g_free(group->tasks[i].checkpoint);
+		g_free(group->tasks[i].suspect);
 		g_clear_pointer(&group->tasks[i].failed_runs, g_array_unref);
 	}
 	g_free(group->tasks);
@@ -293,6 +294,13 @@
 	return task->failed_runs ? task->failed_runs->len : 0;
 }
 
+struct suspect *job_task_suspect(struct job_task *task)
+{
+	if (!task->suspect)
+		task->suspect = g_new0(struct suspect, 1);
+	return task->suspect;
+}
+
 void job_task_set_checkpoint(struct job_task *task, const char *checkpoint)
 {
 	if (!checkpoint || !*checkpoint ||
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -340,10 +340,34 @@
 	}
 }
 
+/* Adds the evidence that tasks crash their workers. */
+static void suspects_encode(const struct job_group *group, json_t *out)
+{
+	char key[32];
+
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		const struct suspect *suspect = group->tasks[i].suspect;
+
+		if (!suspect || suspect->crashes == 0 ||
+		    group->tasks[i].state == JOB_TASK_DONE)
+			continue;
+		g_snprintf(key, sizeof(key), "%u.%u", group->step_index, i);
+		json_object_set_new(out, key,
+				    json_pack("[I,I,I,I,I,I]",
+					      (json_int_t)suspect->crashes,
+					      (json_int_t)suspect->sole,
+					      (json_int_t)suspect->prompt,
+					      (json_int_t)suspect->shortest_ms,
+					      (json_int_t)suspect->longest_ms,
+					      (json_int_t)suspect->chance_ppm));
+	}
+}
+
 static json_t *occurrence_encode(const struct job_occurrence *occurrence)
 {
 	const GArray *steps = occurrence->job->spec->steps;
 	json_t *failed_runs = json_object();
+	json_t *suspects = json_object();
 	json_t *groups = json_array();
 	json_t *out = json_object();
 
@@ -351,11 +375,15 @@
 		json_array_append_new(groups,
 				      group_encode(&occurrence->groups[i]));
 		failed_runs_encode(&occurrence->groups[i], failed_runs);
+		suspects_encode(&occurrence->groups[i], suspects);
 	}
 	json_object_set_new(out, "number", json_integer(occurrence->number));
 	json_object_set_new(out, "tasks", groups);
 	json_object_set_new(out, "checkpoints", json_object());
 	json_object_set_new(out, "failed_runs", failed_runs);
+	if (json_object_size(suspects) > 0)
+		json_object_set(out, "crashes", suspects);
+	json_decref(suspects);
 	return out;
 }
 
@@ -456,6 +484,36 @@
 	return true;
 }
 
+static uint32_t array_number_get(const json_t *array, size_t index)
+{
+	json_int_t value = json_integer_value(json_array_get(array, index));
+
+	return (uint32_t)CLAMP(value, 0, (json_int_t)UINT32_MAX);
+}
+
+static bool suspects_decode(struct job_occurrence *occurrence, json_t *suspects)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(suspects, key, value)
+	{
+		struct job_task *task = task_find(occurrence, key);
+
+		if (!task)
+			return false;
+		*job_task_suspect(task) = (struct suspect){
+			.crashes = array_number_get(value, 0),
+			.sole = array_number_get(value, 1),
+			.prompt = array_number_get(value, 2),
+			.shortest_ms = array_number_get(value, 3),
+			.longest_ms = array_number_get(value, 4),
+			.chance_ppm = array_number_get(value, 5),
+		};
+	}
+	return true;
+}
+
 static bool occurrence_decode(struct job *job, const json_t *json,
 			      uint64_t now_ms, uint64_t now_unix_ms)
 {
@@ -473,7 +531,8 @@
 			return false;
 	}
 	return tasks_decode(occurrence, json_object_get(json, "checkpoints"),
-			    json_object_get(json, "failed_runs"));
+			    json_object_get(json, "failed_runs")) &&
+	       suspects_decode(occurrence, json_object_get(json, "crashes"));
 }
 
 enum err_kind job_record_progress_apply(struct job *job, const json_t *record,
--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -57,6 +57,8 @@
 		if (worker->ends->len > 0)
 			worker_ack_ends(worker, committed);
 	}
+	if (owner->suspects_wait)
+		owner_schedule_request(owner);
 }
 
 static void on_fenced(void *data)
@@ -254,6 +256,9 @@
 		{ "worker_crashes_total", counters->worker_crashes },
 		{ "tasks_lost_in_crashes_total",
 		  counters->tasks_lost_in_crashes },
+		{ "tasks_suspected_total", counters->tasks_suspected },
+		{ "tasks_cleared_total", counters->tasks_cleared },
+		{ "tasks_given_up_total", counters->tasks_given_up },
 		{ "tasks_adopted_total", counters->tasks_adopted },
 		{ "stray_runs_total", counters->orphaned_runs },
 		{ "tasks_stood_still_total", counters->stalled },
--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -1,6 +1,10 @@
 #include "log.h"
 #include "owner_private.h"
 
+/* Weights of tasks that a crash would take with it; a short task counts one. */
+#define OWNER_CRASH_LOSS_GANG 4
+#define OWNER_CRASH_LOSS_LONG_RUNNING 8
+
 static const char *cause_name(enum worker_end_cause cause)
 {
 	static const char *const names[] = {
@@ -12,24 +16,20 @@
 	return names[cause];
 }
 
-/* Time that a task had run when its worker was last known to run. */
+/* Time that a task had certainly run when its worker ended. */
 static uint64_t task_age_ms(const struct worker *worker,
 			    const struct job_task *task)
 {
-	uint64_t end_ms = worker->unanswered_since_ms
-				  ? worker->unanswered_since_ms
-				  : loop_now_ms();
+	uint64_t until_ms =
+		worker->ran_until_ms ? worker->ran_until_ms : loop_now_ms();
 
-	return end_ms > task->ordered_ms ? end_ms - task->ordered_ms : 0;
+	return until_ms > task->ordered_ms ? until_ms - task->ordered_ms : 0;
 }
 
-void owner_crash_log(struct owner *owner, const struct worker *worker,
-		     enum worker_end_cause cause)
+/* Logs the tasks of a worker that has ended for another cause than a crash. */
+static void lost_tasks_log(const struct worker *worker,
+			   enum worker_end_cause cause)
 {
-	if (cause == WORKER_CRASHED && worker->tasks->len > 0) {
-		owner->counters.worker_crashes++;
-		owner->counters.tasks_lost_in_crashes += worker->tasks->len;
-	}
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		const struct job_task *task =
 			g_ptr_array_index(worker->tasks, i);
@@ -37,10 +37,294 @@
 
 		job_task_name(task, name);
 		log_info("task-lost",
-			 "task %s run %u ended with worker %s on VM %s (%s) "
-			 "after %" G_GUINT64_FORMAT " ms, other tasks there %u",
+			 "task %s run %u ended with worker %s on VM %s, which "
+			 "was %s, after %" G_GUINT64_FORMAT " ms",
 			 name, task->run, worker->id,
 			 worker->vm ? worker->vm : "unknown", cause_name(cause),
-			 task_age_ms(worker, task), worker->tasks->len - 1);
+			 task_age_ms(worker, task));
+	}
+}
+
+/* Returns how many workers have become unreachable at about the same time as
+ * this one. */
+static uint32_t simultaneous_ends(const struct owner *owner,
+				  const struct worker *worker)
+{
+	uint64_t end_ms = worker->unanswered_since_ms;
+	uint32_t count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (end_ms != 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct worker *other = value;
+
+		/* A worker whose VM is moved or maintained ends for that
+		 * reason. */
+		if (other->draining || other->cordoned)
+			continue;
+		count += other->unanswered_since_ms != 0 &&
+			 other->unanswered_since_ms + SUSPECT_SAME_MOMENT_MS >=
+				 end_ms &&
+			 other->unanswered_since_ms <=
+				 end_ms + SUSPECT_SAME_MOMENT_MS;
+	}
+	return count;
+}
+
+uint32_t owner_vm_hash(const struct worker *worker)
+{
+	return worker->vm ? g_str_hash(worker->vm) : 0;
+}
+
+/* The members of a gang start and end together, so they are one suspect. */
+static uint64_t suspect_unit(const struct job_task *task)
+{
+	const void *unit = task->group->step->is_gang
+				   ? (const void *)task->group
+				   : (const void *)task;
+
+	return (uint64_t)(uintptr_t)unit;
+}
+
+/* Collects the tasks whose newest run has not been judged yet. */
+static GArray *suspects_collect(const struct worker *worker, GPtrArray *tasks)
+{
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct suspect_task));
+
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		struct job_task *task = g_ptr_array_index(worker->tasks, i);
+		struct suspect_task suspect = {
+			.age_ms = (uint32_t)MIN(task_age_ms(worker, task),
+						UINT32_MAX),
+			.age_known = !task->adopted,
+			.unit = suspect_unit(task),
+			.place = owner_vm_hash(worker),
+			.long_running = task->group->step->is_long_running,
+		};
+
+		if (task->crashed_run == task->run ||
+		    !owner_job_is_live(task->group->occurrence->job))
+			continue;
+		suspect.evidence = job_task_suspect(task);
+		task->crashed_run = task->run;
+		g_array_append_val(out, suspect);
+		g_ptr_array_add(tasks, task);
+	}
+	return out;
+}
+
+static void verdict_log(const struct worker *worker,
+			const struct job_task *task,
+			const struct suspect_task *suspect, guint others,
+			bool convicted)
+{
+	static const char *const names[] = {
+		[SUSPECT_EXONERATED] = "not suspected",
+		[SUSPECT_POSSIBLE] = "suspected",
+		[SUSPECT_SOLE] = "the only suspect",
+	};
+	char name[JOB_TASK_NAME_BYTES];
+
+	job_task_name(task, name);
+	log_info(convicted ? "task-given-up" : "task-lost",
+		 "task %s run %u ended with worker %s on VM %s, which crashed, "
+		 "after %u ms, other tasks there %u: %s; crashes %u, as the "
+		 "only suspect %u, shortly after its start %u; chance that it "
+		 "is harmless %u ppm%s",
+		 name, task->run, worker->id,
+		 worker->vm ? worker->vm : "unknown", suspect->age_ms, others,
+		 names[suspect->verdict], suspect->evidence->crashes,
+		 suspect->evidence->sole, suspect->evidence->prompt,
+		 suspect->evidence->sole ? suspect->evidence->chance_ppm
+					 : 1000000,
+		 convicted ? "; it is given up" : "");
+}
+
+static void occurrence_clear_suspects(struct job_occurrence *occurrence,
+				      uint32_t crash)
+{
+	const GArray *steps = occurrence->job->spec->steps;
+
+	for (guint i = 0; i < steps->len; i++) {
+		struct job_group *group = &occurrence->groups[i];
+
+		for (uint32_t j = 0; j < group->step->count; j++) {
+			struct job_task *task = &group->tasks[j];
+
+			if (task->crash_number == crash && task->suspect &&
+			    task->suspect->crashes == 1)
+				*task->suspect = (struct suspect){ 0 };
+		}
+	}
+}
+
+/* Clears the other suspects of a crash whose cause has been found. */
+static void crash_clear_suspects(struct owner *owner, uint32_t crash)
+{
+	if (crash == 0)
+		return;
+	for (guint i = 0; i < owner->live_occurrences->len; i++)
+		occurrence_clear_suspects(
+			g_ptr_array_index(owner->live_occurrences, i), crash);
+}
+
+/* Processes the verdict on a task. Returns whether it is given up. */
+static bool verdict_process(struct owner *owner, const struct worker *worker,
+			    struct job_task *task,
+			    const struct suspect_task *suspect, guint others)
+{
+	bool convicted = suspect->verdict == SUSPECT_SOLE &&
+			 suspect_is_convicted(suspect->evidence);
+
+	verdict_log(worker, task, suspect, others, convicted);
+	if (suspect->verdict == SUSPECT_EXONERATED)
+		return false;
+	owner->counters.tasks_suspected++;
+	owner->counters.tasks_given_up += convicted;
+	commit_mark_dirty(owner->log, task->group->occurrence->job);
+	task->crash_mark = commit_newest_mark(owner->log);
+	if (convicted) {
+		crash_clear_suspects(owner, task->crash_number);
+		suspect_background_add(&owner->background,
+				       -(int32_t)suspect->evidence->crashes,
+				       loop_now_ms());
+	}
+	task->crash_number = owner->last_crash;
+	return convicted;
+}
+
+/* Updates the evidence against the tasks on a worker that has crashed, and
+ * collects the jobs of those that are convicted. */
+static void crash_judge(struct owner *owner, const struct worker *worker,
+			GPtrArray *convicted_jobs)
+{
+	g_autoptr(GPtrArray) tasks = g_ptr_array_new();
+	g_autoptr(GArray) suspects = suspects_collect(worker, tasks);
+	struct suspect_crash crash = {
+		.common_cause = suspect_cause_may_be_common(
+			simultaneous_ends(owner, worker)),
+		.background = &owner->background,
+		.workers = MAX(g_hash_table_size(owner->workers), 1),
+		.now_ms = loop_now_ms(),
+	};
+
+	if (tasks->len == 0)
+		return;
+	suspect_judge(&crash, (struct suspect_task *)suspects->data,
+		      suspects->len);
+	if (!crash.common_cause)
+		suspect_background_add(&owner->background, 1, crash.now_ms);
+	owner->last_crash++;
+	owner->counters.worker_crashes++;
+	owner->counters.tasks_lost_in_crashes += tasks->len;
+	log_info("worker-crashed",
+		 "worker %s on VM %s crashed with %u tasks; at the same moment "
+		 "as others: %s; recent unexplained crashes %.1f",
+		 worker->id, worker->vm ? worker->vm : "unknown", tasks->len,
+		 crash.common_cause ? "yes" : "no", owner->background.count);
+	for (guint i = 0; i < tasks->len; i++) {
+		struct job_task *task = g_ptr_array_index(tasks, i);
+
+		if (verdict_process(
+			    owner, worker, task,
+			    &g_array_index(suspects, struct suspect_task, i),
+			    suspects->len - 1))
+			g_ptr_array_add(convicted_jobs,
+					task->group->occurrence->job);
+	}
+}
+
+GPtrArray *owner_crash_process(struct owner *owner, const struct worker *worker,
+			       enum worker_end_cause cause)
+{
+	GPtrArray *convicted_jobs = g_ptr_array_new();
+
+	/* A worker that drains ends for that reason. */
+	if (cause == WORKER_CRASHED && !worker->draining && !worker->cordoned)
+		crash_judge(owner, worker, convicted_jobs);
+	else
+		lost_tasks_log(worker, cause);
+	return convicted_jobs;
+}
+
+void owner_crash_fail_jobs(struct owner *owner, GPtrArray *jobs)
+{
+	for (guint i = 0; i < jobs->len; i++) {
+		struct job *job = g_ptr_array_index(jobs, i);
+
+		if (owner_job_is_live(job))
+			owner_job_finish(owner, job, JOB_FAILED,
+					 "a task crashed its workers");
+	}
+	g_ptr_array_unref(jobs);
+}
+
+/* Time since the newest run was ordered. */
+static uint64_t run_age_ms(const struct job_task *task, uint64_t now_ms)
+{
+	return now_ms > task->ordered_ms ? now_ms - task->ordered_ms : 0;
+}
+
+void owner_crash_try_clear(struct owner *owner, struct job_task *task)
+{
+	uint32_t crashes = task->suspect ? task->suspect->crashes : 0;
+	char name[JOB_TASK_NAME_BYTES];
+
+	if (task->state != JOB_TASK_RUNNING ||
+	    !suspect_try_clear(task->suspect, run_age_ms(task, loop_now_ms())))
+		return;
+	job_task_name(task, name);
+	owner->counters.tasks_cleared++;
+	log_info("task-cleared",
+		 "task %s run %u at worker %s has run for %" G_GUINT64_FORMAT
+		 " ms and is no suspect of %u crashes any more",
+		 name, task->run, task->worker->id,
+		 run_age_ms(task, loop_now_ms()), crashes);
+	/* A successor may take up an old suspicion, but not an old verdict. */
+	if (crashes > 1)
+		commit_mark_dirty(owner->log, task->group->occurrence->job);
+}
+
+bool owner_crash_is_stored(const struct owner *owner,
+			   const struct job_task *task)
+{
+	return task->crash_mark <= commit_durable_mark(owner->log);
+}
+
+bool owner_crash_has_isolated(const struct worker *worker, uint64_t now_ms)
+{
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct job_task *task =
+			g_ptr_array_index(worker->tasks, i);
+
+		if (suspect_needs_isolation(task->suspect) &&
+		    suspect_on_probation(task->suspect,
+					 run_age_ms(task, now_ms)))
+			return true;
+	}
+	return false;
+}
+
+uint32_t owner_crash_loss(const struct worker *worker, uint64_t now_ms,
+			  bool *has_suspects)
+{
+	uint32_t loss = 0;
+
+	*has_suspects = false;
+
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct job_task *task =
+			g_ptr_array_index(worker->tasks, i);
+		uint32_t weight = 1;
+
+		if (task->group->step->is_gang)
+			weight = OWNER_CRASH_LOSS_GANG;
+		if (task->group->step->is_long_running)
+			weight = OWNER_CRASH_LOSS_LONG_RUNNING;
+		*has_suspects |= suspect_is_likely(task->suspect,
+						   run_age_ms(task, now_ms));
+		loss += weight;
 	}
+	return loss;
 }
--- a/packages/jobs/src/owner_gang.c
+++ b/packages/jobs/src/owner_gang.c
@@ -8,6 +8,10 @@
  * reserved for it. */
 #define OWNER_GANG_RESERVE_AFTER_MS 2000
 
+/* A gang that may crash a worker is placed apart from other suspects within
+ * this time. */
+#define OWNER_GANG_ISOLATE_WITHIN_MS 1000
+
 /* A placement: for each task of the group the index of a worker in the pool, -1
  * for tasks that do not wait. */
 struct gang_placement {
@@ -38,6 +42,9 @@
 				.has_label = false;
 	}
 	for (uint32_t i = 0; i < group->step->count; i++) {
+		struct binpack_candidate *candidate;
+		bool had_suspects;
+
 		placement->workers[i] = -1;
 		if (group->tasks[i].state != JOB_TASK_WAITING)
 			continue;
@@ -47,10 +54,13 @@
 				       placement->candidates->len, need);
 		if (placement->workers[i] < 0)
 			return false;
-		owner_candidate_reserve(&g_array_index(placement->candidates,
-						       struct binpack_candidate,
-						       placement->workers[i]),
-					need);
+		candidate = &g_array_index(placement->candidates,
+					   struct binpack_candidate,
+					   placement->workers[i]);
+		/* The members of a gang are one suspect. */
+		had_suspects = candidate->has_suspects;
+		owner_candidate_reserve(candidate, need);
+		candidate->has_suspects = had_suspects;
 	}
 	return true;
 }
@@ -75,6 +85,30 @@
 	return members_choose_workers(pool, group, need, NULL, placement);
 }
 
+/* Places a gang that may crash a worker where the least is lost, apart from
+ * other suspects. Reserves workers for it for some time if there are too few
+ * without suspects, then places it on any workers. */
+static bool suspects_choose_workers(struct schedule_pool *pool,
+				    const struct job_group *group,
+				    struct binpack_request need,
+				    struct gang_placement *placement,
+				    uint64_t now_ms)
+{
+	uint64_t since_ms = group->gang_unplaced_since_ms;
+
+	need.may_crash = true;
+	need.apart_from_suspects = true;
+	if (gang_choose_workers(pool, group, &need, placement))
+		return true;
+	if (since_ms == 0 || now_ms - since_ms < OWNER_GANG_ISOLATE_WITHIN_MS) {
+		for (uint32_t i = 0; i < group->tasks_waiting; i++)
+			owner_isolation_reserve(pool, &need, now_ms);
+		return false;
+	}
+	need.apart_from_suspects = false;
+	return gang_choose_workers(pool, group, &need, placement);
+}
+
 /* A checkpoint covers the whole gang: gives the newest one to all members. */
 static void checkpoint_distribute(struct job_group *group)
 {
@@ -142,6 +176,25 @@
 	}
 }
 
+static bool has_suspect(const struct job_group *group)
+{
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		if (suspect_needs_isolation(group->tasks[i].suspect))
+			return true;
+	}
+	return false;
+}
+
+static bool evidence_is_stored(const struct owner *owner,
+			       const struct job_group *group)
+{
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		if (!owner_crash_is_stored(owner, &group->tasks[i]))
+			return false;
+	}
+	return true;
+}
+
 bool owner_gang_start(struct owner *owner, struct schedule_pool *pool,
 		      struct job_group *group,
 		      const struct binpack_request *need, uint64_t now_ms)
@@ -163,7 +216,14 @@
 	}
 	if (group->tasks_waiting + members_assigned(group) < group->step->count)
 		return true;
-	found = gang_choose_workers(pool, group, need, &placement);
+	if (!evidence_is_stored(owner, group)) {
+		owner->suspects_wait = true;
+		return true;
+	}
+	found = has_suspect(group)
+			? suspects_choose_workers(pool, group, *need,
+						  &placement, now_ms)
+			: gang_choose_workers(pool, group, need, &placement);
 	if (!found) {
 		if (group->gang_unplaced_since_ms == 0)
 			group->gang_unplaced_since_ms = now_ms;
--- /dev/null
+++ b/packages/jobs/src/owner_isolation.c
@@ -0,0 +1,91 @@
+#include "owner_schedule.h"
+#include "suspect.h"
+
+static uint32_t isolation_limit(const struct schedule_pool *pool)
+{
+	return suspect_isolation_limit(pool->workers->len + pool->isolating);
+}
+
+/* Returns whether a waiting suspect may be started in isolation now. */
+static bool isolation_may_begin(struct owner *owner,
+				const struct schedule_pool *pool,
+				const struct job_task *task, uint64_t now_ms)
+{
+	if (!owner_crash_is_stored(owner, task)) {
+		owner->suspects_wait = true;
+		return false;
+	}
+	if (pool->isolating >= isolation_limit(pool))
+		return false;
+	if (suspect_isolation_may_begin(owner->isolation_begun_ms, now_ms))
+		return true;
+	owner_schedule_request(owner);
+	return false;
+}
+
+/* Starts a suspect on a worker, and closes the worker to further tasks. */
+static void isolation_begin(struct owner *owner, struct schedule_pool *pool,
+			    struct job_task *task, int32_t chosen,
+			    uint64_t now_ms)
+{
+	struct worker *worker = g_ptr_array_index(pool->workers, chosen);
+	struct binpack_candidate *candidate = &g_array_index(
+		pool->candidates, struct binpack_candidate, chosen);
+
+	pool->reserved -= candidate->reserved;
+	candidate->memory_free_mb = -1;
+	worker->reserved_until_ms = 0;
+	pool->isolating++;
+	owner->isolation_begun_ms = now_ms;
+	owner_task_start(owner, task, worker);
+}
+
+bool owner_isolation_reserve(struct schedule_pool *pool,
+			     const struct binpack_request *need,
+			     uint64_t now_ms)
+{
+	struct binpack_request any = *need;
+	struct binpack_candidate *candidate;
+	struct worker *worker;
+	int32_t chosen;
+
+	if (++pool->suspects_unplaced <= pool->reserved ||
+	    pool->isolating + pool->reserved >= isolation_limit(pool))
+		return true;
+	any.apart_from_suspects = false;
+	chosen = binpack_choose(
+		(const struct binpack_candidate *)pool->candidates->data,
+		pool->candidates->len, &any);
+	if (chosen < 0)
+		return false;
+	candidate = &g_array_index(pool->candidates, struct binpack_candidate,
+				   chosen);
+	worker = g_ptr_array_index(pool->workers, chosen);
+	pool->reserved += !candidate->reserved;
+	candidate->reserved = true;
+	worker->reserved_until_ms = now_ms + SUSPECT_RESERVATION_MS;
+	return true;
+}
+
+bool owner_suspect_start(struct owner *owner, struct schedule_pool *pool,
+			 struct job_task *task, struct binpack_request need,
+			 uint64_t now_ms)
+{
+	int32_t chosen;
+
+	need.has_failed = false;
+	need.may_crash = true;
+	need.apart_from_suspects = true;
+	/* A second crash of one VM would leave open whether the VM is faulty.
+	 */
+	need.avoided_vm = task->suspect->place;
+	if (!isolation_may_begin(owner, pool, task, now_ms))
+		return true;
+	chosen = binpack_choose(
+		(const struct binpack_candidate *)pool->candidates->data,
+		pool->candidates->len, &need);
+	if (chosen < 0)
+		return owner_isolation_reserve(pool, &need, now_ms);
+	isolation_begin(owner, pool, task, chosen, now_ms);
+	return true;
+}
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -46,6 +46,10 @@
 	 *  tasks */
 	uint64_t worker_crashes;
 	uint64_t tasks_lost_in_crashes;
+	/** tasks that were suspected of a crash, cleared, and given up */
+	uint64_t tasks_suspected;
+	uint64_t tasks_cleared;
+	uint64_t tasks_given_up;
 	uint64_t tasks_adopted;
 	uint64_t orphaned_runs;
 	uint64_t stalled;
@@ -76,6 +80,14 @@
 	/** an earlier owner may have started tasks on a worker that has not
 	 *  reported yet, see JOB_TASK_UNKNOWN */
 	bool has_unknown_tasks;
+	/** suspects wait until the evidence against them is stored */
+	bool suspects_wait;
+	/** local time of the last start of a suspect in isolation */
+	uint64_t isolation_begun_ms;
+	/** crashes that no task has been convicted of */
+	struct suspect_background background;
+	/** number of the last crash of a worker with tasks */
+	uint32_t last_crash;
 	/** another owner exists: nothing may be changed any more */
 	bool fenced;
 	/** id to struct job */
@@ -187,9 +199,29 @@
 void owner_demand_record(struct owner *owner, const char *service,
 			 const struct job_occurrence *occurrence);
 
-/* owner_crash.c: which tasks were on a worker that has ended. */
-void owner_crash_log(struct owner *owner, const struct worker *worker,
-		     enum worker_end_cause cause);
+/* owner_crash.c: which tasks were on a worker that has ended, and which of them
+ * may have crashed it. */
+/* Returns the jobs of tasks that are convicted of it, for
+ * owner_crash_fail_jobs(). */
+GPtrArray *owner_crash_process(struct owner *owner, const struct worker *worker,
+			       enum worker_end_cause cause);
+/* Fails jobs that are live, and frees the array. */
+void owner_crash_fail_jobs(struct owner *owner, GPtrArray *jobs);
+/* Clears a task that has run past its probation. */
+void owner_crash_try_clear(struct owner *owner, struct job_task *task);
+/* Returns whether the evidence of the last crash under a suspect is stored, so
+ * that a successor knows of it if the next run crashes a worker as well. */
+bool owner_crash_is_stored(const struct owner *owner,
+			   const struct job_task *task);
+/* Returns whether a worker has a suspect in isolation, and gets no further
+ * tasks. */
+bool owner_crash_has_isolated(const struct worker *worker, uint64_t now_ms);
+/* Returns a hash of the worker's VM, 0 if it is unknown. */
+uint32_t owner_vm_hash(const struct worker *worker);
+/* Returns the weighted number of tasks that a crash of the worker loses, and
+ * whether one of them would be a suspect. */
+uint32_t owner_crash_loss(const struct worker *worker, uint64_t now_ms,
+			  bool *has_suspects);
 
 /* owner_throttle.c: throttles best-effort tasks that slow down
  * latency-sensitive tasks on the same worker. */
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -95,6 +95,7 @@
 		task->group->occurrence->has_started = true;
 		task->group->occurrence->job->has_started = true;
 		task->ordered_ms = loop_now_ms();
+		task->adopted = true;
 		task->group->gang_since_ms = loop_now_ms();
 		task->group->gang_run = running->run;
 	}
@@ -121,6 +122,7 @@
 	task->speed_percent = running->speed_percent;
 	task->usage = running->usage;
 	job_task_set_checkpoint(task, running->checkpoint);
+	owner_crash_try_clear(owner, task);
 	if (!wanted && task->state != JOB_TASK_STOPPING)
 		owner_task_stop(owner, task, "its job has ended");
 	else if (task->state == JOB_TASK_STOPPING &&
@@ -322,6 +324,8 @@
 static void on_worker_restarted(void *data, struct worker *worker)
 {
 	owner_worker_check_ownership(data, worker);
+	owner_crash_fail_jobs(
+		data, owner_crash_process(data, worker, WORKER_CRASHED));
 	/* The clocks of two incarnations cannot be compared. */
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		struct job_task *task = g_ptr_array_index(worker->tasks, i);
@@ -334,8 +338,8 @@
 			    enum worker_end_cause cause)
 {
 	struct owner *owner = data;
+	GPtrArray *convicted_jobs = owner_crash_process(owner, worker, cause);
 
-	owner_crash_log(owner, worker, cause);
 	while (worker->tasks->len > 0) {
 		struct job_task *task = g_ptr_array_index(
 			worker->tasks, worker->tasks->len - 1);
@@ -343,6 +347,7 @@
 		owner->counters.tasks_lost++;
 		owner_task_requeue(owner, task, 0);
 	}
+	owner_crash_fail_jobs(owner, convicted_jobs);
 	owner_vm_health_save(owner, worker);
 }
 
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -76,6 +76,11 @@
 				     worker->used.accelerators,
 	};
 
+	candidate.crash_loss =
+		owner_crash_loss(worker, now_ms, &candidate.has_suspects);
+	candidate.vm = owner_vm_hash(worker);
+	candidate.reserved = worker->reserved_until_ms > now_ms;
+	pool->reserved += candidate.reserved;
 	candidate.penalty = worker->health.consecutive_failures;
 	pool->has_healthy |= candidate.penalty == 0;
 	candidate.single_task_only =
@@ -149,6 +154,7 @@
 	task->ordered_ms = loop_now_ms();
 	task->speed_changed_ms = task->ordered_ms;
 	task->seen_in_report = 0;
+	task->adopted = false;
 	task->start_in_flight = true;
 	owner_task_assign(owner, task, worker);
 	job_task_set_state(task, JOB_TASK_STARTING);
@@ -219,6 +225,7 @@
 	candidate->memory_free_mb -= need->memory_mb;
 	candidate->accelerators_free -= need->accelerators;
 	candidate->same_group++;
+	candidate->has_suspects = true;
 	if (candidate->single_task_only)
 		candidate->memory_free_mb = -1;
 	candidate->best_effort_tasks += need->best_effort;
@@ -270,6 +277,11 @@
 			owner_schedule_request(owner);
 			continue;
 		}
+		if (suspect_needs_isolation(task->suspect)) {
+			group->fits_nowhere |= !owner_suspect_start(
+				owner, pool, task, need, now_ms);
+			continue;
+		}
 		/* A task that has failed is not retried on a worker with
 		 * recent failures, unless all workers have some. */
 		need.has_failed =
@@ -336,6 +348,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	owner->suspects_wait = false;
 	pending_collect(owner, pools, now_ms);
 	if (g_hash_table_size(pools) == 0)
 		return;
@@ -345,7 +358,9 @@
 		struct schedule_pool *pool =
 			g_hash_table_lookup(pools, worker->service);
 
-		if (pool && worker_accepts_tasks(owner, worker, now_ms))
+		if (pool && owner_crash_has_isolated(worker, now_ms))
+			pool->isolating += !worker->ended;
+		else if (pool && worker_accepts_tasks(owner, worker, now_ms))
 			candidate_add(pool, worker, now_ms);
 	}
 	g_hash_table_iter_init(&iter, pools);
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -1,7 +1,7 @@
 /**
  * @file owner_schedule.h
- * @brief Shared by owner_schedule.c and owner_gang.c, which assign waiting
- *        tasks to workers.
+ * @brief Shared by owner_schedule.c, owner_gang.c and owner_isolation.c, which
+ * assign waiting tasks to workers.
  */
 #ifndef OWNER_SCHEDULE_H
 #define OWNER_SCHEDULE_H
@@ -18,6 +18,13 @@
 	GArray *candidates;
 	/** at least one worker has no recent failure */
 	bool has_healthy;
+	/** workers with a suspect in isolation, which are not among those
+	 *  above */
+	uint32_t isolating;
+	/** workers that are reserved for a suspect, and suspects that were not
+	 *  placed in this pass */
+	uint32_t reserved;
+	uint32_t suspects_unplaced;
 	/** struct job_occurrence * with tasks that wait to start */
 	GPtrArray *pending;
 };
@@ -34,6 +41,19 @@
 void owner_task_start(struct owner *owner, struct job_task *task,
 		      struct worker *worker);
 
+/** @brief Keeps new tasks off a worker, so that a suspect can be started there
+ *  once the others are no likely suspects any more. @return false if it fits on
+ *  no worker */
+bool owner_isolation_reserve(struct schedule_pool *pool,
+			     const struct binpack_request *need,
+			     uint64_t now_ms);
+
+/** @brief Starts a waiting suspect on a worker apart from other suspects, or
+ *  reserves a worker for it. @return false if it fits on no worker */
+bool owner_suspect_start(struct owner *owner, struct schedule_pool *pool,
+			 struct job_task *task, struct binpack_request need,
+			 uint64_t now_ms);
+
 /**
  * @brief Starts the waiting members of a gang, all of them or none.
  * @return false if no later work of the pool may start in this pass, so that
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -129,6 +129,9 @@
 	if (worker->unanswered_calls++ > 0)
 		return;
 	worker->unanswered_since_ms = loop_now_ms();
+	/* A poll that waits at the worker is cut when the worker ends. */
+	worker->ran_until_ms = err == ERR_CUT ? worker->unanswered_since_ms
+					      : worker->clock_at_ms;
 	log_warning("worker-unreachable",
 		    "worker %s at %s:%u, service %s, does not answer: %s",
 		    worker->id, worker->ip, (unsigned int)worker->port,
@@ -145,6 +148,7 @@
 			 loop_now_ms() - worker->unanswered_since_ms);
 	worker->unanswered_calls = 0;
 	worker->unanswered_since_ms = 0;
+	worker->ran_until_ms = 0;
 }
 
 static void incarnation_reset(struct worker *worker)
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -505,6 +505,10 @@
 		out->succeeded += state->state == JOB_SUCCEEDED;
 		out->on_time += on_time;
 		out->failed += state->state == JOB_FAILED;
+		out->harmless_failed += state->state == JOB_FAILED &&
+					state->job.crashing_tasks == 0 &&
+					!state->job.always_fails &&
+					state->job.fail_permille == 0;
 		out->cancelled += state->state == JOB_CANCELLED;
 		out->unfinished += state->accepted &&
 				   state->state <= JOB_RUNNING &&
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -139,6 +139,8 @@
 	/** workers that tasks crashed, and the runs of other tasks there */
 	uint32_t worker_crashes;
 	uint32_t runs_lost_in_crashes;
+	/** failed jobs whose tasks neither fail nor crash workers */
+	uint32_t harmless_failed;
 };
 
 /** Format of the workers' entries in the store, if not the emulator's own. */
