--- a/packages/jobs/src/owner_vm_list.c
+++ b/packages/jobs/src/owner_vm_list.c
@@ -7,6 +7,9 @@
  * operation is in progress or a worker is unreachable. */
 #define OWNER_VM_LIST_INTERVAL_MS 1500
 #define OWNER_VM_LIST_BUSY_INTERVAL_MS 400
+/* Interval if a worker has become unreachable since the last request: the tasks
+ * of a crashed worker wait until the list shows that it has ended. */
+#define OWNER_VM_LIST_NEW_INTERVAL_MS 100
 
 /* A VM that this many successive lists lack was removed, or is down and may
  * return. The pages of one list are not a snapshot, so a single list may lack a
@@ -179,12 +182,30 @@
 	ended_workers_detect(fleet);
 }
 
+static bool has_newly_unreachable_worker(struct owner_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct worker *worker = value;
+
+		if (!worker->ended && !worker_is_reachable(worker) &&
+		    worker->unanswered_since_ms >= fleet->list_requested_ms)
+			return true;
+	}
+	return false;
+}
+
 void owner_vm_list_refresh(struct owner_fleet *fleet)
 {
 	bool busy = has_open_operation(fleet) || has_unreachable_worker(fleet);
 	uint64_t interval_ms = busy ? OWNER_VM_LIST_BUSY_INTERVAL_MS
 				    : OWNER_VM_LIST_INTERVAL_MS;
 
+	if (has_newly_unreachable_worker(fleet))
+		interval_ms = OWNER_VM_LIST_NEW_INTERVAL_MS;
 	if (fleet->list_in_flight ||
 	    (fleet->list_received &&
 	     loop_now_ms() - fleet->list_received_ms < interval_ms))
