--- /dev/null
+++ b/packages/core/tests/test_suspect.c
@@ -0,0 +1,152 @@
+/**
+ * @file test_suspect.c
+ * @brief Tests of the search for tasks that crash their workers.
+ */
+#include <check.h>
+
+#include "suspect.h"
+
+#define TASKS 4
+#define WORKERS 50
+
+/* A fleet in which every crash is that of a worker with TASKS tasks. */
+struct fleet {
+	struct suspect evidence[TASKS];
+	struct suspect_background background;
+	uint64_t now_ms;
+	uint32_t places;
+};
+
+/* Crashes a worker with the tasks from `first` on, which have run for the given
+ * times. Returns the verdict on the first of them. */
+static enum suspect_verdict crash(struct fleet *fleet, uint32_t first,
+				  uint32_t count, const uint32_t *ages_ms,
+				  bool common_cause)
+{
+	const struct suspect_crash crash = {
+		.common_cause = common_cause,
+		.background = &fleet->background,
+		.workers = WORKERS,
+		.now_ms = fleet->now_ms += 500,
+	};
+	struct suspect_task tasks[TASKS] = { 0 };
+
+	fleet->places++;
+	for (uint32_t i = 0; i < count; i++)
+		tasks[i] = (struct suspect_task){
+			.evidence = &fleet->evidence[first + i],
+			.age_ms = ages_ms[i],
+			.age_known = true,
+			.unit = i,
+			.place = fleet->places,
+		};
+	suspect_judge(&crash, tasks, count);
+	suspect_background_add(&fleet->background, 1, fleet->now_ms);
+	return tasks[0].verdict;
+}
+
+START_TEST(test_task_that_crashes_two_workers_at_once_is_convicted)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+
+	ck_assert_int_eq(
+		crash(&fleet, 0, 3, (uint32_t[]){ 10, 12, 900 }, false),
+		SUSPECT_POSSIBLE);
+	ck_assert(suspect_needs_isolation(&fleet.evidence[0]));
+	/* It had run for long, so it is no likely cause. */
+	ck_assert(!suspect_needs_isolation(&fleet.evidence[2]));
+	ck_assert_int_eq(crash(&fleet, 0, 1, (uint32_t[]){ 12 }, false),
+			 SUSPECT_SOLE);
+	ck_assert(suspect_is_convicted(&fleet.evidence[0]));
+	ck_assert(!suspect_is_convicted(&fleet.evidence[1]));
+}
+END_TEST
+
+START_TEST(test_late_crashes_need_a_third)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+
+	crash(&fleet, 0, 2, (uint32_t[]){ 600, 700 }, false);
+	ck_assert(!suspect_needs_isolation(&fleet.evidence[0]));
+	crash(&fleet, 0, 1, (uint32_t[]){ 610 }, false);
+	ck_assert(suspect_needs_isolation(&fleet.evidence[0]));
+	ck_assert(!suspect_is_convicted(&fleet.evidence[0]));
+	crash(&fleet, 0, 1, (uint32_t[]){ 605 }, false);
+	ck_assert(suspect_is_convicted(&fleet.evidence[0]));
+}
+END_TEST
+
+/* Each of these leaves open whether the task is the cause. */
+START_TEST(test_ambiguous_crashes_do_not_convict)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+	struct suspect *first = &fleet.evidence[0];
+
+	for (uint32_t i = 0; i < 4; i++)
+		crash(&fleet, 0, 2, (uint32_t[]){ 10, 10 }, false);
+	ck_assert(!suspect_is_convicted(first));
+	/* several workers at the same moment */
+	fleet = (struct fleet){ .now_ms = 100000 };
+	for (uint32_t i = 0; i < 4; i++)
+		crash(&fleet, 0, 1, (uint32_t[]){ 10 }, true);
+	ck_assert(!suspect_is_convicted(first));
+	/* the same VM */
+	fleet = (struct fleet){ .now_ms = 100000 };
+	for (uint32_t i = 0; i < 4; i++) {
+		fleet.places = 0;
+		crash(&fleet, 0, 1, (uint32_t[]){ 10 }, false);
+	}
+	ck_assert(!suspect_is_convicted(first));
+	/* a fleet in which workers crash all the time */
+	fleet = (struct fleet){ .now_ms = 100000 };
+	for (uint32_t i = 0; i < 40; i++)
+		crash(&fleet, 1, 1, (uint32_t[]){ 5000 }, false);
+	crash(&fleet, 0, 1, (uint32_t[]){ 10 }, false);
+	crash(&fleet, 0, 1, (uint32_t[]){ 10 }, false);
+	ck_assert(!suspect_is_convicted(first));
+}
+END_TEST
+
+START_TEST(test_other_tasks_are_exonerated)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+
+	crash(&fleet, 0, 1, (uint32_t[]){ 10 }, false);
+	crash(&fleet, 0, 2, (uint32_t[]){ 10, 3000 }, false);
+	ck_assert_uint_eq(fleet.evidence[1].crashes, 0);
+	ck_assert(suspect_is_convicted(&fleet.evidence[0]));
+}
+END_TEST
+
+START_TEST(test_task_is_cleared_after_probation)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+
+	crash(&fleet, 0, 1, (uint32_t[]){ 100 }, false);
+	ck_assert(suspect_on_probation(&fleet.evidence[0], 300));
+	ck_assert(!suspect_try_clear(&fleet.evidence[0], 300));
+	ck_assert(suspect_try_clear(&fleet.evidence[0], 500));
+	ck_assert(!suspect_needs_isolation(&fleet.evidence[0]));
+	ck_assert(!suspect_try_clear(&fleet.evidence[0], 500));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("suspect");
+	TCase *tests = tcase_create("suspect");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tests,
+		       test_task_that_crashes_two_workers_at_once_is_convicted);
+	tcase_add_test(tests, test_late_crashes_need_a_third);
+	tcase_add_test(tests, test_ambiguous_crashes_do_not_convict);
+	tcase_add_test(tests, test_other_tasks_are_exonerated);
+	tcase_add_test(tests, test_task_is_cleared_after_probation);
+	suite_add_tcase(suite, tests);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
