Do not let suspects wait without end for a worker of their own

What callers saw: accepted jobs that were not started in 30 s although most of the room was free.

Cause: suspects come one after another through a quarter of the pool at most, each for up to half a second, also in a pool that is idle, and the passes that place them came only with reports and lists. Tasks that had run for long at two crashes went through it as well.

Change: idle workers take further suspects; a pass follows within 20 ms while suspects wait; the probation of a task that crashed a worker after 10 ms is 0.1 s instead of 0.25 s; tasks that had run for longer are isolated from the third crash on. A suspect does not return to the VM that crashed last, and a crash with one suspect does not count as unexplained, so that several such tasks at a time do not hide each other.

--- a/packages/core/include/suspect.h
+++ b/packages/core/include/suspect.h
@@ -63,8 +63,8 @@
 	enum suspect_verdict verdict;
 };
 
-/** Recent crashes that are not explained by a task that was convicted;
- * zero-initialized. */
+/** Recent crashes without a sole suspect, less those that a task was convicted
+ * of; zero-initialized. */
 struct suspect_background {
 	/** their number, which decays with time, and when that was computed */
 	double count;
@@ -88,8 +88,11 @@
 	uint64_t now_ms;
 };
 
-/** @brief Adds a crash to the evidence against the tasks of a worker. */
-void suspect_judge(const struct suspect_crash *crash,
+/**
+ * @brief Adds a crash to the evidence against the tasks of a worker.
+ * @return whether the crash has a sole suspect
+ */
+bool suspect_judge(const struct suspect_crash *crash,
 		   struct suspect_task *tasks, uint32_t count);
 
 /** @brief Returns whether a task is on probation after running for a time. */
@@ -112,9 +115,9 @@
 /** @brief Returns whether the evidence suffices to give up the task. */
 bool suspect_is_convicted(const struct suspect *evidence);
 
-/** @brief Returns how many suspects may be on probation in isolation at once in
- *  a pool of workers. */
-uint32_t suspect_isolation_limit(uint32_t workers);
+/** @brief Returns how many suspects may be in isolation at once in a pool of
+ *  workers, some of which are idle. */
+uint32_t suspect_isolation_limit(uint32_t workers, uint32_t idle);
 
 /** @brief Returns whether a suspect may be started in isolation so soon after
  *  the last one. Crashes at distinct moments can be told from a common cause.
--- a/packages/core/src/suspect.c
+++ b/packages/core/src/suspect.c
@@ -8,7 +8,7 @@
 #define SUSPECT_PROMPT_MS 250
 /* Margin of the probation, and the share of the time at the crash, for tasks
  * that do not crash their workers after exactly the same time. */
-#define SUSPECT_MARGIN_MS 250
+#define SUSPECT_MARGIN_MS 100
 #define SUSPECT_MARGIN_PERCENT 50
 /* Ages at two crashes that differ by no more than this time, or this share of
  * the longer one, are the same. */
@@ -39,6 +39,8 @@
 #define SUSPECT_ISOLATION_INTERVAL_MS 30
 /* Share of a pool's workers that may have a suspect in isolation. */
 #define SUSPECT_ISOLATION_DIVISOR 4
+/* Share of its idle workers that may have one in addition. */
+#define SUSPECT_ISOLATION_IDLE_DIVISOR 2
 
 static uint64_t probation_ms(const struct suspect *evidence)
 {
@@ -95,7 +97,7 @@
 	const struct suspect *evidence = task->evidence;
 	double window_ms = (double)probation_ms(evidence);
 	double others = background_count(crash->background, crash->now_ms) -
-			evidence->crashes;
+			(evidence->crashes - evidence->sole);
 
 	if (task->age_ms + SUSPECT_SAME_AGE_MS >= evidence->longest_ms &&
 	    task->age_ms <= evidence->shortest_ms + SUSPECT_SAME_AGE_MS)
@@ -146,10 +148,11 @@
 	return first != 0;
 }
 
-void suspect_judge(const struct suspect_crash *crash,
+bool suspect_judge(const struct suspect_crash *crash,
 		   struct suspect_task *tasks, uint32_t count)
 {
 	bool any_watched = false;
+	bool any_sole = false;
 	bool sole;
 
 	for (uint32_t i = 0; i < count; i++)
@@ -173,10 +176,12 @@
 		    (task->place == 0 ||
 		     task->place != task->evidence->place)) {
 			task->verdict = SUSPECT_SOLE;
+			any_sole = true;
 			sole_add(task, crash);
 		}
 		crash_add(task, prompt);
 	}
+	return any_sole;
 }
 
 bool suspect_try_clear(struct suspect *evidence, uint64_t age_ms)
@@ -196,7 +201,8 @@
 
 bool suspect_needs_isolation(const struct suspect *evidence)
 {
-	return evidence && (evidence->prompt > 0 || evidence->crashes > 1);
+	return evidence &&
+	       (evidence->prompt > 0 || evidence->crashes >= SUSPECT_CRASHES);
 }
 
 static uint32_t crashes_needed(const struct suspect *evidence)
@@ -221,11 +227,11 @@
 	       evidence->chance_ppm <= SUSPECT_CHANCE_MAX_PPM;
 }
 
-uint32_t suspect_isolation_limit(uint32_t workers)
+uint32_t suspect_isolation_limit(uint32_t workers, uint32_t idle)
 {
-	return workers < SUSPECT_ISOLATION_DIVISOR
-		       ? 1
-		       : workers / SUSPECT_ISOLATION_DIVISOR;
+	return MAX(workers / SUSPECT_ISOLATION_DIVISOR +
+			   idle / SUSPECT_ISOLATION_IDLE_DIVISOR,
+		   1);
 }
 
 bool suspect_isolation_may_begin(uint64_t last_ms, uint64_t now_ms)
--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -187,7 +187,8 @@
 	if (convicted) {
 		crash_clear_suspects(owner, task->crash_number);
 		suspect_background_add(&owner->background,
-				       -(int32_t)suspect->evidence->crashes,
+				       -(int32_t)(suspect->evidence->crashes -
+						  suspect->evidence->sole),
 				       loop_now_ms());
 	}
 	task->crash_number = owner->last_crash;
@@ -208,12 +209,13 @@
 		.workers = MAX(g_hash_table_size(owner->workers), 1),
 		.now_ms = loop_now_ms(),
 	};
+	bool has_sole;
 
 	if (tasks->len == 0)
 		return;
-	suspect_judge(&crash, (struct suspect_task *)suspects->data,
-		      suspects->len);
-	if (!crash.common_cause)
+	has_sole = suspect_judge(&crash, (struct suspect_task *)suspects->data,
+				 suspects->len);
+	if (!has_sole && !crash.common_cause)
 		suspect_background_add(&owner->background, 1, crash.now_ms);
 	owner->last_crash++;
 	owner->counters.worker_crashes++;
--- a/packages/jobs/src/owner_gang.c
+++ b/packages/jobs/src/owner_gang.c
@@ -11,6 +11,7 @@
 /* A gang that may crash a worker is placed apart from other suspects within
  * this time. */
 #define OWNER_GANG_ISOLATE_WITHIN_MS 1000
+#define OWNER_GANG_ISOLATE_RETRY_MS 50
 
 /* A placement: for each task of the group the index of a worker in the pool, -1
  * for tasks that do not wait. */
@@ -88,7 +89,8 @@
 /* Places a gang that may crash a worker where the least is lost, apart from
  * other suspects. Reserves workers for it for some time if there are too few
  * without suspects, then places it on any workers. */
-static bool suspects_choose_workers(struct schedule_pool *pool,
+static bool suspects_choose_workers(struct owner *owner,
+				    struct schedule_pool *pool,
 				    const struct job_group *group,
 				    struct binpack_request need,
 				    struct gang_placement *placement,
@@ -103,6 +105,8 @@
 	if (since_ms == 0 || now_ms - since_ms < OWNER_GANG_ISOLATE_WITHIN_MS) {
 		for (uint32_t i = 0; i < group->tasks_waiting; i++)
 			owner_isolation_reserve(pool, &need, now_ms);
+		owner_schedule_request_within(owner,
+					      OWNER_GANG_ISOLATE_RETRY_MS);
 		return false;
 	}
 	need.apart_from_suspects = false;
@@ -221,7 +225,7 @@
 		return true;
 	}
 	found = has_suspect(group)
-			? suspects_choose_workers(pool, group, *need,
+			? suspects_choose_workers(owner, pool, group, *need,
 						  &placement, now_ms)
 			: gang_choose_workers(pool, group, need, &placement);
 	if (!found) {
--- a/packages/jobs/src/owner_isolation.c
+++ b/packages/jobs/src/owner_isolation.c
@@ -1,9 +1,13 @@
 #include "owner_schedule.h"
 #include "suspect.h"
 
+/* Delay before suspects that wait are considered again. */
+#define OWNER_ISOLATION_RETRY_MS 20
+
 static uint32_t isolation_limit(const struct schedule_pool *pool)
 {
-	return suspect_isolation_limit(pool->workers->len + pool->isolating);
+	return suspect_isolation_limit(pool->workers->len + pool->isolating,
+				       pool->idle);
 }
 
 /* Returns whether a waiting suspect may be started in isolation now. */
@@ -15,12 +19,11 @@
 		owner->suspects_wait = true;
 		return false;
 	}
-	if (pool->isolating >= isolation_limit(pool))
-		return false;
-	if (suspect_isolation_may_begin(owner->isolation_begun_ms, now_ms))
-		return true;
-	owner_schedule_request(owner);
-	return false;
+	/* A worker becomes available when time has passed, which no event
+	 * tells. */
+	owner_schedule_request_within(owner, OWNER_ISOLATION_RETRY_MS);
+	return pool->isolating < isolation_limit(pool) &&
+	       suspect_isolation_may_begin(owner->isolation_begun_ms, now_ms);
 }
 
 /* Starts a suspect on a worker, and closes the worker to further tasks. */
@@ -67,6 +70,17 @@
 	return true;
 }
 
+/* Returns whether a worker is on the VM to avoid although there are others. */
+static bool is_avoided(const struct schedule_pool *pool, int32_t chosen,
+		       const struct binpack_request *need)
+{
+	const struct binpack_candidate *candidate = &g_array_index(
+		pool->candidates, struct binpack_candidate, chosen);
+
+	return need->avoided_vm != 0 && candidate->vm == need->avoided_vm &&
+	       pool->workers->len > 1;
+}
+
 bool owner_suspect_start(struct owner *owner, struct schedule_pool *pool,
 			 struct job_task *task, struct binpack_request need,
 			 uint64_t now_ms)
@@ -84,7 +98,7 @@
 	chosen = binpack_choose(
 		(const struct binpack_candidate *)pool->candidates->data,
 		pool->candidates->len, &need);
-	if (chosen < 0)
+	if (chosen < 0 || is_avoided(pool, chosen, &need))
 		return owner_isolation_reserve(pool, &need, now_ms);
 	isolation_begin(owner, pool, task, chosen, now_ms);
 	return true;
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -18,11 +18,17 @@
 	g_free(pool);
 }
 
-void owner_schedule_request(struct owner *owner)
+void owner_schedule_request_within(struct owner *owner, uint32_t delay_ms)
 {
-	if (!timer_is_set(&owner->schedule_timer))
+	if (!timer_is_set(&owner->schedule_timer) ||
+	    owner->schedule_timer.due_ms > loop_now_ms() + delay_ms)
 		loop_timer_set(owner->config.loop, &owner->schedule_timer,
-			       OWNER_SCHEDULE_DELAY_MS);
+			       delay_ms);
+}
+
+void owner_schedule_request(struct owner *owner)
+{
+	owner_schedule_request_within(owner, OWNER_SCHEDULE_DELAY_MS);
 }
 
 static struct schedule_pool *pool_get_or_create(GHashTable *pools,
@@ -81,6 +87,7 @@
 	candidate.vm = owner_vm_hash(worker);
 	candidate.reserved = worker->reserved_until_ms > now_ms;
 	pool->reserved += candidate.reserved;
+	pool->idle += worker->tasks->len == 0;
 	candidate.penalty = worker->health.consecutive_failures;
 	pool->has_healthy |= candidate.penalty == 0;
 	candidate.single_task_only =
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -21,6 +21,8 @@
 	/** workers with a suspect in isolation, which are not among those
 	 *  above */
 	uint32_t isolating;
+	/** workers without tasks at the begin of the pass */
+	uint32_t idle;
 	/** workers that are reserved for a suspect, and suspects that were not
 	 *  placed in this pass */
 	uint32_t reserved;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -31,6 +31,9 @@
 	int64_t vm_cpu_milli;
 	/** maximum number of failed runs of a task */
 	uint32_t attempts;
+	/** workers start whatever they are ordered to, whether or not it fits
+	 */
+	bool unguarded;
 	/** the platform refuses to move VMs between pools */
 	bool fixed_pools;
 	/** start of the processes' names, NULL for the usual one */
@@ -66,6 +69,8 @@
 	/** a task that crashes its workers was started for the third time
 	 *  after three of them had crashed */
 	EMU_RULE_CRASHES,
+	/** a start brought a worker over its capacity */
+	EMU_RULE_CAPACITY,
 	EMU_RULE_COUNT
 };
 
@@ -283,6 +288,9 @@
 void emu_orders_outlive_worker(struct emu *emu);
 /** @brief Lets a worker's entry name another VM, or its own one again. */
 void emu_worker_set_entry_vm(struct emu *emu, uint32_t vm, uint32_t named);
+/** @brief Sets the CPU of a worker, whatever it runs; a VM that restarts has
+ * its full CPU again. */
+void emu_worker_set_cpu(struct emu *emu, uint32_t vm, int64_t cpu_milli);
 /** @brief Makes a worker fail every run that it starts. */
 void emu_worker_set_failing(struct emu *emu, uint32_t vm, bool failing);
 /** @brief Returns the number of VMs, in whatever state. */
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -36,6 +36,8 @@
 #define EMU_CRASHES_GIVE_UP 2
 /** Time for which a worker that a task has crashed is down. */
 #define EMU_CRASH_DOWN_MS 3000
+/** Time after which an owner must know that a worker's CPU has changed. */
+#define EMU_CAPACITY_KNOWN_MS 4500
 /** Time until a long-running task counts as available after its start. */
 #define EMU_TASK_STARTUP_MS 500
 /** Time that a gang member waits for the other members to start. */
@@ -109,6 +111,9 @@
 	GArray *run_ends;
 	uint64_t last_end_number;
 	uint64_t acked;
+	int64_t cpu_milli;
+	/* when its CPU last changed */
+	uint64_t cpu_changed_ms;
 	bool partitioned;
 	bool fails_all_runs;
 	bool draining;
