Keep the evidence on suspects by crash, and bound it

Two crashes after the same time now isolate a task. Whatever the evidence, a task is started at most five times, four if it had run for the same time at each crash.

--- a/packages/core/include/suspect.h
+++ b/packages/core/include/suspect.h
@@ -5,8 +5,8 @@
  * Prefix: suspect_. No I/O. A worker that crashes does not tell which of its
  * tasks was the cause, or whether one was. Each task on it becomes a suspect.
  * Tasks that crash a worker do so again, and about as long after their start,
- * so suspects are started apart from each other: the next crash either names
- * one of them, or there is none and they are cleared.
+ * so the most likely suspects are started apart from each other: the next crash
+ * either names one of them, or there is none and they are cleared.
  *
  * While a suspect has run for no longer than it had when a worker crashed under
  * it, with a margin, it is on probation.
@@ -17,22 +17,42 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Number of crashes after which a task is not started again, whatever the
+ *  evidence. */
+#define SUSPECT_CRASHES_MAX 5
+/** Time for which a worker is kept free of new tasks until its tasks are no
+ * likely suspects any more and one can be started there in isolation. */
+#define SUSPECT_RESERVATION_MS 400
+/** Crashes within this time count as one moment. */
+#define SUSPECT_SAME_MOMENT_MS 20
+
+/** A crash of a worker with the task. */
+struct suspect_event {
+	/** number of the crash, 0 if unknown */
+	uint32_t crash;
+	/** time that the task had run */
+	uint32_t age_ms;
+	/** shortly after the start of the task */
+	bool prompt;
+	/** the task had certainly been started */
+	bool certain;
+};
+
 /** Evidence against one task; zero-initialized for none. */
 struct suspect {
-	/** crashes that it may have caused, since it was last cleared */
+	/** the last crashes that it may have caused, since it was cleared */
+	struct suspect_event events[SUSPECT_CRASHES_MAX];
 	uint32_t crashes;
 	/** those of them for which no other task was a suspect */
 	uint32_t sole;
 	/** chance that those would have happened to a harmless task, in parts
 	 *  per million; valid if there are any */
 	uint32_t chance_ppm;
-	/** those of them shortly after it was started */
-	uint32_t prompt;
+	/** further crashes that an earlier owner may not have recorded */
+	uint32_t presumed;
 	/** VM of the last one, as a hash; 0 if unknown */
 	uint32_t place;
-	/** shortest and longest time that it had run at a crash; the longest
-	 *  one is kept when it is cleared */
-	uint32_t shortest_ms;
+	/** longest time that it had run at a crash; kept when it is cleared */
 	uint32_t longest_ms;
 };
 
@@ -42,7 +62,7 @@
 	SUSPECT_EXONERATED,
 	/** it may be the cause, and so may others */
 	SUSPECT_POSSIBLE,
-	/** no other task is a suspect */
+	/** no other task is a likely suspect */
 	SUSPECT_SOLE,
 };
 
@@ -53,6 +73,8 @@
 	/** time that it had run, and whether that is its whole time */
 	uint32_t age_ms;
 	bool age_known;
+	/** it had certainly been started */
+	bool certain;
 	/** the same for the tasks of one gang, different for all others */
 	uint64_t unit;
 	/** VM on which it ran, as a hash; 0 if unknown */
@@ -78,6 +100,7 @@
 
 /** The crash of a worker. */
 struct suspect_crash {
+	uint32_t number;
 	/** several workers crashed at the same moment, possibly for a common
 	 *  cause, so that the crash cannot single out a task */
 	bool common_cause;
@@ -95,6 +118,9 @@
 bool suspect_judge(const struct suspect_crash *crash,
 		   struct suspect_task *tasks, uint32_t count);
 
+/** @brief Removes a crash that another task was convicted of. */
+void suspect_exonerate(struct suspect *evidence, uint32_t crash);
+
 /** @brief Returns whether a task is on probation after running for a time. */
 bool suspect_on_probation(const struct suspect *evidence, uint64_t age_ms);
 
@@ -104,8 +130,8 @@
  */
 bool suspect_try_clear(struct suspect *evidence, uint64_t age_ms);
 
-/** @brief Returns whether a task would be a suspect if its worker crashed now:
- *  it is on probation, or was just started. */
+/** @brief Returns whether a task would be a likely suspect if its worker
+ * crashed now: it is on probation in isolation, or was just started. */
 bool suspect_is_likely(const struct suspect *evidence, uint64_t age_ms);
 
 /** @brief Returns whether a task may only be started apart from other suspects.
@@ -113,7 +139,18 @@
 bool suspect_needs_isolation(const struct suspect *evidence);
 
 /** @brief Returns whether the evidence suffices to give up the task. */
-bool suspect_is_convicted(const struct suspect *evidence);
+bool suspect_is_convicted(const struct suspect_task *task);
+
+/** @brief Returns the number of crashes shortly after the start of the task. */
+uint32_t suspect_prompt_crashes(const struct suspect *evidence);
+
+/**
+ * @brief Presumes a crash under a suspect whose owner was replaced.
+ *
+ * A suspect is started only after the evidence against it was stored. If no
+ * worker has its run, that run may have crashed a worker since.
+ */
+void suspect_presume_crash(struct suspect *evidence);
 
 /** @brief Returns how many suspects may be in isolation at once in a pool of
  *  workers, some of which are idle. */
@@ -129,11 +166,4 @@
  *  time, see SUSPECT_SAME_MOMENT_MS */
 bool suspect_cause_may_be_common(uint32_t count);
 
-/** Time for which a worker is kept free of new tasks until its tasks are no
- * likely suspects any more and one can be started there in isolation. */
-#define SUSPECT_RESERVATION_MS 400
-
-/** Crashes within this time count as one moment. */
-#define SUSPECT_SAME_MOMENT_MS 20
-
 #endif
--- a/packages/core/src/suspect.c
+++ b/packages/core/src/suspect.c
@@ -26,6 +26,13 @@
 #define SUSPECT_CRASHES 3
 #define SUSPECT_CRASHES_ANY_AGE 4
 #define SUSPECT_SOLE_ANY_AGE 3
+/* As SUSPECT_CRASHES_MAX, if the task had run for the same time at each crash,
+ * or if some of the crashes are only presumed. */
+#define SUSPECT_CRASHES_SAME_AGE_MAX 4
+#define SUSPECT_PRESUMED_MAX 4
+/* Number of crashes at which a task must certainly have been started before it
+ * is given up. */
+#define SUSPECT_CERTAIN_MIN 2
 /* Highest chance that the evidence would be there against a harmless task. */
 #define SUSPECT_CHANCE_MAX_PPM 500
 /* Time within which unexplained crashes count, and the number that is assumed
@@ -48,12 +55,64 @@
 	       (uint64_t)evidence->longest_ms * SUSPECT_MARGIN_PERCENT / 100;
 }
 
+static uint32_t shortest_ms(const struct suspect *evidence)
+{
+	uint32_t shortest = UINT32_MAX;
+
+	for (uint32_t i = 0; i < evidence->crashes; i++)
+		shortest = MIN(shortest, evidence->events[i].age_ms);
+	return shortest;
+}
+
+uint32_t suspect_prompt_crashes(const struct suspect *evidence)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < evidence->crashes; i++)
+		count += evidence->events[i].prompt;
+	return count;
+}
+
+static uint32_t certain_crashes(const struct suspect *evidence)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < evidence->crashes; i++)
+		count += evidence->events[i].certain;
+	return count;
+}
+
 bool suspect_on_probation(const struct suspect *evidence, uint64_t age_ms)
 {
 	return evidence && evidence->crashes > 0 &&
 	       age_ms <= probation_ms(evidence);
 }
 
+/* Returns whether the task had run for the same time at each crash. */
+static bool ages_are_same(const struct suspect *evidence)
+{
+	uint32_t same_age_ms =
+		MAX(SUSPECT_SAME_AGE_MS,
+		    evidence->longest_ms / SUSPECT_SAME_AGE_DIVISOR);
+
+	return evidence->longest_ms - shortest_ms(evidence) <= same_age_ms;
+}
+
+bool suspect_needs_isolation(const struct suspect *evidence)
+{
+	return evidence &&
+	       (evidence->crashes >= SUSPECT_CRASHES ||
+		(evidence->crashes > 1 && ages_are_same(evidence)) ||
+		suspect_prompt_crashes(evidence) > 0);
+}
+
+bool suspect_is_likely(const struct suspect *evidence, uint64_t age_ms)
+{
+	return age_ms <= SUSPECT_PROMPT_MS ||
+	       (suspect_needs_isolation(evidence) &&
+		suspect_on_probation(evidence, age_ms));
+}
+
 static bool is_prompt(const struct suspect_task *task)
 {
 	return task->age_known && task->age_ms <= SUSPECT_PROMPT_MS;
@@ -100,7 +159,7 @@
 			(evidence->crashes - evidence->sole);
 
 	if (task->age_ms + SUSPECT_SAME_AGE_MS >= evidence->longest_ms &&
-	    task->age_ms <= evidence->shortest_ms + SUSPECT_SAME_AGE_MS)
+	    task->age_ms <= shortest_ms(evidence) + SUSPECT_SAME_AGE_MS)
 		window_ms = 2 * SUSPECT_SAME_AGE_MS;
 	return fmin(window_ms / SUSPECT_BACKGROUND_MS *
 			    fmax(others, SUSPECT_BACKGROUND_MIN) /
@@ -108,6 +167,27 @@
 		    1);
 }
 
+static void event_add(struct suspect_task *task,
+		      const struct suspect_crash *crash, bool prompt)
+{
+	struct suspect *evidence = task->evidence;
+
+	/* The oldest one makes room, for tasks that are not given up. */
+	if (evidence->crashes == SUSPECT_CRASHES_MAX) {
+		for (uint32_t i = 1; i < evidence->crashes; i++)
+			evidence->events[i - 1] = evidence->events[i];
+		evidence->crashes--;
+	}
+	evidence->events[evidence->crashes++] = (struct suspect_event){
+		.crash = crash->number,
+		.age_ms = task->age_ms,
+		.prompt = prompt,
+		.certain = task->certain,
+	};
+	evidence->place = task->place;
+	evidence->longest_ms = MAX(evidence->longest_ms, task->age_ms);
+}
+
 static void sole_add(struct suspect_task *task,
 		     const struct suspect_crash *crash)
 {
@@ -119,71 +199,149 @@
 	evidence->sole++;
 }
 
-static void crash_add(struct suspect_task *task, bool prompt)
+/* How likely a task is the cause of a crash, compared with others. */
+enum likelihood {
+	UNLIKELY,
+	/* on probation after crashes at which others were more likely */
+	LIKELY,
+	/* on probation in isolation, or just started */
+	MOST_LIKELY,
+};
+
+static enum likelihood likelihood(const struct suspect_task *task)
 {
-	struct suspect *evidence = task->evidence;
+	if (is_prompt(task))
+		return MOST_LIKELY;
+	if (!is_watched(task))
+		return UNLIKELY;
+	return suspect_needs_isolation(task->evidence) ? MOST_LIKELY : LIKELY;
+}
 
-	if (evidence->crashes == 0 || task->age_ms < evidence->shortest_ms)
-		evidence->shortest_ms = task->age_ms;
-	if (task->age_ms > evidence->longest_ms)
-		evidence->longest_ms = task->age_ms;
-	evidence->place = task->place;
-	evidence->crashes++;
-	evidence->prompt += prompt;
+static enum likelihood likelihood_max(const struct suspect_task *tasks,
+				      uint32_t count)
+{
+	enum likelihood max = UNLIKELY;
+
+	for (uint32_t i = 0; i < count; i++)
+		max = MAX(max, likelihood(&tasks[i]));
+	return max;
 }
 
-/* Returns whether all suspects of the crash belong to one unit: the watched
- * tasks, and the tasks that had just been started. */
-static bool has_sole_unit(const struct suspect_task *tasks, uint32_t count)
+/* Returns whether the most likely tasks belong to one unit. */
+static bool has_sole_unit(const struct suspect_task *tasks, uint32_t count,
+			  enum likelihood max)
 {
-	const struct suspect_task *first = 0;
+	const struct suspect_task *first = NULL;
 
-	for (uint32_t i = 0; i < count; i++) {
-		if (!is_watched(&tasks[i]) && !is_prompt(&tasks[i]))
+	for (uint32_t i = 0; max > UNLIKELY && i < count; i++) {
+		if (likelihood(&tasks[i]) < max)
 			continue;
 		if (first && first->unit != tasks[i].unit)
 			return false;
 		first = &tasks[i];
 	}
-	return first != 0;
+	return first != NULL;
+}
+
+static uint32_t crashes_needed(const struct suspect *evidence)
+{
+	if (!ages_are_same(evidence))
+		return SUSPECT_CRASHES_ANY_AGE;
+	return suspect_prompt_crashes(evidence) == evidence->crashes
+		       ? SUSPECT_CRASHES_PROMPT
+		       : SUSPECT_CRASHES;
+}
+
+/* Returns whether a task was on so many crashed workers that it must not be
+ * started again, whatever the cause. Long-running tasks are on a worker at most
+ * times, so that tells nothing of them. */
+static bool is_exhausted(const struct suspect_task *task)
+{
+	const struct suspect *evidence = task->evidence;
+
+	if (task->long_running)
+		return false;
+	return evidence->crashes >= SUSPECT_CRASHES_MAX ||
+	       (evidence->crashes >= SUSPECT_CRASHES_SAME_AGE_MAX &&
+		ages_are_same(evidence)) ||
+	       (evidence->presumed > 0 &&
+		evidence->crashes + evidence->presumed >= SUSPECT_PRESUMED_MAX);
+}
+
+bool suspect_is_convicted(const struct suspect_task *task)
+{
+	const struct suspect *evidence = task->evidence;
+	uint32_t needed = crashes_needed(evidence);
+
+	if (task->verdict == SUSPECT_EXONERATED ||
+	    certain_crashes(evidence) < SUSPECT_CERTAIN_MIN)
+		return false;
+	if (is_exhausted(task))
+		return true;
+	return task->verdict == SUSPECT_SOLE && evidence->crashes >= needed &&
+	       (needed < SUSPECT_CRASHES_ANY_AGE ||
+		evidence->sole >= SUSPECT_SOLE_ANY_AGE) &&
+	       evidence->chance_ppm <= SUSPECT_CHANCE_MAX_PPM;
+}
+
+/* Adds the crash to the evidence against the most likely tasks, all of which
+ * belong to one unit. Returns whether one of them is convicted. */
+static bool sole_judge(const struct suspect_crash *crash,
+		       struct suspect_task *tasks, uint32_t count,
+		       enum likelihood max)
+{
+	bool convicted = false;
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct suspect_task *task = &tasks[i];
+
+		/* A second crash of one VM may be a fault of the VM. */
+		if (likelihood(task) < max || !is_watched(task) ||
+		    (task->place != 0 && task->place == task->evidence->place))
+			continue;
+		task->verdict = SUSPECT_SOLE;
+		sole_add(task, crash);
+		event_add(task, crash, is_prompt(task));
+		convicted |= suspect_is_convicted(task);
+	}
+	return convicted;
 }
 
 bool suspect_judge(const struct suspect_crash *crash,
 		   struct suspect_task *tasks, uint32_t count)
 {
-	bool any_watched = false;
+	enum likelihood max = likelihood_max(tasks, count);
 	bool any_sole = false;
-	bool sole;
 
 	for (uint32_t i = 0; i < count; i++)
-		any_watched |= is_watched(&tasks[i]);
-	sole = any_watched && !crash->common_cause &&
-	       has_sole_unit(tasks, count);
+		tasks[i].verdict = SUSPECT_EXONERATED;
+	if (!crash->common_cause && has_sole_unit(tasks, count, max) &&
+	    sole_judge(crash, tasks, count, max))
+		return true;
 	for (uint32_t i = 0; i < count; i++) {
 		struct suspect_task *task = &tasks[i];
-		bool watched = is_watched(task);
-		bool prompt = is_prompt(task) && !crash->common_cause;
-
-		task->verdict = SUSPECT_EXONERATED;
-		/* A watched task explains the crash better than tasks that have
-		 * run well for some time. */
-		if (!may_be_cause(task) || (any_watched && !watched &&
-					    !prompt && !crash->common_cause))
+
+		any_sole |= task->verdict == SUSPECT_SOLE;
+		if (task->verdict == SUSPECT_SOLE || !may_be_cause(task))
 			continue;
 		task->verdict = SUSPECT_POSSIBLE;
-		/* A second crash of one VM may be a fault of the VM. */
-		if (sole && watched &&
-		    (task->place == 0 ||
-		     task->place != task->evidence->place)) {
-			task->verdict = SUSPECT_SOLE;
-			any_sole = true;
-			sole_add(task, crash);
-		}
-		crash_add(task, prompt);
+		event_add(task, crash, is_prompt(task) && !crash->common_cause);
 	}
 	return any_sole;
 }
 
+void suspect_exonerate(struct suspect *evidence, uint32_t crash)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < evidence->crashes; i++) {
+		if (evidence->events[i].crash != crash)
+			evidence->events[kept++] = evidence->events[i];
+	}
+	evidence->crashes = kept;
+	evidence->sole = MIN(evidence->sole, kept);
+}
+
 bool suspect_try_clear(struct suspect *evidence, uint64_t age_ms)
 {
 	if (!evidence || evidence->crashes == 0 ||
@@ -193,38 +351,10 @@
 	return true;
 }
 
-bool suspect_is_likely(const struct suspect *evidence, uint64_t age_ms)
-{
-	return age_ms <= SUSPECT_PROMPT_MS ||
-	       suspect_on_probation(evidence, age_ms);
-}
-
-bool suspect_needs_isolation(const struct suspect *evidence)
-{
-	return evidence &&
-	       (evidence->prompt > 0 || evidence->crashes >= SUSPECT_CRASHES);
-}
-
-static uint32_t crashes_needed(const struct suspect *evidence)
-{
-	uint32_t same_age_ms =
-		MAX(SUSPECT_SAME_AGE_MS,
-		    evidence->longest_ms / SUSPECT_SAME_AGE_DIVISOR);
-
-	if (evidence->longest_ms - evidence->shortest_ms > same_age_ms)
-		return SUSPECT_CRASHES_ANY_AGE;
-	return evidence->prompt == evidence->crashes ? SUSPECT_CRASHES_PROMPT
-						     : SUSPECT_CRASHES;
-}
-
-bool suspect_is_convicted(const struct suspect *evidence)
+void suspect_presume_crash(struct suspect *evidence)
 {
-	uint32_t needed = crashes_needed(evidence);
-
-	return evidence->crashes >= needed && evidence->sole > 0 &&
-	       (needed < SUSPECT_CRASHES_ANY_AGE ||
-		evidence->sole >= SUSPECT_SOLE_ANY_AGE) &&
-	       evidence->chance_ppm <= SUSPECT_CHANCE_MAX_PPM;
+	if (suspect_needs_isolation(evidence))
+		evidence->presumed++;
 }
 
 uint32_t suspect_isolation_limit(uint32_t workers, uint32_t idle)
--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -115,10 +115,8 @@
 	GArray *failed_runs;
 	/** evidence that it crashes its workers; owned, NULL for none */
 	struct suspect *suspect;
-	/** newest run that was on a worker when it crashed, and the number of
-	 *  that crash */
+	/** newest run that was on a worker when it crashed */
 	uint32_t crashed_run;
-	uint32_t crash_number;
 	/** change that records that crash, see commit_durable_mark() */
 	uint64_t crash_mark;
 	/** the newest run was started by an earlier owner, which alone knows
@@ -136,8 +134,10 @@
 	 *  fencing token */
 	uint64_t ordered_ms;
 	uint64_t fence;
-	/** the call that orders the newest run is in flight */
+	/** the call that orders the newest run is in flight, or has timed out,
+	 *  so that the run may never have begun */
 	bool start_in_flight;
+	bool start_timed_out;
 	/** reading of the worker's clock when it accepted the order or last
 	 *  listed the run in a report, 0 before */
 	uint64_t last_seen_clock_ms;
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -340,7 +340,24 @@
 	}
 }
 
-/* Adds the evidence that tasks crash their workers. */
+/* Encodes the evidence that a task crashes its workers as an array: four
+ * numbers, then an array for each crash. */
+static json_t *suspect_encode(const struct suspect *suspect)
+{
+	json_t *out = json_pack("[I,I,I,I]", (json_int_t)suspect->sole,
+				(json_int_t)suspect->chance_ppm,
+				(json_int_t)suspect->presumed,
+				(json_int_t)suspect->longest_ms);
+
+	for (uint32_t i = 0; i < suspect->crashes; i++)
+		json_array_append_new(
+			out, json_pack("[I,b,b]",
+				       (json_int_t)suspect->events[i].age_ms,
+				       suspect->events[i].prompt,
+				       suspect->events[i].certain));
+	return out;
+}
+
 static void suspects_encode(const struct job_group *group, json_t *out)
 {
 	char key[32];
@@ -352,14 +369,7 @@
 		    group->tasks[i].state == JOB_TASK_DONE)
 			continue;
 		g_snprintf(key, sizeof(key), "%u.%u", group->step_index, i);
-		json_object_set_new(out, key,
-				    json_pack("[I,I,I,I,I,I]",
-					      (json_int_t)suspect->crashes,
-					      (json_int_t)suspect->sole,
-					      (json_int_t)suspect->prompt,
-					      (json_int_t)suspect->shortest_ms,
-					      (json_int_t)suspect->longest_ms,
-					      (json_int_t)suspect->chance_ppm));
+		json_object_set_new(out, key, suspect_encode(suspect));
 	}
 }
 
@@ -491,6 +501,27 @@
 	return (uint32_t)CLAMP(value, 0, (json_int_t)UINT32_MAX);
 }
 
+static void suspect_decode(const json_t *json, struct suspect *out)
+{
+	const json_t *event;
+
+	*out = (struct suspect){
+		.sole = array_number_get(json, 0),
+		.chance_ppm = array_number_get(json, 1),
+		.presumed = array_number_get(json, 2),
+		.longest_ms = array_number_get(json, 3),
+	};
+	for (size_t i = 4; out->crashes < SUSPECT_CRASHES_MAX &&
+			   (event = json_array_get(json, i));
+	     i++)
+		out->events[out->crashes++] = (struct suspect_event){
+			.age_ms = array_number_get(event, 0),
+			.prompt = json_is_true(json_array_get(event, 1)),
+			.certain = json_is_true(json_array_get(event, 2)),
+		};
+	out->sole = MIN(out->sole, out->crashes);
+}
+
 static bool suspects_decode(struct job_occurrence *occurrence, json_t *suspects)
 {
 	const char *key;
@@ -502,14 +533,7 @@
 
 		if (!task)
 			return false;
-		*job_task_suspect(task) = (struct suspect){
-			.crashes = array_number_get(value, 0),
-			.sole = array_number_get(value, 1),
-			.prompt = array_number_get(value, 2),
-			.shortest_ms = array_number_get(value, 3),
-			.longest_ms = array_number_get(value, 4),
-			.chance_ppm = array_number_get(value, 5),
-		};
+		suspect_decode(value, job_task_suspect(task));
 	}
 	return true;
 }
--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -98,6 +98,9 @@
 			.age_ms = (uint32_t)MIN(task_age_ms(worker, task),
 						UINT32_MAX),
 			.age_known = !task->adopted,
+			.certain = task->state != JOB_TASK_STARTING ||
+				   (!task->start_in_flight &&
+				    !task->start_timed_out),
 			.unit = suspect_unit(task),
 			.place = owner_vm_hash(worker),
 			.long_running = task->group->step->is_long_running,
@@ -135,7 +138,8 @@
 		 name, task->run, worker->id,
 		 worker->vm ? worker->vm : "unknown", suspect->age_ms, others,
 		 names[suspect->verdict], suspect->evidence->crashes,
-		 suspect->evidence->sole, suspect->evidence->prompt,
+		 suspect->evidence->sole,
+		 suspect_prompt_crashes(suspect->evidence),
 		 suspect->evidence->sole ? suspect->evidence->chance_ppm
 					 : 1000000,
 		 convicted ? "; it is given up" : "");
@@ -152,21 +156,30 @@
 		for (uint32_t j = 0; j < group->step->count; j++) {
 			struct job_task *task = &group->tasks[j];
 
-			if (task->crash_number == crash && task->suspect &&
-			    task->suspect->crashes == 1)
-				*task->suspect = (struct suspect){ 0 };
+			if (task->suspect)
+				suspect_exonerate(task->suspect, crash);
 		}
 	}
 }
 
-/* Clears the other suspects of a crash whose cause has been found. */
-static void crash_clear_suspects(struct owner *owner, uint32_t crash)
+/* Removes the crashes that a task was convicted of from the evidence against
+ * others. */
+static void crashes_explain(struct owner *owner, const struct suspect *convict)
 {
-	if (crash == 0)
-		return;
-	for (guint i = 0; i < owner->live_occurrences->len; i++)
-		occurrence_clear_suspects(
-			g_ptr_array_index(owner->live_occurrences, i), crash);
+	struct suspect explained = *convict;
+
+	suspect_background_add(&owner->background,
+			       -(int32_t)(explained.crashes - explained.sole),
+			       loop_now_ms());
+	for (uint32_t i = 0; i < explained.crashes; i++) {
+		uint32_t crash = explained.events[i].crash;
+
+		for (guint j = 0;
+		     crash != 0 && j < owner->live_occurrences->len; j++)
+			occurrence_clear_suspects(
+				g_ptr_array_index(owner->live_occurrences, j),
+				crash);
+	}
 }
 
 /* Processes the verdict on a task. Returns whether it is given up. */
@@ -174,8 +187,7 @@
 			    struct job_task *task,
 			    const struct suspect_task *suspect, guint others)
 {
-	bool convicted = suspect->verdict == SUSPECT_SOLE &&
-			 suspect_is_convicted(suspect->evidence);
+	bool convicted = suspect_is_convicted(suspect);
 
 	verdict_log(worker, task, suspect, others, convicted);
 	if (suspect->verdict == SUSPECT_EXONERATED)
@@ -184,14 +196,8 @@
 	owner->counters.tasks_given_up += convicted;
 	commit_mark_dirty(owner->log, task->group->occurrence->job);
 	task->crash_mark = commit_newest_mark(owner->log);
-	if (convicted) {
-		crash_clear_suspects(owner, task->crash_number);
-		suspect_background_add(&owner->background,
-				       -(int32_t)(suspect->evidence->crashes -
-						  suspect->evidence->sole),
-				       loop_now_ms());
-	}
-	task->crash_number = owner->last_crash;
+	if (convicted)
+		crashes_explain(owner, suspect->evidence);
 	return convicted;
 }
 
@@ -213,11 +219,11 @@
 
 	if (tasks->len == 0)
 		return;
+	crash.number = ++owner->last_crash;
 	has_sole = suspect_judge(&crash, (struct suspect_task *)suspects->data,
 				 suspects->len);
 	if (!has_sole && !crash.common_cause)
 		suspect_background_add(&owner->background, 1, crash.now_ms);
-	owner->last_crash++;
 	owner->counters.worker_crashes++;
 	owner->counters.tasks_lost_in_crashes += tasks->len;
 	log_info("worker-crashed",
@@ -243,7 +249,7 @@
 	GPtrArray *convicted_jobs = g_ptr_array_new();
 
 	/* A worker that drains ends for that reason. */
-	if (cause == WORKER_CRASHED && !worker->draining && !worker->cordoned)
+	if (cause == WORKER_CRASHED && !worker->draining)
 		crash_judge(owner, worker, convicted_jobs);
 	else
 		lost_tasks_log(worker, cause);
@@ -330,3 +336,31 @@
 	}
 	return loss;
 }
+
+static void occurrence_presume_crashes(struct owner *owner,
+				       struct job_occurrence *occurrence)
+{
+	const GArray *steps = occurrence->job->spec->steps;
+
+	for (guint i = 0; i < steps->len; i++) {
+		struct job_group *group = &occurrence->groups[i];
+
+		for (uint32_t j = 0; j < group->step->count; j++) {
+			struct job_task *task = &group->tasks[j];
+
+			if (task->state != JOB_TASK_UNKNOWN ||
+			    !suspect_needs_isolation(task->suspect))
+				continue;
+			suspect_presume_crash(task->suspect);
+			commit_mark_dirty(owner->log, occurrence->job);
+			task->crash_mark = commit_newest_mark(owner->log);
+		}
+	}
+}
+
+void owner_crash_presume(struct owner *owner)
+{
+	for (guint i = 0; i < owner->live_occurrences->len; i++)
+		occurrence_presume_crashes(
+			owner, g_ptr_array_index(owner->live_occurrences, i));
+}
--- a/packages/jobs/src/owner_isolation.c
+++ b/packages/jobs/src/owner_isolation.c
@@ -29,16 +29,17 @@
 /* Starts a suspect on a worker, and closes the worker to further tasks. */
 static void isolation_begin(struct owner *owner, struct schedule_pool *pool,
 			    struct job_task *task, int32_t chosen,
-			    uint64_t now_ms)
+			    const struct binpack_request *need, uint64_t now_ms)
 {
 	struct worker *worker = g_ptr_array_index(pool->workers, chosen);
 	struct binpack_candidate *candidate = &g_array_index(
 		pool->candidates, struct binpack_candidate, chosen);
 
-	pool->reserved -= candidate->reserved;
-	candidate->memory_free_mb = -1;
-	worker->reserved_until_ms = 0;
+	pool->reserved -= worker->reserved_until_ms > now_ms;
 	pool->isolating++;
+	worker->reserved_until_ms = 0;
+	owner_candidate_reserve(candidate, need);
+	candidate->reserved = true;
 	owner->isolation_begun_ms = now_ms;
 	owner_task_start(owner, task, worker);
 }
@@ -89,10 +90,10 @@
 
 	need.has_failed = false;
 	need.may_crash = true;
-	need.apart_from_suspects = true;
 	/* A second crash of one VM would leave open whether the VM is faulty.
 	 */
 	need.avoided_vm = task->suspect->place;
+	need.apart_from_suspects = true;
 	if (!isolation_may_begin(owner, pool, task, now_ms))
 		return true;
 	chosen = binpack_choose(
@@ -100,6 +101,6 @@
 		pool->candidates->len, &need);
 	if (chosen < 0 || is_avoided(pool, chosen, &need))
 		return owner_isolation_reserve(pool, &need, now_ms);
-	isolation_begin(owner, pool, task, chosen, now_ms);
+	isolation_begin(owner, pool, task, chosen, &need, now_ms);
 	return true;
 }
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -208,6 +208,9 @@
 			       enum worker_end_cause cause);
 /* Fails jobs that are live, and frees the array. */
 void owner_crash_fail_jobs(struct owner *owner, GPtrArray *jobs);
+/* Presumes a crash under each suspect that an earlier owner may have started
+ * and that no worker has. */
+void owner_crash_presume(struct owner *owner);
 /* Clears a task that has run past its probation. */
 void owner_crash_try_clear(struct owner *owner, struct job_task *task);
 /* Returns whether the evidence of the last crash under a suspect is stored, so
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -300,6 +300,7 @@
 	if (!task || task->worker != worker || task->run != order->run)
 		return;
 	task->start_in_flight = false;
+	task->start_timed_out = reply->err == ERR_TIMEOUT;
 	if (task->state != JOB_TASK_STARTING)
 		return;
 	if (reply->err == ERR_NONE && reply->verdict == ADAPTER_ACCEPTED) {
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -414,9 +414,11 @@
 
 static void unknown_tasks_requeue(struct owner *owner)
 {
-	uint32_t released = owner_tasks_change_state(owner, JOB_TASK_UNKNOWN,
-						     JOB_TASK_WAITING);
+	uint32_t released;
 
+	owner_crash_presume(owner);
+	released = owner_tasks_change_state(owner, JOB_TASK_UNKNOWN,
+					    JOB_TASK_WAITING);
 	owner->has_unknown_tasks = false;
 	log_info("takeover-settled",
 		 "%u tasks requeued, %" G_GUINT64_FORMAT
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -27,6 +27,10 @@
 	 *  placed in this pass */
 	uint32_t reserved;
 	uint32_t suspects_unplaced;
+	/** worker on which suspects were started in this pass that may share
+	 * it, valid if their number is not 0 */
+	int32_t shared_worker;
+	uint32_t shared_count;
 	/** struct job_occurrence * with tasks that wait to start */
 	GPtrArray *pending;
 };
--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -10,6 +10,9 @@
 
 #include "emu.h"
 
+/* From this seed on, some jobs have tasks that crash their workers, and the
+ * capacity of workers changes; earlier seeds are kept as they ran before. */
+#define CHAOS_CRASHES_SEED 1000000
 /* Number of seeds if neither variable is set. */
 #define CHAOS_SEEDS_DEFAULT 40
 /* Durations of the phase with faults and of the recovery phase after it. */
@@ -55,6 +58,12 @@
 		job.gang = true;
 		job.fail_permille = 0;
 	}
+	if (chaos->config.seed >= CHAOS_CRASHES_SEED &&
+	    emu_random(emu, 15) == 0) {
+		job.crashing_tasks = 1 + emu_random(emu, 2);
+		job.crash_after_ms =
+			emu_random(emu, 2) ? 10 : emu_random(emu, 800);
+	}
 	number = emu_submit(emu, node, &job);
 	chaos->jobs = number + 1;
 	if (emu_random(emu, 5) == 0)
@@ -72,6 +81,8 @@
 
 	if (owner < EMU_NODES_MAX && emu_random(emu, 2) == 0)
 		node = owner;
+	if (chaos->config.seed >= CHAOS_CRASHES_SEED && emu_random(emu, 8) == 0)
+		emu_worker_set_cpu(emu, vm, emu_random(emu, 3) * 4000);
 	switch (emu_random(emu, 13)) {
 	case 0:
 		emu_node_kill(emu, node);
@@ -136,6 +147,8 @@
 	}
 	if (!all)
 		return;
+	for (uint32_t i = 0; i < emu_vm_count(emu); i++)
+		emu_worker_set_cpu(emu, i, chaos->config.vm_cpu_milli);
 	emu_store_set_write_faults(emu, 0, 0);
 	emu_store_set_slowdown(emu, 1);
 	emu_orders_set_delayed(emu, 0);
@@ -176,6 +189,7 @@
 			.spare_vms = seed % 3,
 			.vm_cpu_milli = 8000,
 			.attempts = 3,
+			.unguarded = seed >= CHAOS_CRASHES_SEED && seed % 2,
 		},
 	};
 	struct emu_stats stats;
