--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -145,41 +145,47 @@
 		 convicted ? "; it is given up" : "");
 }
 
-static void occurrence_clear_suspects(struct job_occurrence *occurrence,
-				      uint32_t crash)
+/* Calls a function for each task of the occurrences that have not ended. */
+static void tasks_foreach(struct owner *owner,
+			  void (*each)(struct owner *owner,
+				       struct job_task *task,
+				       const struct suspect *convict),
+			  const struct suspect *convict)
 {
-	const GArray *steps = occurrence->job->spec->steps;
+	for (guint i = 0; i < owner->live_occurrences->len; i++) {
+		struct job_occurrence *occurrence =
+			g_ptr_array_index(owner->live_occurrences, i);
+		const GArray *steps = occurrence->job->spec->steps;
 
-	for (guint i = 0; i < steps->len; i++) {
-		struct job_group *group = &occurrence->groups[i];
+		for (guint j = 0; j < steps->len; j++) {
+			struct job_group *group = &occurrence->groups[j];
 
-		for (uint32_t j = 0; j < group->step->count; j++) {
-			struct job_task *task = &group->tasks[j];
-
-			if (task->suspect)
-				suspect_exonerate(task->suspect, crash);
+			for (uint32_t k = 0; k < group->step->count; k++)
+				each(owner, &group->tasks[k], convict);
 		}
 	}
 }
 
+static void task_exonerate(struct owner *owner, struct job_task *task,
+			   const struct suspect *convict)
+{
+	for (uint32_t i = 0; task->suspect && i < convict->crashes; i++) {
+		if (convict->events[i].crash != 0)
+			suspect_exonerate(task->suspect,
+					  convict->events[i].crash);
+	}
+}
+
 /* Removes the crashes that a task was convicted of from the evidence against
  * others. */
 static void crashes_explain(struct owner *owner, const struct suspect *convict)
 {
-	struct suspect explained = *convict;
+	const struct suspect explained = *convict;
 
 	suspect_background_add(&owner->background,
 			       -(int32_t)(explained.crashes - explained.sole),
 			       loop_now_ms());
-	for (uint32_t i = 0; i < explained.crashes; i++) {
-		uint32_t crash = explained.events[i].crash;
-
-		for (guint j = 0;
-		     crash != 0 && j < owner->live_occurrences->len; j++)
-			occurrence_clear_suspects(
-				g_ptr_array_index(owner->live_occurrences, j),
-				crash);
-	}
+	tasks_foreach(owner, task_exonerate, &explained);
 }
 
 /* Processes the verdict on a task. Returns whether it is given up. */
@@ -320,7 +326,6 @@
 	uint32_t loss = 0;
 
 	*has_suspects = false;
-
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		const struct job_task *task =
 			g_ptr_array_index(worker->tasks, i);
@@ -337,30 +342,18 @@
 	return loss;
 }
 
-static void occurrence_presume_crashes(struct owner *owner,
-				       struct job_occurrence *occurrence)
+static void task_presume_crash(struct owner *owner, struct job_task *task,
+			       const struct suspect *convict)
 {
-	const GArray *steps = occurrence->job->spec->steps;
-
-	for (guint i = 0; i < steps->len; i++) {
-		struct job_group *group = &occurrence->groups[i];
-
-		for (uint32_t j = 0; j < group->step->count; j++) {
-			struct job_task *task = &group->tasks[j];
-
-			if (task->state != JOB_TASK_UNKNOWN ||
-			    !suspect_needs_isolation(task->suspect))
-				continue;
-			suspect_presume_crash(task->suspect);
-			commit_mark_dirty(owner->log, occurrence->job);
-			task->crash_mark = commit_newest_mark(owner->log);
-		}
-	}
+	if (task->state != JOB_TASK_UNKNOWN ||
+	    !suspect_needs_isolation(task->suspect))
+		return;
+	suspect_presume_crash(task->suspect);
+	commit_mark_dirty(owner->log, task->group->occurrence->job);
+	task->crash_mark = commit_newest_mark(owner->log);
 }
 
 void owner_crash_presume(struct owner *owner)
 {
-	for (guint i = 0; i < owner->live_occurrences->len; i++)
-		occurrence_presume_crashes(
-			owner, g_ptr_array_index(owner->live_occurrences, i));
+	tasks_foreach(owner, task_presume_crash, NULL);
 }
--- a/packages/jobs/tests/emu_vms.c
+++ b/packages/jobs/tests/emu_vms.c
@@ -147,3 +147,14 @@
 {
 	vm_action_send(self, vm, NULL, wave, fence, timeout_ms, cb, data);
 }
+
+void emu_moved_vm_record(struct emu_vm *vm)
+{
+	struct emu_stats *stats = &vm->emu->stats;
+
+	if (!vm->unused_since_move)
+		return;
+	vm->unused_since_move = false;
+	stats->moved_vms_used++;
+	stats->moved_vms_idle_ms += loop_now_ms() - vm->started_ms;
+}
