Start no task on a worker before its stray runs have ended

Cause: a run that the owner has no task for, such as that of a job which an earlier owner has ended, is ordered to stop, and its worker got no tasks for 0.3 s, however long the run takes to end. Its needs are not known any more, so they are not part of what the worker uses. Change: the worker gets none while its last report lists such a run, and it is polled until none is left.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -150,6 +150,10 @@
 	bool in_sent_roster;
 	/** owner: gets no new tasks, because of maintenance or a move */
 	bool cordoned;
+	/** owner: runs in the last report that the owner has no task for. They
+	 * are being stopped and use resources that are not part of `used`, so
+	 * the worker gets no new tasks. */
+	uint32_t stray_runs;
 	/** owner: gets no new tasks before this local time */
 	uint64_t pause_until_ms;
 	/** owner: gets no new tasks before this local time but one that may
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -107,10 +107,7 @@
 			 "the current run",
 			 running->task, running->run, worker->id);
 		worker_run_stop(worker, running->task, running->run);
-		/* Until the run ends, it uses resources that are not accounted
-		 * for. */
-		worker->pause_until_ms =
-			loop_now_ms() + OWNER_REFUSAL_BACKOFF_MS;
+		worker->stray_runs++;
 		return;
 	}
 	task->seen_in_report = owner->report_serial;
@@ -236,6 +233,7 @@
 		ended.commit_mark = commit_newest_mark(owner->log);
 		g_array_append_val(worker->ends, ended);
 	}
+	worker->stray_runs = 0;
 	for (size_t i = 0; i < report->run_count; i++)
 		reported_run_process(owner, worker, &report->runs[i],
 				     report->clock_ms);
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -66,7 +66,7 @@
 	       !worker->ended && worker->listed && worker->in_roster &&
 	       !worker->draining && !worker->cordoned &&
 	       worker_is_reachable(worker) && !worker->resolving &&
-	       worker->pause_until_ms <= now_ms &&
+	       worker->stray_runs == 0 && worker->pause_until_ms <= now_ms &&
 	       health_allows_start(worker, now_ms);
 }
 
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -160,6 +160,7 @@
 	worker->acked = 0;
 	worker->ends_seen = 0;
 	worker->has_reported = false;
+	worker->stray_runs = 0;
 	g_array_set_size(worker->ends, 0);
 	/* The new incarnation must refuse orders to the earlier one. */
 	worker->fence_offset++;
@@ -295,7 +296,7 @@
 	if (unstored)
 		poll_schedule(worker, WORKER_POLL_UNSTORED_MS);
 	else if (worker->resolving || worker->tasks->len > 0 ||
-		 worker->acked < worker->ends_seen ||
+		 worker->stray_runs > 0 || worker->acked < worker->ends_seen ||
 		 may_get_late_orders(worker))
 		poll_schedule(worker, 0);
 }
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -285,6 +285,8 @@
 	if (g_getenv("EMU_LOG"))
 		log_install("emulator", g_getenv("EMU_LOG"));
 	emu->config = *config;
+	if (config->stop_ms == 0)
+		emu->config.stop_ms = EMU_STOP_GRACE_MS;
 	emu->loop = loop_create();
 	emu->random = g_rand_new_with_seed(config->seed);
 	g_random_set_seed(config->seed);
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -34,6 +34,9 @@
 	/** workers start whatever they are ordered to, whether or not it fits
 	 */
 	bool unguarded;
+	/** time that a run takes to end after it was ordered to stop, 0 for the
+	 *  usual one */
+	uint32_t stop_ms;
 	/** a worker that crashes does not reset its connections: calls to it
 	 *  time out */
 	bool silent_crashes;
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -471,8 +471,9 @@
 			    loop_now_ms() - order->sent_ms < EMU_ORDER_STALE_MS)
 				emu_availability_check(vm, run);
 			run->stopping = true;
-			run->ends_ms = MIN(run->ends_ms,
-					   loop_now_ms() + EMU_STOP_GRACE_MS);
+			run->ends_ms =
+				MIN(run->ends_ms,
+				    loop_now_ms() + vm->emu->config.stop_ms);
 		}
 		break;
 	case EMU_ORDER_SET_SPEED:
--- a/packages/jobs/tests/test_capacity_moves.c
+++ b/packages/jobs/tests/test_capacity_moves.c
@@ -25,6 +25,8 @@
 	.vm_cpu_milli = 8000,
 	.attempts = 3,
 	.unguarded = true,
+	/* longer than the owner waits after other refusals */
+	.stop_ms = 900,
 };
 
 /* Called in each step, at some moment of it. */
