--- a/packages/jobs/src/owner_gang.c
+++ b/packages/jobs/src/owner_gang.c
@@ -8,8 +8,8 @@
  * reserved for it. */
 #define OWNER_GANG_RESERVE_AFTER_MS 2000
 
-/* A gang that may crash a worker is placed apart from other suspects within
- * this time. */
+/* A gang that may crash a worker waits this long for workers without other
+ * suspects, and is considered again at this interval. */
 #define OWNER_GANG_ISOLATE_WITHIN_MS 1000
 #define OWNER_GANG_ISOLATE_RETRY_MS 50
 
@@ -180,6 +180,7 @@
 	}
 }
 
+/* Returns whether a member may only be started in isolation. */
 static bool has_suspect(const struct job_group *group)
 {
 	for (uint32_t i = 0; i < group->step->count; i++) {
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -190,6 +190,7 @@
 
 /* owner_schedule.c: assigns waiting tasks to workers. */
 void owner_schedule_request(struct owner *owner);
+/* Requests a pass within a delay; an earlier one that was requested stays. */
 void owner_schedule_request_within(struct owner *owner, uint32_t delay_ms);
 void owner_schedule_run(struct owner *owner);
 
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -1,7 +1,7 @@
 /**
  * @file owner_schedule.h
  * @brief Shared by owner_schedule.c, owner_gang.c and owner_isolation.c, which
- * assign waiting tasks to workers.
+ *        assign waiting tasks to workers.
  */
 #ifndef OWNER_SCHEDULE_H
 #define OWNER_SCHEDULE_H
@@ -21,16 +21,12 @@
 	/** workers with a suspect in isolation, which are not among those
 	 *  above */
 	uint32_t isolating;
-	/** workers without tasks at the begin of the pass */
+	/** workers without tasks at the beginning of the pass */
 	uint32_t idle;
 	/** workers that are reserved for a suspect, and suspects that were not
 	 *  placed in this pass */
 	uint32_t reserved;
 	uint32_t suspects_unplaced;
-	/** worker on which suspects were started in this pass that may share
-	 * it, valid if their number is not 0 */
-	int32_t shared_worker;
-	uint32_t shared_count;
 	/** struct job_occurrence * with tasks that wait to start */
 	GPtrArray *pending;
 };
