Let suspects use more of a pool whose CPU is free

Cause: the bound on suspects in isolation grew with idle workers only. Change: the bound grows with the share of the pool's CPU that is free, from a quarter of the workers to three quarters.

--- a/packages/core/include/suspect.h
+++ b/packages/core/include/suspect.h
@@ -156,8 +156,8 @@
 void suspect_presume_crash(struct suspect *evidence);
 
 /** @brief Returns how many suspects may be in isolation at once in a pool of
- *  workers, some of which are idle. */
-uint32_t suspect_isolation_limit(uint32_t workers, uint32_t idle);
+ *  workers. @param free_percent share of the pool's CPU that is free */
+uint32_t suspect_isolation_limit(uint32_t workers, uint32_t free_percent);
 
 /** @brief Returns whether a suspect may be started in isolation so soon after
  *  the last one. Crashes at distinct moments can be told from a common cause.
--- a/packages/core/src/suspect.c
+++ b/packages/core/src/suspect.c
@@ -44,10 +44,11 @@
 /* Interval between starts in isolation; exceeds the time within which crashes
  * count as simultaneous. */
 #define SUSPECT_ISOLATION_INTERVAL_MS 30
-/* Share of a pool's workers that may have a suspect in isolation. */
-#define SUSPECT_ISOLATION_DIVISOR 4
-/* Share of its idle workers that may have one in addition. */
-#define SUSPECT_ISOLATION_IDLE_DIVISOR 2
+/* Percentage of a pool's workers that may have a suspect in isolation, and the
+ * part of the pool's free share that is added: isolation takes nothing from
+ * others there. */
+#define SUSPECT_ISOLATION_PERCENT 25
+#define SUSPECT_ISOLATION_FREE_DIVISOR 2
 
 static uint64_t probation_ms(const struct suspect *evidence)
 {
@@ -359,11 +360,12 @@
 		evidence->presumed++;
 }
 
-uint32_t suspect_isolation_limit(uint32_t workers, uint32_t idle)
+uint32_t suspect_isolation_limit(uint32_t workers, uint32_t free_percent)
 {
-	return MAX(workers / SUSPECT_ISOLATION_DIVISOR +
-			   idle / SUSPECT_ISOLATION_IDLE_DIVISOR,
-		   1);
+	uint32_t percent = SUSPECT_ISOLATION_PERCENT +
+			   free_percent / SUSPECT_ISOLATION_FREE_DIVISOR;
+
+	return MAX(workers * percent / 100, 1);
 }
 
 bool suspect_isolation_may_begin(uint64_t last_ms, uint64_t now_ms)
--- a/packages/jobs/src/owner_isolation.c
+++ b/packages/jobs/src/owner_isolation.c
@@ -6,8 +6,11 @@
 
 static uint32_t isolation_limit(const struct schedule_pool *pool)
 {
+	int64_t free_percent =
+		pool->cpu_free_milli * 100 / MAX(pool->cpu_milli, 1);
+
 	return suspect_isolation_limit(pool->workers->len + pool->isolating,
-				       pool->idle);
+				       (uint32_t)free_percent);
 }
 
 /* Returns whether a waiting suspect may be started in isolation now. */
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -87,7 +87,8 @@
 	candidate.vm = owner_vm_hash(worker);
 	candidate.reserved = worker->reserved_until_ms > now_ms;
 	pool->reserved += candidate.reserved;
-	pool->idle += worker->tasks->len == 0;
+	pool->cpu_milli += worker->capacity.cpu_milli;
+	pool->cpu_free_milli += MAX(candidate.cpu_free_milli, 0);
 	candidate.penalty = worker->health.consecutive_failures;
 	pool->has_healthy |= candidate.penalty == 0;
 	candidate.single_task_only =
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -21,8 +21,10 @@
 	/** workers with a suspect in isolation, which are not among those
 	 *  above */
 	uint32_t isolating;
-	/** workers without tasks at the beginning of the pass */
-	uint32_t idle;
+	/** CPU of the workers above, and what was free at the beginning of the
+	 *  pass */
+	int64_t cpu_milli;
+	int64_t cpu_free_milli;
 	/** workers that are reserved for a suspect, and suspects that were not
 	 *  placed in this pass */
 	uint32_t reserved;
