Decode numbers of records in one place, and look for unreachable workers in one

The record of suspects repeated the bounds of number_get(), and a second loop over the workers differed from has_unreachable_worker() by one condition, which is now an argument. No behaviour changes.

--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -81,11 +81,15 @@
 	return json_dumps(json, JSON_COMPACT);
 }
 
-static uint32_t number_get(const json_t *object, const char *key)
+static uint32_t number_decode(const json_t *json)
 {
-	json_int_t value = json_integer_value(json_object_get(object, key));
+	return (uint32_t)CLAMP(json_integer_value(json), 0,
+			       (json_int_t)UINT32_MAX);
+}
 
-	return (uint32_t)CLAMP(value, 0, (json_int_t)UINT32_MAX);
+static uint32_t number_get(const json_t *object, const char *key)
+{
+	return number_decode(json_object_get(object, key));
 }
 
 static char *text_get(const json_t *object, const char *key)
@@ -496,9 +500,7 @@
 
 static uint32_t array_number_get(const json_t *array, size_t index)
 {
-	json_int_t value = json_integer_value(json_array_get(array, index));
-
-	return (uint32_t)CLAMP(value, 0, (json_int_t)UINT32_MAX);
+	return number_decode(json_array_get(array, index));
 }
 
 static void suspect_decode(const json_t *json, struct suspect *out)
--- a/packages/jobs/src/owner_vm_list.c
+++ b/packages/jobs/src/owner_vm_list.c
@@ -135,7 +135,8 @@
 	}
 }
 
-static bool has_unreachable_worker(struct owner_fleet *fleet)
+/* Returns whether a worker has become unreachable since a local time. */
+static bool has_unreachable_worker(struct owner_fleet *fleet, uint64_t since_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -144,7 +145,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct worker *worker = value;
 
-		if (!worker->ended && !worker_is_reachable(worker))
+		if (!worker->ended && !worker_is_reachable(worker) &&
+		    worker->unanswered_since_ms >= since_ms)
 			return true;
 	}
 	return false;
@@ -182,29 +184,14 @@
 	ended_workers_detect(fleet);
 }
 
-static bool has_newly_unreachable_worker(struct owner_fleet *fleet)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, fleet->owner->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct worker *worker = value;
-
-		if (!worker->ended && !worker_is_reachable(worker) &&
-		    worker->unanswered_since_ms >= fleet->list_requested_ms)
-			return true;
-	}
-	return false;
-}
-
 void owner_vm_list_refresh(struct owner_fleet *fleet)
 {
-	bool busy = has_open_operation(fleet) || has_unreachable_worker(fleet);
+	bool busy =
+		has_open_operation(fleet) || has_unreachable_worker(fleet, 0);
 	uint64_t interval_ms = busy ? OWNER_VM_LIST_BUSY_INTERVAL_MS
 				    : OWNER_VM_LIST_INTERVAL_MS;
 
-	if (has_newly_unreachable_worker(fleet))
+	if (has_unreachable_worker(fleet, fleet->list_requested_ms))
 		interval_ms = OWNER_VM_LIST_NEW_INTERVAL_MS;
 	if (fleet->list_in_flight ||
 	    (fleet->list_received &&
