--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -1005,6 +1005,7 @@
 	run->percent = 100;
 	run->began_ms = world_now_ms();
 	work_ms = job->work_ms ? job->work_ms(step, index) : 1000;
+	run->fails = job->fails;
 	run->ends_ms = work_ms ? run->began_ms + work_ms : 0;
 	run->next = w->runs;
 	w->runs = run;
@@ -1552,11 +1553,9 @@
 	return job;
 }
 
-struct job *world_submit(const char *prefix, json_t *spec,
-			 uint32_t (*work_ms)(int step, int index))
+bool world_hand_in(struct job *job)
 {
-	struct job *job = world_job_add(prefix, spec, work_ms);
-	char *body = json_dumps(spec, JSON_COMPACT);
+	char *body = json_dumps(job->spec, JSON_COMPACT);
 
 	for (int i = 0; i < 20 && !job->accepted; i++) {
 		int node = i % world_options.nodes;
@@ -1571,6 +1570,15 @@
 			world_sleep_ms(250);
 	}
 	free(body);
+	return job->accepted;
+}
+
+struct job *world_submit(const char *prefix, json_t *spec,
+			 uint32_t (*work_ms)(int step, int index))
+{
+	struct job *job = world_job_add(prefix, spec, work_ms);
+
+	world_hand_in(job);
 	return job;
 }
 
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -19,7 +19,7 @@
 /** Largest numbers of things in one case. */
 #define WORLD_WORKERS_MAX 64
 #define WORLD_NODES_MAX 8
-#define WORLD_JOBS_MAX 256
+#define WORLD_JOBS_MAX 1024
 
 /** Exit statuses of a case. */
 #define WORLD_HELD 0
@@ -89,8 +89,9 @@
 	json_t *spec;
 	/** duration of a work item; 0 for one that lasts */
 	uint32_t (*work_ms)(int step, int index);
+	/** whether its work items always fail */
+	bool fails;
 	bool accepted;
-	uint64_t cancelled_ms;
 };
 
 /** An answer that the client received; status 0 for none. */
@@ -174,6 +175,8 @@
 void world_submit_and_leave(int node, struct job *const *jobs, int count,
 			    uint32_t leave_ms);
 /** Submits a job, retrying at other processes as a client does. */
+bool world_hand_in(struct job *job);
+/** Makes a job known and submits it. */
 struct job *world_submit(const char *prefix, json_t *spec,
 			 uint32_t (*work_ms)(int step, int index));
 struct answer world_state(const struct job *job);
