--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -944,6 +944,15 @@
 			      (size_t)*step);
 }
 
+static bool task_has_run(const char *task)
+{
+	for (struct start *s = starts; s; s = s->next) {
+		if (strcmp(s->task, task) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void start_note(const struct worker *w, const struct run *run)
 {
 	struct start *s = calloc(1, sizeof(*s));
@@ -1005,7 +1014,7 @@
 	run->percent = 100;
 	run->began_ms = world_now_ms();
 	work_ms = job->work_ms ? job->work_ms(step, index) : 1000;
-	run->fails = job->fails;
+	run->fails = job->fails || (job->fails_once && !task_has_run(task));
 	run->ends_ms = work_ms ? run->began_ms + work_ms : 0;
 	run->next = w->runs;
 	w->runs = run;
@@ -1766,7 +1775,8 @@
 		struct worker *w = &world_workers[i];
 
 		snprintf(w->machine, sizeof(w->machine), "m-%03d", i);
-		snprintf(w->label, sizeof(w->label), "a");
+		if (!w->label[0])
+			snprintf(w->label, sizeof(w->label), "a");
 		snprintf(w->rack, sizeof(w->rack), "r1-%d", i / 4);
 		if (!w->service)
 			w->service = "svc";
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -91,6 +91,8 @@
 	uint32_t (*work_ms)(int step, int index);
 	/** whether its work items always fail */
 	bool fails;
+	/** whether the first run of each fails */
+	bool fails_once;
 	bool accepted;
 };
 
