--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -47,6 +47,8 @@
 	bool silent;
 	/** process at the other end, -1 if unknown */
 	int node;
+	/** fence number of the request */
+	uint64_t token;
 };
 
 struct item {
@@ -107,6 +109,9 @@
 static int64_t revision = 100;
 static int64_t next_lease = 7000;
 static bool refused_nodes[WORLD_NODES_MAX];
+static bool cut_nodes[WORLD_NODES_MAX];
+static bool cuts_at_intent;
+static int cut_node = -1;
 static bool cut[WORLD_NODES_MAX][WORLD_WORKERS_MAX];
 static int store_fd, cloud_fd, advice_fd;
 static int store_port, cloud_port, advice_port;
@@ -312,6 +317,8 @@
 
 static bool is_cut(int node, const struct worker *worker)
 {
+	if (node >= 0 && cut_nodes[node])
+		return true;
 	return node >= 0 && worker && cut[node][worker - world_workers];
 }
 
@@ -509,6 +516,33 @@
 	return json_integer_value(json_object_get(json, key));
 }
 
+static bool intent_is_written(const json_t *body)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(json_object_get(body, "puts"), i, row)
+	{
+		if (strcmp(text_of(row, "key"), "/sassafrascart/vm-orders") ==
+		    0)
+			return true;
+	}
+	return false;
+}
+
+static void node_cut(int node)
+{
+	cuts_at_intent = false;
+	cut_node = node;
+	cut_nodes[node] = true;
+	for (int i = 0; i < CONNECTIONS_MAX; i++) {
+		if (connections[i].fd >= 0 && connections[i].node == node)
+			connections[i].silent = true;
+	}
+	world_record("process %d is cut off from store, machines and workers",
+		     node);
+}
+
 static void txn_serve(struct connection *c, const json_t *body)
 {
 	json_t *current = json_array();
@@ -546,6 +580,8 @@
 	json_array_foreach(json_object_get(body, "deletes"), i, row)
 		item_delete(json_string_value(row));
 	respond(c, 200, json_pack("{s:I}", "revision", (json_int_t)revision));
+	if (cuts_at_intent && intent_is_written(body))
+		node_cut(c->node);
 	watches_wake();
 }
 
@@ -703,6 +739,18 @@
 		if (strcmp(world_workers[i].machine, machine) == 0)
 			w = &world_workers[i];
 	}
+	if (w)
+		world_record("machine %s: move to %s, fence %llu, process %d",
+			     machine, pool, (unsigned long long)c->token,
+			     c->node);
+	if (w && c->token < w->token)
+		world_break("ONE",
+			    "machine %s gets an order with fence %llu after "
+			    "one with %llu",
+			    machine, (unsigned long long)c->token,
+			    (unsigned long long)w->token);
+	else if (w)
+		w->token = c->token;
 	if (!w || strcmp(w->service, pool) == 0) {
 		respond(c, w ? 200 : 400, NULL);
 		return;
@@ -1250,10 +1298,14 @@
 	char method[16] = "";
 	char path[1024] = "";
 	char instance[64];
+	char token[32];
 
 	sscanf(head, "%15s %1023s", method, path);
 	header_get(head, "\r\nx-sassafrascart-expect-instance", instance,
 		   sizeof(instance));
+	header_get(head, "\r\nx-sassafrascart-fence-token", token,
+		   sizeof(token));
+	c->token = strtoull(token, NULL, 10);
 	switch (c->role) {
 	case ROLE_STORE:
 		store_serve(c, method, path, body);
@@ -1895,6 +1947,35 @@
 	world_unlock();
 }
 
+void world_cut_at_intent(void)
+{
+	world_lock();
+	cuts_at_intent = true;
+	world_unlock();
+}
+
+int world_cut_node(void)
+{
+	int node;
+
+	world_lock();
+	node = cut_node;
+	world_unlock();
+	return node;
+}
+
+void world_node_heal(int node)
+{
+	world_lock();
+	cut_nodes[node] = false;
+	for (int i = 0; i < CONNECTIONS_MAX; i++) {
+		if (connections[i].fd >= 0 && connections[i].node == node)
+			connections[i].silent = false;
+	}
+	world_record("process %d is cut off no more", node);
+	world_unlock();
+}
+
 void world_store_refuse(int node, bool refuse_it)
 {
 	world_lock();
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -68,6 +68,8 @@
 	int cpu;
 	bool up;
 	bool draining;
+	/** highest fence number of an order for its machine */
+	uint64_t token;
 	/** 0 unless its machine is being moved */
 	uint64_t moving_until_ms;
 	uint64_t born_unix_ms;
@@ -190,6 +192,11 @@
 /** Cuts a process and a worker off from each other. */
 void world_cut(int node, int worker);
 void world_cuts_heal(void);
+/** Cuts a process off from store, machines and workers once it has stored that
+ *  it will order machines to move. What it sends meanwhile arrives later. */
+void world_cut_at_intent(void);
+int world_cut_node(void);
+void world_node_heal(int node);
 /** Makes the store refuse all calls of a process with 503. */
 void world_store_refuse(int node, bool refuse_it);
 /** Makes all channels that are open now silent for good. */
