--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in timed stale gang poison lapse label avoid route cancel silent; do
+for name in timed poison stale label gang lapse one avoid route cancel silent; do
 	gcc -std=gnu11 -D_GNU_SOURCE -O1 -g -Wall -o "target/review/$name" \
 		review/standin/world.c "review/standin/$name.c" \
 		-ljansson -lpthread
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -1735,6 +1735,24 @@
 	}
 }
 
+/* Removes the temporary folder, unless KEEP_LOGS is set. */
+static void temp_remove(void)
+{
+	static const char *const suffixes[] = { "conf", "log" };
+	char path[512];
+
+	if (getenv("KEEP_LOGS") || !temp_dir[0])
+		return;
+	for (int i = 0; i < WORLD_NODES_MAX; i++) {
+		for (int j = 0; j < 2; j++) {
+			snprintf(path, sizeof(path), "%s/node-%d.%s", temp_dir,
+				 i + 1, suffixes[j]);
+			unlink(path);
+		}
+	}
+	rmdir(temp_dir);
+}
+
 void world_end(void)
 {
 	for (int i = 0; i < world_options.nodes; i++) {
@@ -1748,6 +1766,7 @@
 		}
 	}
 	processes_end();
+	temp_remove();
 	world_record("broken rules: %d", broken);
 	printf("%s\n", broken ? "broken" : "held");
 	exit(broken ? WORLD_BROKEN : WORLD_HELD);
@@ -1758,6 +1777,7 @@
 	world_record("cannot run: %s", why);
 	fprintf(stderr, "cannot run: %s\n", why);
 	processes_end();
+	temp_remove();
 	exit(WORLD_CANNOT_RUN);
 }
 
@@ -1855,7 +1875,8 @@
 	if (!mkdtemp(temp_dir))
 		world_cannot_run("no temporary folder");
 	world_record("trouble: %d", world_trouble());
-	printf("logs in %s\n", temp_dir);
+	if (getenv("KEEP_LOGS"))
+		printf("logs in %s\n", temp_dir);
 	for (int i = 0; i < CONNECTIONS_MAX; i++)
 		connections[i].fd = -1;
 	snprintf(store_ip, sizeof(store_ip), "127.%u.1.1", net);
