Log workers that get no tasks because theirs failed

What the owner thinks of a worker's health was in no log line: a job that waits and a worker that is idle could not be told from a pool without capacity. Add worker-quarantined (how long, failures in a row, tasks left), worker-recovered and worker_quarantines_total, and move what concerns health from owner_schedule.c and owner_roster.c into owner_health.c. Decisions are unchanged.

--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -271,6 +271,7 @@
 		{ "tasks_adopted_total", counters->tasks_adopted },
 		{ "stray_runs_total", counters->orphaned_runs },
 		{ "tasks_stood_still_total", counters->stalled },
+		{ "worker_quarantines_total", counters->quarantines },
 		{ "worker_reports_total", counters->reports },
 		{ "task_plans_total", counters->plans },
 		{ "vm_moves_total", counters->moves },
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -53,6 +53,8 @@
 	uint64_t tasks_adopted;
 	uint64_t orphaned_runs;
 	uint64_t stalled;
+	/** workers that got no tasks for a while because theirs failed */
+	uint64_t quarantines;
 	uint64_t reports;
 	/** plans of large tasks on workers, over all scheduling passes */
 	uint64_t plans;
@@ -190,7 +192,6 @@
 /* owner_roster.c: discovery of workers and the stored roster. */
 void owner_roster_load(struct owner *owner);
 void owner_workers_list(struct owner *owner);
-void owner_vm_health_save(struct owner *owner, const struct worker *worker);
 /* Time until which the previous owner may have acted. The platform may revoke
  * its lease early and without notice; that owner then goes on until its own
  * record of the lease ends. */
@@ -243,6 +244,17 @@
 uint32_t owner_crash_loss(const struct worker *worker, uint64_t now_ms,
 			  bool *has_suspects);
 
+/* owner_health.c: which workers get tasks, judged by how their tasks end. */
+/* Keeps the health of a worker that has ended for the next one on its VM. */
+void owner_health_save(struct owner *owner, const struct worker *worker);
+void owner_health_restore(const struct owner *owner, struct worker *worker);
+/* Returns whether a worker may get tasks. One that comes out of quarantine gets
+ * one task at a time. */
+bool owner_health_allows_start(const struct worker *worker, uint64_t now_ms);
+/* Records a task that failed, or was moved because it stalled. */
+void owner_health_record_failure(struct owner *owner, struct worker *worker);
+void owner_health_record_success(struct worker *worker);
+
 /* owner_throttle.c: throttles best-effort tasks that slow down
  * latency-sensitive tasks on the same worker. */
 void owner_throttle_worker(struct owner *owner, struct worker *worker);
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -55,7 +55,7 @@
 		 * worker had expired: only the newer run's result counts. */
 		if (task->worker && !is_current_run)
 			return;
-		breaker_record_success(&worker->health);
+		owner_health_record_success(worker);
 		owner_task_record_duration(owner, task);
 		if (task->group->step->is_gang)
 			owner_gang_complete(owner, task->group);
@@ -211,7 +211,7 @@
 					     now_ms - task->speed_changed_ms))
 			continue;
 		task->stall_evictions++;
-		breaker_record_failure(&worker->health, now_ms);
+		owner_health_record_failure(owner, worker);
 		owner->counters.stalled++;
 		owner_task_stop(owner, task, "it makes no progress");
 	}
@@ -352,7 +352,7 @@
 	}
 	owner_account_strays_clear(worker);
 	owner_crash_fail_jobs(owner, convicted_jobs);
-	owner_vm_health_save(owner, worker);
+	owner_health_save(owner, worker);
 }
 
 static void on_newer_owner_detected(void *data)
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -146,26 +146,6 @@
 	json_decref(items);
 }
 
-/* Health is kept per VM, because a faulty VM makes the tasks of its next worker
- * fail as well. */
-void owner_vm_health_save(struct owner *owner, const struct worker *worker)
-{
-	if (worker->vm)
-		g_hash_table_insert(
-			owner->vm_health, g_strdup(worker->vm),
-			g_memdup2(&worker->health, sizeof(worker->health)));
-}
-
-static void vm_health_restore(struct owner *owner, struct worker *worker)
-{
-	const struct breaker *kept =
-		worker->vm ? g_hash_table_lookup(owner->vm_health, worker->vm)
-			   : NULL;
-
-	if (kept)
-		worker->health = *kept;
-}
-
 void owner_worker_check_ownership(const struct owner *owner,
 				  struct worker *worker)
 {
@@ -178,7 +158,7 @@
 {
 	struct worker *worker = worker_create(&owner->env, entry);
 
-	vm_health_restore(owner, worker);
+	owner_health_restore(owner, worker);
 	owner_worker_check_ownership(owner, worker);
 	g_hash_table_insert(owner->workers, worker->id, worker);
 	owner->roster_dirty = true;
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -51,15 +51,6 @@
 	return pool;
 }
 
-/* A worker that comes out of quarantine gets one task at a time. */
-static bool health_allows_start(const struct worker *worker, uint64_t now_ms)
-{
-	enum breaker_state state = breaker_state_at(&worker->health, now_ms);
-
-	return state == BREAKER_CLOSED ||
-	       (state == BREAKER_HALF_OPEN && worker->tasks->len == 0);
-}
-
 const char *owner_worker_refusal(const struct owner *owner,
 				 struct worker *worker, uint64_t now_ms)
 {
@@ -79,7 +70,7 @@
 		return "runs without a task are being stopped";
 	if (worker->pause_until_ms > now_ms)
 		return "it has just refused a task";
-	if (!health_allows_start(worker, now_ms))
+	if (!owner_health_allows_start(worker, now_ms))
 		return "its tasks fail";
 	return NULL;
 }
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -348,7 +348,7 @@
 	uint32_t pause_ms = OWNER_RESTART_DELAY_MS;
 
 	job->has_started = true;
-	breaker_record_failure(&worker->health, loop_now_ms());
+	owner_health_record_failure(owner, worker);
 	if (!is_long_running && job_task_count_failure(task, end->run)) {
 		commit_mark_dirty(owner->log, job);
 		pause_ms <<= MIN(job_task_failures(task), 5);
