Try a task on a quarantined worker that has a long-running one

Cause: a worker whose circuit breaker is half open gets one task at a time until one succeeds, and "one at a time" was "while it has no task". A long-running task never leaves its worker, so nothing else was tried there; and it never ends with success, so it could not close the breaker either.

Change: only tasks started since the breaker opened count as the one that is tried (owner_health.c). A long-running task started since then counts as a success after a second at full speed; while it is awaited its worker is polled as one that starts up.

Tests: test_stranded.

--- a/packages/core/include/breaker.h
+++ b/packages/core/include/breaker.h
@@ -50,4 +50,12 @@
  */
 bool breaker_task_is_stalled(uint32_t percent, uint64_t unchanged_ms);
 
+/**
+ * @brief Returns whether a long-running task counts as a success, although it
+ *        has not ended.
+ *
+ * @param full_speed_ms time for which it has been at full speed
+ */
+bool breaker_long_running_succeeded(uint64_t full_speed_ms);
+
 #endif
--- a/packages/core/src/breaker.c
+++ b/packages/core/src/breaker.c
@@ -11,6 +11,9 @@
 /* A task without progress for this long is stalled. Even the longest tasks
  * advance by a percent several times within it. */
 #define BREAKER_STALL_MS 2000
+/* A long-running task that has been at full speed for this long has succeeded.
+ */
+#define BREAKER_FULL_SPEED_MS 1000
 
 void breaker_record_success(struct breaker *breaker)
 {
@@ -52,3 +55,8 @@
 {
 	return percent < 100 && unchanged_ms > BREAKER_STALL_MS;
 }
+
+bool breaker_long_running_succeeded(uint64_t full_speed_ms)
+{
+	return full_speed_ms >= BREAKER_FULL_SPEED_MS;
+}
--- a/packages/jobs/src/owner_health.c
+++ b/packages/jobs/src/owner_health.c
@@ -21,12 +21,36 @@
 		worker->health = *kept;
 }
 
+/* Returns whether a task was started since the breaker of its worker opened, so
+ * that its outcome decides. An earlier one may be long-running and have none.
+ */
+static bool is_probe(const struct worker *worker, const struct job_task *task)
+{
+	return task->ordered_ms >= worker->health.open_until_ms;
+}
+
+bool owner_health_awaits(const struct worker *worker,
+			 const struct job_task *task, uint64_t now_ms)
+{
+	return breaker_state_at(&worker->health, now_ms) == BREAKER_HALF_OPEN &&
+	       is_probe(worker, task);
+}
+
+static bool has_probe(const struct worker *worker)
+{
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		if (is_probe(worker, g_ptr_array_index(worker->tasks, i)))
+			return true;
+	}
+	return false;
+}
+
 bool owner_health_allows_start(const struct worker *worker, uint64_t now_ms)
 {
 	enum breaker_state state = breaker_state_at(&worker->health, now_ms);
 
 	return state == BREAKER_CLOSED ||
-	       (state == BREAKER_HALF_OPEN && worker->tasks->len == 0);
+	       (state == BREAKER_HALF_OPEN && !has_probe(worker));
 }
 
 void owner_health_record_failure(struct owner *owner, struct worker *worker)
@@ -54,3 +78,28 @@
 			 worker->id, worker->health.consecutive_failures);
 	breaker_record_success(&worker->health);
 }
+
+/* Returns whether a long-running task is a probe that has succeeded. */
+static bool is_sound_long_running(const struct worker *worker,
+				  const struct job_task *task, uint64_t now_ms)
+{
+	return task->group->step->is_long_running &&
+	       owner_health_awaits(worker, task, now_ms) &&
+	       task->state == JOB_TASK_RUNNING && task->speed_percent > 0 &&
+	       task->speed_percent >= task->ordered_speed_percent &&
+	       breaker_long_running_succeeded(now_ms - task->speed_changed_ms);
+}
+
+void owner_health_check_probe(struct worker *worker)
+{
+	uint64_t now_ms = loop_now_ms();
+
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		if (!is_sound_long_running(worker,
+					   g_ptr_array_index(worker->tasks, i),
+					   now_ms))
+			continue;
+		owner_health_record_success(worker);
+		return;
+	}
+}
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -251,9 +251,16 @@
 /* Returns whether a worker may get tasks. One that comes out of quarantine gets
  * one task at a time. */
 bool owner_health_allows_start(const struct worker *worker, uint64_t now_ms);
+/* Returns whether a worker gets no further task until this one has ended or
+ * succeeded. */
+bool owner_health_awaits(const struct worker *worker,
+			 const struct job_task *task, uint64_t now_ms);
 /* Records a task that failed, or was moved because it stalled. */
 void owner_health_record_failure(struct owner *owner, struct worker *worker);
 void owner_health_record_success(struct worker *worker);
+/* Records a success if a long-running task, which never ends with one, has been
+ * at full speed for long enough on a worker that gets one task at a time. */
+void owner_health_check_probe(struct worker *worker);
 
 /* owner_throttle.c: throttles best-effort tasks that slow down
  * latency-sensitive tasks on the same worker. */
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -172,8 +172,9 @@
 
 /* Sets how long the next poll waits at the worker. Long-running tasks that
  * start up need frequent reports, since they count as started once they report
- * their full speed, and so do tasks that may have to be throttled. Tasks that
- * run to completion need reports often enough to detect a stall in time. */
+ * their full speed, and so do tasks that may have to be throttled, and those
+ * that decide whether the worker gets more tasks. Tasks that run to completion
+ * need reports often enough to detect a stall in time. */
 static void poll_wait_set(struct worker *worker)
 {
 	bool needs_frequent_reports = owner_throttle_is_needed(worker);
@@ -185,7 +186,8 @@
 
 		if (!task->group->step->is_long_running)
 			short_tasks = true;
-		else if (task->speed_percent < task->ordered_speed_percent)
+		else if (task->speed_percent < task->ordered_speed_percent ||
+			 owner_health_awaits(worker, task, loop_now_ms()))
 			needs_frequent_reports = true;
 	}
 	worker->poll_wait_ms = 0;
@@ -241,6 +243,7 @@
 	for (size_t i = 0; i < report->run_count; i++)
 		reported_run_process(owner, worker, &report->runs[i],
 				     report->clock_ms);
+	owner_health_check_probe(worker);
 	poll_wait_set(worker);
 	stalled_tasks_stop(owner, worker);
 	owner_throttle_worker(owner, worker);
--- /dev/null
+++ b/packages/jobs/tests/test_stranded.c
@@ -0,0 +1,127 @@
+/**
+ * @file test_stranded.c
+ * @brief Tests that no task waits for ever while a worker could run it.
+ *
+ * Each test names the reason for which the owner once held work back for good.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "emu.h"
+
+/* One pool that gets no further VMs. */
+static const struct emu_config fleet = {
+	.seed = 7,
+	.nodes = 3,
+	.pools = 1,
+	.vms_per_pool = 4,
+	.vm_cpu_milli = 8000,
+	.attempts = 3,
+	.fixed_pools = true,
+};
+
+/* A long-running job with one task on each worker. */
+static const struct emu_job wide_long_running = {
+	.steps = 1,
+	.tasks_per_step = 4,
+	.cpu_milli = 5000,
+	.task_ms = 600,
+	.long_running = true,
+	.max_unavailable = 1,
+};
+
+static const struct emu_job batch = {
+	.steps = 1,
+	.tasks_per_step = 2,
+	.cpu_milli = 500,
+	.task_ms = 600,
+};
+
+static struct emu *fleet_start(void)
+{
+	struct emu *emu = emu_create(&fleet);
+
+	emu_advance(emu, 3000);
+	return emu;
+}
+
+static void expect_no_violation(const struct emu *emu)
+{
+	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
+		      emu_first_violation(emu));
+}
+
+/* Advances time, queries the first jobs and expects that all that end have. */
+static void expect_finished(struct emu *emu, uint32_t jobs, uint32_t ms)
+{
+	struct emu_stats stats;
+
+	emu_advance(emu, ms);
+	for (uint32_t i = 0; i < jobs; i++)
+		emu_state_query(emu, i % fleet.nodes, i);
+	emu_advance(emu, 500);
+	emu_stats(emu, &stats);
+	ck_assert_uint_eq(stats.accepted, jobs);
+	ck_assert_uint_eq(stats.unfinished, 0);
+	expect_no_violation(emu);
+}
+
+/* A worker whose circuit breaker is half open must get a task that can close
+ * it, although a long-running task never leaves it. */
+START_TEST(test_hopeless_job_beside_long_running_tasks)
+{
+	struct emu_job hopeless = batch;
+	struct emu *emu = fleet_start();
+	uint32_t jobs = 0;
+
+	hopeless.tasks_per_step = 16;
+	hopeless.always_fails = true;
+	emu_submit(emu, 0, &wide_long_running);
+	emu_advance(emu, 2000);
+	ck_assert_uint_eq(emu_active_run_count(emu), 4);
+	emu_submit(emu, 0, &hopeless);
+	emu_advance(emu, 4000);
+	for (jobs = 2; jobs < 6; jobs++)
+		emu_submit(emu, jobs % fleet.nodes, &batch);
+	expect_finished(emu, jobs, 3000);
+	emu_destroy(emu);
+}
+END_TEST
+
+/* A long-running task at full speed must close the breaker of its worker, since
+ * it never ends with success. */
+START_TEST(test_long_running_tasks_close_breaker)
+{
+	struct emu_job second = wide_long_running;
+	struct emu *emu = fleet_start();
+
+	second.cpu_milli = 3000;
+	emu_worker_set_failing(emu, 0, true);
+	emu_submit(emu, 0, &wide_long_running);
+	emu_advance(emu, 4000);
+	emu_worker_set_failing(emu, 0, false);
+	emu_advance(emu, 8000);
+	ck_assert_uint_eq(emu_active_run_count(emu), 4);
+	emu_submit(emu, 0, &second);
+	emu_advance(emu, 3000);
+	ck_assert_uint_eq(emu_active_run_count(emu), 8);
+	expect_no_violation(emu);
+	emu_destroy(emu);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("stranded");
+	TCase *tests = tcase_create("stranded");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tests, test_hopeless_job_beside_long_running_tasks);
+	tcase_add_test(tests, test_long_running_tasks_close_breaker);
+	suite_add_tcase(suite, tests);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
