Do not take adopted runs without progress as stalled

After a change of owner, runs that had just begun were stopped and started again, which callers saw as later results, and their workers got no tasks for 1.5 s.

Cause: the time of a task's last progress was not set when a new owner adopted its run, so a run that still reported 0% counted as unchanged since the owner's time zero. Found by the trace of a planned stop: 32 lines "it makes no progress" 6 ms after takeover-read, and four worker-quarantined.

Change: an adopted run has progressed when it was adopted.

The emulator learns scheduled jobs for the tests to come, and checks that no task starts before its time and that a job that succeeded has run each task.

--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -96,6 +96,7 @@
 		task->group->occurrence->has_started = true;
 		task->group->occurrence->job->has_started = true;
 		task->ordered_ms = loop_now_ms();
+		task->speed_changed_ms = task->ordered_ms;
 		task->adopted = true;
 		task->group->gang_since_ms = loop_now_ms();
 		task->group->gang_run = running->run;
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -128,6 +128,11 @@
 	uint32_t crash_after_ms;
 	/** the tasks of a step start and end together */
 	bool gang;
+	/** number of times that the steps run, 0 for a job without a schedule;
+	 *  the first one is due after first_run_ms */
+	uint32_t occurrences;
+	uint32_t first_run_ms;
+	uint32_t interval_ms;
 	/** of a long-running job: how many tasks of a step may be unavailable,
 	 *  -1 for any number */
 	int32_t max_unavailable;
--- a/packages/jobs/tests/emu_callers.c
+++ b/packages/jobs/tests/emu_callers.c
@@ -87,11 +87,16 @@
 	state->job = *job;
 	g_snprintf(state->id, sizeof(state->id), "%016x", number);
 	spec->payload = g_strdup("emulated");
+	spec->occurrence_count = job->occurrences;
+	spec->first_run_unix_ms =
+		job->occurrences > 0 ? loop_unix_ms() + job->first_run_ms : 0;
+	spec->interval_ms = job->interval_ms;
 	for (uint32_t i = 0; i < job->steps; i++)
 		step_add(spec, job, i);
 	state->spec_text = job_record_spec_encode(spec);
 	state->spec = spec;
-	state->task_count = job->steps * job->tasks_per_step;
+	state->task_count =
+		MAX(job->occurrences, 1) * job->steps * job->tasks_per_step;
 	state->tasks = g_new0(struct emu_task, state->task_count);
 	for (uint32_t i = 0; i < state->task_count; i++)
 		state->tasks[i].failed_runs =
@@ -162,6 +167,11 @@
 			emu_fail(emu, EMU_RULE_STATE,
 				 "%s was reported as succeeded while it runs",
 				 state->id);
+		if (!state->tasks[i].completed)
+			emu_fail(emu, EMU_RULE_STATE,
+				 "%s was reported as succeeded before all "
+				 "tasks had",
+				 state->id);
 	}
 	if (state->job.always_fails)
 		emu_fail(emu, EMU_RULE_STATE,
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -43,6 +43,8 @@
 #define EMU_CAPACITY_KNOWN_MS 4500
 /** Time until a long-running task counts as available after its start. */
 #define EMU_TASK_STARTUP_MS 500
+/** How early a task of a scheduled job may be started. */
+#define EMU_EARLY_MAX_MS 250
 /** Time that a gang member waits for the other members to start. */
 #define EMU_GANG_TIMEOUT_MS 3000
 
@@ -51,6 +53,7 @@
 	char task[JOB_TASK_NAME_BYTES];
 	uint32_t run;
 	uint32_t job;
+	/* number of the step, counted over all occurrences */
 	uint32_t step;
 	uint32_t index;
 	uint64_t started_ms;
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -45,7 +45,8 @@
 {
 	struct emu_job_state *state = g_ptr_array_index(emu->jobs, job);
 
-	return &g_array_index(state->spec->steps, struct job_step, step);
+	return &g_array_index(state->spec->steps, struct job_step,
+			      step % state->spec->steps->len);
 }
 
 int64_t emu_vm_free_cpu(struct emu_vm *vm)
@@ -338,12 +339,12 @@
 
 /* Checks that a start violates no rule. */
 static void start_check(struct emu *emu, const struct emu_order *order,
-			uint32_t job, const struct job_task_id *parts)
+			uint32_t job, uint32_t step,
+			const struct job_task_id *parts)
 {
 	const char *name = order->task;
 	struct emu_job_state *state = g_ptr_array_index(emu->jobs, job);
-	struct emu_task *task =
-		emu_task_get(emu, job, parts->step, parts->index);
+	struct emu_task *task = emu_task_get(emu, job, step, parts->index);
 
 	state->started = true;
 	if (state->refused && !state->accepted && !state->outcome_unknown &&
@@ -368,11 +369,17 @@
 			 "%s started after %u failed runs", name,
 			 task->failed_runs->len);
 	emu_crash_check(emu, task, name);
+	if (state->job.occurrences > 0 &&
+	    loop_unix_ms() + EMU_EARLY_MAX_MS <
+		    state->spec->first_run_unix_ms +
+			    parts->occurrence * state->spec->interval_ms)
+		emu_fail(emu, EMU_RULE_ORDER, "%s started before its time",
+			 name);
 	if (parts->step == 0 || state->job.long_running)
 		return;
 	for (uint32_t i = 0; i < state->job.tasks_per_step; i++) {
 		const struct emu_task *earlier =
-			emu_task_get(emu, job, parts->step - 1, i);
+			emu_task_get(emu, job, step - 1, i);
 
 		if (!earlier->completed)
 			emu_fail(emu, EMU_RULE_ORDER,
@@ -390,6 +397,7 @@
 	const struct job_step *step;
 	struct job_task_id parts;
 	uint32_t job;
+	uint32_t row;
 
 	if (run_find(vm, order->task, order->run) < vm->runs->len)
 		return ADAPTER_ACCEPTED;
@@ -404,18 +412,19 @@
 		return ADAPTER_REFUSED_INVALID;
 	}
 	state = g_ptr_array_index(emu->jobs, job);
-	step = step_of(emu, job, parts.step);
+	row = parts.occurrence * state->spec->steps->len + parts.step;
+	step = step_of(emu, job, row);
 	if (!step->is_best_effort &&
 	    emu_vm_free_cpu(vm) < step->need.cpu_milli) {
 		if (!emu->config.unguarded)
 			return ADAPTER_REFUSED_CAPACITY;
 		emu_capacity_check(vm, order);
 	}
-	start_check(emu, order, job, &parts);
+	start_check(emu, order, job, row, &parts);
 	emu_account_check(emu, job, step);
 	g_strlcpy(run.task, order->task, sizeof(run.task));
 	run.job = job;
-	run.step = parts.step;
+	run.step = row;
 	run.index = parts.index;
 	run.started_ms = loop_now_ms();
 	run.ends_ms =
@@ -428,9 +437,8 @@
 	if (run.will_fail)
 		run.ends_ms = run.started_ms + state->job.task_ms / 3 + 1;
 	run.awaits_gang = state->job.gang;
-	emu_task_get(emu, job, parts.step, parts.index)->active_runs++;
-	emu_task_get(emu, job, parts.step, parts.index)->stopped_by_owner =
-		false;
+	emu_task_get(emu, job, row, parts.index)->active_runs++;
+	emu_task_get(emu, job, row, parts.index)->stopped_by_owner = false;
 	log_debug("emu-start", "%s run %u at %s fence %" G_GUINT64_FORMAT,
 		  order->task, order->run, vm->worker, order->fence);
 	emu->stats.runs++;
