Restore occurrences that are under way before workers report

Callers saw an occurrence of a scheduled job carried out twice (TWICE): all its tasks were started again after a planned stop, or a crash, of the owner, some beside their first run, some after it had succeeded.

Cause: no record says that an occurrence has begun before one of its tasks has ended.

Change: a new owner begins the occurrences that are due before it polls a worker. One that is under way although it is not due by this owner's clock, or has no room here, is begun by a report of one of its tasks, within bounds; the rest of its tasks waits until it is due. Occurrences of jobs of earlier owners begin with unknown tasks until all workers have reported (owner_occurrence.c).

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -244,6 +244,8 @@
 	bool has_definition;
 	/** segments with its newest records, NULL for none */
 	struct segment *segments[JOB_SEGMENT_COUNT];
+	/** an earlier owner accepted it, and may have started its tasks */
+	bool is_restored;
 	uint64_t accepted_unix_ms;
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
--- a/packages/jobs/src/job.c
+++ b/packages/jobs/src/job.c
@@ -180,6 +180,7 @@
 {
 	struct job_occurrence *occurrence = g_new0(struct job_occurrence, 1);
 	uint64_t late_ms = 0;
+	uint64_t early_ms = 0;
 
 	occurrence->job = job;
 	occurrence->due_unix_ms = job_next_due_unix_ms(job);
@@ -190,7 +191,9 @@
 	else if (job->spec->occurrence_count > 0 &&
 		 now_unix_ms > occurrence->due_unix_ms)
 		late_ms = now_unix_ms - occurrence->due_unix_ms;
-	occurrence->due_ms = now_ms - MIN(late_ms, now_ms);
+	else if (job->spec->occurrence_count > 0)
+		early_ms = occurrence->due_unix_ms - now_unix_ms;
+	occurrence->due_ms = now_ms + early_ms - MIN(late_ms, now_ms);
 	occurrence->groups = g_new0(struct job_group, job->spec->steps->len);
 	for (guint i = 0; i < job->spec->steps->len; i++)
 		group_init(&occurrence->groups[i], occurrence, i);
--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -104,22 +104,16 @@
 {
 	struct owner *owner = data;
 	uint64_t now_ms = loop_now_ms();
-	uint64_t unix_ms = loop_unix_ms();
 	uint64_t keep_ms = (uint64_t)owner->config.service->ended_retention_ms *
 			   OWNER_STATUS_RETENTION_FACTOR;
 	GHashTableIter iter;
 	gpointer value;
 
+	owner_occurrences_begin_due(owner);
 	g_hash_table_iter_init(&iter, owner->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct job *job = value;
 
-		while (job->spec && job->spec->occurrence_count > 0 &&
-		       owner_job_is_live(job) && job->is_sent &&
-		       !job->in_flight && job_next_may_begin(job, unix_ms)) {
-			owner_occurrence_add(owner, job);
-			owner_schedule_request(owner);
-		}
 		if (owner_job_is_live(job) || job->spec || job->dirty ||
 		    job->in_flight || job->waiters ||
 		    now_ms - job->ended_ms < keep_ms)
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -174,6 +174,13 @@
 const struct catalogue_queue *owner_job_queue(const struct owner *owner,
 					      const struct job *job);
 
+/* owner_occurrence.c: occurrences of scheduled jobs. */
+/* Begins those that are due. */
+void owner_occurrences_begin_due(struct owner *owner);
+/* Begins the occurrence of a task that a worker reports, if an earlier owner
+ * must have begun it: on its clock it was due, or it had room for it. */
+void owner_occurrence_restore_reported(struct owner *owner, const char *name);
+
 /* owner_calls.c: calls from callers. */
 void owner_calls_answer_committed(struct owner *owner, struct job *job);
 /** @brief Refuses all calls for a new job that is not and will not be stored,
--- a/packages/jobs/src/owner_recovery.c
+++ b/packages/jobs/src/owner_recovery.c
@@ -25,6 +25,7 @@
 
 		job->accepted_ms = now_ms;
 		job->ended_ms = now_ms;
+		job->is_restored = true;
 		owner_account_join(owner, job);
 		if (!owner_job_is_live(job))
 			continue;
@@ -33,6 +34,9 @@
 		    job->spec->occurrence_count == 0)
 			owner_occurrence_add(owner, job);
 	}
+	/* Scheduled occurrences that were under way have no record before the
+	 * first of their tasks has ended. */
+	owner_occurrences_begin_due(owner);
 	owner_tasks_change_state(owner, JOB_TASK_WAITING, JOB_TASK_UNKNOWN);
 	owner->has_unknown_tasks = true;
 	log_info("takeover-read",
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -392,6 +392,13 @@
 
 		if (!occurrence_has_waiting_tasks(occurrence))
 			continue;
+		/* An earlier owner may have begun it by a clock that was ahead.
+		 */
+		if (occurrence->due_ms > now_ms) {
+			owner_schedule_request_within(
+				owner, (uint32_t)(occurrence->due_ms - now_ms));
+			continue;
+		}
 		queue = owner_job_queue(owner, occurrence->job);
 		if (!queue)
 			continue;
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -137,6 +137,9 @@
 		owner_demand_record(owner, queue->service, occurrence);
 	occurrence->live_slot = owner->live_occurrences->len;
 	g_ptr_array_add(owner->live_occurrences, occurrence);
+	if (owner->has_unknown_tasks && job->is_restored)
+		occurrence_change_task_state(occurrence, JOB_TASK_WAITING,
+					     JOB_TASK_UNKNOWN);
 }
 
 static void live_occurrence_remove(struct owner *owner,
--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -17,6 +17,8 @@
  * change, and some tasks are large. */
 #define CHAOS_ACCOUNTS_SEED 2000000
 #define CHAOS_ACCOUNTS 3
+/* From this seed on, some jobs are scheduled. */
+#define CHAOS_SCHEDULES_SEED 3000000
 /* Number of seeds if neither variable is set. */
 #define CHAOS_SEEDS_DEFAULT 40
 /* Durations of the phase with faults and of the recovery phase after it. */
@@ -75,6 +77,12 @@
 		if (!job.long_running && !job.gang && emu_random(emu, 6) == 0)
 			job.cpu_milli += 3000;
 	}
+	if (chaos->config.seed >= CHAOS_SCHEDULES_SEED && !job.long_running &&
+	    emu_random(emu, 4) == 0) {
+		job.occurrences = 1 + emu_random(emu, 3);
+		job.first_run_ms = emu_random(emu, 3000);
+		job.interval_ms = 500 + emu_random(emu, 5000);
+	}
 	number = emu_submit(emu, node, &job);
 	chaos->jobs = number + 1;
 	if (emu_random(emu, 5) == 0)
