Let an owner without a valid lease poll idle workers too

Cause: a deposed owner learns of its successor from a worker that refuses its token, but it polls only workers that have tasks. The successor waits for the lease that it believes in and one lease of a worker, not for what is renewed later; and it counted from the takeover, not from its own first polls, which a slow store delays.

Change: while its lease is not valid an owner polls all workers twice a second, with short waits, and gives up long polls in flight. Any worker that both reach then tells it within half a second, which the successor adds to its wait, counted from its first polls. What concerns proof of ownership moves to owner_ownership.c.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -20,6 +20,9 @@
 /** Maximum number of fencing tokens per worker and ownership. */
 #define WORKER_FENCE_SPAN 65536
 
+/** Maximum time that a poll waits for an end; the platform allows no more. */
+#define WORKER_POLL_WAIT_MAX_MS 2000
+
 struct worker;
 
 /** An order whose call has ended. */
@@ -69,6 +72,8 @@
 	uint64_t fence_base;
 	/** maximum lease that workers accept */
 	uint32_t lease_ms;
+	/** maximum time that a poll waits for an end */
+	uint32_t poll_wait_max_ms;
 	const struct worker_ops *ops;
 	void *data;
 };
@@ -204,6 +209,9 @@
 /** @brief Schedules the next poll within a delay, unless one is in flight. */
 void worker_poll_within(struct worker *worker, uint32_t delay_ms);
 
+/** @brief Polls at once, and ignores the answer to a poll in flight. */
+void worker_poll_again(struct worker *worker);
+
 /** @brief Polls with a higher fencing token to resolve unanswered orders. */
 void worker_resolve_orders(struct worker *worker);
 
--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -109,6 +109,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	owner_ownership_verify(owner);
 	owner_occurrences_begin_due(owner);
 	g_hash_table_iter_init(&iter, owner->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -152,6 +153,7 @@
 		.fence_base = (uint64_t)owner->config.guard_revision *
 			      WORKER_FENCE_SPAN,
 		.lease_ms = owner->config.service->worker_lease_ms,
+		.poll_wait_max_ms = WORKER_POLL_WAIT_MAX_MS,
 		.ops = &owner_worker_ops,
 		.data = owner,
 	};
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -83,6 +83,11 @@
 	/** increases with each owner */
 	uint64_t epoch;
 	uint64_t takeover_started_ms;
+	/** local time since which it has polled workers, 0 before */
+	uint64_t polled_since_ms;
+	/** its lease is not valid, and when workers are polled next for that */
+	bool is_verifying;
+	uint64_t verify_due_ms;
 	bool jobs_read;
 	bool ends_read;
 	bool progress_read;
@@ -150,10 +155,10 @@
 bool owner_job_is_live(const struct job *job);
 void owner_task_requeue(struct owner *owner, struct job_task *task,
 			uint32_t pause_ms);
-/* Requeues a task whose worker did not report how its run ended. If the lease of
- * this owner is not valid, a successor may have read the end, or have ended the
- * worker itself: the task waits until the lease is valid again, which proves
- * that there was none. */
+/* Requeues a task whose worker did not report how its run ended. If the lease
+ * of this owner is not valid, a successor may have read the end, or have ended
+ * the worker itself: the task waits until the lease is valid again, which
+ * proves that there was none. */
 void owner_task_requeue_lost(struct owner *owner, struct job_task *task);
 bool owner_task_may_start(const struct owner *owner, struct job_task *task);
 void owner_task_complete(struct owner *owner, struct job_task *task);
@@ -205,17 +210,25 @@
 /* owner_roster.c: discovery of workers and the stored roster. */
 void owner_roster_load(struct owner *owner);
 void owner_workers_list(struct owner *owner);
-/* Time until which the previous owner may have acted. The platform may revoke
- * its lease early and without notice; that owner then goes on until its own
- * record of the lease ends. */
-uint64_t owner_previous_acts_until_ms(const struct owner *owner);
 /* Releases tasks of earlier owners once no worker can still hold them. */
 void owner_takeover_try_finish(struct owner *owner);
+/* owner_ownership.c: what an owner does that cannot prove its ownership, and
+ * for how long its successor has to expect it. */
+/* Time until which the previous owner may act on its lease. The platform may
+ * revoke the lease early and without notice; that owner then goes on until its
+ * own record of the lease ends. */
+uint64_t owner_previous_acts_until_ms(const struct owner *owner);
+/* Time by which all leases that earlier owners granted have expired, if at
+ * least one worker was reached by both. */
+uint64_t owner_earlier_leases_expired_ms(const struct owner *owner);
 /* Records whether a worker was discovered, or has restarted, while the lease of
  * this owner was not valid. Such a worker gets no tasks, since it may not have
  * seen the fencing token of a successor yet. */
 void owner_worker_check_ownership(const struct owner *owner,
 				  struct worker *worker);
+/* Polls all workers in short intervals while the lease of this owner is not
+ * valid: a worker that a successor has reached refuses the poll. */
+void owner_ownership_verify(struct owner *owner);
 
 /* owner_schedule.c: assigns waiting tasks to workers. */
 void owner_schedule_request(struct owner *owner);
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -20,24 +20,6 @@
 /* A worker that is missing from the list is removed after this time, unless it
  * may have tasks. Entries of live workers reappear sooner. */
 #define OWNER_UNLISTED_TTL_MS 3000
-/* Added to the longest lease when waiting for leases of earlier owners to
- * expire: the worker's clock may be 2% slow, and the last order may have
- * arrived late. */
-#define OWNER_LEASE_MARGIN_MS 500
-
-uint64_t owner_previous_acts_until_ms(const struct owner *owner)
-{
-	return owner->takeover_started_ms +
-	       (uint64_t)owner->config.service->lease_ttl_s * 1000;
-}
-
-/* Time by which all leases that earlier owners granted have expired. */
-static uint64_t earlier_leases_expired_ms(const struct owner *owner)
-{
-	return owner_previous_acts_until_ms(owner) + owner->env.lease_ms +
-	       OWNER_LEASE_MARGIN_MS;
-}
-
 static json_t *roster_item_encode(const struct worker *worker)
 {
 	return json_pack("{s:s, s:s, s:i, s:s, s:s, s:s*}", "id", worker->id,
@@ -146,13 +128,6 @@
 	json_decref(items);
 }
 
-void owner_worker_check_ownership(const struct owner *owner,
-				  struct worker *worker)
-{
-	worker->discovered_without_lease =
-		!owner->ops->lease_is_valid(owner->data);
-}
-
 static struct worker *worker_add(struct owner *owner,
 				 const struct adapter_entry *entry)
 {
@@ -409,7 +384,8 @@
 
 void owner_takeover_try_finish(struct owner *owner)
 {
-	bool leases_expired = loop_now_ms() >= earlier_leases_expired_ms(owner);
+	bool leases_expired =
+		loop_now_ms() >= owner_earlier_leases_expired_ms(owner);
 	GHashTableIter iter;
 	gpointer value;
 
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -7,8 +7,6 @@
 /* Orders are answered within milliseconds; an order without an answer after
  * this time is resolved by a poll. */
 #define WORKER_ORDER_TIMEOUT_MS 700
-/* Maximum wait of a long poll; the platform allows at most two seconds. */
-#define WORKER_POLL_WAIT_MS 2000
 /* Delay before an unanswered or refused poll is repeated. */
 #define WORKER_POLL_RETRY_MS 250
 /* An unanswered order is executed within this time, if at all. A worker that
@@ -274,14 +272,15 @@
 	struct worker *worker = data;
 	bool immediate = worker->resolving || !worker->has_reported ||
 			 has_unstored_ends(worker);
+	uint32_t wait_ms = worker->env->poll_wait_max_ms;
 
 	if (worker->dropped || worker->ended || worker->polling)
 		return;
 	if (immediate)
-		poll_send(worker, 0);
-	else
-		poll_send(worker, worker->poll_wait_ms ? worker->poll_wait_ms
-						       : WORKER_POLL_WAIT_MS);
+		wait_ms = 0;
+	else if (worker->poll_wait_ms > 0)
+		wait_ms = MIN(wait_ms, worker->poll_wait_ms);
+	poll_send(worker, wait_ms);
 }
 
 static bool may_get_late_orders(const struct worker *worker)
@@ -371,12 +370,8 @@
 	call_free(call);
 }
 
-void worker_resolve_orders(struct worker *worker)
+void worker_poll_again(struct worker *worker)
 {
-	worker->fence_offset++;
-	worker->resolving = true;
-	worker->late_orders_until_ms = loop_now_ms() + WORKER_LATE_ORDER_MS;
-	/* A long poll in flight has the old token: supersede it. */
 	if (worker->polling) {
 		worker->poll_serial++;
 		worker->polling = false;
@@ -384,6 +379,15 @@
 	poll_schedule(worker, 0);
 }
 
+void worker_resolve_orders(struct worker *worker)
+{
+	worker->fence_offset++;
+	worker->resolving = true;
+	worker->late_orders_until_ms = loop_now_ms() + WORKER_LATE_ORDER_MS;
+	/* A long poll in flight has the old token. */
+	worker_poll_again(worker);
+}
+
 static void on_started(void *data, const struct adapter_reply *reply)
 {
 	struct worker_call *call = data;
--- a/packages/jobs/tests/test_takeover.c
+++ b/packages/jobs/tests/test_takeover.c
@@ -229,6 +229,30 @@
 }
 END_TEST
 
+/* An owner that the store turns away must learn of its successor from a worker
+ * that runs nothing, or it renews the lease of one that its successor does not
+ * reach for longer than the successor expects. */
+START_TEST(test_deposed_owner_renews_no_leases)
+{
+	struct emu *emu = emu_create(&two_pools);
+	uint32_t old_owner;
+	uint32_t job;
+	uint32_t vm;
+
+	emu_advance(emu, 3000);
+	job = tasks_submit(emu, 0, 0, 1, 20000);
+	emu_advance(emu, 1000 + 100 * (uint32_t)_i);
+	old_owner = emu_owner(emu);
+	vm = emu_vm_running(emu, job);
+	emu_link_set_cut(emu, 1 - old_owner, vm, true);
+	emu_store_set_mode(emu, old_owner, EMU_STORE_UNAVAILABLE);
+	emu_advance(emu, 12000);
+	emu_store_set_mode(emu, old_owner, EMU_STORE_OK);
+	emu_link_set_cut(emu, 1 - old_owner, vm, false);
+	job_finish(emu, 0);
+}
+END_TEST
+
 /* An operation ends a worker, which an earlier owner would take for a loss as
  * long as it believes in its lease. */
 START_TEST(test_vm_operations_wait_for_revoked_owner)
@@ -276,6 +300,8 @@
 	tcase_add_loop_test(tests,
 			    test_owner_with_revoked_lease_restarts_nothing, 0,
 			    2 * MOMENTS);
+	tcase_add_loop_test(tests, test_deposed_owner_renews_no_leases, 0,
+			    MOMENTS);
 	tcase_add_test(tests, test_vm_operations_wait_for_revoked_owner);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
