Retry a failed task where it failed if no other worker will do

Callers saw a job that stayed running for good with nothing running, while the only worker that could run it was idle (LOST).

Cause: a task that has failed is not retried on a worker whose last task failed, as long as any worker of the pool has no failures, also if that one lacks the label, the ticket or the size for it. A worker's failures end with a success there only, and nothing was started there that could succeed.

Change: such a task waits only while a worker without failures could run it if it were empty (binpack_has_preferred()), and at most 1.5 s.

Tests: test_stranded, a task that only one worker is large enough for, and one whose other workers are full: both never ended before ("stats.unfinished == 1"), and end within 2 and 3 s after.

--- a/packages/core/include/binpack.h
+++ b/packages/core/include/binpack.h
@@ -22,6 +22,8 @@
 	int64_t cpu_free_milli;
 	int64_t memory_free_mb;
 	int64_t accelerators_free;
+	/** what the worker has, whether or not it is free */
+	struct resources capacity;
 	/** tasks of the same group on the worker */
 	uint32_t same_group;
 	/** has the label that the task requires */
@@ -86,6 +88,17 @@
 const char *binpack_refusal(const struct binpack_candidate *candidate,
 			    const struct binpack_request *request);
 
+/**
+ * @brief Returns whether there is a worker that a task prefers and could run on
+ *        if it were empty: one without penalty if the task has failed, one on
+ *        another VM if it avoids one.
+ *
+ * Waiting for such a worker may be worthwhile; without one it never ends.
+ */
+bool binpack_has_preferred(const struct binpack_candidate *candidates,
+			   uint32_t count,
+			   const struct binpack_request *request);
+
 /**
  * @brief Chooses a worker.
  * @return the index of the best candidate, or -1 if the task fits on none
--- a/packages/core/src/binpack.c
+++ b/packages/core/src/binpack.c
@@ -63,6 +63,38 @@
 	return NULL;
 }
 
+static bool is_preferred(const struct binpack_candidate *candidate,
+			 const struct binpack_request *request)
+{
+	return (!request->has_failed || candidate->penalty == 0) &&
+	       (request->avoided_vm == 0 ||
+		request->avoided_vm != candidate->vm);
+}
+
+/* Returns whether a task fits a worker that runs nothing. */
+static bool fits_empty(const struct binpack_candidate *candidate,
+		       const struct binpack_request *request)
+{
+	const struct resources need = binpack_reserved(request);
+	const struct resources *capacity = &candidate->capacity;
+
+	return candidate->has_label && capacity->cpu_milli >= need.cpu_milli &&
+	       capacity->memory_mb >= need.memory_mb &&
+	       capacity->accelerators >= need.accelerators;
+}
+
+bool binpack_has_preferred(const struct binpack_candidate *candidates,
+			   uint32_t count,
+			   const struct binpack_request *request)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (fits_empty(&candidates[i], request) &&
+		    is_preferred(&candidates[i], request))
+			return true;
+	}
+	return false;
+}
+
 /* Returns the cost of a candidate; lower is better. */
 static int64_t cost(const struct binpack_candidate *candidate,
 		    const struct binpack_request *request)
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -85,6 +85,7 @@
 			worker->capacity.memory_mb - worker->used.memory_mb,
 		.accelerators_free = worker->capacity.accelerators -
 				     worker->used.accelerators,
+		.capacity = worker->capacity,
 	};
 
 	candidate.crash_loss =
@@ -96,7 +97,6 @@
 	pool->memory_mb += worker->capacity.memory_mb;
 	pool->cpu_free_milli += MAX(candidate.cpu_free_milli, 0);
 	candidate.penalty = worker->health.consecutive_failures;
-	pool->has_healthy |= candidate.penalty == 0;
 	candidate.single_task_only =
 		breaker_state_at(&worker->health, now_ms) == BREAKER_HALF_OPEN;
 	for (guint i = 0; i < worker->tasks->len; i++) {
@@ -300,6 +300,23 @@
 	return false;
 }
 
+bool owner_task_waits_for_preferred(struct owner *owner,
+				    const struct schedule_pool *pool,
+				    const struct job_task *task,
+				    const struct binpack_request *need,
+				    uint64_t now_ms)
+{
+	uint64_t until_ms = task->not_before_ms + OWNER_PREFERENCE_MS;
+
+	if (now_ms >= until_ms ||
+	    !binpack_has_preferred(
+		    (const struct binpack_candidate *)pool->candidates->data,
+		    pool->candidates->len, need))
+		return false;
+	owner_schedule_request_within(owner, (uint32_t)(until_ms - now_ms));
+	return true;
+}
+
 /* Starts the waiting tasks of a group that fit on a worker. Returns false if
  * the remaining capacity of the pool is to be reserved for this group. */
 static bool group_start(struct owner *owner, struct schedule_pool *pool,
@@ -339,10 +356,13 @@
 				owner, pool, task, need, now_ms);
 			continue;
 		}
-		/* A task that has failed is not retried on a worker with
-		 * recent failures, unless all workers have some. */
-		need.has_failed =
-			pool->has_healthy && job_task_failures(task) > 0;
+		/* A task that has failed is at first not retried on a worker
+		 * with recent failures. */
+		need.has_failed = job_task_failures(task) > 0;
+		if (need.has_failed &&
+		    !owner_task_waits_for_preferred(owner, pool, task, &need,
+						    now_ms))
+			need.has_failed = false;
 		chosen = binpack_choose((const struct binpack_candidate *)
 						pool->candidates->data,
 					pool->candidates->len, &need);
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -20,8 +20,6 @@
 	 */
 	GPtrArray *workers;
 	GArray *candidates;
-	/** at least one worker has no recent failure */
-	bool has_healthy;
 	/** workers with a suspect in isolation, which are not among those
 	 *  above */
 	uint32_t isolating;
@@ -102,6 +100,18 @@
 			     const struct binpack_request *need,
 			     uint64_t now_ms);
 
+/** How long a task waits for a worker that it prefers to one that it fits on.
+ */
+#define OWNER_PREFERENCE_MS 1500
+
+/** @brief Returns whether a task should wait for a worker that it prefers, and
+ *  if so, requests a scheduling pass for when it no longer should. */
+bool owner_task_waits_for_preferred(struct owner *owner,
+				    const struct schedule_pool *pool,
+				    const struct job_task *task,
+				    const struct binpack_request *need,
+				    uint64_t now_ms);
+
 /** @brief Starts a waiting suspect on a worker apart from other suspects, or
  *  reserves a worker for it. @return false if it fits on no worker */
 bool owner_suspect_start(struct owner *owner, struct schedule_pool *pool,
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -110,6 +110,58 @@
 }
 END_TEST
 
+/* A task that only one worker has the capacity for. */
+static const struct emu_job large = {
+	.steps = 1,
+	.tasks_per_step = 1,
+	.cpu_milli = 6000,
+	.task_ms = 600,
+};
+
+/* Submits a large task, which fails once on the first worker. */
+static void large_task_fail_once(struct emu *emu)
+{
+	emu_worker_set_failing(emu, 0, true);
+	emu_submit(emu, 0, &large);
+	emu_advance(emu, 150);
+	emu_worker_set_failing(emu, 0, false);
+}
+
+/* A task that failed must be retried on the worker that it failed on if no
+ * other one can run it. */
+START_TEST(test_failed_task_with_one_suitable_worker)
+{
+	struct emu *emu = emu_create(&fleet);
+
+	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
+		emu_worker_set_cpu(emu, vm, 4000);
+	emu_advance(emu, 3000);
+	large_task_fail_once(emu);
+	expect_finished(emu, 1, 2000);
+	emu_destroy(emu);
+}
+END_TEST
+
+/* Nor must it wait for the others for ever if these have no room. */
+START_TEST(test_failed_task_beside_busy_workers)
+{
+	struct emu_job long_running = wide_long_running;
+	struct emu *emu = emu_create(&fleet);
+
+	long_running.tasks_per_step = 3;
+	emu_worker_set_cpu(emu, 0, 4000);
+	emu_advance(emu, 3000);
+	emu_submit(emu, 0, &long_running);
+	emu_advance(emu, 2000);
+	ck_assert_uint_eq(emu_active_run_count(emu), 3);
+	emu_worker_set_cpu(emu, 0, 8000);
+	emu_advance(emu, 2000);
+	large_task_fail_once(emu);
+	expect_finished(emu, 2, 3000);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("stranded");
@@ -119,6 +171,8 @@
 
 	tcase_add_test(tests, test_hopeless_job_beside_long_running_tasks);
 	tcase_add_test(tests, test_long_running_tasks_close_breaker);
+	tcase_add_test(tests, test_failed_task_with_one_suitable_worker);
+	tcase_add_test(tests, test_failed_task_beside_busy_workers);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
