Let a suspect return to its VM if no other one can run it

A task was never started again after its worker had crashed 130 ms after the start, although the VM was back and idle (LOST): no other worker had the label that it requires.

Cause: a suspect avoids the VM on which it may have crashed a worker whenever the pool has other workers, also if none of them can run it, and for good.

Change: it waits for another VM only if one could run it, and at most 1.5 s, like a task that has failed.

--- a/packages/jobs/src/owner_isolation.c
+++ b/packages/jobs/src/owner_isolation.c
@@ -74,15 +74,16 @@
 	return true;
 }
 
-/* Returns whether a worker is on the VM to avoid although there are others. */
-static bool is_avoided(const struct schedule_pool *pool, int32_t chosen,
-		       const struct binpack_request *need)
+/* Returns whether a worker is on the VM that a task should avoid for now. */
+static bool is_avoided(struct owner *owner, const struct schedule_pool *pool,
+		       const struct job_task *task, int32_t chosen,
+		       const struct binpack_request *need, uint64_t now_ms)
 {
 	const struct binpack_candidate *candidate = &g_array_index(
 		pool->candidates, struct binpack_candidate, chosen);
 
 	return need->avoided_vm != 0 && candidate->vm == need->avoided_vm &&
-	       pool->workers->len > 1;
+	       owner_task_waits_for_preferred(owner, pool, task, need, now_ms);
 }
 
 bool owner_suspect_start(struct owner *owner, struct schedule_pool *pool,
@@ -102,7 +103,7 @@
 	chosen = binpack_choose(
 		(const struct binpack_candidate *)pool->candidates->data,
 		pool->candidates->len, &need);
-	if (chosen < 0 || is_avoided(pool, chosen, &need))
+	if (chosen < 0 || is_avoided(owner, pool, task, chosen, &need, now_ms))
 		return owner_isolation_reserve(pool, &need, now_ms);
 	isolation_begin(owner, pool, task, chosen, &need, now_ms);
 	return true;
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -162,6 +162,23 @@
 }
 END_TEST
 
+/* A task on a worker that crashed must return to that VM if no other one can
+ * run it. */
+START_TEST(test_suspect_with_one_suitable_vm)
+{
+	struct emu *emu = emu_create(&fleet);
+
+	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
+		emu_worker_set_cpu(emu, vm, 4000);
+	emu_advance(emu, 3000);
+	emu_submit(emu, 0, &large);
+	emu_advance(emu, 130);
+	emu_vm_crash(emu, 0, 400);
+	expect_finished(emu, 1, 5000);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("stranded");
@@ -173,6 +190,7 @@
 	tcase_add_test(tests, test_long_running_tasks_close_breaker);
 	tcase_add_test(tests, test_failed_task_with_one_suitable_worker);
 	tcase_add_test(tests, test_failed_task_beside_busy_workers);
+	tcase_add_test(tests, test_suspect_with_one_suitable_vm);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
