Explain what a task that failed or may crash workers waits for

It asked what the scheduler asks of a group, without what concerns a single task.

Change: both take that from owner_request_set_task(); the outcome also names a task whose last end is not confirmed, and one that may have crashed a worker.

Test: test_failed_task_says_what_it_waits_for in test_explain fails before ("starts").

--- a/packages/jobs/src/owner_explain.c
+++ b/packages/jobs/src/owner_explain.c
@@ -13,7 +13,7 @@
 struct subject {
 	const struct catalogue_queue *queue;
 	/* NULL for a task that has not been submitted */
-	const struct job_group *group;
+	struct job_group *group;
 	struct binpack_request need;
 	struct owner_account *account;
 };
@@ -85,9 +85,20 @@
 			 "jobs_waiting", (json_int_t)account->waiting_jobs);
 }
 
+/* Returns the first waiting task of a group, NULL for none. */
+static struct job_task *waiting_task(struct job_group *group)
+{
+	for (uint32_t i = 0; group && i < group->step->count; i++) {
+		if (group->tasks[i].state == JOB_TASK_WAITING)
+			return &group->tasks[i];
+	}
+	return NULL;
+}
+
 /* Returns what holds the task back before workers are looked at, NULL if
- * nothing does. */
-static const char *held_back(struct owner *owner, const struct subject *subject)
+ * nothing does. @param task NULL for one that has not been submitted */
+static const char *held_back(struct owner *owner, const struct subject *subject,
+			     struct job_task *task)
 {
 	const struct resources need = {
 		.cpu_milli = subject->need.cpu_milli,
@@ -102,16 +113,21 @@
 		return "waits: its account has reached its limit";
 	if (subject->group && !job_group_is_ready(subject->group))
 		return "waits: earlier steps are not done";
+	if (task && !owner_task_may_start(owner, task))
+		return "waits: the owner cannot tell how its last run ended "
+		       "before its lease is valid";
+	if (task && suspect_needs_isolation(task->suspect))
+		return "waits: it may have crashed a worker";
 	return NULL;
 }
 
-static json_t *subject_describe(struct owner *owner,
-				const struct subject *subject)
+static json_t *subject_describe(struct owner *owner, struct subject *subject)
 {
 	g_autoptr(GHashTable) pools = NULL;
 	struct schedule_pool *pool =
 		owner_pool_view(owner, &pools, subject->queue->service);
-	const char *held = held_back(owner, subject);
+	struct job_task *task = waiting_task(subject->group);
+	const char *held = held_back(owner, subject, task);
 	json_t *out = json_pack(
 		"{s:s, s:s, s:I, s:I, s:I, s:I}", "queue", subject->queue->name,
 		"pool", pool->service, "config_version",
@@ -127,6 +143,9 @@
 	if (subject->group)
 		owner_candidates_set_group(pool, subject->group,
 					   subject->queue->needs_advice);
+	if (task)
+		owner_request_set_task(owner, pool, task, &subject->need,
+				       loop_now_ms());
 	for (guint i = 0; !subject->group && i < pool->candidates->len; i++)
 		g_array_index(pool->candidates, struct binpack_candidate, i)
 			.has_label = true;
@@ -155,10 +174,10 @@
 }
 
 /* Returns the first group of a job that has waiting tasks, NULL for none. */
-static const struct job_group *waiting_group(const struct job *job)
+static struct job_group *waiting_group(const struct job *job)
 {
 	for (guint i = 0; job->spec && i < job->occurrences->len; i++) {
-		const struct job_occurrence *occurrence =
+		struct job_occurrence *occurrence =
 			g_ptr_array_index(job->occurrences, i);
 
 		for (guint j = 0; j < job->spec->steps->len; j++) {
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -317,6 +317,17 @@
 	return true;
 }
 
+void owner_request_set_task(struct owner *owner,
+			    const struct schedule_pool *pool,
+			    const struct job_task *task,
+			    struct binpack_request *need, uint64_t now_ms)
+{
+	need->has_failed = job_task_failures(task) > 0;
+	if (need->has_failed &&
+	    !owner_task_waits_for_preferred(owner, pool, task, need, now_ms))
+		need->has_failed = false;
+}
+
 /* Starts the waiting tasks of a group that fit on a worker. Returns false if
  * the remaining capacity of the pool is to be reserved for this group. */
 static bool group_start(struct owner *owner, struct schedule_pool *pool,
@@ -356,13 +367,7 @@
 				owner, pool, task, need, now_ms);
 			continue;
 		}
-		/* A task that has failed is at first not retried on a worker
-		 * with recent failures. */
-		need.has_failed = job_task_failures(task) > 0;
-		if (need.has_failed &&
-		    !owner_task_waits_for_preferred(owner, pool, task, &need,
-						    now_ms))
-			need.has_failed = false;
+		owner_request_set_task(owner, pool, task, &need, now_ms);
 		chosen = binpack_choose((const struct binpack_candidate *)
 						pool->candidates->data,
 					pool->candidates->len, &need);
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -112,6 +112,13 @@
 				    const struct binpack_request *need,
 				    uint64_t now_ms);
 
+/** @brief Sets what one task of a group needs beyond the others: if it has
+ *  failed, it is at first not retried on a worker with recent failures. */
+void owner_request_set_task(struct owner *owner,
+			    const struct schedule_pool *pool,
+			    const struct job_task *task,
+			    struct binpack_request *need, uint64_t now_ms);
+
 /** @brief Starts a waiting suspect on a worker apart from other suspects, or
  *  reserves a worker for it. @return false if it fits on no worker */
 bool owner_suspect_start(struct owner *owner, struct schedule_pool *pool,
--- a/packages/jobs/tests/test_explain.c
+++ b/packages/jobs/tests/test_explain.c
@@ -144,6 +144,45 @@
 }
 END_TEST
 
+/* The reason for which a worker with room is passed over must be named. */
+START_TEST(test_failed_task_says_what_it_waits_for)
+{
+	struct emu_config config = fleet;
+	struct emu_job failing = base;
+	struct emu *emu;
+	const char *why;
+	json_t *json;
+	uint32_t job;
+
+	config.vms_per_pool = 2;
+	config.fixed_pools = true;
+	failing.account = 2;
+	failing.cpu_milli = 6000;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	emu_submit(emu, 0, &base);
+	emu_advance(emu, 200);
+	emu_worker_set_failing(emu, 0, true);
+	emu_worker_set_failing(emu, 1, true);
+	failing.task_ms = 300;
+	job = emu_submit(emu, 0, &failing);
+	emu_advance(emu, 300);
+	json = explain(emu, emu_owner(emu), JOBS_EXPLAIN_JOB,
+		       emu_job_id(emu, job));
+	ck_assert_str_eq(text_of(json, "outcome"),
+			 "waits: it fits on no worker now");
+	why = text_of(json_array_get(json_object_get(json, "workers"), 0),
+		      "passed_over");
+	if (strcmp(why, "too little CPU is free") == 0)
+		why = text_of(
+			json_array_get(json_object_get(json, "workers"), 1),
+			"passed_over");
+	ck_assert_str_eq(why, "the task has failed, and so have others there");
+	json_decref(json);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("explain");
@@ -153,6 +192,7 @@
 
 	tcase_add_test(tests, test_next_task_goes_where_it_was_said);
 	tcase_add_test(tests, test_other_answers);
+	tcase_add_test(tests, test_failed_task_says_what_it_waits_for);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
