Count runs of jobs that are cancelled before a takeover is settled

Cause: an ended job's details are freed once none of its tasks is on a worker. Before the workers have reported, the new owner knows no worker of any task, so it freed them at once; the runs that it found and stopped later belonged to a job whose tasks' sizes it no longer knew, and counted for no account.

Change: details of jobs of earlier owners are kept until the takeover is settled.

Test: test_limit_holds_when_cancelled_in_takeover in test_accounts fails before ("uses 10000 of 9000 milli-CPU").

--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -178,6 +178,9 @@
 void owner_job_finish(struct owner *owner, struct job *job,
 		      enum job_state state, const char *why);
 void owner_job_remove(struct owner *owner, struct job *job);
+/* Frees the details of jobs that have ended while a takeover was not settled.
+ */
+void owner_ended_jobs_trim(struct owner *owner);
 void owner_task_stop(struct owner *owner, struct job_task *task,
 		     const char *why);
 /* Returns whether the step's disruption budget allows stopping the task. */
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -375,6 +375,7 @@
 	released = owner_tasks_change_state(owner, JOB_TASK_UNKNOWN,
 					    JOB_TASK_WAITING);
 	owner->has_unknown_tasks = false;
+	owner_ended_jobs_trim(owner);
 	log_info("takeover-settled",
 		 "%u tasks requeued, %" G_GUINT64_FORMAT
 		 " ms after the takeover began",
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -173,6 +173,10 @@
 /* Frees the details of an ended job once none of its tasks is on a worker. */
 static void job_trim_if_unassigned(struct owner *owner, struct job *job)
 {
+	/* A run that no worker has reported yet uses the job's account until it
+	 * has been found and stopped. */
+	if (owner->has_unknown_tasks && job->is_restored)
+		return;
 	for (guint i = 0; i < job->occurrences->len; i++) {
 		if (!occurrence_has_no_workers(
 			    g_ptr_array_index(job->occurrences, i)))
@@ -184,6 +188,20 @@
 	job_trim(job);
 }
 
+void owner_ended_jobs_trim(struct owner *owner)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct job *job = value;
+
+		if (job->spec && !owner_job_is_live(job))
+			job_trim_if_unassigned(owner, job);
+	}
+}
+
 void owner_job_remove(struct owner *owner, struct job *job)
 {
 	if (job->spec) {
--- a/packages/jobs/tests/test_accounts.c
+++ b/packages/jobs/tests/test_accounts.c
@@ -228,6 +228,40 @@
 	}
 }
 
+/* A job is cancelled while no process is the owner. The next one must count its
+ * runs until they have stopped, although no worker has reported them yet. */
+START_TEST(test_limit_holds_when_cancelled_in_takeover)
+{
+	struct emu_config config = fleet;
+	struct emu_job job = task;
+	struct emu *emu;
+	uint32_t cancelled;
+	uint32_t owner;
+
+	config.account.cpu_limit_milli = 9000;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	job.account = 1;
+	job.long_running = true;
+	cancelled = emu_submit(emu, 0, &job);
+	emu_advance(emu, 1000);
+	job.long_running = false;
+	for (uint32_t i = 0; i < 6; i++)
+		emu_submit(emu, i % config.nodes, &job);
+	emu_advance(emu, 500);
+	owner = emu_owner(emu);
+	emu_node_kill(emu, owner);
+	emu_cancel(emu, owner + 1, cancelled);
+	emu_advance(emu, 3000);
+	emu_node_start(emu, owner);
+	emu_advance(emu, 15000);
+	states_query(emu, 7);
+	emu_advance(emu, 500);
+	expect_no_violation(emu);
+	emu_destroy(emu);
+}
+END_TEST
+
 START_TEST(test_quiet_accounts_are_served_beside_loud_ones)
 {
 	expect_served(&loud, 2);
@@ -399,6 +433,7 @@
 	tcase_add_test(tests, test_keys);
 	tcase_add_loop_test(tests, test_limit_holds, 0,
 			    G_N_ELEMENTS(disturbances));
+	tcase_add_test(tests, test_limit_holds_when_cancelled_in_takeover);
 	tcase_add_test(tests, test_quiet_accounts_are_served_beside_loud_ones);
 	tcase_add_test(tests, test_wide_jobs_leave_others_their_share);
 	tcase_add_loop_test(tests, test_keys_are_refused_behind_a_cut, 0, 2);
