Require a valid lease for each restart without a report

Change: a task remembers that no worker has reported the end of its last run until it is started again, and needs a valid lease for that at any time. The two ways of changing the state of many tasks get functions of their own.

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -142,9 +142,9 @@
 	/** reading of the worker's clock when it accepted the order or last
 	 *  listed the run in a report, 0 before */
 	uint64_t last_seen_clock_ms;
-	/** its run ended without a report while the owner's lease was not
-	 *  valid: another owner may know how it ended */
-	bool end_unconfirmed;
+	/** its last run ended without a report of its worker to this owner:
+	 *  another owner may know how it ended */
+	bool end_unreported;
 	/** backoff: no start before this local time */
 	uint64_t not_before_ms;
 	/** percentage of full speed as last reported, and the local time of the
--- a/packages/jobs/src/owner_explain.c
+++ b/packages/jobs/src/owner_explain.c
@@ -114,8 +114,8 @@
 	if (subject->group && !job_group_is_ready(subject->group))
 		return "waits: earlier steps are not done";
 	if (task && !owner_task_may_start(owner, task))
-		return "waits: the owner cannot tell how its last run ended "
-		       "before its lease is valid";
+		return "waits: no worker has reported how its last run ended, "
+		       "and the owner's lease is not valid";
 	if (task && suspect_needs_isolation(task->suspect))
 		return "waits: it may have crashed a worker";
 	return NULL;
--- a/packages/jobs/src/owner_gang.c
+++ b/packages/jobs/src/owner_gang.c
@@ -152,10 +152,10 @@
 
 /* Returns whether all members that wait may be started. */
 static bool members_may_start(const struct owner *owner,
-			      struct job_group *group)
+			      const struct job_group *group)
 {
 	for (uint32_t i = 0; i < group->step->count; i++) {
-		struct job_task *task = &group->tasks[i];
+		const struct job_task *task = &group->tasks[i];
 
 		if (task->state == JOB_TASK_WAITING &&
 		    !owner_task_may_start(owner, task))
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -155,12 +155,13 @@
 bool owner_job_is_live(const struct job *job);
 void owner_task_requeue(struct owner *owner, struct job_task *task,
 			uint32_t pause_ms);
-/* Requeues a task whose worker did not report how its run ended. If the lease
- * of this owner is not valid, a successor may have read the end, or have ended
- * the worker itself: the task waits until the lease is valid again, which
- * proves that there was none. */
+/* Requeues a task whose worker did not report how its run ended. */
 void owner_task_requeue_lost(struct owner *owner, struct job_task *task);
-bool owner_task_may_start(const struct owner *owner, struct job_task *task);
+/* Returns whether a waiting task may be started. If no worker has reported how
+ * its last run ended, a successor may have read the end, or have ended the
+ * worker itself; a valid lease proves that there is no successor. */
+bool owner_task_may_start(const struct owner *owner,
+			  const struct job_task *task);
 void owner_task_complete(struct owner *owner, struct job_task *task);
 void owner_gang_complete(struct owner *owner, struct job_group *group);
 void owner_task_handle_failure(struct owner *owner, struct worker *worker,
@@ -170,9 +171,11 @@
 void owner_task_assign(struct owner *owner, struct job_task *task,
 		       struct worker *worker);
 void owner_task_unassign(struct owner *owner, struct job_task *task);
-/** Moves all live tasks in one state to another; returns their number. */
-uint32_t owner_tasks_change_state(struct owner *owner, enum job_task_state from,
-				  enum job_task_state to);
+/* Makes all waiting tasks unknown, see JOB_TASK_UNKNOWN. */
+void owner_tasks_set_unknown(struct owner *owner);
+/* Makes all unknown tasks wait; returns their number. all_reported: no worker
+ * is left that may tell a successor more about them. */
+uint32_t owner_unknown_tasks_release(struct owner *owner, bool all_reported);
 struct job_task *owner_task_find_by_name(struct owner *owner, const char *name);
 void owner_occurrence_add(struct owner *owner, struct job *job);
 void owner_job_finish(struct owner *owner, struct job *job,
@@ -215,6 +218,7 @@
 void owner_workers_list(struct owner *owner);
 /* Releases tasks of earlier owners once no worker can still hold them. */
 void owner_takeover_try_finish(struct owner *owner);
+
 /* owner_ownership.c: what an owner does that cannot prove its ownership, and
  * for how long its successor has to expect it. */
 /* Time until which the previous owner may act on its lease. The platform may
--- a/packages/jobs/src/owner_recovery.c
+++ b/packages/jobs/src/owner_recovery.c
@@ -37,8 +37,7 @@
 	/* Scheduled occurrences that were under way have no record before the
 	 * first of their tasks has ended. */
 	owner_occurrences_begin_due(owner);
-	owner_tasks_change_state(owner, JOB_TASK_WAITING, JOB_TASK_UNKNOWN);
-	owner->has_unknown_tasks = true;
+	owner_tasks_set_unknown(owner);
 	log_info("takeover-read",
 		 "epoch %" G_GUINT64_FORMAT
 		 ": %u stored jobs, %u of them live, "
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -28,7 +28,6 @@
 
 	owner_occurrence_restore_reported(owner, end->task);
 	task = owner_task_find_by_name(owner, end->task);
-
 	owner->counters.ends[end->kind]++;
 	if (end->kind == ADAPTER_END_DONE || end->kind == ADAPTER_END_STOPPED)
 		log_debug("task-end", "task %s run %u ended at worker %s: %s",
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -367,19 +367,19 @@
 		       on_roster_read, weak_ref_acquire(owner->weak_ref));
 }
 
-static void unknown_tasks_requeue(struct owner *owner)
+static void unknown_tasks_requeue(struct owner *owner, bool all_reported)
 {
 	uint32_t released;
 
 	owner_crash_presume(owner);
-	released = owner_tasks_change_state(owner, JOB_TASK_UNKNOWN,
-					    JOB_TASK_WAITING);
+	released = owner_unknown_tasks_release(owner, all_reported);
 	owner->has_unknown_tasks = false;
 	owner_ended_jobs_trim(owner);
 	log_info("takeover-settled",
 		 "%u tasks requeued, %" G_GUINT64_FORMAT
-		 " ms after the takeover began",
-		 released, loop_now_ms() - owner->takeover_started_ms);
+		 " ms after the takeover began%s",
+		 released, loop_now_ms() - owner->takeover_started_ms,
+		 all_reported ? "" : ", not all workers have reported");
 	owner_schedule_request(owner);
 }
 
@@ -387,6 +387,7 @@
 {
 	bool leases_expired =
 		loop_now_ms() >= owner_earlier_leases_expired_ms(owner);
+	bool all_reported = true;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -396,11 +397,14 @@
 	    !owner_is_ready(owner) || !owner->ops->lease_is_valid(owner->data))
 		return;
 	g_hash_table_iter_init(&iter, owner->workers);
-	while (!leases_expired && g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct worker *worker = value;
 
-		if (!worker->has_reported && !worker->ended)
+		if (worker->has_reported)
+			continue;
+		if (!leases_expired && !worker->ended)
 			return;
+		all_reported = false;
 	}
-	unknown_tasks_requeue(owner);
+	unknown_tasks_requeue(owner, all_reported);
 }
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -26,6 +26,7 @@
 
 	g_assert(!task->worker);
 	task->worker = worker;
+	task->end_unreported = false;
 	worker->used.cpu_milli += task_cpu_milli(task);
 	worker->used.memory_mb += need->memory_mb;
 	worker->used.accelerators += need->accelerators;
@@ -57,38 +58,61 @@
 	return job->state <= JOB_RUNNING;
 }
 
-/* Moves all tasks of an occurrence in one state to another; returns their
- * number. */
-static uint32_t occurrence_change_task_state(struct job_occurrence *occurrence,
-					     enum job_task_state from,
-					     enum job_task_state to)
+static uint32_t group_release_unknown(struct job_group *group,
+				      bool all_reported)
+{
+	uint32_t released = 0;
+
+	for (uint32_t i = 0; i < group->step->count; i++) {
+		struct job_task *task = &group->tasks[i];
+
+		if (task->state != JOB_TASK_UNKNOWN)
+			continue;
+		job_task_set_state(task, JOB_TASK_WAITING);
+		task->end_unreported = !all_reported;
+		released++;
+	}
+	return released;
+}
+
+uint32_t owner_unknown_tasks_release(struct owner *owner, bool all_reported)
+{
+	uint32_t released = 0;
+
+	for (guint i = 0; i < owner->live_occurrences->len; i++) {
+		struct job_occurrence *occurrence =
+			g_ptr_array_index(owner->live_occurrences, i);
+
+		for (guint j = 0; j < occurrence->job->spec->steps->len; j++)
+			released += group_release_unknown(
+				&occurrence->groups[j], all_reported);
+	}
+	return released;
+}
+
+/* Makes the waiting tasks of an occurrence unknown, since an earlier owner may
+ * have begun it. */
+static void occurrence_set_unknown(struct job_occurrence *occurrence)
 {
 	const GArray *steps = occurrence->job->spec->steps;
-	uint32_t changed = 0;
 
 	for (guint i = 0; i < steps->len; i++) {
 		struct job_group *group = &occurrence->groups[i];
 
 		for (uint32_t j = 0; j < group->step->count; j++) {
-			if (group->tasks[j].state != from)
-				continue;
-			job_task_set_state(&group->tasks[j], to);
-			changed++;
+			if (group->tasks[j].state == JOB_TASK_WAITING)
+				job_task_set_state(&group->tasks[j],
+						   JOB_TASK_UNKNOWN);
 		}
 	}
-	return changed;
 }
 
-uint32_t owner_tasks_change_state(struct owner *owner, enum job_task_state from,
-				  enum job_task_state to)
+void owner_tasks_set_unknown(struct owner *owner)
 {
-	uint32_t changed = 0;
-
 	for (guint i = 0; i < owner->live_occurrences->len; i++)
-		changed += occurrence_change_task_state(
-			g_ptr_array_index(owner->live_occurrences, i), from,
-			to);
-	return changed;
+		occurrence_set_unknown(
+			g_ptr_array_index(owner->live_occurrences, i));
+	owner->has_unknown_tasks = true;
 }
 
 struct job_task *owner_task_find_by_name(struct owner *owner, const char *name)
@@ -138,8 +162,7 @@
 	occurrence->live_slot = owner->live_occurrences->len;
 	g_ptr_array_add(owner->live_occurrences, occurrence);
 	if (owner->has_unknown_tasks && job->is_restored)
-		occurrence_change_task_state(occurrence, JOB_TASK_WAITING,
-					     JOB_TASK_UNKNOWN);
+		occurrence_set_unknown(occurrence);
 }
 
 static void live_occurrence_remove(struct owner *owner,
@@ -294,16 +317,14 @@
 
 void owner_task_requeue_lost(struct owner *owner, struct job_task *task)
 {
-	task->end_unconfirmed = !owner->ops->lease_is_valid(owner->data);
+	task->end_unreported = true;
 	owner_task_requeue(owner, task, 0);
 }
 
-bool owner_task_may_start(const struct owner *owner, struct job_task *task)
+bool owner_task_may_start(const struct owner *owner,
+			  const struct job_task *task)
 {
-	if (task->end_unconfirmed)
-		task->end_unconfirmed =
-			!owner->ops->lease_is_valid(owner->data);
-	return !task->end_unconfirmed;
+	return !task->end_unreported || owner->ops->lease_is_valid(owner->data);
 }
 
 static void occurrence_finish(struct owner *owner,
