Bound the polls of an owner without a valid lease by its workers

The polls by which such an owner learns of its successor came twice a second from each worker: 3,400 a second at the size of docs/CAPACITY.md. They come every 2 ms per worker now, and not more often than twice a second; what the successor waits for follows.

--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -1,12 +1,21 @@
 #include "owner_private.h"
 
-/* Interval at which an owner without a valid lease polls all workers. */
-#define OWNER_VERIFY_INTERVAL_MS 500
+/* Interval at which an owner without a valid lease polls all workers: 2 ms per
+ * worker, and no less than this. */
+#define OWNER_VERIFY_INTERVAL_MIN_MS 500
+#define OWNER_VERIFY_MS_PER_WORKER 2
 /* Added to the longest lease when waiting for leases of earlier owners to
  * expire: the worker's clock may be 2% slow, and the last order may have
  * arrived late. */
 #define OWNER_LEASE_MARGIN_MS 500
 
+static uint32_t verify_interval_ms(const struct owner *owner)
+{
+	return MAX(OWNER_VERIFY_INTERVAL_MIN_MS,
+		   OWNER_VERIFY_MS_PER_WORKER *
+			   g_hash_table_size(owner->workers));
+}
+
 uint64_t owner_previous_acts_until_ms(const struct owner *owner)
 {
 	return owner->takeover_started_ms +
@@ -17,7 +26,7 @@
 {
 	uint64_t detected_ms = MAX(owner_previous_acts_until_ms(owner),
 				   owner->polled_since_ms) +
-			       OWNER_VERIFY_INTERVAL_MS;
+			       verify_interval_ms(owner);
 
 	return detected_ms + owner->env.lease_ms + OWNER_LEASE_MARGIN_MS;
 }
@@ -37,11 +46,12 @@
 	gpointer value;
 
 	owner->is_verifying = !is_valid;
-	owner->env.poll_wait_max_ms =
-		is_valid ? WORKER_POLL_WAIT_MAX_MS : OWNER_VERIFY_INTERVAL_MS;
+	owner->env.poll_wait_max_ms = is_valid ? WORKER_POLL_WAIT_MAX_MS
+					       : MIN(WORKER_POLL_WAIT_MAX_MS,
+						     verify_interval_ms(owner));
 	if (is_valid || (!has_changed && loop_now_ms() < owner->verify_due_ms))
 		return;
-	owner->verify_due_ms = loop_now_ms() + OWNER_VERIFY_INTERVAL_MS;
+	owner->verify_due_ms = loop_now_ms() + verify_interval_ms(owner);
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (has_changed)
