Compute due times and task counts of jobs in one place each

A stored occurrence whose number is beyond the job's last one, which only a damaged record has, is due at a finite time again, not after an overflow.

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -200,8 +200,6 @@
 struct job_occurrence {
 	struct job *job;
 	uint32_t number;
-	/** earliest Unix time at which it may run */
-	uint64_t due_unix_ms;
 	/** local time at which it became due, or at which a job without a
 	 *  schedule was accepted */
 	uint64_t due_ms;
@@ -309,6 +307,13 @@
 struct job_occurrence *job_occurrence_begin(struct job *job, uint64_t now_ms,
 					    uint64_t now_unix_ms);
 
+/** @brief Returns the Unix time at which an occurrence of a scheduled job is
+ *  due. */
+uint64_t job_due_unix_ms(const struct job_spec *spec, uint32_t occurrence);
+
+/** @brief Returns the number of tasks of one occurrence. */
+uint64_t job_spec_task_count(const struct job_spec *spec);
+
 /** @brief Returns the Unix time at which the next occurrence is due, UINT64_MAX
  *  for none. */
 uint64_t job_next_due_unix_ms(const struct job *job);
--- a/packages/jobs/src/job.c
+++ b/packages/jobs/src/job.c
@@ -54,8 +54,6 @@
 
 enum err_kind job_spec_check(const struct job_spec *spec, const char **why)
 {
-	uint64_t tasks = 0;
-
 	*why = NULL;
 	if (!spec->payload || spec->steps->len == 0)
 		*why = "the job has no payload or no steps";
@@ -72,11 +70,10 @@
 			&g_array_index(spec->steps, struct job_step, i);
 
 		*why = step_check(step, i);
-		tasks += step->count;
 	}
 	if (*why)
 		return ERR_INVALID;
-	if (tasks <= JOB_TASKS_MAX)
+	if (job_spec_task_count(spec) <= JOB_TASKS_MAX)
 		return ERR_NONE;
 	*why = "the job has too many tasks";
 	return ERR_TOO_LARGE;
@@ -151,6 +148,20 @@
 	}
 }
 
+uint64_t job_due_unix_ms(const struct job_spec *spec, uint32_t occurrence)
+{
+	return spec->first_run_unix_ms + occurrence * spec->interval_ms;
+}
+
+uint64_t job_spec_task_count(const struct job_spec *spec)
+{
+	uint64_t tasks = 0;
+
+	for (guint i = 0; i < spec->steps->len; i++)
+		tasks += g_array_index(spec->steps, struct job_step, i).count;
+	return tasks;
+}
+
 uint64_t job_next_due_unix_ms(const struct job *job)
 {
 	if (!job->spec)
@@ -159,41 +170,32 @@
 		return job->occurrences_begun == 0 ? 0 : UINT64_MAX;
 	if (job->occurrences_begun >= job->spec->occurrence_count)
 		return UINT64_MAX;
-	return job->spec->first_run_unix_ms +
-	       job->occurrences_begun * job->spec->interval_ms;
+	return job_due_unix_ms(job->spec, job->occurrences_begun);
 }
 
 bool job_next_may_begin(const struct job *job, uint64_t now_unix_ms)
 {
-	uint64_t tasks = 0;
-
-	if (job_next_due_unix_ms(job) > now_unix_ms)
-		return false;
-	for (guint i = 0; i < job->spec->steps->len; i++)
-		tasks += g_array_index(job->spec->steps, struct job_step, i)
-				 .count;
-	return (job->occurrences->len + 1) * tasks <= JOB_TASKS_MAX;
+	return job_next_due_unix_ms(job) <= now_unix_ms &&
+	       (job->occurrences->len + 1) * job_spec_task_count(job->spec) <=
+		       JOB_TASKS_MAX;
 }
 
 struct job_occurrence *job_occurrence_begin(struct job *job, uint64_t now_ms,
 					    uint64_t now_unix_ms)
 {
 	struct job_occurrence *occurrence = g_new0(struct job_occurrence, 1);
-	uint64_t late_ms = 0;
-	uint64_t early_ms = 0;
+	bool is_scheduled = job->spec->occurrence_count > 0;
+	uint64_t since_unix_ms = job->accepted_unix_ms;
 
 	occurrence->job = job;
-	occurrence->due_unix_ms = job_next_due_unix_ms(job);
 	occurrence->number = job->occurrences_begun++;
-	if (job->spec->occurrence_count == 0 &&
-	    now_unix_ms > job->accepted_unix_ms)
-		late_ms = now_unix_ms - job->accepted_unix_ms;
-	else if (job->spec->occurrence_count > 0 &&
-		 now_unix_ms > occurrence->due_unix_ms)
-		late_ms = now_unix_ms - occurrence->due_unix_ms;
-	else if (job->spec->occurrence_count > 0)
-		early_ms = occurrence->due_unix_ms - now_unix_ms;
-	occurrence->due_ms = now_ms + early_ms - MIN(late_ms, now_ms);
+	if (is_scheduled)
+		since_unix_ms = job_due_unix_ms(job->spec, occurrence->number);
+	occurrence->due_ms = now_ms;
+	if (now_unix_ms > since_unix_ms)
+		occurrence->due_ms -= MIN(now_unix_ms - since_unix_ms, now_ms);
+	else if (is_scheduled)
+		occurrence->due_ms += since_unix_ms - now_unix_ms;
 	occurrence->groups = g_new0(struct job_group, job->spec->steps->len);
 	for (guint i = 0; i < job->spec->steps->len; i++)
 		group_init(&occurrence->groups[i], occurrence, i);
