Look reported tasks up once, and begin occurrences in the loops that exist

Each row of each worker's report parsed its task's name and looked up its job twice, so that an occurrence could be begun before; the second look now happens only for a task that is not found (owner_task_find_reported()). A report looks at the breaker of its worker once, and at the tasks only if it is half open. Whether an owner verifies its ownership follows from when it polls next, so the flag beside that is gone.

Behaviour is unchanged.

--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -110,11 +110,11 @@
 	gpointer value;
 
 	owner_ownership_verify(owner);
-	owner_occurrences_begin_due(owner);
 	g_hash_table_iter_init(&iter, owner->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct job *job = value;
 
+		owner_occurrences_begin_due(owner, job);
 		if (owner_job_is_live(job) || job->spec || job->dirty ||
 		    job->in_flight || job->waiters ||
 		    now_ms - job->ended_ms < keep_ms)
--- a/packages/jobs/src/owner_health.c
+++ b/packages/jobs/src/owner_health.c
@@ -83,8 +83,7 @@
 static bool is_sound_long_running(const struct worker *worker,
 				  const struct job_task *task, uint64_t now_ms)
 {
-	return task->group->step->is_long_running &&
-	       owner_health_awaits(worker, task, now_ms) &&
+	return task->group->step->is_long_running && is_probe(worker, task) &&
 	       task->state == JOB_TASK_RUNNING && task->speed_percent > 0 &&
 	       task->speed_percent >= task->ordered_speed_percent &&
 	       breaker_long_running_succeeded(now_ms - task->speed_changed_ms);
@@ -94,6 +93,8 @@
 {
 	uint64_t now_ms = loop_now_ms();
 
+	if (breaker_state_at(&worker->health, now_ms) != BREAKER_HALF_OPEN)
+		return;
 	for (guint i = 0; i < worker->tasks->len; i++) {
 		if (!is_sound_long_running(worker,
 					   g_ptr_array_index(worker->tasks, i),
--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -40,21 +40,23 @@
 
 void owner_ownership_verify(struct owner *owner)
 {
-	bool is_valid = owner->ops->lease_is_valid(owner->data);
-	bool has_changed = is_valid == owner->is_verifying;
+	uint32_t interval_ms = verify_interval_ms(owner);
+	bool is_first = owner->verify_due_ms == 0;
 	GHashTableIter iter;
 	gpointer value;
 
-	owner->is_verifying = !is_valid;
-	owner->env.poll_wait_max_ms = is_valid ? WORKER_POLL_WAIT_MAX_MS
-					       : MIN(WORKER_POLL_WAIT_MAX_MS,
-						     verify_interval_ms(owner));
-	if (is_valid || (!has_changed && loop_now_ms() < owner->verify_due_ms))
+	if (owner->ops->lease_is_valid(owner->data)) {
+		owner->env.poll_wait_max_ms = WORKER_POLL_WAIT_MAX_MS;
+		owner->verify_due_ms = 0;
 		return;
-	owner->verify_due_ms = loop_now_ms() + verify_interval_ms(owner);
+	}
+	owner->env.poll_wait_max_ms = MIN(WORKER_POLL_WAIT_MAX_MS, interval_ms);
+	if (loop_now_ms() < owner->verify_due_ms)
+		return;
+	owner->verify_due_ms = loop_now_ms() + interval_ms;
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (has_changed)
+		if (is_first)
 			worker_poll_again(value);
 		else
 			worker_poll_within(value, 0);
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -85,8 +85,8 @@
 	uint64_t takeover_started_ms;
 	/** local time since which it has polled workers, 0 before */
 	uint64_t polled_since_ms;
-	/** its lease is not valid, and when workers are polled next for that */
-	bool is_verifying;
+	/** local time at which all workers are polled next because its lease is
+	 *  not valid, 0 while it is */
 	uint64_t verify_due_ms;
 	bool jobs_read;
 	bool ends_read;
@@ -192,11 +192,12 @@
 					      const struct job *job);
 
 /* owner_occurrence.c: occurrences of scheduled jobs. */
-/* Begins those that are due. */
-void owner_occurrences_begin_due(struct owner *owner);
-/* Begins the occurrence of a task that a worker reports, if an earlier owner
- * must have begun it: on its clock it was due, or it had room for it. */
-void owner_occurrence_restore_reported(struct owner *owner, const char *name);
+/* Begins those of a job that are due. */
+void owner_occurrences_begin_due(struct owner *owner, struct job *job);
+/* Returns the task that a worker reports, NULL if there is none. Begins its
+ * occurrence if an earlier owner must have done so. */
+struct job_task *owner_task_find_reported(struct owner *owner,
+					  const char *name);
 
 /* owner_calls.c: calls from callers. */
 void owner_calls_answer_committed(struct owner *owner, struct job *job);
--- a/packages/jobs/src/owner_recovery.c
+++ b/packages/jobs/src/owner_recovery.c
@@ -33,10 +33,10 @@
 		if (job->occurrences->len == 0 &&
 		    job->spec->occurrence_count == 0)
 			owner_occurrence_add(owner, job);
+		/* An occurrence that is under way has no record before the
+		 * first of its tasks has ended. */
+		owner_occurrences_begin_due(owner, job);
 	}
-	/* Scheduled occurrences that were under way have no record before the
-	 * first of their tasks has ended. */
-	owner_occurrences_begin_due(owner);
 	owner_tasks_set_unknown(owner);
 	log_info("takeover-read",
 		 "epoch %" G_GUINT64_FORMAT
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -23,11 +23,9 @@
 static void ended_run_process(struct owner *owner, struct worker *worker,
 			      const struct adapter_run_end *end)
 {
-	struct job_task *task;
+	struct job_task *task = owner_task_find_reported(owner, end->task);
 	bool is_current_run;
 
-	owner_occurrence_restore_reported(owner, end->task);
-	task = owner_task_find_by_name(owner, end->task);
 	owner->counters.ends[end->kind]++;
 	if (end->kind == ADAPTER_END_DONE || end->kind == ADAPTER_END_STOPPED)
 		log_debug("task-end", "task %s run %u ended at worker %s: %s",
@@ -86,13 +84,10 @@
 				 const struct adapter_run *running,
 				 uint64_t clock_ms)
 {
-	struct job_task *task;
-	bool wanted;
+	struct job_task *task = owner_task_find_reported(owner, running->task);
+	bool wanted = task && task->state != JOB_TASK_DONE &&
+		      owner_job_is_live(task->group->occurrence->job);
 
-	owner_occurrence_restore_reported(owner, running->task);
-	task = owner_task_find_by_name(owner, running->task);
-	wanted = task && task->state != JOB_TASK_DONE &&
-		 owner_job_is_live(task->group->occurrence->job);
 	if (wanted && !task->worker && running->run >= task->run) {
 		owner->counters.tasks_adopted++;
 		task->run = running->run;
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -20,6 +20,7 @@
 /* A worker that is missing from the list is removed after this time, unless it
  * may have tasks. Entries of live workers reappear sooner. */
 #define OWNER_UNLISTED_TTL_MS 3000
+
 static json_t *roster_item_encode(const struct worker *worker)
 {
 	return json_pack("{s:s, s:s, s:i, s:s, s:s, s:s*}", "id", worker->id,
