Share the expectations of the job service's tests

The check that the emulator saw no violation stood in twelve test files, and the advance, query and check at the end of a test in six, two of them new. They are emu_expect_no_violation() and emu_settle() in emu_expect.h. The fleet with one large worker of test_stranded is set up in one place, test_explain finds a task's worker with emu_vm_running(), and the test of a deposed owner now queries all its jobs instead of one.

--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -176,10 +176,10 @@
 	for (uint32_t i = 0; i < emu_vm_count(emu); i++) {
 		if (all || now_ms >= chaos->partition_heal_ms[i])
 			emu_worker_set_partitioned(emu, i, false);
-		for (uint32_t j = 0; j < chaos->config.nodes; j++) {
-			if (all || now_ms >= chaos->link_heal_ms[i])
-				emu_link_set_cut(emu, j, i, false);
-		}
+		if (!all && now_ms < chaos->link_heal_ms[i])
+			continue;
+		for (uint32_t j = 0; j < chaos->config.nodes; j++)
+			emu_link_set_cut(emu, j, i, false);
 	}
 	if (!all)
 		return;
--- a/packages/jobs/tests/test_accounts.c
+++ b/packages/jobs/tests/test_accounts.c
@@ -10,7 +10,7 @@
 
 #include "account_keys.h"
 #include "config_watcher.h"
-#include "emu.h"
+#include "emu_expect.h"
 #include "emu_private.h"
 
 #define STEP_MS 100
@@ -56,12 +56,6 @@
 }
 END_TEST
 
-static void expect_no_violation(const struct emu *emu)
-{
-	if (emu_violation_count(emu) > 0)
-		ck_abort_msg("%s", emu_first_violation(emu));
-}
-
 static void states_query(struct emu *emu, uint32_t jobs)
 {
 	for (uint32_t i = 0; i < jobs; i++)
@@ -177,7 +171,7 @@
 	emu_account_stats(emu, 1, &stats);
 	ck_assert_uint_eq(stats.succeeded, stats.accepted);
 	ck_assert_uint_gt(stats.accepted, 20);
-	expect_no_violation(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -205,7 +199,7 @@
 	settle(emu, load_run(emu, 12000, load, NULL), 6000);
 	for (uint32_t i = 0; i < 4; i++)
 		emu_account_stats(emu, i + 1, &out[i]);
-	expect_no_violation(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 
@@ -254,10 +248,7 @@
 	emu_cancel(emu, owner + 1, cancelled);
 	emu_advance(emu, 3000);
 	emu_node_start(emu, owner);
-	emu_advance(emu, 15000);
-	states_query(emu, 7);
-	emu_advance(emu, 500);
-	expect_no_violation(emu);
+	emu_settle(emu, 7, 15000);
 	emu_destroy(emu);
 }
 END_TEST
--- a/packages/jobs/tests/test_clock.c
+++ b/packages/jobs/tests/test_clock.c
@@ -4,7 +4,7 @@
  */
 #include <check.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 #include "job.h"
 #include "loop.h"
 
@@ -47,12 +47,7 @@
 		if (i == JOBS / 2)
 			emu_node_kill(emu, emu_owner(emu));
 	}
-	emu_advance(emu, 15000);
-	for (uint32_t i = 0; i < JOBS; i++)
-		emu_state_query(emu, i % fleet.nodes, i);
-	emu_advance(emu, 500);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_settle(emu, JOBS, 15000);
 	emu_stats(emu, stats);
 	emu_destroy(emu);
 }
--- a/packages/jobs/tests/test_delayed_orders.c
+++ b/packages/jobs/tests/test_delayed_orders.c
@@ -10,7 +10,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 /* Number of seeds, starting at the seed of the fleet. */
 #define SEED_COUNT 20
@@ -53,8 +53,7 @@
 		emu_advance(emu, 300);
 		emu_worker_restart(emu, (uint32_t)i % 4);
 	}
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 
--- a/packages/jobs/tests/test_election.c
+++ b/packages/jobs/tests/test_election.c
@@ -4,7 +4,7 @@
  */
 #include <check.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 static const struct emu_config fleet = {
 	.seed = 3,
@@ -34,8 +34,7 @@
 	emu_advance(emu, 3000);
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.accepted, jobs_before + fleet.nodes);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 }
 
 /* Names that JSON has to escape, and one of the greatest length. */
--- a/packages/jobs/tests/test_entry_vm.c
+++ b/packages/jobs/tests/test_entry_vm.c
@@ -4,7 +4,7 @@
  */
 #include <check.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 #define SWAPS 40
 
@@ -49,8 +49,7 @@
 	emu_store_set_slowdown(emu, 1);
 	emu_advance(emu, 50000);
 	ck_assert(emu_wave_succeeded(emu));
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
--- a/packages/jobs/tests/test_explain.c
+++ b/packages/jobs/tests/test_explain.c
@@ -51,16 +51,9 @@
 /* Returns the worker that runs a job's only task, "" for none. */
 static const char *worker_of(const struct emu *emu, uint32_t job)
 {
-	for (uint32_t i = 0; i < emu->vm_count; i++) {
-		const struct emu_vm *vm = &emu->vms[i];
-
-		for (guint j = 0; j < vm->runs->len; j++) {
-			if (g_array_index(vm->runs, struct emu_task_run, j)
-				    .job == job)
-				return vm->worker;
-		}
-	}
-	return "";
+	uint32_t vm = emu_vm_running(emu, job);
+
+	return vm < emu->vm_count ? emu->vms[vm].worker : "";
 }
 
 /* Jobs are explained, then submitted, until the account has reached its limit.
--- a/packages/jobs/tests/test_faults.c
+++ b/packages/jobs/tests/test_faults.c
@@ -7,7 +7,7 @@
  */
 #include <check.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 static const struct emu_config fleet = {
 	.seed = 7,
@@ -48,17 +48,6 @@
 	}
 }
 
-/* Advances time, queries the state of each job and expects no violation. */
-static void settle_and_check(struct emu *emu, uint32_t jobs, uint32_t ms)
-{
-	emu_advance(emu, ms);
-	for (uint32_t i = 0; i < jobs; i++)
-		emu_state_query(emu, i % fleet.nodes, i);
-	emu_advance(emu, 500);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
-}
-
 static void expect_all_finished(struct emu *emu)
 {
 	struct emu_stats stats;
@@ -76,7 +65,7 @@
 	jobs_submit(emu, 20, &batch);
 	emu_node_kill(emu, emu_owner(emu));
 	emu_advance(emu, 3000);
-	settle_and_check(emu, 20, 15000);
+	emu_settle(emu, 20, 15000);
 	expect_all_finished(emu);
 	emu_destroy(emu);
 }
@@ -96,7 +85,7 @@
 	emu_stats(emu, &before);
 	emu_store_set_slowdown(emu, 20);
 	emu_node_resign(emu, emu_owner(emu));
-	settle_and_check(emu, 4, 6000);
+	emu_settle(emu, 4, 6000);
 	emu_stats(emu, &after);
 	ck_assert_uint_eq(before.runs, after.runs);
 	emu_destroy(emu);
@@ -146,8 +135,7 @@
 	emu_stats(emu, &after);
 	ck_assert_uint_eq(before.vm_moves, 0);
 	ck_assert_uint_gt(after.vm_moves, 0);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -172,7 +160,7 @@
 		emu_advance(emu, 4000);
 		for (uint32_t i = 0; i < fleet.nodes; i++)
 			emu_store_set_mode(emu, i, EMU_STORE_OK);
-		settle_and_check(emu, 1, 15000);
+		emu_settle(emu, 1, 15000);
 		expect_all_finished(emu);
 		emu_destroy(emu);
 	}
@@ -200,7 +188,7 @@
 		emu_node_kill(emu, emu_owner(emu));
 		emu_advance(emu, 2500);
 		jobs_submit(emu, 10, &longer);
-		settle_and_check(emu, 20, 60000);
+		emu_settle(emu, 20, 60000);
 		ck_assert(emu_wave_succeeded(emu));
 		emu_destroy(emu);
 	}
@@ -217,7 +205,7 @@
 	emu_node_kill(emu, emu_owner(emu));
 	emu_advance(emu, 4000);
 	emu_orders_set_delayed(emu, 0);
-	settle_and_check(emu, 30, 20000);
+	emu_settle(emu, 30, 20000);
 	expect_all_finished(emu);
 	emu_destroy(emu);
 }
@@ -232,7 +220,7 @@
 	jobs_submit(emu, 10, &batch);
 	for (uint32_t vm = 0; vm < 4; vm++)
 		emu_worker_set_partitioned(emu, vm, vm % 2 == 0);
-	settle_and_check(emu, 10, 15000);
+	emu_settle(emu, 10, 15000);
 	expect_all_finished(emu);
 	emu_destroy(emu);
 }
@@ -251,7 +239,7 @@
 	emu_vm_crash(emu, 1, 60000);
 	emu_advance(emu, 200);
 	emu_node_resign(emu, emu_owner(emu));
-	settle_and_check(emu, 10, 5000);
+	emu_settle(emu, 10, 5000);
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.unfinished, 0);
 	emu_destroy(emu);
@@ -266,7 +254,7 @@
 	jobs_submit(emu, 10, &batch);
 	for (uint32_t vm = 0; vm < 4; vm++)
 		emu_worker_restart(emu, vm);
-	settle_and_check(emu, 10, 15000);
+	emu_settle(emu, 10, 15000);
 	expect_all_finished(emu);
 	emu_destroy(emu);
 }
@@ -283,7 +271,7 @@
 	emu_advance(emu, 5000);
 	jobs_submit(emu, 10, &batch);
 	emu_store_set_write_faults(emu, 0, 0);
-	settle_and_check(emu, 30, 20000);
+	emu_settle(emu, 30, 20000);
 	expect_all_finished(emu);
 	emu_destroy(emu);
 }
@@ -304,7 +292,7 @@
 	emu_advance(emu, 9000);
 	for (uint32_t i = 0; i < fleet.nodes; i++)
 		emu_store_set_mode(emu, i, EMU_STORE_OK);
-	settle_and_check(emu, 4, 8000);
+	emu_settle(emu, 4, 8000);
 	emu_stats(emu, &after);
 	ck_assert_uint_eq(before.runs, after.runs);
 	emu_destroy(emu);
@@ -324,7 +312,7 @@
 	jobs_submit(emu, 10, &batch);
 	emu_advance(emu, 3000);
 	emu_store_set_mode(emu, owner, EMU_STORE_OK);
-	settle_and_check(emu, 20, 15000);
+	emu_settle(emu, 20, 15000);
 	expect_all_finished(emu);
 	emu_destroy(emu);
 }
@@ -356,8 +344,7 @@
 	emu_stats(emu, &stats);
 	ck_assert_uint_ge(stats.refused, 5);
 	ck_assert_uint_eq(stats.unknown, 0);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -393,8 +380,7 @@
 	emu_advance(emu, 3000);
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.accepted, 1);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -417,7 +403,7 @@
 		for (uint32_t node = 0; node < fleet.nodes; node++)
 			emu_cancel(emu, node, i);
 	}
-	settle_and_check(emu, 4, 5000);
+	emu_settle(emu, 4, 5000);
 	for (uint32_t i = 0; i < 4; i++)
 		emu_state_query(emu, (emu_owner(emu) + 1) % 3, i);
 	for (uint32_t i = 0; i < 4; i++)
@@ -438,7 +424,7 @@
 	emu_advance(emu, 2000);
 	for (uint32_t vm = 0; vm < 8; vm += 4)
 		emu_worker_drain(emu, vm, 6000);
-	settle_and_check(emu, 4, 15000);
+	emu_settle(emu, 4, 15000);
 	emu_destroy(emu);
 }
 END_TEST
@@ -462,7 +448,7 @@
 		emu_node_resign(emu, emu_owner(emu));
 	emu_advance(emu, 3000);
 	ck_assert_uint_eq(emu_active_run_count(emu), before);
-	settle_and_check(emu, 4, 5000);
+	emu_settle(emu, 4, 5000);
 	emu_destroy(emu);
 }
 END_TEST
@@ -486,7 +472,7 @@
 	}
 	emu_advance(emu, 50000);
 	ck_assert(emu_wave_succeeded(emu));
-	settle_and_check(emu, 0, 100);
+	emu_settle(emu, 0, 100);
 	emu_destroy(emu);
 }
 END_TEST
@@ -507,7 +493,7 @@
 	emu_vm_requests_set_lost(emu, 0);
 	emu_advance(emu, 50000);
 	ck_assert(emu_wave_succeeded(emu));
-	settle_and_check(emu, 0, 100);
+	emu_settle(emu, 0, 100);
 	emu_destroy(emu);
 }
 END_TEST
@@ -530,7 +516,7 @@
 	emu_worker_drain(emu, 0, 30000);
 	emu_advance(emu, 4500);
 	ck_assert_uint_eq(emu_active_run_count(emu), 3);
-	settle_and_check(emu, 1, 2000);
+	emu_settle(emu, 1, 2000);
 	emu_destroy(emu);
 }
 END_TEST
--- a/packages/jobs/tests/test_jobs.c
+++ b/packages/jobs/tests/test_jobs.c
@@ -4,7 +4,7 @@
  */
 #include <check.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 static const struct emu_config fleet = {
 	.seed = 1,
@@ -23,12 +23,6 @@
 	.task_ms = 400,
 };
 
-static void expect_no_violations(struct emu *emu)
-{
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
-}
-
 START_TEST(test_job_completes)
 {
 	struct emu *emu = emu_create(&fleet);
@@ -44,7 +38,7 @@
 	ck_assert_uint_eq(stats.accepted, 1);
 	ck_assert_uint_eq(stats.succeeded, 1);
 	ck_assert_uint_eq(stats.runs, 6);
-	expect_no_violations(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -63,7 +57,7 @@
 	emu_advance(emu, 3000);
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.runs, 6);
-	expect_no_violations(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -85,7 +79,7 @@
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.failed, 1);
 	ck_assert_uint_eq(stats.runs, fleet.attempts);
-	expect_no_violations(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -110,7 +104,7 @@
 	emu_advance(emu, 100);
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.cancelled, 1);
-	expect_no_violations(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -137,7 +131,7 @@
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.succeeded, 10);
 	ck_assert_uint_eq(stats.runs, 60);
-	expect_no_violations(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -162,7 +156,7 @@
 	emu_stats(emu, &stats);
 	ck_assert(emu_wave_succeeded(emu));
 	ck_assert_uint_eq(stats.vm_maintenances, emu_vm_count(emu));
-	expect_no_violations(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -185,7 +179,7 @@
 	emu_advance(emu, 10000);
 	emu_stats(emu, &stats);
 	ck_assert_uint_ge(stats.vm_moves, 3);
-	expect_no_violations(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -208,7 +202,7 @@
 	emu_advance(emu, 500);
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.unfinished, 0);
-	expect_no_violations(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
--- a/packages/jobs/tests/test_load.c
+++ b/packages/jobs/tests/test_load.c
@@ -9,7 +9,7 @@
 #include <math.h>
 #include <stdio.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 /* Durations of the burst on one pool and of a run of the rotating load. */
 #define BURST_MS 4500
@@ -60,8 +60,7 @@
 			emu_state_query(emu, 0, j);
 	}
 	emu_stats(emu, &stats);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	printf("%u jobs per second: %u submitted, %u accepted, %u on time, "
 	       "%u succeeded, %u failed, runs %u, moves %u\n",
 	       jobs_per_s, stats.submitted, stats.accepted, stats.on_time,
@@ -140,8 +139,7 @@
 		emu_advance(emu, 10);
 	}
 	emu_stats(emu, &stats);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	fprintf(stderr, "%u moved VMs got a task after %u ms, %u moves\n",
 		stats.moved_vms_used,
 		(uint32_t)(stats.moved_vms_idle_ms /
@@ -195,8 +193,7 @@
 			emu_state_query(emu, 0, j);
 	}
 	emu_stats(emu, &stats);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	fprintf(stderr, "%u submitted, %u on time, %u moves\n", stats.submitted,
 		stats.on_time, stats.vm_moves);
 	emu_destroy(emu);
@@ -267,8 +264,7 @@
 	/* No long job is on time yet except for the few that started at once.
 	 */
 	emu_stats(emu, &stats);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	fprintf(stderr, "%u of %u short jobs, and some long ones, on time\n",
 		stats.on_time, short_jobs);
 	ck_assert_uint_ge(stats.on_time * 4, short_jobs * 3);
@@ -306,8 +302,7 @@
 			emu_state_query(emu, 0, j);
 	}
 	emu_stats(emu, &stats);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_expect_no_violation(emu);
 	fprintf(stderr, "store slowdown %u: %u submitted, %u on time\n",
 		store_slowdown, stats.submitted, stats.on_time);
 	emu_destroy(emu);
--- a/packages/jobs/tests/test_refusals.c
+++ b/packages/jobs/tests/test_refusals.c
@@ -5,7 +5,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 #define JOBS 60
 /* Every how many jobs one is refused, and how its definition is recognized. */
@@ -51,12 +51,7 @@
 
 static void jobs_check(struct emu *emu, struct emu_stats *stats)
 {
-	emu_advance(emu, 20000);
-	for (uint32_t i = 0; i < JOBS; i++)
-		emu_state_query(emu, i % fleet.nodes, i);
-	emu_advance(emu, 500);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_settle(emu, JOBS, 20000);
 	emu_stats(emu, stats);
 }
 
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -7,7 +7,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 /* One pool that gets no further VMs. */
 static const struct emu_config fleet = {
@@ -45,25 +45,27 @@
 	return emu;
 }
 
-static void expect_no_violation(const struct emu *emu)
+/* Only the first worker has the capacity for a large task. */
+static struct emu *uneven_fleet_start(void)
 {
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	struct emu *emu = emu_create(&fleet);
+
+	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
+		emu_worker_set_cpu(emu, vm, 4000);
+	emu_advance(emu, 3000);
+	return emu;
 }
 
-/* Advances time, queries the first jobs and expects that all that end have. */
+/* Advances time, expects that all jobs that end have, and ends the test. */
 static void expect_finished(struct emu *emu, uint32_t jobs, uint32_t ms)
 {
 	struct emu_stats stats;
 
-	emu_advance(emu, ms);
-	for (uint32_t i = 0; i < jobs; i++)
-		emu_state_query(emu, i % fleet.nodes, i);
-	emu_advance(emu, 500);
+	emu_settle(emu, jobs, ms);
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.accepted, jobs);
 	ck_assert_uint_eq(stats.unfinished, 0);
-	expect_no_violation(emu);
+	emu_destroy(emu);
 }
 
 /* A worker whose circuit breaker is half open must get a task that can close
@@ -84,7 +86,6 @@
 	for (jobs = 2; jobs < 6; jobs++)
 		emu_submit(emu, jobs % fleet.nodes, &batch);
 	expect_finished(emu, jobs, 3000);
-	emu_destroy(emu);
 }
 END_TEST
 
@@ -105,7 +106,7 @@
 	emu_submit(emu, 0, &second);
 	emu_advance(emu, 3000);
 	ck_assert_uint_eq(emu_active_run_count(emu), 8);
-	expect_no_violation(emu);
+	emu_expect_no_violation(emu);
 	emu_destroy(emu);
 }
 END_TEST
@@ -131,14 +132,10 @@
  * other one can run it. */
 START_TEST(test_failed_task_with_one_suitable_worker)
 {
-	struct emu *emu = emu_create(&fleet);
+	struct emu *emu = uneven_fleet_start();
 
-	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
-		emu_worker_set_cpu(emu, vm, 4000);
-	emu_advance(emu, 3000);
 	large_task_fail_once(emu);
 	expect_finished(emu, 1, 2000);
-	emu_destroy(emu);
 }
 END_TEST
 
@@ -158,7 +155,6 @@
 	emu_advance(emu, 2000);
 	large_task_fail_once(emu);
 	expect_finished(emu, 2, 3000);
-	emu_destroy(emu);
 }
 END_TEST
 
@@ -166,16 +162,12 @@
  * run it. */
 START_TEST(test_suspect_with_one_suitable_vm)
 {
-	struct emu *emu = emu_create(&fleet);
+	struct emu *emu = uneven_fleet_start();
 
-	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
-		emu_worker_set_cpu(emu, vm, 4000);
-	emu_advance(emu, 3000);
 	emu_submit(emu, 0, &large);
 	emu_advance(emu, 130);
 	emu_vm_crash(emu, 0, 400);
 	expect_finished(emu, 1, 5000);
-	emu_destroy(emu);
 }
 END_TEST
 
--- a/packages/jobs/tests/test_takeover.c
+++ b/packages/jobs/tests/test_takeover.c
@@ -9,7 +9,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 /* More tasks than the pool runs at once. */
 #define TASKS 36
@@ -64,12 +64,8 @@
 {
 	struct emu_stats stats;
 
-	emu_advance(emu, OCCURRENCES * nightly.interval_ms + 20000);
-	emu_state_query(emu, 0, 0);
-	emu_advance(emu, 500);
+	emu_settle(emu, 1, OCCURRENCES * nightly.interval_ms + 20000);
 	emu_stats(emu, &stats);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
 	ck_assert_uint_eq(stats.accepted, 1);
 	ck_assert_uint_eq(stats.succeeded, 1);
 	if (runs > 0)
@@ -205,11 +201,7 @@
 	emu_link_set_cut(emu, old_owner, vms[1], false);
 	emu_link_set_cut(emu, 1 - old_owner, vms[0], false);
 	emu_store_set_mode(emu, old_owner, EMU_STORE_OK);
-	emu_advance(emu, 60000);
-	emu_state_query(emu, 0, jobs[1]);
-	emu_advance(emu, 500);
-	ck_assert_msg(emu_violation_count(emu) == 0, "%s",
-		      emu_first_violation(emu));
+	emu_settle(emu, jobs[1] + 1, 60000);
 	emu_destroy(emu);
 }
 
