Let the emulator pause processes

A process that is frozen, or has no CPU, runs neither its timers nor what reaches it, and then acts at once by what it knew. The emulator could only hold up the answers to its calls; its timers went on, and a call that took long counted as unanswered.

Processes of a pausable configuration have timer queues of their own. What reaches a paused one is read when it goes on, before or after its due timers: both happen, as it may be paused between the two.

--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -27,6 +27,13 @@
 /* From this seed on, VMs have different sizes, some jobs fit few workers or
  * none, some processes stop as planned, and many tasks fail. */
 #define CHAOS_SHAPES_SEED 6000000
+/* From this seed on, processes are paused, those of some seeds have a share of
+ * a core only, and more callers cancel their jobs. */
+#define CHAOS_PAUSES_SEED 10000000
+#define CHAOS_PAUSE_MAX_MS 6000
+/* A process with a share of a core is paused for up to this part of each step.
+ */
+#define CHAOS_SHARE_PAUSE_MS 90
 /* Number of seeds if neither variable is set. */
 #define CHAOS_SEEDS_DEFAULT 40
 /* Durations of the phase with faults and of the recovery phase after it. */
@@ -161,6 +168,9 @@
 		emu_node_resign(emu, node);
 		chaos->node_stop_ms[node] = now_ms + emu_random(emu, 2000);
 	}
+	if (chaos->config.seed >= CHAOS_PAUSES_SEED && emu_random(emu, 4) == 0)
+		emu_node_pause(emu, node, emu_random(emu, CHAOS_PAUSE_MAX_MS),
+			       emu_random(emu, 2));
 	switch (emu_random(emu, 13)) {
 	case 0:
 		emu_node_kill(emu, node);
@@ -208,6 +218,18 @@
 	}
 }
 
+static void shares_limit(struct chaos *chaos)
+{
+	struct emu *emu = chaos->emu;
+
+	if (chaos->config.seed < CHAOS_PAUSES_SEED ||
+	    chaos->config.seed % 2 == 0)
+		return;
+	for (uint32_t i = 0; i < chaos->config.nodes; i++)
+		emu_node_pause(emu, i, emu_random(emu, CHAOS_SHARE_PAUSE_MS),
+			       emu_random(emu, 2));
+}
+
 static void faults_clear(struct chaos *chaos, bool all)
 {
 	struct emu *emu = chaos->emu;
@@ -259,6 +281,8 @@
 	     elapsed_ms += CHAOS_STEP_MS) {
 		emu_advance(emu, CHAOS_STEP_MS);
 		faults_clear(chaos, !faults);
+		if (faults)
+			shares_limit(chaos);
 		if (faults && emu_random(emu, 4) == 0)
 			job_submit(chaos);
 		if (faults && emu_random(emu, 12) == 0)
@@ -269,7 +293,10 @@
 			emu_state_query(emu,
 					emu_random(emu, chaos->config.nodes),
 					emu_random(emu, chaos->jobs));
-		if (faults && chaos->jobs > 0 && emu_random(emu, 40) == 0)
+		if (faults && chaos->jobs > 0 &&
+		    emu_random(emu, chaos->config.seed >= CHAOS_PAUSES_SEED
+					    ? 12
+					    : 40) == 0)
 			job_cancel(emu, emu_random(emu, chaos->config.nodes),
 				   emu_random(emu, chaos->jobs));
 	}
@@ -288,6 +315,7 @@
 			.attempts = 3,
 			.unguarded = seed >= CHAOS_CRASHES_SEED && seed % 2,
 			.uneven_vms = seed >= CHAOS_SHAPES_SEED,
+			.pausable = seed >= CHAOS_PAUSES_SEED,
 		},
 	};
 	struct emu_stats stats;
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -94,10 +94,10 @@
 		return;
 	node->alive = true;
 	node->incarnation++;
-	g_assert(platform_create_with_ops(emu->loop, &emu_store_ops, &store,
+	g_assert(platform_create_with_ops(node->loop, &emu_store_ops, &store,
 					  &node->store) == ERR_NONE);
 	node->service =
-		jobs_service_create(emu->loop, node->store, &config,
+		jobs_service_create(node->loop, node->store, &config,
 				    &emu_adapter_ops, node, &emu_peers, node);
 	{
 		struct catalogue *catalogue = emu_adapter_ops.config_decode(
@@ -118,6 +118,8 @@
 	node->alive = false;
 	jobs_service_destroy(g_steal_pointer(&node->service));
 	platform_destroy(g_steal_pointer(&node->store));
+	node->paused_until_ms = 0;
+	emu_node_read(node);
 }
 
 void emu_node_resign(struct emu *emu, uint32_t number)
@@ -152,7 +154,8 @@
 	for (uint32_t i = 0; i < emu->config.nodes; i++)
 		any |= !emu->nodes[i].alive ||
 		       emu->nodes[i].store_mode != EMU_STORE_OK ||
-		       emu->nodes[i].stalled_until_ms > loop_now_ms();
+		       emu->nodes[i].stalled_until_ms > loop_now_ms() ||
+		       emu_node_is_paused(&emu->nodes[i]);
 	if (any)
 		emu->last_owner_fault_ms = loop_now_ms();
 	for (uint32_t i = 0; i < emu->vm_count; i++)
@@ -233,6 +236,9 @@
 	for (uint32_t i = 0; i < config->nodes; i++) {
 		emu->nodes[i].emu = emu;
 		emu->nodes[i].number = i;
+		emu->nodes[i].loop =
+			config->pausable ? loop_create() : emu->loop;
+		g_queue_init(&emu->nodes[i].inbox);
 		g_snprintf(emu->nodes[i].id, sizeof(emu->nodes[i].id), "%s%u",
 			   config->node_prefix ? config->node_prefix : "node-",
 			   i);
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -63,6 +63,10 @@
 	struct emu_account_config account;
 	/** start of the processes' names, NULL for the usual one */
 	const char *node_prefix;
+	/** processes can be paused, see emu_node_pause(); their timers are in
+	 *  queues of their own, so events of one millisecond have another order
+	 */
+	bool pausable;
 };
 
 /** Rules whose violations the checker counts. */
@@ -352,6 +356,15 @@
 void emu_worker_entry_delay(struct emu *emu, uint32_t vm, uint32_t ms);
 /** @brief Lets a worker announce that it drains, and stop after a time. */
 void emu_worker_drain(struct emu *emu, uint32_t vm, uint32_t after_ms);
+/**
+ * @brief Pauses a process, which runs nothing meanwhile, neither its timers nor
+ * what reaches it. Needs a pausable configuration.
+ *
+ * @param timers_first whether it runs its timers before it reads what has
+ *        arrived, as a process does that was paused between the two
+ */
+void emu_node_pause(struct emu *emu, uint32_t node, uint32_t ms,
+		    bool timers_first);
 /** @brief Lets no answer reach a process for a time. */
 void emu_node_stall(struct emu *emu, uint32_t node, uint32_t ms);
 /** @brief Makes some answers of workers, and some lists of VMs, take up to a
--- a/packages/jobs/tests/emu_callers.c
+++ b/packages/jobs/tests/emu_callers.c
@@ -64,6 +64,52 @@
 	return NULL;
 }
 
+/* A call that has reached a paused process. */
+struct emu_caller_call {
+	struct emu_node *node;
+	struct jobs_call call;
+	char *queue;
+	char *account;
+	jobs_cb cb;
+	void *data;
+};
+
+static void caller_call_read(void *data)
+{
+	struct emu_caller_call *caller = data;
+	const struct jobs_answer cut = { .outcome = JOBS_UNKNOWN };
+
+	if (caller->node->alive)
+		jobs_call(caller->node->service, &caller->call, caller->cb,
+			  caller->data);
+	else
+		caller->cb(caller->data, &cut);
+	g_free(caller->queue);
+	g_free(caller->account);
+	g_free(caller);
+}
+
+static void call_deliver(struct emu_node *node, const struct jobs_call *call,
+			 jobs_cb cb, void *data)
+{
+	struct emu_caller_call *caller;
+
+	if (!emu_node_is_paused(node)) {
+		jobs_call(node->service, call, cb, data);
+		return;
+	}
+	caller = g_new0(struct emu_caller_call, 1);
+	caller->node = node;
+	caller->queue = g_strdup(call->queue);
+	caller->account = g_strdup(call->account);
+	caller->call = *call;
+	caller->call.queue = caller->queue;
+	caller->call.account = caller->account;
+	caller->cb = cb;
+	caller->data = data;
+	emu_schedule_at(node, 0, caller_call_read, caller);
+}
+
 static void call_send(struct emu *emu, uint32_t node, enum jobs_verb verb,
 		      struct emu_job_state *state, jobs_cb cb, void *data)
 {
@@ -83,7 +129,7 @@
 			verb == JOBS_SUBMIT ? submission_is_awaited : NULL,
 	};
 
-	jobs_call(node_next_alive(emu, node)->service, &call, cb, data);
+	call_deliver(node_next_alive(emu, node), &call, cb, data);
 }
 
 uint32_t emu_job_register(struct emu *emu, const struct emu_job *job)
--- a/packages/jobs/tests/emu_clock.c
+++ b/packages/jobs/tests/emu_clock.c
@@ -39,6 +39,10 @@
 		job_free(g_ptr_array_index(emu->jobs, i));
 	g_ptr_array_unref(emu->jobs);
 	g_rand_free(emu->random);
+	for (uint32_t i = 0; i < emu->config.nodes; i++) {
+		if (emu->nodes[i].loop != emu->loop)
+			loop_destroy(emu->nodes[i].loop);
+	}
 	loop_destroy(emu->loop);
 	g_free(emu);
 }
@@ -49,9 +53,12 @@
 	uint64_t end_ms = emu_now_ms + ms;
 
 	while (emu_now_ms < end_ms) {
-		emu_now_ms += timer_queue_wait_ms(
-			timers, emu_now_ms, (uint32_t)(end_ms - emu_now_ms));
+		emu_now_ms += emu_nodes_wait_ms(
+			emu,
+			timer_queue_wait_ms(timers, emu_now_ms,
+					    (uint32_t)(end_ms - emu_now_ms)));
 		timer_queue_run(timers, emu_now_ms);
+		emu_nodes_run(emu);
 	}
 }
 
--- a/packages/jobs/tests/emu_orders.c
+++ b/packages/jobs/tests/emu_orders.c
@@ -8,8 +8,8 @@
 {
 	order->reply.err = ERR_TIMEOUT;
 	order->vm_err = ERR_TIMEOUT;
-	emu_schedule(order->node->emu, order->timeout_ms,
-		     emu_order_reply_deliver, order);
+	emu_schedule_at(order->node, order->timeout_ms, emu_order_reply_deliver,
+			order);
 }
 
 bool emu_link_is_cut(const struct emu_node *node, const struct emu_vm *vm)
--- a/packages/jobs/tests/emu_peers.c
+++ b/packages/jobs/tests/emu_peers.c
@@ -38,8 +38,8 @@
 	call->answer = *answer;
 	if (!call->to->alive || call->to->incarnation != call->to_incarnation)
 		call->err = ERR_CUT;
-	emu_schedule(call->from->emu, EMU_ONE_WAY_LATENCY_MS,
-		     peer_answer_deliver, call);
+	emu_schedule_at(call->from, EMU_ONE_WAY_LATENCY_MS, peer_answer_deliver,
+			call);
 }
 
 static void peer_call_deliver(void *data)
@@ -48,8 +48,8 @@
 
 	if (!call->to->alive) {
 		call->err = ERR_CONNECT;
-		emu_schedule(call->from->emu, EMU_ONE_WAY_LATENCY_MS,
-			     peer_answer_deliver, call);
+		emu_schedule_at(call->from, EMU_ONE_WAY_LATENCY_MS,
+				peer_answer_deliver, call);
 		return;
 	}
 	call->to_incarnation = call->to->incarnation;
@@ -78,8 +78,8 @@
 	copy->call.spec = copy->spec;
 	copy->cb = cb;
 	copy->data = data;
-	emu_schedule(node->emu, EMU_ONE_WAY_LATENCY_MS, peer_call_deliver,
-		     copy);
+	emu_schedule_at(copy->to, EMU_ONE_WAY_LATENCY_MS, peer_call_deliver,
+			copy);
 }
 
 const struct jobs_peers emu_peers = { .send = peer_send };
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -167,6 +167,13 @@
 	struct platform *store;
 	struct jobs_service *service;
 	enum emu_store_mode store_mode;
+	/* of the emulator, or its own one if it can be paused */
+	struct loop *loop;
+	/* it is paused until then */
+	uint64_t paused_until_ms;
+	bool timers_first;
+	/* what has reached it while it was paused, of struct emu_delivery */
+	GQueue inbox;
 	/* no answer reaches it before this time */
 	uint64_t stalled_until_ms;
 	/* time for which the network holds its requests about VMs, 0 for none
@@ -333,6 +340,21 @@
 /** @brief Calls a function after a time; it takes ownership of the data. */
 void emu_schedule(struct emu *emu, uint32_t delay_ms, void (*run)(void *data),
 		  void *data);
+/** @brief Calls a function after a time as part of a process, so not while that
+ *  is paused; it takes ownership of the data. */
+void emu_schedule_at(struct emu_node *node, uint32_t delay_ms,
+		     void (*run)(void *data), void *data);
+
+/* emu_pause.c */
+bool emu_node_is_paused(const struct emu_node *node);
+/** @brief Runs what has reached a process while it was paused. */
+void emu_node_read(struct emu_node *node);
+/** @brief Runs the due timers of all processes that are not paused. */
+void emu_nodes_run(struct emu *emu);
+/** @brief Returns the time until the next timer of a process or the end of a
+ *  pause, at most max_ms. */
+uint32_t emu_nodes_wait_ms(const struct emu *emu, uint32_t max_ms);
+
 /** @brief Counts a violation of a rule and keeps the text of the first one. */
 void emu_fail(struct emu *emu, enum emu_rule rule, const char *format, ...)
 	G_GNUC_PRINTF(3, 4);
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -177,7 +177,8 @@
 	if (call->answer_lost)
 		due_ms = loop_now_ms() + EMU_STORE_TIMEOUT_MS;
 	due_ms = MAX(due_ms, call->node->stalled_until_ms);
-	emu_schedule(emu, (uint32_t)(due_ms - loop_now_ms()), call_reply, call);
+	emu_schedule_at(call->node, (uint32_t)(due_ms - loop_now_ms()),
+			call_reply, call);
 }
 
 static void watch_fill(struct emu *emu, struct emu_call *call)
--- a/packages/jobs/tests/emu_vms.c
+++ b/packages/jobs/tests/emu_vms.c
@@ -56,8 +56,8 @@
 		vm_list_deliver(list);
 		return;
 	}
-	emu_schedule(
-		emu,
+	emu_schedule_at(
+		order->node,
 		(uint32_t)(emu_answer_arrival_ms(order->node) - loop_now_ms()),
 		vm_list_deliver, list);
 }
@@ -139,8 +139,8 @@
 	struct emu_order *order = data;
 
 	vm_action_execute(order);
-	emu_schedule(order->vm->emu, EMU_ONE_WAY_LATENCY_MS,
-		     emu_order_reply_deliver, order);
+	emu_schedule_at(order->node, EMU_ONE_WAY_LATENCY_MS,
+			emu_order_reply_deliver, order);
 }
 
 static void vm_action_deliver_late(void *data)
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -285,7 +285,8 @@
 
 bool emu_answers_are_slow(const struct emu_node *node)
 {
-	return node->emu->slow_answers_max_ms > 0 ||
+	return node->emu->config.pausable ||
+	       node->emu->slow_answers_max_ms > 0 ||
 	       node->stalled_until_ms > loop_now_ms();
 }
 
@@ -302,7 +303,6 @@
 
 void emu_order_reply(struct emu_order *order)
 {
-	struct emu *emu = order->node->emu;
 	uint64_t due_ms = emu_answer_arrival_ms(order->node);
 	uint64_t deadline_ms = order->sent_ms + order->timeout_ms;
 
@@ -314,8 +314,8 @@
 		due_ms = MAX(deadline_ms, loop_now_ms());
 		order->reply.err = ERR_TIMEOUT;
 	}
-	emu_schedule(emu, (uint32_t)(due_ms - loop_now_ms()),
-		     emu_order_reply_deliver, order);
+	emu_schedule_at(order->node, (uint32_t)(due_ms - loop_now_ms()),
+			emu_order_reply_deliver, order);
 }
 
 void emu_vm_stop(struct emu_vm *vm)
