Let a deposed owner that was paused do nothing more

Callers: a task ran twice at once (TWICE), each run by order of another owner.

Cause: an owner whose lease has ended goes on, since the store may be away for all, and learns of a successor from any worker that the successor has reached. It took a worker for safe if that worker itself had answered lately, renewed the leases of all workers that had answered their last poll, and until its first tick it did not look at all. A process that was paused, or had no CPU, for some seconds thus renewed the lease of a worker that its successor does not reach before the answers of the others arrived. The successor counts that lease from its own takeover, takes it for expired and starts the task again. It also counted from before its first polls, which a slow store delays.

Change: without a valid lease, leases are renewed and tasks are started only while all workers that answer have shown, since the lease ended and within the last polls, that no successor had reached them; whether the lease is valid is looked up when a poll or a start is sent. The successor counts from the moment in which it polls all workers that earlier owners knew, and by the age that an answer may have instead of one interval.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -69,6 +69,8 @@
 			 enum worker_end_cause cause);
 	/** the worker has seen the fencing token of another owner */
 	void (*on_deposed)(void *data);
+	/** returns whether polls may renew leases */
+	bool (*may_renew)(void *data);
 };
 
 /** Context shared by all workers of an owner; must outlive them. */
@@ -133,6 +135,8 @@
 	bool has_more_ends;
 	/** local time at which the newest poll that it answered was sent */
 	uint64_t answered_poll_sent_ms;
+	/** its last answer to a poll was a report, not a refusal */
+	bool last_poll_reported;
 	/** consecutive unanswered polls, and the local time of the first */
 	uint32_t unanswered_calls;
 	uint64_t unanswered_since_ms;
--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -25,11 +25,19 @@
 	       (uint64_t)owner->config.service->lease_ttl_s * 1000;
 }
 
+/* Age of a poll up to which its answer shows that no successor had reached the
+ * worker. A poll waits for up to one interval, and is the newest one that was
+ * answered for another. */
+static uint64_t answer_age_max_ms(const struct owner *owner)
+{
+	return (uint64_t)verify_interval_ms(owner) * 2 + OWNER_VERIFY_ANSWER_MS;
+}
+
 uint64_t owner_earlier_leases_expired_ms(const struct owner *owner)
 {
 	uint64_t detected_ms = MAX(owner_previous_acts_until_ms(owner),
 				   owner->polled_since_ms) +
-			       verify_interval_ms(owner);
+			       answer_age_max_ms(owner);
 
 	return detected_ms + owner->env.lease_ms + OWNER_LEASE_MARGIN_MS;
 }
@@ -41,19 +49,51 @@
 		!owner->ops->lease_is_valid(owner->data);
 }
 
+/* Returns whether the answers of a worker would show a successor. */
+static bool worker_can_vouch(const struct worker *worker)
+{
+	return worker->has_reported && !worker->ended &&
+	       worker->last_poll_reported && worker_is_reachable(worker);
+}
+
+/* Time up to which a worker has shown that no successor had reached it; 0 if it
+ * has not answered since the lease ended. */
+static uint64_t worker_vouches_until_ms(const struct owner *owner,
+					const struct worker *worker)
+{
+	if (worker->answered_poll_sent_ms < owner->verifying_since_ms)
+		return 0;
+	return worker->answered_poll_sent_ms + answer_age_max_ms(owner);
+}
+
+static uint64_t unchallenged_until_ms(const struct owner *owner)
+{
+	uint64_t until_ms = UINT64_MAX;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (worker_can_vouch(value))
+			until_ms = MIN(until_ms,
+				       worker_vouches_until_ms(owner, value));
+	}
+	return until_ms;
+}
+
+bool owner_is_unchallenged(const struct owner *owner, uint64_t now_ms)
+{
+	return owner->ops->lease_is_valid(owner->data) ||
+	       (owner->verify_due_ms != 0 &&
+		now_ms <= owner->unchallenged_until_ms);
+}
+
 bool owner_worker_is_verified(const struct owner *owner,
 			      const struct worker *worker, uint64_t now_ms)
 {
-	uint64_t age_max_ms;
-
-	if (owner->verify_due_ms == 0)
-		return true;
-	/* A poll waits for up to one interval, and is the newest one that was
-	 * answered for another. */
-	age_max_ms = (uint64_t)verify_interval_ms(owner) * 2 +
-		     OWNER_VERIFY_ANSWER_MS;
-	return worker->answered_poll_sent_ms >= owner->verifying_since_ms &&
-	       now_ms - worker->answered_poll_sent_ms <= age_max_ms;
+	return owner->ops->lease_is_valid(owner->data) ||
+	       (owner_is_unchallenged(owner, now_ms) &&
+		now_ms <= worker_vouches_until_ms(owner, worker));
 }
 
 const char *owner_lease_name(const struct owner *owner)
@@ -78,10 +118,11 @@
 	owner->env.poll_wait_max_ms =
 		MIN(worker_poll_wait_max_ms(owner->env.lease_ms), interval_ms);
 	owner->env.poll_idle = true;
-	if (loop_now_ms() < owner->verify_due_ms)
-		return;
 	if (is_first)
 		owner->verifying_since_ms = loop_now_ms();
+	owner->unchallenged_until_ms = unchallenged_until_ms(owner);
+	if (loop_now_ms() < owner->verify_due_ms)
+		return;
 	owner->verify_due_ms = loop_now_ms() + interval_ms;
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -87,13 +87,17 @@
 	/** increases with each owner */
 	uint64_t epoch;
 	uint64_t takeover_started_ms;
-	/** local time since which it has polled workers, 0 before */
+	/** local time since which it has polled all workers that earlier owners
+	 *  knew, 0 before */
 	uint64_t polled_since_ms;
 	/** local time at which all workers are polled next because its lease is
 	 *  not valid, 0 while it is */
 	uint64_t verify_due_ms;
 	/** local time since which the owner polls for that reason */
 	uint64_t verifying_since_ms;
+	/** local time up to which all workers that answer have shown that no
+	 *  successor had reached them */
+	uint64_t unchallenged_until_ms;
 	bool jobs_read;
 	bool ends_read;
 	bool progress_read;
@@ -301,11 +305,16 @@
  * seen the fencing token of a successor yet. */
 void owner_worker_check_ownership(const struct owner *owner,
 				  struct worker *worker);
+/* Returns whether the owner may start tasks and renew the leases of workers:
+ * its lease is valid, or all workers that answer have shown since it ended, and
+ * recently, that no successor had reached them. One of them would not do: a
+ * successor may not reach that one, and takes its leases for expired while this
+ * owner, which was paused, has not heard from the others. */
+bool owner_is_unchallenged(const struct owner *owner, uint64_t now_ms);
 /* Returns whether a worker may get tasks although the lease of this owner may
- * not be valid: it has shown since the lease ended, and recently, that no
- * successor had reached it. A worker that restarts after that accepts the
- * orders of both owners. Whether the lease is valid is looked up by
- * owner_ownership_verify(), once for all workers. */
+ * not be valid: the owner is unchallenged, and the worker is among those that
+ * have shown it. A worker that restarts after that accepts the orders of both
+ * owners. */
 bool owner_worker_is_verified(const struct owner *owner,
 			      const struct worker *worker, uint64_t now_ms);
 /* Returns whether the lease of this owner is valid, in words for the log. */
--- a/packages/jobs/src/owner_recovery.c
+++ b/packages/jobs/src/owner_recovery.c
@@ -47,7 +47,6 @@
 	owner->ops->on_ready(owner->data);
 	/* Workers are polled only now, because reports refer to tasks of jobs
 	 * that must have been loaded. */
-	owner->polled_since_ms = now_ms;
 	owner_roster_load(owner);
 	owner_workers_list(owner);
 	loop_timer_set(owner->config.loop, &owner->sweep_timer,
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -407,10 +407,16 @@
 	loop_timer_set(owner->config.loop, &owner->step_down_timer, 0);
 }
 
+static bool may_renew_leases(void *data)
+{
+	return owner_is_unchallenged(data, loop_now_ms());
+}
+
 const struct worker_ops owner_worker_ops = {
 	.on_report = on_report,
 	.on_started = on_start_answered,
 	.on_restarted = on_worker_restarted,
 	.on_ended = on_worker_ended,
 	.on_deposed = on_newer_owner_detected,
+	.may_renew = may_renew_leases,
 };
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -397,8 +397,7 @@
 
 void owner_takeover_try_finish(struct owner *owner)
 {
-	bool leases_expired =
-		loop_now_ms() >= owner_earlier_leases_expired_ms(owner);
+	bool leases_expired;
 	bool all_reported = true;
 	GHashTableIter iter;
 	gpointer value;
@@ -408,6 +407,10 @@
 	if (!owner->roster_read || !owner->workers_read ||
 	    !owner_is_ready(owner) || !owner->ops->lease_is_valid(owner->data))
 		return;
+	if (owner->polled_since_ms == 0)
+		owner->polled_since_ms = loop_now_ms();
+	leases_expired =
+		loop_now_ms() >= owner_earlier_leases_expired_ms(owner);
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct worker *worker = value;
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -179,7 +179,8 @@
 	/* The first poll only reads the clock and raises the token. The lease
 	 * of an unreachable worker is left to expire, so that its tasks can
 	 * continue elsewhere. */
-	if (worker->has_reported && worker->unanswered_calls == 0)
+	if (worker->has_reported && worker->unanswered_calls == 0 &&
+	    worker->env->ops->may_renew(worker->env->data))
 		poll.lease_until_ms = worker_lease_grant(worker);
 	poll_send(worker, &poll, wait_ms + poll_timeout_ms(worker));
 	loop_timer_set(worker->env->loop, &worker->late_timer,
@@ -298,6 +299,7 @@
 		worker->resolving = false;
 	worker->has_reported = true;
 	worker->answered_poll_sent_ms = call->sent_ms;
+	worker->last_poll_reported = true;
 	worker->acks_received = MAX(worker->acks_received, call->acked_upto);
 	if (call->serial == worker->poll_serial)
 		worker->may_ack = true;
@@ -322,6 +324,7 @@
 			"another incarnation answers at its address");
 		break;
 	default:
+		worker->last_poll_reported = false;
 		log_warning("poll-refused",
 			    "worker %s refused a poll, which is repeated: %s",
 			    worker->id, adapter_verdict_name(reply->verdict));
--- a/packages/jobs/tests/test_takeover.c
+++ b/packages/jobs/tests/test_takeover.c
@@ -247,6 +247,38 @@
 }
 END_TEST
 
+/* The owner is paused while another process replaces it. A worker with a task
+ * reaches only the old one, which must not renew the lease there once it goes
+ * on, nor start what waits: its successor takes the lease for expired then. */
+START_TEST(test_paused_owner_does_nothing_more)
+{
+	struct emu_config config = two_pools;
+	struct emu *emu;
+	uint32_t old_owner;
+	uint32_t job;
+	uint32_t vm;
+
+	config.pausable = true;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	job = tasks_submit(emu, 0, 0, 1, 20000);
+	/* More than the pool can run. */
+	tasks_submit(emu, 0, 0, 8, 2500);
+	emu_advance(emu, 1000);
+	old_owner = emu_owner(emu);
+	vm = emu_vm_running(emu, job);
+	emu_link_set_cut(emu, 1 - old_owner, vm, true);
+	emu_store_set_mode(emu, old_owner, EMU_STORE_UNAVAILABLE);
+	emu_node_pause(emu, old_owner, 2500 + 250 * ((uint32_t)_i % MOMENTS),
+		       _i >= MOMENTS);
+	emu_advance(emu, 12000);
+	emu_store_set_mode(emu, old_owner, EMU_STORE_OK);
+	emu_link_set_cut(emu, 1 - old_owner, vm, false);
+	emu_settle(emu, job + 2, 60000);
+	emu_destroy(emu);
+}
+END_TEST
+
 /* An operation ends a worker, which an earlier owner would take for a loss as
  * long as it believes in its lease. */
 START_TEST(test_vm_operations_wait_for_revoked_owner)
@@ -373,6 +405,8 @@
 			    2 * MOMENTS);
 	tcase_add_loop_test(tests, test_deposed_owner_renews_no_leases, 0,
 			    MOMENTS);
+	tcase_add_loop_test(tests, test_paused_owner_does_nothing_more, 0,
+			    2 * MOMENTS);
 	tcase_add_test(tests, test_vm_operations_wait_for_revoked_owner);
 	tcase_add_loop_test(tests, test_late_vm_order_follows_no_newer_one, 0,
 			    2 * MOMENTS);
