Take a lease for valid only while the owner key is bound to it

Cause: the answer to a write of the owner key counted for whatever lease the process held when it arrived. An answer that took longer than the lease, as where the process has no CPU, thus bound the key of the earlier lease, which has ended or is about to, to the next one. Only the watch of the key told, which may be late as well.

Change: the election keeps the lease that the key was written with, and an owner holds its lease only if it is that one.

--- a/packages/jobs/src/election.c
+++ b/packages/jobs/src/election.c
@@ -47,9 +47,10 @@
 	/* revisions of the first and the newest write of this ownership */
 	int64_t fence;
 	int64_t last_revision;
-	/* the key is bound to the current lease */
-	bool key_leased;
-	bool writing;
+	/* lease that the key is bound to, 0 if it is not known to be */
+	int64_t key_lease;
+	/* lease of the write in flight, 0 for none */
+	int64_t writing_lease;
 	struct watcher *key_watcher;
 	struct timer compete_timer;
 	struct weak_ref *weak_ref;
@@ -87,7 +88,7 @@
 		    "%" G_GINT64_FORMAT ": %s",
 		    election->fence, why);
 	election->role = ELECTION_FOLLOWER;
-	election->key_leased = false;
+	election->key_lease = 0;
 	election->ops->on_lost(election->data);
 }
 
@@ -176,7 +177,7 @@
 	    election->role == ELECTION_OWNER)
 		return;
 	if (!election->key_present) {
-		election->key_leased = false;
+		election->key_lease = 0;
 		if (was_present || !election->key_known)
 			election->ops->on_owner(election->data, NULL);
 		compete_schedule(election);
@@ -184,7 +185,8 @@
 	}
 	if (owner_is_self(election, &owner)) {
 		memset(&election->owner, 0, sizeof(election->owner));
-		if (!election->writing && election->role == ELECTION_FOLLOWER)
+		if (election->writing_lease == 0 &&
+		    election->role == ELECTION_FOLLOWER)
 			stale_key_delete(election, kv->mod_revision);
 		return;
 	}
@@ -217,10 +219,18 @@
 	.on_change = on_change,
 };
 
-static void ownership_gained(struct election *election, int64_t revision)
+/* Whether the key is bound to the lease that this process holds now. */
+static bool key_is_leased(const struct election *election)
+{
+	return election->key_lease != 0 &&
+	       election->key_lease == lease_id(election->lease);
+}
+
+static void ownership_gained(struct election *election, int64_t revision,
+			     int64_t lease)
 {
 	election->key_present = true;
-	election->key_leased = true;
+	election->key_lease = lease;
 	election->last_revision = revision;
 	memset(&election->owner, 0, sizeof(election->owner));
 	if (election->role == ELECTION_OWNER) {
@@ -253,14 +263,16 @@
 {
 	struct election *election = weak_ref_release(data);
 	const struct platform_kv *key;
+	int64_t lease;
 
 	if (!election)
 		return;
-	election->writing = false;
+	lease = election->writing_lease;
+	election->writing_lease = 0;
 	if (election->role == ELECTION_RESIGNED)
 		return;
 	if (err == ERR_NONE && result->succeeded) {
-		ownership_gained(election, result->revision);
+		ownership_gained(election, result->revision, lease);
 		return;
 	}
 	if (err != ERR_NONE) {
@@ -280,7 +292,7 @@
 			"another process has owned the service meanwhile");
 		compete_schedule(election);
 	} else if (key->lease == lease_id(election->lease)) {
-		ownership_gained(election, key->mod_revision);
+		ownership_gained(election, key->mod_revision, key->lease);
 	} else {
 		key_update(election, key);
 	}
@@ -320,13 +332,13 @@
 					  writes, G_N_ELEMENTS(writes) };
 	char *value;
 
-	if (lease == 0 || election->writing || election->key_leased ||
-	    election->role == ELECTION_RESIGNED)
+	if (lease == 0 || election->writing_lease != 0 ||
+	    key_is_leased(election) || election->role == ELECTION_RESIGNED)
 		return;
 	value = owner_encode(election);
 	writes[0].value = value;
 	writes[1].value = value;
-	election->writing = true;
+	election->writing_lease = lease;
 	platform_txn(election->platform, &txn, on_written,
 		     weak_ref_acquire(election->weak_ref));
 	free(value);
@@ -350,7 +362,7 @@
 			    : "follows");
 	if (election->role != ELECTION_OWNER)
 		return;
-	election->key_leased = false;
+	election->key_lease = 0;
 	watcher_refresh(election->key_watcher);
 	compete_schedule(election);
 }
@@ -427,8 +439,7 @@
 
 bool election_holds_lease(const struct election *election)
 {
-	return election->role == ELECTION_OWNER && election->key_leased &&
-	       lease_id(election->lease) != 0;
+	return election->role == ELECTION_OWNER && key_is_leased(election);
 }
 
 const struct election_owner *election_owner(const struct election *election)
