--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -134,6 +134,30 @@
 		emu_resubmit(emu, emu_random(emu, chaos->config.nodes), number);
 }
 
+/* The store turns the owner away and takes its key, the owner may stand still,
+ * and its successors do not reach some of the workers. */
+static void owner_turn_away(struct chaos *chaos, uint32_t owner,
+			    uint32_t duration_ms)
+{
+	struct emu *emu = chaos->emu;
+	uint64_t now_ms = emu_time_ms(emu);
+
+	emu_store_set_mode(emu, owner, EMU_STORE_UNAVAILABLE);
+	chaos->store_heal_ms[owner] = now_ms + 2 * duration_ms;
+	if (emu_random(emu, 2))
+		emu_store_revoke_ownership(emu, owner);
+	if (emu_random(emu, 2))
+		emu_node_pause(emu, owner, emu_random(emu, CHAOS_PAUSE_MAX_MS),
+			       emu_random(emu, 2));
+	for (uint32_t i = 0; i < emu_vm_count(emu); i++) {
+		if (emu_random(emu, 4) != 0)
+			continue;
+		for (uint32_t j = 0; j < chaos->config.nodes; j++)
+			emu_link_set_cut(emu, j, i, j != owner);
+		chaos->link_heal_ms[i] = now_ms + 2 * duration_ms;
+	}
+}
+
 static void fault_inject(struct chaos *chaos)
 {
 	struct emu *emu = chaos->emu;
@@ -168,6 +192,9 @@
 		emu_node_resign(emu, node);
 		chaos->node_stop_ms[node] = now_ms + emu_random(emu, 2000);
 	}
+	if (chaos->config.seed >= CHAOS_PAUSES_SEED && owner < EMU_NODES_MAX &&
+	    emu_random(emu, 4) == 0)
+		owner_turn_away(chaos, owner, duration_ms);
 	if (chaos->config.seed >= CHAOS_PAUSES_SEED && emu_random(emu, 4) == 0)
 		emu_node_pause(emu, node, emu_random(emu, CHAOS_PAUSE_MAX_MS),
 			       emu_random(emu, 2));
