--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -31,6 +31,11 @@
  * a core only, and more callers cancel their jobs. */
 #define CHAOS_PAUSES_SEED 10000000
 #define CHAOS_PAUSE_MAX_MS 6000
+/* From this seed on, jobs are plain and nothing happens but owners that are
+ * turned away and stand still, workers that they do not reach, and callers that
+ * cancel.
+ */
+#define CHAOS_OWNERS_SEED 11000000
 /* A process with a share of a core is paused for up to this part of each step.
  */
 #define CHAOS_SHARE_PAUSE_MS 90
@@ -80,6 +85,11 @@
 	}
 }
 
+static bool only_owners_fail(const struct chaos *chaos)
+{
+	return chaos->config.seed >= CHAOS_OWNERS_SEED;
+}
+
 static void job_submit(struct chaos *chaos)
 {
 	struct emu *emu = chaos->emu;
@@ -103,12 +113,14 @@
 		job.tasks_per_step = 1 + emu_random(emu, 3);
 		job.max_unavailable = 1;
 	}
-	if (!job.long_running && emu_random(emu, 10) == 0) {
+	if (!job.long_running && !only_owners_fail(chaos) &&
+	    emu_random(emu, 10) == 0) {
 		job.gang = true;
 		job.fail_permille = 0;
 	}
 	if (chaos->config.seed >= CHAOS_CRASHES_SEED &&
-	    chaos->config.accounts == 0 && emu_random(emu, 15) == 0) {
+	    !only_owners_fail(chaos) && chaos->config.accounts == 0 &&
+	    emu_random(emu, 15) == 0) {
 		job.crashing_tasks = 1 + emu_random(emu, 2);
 		job.crash_after_ms =
 			emu_random(emu, 2) ? 10 : emu_random(emu, 800);
@@ -121,12 +133,12 @@
 			job.cpu_milli += 3000;
 	}
 	if (chaos->config.seed >= CHAOS_SCHEDULES_SEED && !job.long_running &&
-	    emu_random(emu, 4) == 0) {
+	    !only_owners_fail(chaos) && emu_random(emu, 4) == 0) {
 		job.occurrences = 1 + emu_random(emu, 3);
 		job.first_run_ms = emu_random(emu, 3000);
 		job.interval_ms = 500 + emu_random(emu, 5000);
 	}
-	if (chaos->config.seed >= CHAOS_SHAPES_SEED)
+	if (chaos->config.seed >= CHAOS_SHAPES_SEED && !only_owners_fail(chaos))
 		job_shape(chaos, &job);
 	number = emu_submit(emu, node, &job);
 	chaos->jobs = number + 1;
@@ -158,6 +170,37 @@
 	}
 }
 
+static void owner_disturb(struct chaos *chaos, uint32_t owner, uint32_t node,
+			  uint32_t duration_ms)
+{
+	struct emu *emu = chaos->emu;
+	uint64_t now_ms = emu_time_ms(emu);
+	uint32_t vm = emu_random(emu, emu_vm_count(emu));
+
+	switch (emu_random(emu, 6)) {
+	case 0:
+	case 1:
+		if (owner < EMU_NODES_MAX)
+			owner_turn_away(chaos, owner, duration_ms);
+		break;
+	case 2:
+		emu_store_set_mode(emu, node,
+				   1 + emu_random(emu, EMU_STORE_UNRESPONSIVE));
+		chaos->store_heal_ms[node] = now_ms + duration_ms;
+		break;
+	case 3:
+		emu_store_set_slowdown(emu, 1 + emu_random(emu, 2) * 40);
+		break;
+	case 4:
+		emu_link_set_cut(emu, node, vm, true);
+		chaos->link_heal_ms[vm] = now_ms + 2 * duration_ms;
+		break;
+	default:
+		emu_node_pause(emu, node, duration_ms, emu_random(emu, 2));
+		break;
+	}
+}
+
 static void fault_inject(struct chaos *chaos)
 {
 	struct emu *emu = chaos->emu;
@@ -169,6 +212,10 @@
 
 	if (owner < EMU_NODES_MAX && emu_random(emu, 2) == 0)
 		node = owner;
+	if (only_owners_fail(chaos)) {
+		owner_disturb(chaos, owner, node, duration_ms);
+		return;
+	}
 	if (chaos->config.seed >= CHAOS_CRASHES_SEED && emu_random(emu, 8) == 0)
 		emu_worker_set_cpu(emu, vm, emu_random(emu, 3) * 4000);
 	if (chaos->config.accounts > 0 && emu_random(emu, 6) == 0)
@@ -341,14 +388,15 @@
 			.vm_cpu_milli = 8000,
 			.attempts = 3,
 			.unguarded = seed >= CHAOS_CRASHES_SEED && seed % 2,
-			.uneven_vms = seed >= CHAOS_SHAPES_SEED,
+			.uneven_vms = seed >= CHAOS_SHAPES_SEED &&
+				      seed < CHAOS_OWNERS_SEED,
 			.pausable = seed >= CHAOS_PAUSES_SEED,
 		},
 	};
 	struct emu_stats stats;
 
 	/* Limits of accounts also explain why a job waits. */
-	if (seed >= CHAOS_ACCOUNTS_SEED &&
+	if (seed >= CHAOS_ACCOUNTS_SEED && !only_owners_fail(&chaos) &&
 	    (seed < CHAOS_SHAPES_SEED || seed % 4 == 0)) {
 		chaos.config.lookahead_plans = 8;
 		chaos.config.accounts = CHAOS_ACCOUNTS;
