Count the lease of a revoked owner as long as the store grants it

Callers: tasks that ran were ended by a move of their VM while their owner, whose lease had been revoked, still took itself for the owner; it takes such an end for a loss and starts the task again.

Cause: a new owner waits until its predecessor cannot believe in a revoked lease any more, and counted the time-to-live that processes ask for. A store may have a higher minimum and grants that, by which the predecessor counts.

Change: the wait uses the time-to-live that the store gave the lease of the new owner.

--- a/packages/jobs/include/election.h
+++ b/packages/jobs/include/election.h
@@ -86,6 +86,10 @@
  *  valid. */
 bool election_holds_lease(const struct election *election);
 
+/** @brief Returns the time-to-live of the leases that owner keys are bound to.
+ */
+uint32_t election_lease_ttl_ms(const struct election *election);
+
 /** @brief Returns the last known owner, if it is another process, else NULL. */
 const struct election_owner *election_owner(const struct election *election);
 
--- a/packages/jobs/include/owner.h
+++ b/packages/jobs/include/owner.h
@@ -35,6 +35,9 @@
 	/** store key that proves ownership, and its revision */
 	const char *guard_key;
 	int64_t guard_revision;
+	/** time for which an earlier owner may believe in a lease that was
+	 * revoked right before this one took over */
+	uint32_t lease_ttl_ms;
 	const struct jobs_config *service;
 };
 
--- a/packages/jobs/src/election.c
+++ b/packages/jobs/src/election.c
@@ -442,6 +442,11 @@
 	return election->role == ELECTION_OWNER && key_is_leased(election);
 }
 
+uint32_t election_lease_ttl_ms(const struct election *election)
+{
+	return lease_ttl_ms(election->lease);
+}
+
 const struct election_owner *election_owner(const struct election *election)
 {
 	/* owner is empty while the key belongs to this process or to an earlier
--- a/packages/jobs/src/jobs.c
+++ b/packages/jobs/src/jobs.c
@@ -421,6 +421,7 @@
 		.platform_self = service->ops_self,
 		.guard_key = ELECTION_KEY,
 		.guard_revision = service->guard_revision,
+		.lease_ttl_ms = election_lease_ttl_ms(service->election),
 		.service = &service->config,
 	};
 
--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -21,8 +21,7 @@
 
 uint64_t owner_previous_acts_until_ms(const struct owner *owner)
 {
-	return owner->takeover_started_ms +
-	       (uint64_t)owner->config.service->lease_ttl_s * 1000;
+	return owner->takeover_started_ms + owner->config.lease_ttl_ms;
 }
 
 /* Age of a poll up to which its answer shows that no successor had reached the
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -63,6 +63,9 @@
 	struct emu_account_config account;
 	/** start of the processes' names, NULL for the usual one */
 	const char *node_prefix;
+	/** minimum time-to-live of the store's leases, 0 for that of the
+	 *  processes */
+	uint32_t lease_ttl_min_s;
 	/** processes can be paused, see emu_node_pause(); their timers are in
 	 *  queues of their own, so events of one millisecond have another order
 	 */
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -335,11 +335,17 @@
 		watches_answer(emu);
 }
 
+static uint32_t lease_ttl_s(const struct emu *emu)
+{
+	return MAX(EMU_LEASE_TTL_S, emu->config.lease_ttl_min_s);
+}
+
 static void lease_call_run(struct emu *emu, struct emu_call *call)
 {
-	uint64_t until_ms = loop_now_ms() + (uint64_t)call->ttl_s * 1000;
+	uint64_t until_ms = loop_now_ms() + (uint64_t)lease_ttl_s(emu) * 1000;
 	uint64_t *held;
 
+	call->ttl_s = lease_ttl_s(emu);
 	if (call->kind == EMU_CALL_GRANT) {
 		call->lease = ++emu->next_lease;
 		g_hash_table_insert(
@@ -352,10 +358,9 @@
 	if (!held)
 		call->err = ERR_NOT_FOUND;
 	else if (call->kind == EMU_CALL_KEEP_ALIVE)
-		*held = loop_now_ms() + EMU_LEASE_TTL_S * 1000;
+		*held = until_ms;
 	else
 		lease_remove(emu, call->lease);
-	call->ttl_s = EMU_LEASE_TTL_S;
 }
 
 /* Executes a transaction whose caller has already seen a timeout. */
--- a/packages/jobs/tests/test_takeover.c
+++ b/packages/jobs/tests/test_takeover.c
@@ -280,20 +280,24 @@
 END_TEST
 
 /* An operation ends a worker, which an earlier owner would take for a loss as
- * long as it believes in its lease. */
+ * long as it believes in its lease, whose time-to-live the store may raise. */
 START_TEST(test_vm_operations_wait_for_revoked_owner)
 {
-	struct emu *emu = emu_create(&two_pools);
+	const uint32_t lease_ms = 1000 + 2000 * (uint32_t)_i;
+	struct emu_config config = two_pools;
 	struct emu_stats stats;
 	uint32_t old_owner;
+	struct emu *emu;
 
+	config.lease_ttl_min_s = lease_ms / 1000;
+	emu = emu_create(&config);
 	emu_advance(emu, 5000);
 	old_owner = emu_owner(emu);
 	emu_store_set_mode(emu, old_owner, EMU_STORE_UNAVAILABLE);
 	emu_store_revoke_ownership(emu, old_owner);
 	emu_advance(emu, 150);
 	tasks_submit(emu, 1 - old_owner, 1, 20, 3000);
-	emu_advance(emu, 600);
+	emu_advance(emu, lease_ms - 400);
 	emu_stats(emu, &stats);
 	ck_assert_uint_eq(stats.accepted, 1);
 	ck_assert_uint_eq(stats.vm_moves, 0);
@@ -407,7 +411,8 @@
 			    MOMENTS);
 	tcase_add_loop_test(tests, test_paused_owner_does_nothing_more, 0,
 			    2 * MOMENTS);
-	tcase_add_test(tests, test_vm_operations_wait_for_revoked_owner);
+	tcase_add_loop_test(tests, test_vm_operations_wait_for_revoked_owner, 0,
+			    2);
 	tcase_add_loop_test(tests, test_late_vm_order_follows_no_newer_one, 0,
 			    2 * MOMENTS);
 	tcase_add_loop_test(tests,
--- a/packages/platform/include/lease.h
+++ b/packages/platform/include/lease.h
@@ -35,6 +35,10 @@
 /** @brief Returns the id of the lease, 0 while there is none that is valid. */
 int64_t lease_id(const struct lease *lease);
 
+/** @brief Returns the time-to-live that the platform gave the last lease, or
+ *  the requested one before; a platform may have a minimum. */
+uint32_t lease_ttl_ms(const struct lease *lease);
+
 /** @brief Revokes the lease and requests no other. */
 void lease_release(struct lease *lease);
 
--- a/packages/platform/src/lease.c
+++ b/packages/platform/src/lease.c
@@ -15,6 +15,8 @@
 	struct loop *loop;
 	struct platform *platform;
 	uint32_t ttl_s;
+	/* as the platform gave it */
+	uint32_t granted_ttl_s;
 	const struct lease_ops *ops;
 	void *data;
 	int64_t id;
@@ -47,6 +49,7 @@
 
 static void validity_extend(struct lease *lease, uint32_t ttl_s)
 {
+	lease->granted_ttl_s = ttl_s;
 	lease->valid_until_ms = lease->sent_ms + (uint64_t)ttl_s * 1000;
 	timer_set(loop_timers(lease->loop), &lease->expiry_timer,
 		  lease->valid_until_ms);
@@ -132,6 +135,7 @@
 	lease->loop = loop;
 	lease->platform = platform;
 	lease->ttl_s = ttl_s;
+	lease->granted_ttl_s = ttl_s;
 	lease->ops = ops;
 	lease->data = data;
 	lease->renew_timer.cb = on_renew_due;
@@ -158,6 +162,11 @@
 	return loop_now_ms() < lease->valid_until_ms ? lease->id : 0;
 }
 
+uint32_t lease_ttl_ms(const struct lease *lease)
+{
+	return lease->granted_ttl_s * 1000;
+}
+
 static void on_revoked(void *data, enum err_kind err, int64_t id,
 		       uint32_t ttl_s)
 {
