Show two takeovers that count too short a time

Callers: a task runs twice at once (TWICE), each run by order of another owner.

test_witness_reached_late_prolongs_takeover: an old owner without a valid lease goes on until a worker tells it of its successor.

build/packages/jobs/tests/test_succession

--- /dev/null
+++ b/packages/jobs/tests/test_succession.c
@@ -0,0 +1,131 @@
+/**
+ * @file test_succession.c
+ * @brief Tests of when an owner takes the leases of earlier owners for expired.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "emu_expect.h"
+
+#define MOMENTS 20
+
+static const struct emu_config fleet = {
+	.seed = 5,
+	.nodes = 2,
+	.pools = 2,
+	.vms_per_pool = 2,
+	.vm_cpu_milli = 8000,
+	.attempts = 3,
+};
+
+/* A task on a worker, its owner, and the other process. */
+struct scene {
+	struct emu *emu;
+	uint32_t job;
+	uint32_t vm;
+	uint32_t owner;
+	uint32_t other;
+};
+
+static struct scene scene_create(uint32_t task_ms)
+{
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = 1,
+		.cpu_milli = 4000,
+		.task_ms = task_ms,
+	};
+	struct scene scene = { .emu = emu_create(&fleet) };
+
+	emu_advance(scene.emu, 3000);
+	scene.job = emu_submit(scene.emu, 0, &job);
+	emu_advance(scene.emu, 1500);
+	scene.owner = emu_owner(scene.emu);
+	ck_assert_uint_lt(scene.owner, fleet.nodes);
+	scene.other = 1 - scene.owner;
+	scene.vm = emu_vm_running(scene.emu, scene.job);
+	ck_assert_uint_lt(scene.vm, emu_vm_count(scene.emu));
+	return scene;
+}
+
+static void others_set_cut(const struct scene *scene, uint32_t node, bool cut)
+{
+	for (uint32_t i = 0; i < emu_vm_count(scene->emu); i++) {
+		if (i != scene->vm)
+			emu_link_set_cut(scene->emu, node, i, cut);
+	}
+}
+
+static void scene_finish(struct scene *scene)
+{
+	for (uint32_t i = 0; i < fleet.nodes; i++) {
+		emu_store_set_mode(scene->emu, i, EMU_STORE_OK);
+		emu_node_start(scene->emu, i);
+		others_set_cut(scene, i, false);
+		emu_link_set_cut(scene->emu, i, scene->vm, false);
+	}
+	emu_settle(scene->emu, scene->job + 1, 60000);
+	emu_destroy(scene->emu);
+}
+
+/* The successor reaches the workers that both reach some time after its first
+ * polls, so the old owner goes on until then. */
+START_TEST(test_witness_reached_late_prolongs_takeover)
+{
+	struct scene scene = scene_create(30000);
+
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	others_set_cut(&scene, scene.other, true);
+	emu_store_set_mode(scene.emu, scene.owner, EMU_STORE_UNAVAILABLE);
+	emu_advance(scene.emu, 2500 + 250 * (uint32_t)_i);
+	others_set_cut(&scene, scene.other, false);
+	emu_advance(scene.emu, 12000);
+	scene_finish(&scene);
+}
+END_TEST
+
+/* The first report of a worker arrives after the lease of the new owner has
+ * ended, which thus grants the worker none, and the worker is silent then. Its
+ * lease is of the earlier owner. */
+START_TEST(test_lease_of_earlier_owner_counts_without_own_grant)
+{
+	struct scene scene = scene_create(30000);
+	uint32_t witness = (scene.vm + 1) % emu_vm_count(scene.emu);
+
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	emu_node_kill(scene.emu, scene.owner);
+	emu_advance(scene.emu, 1300);
+	ck_assert_uint_eq(emu_owner(scene.emu), scene.other);
+	emu_store_set_mode(scene.emu, scene.other, EMU_STORE_UNAVAILABLE);
+	emu_advance(scene.emu, 650);
+	emu_link_set_cut(scene.emu, scene.other, witness, true);
+	emu_advance(scene.emu, 50 + 25 * (uint32_t)_i);
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, false);
+	emu_advance(scene.emu, 600);
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	emu_advance(scene.emu, 500);
+	emu_store_set_mode(scene.emu, scene.other, EMU_STORE_OK);
+	emu_link_set_cut(scene.emu, scene.other, witness, false);
+	emu_advance(scene.emu, 6000);
+	scene_finish(&scene);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("succession");
+	TCase *tests = tcase_create("succession");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_loop_test(tests, test_witness_reached_late_prolongs_takeover,
+			    0, MOMENTS);
+	tcase_add_loop_test(
+		tests, test_lease_of_earlier_owner_counts_without_own_grant, 0,
+		MOMENTS);
+	suite_add_tcase(suite, tests);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
