Show that an outage of the store ends tasks beside slow answers

Callers: while the store is away for all processes, tasks end and are restarted.

An owner without a valid lease renews leases only while all workers that answer have answered a poll that is at most 1250 ms old. Of 80 workers whose answers take up to 400 ms longer now and then, one has not at most times, so the leases of all lapse, though no other owner exists.

--- a/packages/jobs/tests/test_succession.c
+++ b/packages/jobs/tests/test_succession.c
@@ -1,6 +1,7 @@
 /**
  * @file test_succession.c
- * @brief Tests of when an owner takes the leases of earlier owners for expired.
+ * @brief Tests of the leases of workers while several owners may act, or none
+ * has a valid lease.
  */
 #include <check.h>
 #include <stdlib.h>
@@ -111,6 +112,40 @@
 }
 END_TEST
 
+/* The store is away for all processes, and some answers of workers are slow.
+ * What runs goes on. */
+START_TEST(test_store_outage_ends_nothing_beside_slow_answers)
+{
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = 4,
+		.cpu_milli = 1000,
+		.long_running = true,
+		.max_unavailable = 1,
+	};
+	struct emu_config config = fleet;
+	struct emu_stats stats;
+	struct emu *emu;
+
+	config.vms_per_pool = 40;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	emu_submit(emu, 0, &job);
+	emu_advance(emu, 3000);
+	for (uint32_t i = 0; i < fleet.nodes; i++)
+		emu_store_set_mode(emu, i, EMU_STORE_UNAVAILABLE);
+	emu_answers_set_slow(emu, 100 * (uint32_t)_i);
+	emu_advance(emu, 30000);
+	emu_answers_set_slow(emu, 0);
+	for (uint32_t i = 0; i < fleet.nodes; i++)
+		emu_store_set_mode(emu, i, EMU_STORE_OK);
+	emu_advance(emu, 10000);
+	emu_stats(emu, &stats);
+	ck_assert_uint_eq(stats.runs, job.tasks_per_step);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("succession");
@@ -123,6 +158,9 @@
 	tcase_add_loop_test(
 		tests, test_lease_of_earlier_owner_counts_without_own_grant, 0,
 		MOMENTS);
+	tcase_add_loop_test(tests,
+			    test_store_outage_ends_nothing_beside_slow_answers,
+			    0, 10);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
