Show that an owner goes on after it has reached no worker

Callers: a task runs twice at once (TWICE), each run by order of another owner.

An owner without a valid lease leaves out workers that do not answer. One that has reached none for some seconds takes itself for unchallenged, without bound, and renews the lease of the first worker that answers again. Its successor, which does not reach that one, takes the lease for expired by its own count.

--- a/packages/jobs/tests/test_succession.c
+++ b/packages/jobs/tests/test_succession.c
@@ -85,6 +85,26 @@
 }
 END_TEST
 
+/* The old owner reaches no worker for some time. When it reaches them again,
+ * one that its successor does not reach may answer first. */
+START_TEST(test_isolated_owner_does_nothing_more)
+{
+	struct scene scene = scene_create(30000);
+
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	emu_store_set_mode(scene.emu, scene.owner, EMU_STORE_UNAVAILABLE);
+	emu_advance(scene.emu, 1000);
+	others_set_cut(&scene, scene.owner, true);
+	emu_advance(scene.emu, 600);
+	emu_link_set_cut(scene.emu, scene.owner, scene.vm, true);
+	emu_advance(scene.emu, 3400 + 50 * (uint32_t)_i);
+	emu_link_set_cut(scene.emu, scene.owner, scene.vm, false);
+	others_set_cut(&scene, scene.owner, false);
+	emu_advance(scene.emu, 12000);
+	scene_finish(&scene);
+}
+END_TEST
+
 /* The first report of a worker arrives after the lease of the new owner has
  * ended, which thus grants the worker none, and the worker is silent then. Its
  * lease is of the earlier owner. */
@@ -155,6 +175,8 @@
 
 	tcase_add_loop_test(tests, test_witness_reached_late_prolongs_takeover,
 			    0, MOMENTS);
+	tcase_add_loop_test(tests, test_isolated_owner_does_nothing_more, 0,
+			    MOMENTS);
 	tcase_add_loop_test(
 		tests, test_lease_of_earlier_owner_counts_without_own_grant, 0,
 		MOMENTS);
