Show that an owner paused within a pass grants leases on

Callers: a task runs twice at once (TWICE), each run by order of another owner.

A pass of the scheduler looks up whether the lease of the owner is valid when it collects the workers. A start that it sends after a pause of the process grants the lease of the worker anew, for what runs there as well. The successor, which does not reach the worker, takes the lease for expired.

The emulator can pause a process before a start, so within a pass.

--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -365,6 +365,13 @@
  */
 void emu_node_pause(struct emu *emu, uint32_t node, uint32_t ms,
 		    bool timers_first);
+/** @brief Pauses a process in the middle of a pass, before it sends a start,
+ * and turns it away from the store. Needs a pausable configuration.
+ *
+ * @param starts number of starts that it sends before
+ */
+void emu_node_pause_at_start(struct emu *emu, uint32_t node, uint32_t starts,
+			     uint32_t ms);
 /** @brief Lets no answer reach a process for a time. */
 void emu_node_stall(struct emu *emu, uint32_t node, uint32_t ms);
 /** @brief Makes some answers of workers, and some lists of VMs, take up to a
--- a/packages/jobs/tests/emu_clock.c
+++ b/packages/jobs/tests/emu_clock.c
@@ -71,3 +71,13 @@
 {
 	return emu_now_ms;
 }
+
+void emu_node_pause_at_start(struct emu *emu, uint32_t number, uint32_t starts,
+			     uint32_t ms)
+{
+	g_assert(emu->config.pausable);
+	emu->nodes[number].pause_at_start_ms = ms;
+	emu->nodes[number].starts_before_pause = starts;
+	/* Only this clock can be advanced. */
+	emu->nodes[number].advance = emu_advance;
+}
--- a/packages/jobs/tests/emu_orders.c
+++ b/packages/jobs/tests/emu_orders.c
@@ -180,8 +180,10 @@
 			 const struct adapter_start *start, uint32_t timeout_ms,
 			 adapter_worker_cb cb, void *data)
 {
-	struct emu_order *order =
-		order_send(self, target, EMU_ORDER_START, start->fence,
+	struct emu_order *order;
+
+	emu_node_pause_if_due(self);
+	order = order_send(self, target, EMU_ORDER_START, start->fence,
 			   timeout_ms, cb, data);
 
 	g_strlcpy(order->task, start->task, sizeof(order->task));
--- a/packages/jobs/tests/emu_pause.c
+++ b/packages/jobs/tests/emu_pause.c
@@ -56,6 +56,19 @@
 	node->timers_first = timers_first;
 }
 
+void emu_node_pause_if_due(struct emu_node *node)
+{
+	uint32_t ms = node->pause_at_start_ms;
+
+	if (ms == 0 || node->starts_before_pause-- > 0)
+		return;
+	node->pause_at_start_ms = 0;
+	emu_store_set_mode(node->emu, node->number, EMU_STORE_UNAVAILABLE);
+	/* It reads nothing before the pass goes on. */
+	emu_node_pause(node->emu, node->number, ms + 1, false);
+	node->advance(node->emu, ms);
+}
+
 void emu_nodes_run(struct emu *emu)
 {
 	for (uint32_t i = 0; i < emu->config.nodes; i++) {
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -172,6 +172,10 @@
 	/* it is paused until then */
 	uint64_t paused_until_ms;
 	bool timers_first;
+	/* it is paused for this time before a start, 0 for never */
+	uint32_t pause_at_start_ms;
+	uint32_t starts_before_pause;
+	void (*advance)(struct emu *emu, uint32_t ms);
 	/* what has reached it while it was paused, of struct emu_delivery */
 	GQueue inbox;
 	/* no answer reaches it before this time */
@@ -347,6 +351,8 @@
 
 /* emu_pause.c */
 bool emu_node_is_paused(const struct emu_node *node);
+/** @brief Is called before a process sends a start. */
+void emu_node_pause_if_due(struct emu_node *node);
 /** @brief Runs what has reached a process while it was paused. */
 void emu_node_read(struct emu_node *node);
 /** @brief Runs the due timers of all processes that are not paused. */
--- a/packages/jobs/tests/test_succession.c
+++ b/packages/jobs/tests/test_succession.c
@@ -17,6 +17,7 @@
 	.vms_per_pool = 2,
 	.vm_cpu_milli = 8000,
 	.attempts = 3,
+	.pausable = true,
 };
 
 /* A task on a worker, its owner, and the other process. */
@@ -105,6 +106,26 @@
 }
 END_TEST
 
+/* The old owner is paused in the middle of a pass, between two starts. */
+START_TEST(test_owner_paused_within_pass_starts_nothing_more)
+{
+	struct scene scene = scene_create(30000);
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = 4,
+		.cpu_milli = 1000,
+		.task_ms = 30000,
+	};
+
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	emu_node_pause_at_start(scene.emu, scene.owner, (uint32_t)_i % 3,
+				3500 + 100 * (uint32_t)_i);
+	emu_submit(scene.emu, scene.owner, &job);
+	emu_advance(scene.emu, 14000);
+	scene_finish(&scene);
+}
+END_TEST
+
 /* The first report of a worker arrives after the lease of the new owner has
  * ended, which thus grants the worker none, and the worker is silent then. Its
  * lease is of the earlier owner. */
@@ -177,6 +198,9 @@
 			    0, MOMENTS);
 	tcase_add_loop_test(tests, test_isolated_owner_does_nothing_more, 0,
 			    MOMENTS);
+	tcase_add_loop_test(tests,
+			    test_owner_paused_within_pass_starts_nothing_more,
+			    0, MOMENTS);
 	tcase_add_loop_test(
 		tests, test_lease_of_earlier_owner_counts_without_own_grant, 0,
 		MOMENTS);
