--- /dev/null
+++ b/packages/jobs/tests/test_succession.c
@@ -0,0 +1,215 @@
+/**
+ * @file test_succession.c
+ * @brief Tests of the leases of workers while several owners may act, or none
+ * has a valid lease.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "emu_expect.h"
+
+#define MOMENTS 20
+
+static const struct emu_config fleet = {
+	.seed = 5,
+	.nodes = 2,
+	.pools = 2,
+	.vms_per_pool = 2,
+	.vm_cpu_milli = 8000,
+	.attempts = 3,
+	.pausable = true,
+};
+
+/* A task on a worker, its owner, and the other process. */
+struct scene {
+	struct emu *emu;
+	uint32_t job;
+	uint32_t vm;
+	uint32_t owner;
+	uint32_t other;
+};
+
+static struct scene scene_create(uint32_t task_ms)
+{
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = 1,
+		.cpu_milli = 4000,
+		.task_ms = task_ms,
+	};
+	struct scene scene = { .emu = emu_create(&fleet) };
+
+	emu_advance(scene.emu, 3000);
+	scene.job = emu_submit(scene.emu, 0, &job);
+	emu_advance(scene.emu, 1500);
+	scene.owner = emu_owner(scene.emu);
+	ck_assert_uint_lt(scene.owner, fleet.nodes);
+	scene.other = 1 - scene.owner;
+	scene.vm = emu_vm_running(scene.emu, scene.job);
+	ck_assert_uint_lt(scene.vm, emu_vm_count(scene.emu));
+	return scene;
+}
+
+static void others_set_cut(const struct scene *scene, uint32_t node, bool cut)
+{
+	for (uint32_t i = 0; i < emu_vm_count(scene->emu); i++) {
+		if (i != scene->vm)
+			emu_link_set_cut(scene->emu, node, i, cut);
+	}
+}
+
+static void scene_finish(struct scene *scene)
+{
+	for (uint32_t i = 0; i < fleet.nodes; i++) {
+		emu_store_set_mode(scene->emu, i, EMU_STORE_OK);
+		emu_node_start(scene->emu, i);
+		others_set_cut(scene, i, false);
+		emu_link_set_cut(scene->emu, i, scene->vm, false);
+	}
+	emu_settle(scene->emu, scene->job + 1, 60000);
+	emu_destroy(scene->emu);
+}
+
+/* The successor reaches the workers that both reach some time after its first
+ * polls, so the old owner goes on until then. */
+START_TEST(test_witness_reached_late_prolongs_takeover)
+{
+	struct scene scene = scene_create(30000);
+
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	others_set_cut(&scene, scene.other, true);
+	emu_store_set_mode(scene.emu, scene.owner, EMU_STORE_UNAVAILABLE);
+	emu_advance(scene.emu, 2500 + 250 * (uint32_t)_i);
+	others_set_cut(&scene, scene.other, false);
+	emu_advance(scene.emu, 12000);
+	scene_finish(&scene);
+}
+END_TEST
+
+/* The old owner reaches no worker for some time. When it reaches them again,
+ * one that its successor does not reach may answer first. */
+START_TEST(test_isolated_owner_does_nothing_more)
+{
+	struct scene scene = scene_create(30000);
+
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	emu_store_set_mode(scene.emu, scene.owner, EMU_STORE_UNAVAILABLE);
+	emu_advance(scene.emu, 1000);
+	others_set_cut(&scene, scene.owner, true);
+	emu_advance(scene.emu, 600);
+	emu_link_set_cut(scene.emu, scene.owner, scene.vm, true);
+	emu_advance(scene.emu, 3400 + 50 * (uint32_t)_i);
+	emu_link_set_cut(scene.emu, scene.owner, scene.vm, false);
+	others_set_cut(&scene, scene.owner, false);
+	emu_advance(scene.emu, 12000);
+	scene_finish(&scene);
+}
+END_TEST
+
+/* The old owner is paused in the middle of a pass, between two starts. */
+START_TEST(test_owner_paused_within_pass_starts_nothing_more)
+{
+	struct scene scene = scene_create(30000);
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = 4,
+		.cpu_milli = 1000,
+		.task_ms = 30000,
+	};
+
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	emu_node_pause_at_start(scene.emu, scene.owner, (uint32_t)_i % 3,
+				3500 + 100 * (uint32_t)_i);
+	emu_submit(scene.emu, scene.owner, &job);
+	emu_advance(scene.emu, 14000);
+	scene_finish(&scene);
+}
+END_TEST
+
+/* The first report of a worker arrives after the lease of the new owner has
+ * ended, which thus grants the worker none, and the worker is silent then. Its
+ * lease is of the earlier owner. */
+START_TEST(test_lease_of_earlier_owner_counts_without_own_grant)
+{
+	struct scene scene = scene_create(30000);
+	uint32_t witness = (scene.vm + 1) % emu_vm_count(scene.emu);
+
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	emu_node_kill(scene.emu, scene.owner);
+	emu_advance(scene.emu, 1300);
+	ck_assert_uint_eq(emu_owner(scene.emu), scene.other);
+	emu_store_set_mode(scene.emu, scene.other, EMU_STORE_UNAVAILABLE);
+	emu_advance(scene.emu, 650);
+	emu_link_set_cut(scene.emu, scene.other, witness, true);
+	emu_advance(scene.emu, 50 + 25 * (uint32_t)_i);
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, false);
+	emu_advance(scene.emu, 600);
+	emu_link_set_cut(scene.emu, scene.other, scene.vm, true);
+	emu_advance(scene.emu, 500);
+	emu_store_set_mode(scene.emu, scene.other, EMU_STORE_OK);
+	emu_link_set_cut(scene.emu, scene.other, witness, false);
+	emu_advance(scene.emu, 6000);
+	scene_finish(&scene);
+}
+END_TEST
+
+/* The store is away for all processes, and some answers of workers are slow.
+ * What runs goes on. */
+START_TEST(test_store_outage_ends_nothing_beside_slow_answers)
+{
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = 4,
+		.cpu_milli = 1000,
+		.long_running = true,
+		.max_unavailable = 1,
+	};
+	struct emu_config config = fleet;
+	struct emu_stats stats;
+	struct emu *emu;
+
+	config.vms_per_pool = 40;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	emu_submit(emu, 0, &job);
+	emu_advance(emu, 3000);
+	for (uint32_t i = 0; i < fleet.nodes; i++)
+		emu_store_set_mode(emu, i, EMU_STORE_UNAVAILABLE);
+	emu_answers_set_slow(emu, 100 * (uint32_t)_i);
+	emu_advance(emu, 30000);
+	emu_answers_set_slow(emu, 0);
+	for (uint32_t i = 0; i < fleet.nodes; i++)
+		emu_store_set_mode(emu, i, EMU_STORE_OK);
+	emu_advance(emu, 10000);
+	emu_stats(emu, &stats);
+	ck_assert_uint_eq(stats.runs, job.tasks_per_step);
+	emu_destroy(emu);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("succession");
+	TCase *tests = tcase_create("succession");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_loop_test(tests, test_witness_reached_late_prolongs_takeover,
+			    0, MOMENTS);
+	tcase_add_loop_test(tests, test_isolated_owner_does_nothing_more, 0,
+			    MOMENTS);
+	tcase_add_loop_test(tests,
+			    test_owner_paused_within_pass_starts_nothing_more,
+			    0, MOMENTS);
+	tcase_add_loop_test(
+		tests, test_lease_of_earlier_owner_counts_without_own_grant, 0,
+		MOMENTS);
+	tcase_add_loop_test(tests,
+			    test_store_outage_ends_nothing_beside_slow_answers,
+			    0, 10);
+	suite_add_tcase(suite, tests);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
