Count granted leases from before the owner's lease was looked up

Callers: a task runs twice at once (TWICE), each run by order of another owner.

Cause: a pass of the scheduler looks up whether the owner may act once, and each start granted a lease from the time at which it was sent. A process that was paused between the two renewed the lease of a worker that its successor does not reach, and that takes it for expired.

Change: the leases that starts and polls grant count from a time that was read before the owner looked whether it may act.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -86,6 +86,9 @@
 	uint32_t fence_offset_max;
 	/** maximum lease that workers accept */
 	uint32_t lease_ms;
+	/** local time read before the owner last looked whether it may start
+	 *  tasks; the leases that starts grant count from it */
+	uint64_t checked_ms;
 	/** maximum time that a poll waits for an end */
 	uint32_t poll_wait_max_ms;
 	/** polls idle workers, too, one poll directly after the other */
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -554,6 +554,7 @@
 	uint64_t now_ms = loop_now_ms();
 
 	owner->suspects_wait = false;
+	owner->env.checked_ms = now_ms;
 	owner_ownership_verify(owner);
 	owner_accounts_pass_begin(owner);
 	pending_collect(owner, pools, now_ms);
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -175,13 +175,14 @@
 static void poll_start(struct worker *worker, uint32_t wait_ms)
 {
 	struct adapter_poll poll = { .wait_ms = wait_ms };
+	uint64_t now_ms = loop_now_ms();
 
 	/* The first poll only reads the clock and raises the token. The lease
 	 * of an unreachable worker is left to expire, so that its tasks can
 	 * continue elsewhere. */
 	if (worker->has_reported && worker->unanswered_calls == 0 &&
 	    worker->env->ops->may_renew(worker->env->data))
-		poll.lease_until_ms = worker_lease_grant(worker);
+		poll.lease_until_ms = worker_lease_grant(worker, now_ms);
 	poll_send(worker, &poll, wait_ms + poll_timeout_ms(worker));
 	loop_timer_set(worker->env->loop, &worker->late_timer,
 		       wait_ms + WORKER_POLL_LATE_MS);
@@ -447,7 +448,8 @@
 		.ticket = ticket,
 	};
 
-	start.lease_until_ms = worker_lease_grant(worker);
+	start.lease_until_ms =
+		worker_lease_grant(worker, worker->env->checked_ms);
 	job_task_name(task, call->order.task);
 	start.task = call->order.task;
 	call->order.run = task->run;
--- a/packages/jobs/src/worker_private.h
+++ b/packages/jobs/src/worker_private.h
@@ -18,9 +18,12 @@
  *  even if the worker's clock is slow. */
 uint64_t worker_lease_bound_ms(uint64_t lease_ms);
 
-/** @brief Extends the lease. @return its end on the worker's clock, 0 if that
- *  clock is not known yet */
-uint64_t worker_lease_grant(struct worker *worker);
+/** @brief Extends the lease. @param from_ms local time from which it counts,
+ * read before the owner looked whether it may act: the process may have been
+ * paused since @return its end on the worker's clock, 0 if that clock is not
+ * known yet
+ */
+uint64_t worker_lease_grant(struct worker *worker, uint64_t from_ms);
 
 /** @brief Returns how long ago the worker's clock had a reading, by the last
  * one that was taken; 0 if that is not known. */
--- a/packages/jobs/src/worker_state.c
+++ b/packages/jobs/src/worker_state.c
@@ -49,15 +49,14 @@
 	return MIN(WORKER_POLL_WAIT_MAX_MS, (lease_ms - reserved_ms) / 2);
 }
 
-uint64_t worker_lease_grant(struct worker *worker)
+uint64_t worker_lease_grant(struct worker *worker, uint64_t from_ms)
 {
-	uint64_t now_ms = loop_now_ms();
 	uint64_t until_ms;
 	uint64_t left_ms;
 
 	if (worker->clock_ms == 0)
 		return 0;
-	until_ms = worker->clock_ms + (now_ms - worker->clock_at_ms) +
+	until_ms = worker->clock_ms + (from_ms - worker->clock_at_ms) +
 		   worker->env->lease_ms;
 	worker->lease_until_ms = MAX(worker->lease_until_ms, until_ms);
 	left_ms = worker->lease_until_ms - worker->clock_ms;
