Count the lease of an earlier owner also where none is granted anew

Callers: a task runs twice at once (TWICE), each run by order of another owner.

Cause: an owner knows when the lease of a worker has expired by what it granted itself. Since an owner that cannot prove its ownership renews none, one whose lease ended right after its takeover granted nothing to a worker that reported for the first time, and took the lease of its predecessor for expired as soon as the worker was silent.

Change: with the first report of a worker its lease counts as granted until then, by whomever.

--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -298,6 +298,12 @@
 	worker_clock_update(worker, report->clock_ms);
 	if (call->resolves_orders && call->order.fence == worker_fence(worker))
 		worker->resolving = false;
+	/* An earlier owner may have granted a lease until now. */
+	if (!worker->has_reported)
+		worker->lease_expired_ms =
+			MAX(worker->lease_expired_ms,
+			    loop_now_ms() + worker_lease_bound_ms(
+						    worker->env->lease_ms));
 	worker->has_reported = true;
 	worker->answered_poll_sent_ms = call->sent_ms;
 	worker->last_poll_reported = true;
