Count earlier leases from the last worker that was reached late

Callers: a task runs twice at once (TWICE), each run by order of another owner.

Cause: an owner whose lease has ended goes on until a worker that its successor has reached refuses it. The successor counted from its first polls, also where it reaches the worker that both know seconds later.

Change: until its takeover is settled, the successor counts from the first report of each worker that earlier owners knew.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -205,6 +205,8 @@
 	/** owner: written to the roster, so that the next owner polls it */
 	bool in_roster;
 	/** owner: part of the newest roster, which may not be stored yet */
+	/** owner: has reported to it, and tells earlier owners of it */
+	bool is_witness;
 	bool in_sent_roster;
 	/** owner: gets no new tasks, because of maintenance or a move */
 	bool cordoned;
--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -34,13 +34,26 @@
 
 uint64_t owner_earlier_leases_expired_ms(const struct owner *owner)
 {
-	uint64_t detected_ms = MAX(owner_previous_acts_until_ms(owner),
-				   owner->polled_since_ms) +
-			       answer_age_max_ms(owner);
+	uint64_t reached_ms =
+		MAX(owner->polled_since_ms, owner->witness_reported_ms);
+	uint64_t detected_ms =
+		MAX(owner_previous_acts_until_ms(owner), reached_ms) +
+		answer_age_max_ms(owner);
 
 	return detected_ms + owner->env.lease_ms + OWNER_LEASE_MARGIN_MS;
 }
 
+void owner_witness_record(struct owner *owner, struct worker *worker)
+{
+	if (worker->is_witness)
+		return;
+	worker->is_witness = true;
+	/* Earlier owners did not know workers that were listed later. */
+	if (owner->polled_since_ms == 0 ||
+	    worker->discovered_ms <= owner->polled_since_ms)
+		owner->witness_reported_ms = loop_now_ms();
+}
+
 void owner_worker_check_ownership(const struct owner *owner,
 				  struct worker *worker)
 {
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -88,8 +88,11 @@
 	uint64_t epoch;
 	uint64_t takeover_started_ms;
 	/** local time since which it has polled all workers that earlier owners
-	 *  knew, 0 before */
+	 *  knew, 0 before, and at which the last of those that have reported
+	 * did so for the first time: an earlier owner may hear of this one only
+	 *  from that one */
 	uint64_t polled_since_ms;
+	uint64_t witness_reported_ms;
 	/** local time at which all workers are polled next because its lease is
 	 *  not valid, 0 while it is */
 	uint64_t verify_due_ms;
@@ -303,6 +306,8 @@
 /* Records whether a worker was discovered, or has restarted, while the lease of
  * this owner was not valid. Such a worker gets no tasks, since it may not have
  * seen the fencing token of a successor yet. */
+/* Records that a worker has reported, so that it refuses earlier owners. */
+void owner_witness_record(struct owner *owner, struct worker *worker);
 void owner_worker_check_ownership(const struct owner *owner,
 				  struct worker *worker);
 /* Returns whether the owner may start tasks and renew the leases of workers:
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -260,6 +260,7 @@
 
 	owner->report_serial++;
 	owner->counters.reports++;
+	owner_witness_record(owner, worker);
 	for (size_t i = 0; i < report->end_count; i++) {
 		const struct adapter_run_end *end = &report->ends[i];
 		struct worker_end ended = { .number = end->number };
