Let an owner without a valid lease act only on workers' fresh word

Callers: a task runs twice at once (TWICE); and while the store is away for all, tasks end and are run again.

Cause: an owner without a valid lease left out each worker that does not answer. One that had reached none for some seconds thus took itself for unchallenged and renewed the lease of the first worker that answered again, before another one told it of its successor. And of 80 workers one was later than the age that an answer may have at most times, so that no lease was renewed in an outage.

Change: a worker is left out only if it has not answered a poll that was sent while others did, and an owner that no worker answers does nothing.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -140,6 +140,9 @@
 	uint64_t answered_poll_sent_ms;
 	/** its last answer to a poll was a report, not a refusal */
 	bool last_poll_reported;
+	/** local time at which the newest poll that was not answered was sent
+	 */
+	uint64_t failed_poll_sent_ms;
 	/** consecutive unanswered polls, and the local time of the first */
 	uint32_t unanswered_calls;
 	uint64_t unanswered_since_ms;
@@ -202,11 +205,11 @@
 	/** owner: reserved resources, and the tasks that run or may run here */
 	struct resources used;
 	GPtrArray *tasks;
+	/** owner: has reported to it, and tells earlier owners of it */
+	bool is_witness;
 	/** owner: written to the roster, so that the next owner polls it */
 	bool in_roster;
 	/** owner: part of the newest roster, which may not be stored yet */
-	/** owner: has reported to it, and tells earlier owners of it */
-	bool is_witness;
 	bool in_sent_roster;
 	/** owner: gets no new tasks, because of maintenance or a move */
 	bool cordoned;
--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -25,8 +25,8 @@
 }
 
 /* Age of a poll up to which its answer shows that no successor had reached the
- * worker. A poll waits for up to one interval, and is the newest one that was
- * answered for another. */
+ * worker. A poll waits for up to half an interval and is the newest one that
+ * was answered for another half; the rest is for answers that are late. */
 static uint64_t answer_age_max_ms(const struct owner *owner)
 {
 	return (uint64_t)verify_interval_ms(owner) * 2 + OWNER_VERIFY_ANSWER_MS;
@@ -61,32 +61,58 @@
 		!owner->ops->lease_is_valid(owner->data);
 }
 
-/* Returns whether the answers of a worker would show a successor. */
-static bool worker_can_vouch(const struct worker *worker)
-{
-	return worker->has_reported && !worker->ended &&
-	       worker->last_poll_reported && worker_is_reachable(worker);
-}
-
 /* Time up to which a worker has shown that no successor had reached it; 0 if it
  * has not answered since the lease ended. */
 static uint64_t worker_vouches_until_ms(const struct owner *owner,
 					const struct worker *worker)
 {
-	if (worker->answered_poll_sent_ms < owner->verifying_since_ms)
+	if (!worker->has_reported || worker->ended ||
+	    !worker->last_poll_reported || !worker_is_reachable(worker) ||
+	    worker->answered_poll_sent_ms < owner->verifying_since_ms)
 		return 0;
 	return worker->answered_poll_sent_ms + answer_age_max_ms(owner);
 }
 
+/* Returns whether the silence of a worker says nothing: it has not answered a
+ * poll that was sent while others did. If it has not been polled since, it may
+ * know of a successor. */
+static bool worker_is_left_out(const struct owner *owner,
+			       const struct worker *worker)
+{
+	return !worker->has_reported || worker->ended ||
+	       !worker->last_poll_reported ||
+	       (!worker_is_reachable(worker) &&
+		worker->failed_poll_sent_ms >= owner->contact_since_ms);
+}
+
+/* Records since when there has always been a worker that answers. */
+static void contact_update(struct owner *owner, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (now_ms > worker_vouches_until_ms(owner, value))
+			continue;
+		if (owner->contact_since_ms == 0)
+			owner->contact_since_ms = now_ms;
+		return;
+	}
+	owner->contact_since_ms = 0;
+}
+
 static uint64_t unchallenged_until_ms(const struct owner *owner)
 {
 	uint64_t until_ms = UINT64_MAX;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (owner->contact_since_ms == 0)
+		return 0;
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (worker_can_vouch(value))
+		if (!worker_is_left_out(owner, value))
 			until_ms = MIN(until_ms,
 				       worker_vouches_until_ms(owner, value));
 	}
@@ -127,11 +153,14 @@
 		owner->verify_due_ms = 0;
 		return;
 	}
-	owner->env.poll_wait_max_ms =
-		MIN(worker_poll_wait_max_ms(owner->env.lease_ms), interval_ms);
+	owner->env.poll_wait_max_ms = MIN(
+		worker_poll_wait_max_ms(owner->env.lease_ms), interval_ms / 2);
 	owner->env.poll_idle = true;
-	if (is_first)
+	if (is_first) {
 		owner->verifying_since_ms = loop_now_ms();
+		owner->contact_since_ms = 0;
+	}
+	contact_update(owner, loop_now_ms());
 	owner->unchallenged_until_ms = unchallenged_until_ms(owner);
 	if (loop_now_ms() < owner->verify_due_ms)
 		return;
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -98,6 +98,9 @@
 	uint64_t verify_due_ms;
 	/** local time since which the owner polls for that reason */
 	uint64_t verifying_since_ms;
+	/** local time since which there has always been a worker that answers
+	 *  in time, 0 if there is none */
+	uint64_t contact_since_ms;
 	/** local time up to which all workers that answer have shown that no
 	 *  successor had reached them */
 	uint64_t unchallenged_until_ms;
@@ -303,11 +306,11 @@
 /* Time by which all leases that earlier owners granted have expired, if at
  * least one worker was reached by both. */
 uint64_t owner_earlier_leases_expired_ms(const struct owner *owner);
+/* Records that a worker has reported, so that it refuses earlier owners. */
+void owner_witness_record(struct owner *owner, struct worker *worker);
 /* Records whether a worker was discovered, or has restarted, while the lease of
  * this owner was not valid. Such a worker gets no tasks, since it may not have
  * seen the fencing token of a successor yet. */
-/* Records that a worker has reported, so that it refuses earlier owners. */
-void owner_witness_record(struct owner *owner, struct worker *worker);
 void owner_worker_check_ownership(const struct owner *owner,
 				  struct worker *worker);
 /* Returns whether the owner may start tasks and renew the leases of workers:
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -348,8 +348,10 @@
 	timer_cancel(&worker->late_timer);
 }
 
-static void poll_failed(struct worker *worker, enum err_kind err)
+static void poll_failed(struct worker *worker, const struct worker_call *call,
+			enum err_kind err)
 {
+	worker->failed_poll_sent_ms = call->sent_ms;
 	/* The poll repeated one that was answered meanwhile. */
 	if (!worker->late_poll_answered)
 		worker_poll_unanswered(worker, err);
@@ -395,7 +397,7 @@
 		if (reply->err == ERR_NONE)
 			poll_answered(worker, call, reply);
 		else if (last && !worker->polling)
-			poll_failed(worker, reply->err);
+			poll_failed(worker, call, reply->err);
 	}
 	call_free(call);
 }
