Start nothing on unguarded workers by an old worker list

Cause: an owner that does not reach the store goes on with the capacities of the last worker list that it has read.

Change: once the list is older than two seconds, workers of services without enforces_capacity get no tasks until it has been read (HOLD_WORKER_CAPACITY, a limit). Others refuse what does not fit. The emulator's configuration now says which workers have no guard.

--- a/packages/core/src/hold.c
+++ b/packages/core/src/hold.c
@@ -56,6 +56,10 @@
 	[HOLD_WORKER_OUTDATED] = { "it has restarted, its new entry has not "
 				   "been read",
 				   "worker", "its entry is read", 0 },
+	[HOLD_WORKER_CAPACITY] = { "its capacity may have changed, it does not "
+				   "guard it, and the worker list has not been "
+				   "read lately",
+				   "owner_roster", "the list is read", 0 },
 	[HOLD_WORKER_DRAINS] = { "it drains", "owner_fleet",
 				 "it returns from its move or maintenance", 0 },
 	[HOLD_WORKER_SILENT] = { "it does not answer", "worker",
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -151,6 +151,10 @@
 	/** number of workers that the roster has no room for */
 	uint32_t roster_left_out;
 	bool workers_list_in_flight;
+	/* local time at which the read in flight, and the last one that
+	 * succeeded, was requested, 0 for none */
+	uint64_t workers_list_requested_ms;
+	uint64_t workers_listed_ms;
 	bool records_read_in_flight;
 	bool roster_read_in_flight;
 	struct timer schedule_timer;
@@ -288,6 +292,12 @@
 /* owner_roster.c: discovery of workers and the stored roster. */
 void owner_roster_load(struct owner *owner);
 void owner_workers_list(struct owner *owner);
+
+/* Returns whether a worker may have less capacity than its entry says, and does
+ * not guard it. */
+bool owner_worker_capacity_is_uncertain(const struct owner *owner,
+					const struct worker *worker,
+					uint64_t now_ms);
 /* Releases tasks of earlier owners once no worker can still hold them. */
 void owner_takeover_try_finish(struct owner *owner);
 
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -21,6 +21,22 @@
  * may have tasks. Entries of live workers reappear sooner. */
 #define OWNER_UNLISTED_TTL_MS 3000
 
+/* A worker that does not guard its capacity gets no more tasks once the list
+ * that it was read from is this old. */
+#define OWNER_LIST_AGE_MAX_MS 2000
+
+bool owner_worker_capacity_is_uncertain(const struct owner *owner,
+					const struct worker *worker,
+					uint64_t now_ms)
+{
+	const struct catalogue_service *service;
+
+	if (now_ms - owner->workers_listed_ms <= OWNER_LIST_AGE_MAX_MS)
+		return false;
+	service = catalogue_service_find(owner->catalogue, worker->service);
+	return !service || !service->enforces_capacity;
+}
+
 static json_t *roster_item_encode(const struct worker *worker)
 {
 	return json_pack("{s:s, s:s, s:i, s:s, s:s, s:s*}", "id", worker->id,
@@ -285,6 +301,7 @@
 		((struct worker *)value)->listed = false;
 	entries_decode(owner, result);
 	owner->workers_read = true;
+	owner->workers_listed_ms = owner->workers_list_requested_ms;
 	unlisted_workers_remove(owner);
 	roster_write(owner);
 	owner_schedule_request(owner);
@@ -295,6 +312,7 @@
 	if (owner->workers_list_in_flight)
 		return;
 	owner->workers_list_in_flight = true;
+	owner->workers_list_requested_ms = loop_now_ms();
 	platform_range(owner->config.store,
 		       owner->config.platform->workers_prefix, true,
 		       on_workers_listed, weak_ref_acquire(owner->weak_ref));
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -68,6 +68,8 @@
 		return HOLD_WORKER_UNREPORTED;
 	if (worker_entry_is_outdated(worker))
 		return HOLD_WORKER_OUTDATED;
+	if (owner_worker_capacity_is_uncertain(owner, worker, now_ms))
+		return HOLD_WORKER_CAPACITY;
 	if (worker->draining || worker->cordoned)
 		return HOLD_WORKER_DRAINS;
 	if (!worker_is_reachable(worker) || worker->resolving)
--- a/packages/jobs/tests/emu_accounts.c
+++ b/packages/jobs/tests/emu_accounts.c
@@ -32,6 +32,8 @@
 
 	g_string_printf(text, "%u %u %u", ++emu->config_version,
 			emu->config.pools, emu->config.attempts);
+	if (emu->config.unguarded)
+		g_string_append(text, " unguarded");
 	for (uint32_t i = 0; i < emu->config.pools; i++) {
 		if (emu->dropped_pools >> i & 1)
 			g_string_append_printf(text, " -%u", i);
--- a/packages/jobs/tests/emu_codec.c
+++ b/packages/jobs/tests/emu_codec.c
@@ -21,6 +21,7 @@
 	unsigned int version = 0;
 	unsigned int attempts = 0;
 	uint64_t dropped = 0;
+	bool enforces_capacity = true;
 	unsigned int pool;
 	int token;
 	struct catalogue *catalogue;
@@ -29,6 +30,10 @@
 	if (sscanf(value, "%u %u %u%n", &version, &pools, &attempts, &read) !=
 	    3)
 		return NULL;
+	if (g_str_has_prefix(value + read, " unguarded")) {
+		enforces_capacity = false;
+		read += (int)strlen(" unguarded");
+	}
 	for (; sscanf(value + read, " -%u%n", &pool, &token) == 1;
 	     read += token)
 		dropped |= 1ULL << pool;
@@ -39,7 +44,7 @@
 
 		struct catalogue_service service = {
 			.name = g_strdup_printf("pool-%u", i),
-			.enforces_capacity = true,
+			.enforces_capacity = enforces_capacity,
 			.is_spare = i == pools,
 		};
 		struct catalogue_queue queue = emu_queue(i, attempts);
--- a/packages/jobs/tests/test_capacity_moves.c
+++ b/packages/jobs/tests/test_capacity_moves.c
@@ -7,7 +7,7 @@
 #include <glib.h>
 #include <stdlib.h>
 
-#include "emu.h"
+#include "emu_expect.h"
 
 #define STEPS 100
 #define STEP_MS 100
@@ -174,6 +174,38 @@
 }
 END_TEST
 
+/* The owner does not reach the store, so it does not learn that the workers
+ * have shrunk while jobs wait. */
+START_TEST(test_workers_shrink_while_the_store_is_away)
+{
+	struct emu_config config = fleet;
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = 40,
+		.cpu_milli = 1500,
+		.task_ms = 1000,
+	};
+	struct emu *emu;
+
+	config.nodes = 1;
+	config.pools = 1;
+	config.vms_per_pool = 2;
+	config.spare_vms = 0;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	for (uint32_t i = 0; i < 5; i++)
+		emu_submit(emu, 0, &job);
+	emu_advance(emu, 500);
+	emu_store_set_mode(emu, 0, EMU_STORE_UNAVAILABLE);
+	for (uint32_t i = 0; i < config.vms_per_pool; i++)
+		emu_worker_set_cpu(emu, i, 4000);
+	emu_advance(emu, 10000);
+	emu_store_set_mode(emu, 0, EMU_STORE_OK);
+	emu_settle(emu, 5, 90000);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("capacity moves");
@@ -185,6 +217,7 @@
 
 	tcase_set_timeout(tests, 60);
 	tcase_add_test(tests, test_worker_restarts_as_a_smaller_one);
+	tcase_add_test(tests, test_workers_shrink_while_the_store_is_away);
 	tcase_add_loop_test(tests, test_no_start_exceeds_the_capacity, 0,
 			    seeds * (int)G_N_ELEMENTS(cases));
 	suite_add_tcase(suite, tests);
