--- a/packages/jobs/tests/emu_waiting.c
+++ b/packages/jobs/tests/emu_waiting.c
@@ -1,4 +1,5 @@
 #include "emu_private.h"
+#include "log.h"
 
 /* A job may wait this long although it could run, once no fault has been active
  * for a while; a long-running task has time to be started again besides. */
@@ -170,6 +171,19 @@
 	return false;
 }
 
+/* Logs what the owner says about a job that waits. */
+static void waiting_explain(const struct emu *emu,
+			    const struct emu_job_state *state)
+{
+	uint32_t owner = emu_owner(emu);
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	if (owner < EMU_NODES_MAX)
+		jobs_explain(emu->nodes[owner].service, JOBS_EXPLAIN_JOB,
+			     state->id, text);
+	log_debug("emu-waits", "job %s: %s", state->id, text->str);
+}
+
 void emu_waiting_check(struct emu *emu)
 {
 	bool calm = loop_now_ms() - last_disturbance_ms(emu) >= WAITING_CALM_MS;
@@ -185,11 +199,13 @@
 		else if (state->waiting_since_ms == 0)
 			state->waiting_since_ms = loop_now_ms();
 		else if (loop_now_ms() - state->waiting_since_ms >=
-			 WAITING_MAX_MS)
+			 WAITING_MAX_MS) {
+			waiting_explain(emu, state);
 			emu_fail(emu, EMU_RULE_LOST,
 				 "%s waits for %u ms beside room for it",
 				 state->id,
 				 (uint32_t)(loop_now_ms() -
 					    state->waiting_since_ms));
+		}
 	}
 }
