Let a drain for maintenance yield to tasks that have no other room

Cause: the only worker with room was kept free for its maintenance. A drain waits up to 4 s for tasks that run to completion, and up to 8 s, again and again, for long-running ones that may not be stopped, for instance since another task of their step has room nowhere.

Change: to keep a worker free for an operation on its VM is a preference (HOLD_WORKER_CORDONED), apart from a worker that leaves by itself (HOLD_WORKER_DRAINS). A pass records whose room a waiting task needs that fits nowhere else, as quarantine does: only in a pool that has 40% free, or for a task that should run all the time. After 1.5 s the drain ends: it is put off if long-running tasks keep it from going on, otherwise the others are stopped at once, and the operation takes the room away.

Ruled out: shorter drains in all cases, which would waste runs where nobody waits.

--- a/packages/core/src/hold.c
+++ b/packages/core/src/hold.c
@@ -60,14 +60,19 @@
 				   "guard it, and the worker list has not been "
 				   "read lately",
 				   "owner_roster", "the list is read", 0 },
-	[HOLD_WORKER_DRAINS] = { "it drains", "owner_fleet",
-				 "it returns from its move or maintenance", 0 },
+	[HOLD_WORKER_DRAINS] = { "it drains", "owner_roster", "it has left",
+				 0 },
 	[HOLD_WORKER_SILENT] = { "it does not answer", "worker",
 				 "it answers a poll", 0 },
 	[HOLD_WORKER_STRAYS] = { "runs without a task are being stopped",
 				 "owner_report", "they have ended", 0 },
 	[HOLD_WORKER_REFUSED] = { "it has just refused a task", "owner_report",
 				  "its pause is over", 0 },
+	[HOLD_WORKER_CORDONED] = { "its VM is to be moved or maintained",
+				   "owner_fleet",
+				   "it returns, its tasks do not leave it in "
+				   "time, or it yields",
+				   1500 },
 	[HOLD_WORKER_BREAKER] = { "its tasks fail", "owner_health",
 				  "its breaker is half open and has no task, a "
 				  "task succeeds, or it yields",
--- a/packages/core/tests/test_hold.c
+++ b/packages/core/tests/test_hold.c
@@ -26,8 +26,9 @@
 START_TEST(test_preferences_yield)
 {
 	static const enum hold preferences[] = {
-		HOLD_SUSPECT,	   HOLD_PLANNED_ROOM, HOLD_WORKER_BREAKER,
-		HOLD_FAILED_THERE, HOLD_AVOIDED_VM,   HOLD_PLANNED,
+		HOLD_SUSPECT,	      HOLD_PLANNED_ROOM, HOLD_WORKER_BREAKER,
+		HOLD_FAILED_THERE,    HOLD_AVOIDED_VM,	 HOLD_PLANNED,
+		HOLD_WORKER_CORDONED,
 	};
 
 	for (size_t i = 0; i < sizeof(preferences) / sizeof(preferences[0]);
--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -205,6 +205,10 @@
 	bool in_sent_roster;
 	/** owner: gets no new tasks, because of maintenance or a move */
 	bool cordoned;
+	/** owner: local time since which a task waits that has room nowhere
+	 *  else meanwhile, 0 for none; and whether the last pass found one */
+	uint64_t room_wanted_since_ms;
+	bool room_is_wanted;
 	/** owner: runs in the last report that the owner has no task for. They
 	 * are being stopped and use resources that are not part of `used`, so
 	 * the worker gets no new tasks. */
--- a/packages/jobs/src/owner_fleet.c
+++ b/packages/jobs/src/owner_fleet.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "hold.h"
 #include "log.h"
 
 /* Maintenance waits this long for tasks that run to completion. Tasks that are
@@ -86,8 +87,10 @@
 {
 	struct worker *worker = owner_vm_worker(fleet, vm);
 
-	if (worker)
+	if (worker) {
 		worker->cordoned = false;
+		worker->room_wanted_since_ms = 0;
+	}
 	vm_phase_set(vm, OWNER_VM_STEADY);
 	vm->wave = NULL;
 	g_clear_pointer(&vm->target_pool, g_free);
@@ -106,6 +109,7 @@
 	g_clear_pointer(&vm->drained_worker, g_free);
 	if (worker) {
 		worker->cordoned = true;
+		worker->room_wanted_since_ms = 0;
 		vm->drained_worker = g_strdup(worker->id);
 	}
 	log_info("vm-draining", "VM %s of pool %s drains, tasks %u, target %s",
@@ -242,6 +246,31 @@
 	return false;
 }
 
+/* Returns whether long-running tasks keep a worker from being drained for now.
+ */
+static bool drain_is_stuck(const struct worker *worker)
+{
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		const struct job_task *task =
+			g_ptr_array_index(worker->tasks, i);
+
+		if (task->group->step->is_long_running &&
+		    (task->state == JOB_TASK_STOPPING ||
+		     owner_task_disruption_is_allowed(task)))
+			return false;
+	}
+	return has_long_running_tasks(worker);
+}
+
+/* Returns whether a drain has kept a task waiting for too long. */
+static bool drain_yields(const struct worker *worker)
+{
+	return worker->room_wanted_since_ms != 0 &&
+	       loop_now_ms() >=
+		       worker->room_wanted_since_ms +
+			       hold_row(HOLD_WORKER_CORDONED)->yields_after_ms;
+}
+
 /* An operation ends the worker together with the results that it reports. Those
  * that are not stored yet would be lost if this owner stopped as well. */
 static bool results_are_stored(const struct worker *worker)
@@ -283,6 +312,7 @@
 {
 	struct worker *worker = owner_vm_worker(fleet, vm);
 	uint64_t elapsed_ms = loop_now_ms() - vm->phase_started_ms;
+	bool yields;
 
 	if (vm->call_in_flight || outcome_is_unknown(fleet, vm) ||
 	    loop_now_ms() < vm->request_not_before_ms)
@@ -308,17 +338,22 @@
 			vm_operation_end(fleet, vm);
 		return;
 	}
-	if (elapsed_ms > OWNER_DRAIN_TIMEOUT_MS &&
-	    has_long_running_tasks(worker)) {
+	yields = drain_yields(worker);
+	if ((elapsed_ms > OWNER_DRAIN_TIMEOUT_MS &&
+	     has_long_running_tasks(worker)) ||
+	    (yields && drain_is_stuck(worker))) {
 		log_info("vm-drain-timed-out",
-			 "maintenance of VM %s of pool %s put off, tasks %u",
-			 vm->name, vm->pool, worker->tasks->len);
+			 "maintenance of VM %s of pool %s put off after "
+			 "%" G_GUINT64_FORMAT " ms, tasks %u, its room is %s",
+			 vm->name, vm->pool, elapsed_ms, worker->tasks->len,
+			 yields ? "wanted" : "not wanted");
 		vm->backoff_until_ms = loop_now_ms() + OWNER_DRAIN_BACKOFF_MS;
 		vm_operation_end(fleet, vm);
 		return;
 	}
 	long_running_tasks_stop(fleet, worker, "maintenance of the VM");
-	if (elapsed_ms > OWNER_DRAIN_GRACE_MS)
+	/* The operation takes the room away, so that it holds back nothing. */
+	if (elapsed_ms > OWNER_DRAIN_GRACE_MS || yields)
 		short_tasks_stop(fleet->owner, worker, "maintenance of the VM");
 }
 
--- a/packages/jobs/src/owner_gang.c
+++ b/packages/jobs/src/owner_gang.c
@@ -268,6 +268,7 @@
 		return;
 	}
 	if (!gang_choose(owner, pool, group, *need, &placement, now_ms)) {
+		owner_cordoned_room_want(pool, group, need, now_ms);
 		if (group->gang_unplaced_since_ms == 0)
 			group->gang_unplaced_since_ms = now_ms;
 		if (now_ms - group->gang_unplaced_since_ms >=
--- a/packages/jobs/src/owner_hold.c
+++ b/packages/jobs/src/owner_hold.c
@@ -6,9 +6,8 @@
 bool owner_holds_may_yield(const struct schedule_pool *pool,
 			   const struct job_group *group)
 {
-	int64_t free_milli =
-		pool->cpu_free_milli + pool->quarantined_free_milli;
-	int64_t cpu_milli = pool->cpu_milli + pool->quarantined_milli;
+	int64_t free_milli = pool->cpu_free_milli + pool->held_free_milli;
+	int64_t cpu_milli = pool->cpu_milli + pool->held_milli;
 
 	return group->step->is_long_running ||
 	       free_milli * 100 >= cpu_milli * OWNER_YIELD_FREE_PERCENT;
@@ -111,6 +110,24 @@
 	return true;
 }
 
+void owner_cordoned_room_want(struct schedule_pool *pool,
+			      const struct job_group *group,
+			      const struct binpack_request *need,
+			      uint64_t now_ms)
+{
+	if (!owner_holds_may_yield(pool, group))
+		return;
+	for (guint i = 0; i < pool->cordoned->len; i++) {
+		struct worker *worker = g_ptr_array_index(pool->cordoned, i);
+
+		if (!has_room(worker, group, need))
+			continue;
+		worker->room_is_wanted = true;
+		if (worker->room_wanted_since_ms == 0)
+			worker->room_wanted_since_ms = now_ms;
+	}
+}
+
 int32_t owner_worker_choose(struct owner *owner, struct schedule_pool *pool,
 			    struct job_group *group,
 			    const struct binpack_request *need, uint64_t now_ms)
@@ -128,6 +145,7 @@
 	}
 	group->held_by_plan = false;
 	if (chosen < 0) {
+		owner_cordoned_room_want(pool, group, need, now_ms);
 		if (!quarantine_yield(owner, pool, group, need, now_ms))
 			group->held_since_ms = 0;
 		return -1;
--- a/packages/jobs/src/owner_lookahead.c
+++ b/packages/jobs/src/owner_lookahead.c
@@ -235,12 +235,13 @@
 
 /* Records whether all members will have room at some time, and logs it if they
  * will not. That is not known while room is planned for others, or workers are
- * in quarantine. */
+ * in quarantine or cordoned. */
 static void unplaceable_record(const struct schedule_pool *pool,
 			       struct job_group *group, uint32_t slots)
 {
 	bool is_unplaceable = slots < group->tasks_waiting &&
-			      pool->plans == 0 && pool->quarantined->len == 0;
+			      pool->plans == 0 && pool->quarantined->len == 0 &&
+			      pool->cordoned->len == 0;
 
 	if (is_unplaceable && !group->gang_is_unplaceable)
 		log_info("gang-unplaceable",
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -13,6 +13,7 @@
 
 	g_ptr_array_unref(pool->workers);
 	g_ptr_array_unref(pool->quarantined);
+	g_ptr_array_unref(pool->cordoned);
 	g_array_unref(pool->candidates);
 	g_ptr_array_unref(pool->pending);
 	owner_shares_destroy(pool->shares);
@@ -44,6 +45,7 @@
 	pool->service = service;
 	pool->workers = g_ptr_array_new();
 	pool->quarantined = g_ptr_array_new();
+	pool->cordoned = g_ptr_array_new();
 	pool->candidates =
 		g_array_new(FALSE, TRUE, sizeof(struct binpack_candidate));
 	pool->pending = g_ptr_array_new();
@@ -70,7 +72,7 @@
 		return HOLD_WORKER_OUTDATED;
 	if (owner_worker_capacity_is_uncertain(owner, worker, now_ms))
 		return HOLD_WORKER_CAPACITY;
-	if (worker->draining || worker->cordoned)
+	if (worker->draining)
 		return HOLD_WORKER_DRAINS;
 	if (!worker_is_reachable(worker) || worker->resolving)
 		return HOLD_WORKER_SILENT;
@@ -78,6 +80,8 @@
 		return HOLD_WORKER_STRAYS;
 	if (worker->pause_until_ms > now_ms)
 		return HOLD_WORKER_REFUSED;
+	if (worker->cordoned)
+		return HOLD_WORKER_CORDONED;
 	if (!owner_health_allows_start(worker, now_ms))
 		return HOLD_WORKER_BREAKER;
 	if (owner_crash_has_isolated(worker, now_ms))
@@ -486,11 +490,12 @@
 	}
 }
 
-static void quarantined_add(struct schedule_pool *pool, struct worker *worker)
+static void held_add(struct schedule_pool *pool, GPtrArray *held,
+		     struct worker *worker)
 {
-	g_ptr_array_add(pool->quarantined, worker);
-	pool->quarantined_milli += worker->capacity.cpu_milli;
-	pool->quarantined_free_milli +=
+	g_ptr_array_add(held, worker);
+	pool->held_milli += worker->capacity.cpu_milli;
+	pool->held_free_milli +=
 		MAX(worker->capacity.cpu_milli - worker->used.cpu_milli, 0);
 }
 
@@ -515,7 +520,9 @@
 		else if (hold == HOLD_NONE)
 			candidate_add(owner, pool, worker, now_ms);
 		else if (hold == HOLD_WORKER_BREAKER)
-			quarantined_add(pool, worker);
+			held_add(pool, pool->quarantined, worker);
+		else if (hold == HOLD_WORKER_CORDONED)
+			held_add(pool, pool->cordoned, worker);
 	}
 }
 
@@ -534,6 +541,24 @@
 	return pool;
 }
 
+/* Starts what fits, and finds out whose room is wanted besides. */
+static void pool_run(struct owner *owner, struct schedule_pool *pool,
+		     uint64_t now_ms)
+{
+	for (guint i = 0; i < pool->cordoned->len; i++)
+		((struct worker *)g_ptr_array_index(pool->cordoned, i))
+			->room_is_wanted = false;
+	if (pool->workers->len > 0 || pool->quarantined->len > 0 ||
+	    pool->cordoned->len > 0)
+		pool_start(owner, pool, now_ms);
+	for (guint i = 0; i < pool->cordoned->len; i++) {
+		struct worker *worker = g_ptr_array_index(pool->cordoned, i);
+
+		if (!worker->room_is_wanted)
+			worker->room_wanted_since_ms = 0;
+	}
+}
+
 static void pools_start(struct owner *owner, GHashTable *pools, uint64_t now_ms)
 {
 	GHashTableIter iter;
@@ -541,12 +566,8 @@
 
 	workers_collect(owner, pools, now_ms);
 	g_hash_table_iter_init(&iter, pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct schedule_pool *pool = value;
-
-		if (pool->workers->len > 0 || pool->quarantined->len > 0)
-			pool_start(owner, pool, now_ms);
-	}
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_run(owner, value, now_ms);
 }
 
 void owner_schedule_run(struct owner *owner)
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -23,6 +23,9 @@
 	/** struct worker * that get no task because theirs fail, which are not
 	 *  among those above */
 	GPtrArray *quarantined;
+	/** struct worker * that get no task because of a move or maintenance,
+	 *  neither */
+	GPtrArray *cordoned;
 	/** one of them takes a task in the next pass */
 	bool quarantine_yields;
 	/** workers with a suspect in isolation, which are not among those
@@ -35,9 +38,9 @@
 	 *  beginning of the pass */
 	int64_t cpu_milli;
 	int64_t cpu_free_milli;
-	/** the same for those in quarantine */
-	int64_t quarantined_milli;
-	int64_t quarantined_free_milli;
+	/** the same for those in quarantine or cordoned */
+	int64_t held_milli;
+	int64_t held_free_milli;
 	/** memory of the workers that get tasks */
 	int64_t memory_mb;
 	/** large tasks that are planned on workers in this pass */
@@ -144,6 +147,13 @@
 bool owner_plans_yield(struct owner *owner, const struct schedule_pool *pool,
 		       struct job_group *group, uint64_t now_ms);
 
+/** @brief Records that cordoned workers have room for a task of a group that
+ * has none elsewhere, if they may yield. */
+void owner_cordoned_room_want(struct schedule_pool *pool,
+			      const struct job_group *group,
+			      const struct binpack_request *need,
+			      uint64_t now_ms);
+
 /** @brief Chooses a worker for a task of a group, -1 for none. A worker with
  *  room that is planned for others is chosen if it is the last one. */
 int32_t owner_worker_choose(struct owner *owner, struct schedule_pool *pool,
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -337,6 +337,39 @@
 }
 END_TEST
 
+/* A drain for maintenance must not keep its room for long while others need it:
+ * it waits for a task that lasts, and that may not be stopped since another one
+ * of its step fits nowhere, or for a task that takes long. */
+START_TEST(test_drain_keeps_room_from_others)
+{
+	struct emu_job kept = wide_long_running;
+	struct emu_job others = batch;
+	struct emu *emu = emu_create(&fleet);
+	uint32_t jobs = 1;
+
+	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
+		emu_worker_set_cpu(emu, vm, 1000);
+	kept.tasks_per_step = _i == 0 ? 5 : 1;
+	kept.long_running = _i == 0;
+	kept.cpu_milli = _i == 0 ? 300 : 2000;
+	kept.task_ms = 30000;
+	others.tasks_per_step = 1;
+	others.cpu_milli = 2500;
+	emu_advance(emu, 3000);
+	emu_submit(emu, 0, &kept);
+	emu_advance(emu, 4000);
+	emu_wave_request(emu, 0, 1, 30000);
+	emu_operator_write(emu, "waves/1", "1 30000 1 vm-0");
+	for (uint32_t ms = 0; ms < 9000; ms += 500) {
+		emu_submit(emu, jobs++ % fleet.nodes, &others);
+		emu_advance(emu, 500);
+	}
+	emu_settle(emu, jobs, 15000);
+	ck_assert(_i == 0 || emu_wave_succeeded(emu));
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("stranded");
@@ -356,6 +389,7 @@
 	tcase_add_test(tests, test_gang_before_small_jobs);
 	tcase_add_loop_test(tests, test_jobs_of_dropped_queue, 0,
 			    G_N_ELEMENTS(queue_drops));
+	tcase_add_loop_test(tests, test_drain_keeps_room_from_others, 0, 2);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
