Let the next owner know the tasks of a failed long-running job

Cause: if a task of a long-running job is given up, the others may be stopped only within the disruption budget. The definition of the job was deleted with the write of its end, so the next owner did not know the budget and stopped the others as runs without a task.

Change: the definition of a failed job stays in the store until none of its long-running tasks is on a worker, or its caller has cancelled it; then the end is written again and the definition deleted. The next owner restores such a job with its end, adopts the tasks that workers report, and trims it once the takeover has settled if there are none. That its caller has cancelled it is part of the end record, and the answer to the cancellation waits for it, so that the next owner does not keep the tasks of a cancelled job.

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -369,6 +369,11 @@
 /** @brief Frees a job. @param job may be NULL */
 void job_destroy(struct job *job);
 
+/** @brief Returns whether tasks of a job that has failed may still be at work,
+ *  and may be stopped only within their disruption budget, so that the next
+ *  owner needs its definition. */
+bool job_outlives_end(const struct job *job);
+
 /** @brief Frees the specification and occurrences of a job that has ended. */
 void job_trim(struct job *job);
 
--- a/packages/jobs/src/commit_log.c
+++ b/packages/jobs/src/commit_log.c
@@ -471,7 +471,8 @@
 			struct job *job, enum job_segment_kind kind)
 {
 	segment_attach(segment, job, kind);
-	if (kind == JOB_SEGMENT_END && job->has_definition)
+	if (kind == JOB_SEGMENT_END && job->has_definition &&
+	    !job_outlives_end(job))
 		g_queue_push_tail(&log->ended_jobs, job);
 }
 
--- a/packages/jobs/src/commit_txn.c
+++ b/packages/jobs/src/commit_txn.c
@@ -211,7 +211,8 @@
 		struct commit_item *item =
 			&g_array_index(txn->items, struct commit_item, i);
 
-		if (!item->has_end || !item->job->has_definition)
+		if (!item->has_end || !item->job->has_definition ||
+		    job_outlives_end(item->job))
 			continue;
 		item->deletes_definition = true;
 		write_add(txn, definition_key(item->job), NULL);
@@ -294,7 +295,9 @@
 		return;
 	segment_attach(segments[JOB_SEGMENT_END], job, JOB_SEGMENT_END);
 	segment_detach(job, JOB_SEGMENT_PROGRESS);
-	if (job->has_definition)
+	/* A job that has changed meanwhile is written again, with the deletion.
+	 */
+	if (job->has_definition && !job->dirty && !job_outlives_end(job))
 		g_queue_push_tail(&log->ended_jobs, job);
 }
 
--- a/packages/jobs/src/job.c
+++ b/packages/jobs/src/job.c
@@ -115,6 +115,21 @@
 	g_free(occurrence);
 }
 
+bool job_outlives_end(const struct job *job)
+{
+	if (job->state != JOB_FAILED || job->is_abandoned || !job->spec ||
+	    job->spec->occurrence_count > 0)
+		return false;
+	for (guint i = 0; i < job->spec->steps->len; i++) {
+		const struct job_step *step =
+			&g_array_index(job->spec->steps, struct job_step, i);
+
+		if (step->is_long_running && step->max_unavailable >= 0)
+			return true;
+	}
+	return false;
+}
+
 void job_trim(struct job *job)
 {
 	for (guint i = 0; i < job->occurrences->len; i++)
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -72,6 +72,7 @@
 	text_set(json, "account", job->account);
 	json_object_set_new(json, "state",
 			    json_string(state_names[job->state]));
+	flag_set(json, "abandoned", job->is_abandoned);
 	json_object_set_new(json, "accepted_ms",
 			    json_integer((json_int_t)job->accepted_unix_ms));
 	json_object_set_new(records, job->id, json);
@@ -107,6 +108,7 @@
 	if (!record_is_valid(id, record) || !end_state_decode(name, &state))
 		return ERR_MALFORMED;
 	*out = job_from_record(id, record, NULL, state);
+	(*out)->is_abandoned = flag_get(record, "abandoned");
 	return ERR_NONE;
 }
 
--- a/packages/jobs/src/owner_calls.c
+++ b/packages/jobs/src/owner_calls.c
@@ -174,13 +174,17 @@
 
 void owner_calls_answer_committed(struct owner *owner, struct job *job)
 {
-	const struct jobs_answer answer = { .outcome = JOBS_OK };
+	struct jobs_answer answer = { .outcome = JOBS_OK };
 	GSList *next;
 
 	for (GSList *at = job->waiters; at; at = next) {
 		struct pending_call *pending = at->data;
 
 		next = at->next;
+		answer.outcome =
+			pending->verb == JOBS_CANCEL && job->is_abandoned
+				? JOBS_NO_JOB
+				: JOBS_OK;
 		if (pending->commit_mark <= job->stored_mark)
 			pending_call_finish(pending, &answer);
 	}
@@ -394,7 +398,10 @@
 	}
 	if (job->state == JOB_SUCCEEDED || job->state == JOB_FAILED) {
 		owner_job_abandon(owner, job);
-		call_answer(cb, data, JOBS_NO_JOB, NULL);
+		if (job->is_abandoned && (job->dirty || job->in_flight))
+			pending_call_add(owner, job, call, cb, data);
+		else
+			call_answer(cb, data, JOBS_NO_JOB, NULL);
 		return;
 	}
 	if (job->state != JOB_CANCELLED)
--- a/packages/jobs/src/owner_recovery.c
+++ b/packages/jobs/src/owner_recovery.c
@@ -27,8 +27,11 @@
 		job->ended_ms = now_ms;
 		job->is_restored = true;
 		owner_account_join(owner, job);
-		if (!owner_job_is_live(job))
+		if (!owner_job_is_live(job)) {
+			if (job->spec)
+				owner_occurrence_add(owner, job);
 			continue;
+		}
 		live++;
 		if (job->occurrences->len == 0 &&
 		    job->spec->occurrence_count == 0)
@@ -184,6 +187,10 @@
 	/* A job's definition is deleted some time after its end is stored, so
 	 * both may be present. */
 	ended->has_definition = job && job->has_definition;
+	if (job)
+		ended->spec = g_steal_pointer(&job->spec);
+	if (!job_outlives_end(ended))
+		job_trim(ended);
 	g_hash_table_replace(owner->jobs, ended->id, ended);
 	commit_restore_add(owner->log, segment, ended, JOB_SEGMENT_END);
 }
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -201,7 +201,7 @@
 		occurrence->groups[i].expected_ms = predictor_duration_ms(
 			durations, occurrence->groups[i].step->estimate_ms);
 	occurrence->critical_path_ms = job_critical_path_ms(occurrence, true);
-	if (queue && !job->is_excess)
+	if (queue && !job->is_excess && owner_job_is_live(job))
 		owner_demand_record(owner, queue->service, occurrence);
 	occurrence->live_slot = owner->live_occurrences->len;
 	g_ptr_array_add(owner->live_occurrences, occurrence);
@@ -240,6 +240,8 @@
 /* Frees the details of an ended job once none of its tasks is on a worker. */
 static void job_trim_if_unassigned(struct owner *owner, struct job *job)
 {
+	bool has_kept_definition = job_outlives_end(job);
+
 	/* A run that no worker has reported yet uses the job's account until it
 	 * has been found and stopped. */
 	if (owner->has_unknown_tasks && job->is_restored)
@@ -253,6 +255,8 @@
 		live_occurrence_remove(owner,
 				       g_ptr_array_index(job->occurrences, i));
 	job_trim(job);
+	if (has_kept_definition)
+		commit_mark_dirty(owner->log, job);
 }
 
 void owner_ended_jobs_trim(struct owner *owner)
@@ -344,10 +348,11 @@
 
 void owner_job_abandon(struct owner *owner, struct job *job)
 {
-	if (!job->spec || job->is_abandoned)
+	if (!job_outlives_end(job))
 		return;
 	job->is_abandoned = true;
 	occurrences_stop(owner, job);
+	commit_mark_dirty(owner->log, job);
 }
 
 void owner_job_finish(struct owner *owner, struct job *job,
--- a/packages/jobs/tests/test_crashes.c
+++ b/packages/jobs/tests/test_crashes.c
@@ -10,7 +10,7 @@
 #include <glib.h>
 #include <stdlib.h>
 
-#include "emu.h"
+#include "emu_private.h"
 
 /* Number of harmless jobs, one every 100 ms; the first job that crashes workers
  * comes among them. */
@@ -250,13 +250,23 @@
 }
 END_TEST
 
+static void owner_replace(struct emu *emu)
+{
+	uint32_t owner = emu_owner(emu);
+
+	emu_node_kill(emu, owner);
+	emu_advance(emu, 5000);
+	emu_node_start(emu, owner);
+}
+
 /* A long-running job of which a task is given up: the others are on sound
  * workers and may be stopped only within their disruption budget, until the job
- * is cancelled. */
+ * is cancelled, also by the next owners. */
 START_TEST(test_budget_holds_when_a_long_running_job_is_given_up)
 {
 	struct emu_config config = fleet;
 	struct emu_job job = lasting;
+	g_autofree char *definition = NULL;
 	struct emu *emu;
 
 	config.seed = 1 + _i;
@@ -266,12 +276,21 @@
 	emu_advance(emu, 3000);
 	emu_submit(emu, 0, &job);
 	emu_advance(emu, 5000);
+	for (uint32_t takeovers = _i >= 2 ? 2 : 0; takeovers > 0; takeovers--)
+		owner_replace(emu);
 	ck_assert_uint_eq(emu_active_run_count(emu), job.tasks_per_step - 1);
 	ck_assert_msg(emu_violation_count(emu) == 0, "seed %u: %s", config.seed,
 		      emu_first_violation(emu));
+	definition = g_strconcat(JOB_RECORD_PREFIX_DEFINITION,
+				 emu_job_id(emu, 0), NULL);
+	ck_assert_ptr_nonnull(emu_store_get(emu, definition));
 	emu_cancel(emu, emu_owner(emu), 0);
+	emu_advance(emu, 100);
+	if (_i >= 2)
+		owner_replace(emu);
 	emu_advance(emu, 5000);
 	ck_assert_uint_eq(emu_active_run_count(emu), 0);
+	ck_assert_ptr_null(emu_store_get(emu, definition));
 	emu_destroy(emu);
 }
 END_TEST
@@ -293,7 +312,7 @@
 			    0, 6);
 	tcase_add_loop_test(
 		tests, test_budget_holds_when_a_long_running_job_is_given_up, 0,
-		2);
+		4);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
