Count tasks of a restarted worker as unavailable until it reports

Cause: while the restarted worker does not answer, its tasks count as unavailable. Its first answer shows only that it has restarted; what it runs is taken from the next one, with a higher fencing token. Between the two the worker is reachable, and its tasks, which ended long ago, count as running, so that the budget seems to allow a stop.

Change: a task whose worker has not reported in its present incarnation is unavailable.

--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -517,7 +517,8 @@
 		if (other != task &&
 		    (other->state != JOB_TASK_RUNNING ||
 		     other->speed_percent < other->ordered_speed_percent ||
-		     !worker_is_reachable(other->worker)))
+		     !worker_is_reachable(other->worker) ||
+		     !other->worker->has_reported))
 			unavailable++;
 	}
 	return unavailable < MAX(group->step->max_unavailable, 1);
