--- a/packages/core/src/hold.c
+++ b/packages/core/src/hold.c
@@ -56,14 +56,23 @@
 	[HOLD_WORKER_OUTDATED] = { "it has restarted, its new entry has not "
 				   "been read",
 				   "worker", "its entry is read", 0 },
-	[HOLD_WORKER_DRAINS] = { "it drains", "owner_fleet",
-				 "it returns from its move or maintenance", 0 },
+	[HOLD_WORKER_CAPACITY] = { "its capacity may have changed, it does not "
+				   "guard it, and the worker list has not been "
+				   "read lately",
+				   "owner_roster", "the list is read", 0 },
+	[HOLD_WORKER_DRAINS] = { "it drains", "owner_roster", "it has left",
+				 0 },
 	[HOLD_WORKER_SILENT] = { "it does not answer", "worker",
 				 "it answers a poll", 0 },
 	[HOLD_WORKER_STRAYS] = { "runs without a task are being stopped",
 				 "owner_report", "they have ended", 0 },
 	[HOLD_WORKER_REFUSED] = { "it has just refused a task", "owner_report",
 				  "its pause is over", 0 },
+	[HOLD_WORKER_CORDONED] = { "its VM is to be moved or maintained",
+				   "owner_fleet",
+				   "it returns, its tasks do not leave it in "
+				   "time, or it yields",
+				   1500 },
 	[HOLD_WORKER_BREAKER] = { "its tasks fail", "owner_health",
 				  "its breaker is half open and has no task, a "
 				  "task succeeds, or it yields",
