Print no placeholders as figures in the log

Callers: operators read "configuration confirmed ms ago" and an empty key fingerprint in call-refused, and by the same reading "was last confirmed ms ago" in keys-refused, "ordered 0 ms ago" in task-missing and superseded-success for a run that an earlier owner has ordered, and "memory 5 of 0 MB" in account-held for an account without that limit.

Cause: the values that stand for none were printed as they are.

Change: never, none, "by an earlier owner, if ever" and any.

Evidence: test_age_has_a_text is new with the function; the other lines by reading.

--- a/bin/sassafrascartd/jobd.c
+++ b/bin/sassafrascartd/jobd.c
@@ -143,6 +143,7 @@
 	struct jobd_process *process = data;
 	struct jobd_request *request = g_new0(struct jobd_request, 1);
 	const char *reason = NULL;
+	char age[REVOCATION_AGE_TEXT_BYTES];
 	uint16_t status =
 		esoa_job_api_decode(config_watcher_catalogue(process->config),
 				    config_watcher_allows_keys(process->config),
@@ -151,14 +152,16 @@
 	if (status != 0) {
 		log_info("call-refused",
 			 "request %s %s refused with status %u: %s, key "
-			 "fingerprint %s, configuration confirmed %u ms ago",
+			 "fingerprint %s, configuration confirmed %s",
 			 ingress_request_view(ingress)->method,
 			 ingress_request_view(ingress)->path,
 			 (unsigned int)status, reason,
-			 request->call.key_fingerprint,
-			 revocation_age_ms(
+			 request->call.key_fingerprint[0]
+				 ? request->call.key_fingerprint
+				 : "none",
+			 revocation_age_text(
 				 config_watcher_revocation(process->config),
-				 loop_now_ms()));
+				 loop_now_ms(), age));
 		process->calls_refused[status == 401 ? JOBD_REFUSED_KEY
 				       : status == 503
 					       ? JOBD_REFUSED_UNCONFIRMED
--- a/packages/core/include/revocation.h
+++ b/packages/core/include/revocation.h
@@ -50,4 +50,12 @@
 uint32_t revocation_age_ms(const struct revocation *revocation,
 			   uint64_t now_ms);
 
+/** Size of the buffer for revocation_age_text(). */
+#define REVOCATION_AGE_TEXT_BYTES 24
+
+/** @brief Writes the age for the log: "N ms ago" or "never"; returns out. */
+const char *revocation_age_text(const struct revocation *revocation,
+				uint64_t now_ms,
+				char out[static REVOCATION_AGE_TEXT_BYTES]);
+
 #endif
--- a/packages/core/src/revocation.c
+++ b/packages/core/src/revocation.c
@@ -1,5 +1,8 @@
 #include "revocation.h"
 
+#include <inttypes.h>
+#include <stdio.h>
+
 /* Part of the bound for which keys are accepted after a confirmation, in
  * permille. The rest covers clocks that are slow by some percent. */
 #define REVOCATION_ACCEPT_PERMILLE 900
@@ -25,6 +28,20 @@
 	return (uint32_t)age_ms;
 }
 
+const char *revocation_age_text(const struct revocation *revocation,
+				uint64_t now_ms,
+				char out[static REVOCATION_AGE_TEXT_BYTES])
+{
+	uint32_t age_ms = revocation_age_ms(revocation, now_ms);
+
+	if (age_ms == UINT32_MAX)
+		snprintf(out, REVOCATION_AGE_TEXT_BYTES, "never");
+	else
+		snprintf(out, REVOCATION_AGE_TEXT_BYTES, "%" PRIu32 " ms ago",
+			 age_ms);
+	return out;
+}
+
 bool revocation_allows_keys(const struct revocation *revocation,
 			    uint64_t now_ms)
 {
--- a/packages/core/tests/test_revocation.c
+++ b/packages/core/tests/test_revocation.c
@@ -63,6 +63,19 @@
 }
 END_TEST
 
+START_TEST(test_age_has_a_text)
+{
+	struct revocation revocation = { .bound_ms = BOUND_MS, .version = 7 };
+	char text[REVOCATION_AGE_TEXT_BYTES];
+
+	ck_assert_str_eq(revocation_age_text(&revocation, START_MS, text),
+			 "never");
+	revocation_confirm(&revocation, 7, START_MS, 0);
+	ck_assert_str_eq(revocation_age_text(&revocation, START_MS + 40, text),
+			 "40 ms ago");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("revocation");
@@ -73,6 +86,7 @@
 	tcase_add_loop_test(tests, test_confirmation, 0,
 			    sizeof(confirmations) / sizeof(confirmations[0]));
 	tcase_add_test(tests, test_reads_are_due_early);
+	tcase_add_test(tests, test_age_has_a_text);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/packages/jobs/src/config_watcher.c
+++ b/packages/jobs/src/config_watcher.c
@@ -100,6 +100,7 @@
 static void keys_allowed_update(struct config_watcher *watcher)
 {
 	bool allowed = config_watcher_allows_keys(watcher);
+	char age[REVOCATION_AGE_TEXT_BYTES];
 
 	if (allowed == watcher->keys_allowed)
 		return;
@@ -110,14 +111,14 @@
 			 " is confirmed, keys of client accounts are accepted",
 			 watcher->revocation.version);
 	else
-		log_warning(
-			"keys-refused",
-			"configuration version %" G_GUINT64_FORMAT
-			" was last confirmed %u ms ago, at most %u ms are "
-			"allowed: calls with a key are refused",
-			watcher->revocation.version,
-			revocation_age_ms(&watcher->revocation, loop_now_ms()),
-			watcher->revocation.bound_ms);
+		log_warning("keys-refused",
+			    "configuration version %" G_GUINT64_FORMAT
+			    " was last confirmed %s, at most %u ms are "
+			    "allowed: calls with a key are refused",
+			    watcher->revocation.version,
+			    revocation_age_text(&watcher->revocation,
+						loop_now_ms(), age),
+			    watcher->revocation.bound_ms);
 }
 
 static void read_schedule(struct config_watcher *watcher)
--- a/packages/jobs/src/owner_accounts.c
+++ b/packages/jobs/src/owner_accounts.c
@@ -184,6 +184,18 @@
 		unknown_limit(value, &unreported);
 }
 
+/* Size of a buffer for limit_text(). */
+#define LIMIT_TEXT_BYTES 24
+
+static const char *limit_text(int64_t limit, char out[static LIMIT_TEXT_BYTES])
+{
+	if (limit == 0)
+		g_strlcpy(out, "any", LIMIT_TEXT_BYTES);
+	else
+		g_snprintf(out, LIMIT_TEXT_BYTES, "%" G_GINT64_FORMAT, limit);
+	return out;
+}
+
 void owner_accounts_pass_end(struct owner *owner)
 {
 	GHashTableIter iter;
@@ -194,20 +206,23 @@
 		struct owner_account *account = value;
 		const struct catalogue_account *config =
 			account_config(owner, account);
+		char cpu[LIMIT_TEXT_BYTES];
+		char memory[LIMIT_TEXT_BYTES];
 
 		if (account->is_held == account->was_held || !config)
 			continue;
 		account->times_held += account->is_held;
 		log_info(account->is_held ? "account-held" : "account-released",
 			 "account %s: milli-CPU used %" G_GINT64_FORMAT
-			 " of %" G_GINT64_FORMAT ", memory %" G_GINT64_FORMAT
-			 " of %" G_GINT64_FORMAT
-			 " MB, tasks %u, jobs waiting %u, configuration "
+			 " of %s, memory %" G_GINT64_FORMAT
+			 " of %s MB, tasks %u, jobs waiting %u, configuration "
 			 "version %" G_GUINT64_FORMAT ": its tasks %s",
 			 account->name, account->used.cpu_milli,
-			 config->limit.cpu_milli, account->used.memory_mb,
-			 config->limit.memory_mb, account->tasks,
-			 account->waiting_jobs, owner->catalogue->version,
+			 limit_text(config->limit.cpu_milli, cpu),
+			 account->used.memory_mb,
+			 limit_text(config->limit.memory_mb, memory),
+			 account->tasks, account->waiting_jobs,
+			 owner->catalogue->version,
 			 account->is_held ? "wait for its limit"
 					  : "do not wait for its limit");
 	}
--- a/packages/jobs/src/owner_trace.c
+++ b/packages/jobs/src/owner_trace.c
@@ -6,6 +6,22 @@
 	return since_ms == 0 ? 0 : loop_now_ms() - since_ms;
 }
 
+/* Size of a buffer for ordered_text(). */
+#define ORDERED_TEXT_BYTES 32
+
+static const char *ordered_text(const struct job_task *task,
+				char out[static ORDERED_TEXT_BYTES])
+{
+	if (task->ordered_ms > 0)
+		g_snprintf(out, ORDERED_TEXT_BYTES,
+			   "%" G_GUINT64_FORMAT " ms ago",
+			   age_ms(task->ordered_ms));
+	else
+		g_strlcpy(out, "by an earlier owner, if ever",
+			  ORDERED_TEXT_BYTES);
+	return out;
+}
+
 enum job_requeue_cause owner_trace_end_cause(enum adapter_end_kind kind)
 {
 	switch (kind) {
@@ -71,6 +87,7 @@
 					   bool never_started)
 {
 	enum job_requeue_cause cause = JOB_REQUEUE_NOT_IN_REPORT;
+	char ordered[ORDERED_TEXT_BYTES];
 	char name[JOB_TASK_NAME_BYTES];
 
 	if (task->ordered_ms <= worker->restarted_ms)
@@ -80,14 +97,14 @@
 	job_task_name(task, name);
 	log_info("task-missing",
 		 "task %s run %u does not run at worker %s and is requeued: "
-		 "%s; ordered %" G_GUINT64_FORMAT
-		 " ms ago, poll %" G_GUINT64_FORMAT " sent %" G_GUINT64_FORMAT
+		 "%s; ordered %s, poll %" G_GUINT64_FORMAT
+		 " sent %" G_GUINT64_FORMAT
 		 " ms ago, worker's clock %" G_GUINT64_FORMAT
 		 ", run last seen by %s when poll %" G_GUINT64_FORMAT
 		 " was the newest, epoch %" G_GUINT64_FORMAT
 		 ", owner's lease %s",
 		 name, task->run, worker->id, job_requeue_cause_name(cause),
-		 age_ms(task->ordered_ms), poll->serial,
+		 ordered_text(task, ordered), poll->serial,
 		 age_ms(worker->answered_poll_sent_ms), worker->clock_ms,
 		 last_evidence(task), task->last_seen_poll, owner->epoch,
 		 owner_lease_name(owner));
@@ -100,7 +117,7 @@
 	struct job_requeue *requeue = &task->requeue;
 	enum job_requeue_cause cause = requeue->cause;
 	char name[JOB_TASK_NAME_BYTES];
-	char ordered[32] = "by an earlier owner, if ever";
+	char ordered[ORDERED_TEXT_BYTES];
 
 	requeue->cause = JOB_REQUEUE_NONE;
 	if (cause == JOB_REQUEUE_NONE)
@@ -111,10 +128,6 @@
 		return;
 	owner->counters.restarts[cause]++;
 	job_task_name(task, name);
-	if (task->ordered_ms > 0)
-		g_snprintf(ordered, sizeof(ordered),
-			   "%" G_GUINT64_FORMAT " ms ago",
-			   age_ms(task->ordered_ms));
 	log_info("task-restart",
 		 "task %s run %u is started at worker %s after run %u at "
 		 "worker %s: %s, requeued %" G_GUINT64_FORMAT
@@ -123,7 +136,8 @@
 		 name, run, worker->id, requeue->run,
 		 requeue->worker ? requeue->worker : "unknown",
 		 job_requeue_cause_name(cause), age_ms(requeue->requeued_ms),
-		 requeue->lease_was_valid ? "valid" : "not valid", ordered,
+		 requeue->lease_was_valid ? "valid" : "not valid",
+		 ordered_text(task, ordered),
 		 task->end_unreported ? "not reported" : "accounted for",
 		 owner->epoch, owner_lease_name(owner));
 }
@@ -144,20 +158,21 @@
 			    const struct job_task *task,
 			    const struct adapter_run_end *end)
 {
+	char ordered[ORDERED_TEXT_BYTES];
+
 	if (!is_second_success(task, end))
 		return;
 	owner->counters.superseded_successes++;
 	log_warning("superseded-success",
 		    "task %s run %u succeeded at worker %s, and the result is "
 		    "dropped and acknowledged: run %u %s%s is the current one, "
-		    "ordered %" G_GUINT64_FORMAT
-		    " ms ago, worker's clock %" G_GUINT64_FORMAT
+		    "ordered %s, worker's clock %" G_GUINT64_FORMAT
 		    ", its lease until %" G_GUINT64_FORMAT
 		    ", epoch %" G_GUINT64_FORMAT ", owner's lease %s",
 		    end->task, end->run, worker->id, task->run,
 		    task->worker ? "at worker " : "has succeeded and",
 		    task->worker ? task->worker->id : "",
-		    age_ms(task->ordered_ms), worker->clock_ms,
+		    ordered_text(task, ordered), worker->clock_ms,
 		    worker->lease_until_ms, owner->epoch,
 		    owner_lease_name(owner));
 }
