Let each process say when it stood still

Change: the event loop logs loop-stalled at level warning when it is late by 500 ms or more, with the CPU time used meanwhile, so at most two lines a second, and counts times from 20 ms on in the histogram loop_stall_ms of both kinds of process. Commands of sassafrasctl, which watch no signals, log nothing. CPU time is read every 100 ms.

--- a/bin/sassafrascartd/daemon_pages.c
+++ b/bin/sassafrascartd/daemon_pages.c
@@ -27,6 +27,7 @@
 	uint64_t limited;
 
 	counter_render(&daemon->counters, body);
+	loop_metrics_append(daemon->loop, body);
 	reload_metrics_append(daemon->reload, body);
 	gateway_metrics_render(daemon->gateway, body);
 	mgr_metrics_render(daemon->manager, body);
--- a/bin/sassafrascartd/jobd_pages.c
+++ b/bin/sassafrascartd/jobd_pages.c
@@ -42,6 +42,7 @@
 	jobs_metrics(process->service, body);
 	for (size_t i = 0; i < G_N_ELEMENTS(process->call_latency); i++)
 		histogram_render(process->call_latency[i], body);
+	loop_metrics_append(process->loop, body);
 	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++)
 		g_string_append_printf(
 			body,
--- a/packages/runtime/include/loop.h
+++ b/packages/runtime/include/loop.h
@@ -31,6 +31,10 @@
 /** @brief Makes loop_run_until_stopped() return after the current iteration. */
 void loop_stop(struct loop *loop);
 
+/** @brief Appends the histogram of the times for which the loop was late, as
+ *  lines of text. */
+void loop_metrics_append(const struct loop *loop, GString *out);
+
 /** @brief Returns the underlying h2o loop, owned by this loop. */
 h2o_loop_t *loop_h2o(struct loop *loop);
 
--- a/packages/runtime/src/loop.c
+++ b/packages/runtime/src/loop.c
@@ -1,13 +1,23 @@
 #include "loop.h"
 
+#include "histogram.h"
+#include "log.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <signal.h>
 #include <sys/signalfd.h>
+#include <time.h>
 #include <unistd.h>
 
 #define LOOP_WAIT_MAX_MS 1000
+/* Lateness from which an iteration counts in the histogram, and from which it
+ * is logged. */
+#define LOOP_LATE_MS 20
+#define LOOP_STALLED_MS 500
+/* Interval at which the CPU time is read, which is a system call. */
+#define LOOP_CPU_INTERVAL_MS 100
 /* Signals that are delivered to the callback. */
 static const int loop_signals[] = { SIGTERM, SIGINT, SIGHUP };
 /* Signals that would end or stop the process although they have no meaning for
@@ -26,6 +36,14 @@
 	loop_signal_cb signal_cb;
 	void *signal_data;
 	bool stop_requested;
+	/* of iterations that were late */
+	struct histogram *stalls;
+	/* start of the last iteration, and how long it was to wait */
+	uint64_t ticked_ms;
+	uint32_t wait_ms;
+	/* CPU time of the process, and when it was read */
+	uint64_t cpu_ms;
+	uint64_t cpu_read_ms;
 };
 
 struct loop *loop_create(void)
@@ -34,6 +52,7 @@
 
 	loop->h2o = h2o_evloop_create();
 	loop->timers = timer_queue_create();
+	loop->stalls = histogram_create("loop_stall", "");
 	return loop;
 }
 
@@ -46,6 +65,7 @@
 	/* h2o 2.2.5 frees a closed socket in the iteration after the close. */
 	h2o_evloop_run(loop->h2o, 0);
 	timer_queue_destroy(loop->timers);
+	histogram_destroy(loop->stalls);
 	/* h2o_evloop_destroy() asserts that no timeout list is registered; a
 	 * loop that still has one is not freed. */
 	if (h2o_linklist_is_empty(&loop->h2o->_timeouts))
@@ -53,13 +73,57 @@
 	g_free(loop);
 }
 
+static uint64_t cpu_now_ms(void)
+{
+	struct timespec used;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+	return (uint64_t)used.tv_sec * 1000 + (uint64_t)used.tv_nsec / 1000000;
+}
+
+/* Records an iteration that began late: a callback took long, or the process
+ * was stopped or got no CPU. The CPU time tells these apart. */
+static void iteration_observe(struct loop *loop, uint64_t now_ms)
+{
+	uint64_t late_ms = now_ms - loop->ticked_ms;
+
+	late_ms -= MIN(late_ms, loop->wait_ms);
+	if (late_ms >= LOOP_LATE_MS)
+		histogram_record(loop->stalls, late_ms);
+	/* Only processes that stay watch signals. */
+	if (late_ms >= LOOP_STALLED_MS && loop->signal_sock)
+		log_warning("loop-stalled",
+			    "the process did nothing on time for "
+			    "%" G_GUINT64_FORMAT
+			    " ms, after a wait of %u ms; it used "
+			    "%" G_GUINT64_FORMAT
+			    " ms of CPU in the last %" G_GUINT64_FORMAT " ms",
+			    late_ms, loop->wait_ms, cpu_now_ms() - loop->cpu_ms,
+			    now_ms - loop->cpu_read_ms);
+	if (now_ms - loop->cpu_read_ms >= LOOP_CPU_INTERVAL_MS) {
+		loop->cpu_ms = cpu_now_ms();
+		loop->cpu_read_ms = now_ms;
+	}
+	loop->ticked_ms = now_ms;
+}
+
+void loop_metrics_append(const struct loop *loop, GString *out)
+{
+	histogram_render(loop->stalls, out);
+}
+
 void loop_run_until_stopped(struct loop *loop)
 {
 	uint32_t wait_ms = 0;
 
 	loop->stop_requested = false;
+	loop->ticked_ms = loop_now_ms();
+	loop->cpu_ms = cpu_now_ms();
+	loop->cpu_read_ms = loop->ticked_ms;
 	while (!loop->stop_requested) {
+		loop->wait_ms = wait_ms;
 		h2o_evloop_run(loop->h2o, (int32_t)wait_ms);
+		iteration_observe(loop, loop_now_ms());
 		/*
 		 * When a timer callback writes to a socket, h2o 2.2.5 runs the
 		 * write callback and starts to read the response only in its
