--- a/packages/jobs/include/owner.h
+++ b/packages/jobs/include/owner.h
@@ -57,6 +57,9 @@
  */
 void owner_destroy(struct owner *owner);
 
+/** @brief Logs what an owner did last that is no longer the owner. */
+void owner_log_lost(struct owner *owner);
+
 /** @brief Applies a new configuration. */
 void owner_set_catalogue(struct owner *owner, struct catalogue *catalogue);
 
--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -67,8 +67,9 @@
 	/** none of the worker's runs is left */
 	void (*on_ended)(void *data, struct worker *worker,
 			 enum worker_end_cause cause);
-	/** the worker has seen the fencing token of another owner */
-	void (*on_deposed)(void *data);
+	/** a worker has seen the fencing token of another owner; shown_by is
+	 *  its id, for the log */
+	void (*on_deposed)(void *data, const char *shown_by);
 	/** returns whether polls may renew leases */
 	bool (*may_renew)(void *data);
 };
--- a/packages/jobs/src/jobs.c
+++ b/packages/jobs/src/jobs.c
@@ -464,6 +464,8 @@
 
 	service->guard_revision = 0;
 	service->ownerless_since_ms = loop_now_ms();
+	if (owner)
+		owner_log_lost(owner);
 	owner_destroy(owner);
 }
 
--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -68,7 +68,7 @@
 {
 	struct owner *owner = data;
 
-	owner->env.ops->on_deposed(owner);
+	owner->env.ops->on_deposed(owner, "the store");
 }
 
 static const struct commit_ops log_ops = {
@@ -109,6 +109,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	owner_lease_trace_tick(owner);
 	owner_ownership_verify(owner);
 	g_hash_table_iter_init(&iter, owner->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -196,6 +197,8 @@
 	owner->backlogs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	owner->live_occurrences = g_ptr_array_new();
+	owner->lease_trace =
+		owner_lease_trace_create(owner->takeover_started_ms);
 	owner->weak_ref = weak_ref_create(owner);
 	g_queue_init(&owner->pending_calls);
 	owner->cancels = owner_cancels_create();
@@ -236,11 +239,17 @@
 	g_hash_table_unref(owner->backlogs);
 	g_hash_table_unref(owner->accounts);
 	owner_cancels_destroy(owner->cancels);
+	owner_lease_trace_destroy(owner->lease_trace);
 	catalogue_unref(owner->catalogue);
 	weak_ref_invalidate(owner->weak_ref);
 	g_free(owner);
 }
 
+void owner_log_lost(struct owner *owner)
+{
+	owner_lease_trace_lost(owner);
+}
+
 void owner_set_catalogue(struct owner *owner, struct catalogue *catalogue)
 {
 	const GArray *before = owner->catalogue->queues;
@@ -311,5 +320,6 @@
 			"sassafrascart_task_restarts_total{cause=\"%s\"} "
 			"%" G_GUINT64_FORMAT "\n",
 			job_requeue_cause_name(i), counters->restarts[i]);
+	owner_lease_trace_metrics_append(owner, out);
 	owner_accounts_metrics_append(owner, out);
 }
--- a/packages/jobs/src/owner_fleet.c
+++ b/packages/jobs/src/owner_fleet.c
@@ -158,7 +158,8 @@
 		vm_operation_accept(fleet, vm);
 		break;
 	case ADAPTER_VM_REFUSED_FENCE:
-		fleet->owner->env.ops->on_deposed(fleet->owner);
+		fleet->owner->env.ops->on_deposed(fleet->owner,
+						  "the VM service");
 		break;
 	case ADAPTER_VM_REFUSED_BUSY:
 		if (vm->target_pool)
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -13,6 +13,7 @@
 #include "commit_log.h"
 #include "predictor.h"
 #include "owner.h"
+#include "owner_lease_trace.h"
 #include "trend.h"
 #include "worker.h"
 
@@ -45,6 +46,10 @@
 	/** tasks that were started again, by cause; see owner_trace.c */
 	uint64_t restarts[JOB_REQUEUE_COUNT];
 	uint64_t superseded_successes;
+	/** see owner_lease_trace.c */
+	uint64_t starts_without_lease;
+	uint64_t renewals_without_lease;
+	uint64_t renewals_withheld;
 	uint64_t unknown_ends;
 	/** workers that ended by themselves with tasks on them, and those
 	 *  tasks */
@@ -146,6 +151,7 @@
 	struct owner_cancels *cancels;
 	struct owner_fleet *fleet;
 	struct owner_counters counters;
+	struct owner_lease_trace *lease_trace;
 	/** workers were added or removed since the roster was last written */
 	bool roster_dirty;
 	/** number of workers that the roster has no room for */
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -395,13 +395,14 @@
 	owner_health_save(owner, worker);
 }
 
-static void on_newer_owner_detected(void *data)
+static void on_newer_owner_detected(void *data, const char *shown_by)
 {
 	struct owner *owner = data;
 
 	if (owner->fenced)
 		return;
 	owner->fenced = true;
+	owner_lease_trace_deposed(owner, shown_by);
 	/* Deferred, because this may be called by a worker, which the owner
 	 * frees when it steps down. */
 	loop_timer_set(owner->config.loop, &owner->step_down_timer, 0);
@@ -409,7 +410,10 @@
 
 static bool may_renew_leases(void *data)
 {
-	return owner_is_unchallenged(data, loop_now_ms());
+	bool renews = owner_is_unchallenged(data, loop_now_ms());
+
+	owner_lease_trace_renewal(data, renews);
+	return renews;
 }
 
 const struct worker_ops owner_worker_ops = {
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -376,12 +376,7 @@
 	released = owner_unknown_tasks_release(owner, all_reported);
 	owner->has_unknown_tasks = false;
 	owner_ended_jobs_trim(owner);
-	log_info("takeover-settled",
-		 "%u tasks requeued, %" G_GUINT64_FORMAT
-		 " ms after the takeover began, epoch %" G_GUINT64_FORMAT "%s",
-		 released, loop_now_ms() - owner->takeover_started_ms,
-		 owner->epoch,
-		 all_reported ? "" : ", not all workers have reported");
+	owner_lease_trace_settled(owner, released, all_reported);
 	owner_schedule_request(owner);
 }
 
--- a/packages/jobs/src/owner_trace.c
+++ b/packages/jobs/src/owner_trace.c
@@ -119,6 +119,7 @@
 	char name[JOB_TASK_NAME_BYTES];
 	char ordered[ORDERED_TEXT_BYTES];
 
+	owner_lease_trace_start(owner, task, worker, run);
 	requeue->cause = JOB_REQUEUE_NONE;
 	if (cause == JOB_REQUEUE_NONE)
 		return;
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -314,7 +314,8 @@
 	switch (reply->verdict) {
 	case ADAPTER_REFUSED_FENCE:
 		if (fence_is_current(worker, call->order.fence))
-			worker->env->ops->on_deposed(worker->env->data);
+			worker->env->ops->on_deposed(worker->env->data,
+						     worker->id);
 		else
 			poll_schedule(worker, 0);
 		break;
@@ -426,7 +427,8 @@
 		if (reply->err == ERR_NONE &&
 		    reply->verdict == ADAPTER_REFUSED_FENCE &&
 		    fence_is_current(worker, call->order.fence))
-			worker->env->ops->on_deposed(worker->env->data);
+			worker->env->ops->on_deposed(worker->env->data,
+						     worker->id);
 		else
 			worker->env->ops->on_started(worker->env->data, worker,
 						     &call->order, reply);
