Log that the list of workers cannot be read

Cause: an owner that cannot read the list of workers, because the store fails or the pages time out, knows of no new worker and releases no takeover, and no line said so. Found while looking for the cause of "timed out after 15000 ms waiting until a worker appears at VM 3" (inputs_entries_2 beside ten busy processes), which is not traced yet.

Change: worker-list-failed (warning) at the first of several failures, and worker-list-read with their number and time after them.

Evidence: test_starts_without_a_lease_are_named asks for one line each; they are new.

--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -157,6 +157,10 @@
 	/** number of workers that the roster has no room for */
 	uint32_t roster_left_out;
 	bool workers_list_in_flight;
+	/** consecutive reads of the worker list that failed, and the local time
+	 *  of the first */
+	uint32_t workers_list_failures;
+	uint64_t workers_list_failed_ms;
 	bool records_read_in_flight;
 	bool roster_read_in_flight;
 	struct timer schedule_timer;
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -262,6 +262,24 @@
 		MAX(owner->odd_entries_revision, result->revision);
 }
 
+/* Logs the first of several failures, and that the list is read again. */
+static void list_outcome_log(struct owner *owner, enum err_kind err)
+{
+	if (err != ERR_NONE && owner->workers_list_failures++ == 0) {
+		owner->workers_list_failed_ms = loop_now_ms();
+		log_warning("worker-list-failed", "no list of workers: %s",
+			    err_name(err));
+	}
+	if (err != ERR_NONE || owner->workers_list_failures == 0)
+		return;
+	log_info("worker-list-read",
+		 "list of workers read again after %u failures in "
+		 "%" G_GUINT64_FORMAT " ms",
+		 owner->workers_list_failures,
+		 loop_now_ms() - owner->workers_list_failed_ms);
+	owner->workers_list_failures = 0;
+}
+
 static void on_workers_listed(void *data, enum err_kind err,
 			      const struct platform_result *result)
 {
@@ -272,6 +290,7 @@
 	if (!owner)
 		return;
 	owner->workers_list_in_flight = false;
+	list_outcome_log(owner, err);
 	loop_timer_set(owner->config.loop, &owner->list_timer,
 		       err == ERR_NONE ? list_interval_ms(owner)
 				       : OWNER_LIST_RETRY_DELAY_MS);
--- a/packages/jobs/tests/test_lease_trace.c
+++ b/packages/jobs/tests/test_lease_trace.c
@@ -103,9 +103,13 @@
 			  TASKS);
 	ck_assert_uint_le(occurrences(lines, "starts-without-lease:", "epoch"),
 			  6 * 3);
+	ck_assert_uint_eq(
+		occurrences(lines, "worker-list-failed:", "unavailable"), 1);
+	ck_assert_uint_eq(occurrences(lines, "worker-list-read:", "again"), 0);
 	for (uint32_t i = 0; i < fleet.nodes; i++)
 		emu_store_set_mode(emu, i, EMU_STORE_OK);
 	emu_settle(emu, 1, 60000);
+	ck_assert_uint_eq(occurrences(lines, "worker-list-read:", "again"), 1);
 	emu_destroy(emu);
 }
 END_TEST
