Follow the list of workers across a change of owner in inputs_entries

Callers: none; inputs_entries_2 was once red beside ten busy processes: "timed out after 15000 ms waiting until a worker appears at VM 3".

Cause: the test waits wrongly. It reads the log of the process that was the owner before the second part. A process that gets no CPU for longer than its lease is replaced, and then another one lists the new worker. A trial on a scratch copy, in which the owner is stopped for 4 s while VM 3 drains, fails with the same text:

06:27.793 vm-entry-3 loop-stalled: did nothing on time for 3988 ms until then 06:24.720 vm-entry-1 ownership-won 06:26.547 vm-entry-1 worker-listed: new worker w-3-2 06:42.8 timed out, waiting for that line of vm-entry-3

Change: the waits of the second and third part look at all processes, and one of them has to log all that the owner had to before; the third part kills the process that is the owner by then. No bound changes.

--- a/tests/scenarios/inputs_entries.lua
+++ b/tests/scenarios/inputs_entries.lua
@@ -78,33 +78,43 @@
   work(run.processes[i % 3 + 1], case[1])
   write(i, "")
 end
-local owner = run:find(true)
-local reports = jobfleet.event_count(owner, "entry-malformed")
+-- Another process may become the owner at any time; it reports all odd entries.
+local function event_counts(event)
+  local counts = {}
+  for _, process in ipairs(run.processes) do counts[process] = jobfleet.event_count(process, event) end
+  return counts
+end
+-- Whether one process has logged an event as many times more.
+local function has_logged(event, before, times)
+  for process, count in pairs(event_counts(event)) do
+    if count >= before[process] + times then return true end
+  end
+end
+local reports, odd = event_counts("entry-malformed"), 0
 for i, case in ipairs(cases) do
   write(i)
-  if not case.sound then reports = reports + 1 end
+  if not case.sound then odd = odd + 1 end
 end
 work(first, "all entries")
 fleet.wait_until("each odd entry is reported", REPORT_MS, function()
-  return jobfleet.event_count(owner, "entry-malformed") >= reports
+  return has_logged("entry-malformed", reports, odd)
 end)
 
 -- 2. All workers of a pool drain; those that appear in their place get its jobs.
 for vm = 0, POOL_VMS - 1 do
   run.platform:control("/control/fault", string.format('{"kind":"drain","vm":%d,"x":%d}', vm, DRAIN_MS))
   fleet.wait_until("a worker appears at VM " .. vm, RETURN_MS, function()
-    return fleet.read(owner.log):find("new worker w-" .. vm .. "-2 ", 1, true)
+    for _, process in ipairs(run.processes) do
+      if fleet.read(process.log):find("new worker w-" .. vm .. "-2 ", 1, true) then return true end
+    end
   end)
   work(first, "worker of VM " .. vm .. " replaced")
 end
 
 -- 3. A takeover.
-run:kill(owner)
-fleet.wait_until("the takeover settles", TAKEOVER_MS, function()
-  for _, process in ipairs(run.processes) do
-    if jobfleet.event_count(process, "takeover-settled") > 0 then return true end
-  end
-end)
+local settled = event_counts("takeover-settled")
+run:kill(run:find(true))
+fleet.wait_until("the takeover settles", TAKEOVER_MS, function() return has_logged("takeover-settled", settled, 1) end)
 work(run.processes[1], "after the takeover")
 run:finish()
 local report = run.platform:report()
