--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -278,6 +278,24 @@
 		MAX(owner->odd_entries_revision, result->revision);
 }
 
+/* Logs the first of several failures, and that the list is read again. */
+static void list_outcome_log(struct owner *owner, enum err_kind err)
+{
+	if (err != ERR_NONE && owner->workers_list_failures++ == 0) {
+		owner->workers_list_failed_ms = loop_now_ms();
+		log_warning("worker-list-failed", "no list of workers: %s",
+			    err_name(err));
+	}
+	if (err != ERR_NONE || owner->workers_list_failures == 0)
+		return;
+	log_info("worker-list-read",
+		 "list of workers read again after %u failures in "
+		 "%" G_GUINT64_FORMAT " ms",
+		 owner->workers_list_failures,
+		 loop_now_ms() - owner->workers_list_failed_ms);
+	owner->workers_list_failures = 0;
+}
+
 static void on_workers_listed(void *data, enum err_kind err,
 			      const struct platform_result *result)
 {
@@ -288,6 +306,7 @@
 	if (!owner)
 		return;
 	owner->workers_list_in_flight = false;
+	list_outcome_log(owner, err);
 	loop_timer_set(owner->config.loop, &owner->list_timer,
 		       err == ERR_NONE ? list_interval_ms(owner)
 				       : OWNER_LIST_RETRY_DELAY_MS);
@@ -394,12 +413,7 @@
 	released = owner_unknown_tasks_release(owner, all_reported);
 	owner->has_unknown_tasks = false;
 	owner_ended_jobs_trim(owner);
-	log_info("takeover-settled",
-		 "%u tasks requeued, %" G_GUINT64_FORMAT
-		 " ms after the takeover began, epoch %" G_GUINT64_FORMAT "%s",
-		 released, loop_now_ms() - owner->takeover_started_ms,
-		 owner->epoch,
-		 all_reported ? "" : ", not all workers have reported");
+	owner_lease_trace_settled(owner, released, all_reported);
 	owner_schedule_request(owner);
 }
 
