Suspect only runs that the incarnation which ended can have had

Cause: a worker had restarted under its identity before the owner sent it run 2 of a task. The owner noticed the new incarnation 4 ms after that order and blamed the run for the crash, with the job given up as "the only suspect", though the new incarnation had started the run and went on running it.

Change: the end of an incarnation that a restart shows is judged with the first report of the next one, as the orders to it have always been. What that report lists was started there and cannot have crashed the earlier incarnation: it is no suspect and is not counted as lost. If the next incarnation ends without a report, all are judged then, as before. A clock reading of the new incarnation is not used: nothing says at which value a worker's clock begins.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -193,6 +193,11 @@
 	bool ended;
 	/** what ended the last incarnation has been judged */
 	bool end_judged;
+	/** owner: an incarnation has ended by itself, which is judged once a
+	 *  report shows which orders the next one has received; and the local
+	 *  time until which it certainly ran */
+	bool crash_pending;
+	uint64_t crash_until_ms;
 	/** it ran without a likely suspect when that was last observed */
 	bool unsuspected;
 
--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -26,6 +26,9 @@
 	uint64_t until_ms = worker->ran_until_ms ? worker->ran_until_ms
 						 : worker->clock_at_ms;
 
+	if (worker->crash_pending)
+		until_ms = worker->crash_until_ms;
+
 	return until_ms > task->ordered_ms ? until_ms - task->ordered_ms : 0;
 }
 
@@ -90,8 +93,19 @@
 	return (uint64_t)(uintptr_t)unit;
 }
 
-/* Collects the tasks whose newest run has not been judged yet. */
-static GArray *suspects_collect(const struct worker *worker, GPtrArray *tasks)
+/* Returns whether the report that is being processed lists the newest run of a
+ * task: if the worker has restarted, its order reached the new incarnation. */
+static bool run_is_listed(const struct owner *owner,
+			  const struct job_task *task)
+{
+	return task->seen_in_report == owner->report_serial;
+}
+
+/* Collects the tasks whose newest run has not been judged yet, and that were on
+ * the incarnation that has ended. */
+static GArray *suspects_collect(const struct owner *owner,
+				const struct worker *worker, bool has_restarted,
+				GPtrArray *tasks)
 {
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct suspect_task));
 
@@ -110,7 +124,8 @@
 		};
 
 		if (task->crashed_run == task->run ||
-		    !owner_job_is_live(task->group->occurrence->job))
+		    !owner_job_is_live(task->group->occurrence->job) ||
+		    (has_restarted && run_is_listed(owner, task)))
 			continue;
 		suspect.evidence = job_task_suspect(task);
 		task->crashed_run = task->run;
@@ -234,7 +249,7 @@
 		bool was_unsuspected = worker->unsuspected;
 
 		/* It may have crashed. */
-		if (!worker_is_reachable(worker))
+		if (!worker_is_reachable(worker) || worker->crash_pending)
 			continue;
 		worker->unsuspected = is_unsuspected(worker, now_ms);
 		if (was_unsuspected && worker->unsuspected)
@@ -277,10 +292,11 @@
 /* Updates the evidence against the tasks on a worker that has crashed, and
  * collects the jobs of those that are convicted. */
 static void crash_judge(struct owner *owner, const struct worker *worker,
-			GPtrArray *convicted_jobs)
+			bool has_restarted, GPtrArray *convicted_jobs)
 {
 	g_autoptr(GPtrArray) tasks = g_ptr_array_new();
-	g_autoptr(GArray) suspects = suspects_collect(worker, tasks);
+	g_autoptr(GArray) suspects =
+		suspects_collect(owner, worker, has_restarted, tasks);
 	struct suspect_background *background = background_of(owner, worker);
 	struct suspect_task *data = (struct suspect_task *)suspects->data;
 	struct suspect_crash crash = {
@@ -326,12 +342,35 @@
 	/* A worker that drains ends for that reason. */
 	if ((cause == WORKER_CRASHED || cause == WORKER_REPLACED) &&
 	    !worker->draining)
-		crash_judge(owner, worker, convicted_jobs);
+		crash_judge(owner, worker, false, convicted_jobs);
 	else
 		lost_tasks_log(worker, cause);
 	return convicted_jobs;
 }
 
+void owner_crash_defer(struct worker *worker)
+{
+	if (worker->crash_pending)
+		return;
+	if (worker->draining) {
+		lost_tasks_log(worker, WORKER_CRASHED);
+		worker->unsuspected = false;
+		return;
+	}
+	worker->crash_until_ms = worker->clock_at_ms;
+	worker->crash_pending = true;
+}
+
+void owner_crash_judge_deferred(struct owner *owner, struct worker *worker)
+{
+	GPtrArray *convicted_jobs = g_ptr_array_new();
+
+	crash_judge(owner, worker, true, convicted_jobs);
+	worker->crash_pending = false;
+	worker->unsuspected = false;
+	owner_crash_fail_jobs(owner, convicted_jobs);
+}
+
 void owner_crash_fail_jobs(struct owner *owner, GPtrArray *jobs)
 {
 	for (guint i = 0; i < jobs->len; i++) {
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -342,6 +342,12 @@
  * owner_crash_fail_jobs(). */
 GPtrArray *owner_crash_process(struct owner *owner, const struct worker *worker,
 			       enum worker_end_cause cause);
+/* Records that a worker has restarted: its new incarnation may have received
+ * the latest orders, which its first report shows. */
+void owner_crash_defer(struct worker *worker);
+/* Judges such an end by the report that is being processed, and fails the jobs
+ * of tasks that are convicted. */
+void owner_crash_judge_deferred(struct owner *owner, struct worker *worker);
 /* Fails jobs that are live, and frees the array. */
 void owner_crash_fail_jobs(struct owner *owner, GPtrArray *jobs);
 /* Presumes a crash under each suspect that an earlier owner may have started
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -275,6 +275,8 @@
 	owner_account_strays_clear(worker);
 	for (size_t i = 0; i < report->run_count; i++)
 		reported_run_process(owner, worker, &report->runs[i], poll);
+	if (worker->crash_pending)
+		owner_crash_judge_deferred(owner, worker);
 	owner_health_check_probe(worker);
 	poll_wait_set(worker);
 	stalled_tasks_stop(owner, worker);
@@ -366,20 +368,21 @@
 	owner_worker_check_ownership(data, worker);
 	/* It gets no tasks before its new entry has been read. */
 	owner_workers_list(data);
-	if (!worker->end_judged)
-		owner_crash_fail_jobs(
-			data,
-			owner_crash_process(data, worker, WORKER_CRASHED));
+	if (worker->end_judged)
+		worker->unsuspected = false;
+	else
+		owner_crash_defer(worker);
 	worker->end_judged = false;
-	worker->unsuspected = false;
 }
 
 static void on_worker_ended(void *data, struct worker *worker,
 			    enum worker_end_cause cause)
 {
 	struct owner *owner = data;
-	GPtrArray *convicted_jobs = owner_crash_process(owner, worker, cause);
+	GPtrArray *convicted_jobs = owner_crash_process(
+		owner, worker, worker->crash_pending ? WORKER_CRASHED : cause);
 
+	worker->crash_pending = false;
 	worker->end_judged = true;
 	worker->unsuspected = false;
 	while (worker->tasks->len > 0) {
--- a/packages/jobs/tests/test_crashes.c
+++ b/packages/jobs/tests/test_crashes.c
@@ -250,6 +250,43 @@
 }
 END_TEST
 
+/* A task whose worker has crashed is started on the only other one that fits
+ * it, which has restarted under its identity before and goes on running it. */
+START_TEST(test_run_that_a_restarted_worker_has_received_is_no_suspect)
+{
+	struct emu_config config = fleet;
+	struct emu_job job = harmless;
+	struct emu_stats stats;
+	struct emu *emu;
+	uint32_t vm;
+
+	config.seed = 1 + _i;
+	config.spare_vms = 0;
+	job.tasks_per_step = 1;
+	job.task_ms = 2000;
+	emu = emu_create(&config);
+	for (uint32_t i = 2; i < emu_vm_count(emu); i++)
+		emu_worker_set_cpu(emu, i, job.cpu_milli / 2);
+	emu_advance(emu, 10000);
+	emu_submit(emu, 0, &job);
+	emu_advance(emu, 20);
+	vm = emu_vm_running(emu, 0);
+	ck_assert_uint_lt(vm, 2);
+	emu_worker_entry_delay(emu, 1 - vm, 1000);
+	emu_worker_restart(emu, 1 - vm);
+	emu_vm_crash(emu, vm, 5000);
+	emu_advance(emu, 8000);
+	emu_state_query(emu, 0, 0);
+	emu_advance(emu, 500);
+	emu_stats(emu, &stats);
+	ck_assert_msg(emu_violation_count(emu) == 0, "seed %u: %s", config.seed,
+		      emu_first_violation(emu));
+	ck_assert_uint_eq(stats.succeeded, 1);
+	ck_assert_uint_eq(stats.runs, 2);
+	emu_destroy(emu);
+}
+END_TEST
+
 /* A long-running job of which a task is given up: the others are on sound
  * workers and may be stopped only within their disruption budget, until the job
  * is cancelled. */
@@ -291,6 +328,10 @@
 	tcase_add_loop_test(tests,
 			    test_no_task_is_blamed_while_workers_crash_by_turns,
 			    0, 6);
+	tcase_add_loop_test(
+		tests,
+		test_run_that_a_restarted_worker_has_received_is_no_suspect, 0,
+		4);
 	tcase_add_loop_test(
 		tests, test_budget_holds_when_a_long_running_job_is_given_up, 0,
 		2);
