Store cancellations of unknown jobs before they are acknowledged

Callers saw: a task of a job starts whose cancelling was acknowledged with 410 (UNASKED).

Cause: a submission waits at a paused or slow process. Its caller cancels the job at another process, whose owner knows no such job. That owner kept the cancellation in memory only, so it was lost with a takeover, and the next owner accepted the submission.

Change: the cancellation is stored before it is answered, as an end record in the state cancelled, in the same segments as the ends of jobs. The next owner reads it with them and refuses the submission as not run. GET still answers 410, since it is not among the jobs. That the write succeeds proves that no other owner has accepted the job, so the read of the store for each such call is gone. The record's key is identity, queue and account, so that an account cannot keep another one from using an identity.

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -314,6 +314,8 @@
 	bool is_restored;
 	/** failed, and then cancelled by its caller */
 	bool is_abandoned;
+	/** stands for a cancellation of a job that had not been submitted */
+	bool is_cancel_only;
 	uint64_t accepted_unix_ms;
 	uint64_t accepted_ms;
 	uint64_t ended_ms;
--- a/packages/jobs/include/job_record.h
+++ b/packages/jobs/include/job_record.h
@@ -56,6 +56,12 @@
 uint32_t job_record_progress_add(json_t *records, const struct job *job,
 				 size_t max_bytes);
 
+/** @brief Returns the key of a cancellation of a job that had not been
+ *  submitted: that of its record, and never an identity. Another account or
+ *  queue may have a job of the same identity. */
+char *job_record_cancel_key(const char *id, const char *queue,
+			    const char *account);
+
 /** @brief Adds the end record of a job to a JSON object. */
 void job_record_end_add(json_t *records, const struct job *job);
 
@@ -67,6 +73,7 @@
 
 /**
  * @brief Decodes an end record.
+ * @param id key of the record
  * @return ERR_NONE or ERR_MALFORMED
  */
 enum err_kind job_record_end_decode(const char *id, const json_t *record,
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -64,9 +64,19 @@
 	return ERR_NONE;
 }
 
+char *job_record_cancel_key(const char *id, const char *queue,
+			    const char *account)
+{
+	return g_strdup_printf("%s %s %s", id, queue, account ? account : "");
+}
+
 void job_record_end_add(json_t *records, const struct job *job)
 {
 	json_t *json = json_object();
+	g_autofree char *cancel_key =
+		job->is_cancel_only ? job_record_cancel_key(job->id, job->queue,
+							    job->account)
+				    : NULL;
 
 	json_object_set_new(json, "queue", json_string(job->queue));
 	text_set(json, "account", job->account);
@@ -74,7 +84,9 @@
 			    json_string(state_names[job->state]));
 	json_object_set_new(json, "accepted_ms",
 			    json_integer((json_int_t)job->accepted_unix_ms));
-	json_object_set_new(records, job->id, json);
+	if (cancel_key)
+		json_object_set_new(json, "cancels", json_string(job->id));
+	json_object_set_new(records, cancel_key ? cancel_key : job->id, json);
 }
 
 json_t *job_record_batch_decode(const char *text, size_t len)
@@ -102,11 +114,16 @@
 				    struct job **out)
 {
 	const char *name = json_string_value(json_object_get(record, "state"));
+	const char *cancels =
+		json_string_value(json_object_get(record, "cancels"));
 	enum job_state state;
 
+	if (cancels)
+		id = cancels;
 	if (!record_is_valid(id, record) || !end_state_decode(name, &state))
 		return ERR_MALFORMED;
 	*out = job_from_record(id, record, NULL, state);
+	(*out)->is_cancel_only = cancels != NULL;
 	return ERR_NONE;
 }
 
--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -198,7 +198,6 @@
 	owner->live_occurrences = g_ptr_array_new();
 	owner->weak_ref = weak_ref_create(owner);
 	g_queue_init(&owner->pending_calls);
-	owner->cancels = owner_cancels_create();
 	timer_init(&owner->schedule_timer, on_schedule, owner);
 	timer_init(&owner->list_timer, on_list, owner);
 	timer_init(&owner->sweep_timer, on_sweep, owner);
@@ -210,6 +209,7 @@
 		config->loop, config->store, config->guard_key,
 		config->guard_revision, OWNER_COMMIT_INTERVAL_MS,
 		value_max_bytes(config->service), &log_ops, owner);
+	owner->cancels = owner_cancels_create(owner->log);
 	return owner;
 }
 
--- a/packages/jobs/src/owner_calls.c
+++ b/packages/jobs/src/owner_calls.c
@@ -174,7 +174,9 @@
 
 void owner_calls_answer_committed(struct owner *owner, struct job *job)
 {
-	const struct jobs_answer answer = { .outcome = JOBS_OK };
+	const struct jobs_answer answer = {
+		.outcome = job->is_cancel_only ? JOBS_NO_JOB : JOBS_OK,
+	};
 	GSList *next;
 
 	for (GSList *at = job->waiters; at; at = next) {
@@ -382,14 +384,32 @@
 	cb(data, &answer);
 }
 
+/* The cancellation is stored before it is acknowledged, because the submission
+ * may reach the next owner. That it was stored also proves that no other owner
+ * has accepted the job. */
+static void unknown_job_cancel(struct owner *owner,
+			       const struct jobs_call *call, jobs_cb cb,
+			       void *data)
+{
+	struct job *job =
+		owner_cancels_add(owner->cancels, call, loop_now_ms());
+
+	if (!job)
+		call_answer(cb, data, JOBS_UNKNOWN,
+			    "too many cancellations wait for the store");
+	else if (job->dirty || job->in_flight)
+		pending_call_add(owner, job, call, cb, data);
+	else
+		call_answer(cb, data, JOBS_NO_JOB, NULL);
+}
+
 static void job_cancel(struct owner *owner, const struct jobs_call *call,
 		       jobs_cb cb, void *data)
 {
 	struct job *job = job_of_call(owner, call);
 
 	if (!job) {
-		owner_cancels_add(owner->cancels, call, loop_now_ms());
-		call_answer_not_found(owner, call, cb, data);
+		unknown_job_cancel(owner, call, cb, data);
 		return;
 	}
 	if (job->state == JOB_SUCCEEDED || job->state == JOB_FAILED) {
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -265,13 +265,19 @@
 void owner_calls_abort(struct owner *owner);
 void owner_calls_refuse_unsent(struct owner *owner);
 
-/* owner_cancels.c: cancellations of jobs that have not been submitted yet. */
-struct owner_cancels *owner_cancels_create(void);
+/* owner_cancels.c: cancellations of jobs that have not been submitted yet. They
+ * are stored, so that the next owner has them. */
+struct owner_cancels *owner_cancels_create(struct commit_log *log);
+/* Called after the log has been destroyed. */
 void owner_cancels_destroy(struct owner_cancels *cancels);
 /* Records that a caller has cancelled a job that does not exist: its submission
- * may be on its way through a slow or paused process. */
-void owner_cancels_add(struct owner_cancels *cancels,
-		       const struct jobs_call *call, uint64_t now_ms);
+ * may be on its way through a slow or paused process. Returns what stands for
+ * it in the log, NULL if too many have not been stored yet. */
+struct job *owner_cancels_add(struct owner_cancels *cancels,
+			      const struct jobs_call *call, uint64_t now_ms);
+/* Takes over a cancellation that an earlier owner has stored. */
+void owner_cancels_restore(struct owner_cancels *cancels, struct job *job,
+			   uint64_t now_ms);
 /* Returns whether the job of a submission was cancelled before. */
 bool owner_cancels_find(const struct owner_cancels *cancels,
 			const struct jobs_call *call);
--- a/packages/jobs/src/owner_recovery.c
+++ b/packages/jobs/src/owner_recovery.c
@@ -181,6 +181,11 @@
 			    id);
 		return;
 	}
+	if (ended->is_cancel_only) {
+		owner_cancels_restore(owner->cancels, ended, loop_now_ms());
+		commit_restore_add(owner->log, segment, ended, JOB_SEGMENT_END);
+		return;
+	}
 	/* A job's definition is deleted some time after its end is stored, so
 	 * both may be present. */
 	ended->has_definition = job && job->has_definition;
--- a/packages/jobs/tests/test_late_submissions.c
+++ b/packages/jobs/tests/test_late_submissions.c
@@ -24,6 +24,8 @@
 	.task_ms = 500,
 };
 
+/* In the second run another process becomes the owner in between, and in the
+ * third one two. */
 START_TEST(test_submission_after_its_cancellation)
 {
 	struct emu *emu = emu_create(&fleet);
@@ -34,6 +36,14 @@
 	job = emu_job_register(emu, &batch);
 	emu_cancel(emu, 1, job);
 	emu_advance(emu, 1000);
+	for (int i = 0; i < _i; i++) {
+		uint32_t owner = emu_owner(emu);
+
+		emu_node_kill(emu, owner);
+		emu_advance(emu, 5000);
+		ck_assert_uint_lt(emu_owner(emu), fleet.nodes);
+		emu_node_start(emu, owner);
+	}
 	emu_resubmit(emu, 2, job);
 	emu_settle(emu, 1, 5000);
 	emu_stats(emu, &stats);
@@ -43,6 +53,33 @@
 }
 END_TEST
 
+/* They share transactions, and repeated ones are not stored again. */
+START_TEST(test_many_cancellations_cost_few_calls_of_the_store)
+{
+	struct emu *emu = emu_create(&fleet);
+	struct emu_stats before;
+	struct emu_stats after;
+
+	emu_advance(emu, 3000);
+	emu_stats(emu, &before);
+	for (uint32_t i = 0; i < 500; i++) {
+		uint32_t job = emu_job_register(emu, &batch);
+
+		emu_cancel(emu, i, job);
+		emu_advance(emu, 2);
+	}
+	for (uint32_t i = 0; i < 500; i++) {
+		emu_cancel(emu, i, i);
+		emu_advance(emu, 2);
+	}
+	emu_advance(emu, 1000);
+	emu_stats(emu, &after);
+	ck_assert_uint_lt(after.store_calls - before.store_calls, 200);
+	emu_settle(emu, 500, 1000);
+	emu_destroy(emu);
+}
+END_TEST
+
 /* While there is no owner. */
 START_TEST(test_submission_whose_caller_has_left)
 {
@@ -71,7 +108,10 @@
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
-	tcase_add_test(tests, test_submission_after_its_cancellation);
+	tcase_add_loop_test(tests, test_submission_after_its_cancellation, 0,
+			    3);
+	tcase_add_test(tests,
+		       test_many_cancellations_cost_few_calls_of_the_store);
 	tcase_add_test(tests, test_submission_whose_caller_has_left);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
--- a/packages/jobs/tests/test_segment.c
+++ b/packages/jobs/tests/test_segment.c
@@ -111,6 +111,34 @@
 }
 END_TEST
 
+/* A cancellation that came before any submission leaves the identity to jobs of
+ * other accounts and queues. */
+START_TEST(test_cancel_record_is_no_end_of_its_identity)
+{
+	struct job *cancel = pending_job_create(ID_A);
+	struct job *read = NULL;
+	json_t *records = json_object();
+	g_autofree char *key = job_record_cancel_key(ID_A, "queue", "a");
+
+	cancel->account = g_strdup("a");
+	cancel->state = JOB_CANCELLED;
+	cancel->is_cancel_only = true;
+	job_record_end_add(records, cancel);
+	ck_assert_ptr_null(json_object_get(records, ID_A));
+	ck_assert(!job_id_is_valid(key));
+	ck_assert_int_eq(job_record_end_decode(
+				 key, json_object_get(records, key), &read),
+			 ERR_NONE);
+	ck_assert(read->is_cancel_only);
+	ck_assert_str_eq(read->id, ID_A);
+	ck_assert_str_eq(read->queue, "queue");
+	ck_assert_str_eq(read->account, "a");
+	job_destroy(read);
+	job_destroy(cancel);
+	json_decref(records);
+}
+END_TEST
+
 START_TEST(test_progress_record_round_trip)
 {
 	struct job *job = pending_job_create(ID_A);
@@ -226,6 +254,7 @@
 	tcase_add_test(tests, test_segment_kinds_are_independent);
 	tcase_add_test(tests, test_empty_segment_is_retired);
 	tcase_add_test(tests, test_end_record_round_trip);
+	tcase_add_test(tests, test_cancel_record_is_no_end_of_its_identity);
 	tcase_add_test(tests, test_progress_record_round_trip);
 	tcase_add_test(tests, test_malformed_records_are_rejected);
 	tcase_add_test(tests, test_too_large_specification_is_refused);
