Log what callers are told of failed jobs, and which record says so

Seen in the soak once: a caller was told that a job had failed, and no log had a job-ended with it.

What logs lacked: in job mode, levels below warning are limited to 100 lines a second, so a job-ended line at level info may be missing. Nothing was logged of the ends that a takeover reads.

Change: job-ended of a failed job is a warning, which the limit does not drop, and names the epoch. takeover-read counts the jobs that have succeeded, failed and been cancelled. job-end-told says once for each job that an earlier owner accepted which end a caller is told, and the key of its record, which begins with the epoch that wrote it.

By reading: a caller is told "failed" only from the state in the store or in a record of an end; that state is set in one place, which logs job-ended. The calls between processes match replies by their numbers and encode the state as it is. So a line that the limit dropped, or that a killed process had not written, would explain what was seen. This is not proved: the logs of that run are not at hand.

Test: test_told_failure_is_logged fails before (no such warning). test_* of packages/jobs/tests: all 20 programs pass.

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -314,6 +314,8 @@
 	bool is_restored;
 	/** failed, and then cancelled by its caller */
 	bool is_abandoned;
+	/** a caller has been told its end by this owner */
+	bool end_is_told;
 	/** stands for a cancellation of a job that had not been submitted */
 	bool is_cancel_only;
 	uint64_t accepted_unix_ms;
@@ -351,6 +353,9 @@
  *  @return whether that differs from the queue as it was before */
 bool job_set_queue(struct job *job, const struct catalogue_queue *queue);
 
+/** @brief Returns the name of a state for the log. */
+const char *job_state_name(enum job_state state);
+
 /** @brief Creates an empty specification. */
 struct job_spec *job_spec_create(void);
 
--- a/packages/jobs/src/job.c
+++ b/packages/jobs/src/job.c
@@ -15,6 +15,14 @@
 	g_free(step->image);
 }
 
+const char *job_state_name(enum job_state state)
+{
+	static const char *const names[] = { "pending", "running", "succeeded",
+					     "failed", "cancelled" };
+
+	return names[state];
+}
+
 struct job_spec *job_spec_create(void)
 {
 	struct job_spec *spec = g_new0(struct job_spec, 1);
--- a/packages/jobs/src/owner_calls.c
+++ b/packages/jobs/src/owner_calls.c
@@ -5,6 +5,7 @@
 #include "log.h"
 #include "owner_accounts.h"
 #include "owner_private.h"
+#include "segment.h"
 
 /* An answer is sent this long before the caller's deadline. */
 #define OWNER_ANSWER_MARGIN_MS 150
@@ -368,16 +369,35 @@
 		       weak_ref_acquire(pending->weak_ref));
 }
 
+/* Logs once where the end of a job comes from that an earlier owner accepted.
+ */
+static void restored_end_log(const struct owner *owner, struct job *job)
+{
+	const struct segment *segment = job->segments[JOB_SEGMENT_END];
+
+	if (!job->is_restored || job->stored_state <= JOB_RUNNING ||
+	    job->end_is_told)
+		return;
+	job->end_is_told = true;
+	log_info("job-end-told",
+		 "a caller is told that job %s of queue %s, which an earlier "
+		 "owner accepted, is %s; its end is stored at %s, epoch "
+		 "%" G_GUINT64_FORMAT,
+		 job->id, job->queue, job_state_name(job->stored_state),
+		 segment ? segment_key(segment) : "no key", owner->epoch);
+}
+
 static void call_answer_state(struct owner *owner, const struct jobs_call *call,
 			      jobs_cb cb, void *data)
 {
-	const struct job *job = job_of_call(owner, call);
+	struct job *job = job_of_call(owner, call);
 	struct jobs_answer answer = { .outcome = JOBS_OK };
 
 	if (!job) {
 		call_answer_not_found(owner, call, cb, data);
 		return;
 	}
+	restored_end_log(owner, job);
 	answer.state = job->stored_state;
 	if (answer.state <= JOB_RUNNING)
 		answer.state = job->has_started ? JOB_RUNNING : JOB_PENDING;
--- a/packages/jobs/src/owner_recovery.c
+++ b/packages/jobs/src/owner_recovery.c
@@ -17,6 +17,7 @@
 	uint64_t now_ms = loop_now_ms();
 	GHashTableIter iter;
 	gpointer value;
+	guint ended[JOB_CANCELLED + 1] = { 0 };
 	guint live = 0;
 
 	g_hash_table_iter_init(&iter, owner->jobs);
@@ -26,6 +27,7 @@
 		job->accepted_ms = now_ms;
 		job->ended_ms = now_ms;
 		job->is_restored = true;
+		ended[job->state]++;
 		owner_account_join(owner, job);
 		if (!owner_job_is_live(job))
 			continue;
@@ -40,9 +42,10 @@
 	owner_tasks_set_unknown(owner);
 	log_info("takeover-read",
 		 "epoch %" G_GUINT64_FORMAT
-		 ": %u stored jobs, %u of them live, "
-		 "read after %" G_GUINT64_FORMAT " ms",
+		 ": %u stored jobs, %u of them live, %u succeeded, %u failed, "
+		 "%u cancelled, read after %" G_GUINT64_FORMAT " ms",
 		 owner->epoch, g_hash_table_size(owner->jobs), live,
+		 ended[JOB_SUCCEEDED], ended[JOB_FAILED], ended[JOB_CANCELLED],
 		 now_ms - owner->takeover_started_ms);
 	owner->ops->on_ready(owner->data);
 	/* Workers are polled only now, because reports refer to tasks of jobs
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -353,14 +353,19 @@
 void owner_job_finish(struct owner *owner, struct job *job,
 		      enum job_state state, const char *why)
 {
-	static const char *const names[] = { "pending", "running", "succeeded",
-					     "failed", "cancelled" };
+	g_autofree char *text = NULL;
 
 	g_assert(owner_job_is_live(job));
-	log_info("job-ended",
-		 "job %s of queue %s %s after %" G_GUINT64_FORMAT " ms: %s",
-		 job->id, job->queue, names[state],
-		 loop_now_ms() - job->accepted_ms, why);
+	text = g_strdup_printf("job %s of queue %s %s after %" G_GUINT64_FORMAT
+			       " ms, epoch %" G_GUINT64_FORMAT ": %s",
+			       job->id, job->queue, job_state_name(state),
+			       loop_now_ms() - job->accepted_ms, owner->epoch,
+			       why);
+	/* The rate limit of the log drops no warnings. */
+	if (state == JOB_FAILED)
+		log_warning("job-ended", "%s", text);
+	else
+		log_info("job-ended", "%s", text);
 	job->state = state;
 	job->ended_ms = loop_now_ms();
 	owner->counters.succeeded += state == JOB_SUCCEEDED;
--- a/packages/jobs/tests/test_takeover.c
+++ b/packages/jobs/tests/test_takeover.c
@@ -8,6 +8,7 @@
  */
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "emu_expect.h"
 
@@ -381,6 +382,61 @@
 }
 END_TEST
 
+/* Events of the log that name the end of a job. */
+static uint32_t failures_logged;
+static uint32_t restored_failures_logged;
+
+static GLogWriterOutput log_observe(GLogLevelFlags level,
+				    const GLogField *fields, gsize count,
+				    gpointer data)
+{
+	const char *event = NULL;
+	const char *text = "";
+
+	(void)data;
+	for (gsize i = 0; i < count; i++) {
+		if (strcmp(fields[i].key, "EVENT") == 0)
+			event = fields[i].value;
+		if (strcmp(fields[i].key, "MESSAGE") == 0)
+			text = fields[i].value;
+	}
+	if (g_strcmp0(event, "job-ended") == 0 && strstr(text, " failed "))
+		failures_logged += level == G_LOG_LEVEL_WARNING;
+	if (g_strcmp0(event, "job-end-told") == 0)
+		restored_failures_logged +=
+			strstr(text, "is failed") &&
+			strstr(text, "/job-end/0000000000-");
+	return G_LOG_WRITER_HANDLED;
+}
+
+/* What callers are told of a job that has failed is in the logs: its end, which
+ * no rate limit drops, and once the record that a later owner has read. */
+START_TEST(test_told_failure_is_logged)
+{
+	struct emu_job job = nightly;
+	struct emu *emu;
+	uint32_t owner;
+
+	g_unsetenv("EMU_LOG");
+	g_log_set_writer_func(log_observe, NULL, NULL);
+	job.occurrences = 0;
+	job.tasks_per_step = 1;
+	job.always_fails = true;
+	emu = job_start(&job, 20000);
+	ck_assert_uint_eq(failures_logged, 1);
+	owner = emu_owner(emu);
+	emu_node_kill(emu, owner);
+	emu_advance(emu, 5000);
+	for (uint32_t i = 0; i < 2; i++) {
+		emu_state_query(emu, owner + 1, 0);
+		emu_advance(emu, 100);
+	}
+	ck_assert_uint_eq(restored_failures_logged, 1);
+	emu_expect_no_violation(emu);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("takeover");
@@ -413,6 +469,7 @@
 	tcase_add_loop_test(tests,
 			    test_incomplete_gang_of_earlier_owner_starts_anew,
 			    0, 2 * MOMENTS);
+	tcase_add_test(tests, test_told_failure_is_logged);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
