Move a larger VM to a pool for a task that fits none there

Callers: a job waits for good ("jobs have not ended"), though VMs that could run it are idle in another pool.

Cause: pools are sized by their CPU as a whole, whatever the sizes of VMs and tasks. A pool with enough small VMs gets no larger one.

Change: a task that waits and needs more CPU than the largest VM of its pool gets an idle VM of another pool, the spare one first, and of these the smallest that is large enough; one at a time. VMs of which no worker has been seen count as large as the largest known one. Nothing changes where VMs have one size.

Evidence: test_task_too_large_for_its_pool fails before.

--- a/packages/jobs/src/owner_fleet.h
+++ b/packages/jobs/src/owner_fleet.h
@@ -35,6 +35,8 @@
 	char *name;
 	char *pool;
 	enum adapter_vm_state state;
+	/** CPU of its newest worker, 0 if it has had none */
+	int64_t cpu_milli;
 	/** number of successive lists that lacked it, 0 if the newest has it */
 	uint32_t missing_lists;
 	enum owner_vm_phase phase;
--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -17,6 +17,10 @@
 struct pool_view {
 	const char *name;
 	struct capacity_pool pool;
+	/* CPU of its largest VM, and of the largest task that waits and that is
+	 * too large for that, 0 for none */
+	int64_t largest_cpu_milli;
+	int64_t oversized_cpu_milli;
 	/* struct owner_vm * that may be moved */
 	GPtrArray *idle;
 };
@@ -127,6 +131,12 @@
 	struct pool_view *view = view_find_by_name(views, worker->service);
 	struct owner_vm *vm;
 
+	vm = worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm) : NULL;
+	if (vm && worker->listed && !worker->ended)
+		vm->cpu_milli = worker->capacity.cpu_milli;
+	if (view && worker->listed && !worker->ended && !worker->draining)
+		view->largest_cpu_milli = MAX(view->largest_cpu_milli,
+					      worker->capacity.cpu_milli);
 	/* A quarantined worker adds no capacity, and its VM would make tasks of
 	 * another pool fail as well. */
 	if (!view || worker->ended || !worker->listed ||
@@ -139,7 +149,6 @@
 		MAX(view->pool.vm_cpu_milli, worker->capacity.cpu_milli);
 	view->pool.used_milli += worker->used.cpu_milli;
 	view->pool.long_running_milli += long_running_cpu_milli(worker);
-	vm = worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm) : NULL;
 	if (vm && worker->tasks->len > 0)
 		vm->idle_since_ms = 0;
 	if (worker->tasks->len > 0 || !worker->has_reported || !vm ||
@@ -185,6 +194,11 @@
 	return per_vm == 0 ? 1 : (group->tasks_waiting + per_vm - 1) / per_vm;
 }
 
+static int64_t task_cpu_milli(const struct job_group *group)
+{
+	return group->step->is_best_effort ? 0 : group->step->need.cpu_milli;
+}
+
 static void waiting_add(struct owner *owner, GArray *views,
 			const struct job_occurrence *occurrence)
 {
@@ -207,6 +221,12 @@
 		    !group->held_by_limit && job_group_is_ready(group))
 			view->pool.waiting_milli += group->tasks_waiting *
 						    group->step->need.cpu_milli;
+		if (group->tasks_waiting > 0 && !group->step->label &&
+		    !group->held_by_limit && job_group_is_ready(group) &&
+		    task_cpu_milli(group) > view->largest_cpu_milli)
+			view->oversized_cpu_milli =
+				MAX(view->oversized_cpu_milli,
+				    task_cpu_milli(group));
 		if (group->tasks_waiting > 0)
 			view->pool.unplaced_vms = MAX(view->pool.unplaced_vms,
 						      unplaced_vms(group));
@@ -231,6 +251,82 @@
 	return best;
 }
 
+/* Returns the idle VM of a pool that is to run an oversized task of another
+ * one: the smallest that is large enough, NULL for none. A VM that has had no
+ * worker counts as large as the largest one. */
+static struct owner_vm *large_vm_find(const struct pool_view *from,
+				      const struct pool_view *to,
+				      int64_t largest_cpu_milli)
+{
+	struct owner_vm *best = NULL;
+	int64_t best_cpu_milli = INT64_MAX;
+
+	for (guint i = 0; i < from->idle->len; i++) {
+		struct owner_vm *vm = g_ptr_array_index(from->idle, i);
+		int64_t cpu_milli =
+			vm->cpu_milli > 0 ? vm->cpu_milli : largest_cpu_milli;
+
+		if (cpu_milli < to->oversized_cpu_milli ||
+		    cpu_milli >= best_cpu_milli ||
+		    g_strcmp0(vm->rejecting_pool, to->name) == 0)
+			continue;
+		best = vm;
+		best_cpu_milli = cpu_milli;
+	}
+	return best;
+}
+
+/* Moves an idle VM to a pool in which a task waits that is too large for all
+ * VMs there, at most one at a time. */
+static void large_vm_move(struct owner_fleet *fleet, GArray *views,
+			  struct pool_view *to, int64_t largest_cpu_milli)
+{
+	struct pool_view *donor = NULL;
+	struct owner_vm *vm = NULL;
+
+	for (guint i = 0; i < views->len; i++) {
+		struct pool_view *from =
+			&g_array_index(views, struct pool_view, i);
+		struct owner_vm *found =
+			from == to ? NULL
+				   : large_vm_find(from, to, largest_cpu_milli);
+
+		if (found && (!vm || from->pool.is_spare)) {
+			vm = found;
+			donor = from;
+		}
+	}
+	if (!vm)
+		return;
+	log_info("pool-gets-larger-vm",
+		 "pool %s gets VM %s of pool %s: a task that waits needs "
+		 "%" G_GINT64_FORMAT
+		 " milli-CPU, its largest VM has %" G_GINT64_FORMAT,
+		 to->name, vm->name, donor->name, to->oversized_cpu_milli,
+		 to->largest_cpu_milli);
+	g_ptr_array_remove_fast(donor->idle, vm);
+	donor->pool.up--;
+	donor->pool.idle--;
+	donor->pool.idle_long = MIN(donor->pool.idle_long, donor->pool.idle);
+	to->pool.arriving++;
+	owner_vm_drain(fleet, vm, NULL, to->name);
+}
+
+/* Pools are sized by their CPU as a whole, whatever the sizes of VMs and tasks.
+ */
+static void large_vms_move(struct owner_fleet *fleet, GArray *views,
+			   int64_t largest_cpu_milli)
+{
+	for (guint i = 0; i < views->len; i++) {
+		struct pool_view *view =
+			&g_array_index(views, struct pool_view, i);
+
+		if (view->oversized_cpu_milli > 0 && view->pool.arriving == 0 &&
+		    view->largest_cpu_milli > 0)
+			large_vm_move(fleet, views, view, largest_cpu_milli);
+	}
+}
+
 /* Logs why a pool gets VMs, once for all that it gets in one pass. */
 static void scale_up_log(const struct capacity_move *moves, uint32_t count,
 			 uint32_t first, const GArray *views)
@@ -312,5 +408,6 @@
 			view->pool.vm_cpu_milli = vm_cpu_max;
 		forecast_add(owner, view);
 	}
+	large_vms_move(fleet, views, vm_cpu_max);
 	moves_start(fleet, views);
 }
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -337,6 +337,27 @@
 }
 END_TEST
 
+/* No VM of the pool is large enough for a task, though all together are, and
+ * the idle ones of another pool are. */
+START_TEST(test_task_too_large_for_its_pool)
+{
+	struct emu_config config = fleet;
+	struct emu_job job = batch;
+	struct emu *emu;
+
+	config.fixed_pools = false;
+	config.pools = 2;
+	emu = emu_create(&config);
+	for (uint32_t i = 0; i < config.vms_per_pool; i++)
+		emu_worker_set_cpu(emu, i, 4000);
+	emu_advance(emu, 3000);
+	job.tasks_per_step = 1;
+	job.cpu_milli = 5000;
+	emu_submit(emu, 0, &job);
+	expect_finished(emu, 1, 10000);
+}
+END_TEST
+
 /* A drain for maintenance must not keep its room for long while others need it:
  * it waits for a task that lasts, and that may not be stopped since another one
  * of its step fits nowhere, or for a task that takes long. */
@@ -377,6 +398,7 @@
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
+	tcase_add_test(tests, test_task_too_large_for_its_pool);
 	tcase_add_test(tests, test_hopeless_job_beside_long_running_tasks);
 	tcase_add_test(tests, test_long_running_tasks_close_breaker);
 	tcase_add_test(tests, test_failed_task_with_one_suitable_worker);
