Do not suspect runs whose orders another worker has refused

A run that had never begun was suspected of the crash. The same held for further orders to that worker in flight.

Change: the refused run leaves the worker before the end is judged. When an answer shows the end, runs whose orders have no answer yet are not judged; their calls tell soon. An end that the list of VMs shows is judged as before: it tells nothing of when it was, and orders without an answer are uncertain there already. A lease that expires blames no task.

--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -93,19 +93,34 @@
 	return (uint64_t)(uintptr_t)unit;
 }
 
-/* Returns whether the report that is being processed lists the newest run of a
- * task: if the worker has restarted, its order reached the new incarnation. */
-static bool run_is_listed(const struct owner *owner,
-			  const struct job_task *task)
+/* What shows that an incarnation has ended. */
+enum crash_sign {
+	/* its VM is not up, or has another worker */
+	CRASH_LISTED,
+	/* another incarnation answers at its address: orders that are not
+	 * answered yet have been sent to that one, as far as is known */
+	CRASH_ANSWERED,
+	/* the report, being processed, of the incarnation that followed it, and
+	 * that has received the orders whose runs it lists */
+	CRASH_REPORTED,
+};
+
+/* Returns whether the newest run of a task was begun by a later incarnation
+ * than the one that has ended, if at all. */
+static bool run_is_later(const struct owner *owner, const struct job_task *task,
+			 enum crash_sign sign)
 {
-	return task->seen_in_report == owner->report_serial;
+	if (sign == CRASH_ANSWERED)
+		return task->start_in_flight;
+	return sign == CRASH_REPORTED &&
+	       task->seen_in_report == owner->report_serial;
 }
 
 /* Collects the tasks whose newest run has not been judged yet, and that were on
  * the incarnation that has ended. */
 static GArray *suspects_collect(const struct owner *owner,
-				const struct worker *worker, bool has_restarted,
-				GPtrArray *tasks)
+				const struct worker *worker,
+				enum crash_sign sign, GPtrArray *tasks)
 {
 	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct suspect_task));
 
@@ -125,7 +140,7 @@
 
 		if (task->crashed_run == task->run ||
 		    !owner_job_is_live(task->group->occurrence->job) ||
-		    (has_restarted && run_is_listed(owner, task)))
+		    run_is_later(owner, task, sign))
 			continue;
 		suspect.evidence = job_task_suspect(task);
 		task->crashed_run = task->run;
@@ -292,11 +307,11 @@
 /* Updates the evidence against the tasks on a worker that has crashed, and
  * collects the jobs of those that are convicted. */
 static void crash_judge(struct owner *owner, const struct worker *worker,
-			bool has_restarted, GPtrArray *convicted_jobs)
+			enum crash_sign sign, GPtrArray *convicted_jobs)
 {
 	g_autoptr(GPtrArray) tasks = g_ptr_array_new();
 	g_autoptr(GArray) suspects =
-		suspects_collect(owner, worker, has_restarted, tasks);
+		suspects_collect(owner, worker, sign, tasks);
 	struct suspect_background *background = background_of(owner, worker);
 	struct suspect_task *data = (struct suspect_task *)suspects->data;
 	struct suspect_crash crash = {
@@ -342,7 +357,10 @@
 	/* A worker that drains ends for that reason. */
 	if ((cause == WORKER_CRASHED || cause == WORKER_REPLACED) &&
 	    !worker->draining)
-		crash_judge(owner, worker, false, convicted_jobs);
+		crash_judge(owner, worker,
+			    cause == WORKER_REPLACED ? CRASH_ANSWERED
+						     : CRASH_LISTED,
+			    convicted_jobs);
 	else
 		lost_tasks_log(worker, cause);
 	return convicted_jobs;
@@ -365,7 +383,7 @@
 {
 	GPtrArray *convicted_jobs = g_ptr_array_new();
 
-	crash_judge(owner, worker, true, convicted_jobs);
+	crash_judge(owner, worker, CRASH_REPORTED, convicted_jobs);
 	worker->crash_pending = false;
 	worker->unsuspected = false;
 	owner_crash_fail_jobs(owner, convicted_jobs);
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -418,11 +418,6 @@
 	if (!worker->dropped) {
 		if (reply->err == ERR_NONE)
 			worker_clock_update(worker, reply->clock_ms);
-		if (reply->err == ERR_NONE &&
-		    reply->verdict == ADAPTER_REFUSED_INCARNATION)
-			worker_end_incarnation(
-				worker, WORKER_REPLACED,
-				"another incarnation answers an order");
 		if (reply->err == ERR_NONE &&
 		    reply->verdict == ADAPTER_REFUSED_FENCE &&
 		    fence_is_current(worker, call->order.fence))
@@ -430,6 +425,13 @@
 		else
 			worker->env->ops->on_started(worker->env->data, worker,
 						     &call->order, reply);
+		/* The run has not begun there, so it leaves the worker before
+		 * the end is judged. */
+		if (reply->err == ERR_NONE &&
+		    reply->verdict == ADAPTER_REFUSED_INCARNATION)
+			worker_end_incarnation(
+				worker, WORKER_REPLACED,
+				"another incarnation answers an order");
 	}
 	call_free(call);
 }
--- a/packages/jobs/tests/test_crashes.c
+++ b/packages/jobs/tests/test_crashes.c
@@ -9,6 +9,7 @@
 #include <check.h>
 #include <glib.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "emu.h"
 
@@ -287,6 +288,51 @@
 }
 END_TEST
 
+/* Suspicions of the log. */
+static uint32_t suspected_logged;
+
+static GLogWriterOutput log_observe(GLogLevelFlags level,
+				    const GLogField *fields, gsize count,
+				    gpointer data)
+{
+	(void)level;
+	(void)data;
+	for (gsize i = 0; i < count; i++)
+		suspected_logged += strcmp(fields[i].key, "MESSAGE") == 0 &&
+				    strstr(fields[i].value, "suspect") &&
+				    strstr(fields[i].value, " ended with ");
+	return G_LOG_WRITER_HANDLED;
+}
+
+/* All workers have been replaced by others at their addresses, which refuse the
+ * orders: no task has run where a worker crashed. */
+START_TEST(test_refused_run_is_no_suspect)
+{
+	struct emu_config config = fleet;
+	struct emu_stats stats;
+	struct emu *emu;
+
+	g_unsetenv("EMU_LOG");
+	g_log_set_writer_func(log_observe, NULL, NULL);
+	config.seed = 1 + _i;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	for (uint32_t i = 0; i < emu_vm_count(emu); i++)
+		emu_vm_crash(emu, i, 1);
+	emu_advance(emu, 10);
+	emu_submit(emu, 0, &harmless);
+	emu_advance(emu, 5000);
+	emu_state_query(emu, 0, 0);
+	emu_advance(emu, 500);
+	emu_stats(emu, &stats);
+	ck_assert_uint_eq(suspected_logged, 0);
+	ck_assert_uint_eq(stats.succeeded, 1);
+	ck_assert_uint_eq(stats.runs, harmless.tasks_per_step);
+	ck_assert_str_eq(emu_first_violation(emu), "");
+	emu_destroy(emu);
+}
+END_TEST
+
 /* A long-running job of which a task is given up: the others are on sound
  * workers and may be stopped only within their disruption budget, until the job
  * is cancelled. */
@@ -332,6 +378,7 @@
 		tests,
 		test_run_that_a_restarted_worker_has_received_is_no_suspect, 0,
 		4);
+	tcase_add_loop_test(tests, test_refused_run_is_no_suspect, 0, 2);
 	tcase_add_loop_test(
 		tests, test_budget_holds_when_a_long_running_job_is_given_up, 0,
 		2);
