Give each process a port of the stand-in of its own

Further ports each serve one process: entries of workers that are read there name that port.

Leases of the store record to which process they were granted.

--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -156,6 +156,8 @@
 		       emu->nodes[i].store_mode != EMU_STORE_OK ||
 		       emu->nodes[i].stalled_until_ms > loop_now_ms() ||
 		       emu_node_is_paused(&emu->nodes[i]);
+	for (uint32_t i = 1; i <= emu->last_served_node; i++)
+		any |= emu->nodes[i].store_mode != EMU_STORE_OK;
 	if (any)
 		emu->last_owner_fault_ms = loop_now_ms();
 	for (uint32_t i = 0; i < emu->vm_count; i++)
@@ -499,12 +501,15 @@
 	return emu->loop;
 }
 
-void *emu_platform_open(struct emu *emu, const struct emu_entry_format *format)
+void *emu_platform_open(struct emu *emu, const struct emu_entry_format *format,
+			uint32_t number)
 {
-	struct emu_node *node = &emu->nodes[0];
+	struct emu_node *node = &emu->nodes[number];
 
 	emu->entry_format = format;
+	emu->last_served_node = MAX(emu->last_served_node, number);
 	node->emu = emu;
+	node->number = number;
 	node->alive = true;
 	return node;
 }
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -13,7 +13,7 @@
 
 #include "jobs.h"
 
-#define EMU_NODES_MAX 9
+#define EMU_NODES_MAX 32
 #define EMU_POOLS_MAX 6
 #define EMU_VMS_MAX 400
 
@@ -229,9 +229,11 @@
  *
  * Used with a config of no nodes. The format is not copied.
  *
+ * @param node the process whose calls are served
  * @return the self argument for emu_store_ops and emu_adapter_ops
  */
-void *emu_platform_open(struct emu *emu, const struct emu_entry_format *format);
+void *emu_platform_open(struct emu *emu, const struct emu_entry_format *format,
+			uint32_t node);
 /** @brief Fills in the contents of a worker's entry in the store. */
 void emu_worker_describe(const struct emu *emu, uint32_t vm,
 			 struct emu_worker_view *out);
@@ -320,6 +322,11 @@
 /** @brief Revokes the ownership lease if the process holds it, without
  *  notifying the process. */
 void emu_store_revoke_ownership(struct emu *emu, uint32_t node);
+/** @brief Revokes all leases of a process without notifying it. */
+void emu_store_revoke_leases(struct emu *emu, uint32_t node);
+/** @brief Returns the process to whose lease the owner key is bound, or
+ *  EMU_NODES_MAX. */
+uint32_t emu_store_key_owner(const struct emu *emu);
 /** @brief Partitions a worker from all processes, or ends the partition. */
 void emu_worker_set_partitioned(struct emu *emu, uint32_t vm, bool partitioned);
 /** @brief Makes the open connections to all workers carry nothing any more.
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -190,6 +190,13 @@
 	int64_t lease;
 };
 
+/* A lease in the store. */
+struct emu_lease {
+	uint64_t until_ms;
+	/* number of the process that it was granted to */
+	uint32_t node;
+};
+
 /* What the checker knows of a task. */
 struct emu_task {
 	/* a run has succeeded; all members of a gang count as one */
@@ -260,6 +267,8 @@
 
 struct emu {
 	struct emu_config config;
+	/* highest number of a process outside the emulator */
+	uint32_t last_served_node;
 	struct emu_account accounts[EMU_ACCOUNTS_MAX];
 	uint32_t config_version;
 	/* bit mask of the pools that the configuration does not name */
@@ -278,7 +287,7 @@
 	int64_t revision;
 	/* watches from an earlier revision are answered as stale */
 	int64_t compacted_revision;
-	/* expiry times by lease identity */
+	/* struct emu_lease by identity */
 	GHashTable *leases;
 	int64_t next_lease;
 	/* watches without an answer yet, of struct emu_call */
@@ -383,6 +392,8 @@
 /** @brief Writes a key at once, or deletes it if value is NULL. */
 void emu_store_put(struct emu *emu, const char *key, const char *value,
 		   int64_t lease);
+/** @brief Ends a lease and deletes its keys. */
+void emu_store_lease_remove(struct emu *emu, int64_t lease);
 /** @brief Expires leases and answers watches. */
 void emu_store_tick(struct emu *emu);
 /** @brief Returns the value of a key, NULL if there is none. */
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -314,7 +314,7 @@
 	watches_answer(emu);
 }
 
-static void lease_remove(struct emu *emu, int64_t lease)
+void emu_store_lease_remove(struct emu *emu, int64_t lease)
 {
 	g_autoptr(GPtrArray) keys = g_ptr_array_new_with_free_func(g_free);
 	GTreeNode *node;
@@ -337,24 +337,27 @@
 
 static void lease_call_run(struct emu *emu, struct emu_call *call)
 {
-	uint64_t until_ms = loop_now_ms() + (uint64_t)call->ttl_s * 1000;
-	uint64_t *held;
+	const struct emu_lease lease = {
+		.until_ms = loop_now_ms() + (uint64_t)call->ttl_s * 1000,
+		.node = call->node->number,
+	};
+	struct emu_lease *held;
 
 	if (call->kind == EMU_CALL_GRANT) {
 		call->lease = ++emu->next_lease;
 		g_hash_table_insert(
 			emu->leases,
 			g_memdup2(&call->lease, sizeof(call->lease)),
-			g_memdup2(&until_ms, sizeof(until_ms)));
+			g_memdup2(&lease, sizeof(lease)));
 		return;
 	}
 	held = g_hash_table_lookup(emu->leases, &call->lease);
 	if (!held)
 		call->err = ERR_NOT_FOUND;
 	else if (call->kind == EMU_CALL_KEEP_ALIVE)
-		*held = loop_now_ms() + EMU_LEASE_TTL_S * 1000;
+		held->until_ms = loop_now_ms() + EMU_LEASE_TTL_S * 1000;
 	else
-		lease_remove(emu, call->lease);
+		emu_store_lease_remove(emu, call->lease);
 	call->ttl_s = EMU_LEASE_TTL_S;
 }
 
@@ -569,22 +572,12 @@
 
 	g_hash_table_iter_init(&iter, emu->leases);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		if (*(uint64_t *)value <= now_ms)
+		if (((struct emu_lease *)value)->until_ms <= now_ms)
 			ended = *(int64_t *)key;
 	}
 	if (ended != 0) {
 		emu->stats.leases_expired++;
-		lease_remove(emu, ended);
+		emu_store_lease_remove(emu, ended);
 	}
 	watches_answer(emu);
 }
-
-void emu_store_revoke_ownership(struct emu *emu, uint32_t node)
-{
-	const struct emu_item *item =
-		g_tree_lookup(emu->items, "/sassafrascart/jobs-owner");
-
-	emu->last_fault_ms = loop_now_ms();
-	if (item && strstr(item->value, emu->nodes[node].id))
-		lease_remove(emu, item->lease);
-}
--- a/packages/jobs/tests/test_accounts.c
+++ b/packages/jobs/tests/test_accounts.c
@@ -363,7 +363,7 @@
 
 	config.nodes = 0;
 	watch->emu = emu_create(&config);
-	address.ip = emu_platform_open(watch->emu, NULL);
+	address.ip = emu_platform_open(watch->emu, NULL, 0);
 	ck_assert_int_eq(platform_create_with_ops(emu_loop(watch->emu),
 						  &emu_store_ops, &address,
 						  &watch->store),
--- a/packages/jobs/tests/test_emulator.c
+++ b/packages/jobs/tests/test_emulator.c
@@ -429,7 +429,7 @@
 		config.account.cpu_limit_milli = 1500;
 	}
 	scene.emu = emu_create(&config);
-	scene.platform = emu_platform_open(scene.emu, NULL);
+	scene.platform = emu_platform_open(scene.emu, NULL, 0);
 	emu_advance(scene.emu, 100);
 	scenes[_i].play(&scene);
 	ck_assert_msg(
--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -29,7 +29,8 @@
 end
 
 -- Starts the platform's stand-in, whose store refuses values over value_bytes if given;
--- size, if given, has pools, vms_per_pool and spare_vms.
+-- size, if given, has pools, vms_per_pool and spare_vms, and may have processes: how many
+-- processes get a port of the platform of their own, process_ports.
 function jobfleet.new(seed, value_bytes, size)
   local self = setmetatable({processes = {}, port = free_port()}, jobfleet)
   local argv = {"standin_esoa", tostring(self.port), tostring(seed), tostring(value_bytes or 0),
@@ -37,6 +38,11 @@
   for _, name in ipairs(size and {"pools", "vms_per_pool", "spare_vms"} or {}) do
     table.insert(argv, tostring(size[name]))
   end
+  self.process_ports = {}
+  for i = 1, size and size.processes or 0 do
+    self.process_ports[i] = free_port()
+    table.insert(argv, tostring(self.process_ports[i]))
+  end
   spawn(argv)
   fleet.wait_until("the platform responds", 5000, function()
     return fleet.http{url = fleet.url(self.port, "/control/report")}.status == 200
@@ -174,11 +180,16 @@
                                               job.number, verb, status, state or ""))
 end
 
--- Injects a fault into a VM or, depending on its kind, into the whole platform.
-function jobfleet:fault(kind, vm, value)
-  self:control("/control/fault", string.format('{"kind":"%s","vm":%d,"x":%d}', kind, vm, value))
+-- Injects a fault into a VM or, depending on its kind, into the whole platform or what a
+-- process sees of it.
+function jobfleet:fault(kind, vm, value, process)
+  self:control("/control/fault", string.format('{"kind":"%s","vm":%d,"x":%d,"process":%d}', kind, vm, value,
+                                               process or 0))
 end
 
+-- Returns the process with a port of its own that holds the owner key, or nil.
+function jobfleet:owner() return self.processes[fleet.get_json(self.port, "/control/owner").process] end
+
 -- Which answers of workers the fault "hold" holds; 0 sends those that were held.
 jobfleet.HELD_POLLS, jobfleet.HELD_ORDERS = 1, 2
 
