Turn away owners in a row in the soak

It could neither turn away a single process nor cut pairs, and its callers never cancelled. With three more arguments the store turns the present owner away and takes its keys without notice, then its successor, while workers are split between them, owners are paused for seconds, configurations with more or fewer queues are written and callers cancel; each process can have a share of a core. soak_owners.lua says what happens; the arguments are in the head of soak.lua.

--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -85,7 +85,7 @@
 -- Adds a process whose calls to the platform go to platform_port. It is not started.
 function jobfleet:add_process(platform_port)
   local index = #self.processes + 1
-  local process = {name = "vm-entry-" .. index, front = free_port(), ready = free_port(),
+  local process = {name = "vm-entry-" .. index, index = index, front = free_port(), ready = free_port(),
                    metrics = free_port(), peer = free_port(), starts = 0}
   process.file = DIR .. "/" .. process.name .. ".conf"
   process.settings = {
@@ -174,7 +174,7 @@
 function jobfleet:announce(job) self:control("/control/sending", string.format('{"job":%d}', job.number)) end
 
 -- Reports a response that a caller received to the stand-in, which checks it.
-jobfleet.SUBMIT, jobfleet.STATE = 0, 1
+jobfleet.SUBMIT, jobfleet.STATE, jobfleet.CANCEL = 0, 1, 2
 function jobfleet:told(job, verb, status, state)
   self:control("/control/told", string.format('{"job":%d,"verb":%d,"status":%d,"state":"%s"}',
                                               job.number, verb, status, state or ""))
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -7,20 +7,30 @@
 -- Optional arguments after the seed: count of processes, seconds of faults, one job in how many
 -- has a task that crashes its workers, faults of workers (1: they restart under their identity,
 -- their answers are delayed, or they drain; 2: their orders are delayed too), VMs of each pool,
--- milliseconds between jobs, milliseconds between faults.
+-- milliseconds between jobs, milliseconds between faults, callers that cancel (0: none; N: one in
+-- N jobs is cancelled, sometimes twice), owners in a row (1: see soak_owners.lua, and processes
+-- lose the store alone; some jobs run for seconds), share of a core of each process in thousandths
+-- (0: no limit).
 local fleet = require("fleet")
 local jobfleet = require("jobfleet")
 local soak_callers = require("soak_callers")
+local soak_owners = require("soak_owners")
 local soak_processes = require("soak_processes")
 
 local PROCESSES = tonumber(ARGUMENTS[1]) or 3
 local FAULTS_MS = (tonumber(ARGUMENTS[2]) or 12) * 1000
--- Long enough for the lease of a frozen owner to expire, for the takeover and for the
--- longest delayed order.
-local SETTLE_MS = 40000
 local JOB_EVERY_MS = tonumber(ARGUMENTS[6]) or 60
 local FAULT_EVERY_MS = tonumber(ARGUMENTS[7]) or 1200 // PROCESSES
 local WORKER_FAULTS = tonumber(ARGUMENTS[4]) or 0
+local CANCEL_ONE_IN = tonumber(ARGUMENTS[8]) or 0
+local OWNER_FAULTS = tonumber(ARGUMENTS[9]) or 0
+local SHARE_PERMILLE = tonumber(ARGUMENTS[10]) or 0
+-- Long enough for the lease of a frozen owner to expire, for the takeover and for the
+-- longest delayed order.
+local SETTLE_MS = 40000
+local LASTING_JOB_ONE_IN, LASTING_MS = 4, 1000
+-- Cancelled are jobs of the last ones created.
+local CANCELLED_OF_LAST = 15
 local POOLS, VMS_PER_POOL = 2, tonumber(ARGUMENTS[5]) or 4
 local LAST_VM = POOLS * VMS_PER_POOL - 1
 -- Callers on kept connections of each process, and the share of their requests that submit:
@@ -43,7 +53,8 @@
 local random = math.random
 
 local platform = jobfleet.new(SEED, nil, {pools = POOLS, vms_per_pool = VMS_PER_POOL,
-                                          spare_vms = VMS_PER_POOL // 2})
+                                          spare_vms = VMS_PER_POOL // 2,
+                                          processes = OWNER_FAULTS > 0 and PROCESSES or nil})
 
 local processes, relays = platform.processes, {}
 
@@ -61,9 +72,11 @@
 local scheduled = {}
 local function schedule(ms, callback) table.insert(scheduled, {now_ms() + ms, callback}) end
 
-local runs = soak_processes.new(processes, schedule)
+local runs = soak_processes.new(processes, schedule, SHARE_PERMILLE)
+local owners = soak_owners.new(platform, runs, schedule, LAST_VM + 1)
 for i = 1, PROCESSES do
-  local process = platform:add_process(relay_to(platform.port, "vm-entry-" .. i .. "-platform"))
+  local process = platform:add_process(relay_to(platform.process_ports[i] or platform.port,
+                                                "vm-entry-" .. i .. "-platform"))
   process.callers = relay_to(process.front, process.name .. "-callers")
   process.descriptors_max = i % 2 == 1 and DESCRIPTORS_MAX or nil
   runs:start(process)
@@ -109,8 +122,9 @@
 
 local function create_job()
   local pool = random(0, 1)
-  local job = platform:create_job{pool = pool, steps = random(3), width = random(3), cpu = 500 * random(3),
-                                  work_ms = 50 * random(12), poison = random(30) == 1,
+  local lasts = OWNER_FAULTS > 0 and random(LASTING_JOB_ONE_IN) == 1
+  local job = platform:create_job{pool = pool, steps = lasts and 1 or random(3), width = random(3), cpu = 500 * random(3),
+                                  work_ms = lasts and LASTING_MS * random(6) or 50 * random(12), poison = random(30) == 1,
                                   crash_after_ms = CRASHING_JOB_EVERY > 0 and #jobs % CRASHING_JOB_EVERY == 0 and 10 or 0}
   table.insert(jobs, job)
   return job
@@ -124,6 +138,17 @@
   end
 end
 
+-- Cancels a job of the last ones, sometimes twice and by different processes.
+local function cancel_job()
+  local job = jobs[random(math.max(1, #jobs - CANCELLED_OF_LAST), #jobs)]
+  if not job.accepted or job.ended or job.cancelled then return end
+  job.cancelled = true
+  platform:told(job, jobfleet.CANCEL, 0)
+  for _ = 1, random(2) do
+    call("DELETE", job, nil, function(answer) platform:told(job, jobfleet.CANCEL, answer.status) end)
+  end
+end
+
 -- The next request of a caller on a kept connection.
 local function next_request()
   local submits = random() < SUBMIT_SHARE
@@ -196,6 +221,16 @@
   function() set_relay_mode(random_relay(), "oneway", random(500, 3000)) end,
 }
 
+-- Some processes lose the store alone, for seconds.
+local function lose_store_alone()
+  for i = 1, #relays, 2 do
+    if random(3) == 1 then
+      set_relay_mode(relays[i], ({"silent", "reset", "oneway"})[random(3)], random(2000, 9000))
+    end
+  end
+end
+if OWNER_FAULTS > 0 then table.move({lose_store_alone, lose_store_alone}, 1, 2, #faults + 1, faults) end
+
 local function delay(kind, value)
   fault(kind, 0, value)
   schedule(random(500, 4000), function() fault(kind, 0, 0) end)
@@ -233,19 +268,23 @@
 end
 
 local next_job, next_fault = now_ms() + 1500, now_ms() + 3000
+local first_owner_fault = next_fault
 run_for(FAULTS_MS, function()
   if now_ms() >= next_job then
     next_job = now_ms() + JOB_EVERY_MS
     submit_job(create_job(), SUBMIT_ATTEMPTS)
     local job = jobs[random(#jobs)]
     if job.accepted and not job.polled then poll_state(job) end
+    if CANCEL_ONE_IN > 0 and random(CANCEL_ONE_IN) == 1 then cancel_job() end
   end
+  if OWNER_FAULTS > 0 and now_ms() >= first_owner_fault then owners:step() end
   if now_ms() >= next_fault then
     next_fault = now_ms() + FAULT_EVERY_MS
     faults[random(#faults)]()
   end
 end)
 
+owners.ended = true
 local unfinished
 local faults_ended_ms = now_ms()
 local asked = 0
@@ -288,6 +327,7 @@
 for _, job in ipairs(jobs) do if job.accepted then accepted = accepted + 1 end end
 print(string.format("%d of %d jobs accepted, %d runs, %d moves, %d maintained, settled %d ms after the faults",
                     accepted, #jobs, final.runs, final.moves, final.maintained, settled_ms))
+if OWNER_FAULTS > 0 then print(owners.turned_away .. " owners were turned away") end
 print(string.format("kept connections: %d requests answered, %d not read at an exit, %d of killed "
                     .. "processes, %d not sent; %d connections ended while idle", callers.answered,
                     callers.unread, callers.killed, callers.unsent, callers.idle_ended))
--- a/tests/scenarios/soak_processes.lua
+++ b/tests/scenarios/soak_processes.lua
@@ -19,9 +19,11 @@
 
 function soak_processes.time_text(ms) return string.format("%.3f s", (ms - began_ms) / 1000) end
 
--- schedule(ms, callback) runs a callback later.
-function soak_processes.new(list, schedule)
-  return setmetatable({list = list, schedule = schedule, failures = 0}, soak_processes)
+-- schedule(ms, callback) runs a callback later. Each process gets a share of a core if
+-- share_permille is over 0.
+function soak_processes.new(list, schedule, share_permille)
+  return setmetatable({list = list, schedule = schedule, share_permille = share_permille or 0,
+                       failures = 0}, soak_processes)
 end
 
 -- A run is one start of a process: number, pid, log, up, and the times of its signals.
@@ -76,7 +78,10 @@
   local stop = run.stops[#run.stops]
   if name == "STOP" and (not stop or stop.to_ms) then table.insert(run.stops, {from_ms = now_ms()}) end
   note(run.process, "SIG" .. name)
+  -- standin_share lets the process go on, so it stands still as long as the process does.
+  if run.share and name == "STOP" then signal(run.share, name) end
   signal(run.pid, name)
+  if run.share and name == "CONT" then signal(run.share, name) end
   if name == "CONT" and stop and not stop.to_ms then stop.to_ms = now_ms() end
 end
 
@@ -103,6 +108,9 @@
     local until_ms = now_ms() + random(0, 20)
     while now_ms() < until_ms do end
     self:hang_up(run, random(0, 2))
+    if self.share_permille > 0 then
+      run.share = spawn{"standin_share", tostring(run.pid), tostring(self.share_permille)}
+    end
     self.schedule(random(0, 1500), function() self:hang_up(run, random(0, 2)) end)
   end
 end
@@ -149,6 +157,7 @@
     local code = not run.ended_ms and exited(run.pid)
     if code then
       run.ended_ms = now_ms()
+      if run.share then signal(run.share, "CONT") end
       note(process, "ended with code " .. code)
       self:check_end(run, code)
       if run.bad_file and code > 0 then
