--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -246,11 +246,6 @@
 	poll_start(worker, wait_ms);
 }
 
-static bool may_get_late_orders(const struct worker *worker)
-{
-	return loop_now_ms() < worker->late_orders_until_ms;
-}
-
 /* Schedules the next poll after a report, if one is needed. */
 static void poll_schedule_next(struct worker *worker)
 {
@@ -260,7 +255,7 @@
 		poll_schedule(worker, WORKER_POLL_UNSTORED_MS);
 	else if (worker->resolving || worker->tasks->len > 0 ||
 		 worker->stray_runs > 0 || worker->acked < worker->ends_seen ||
-		 worker->env->poll_idle || may_get_late_orders(worker))
+		 worker->env->poll_idle || worker_may_get_late_orders(worker))
 		poll_schedule(worker, 0);
 }
 
@@ -298,12 +293,8 @@
 	worker_clock_update(worker, report->clock_ms);
 	if (call->resolves_orders && call->order.fence == worker_fence(worker))
 		worker->resolving = false;
-	/* An earlier owner may have granted a lease until now. */
 	if (!worker->has_reported)
-		worker->lease_expired_ms =
-			MAX(worker->lease_expired_ms,
-			    loop_now_ms() + worker_lease_bound_ms(
-						    worker->env->lease_ms));
+		worker_lease_presume(worker);
 	worker->has_reported = true;
 	worker->answered_poll_sent_ms = call->sent_ms;
 	worker->last_poll_reported = true;
@@ -356,7 +347,7 @@
 	/* The poll repeated one that was answered meanwhile. */
 	if (!worker->late_poll_answered)
 		worker_poll_unanswered(worker, err);
-	poll_schedule(worker, may_get_late_orders(worker)
+	poll_schedule(worker, worker_may_get_late_orders(worker)
 				      ? WORKER_POLL_RETRY_LATE_MS
 				      : WORKER_POLL_RETRY_MS);
 }
--- a/packages/jobs/src/worker_private.h
+++ b/packages/jobs/src/worker_private.h
@@ -25,6 +25,13 @@
  */
 uint64_t worker_lease_grant(struct worker *worker, uint64_t from_ms);
 
+/** @brief Takes the worker's lease for granted anew now, as an earlier owner
+ * may have done. */
+void worker_lease_presume(struct worker *worker);
+
+/** @brief Returns whether an unanswered order may still be executed. */
+bool worker_may_get_late_orders(const struct worker *worker);
+
 /** @brief Returns how long ago the worker's clock had a reading, by the last
  * one that was taken; 0 if that is not known. */
 uint64_t worker_clock_age_ms(const struct worker *worker, uint64_t clock_ms);
--- a/packages/jobs/src/worker_state.c
+++ b/packages/jobs/src/worker_state.c
@@ -66,6 +66,18 @@
 	return worker->lease_until_ms;
 }
 
+void worker_lease_presume(struct worker *worker)
+{
+	worker->lease_expired_ms = MAX(
+		worker->lease_expired_ms,
+		loop_now_ms() + worker_lease_bound_ms(worker->env->lease_ms));
+}
+
+bool worker_may_get_late_orders(const struct worker *worker)
+{
+	return loop_now_ms() < worker->late_orders_until_ms;
+}
+
 uint64_t worker_clock_age_ms(const struct worker *worker, uint64_t clock_ms)
 {
 	uint64_t now_clock_ms =
