Look once whether a waiting group counts for the size of its pool

In the trace of leases the text "no worker answers" could not occur any more, since an owner that no worker answers is not unchallenged; what remains says both that it covers.

--- a/packages/jobs/src/owner_lease_trace.c
+++ b/packages/jobs/src/owner_lease_trace.c
@@ -148,9 +148,8 @@
 	uint64_t until_ms = owner->unchallenged_until_ms;
 
 	if (owner->verify_due_ms == 0 || until_ms == 0)
-		g_strlcpy(out, "not asked yet", TRACE_UNCHALLENGED_BYTES);
-	else if (until_ms == UINT64_MAX)
-		g_strlcpy(out, "no worker answers", TRACE_UNCHALLENGED_BYTES);
+		g_strlcpy(out, "not asked yet, or not all have answered",
+			  TRACE_UNCHALLENGED_BYTES);
 	else
 		g_snprintf(out, TRACE_UNCHALLENGED_BYTES,
 			   until_ms >= now_ms
--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -194,11 +194,6 @@
 	return per_vm == 0 ? 1 : (group->tasks_waiting + per_vm - 1) / per_vm;
 }
 
-static int64_t task_cpu_milli(const struct job_group *group)
-{
-	return group->step->is_best_effort ? 0 : group->step->need.cpu_milli;
-}
-
 static void waiting_add(struct owner *owner, GArray *views,
 			const struct job_occurrence *occurrence)
 {
@@ -216,20 +211,19 @@
 		return;
 	for (guint i = 0; i < steps->len; i++) {
 		const struct job_group *group = &occurrence->groups[i];
+		int64_t cpu_milli = group->step->need.cpu_milli;
 
-		if (group->tasks_waiting > 0 && !group->step->is_best_effort &&
-		    !group->held_by_limit && job_group_is_ready(group))
-			view->pool.waiting_milli += group->tasks_waiting *
-						    group->step->need.cpu_milli;
-		if (group->tasks_waiting > 0 && !group->step->label &&
-		    !group->held_by_limit && job_group_is_ready(group) &&
-		    task_cpu_milli(group) > view->largest_cpu_milli)
+		if (group->tasks_waiting == 0)
+			continue;
+		view->pool.unplaced_vms =
+			MAX(view->pool.unplaced_vms, unplaced_vms(group));
+		if (group->step->is_best_effort || group->held_by_limit ||
+		    !job_group_is_ready(group))
+			continue;
+		view->pool.waiting_milli += group->tasks_waiting * cpu_milli;
+		if (!group->step->label && cpu_milli > view->largest_cpu_milli)
 			view->oversized_cpu_milli =
-				MAX(view->oversized_cpu_milli,
-				    task_cpu_milli(group));
-		if (group->tasks_waiting > 0)
-			view->pool.unplaced_vms = MAX(view->pool.unplaced_vms,
-						      unplaced_vms(group));
+				MAX(view->oversized_cpu_milli, cpu_milli);
 	}
 }
 
