Count requests of the soak until the process has ended in order

Cause: the requests were sent after the process had logged process-stopped. A sanitized program looks for leaks then, which takes 0.15 s of a core; with a quarter of a core and beside load that is more than the 500 ms within which a running process reads a request. The trace: process-stopped at 12:34:09.547, requests sent 109 ms after it and later, exit 0.7 s after it.

Change: the 500 ms count until the process has logged its orderly end, or until its connections closed if it has not. The runner's clock is now the one of steady_ms in the logs.

--- a/tests/runner.c
+++ b/tests/runner.c
@@ -19,6 +19,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "runner_file.h"
@@ -44,7 +45,10 @@
 
 int64_t runner_clock_ms(void)
 {
-	return g_get_monotonic_time() / 1000;
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
 const char *runner_table_string(lua_State *lua, const char *key,
--- a/tests/runner.h
+++ b/tests/runner.h
@@ -36,7 +36,7 @@
 /** @brief Returns the runner that owns a Lua state. */
 struct runner *runner_from_lua(lua_State *lua);
 
-/** @brief Returns the monotonic time in milliseconds. */
+/** @brief Returns the time in milliseconds, as steady_ms of the logs. */
 int64_t runner_clock_ms(void);
 
 /**
--- a/tests/scenarios/soak_callers.lua
+++ b/tests/scenarios/soak_callers.lua
@@ -74,7 +74,9 @@
   if lost.reason == "closed" then
     what = "the process read it and closed the connection"
   elseif run.ended_ms then
-    local ms = soak_processes.running_ms(run, lost.request.sent_ms, lost.closed_ms)
+    -- Under a sanitizer a process looks for leaks after its orderly end, without reading.
+    local stopped_ms = soak_processes.stopped_ms(run) or lost.closed_ms
+    local ms = soak_processes.running_ms(run, lost.request.sent_ms, stopped_ms)
     if ms <= READ_MS then
       self.unread = self.unread + 1
       return true
--- a/tests/scenarios/soak_processes.lua
+++ b/tests/scenarios/soak_processes.lua
@@ -42,6 +42,12 @@
   return tonumber(fleet.read("/proc/" .. run.pid .. "/schedstat"):match("^%d+ (%d+)") or 0) // 1000000
 end
 
+-- Returns when the process of a run logged its orderly end, or nil.
+function soak_processes.stopped_ms(run)
+  local line = fleet.read(run.log):match('[^\n]*"event":"process%-stopped"')
+  return line and tonumber(line:match('"steady_ms":(%d+)'))
+end
+
 local faults_log = assert(io.open(DIR .. "/faults.log", "w"))
 faults_log:setvbuf("line")
 
