Say by which order a cancelled job was started

The report of the rule UNASKED named the task only, so that a report of the soak did not tell a late order of an earlier owner from one of the present owner, nor by how much it was late.

--- a/packages/jobs/tests/emu_checks.c
+++ b/packages/jobs/tests/emu_checks.c
@@ -1,4 +1,7 @@
+#include <inttypes.h>
+
 #include "emu_private.h"
+#include "worker.h"
 
 /* A task is unavailable once the owner has stopped it, or once it has not run
  * for so long that the owner must have noticed. */
@@ -81,7 +84,13 @@
 				      (emu_order_is_of_current_owner(order)
 					       ? 0
 					       : EMU_CANCEL_MS))
-		emu_fail(emu, EMU_RULE_UNASKED, "%s: job was cancelled", name);
+		emu_fail(emu, EMU_RULE_UNASKED,
+			 "%s: job was cancelled %" PRIu64
+			 " ms before process %u ordered run %u in epoch "
+			 "%" PRIu64,
+			 name, order->sent_ms - state->cancel_answered_ms,
+			 order->node->number, order->run,
+			 order->fence / WORKER_FENCE_SPAN);
 	if (task->active_runs > 0)
 		emu_fail(emu, EMU_RULE_TWICE, "%s started while running", name);
 	if (emu->config.listed_ends_count && task->success_listed_ms != 0 &&
