Tell the stand-in of faults of processes and of their calls to the store

Cause: no process could own the service then, and the judge did not know. All three had got SIGTERM within 3 s (vm-entry-3 at 8.0 s, vm-entry-2 at 9.2 s, vm-entry-1, the owner, stopped at 10.4 s and ended from 11.1 s on) and started again from 14.7 s on; the next owner was elected at 16.0 s and started the task 0.4 s later. In the emulator a process that is down, paused or without the store counts as a fault, as in the rule, which asks for calm; a real process did not.

Change: the soak says whether any process is stopped, ending, down or starting, or a relay between a process and the store disturbs it. The check as such and its times are as before.

--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -149,7 +149,7 @@
 {
 	bool any = emu->lost_permille || emu->late_permille ||
 		   emu->slowdown > 1 || emu->delayed_order_permille ||
-		   emu->slow_answers_max_ms;
+		   emu->slow_answers_max_ms || emu->processes_disturbed;
 
 	for (uint32_t i = 0; i < emu->config.nodes; i++)
 		any |= !emu->nodes[i].alive ||
@@ -168,6 +168,12 @@
 		emu->last_fault_ms = loop_now_ms();
 }
 
+void emu_processes_set_disturbed(struct emu *emu, bool disturbed)
+{
+	emu->processes_disturbed = disturbed;
+	last_fault_update(emu);
+}
+
 /* A wave may only be reported as succeeded once all of its VMs that exist were
  * maintained. */
 static void wave_check(struct emu *emu)
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -327,6 +327,10 @@
 void emu_store_revoke_ownership(struct emu *emu, uint32_t node);
 /** @brief Revokes all leases of a process without notifying it. */
 void emu_store_revoke_leases(struct emu *emu, uint32_t node);
+/** @brief Sets whether any process that does not run in the emulator is
+ * stopped, ending, starting or cut off from the store, which counts as a fault
+ * as with those that do. */
+void emu_processes_set_disturbed(struct emu *emu, bool disturbed);
 /** @brief Returns the process to whose lease the owner key is bound, or
  *  EMU_NODES_MAX. */
 uint32_t emu_store_key_owner(const struct emu *emu);
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -319,6 +319,8 @@
 	 * store or orders */
 	uint64_t last_fault_ms;
 	uint64_t last_owner_fault_ms;
+	/* see emu_processes_set_disturbed() */
+	bool processes_disturbed;
 	/* last time at which ownership was revoked or given up */
 	uint64_t last_change_ms;
 	uint64_t waiting_checked_ms;
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -60,7 +60,8 @@
 
 -- Starts a relay to a target port; returns the relay's port.
 local function relay_to(target, name)
-  local relay = {port = free_port(), file = DIR .. "/" .. name .. ".mode"}
+  local relay = {port = free_port(), file = DIR .. "/" .. name .. ".mode", mode = "pass",
+                 leads_to_store = name:find("-platform", 1, true) ~= nil}
   fleet.write(relay.file, "pass")
   spawn{"standin_relay", tostring(relay.port), tostring(target), relay.file,
         log = DIR .. "/" .. name .. ".log"}
@@ -183,6 +184,7 @@
 
 local function write_relay_mode(relay, mode)
   soak_processes.log_fault(relay.file:match("[^/]*$") .. " " .. mode)
+  relay.mode = mode
   fleet.write(relay.file, mode)
 end
 
@@ -247,9 +249,20 @@
 }
 if WORKER_FAULTS > 0 then table.move(worker_faults, 1, #worker_faults, #faults + 1, faults) end
 
+-- Tells the stand-in, which does not see these faults, whether any acts on a process or on its
+-- calls to the store.
+local disturbed = false
+local function tell_disturbed()
+  local now = runs:is_any_disturbed()
+  for _, relay in ipairs(relays) do now = now or (relay.leads_to_store and relay.mode ~= "pass") end
+  if now ~= disturbed then platform:fault("processes", 0, now and 1 or 0) end
+  disturbed = now
+end
+
 local traffic = true
 local function step()
   poll(10)
+  tell_disturbed()
   complete_calls()
   callers:step(traffic)
   runs:step()
--- a/tests/scenarios/soak_processes.lua
+++ b/tests/scenarios/soak_processes.lua
@@ -319,6 +319,16 @@
   return true
 end
 
+-- Returns whether a process is stopped, ending, down or starting.
+function soak_processes:is_any_disturbed()
+  for _, process in ipairs(self.list) do
+    local run = process.run
+    local stop = run.stops[#run.stops]
+    if run.ended_ms or run.killed or run.term_ms or not run.up or (stop and not stop.to_ms) then return true end
+  end
+  return false
+end
+
 -- Every process must apply its settings file and be ready.
 function soak_processes:check_serving()
   for _, process in ipairs(self.list) do
