Do not report a job as open without proof of ownership

What callers saw: a job that was reported as succeeded is reported as running a moment later, by an owner that has stood still and does not know its successor.

Cause: "pending" and "running" came from the owner's memory, whatever its lease.

Change: without a valid lease an owner answers them only under the condition under which it acts (all workers that answer have shown lately that no successor had reached them); else the outcome is unknown, which callers ask for again. The emulator's rule STATE judges it for requests that are sent after the success was told.

All unit tests pass.

--- a/packages/jobs/src/owner_calls.c
+++ b/packages/jobs/src/owner_calls.c
@@ -402,8 +402,16 @@
 	}
 	restored_end_log(owner, job);
 	answer.state = job->stored_state;
-	if (answer.state <= JOB_RUNNING)
-		answer.state = job->has_started ? JOB_RUNNING : JOB_PENDING;
+	if (answer.state > JOB_RUNNING) {
+		cb(data, &answer);
+		return;
+	}
+	/* A successor may have ended the job. */
+	if (!owner_is_unchallenged(owner, loop_now_ms())) {
+		call_answer(cb, data, JOBS_UNKNOWN, "ownership is not proved");
+		return;
+	}
+	answer.state = job->has_started ? JOB_RUNNING : JOB_PENDING;
 	cb(data, &answer);
 }
 
--- a/packages/jobs/tests/emu_callers.c
+++ b/packages/jobs/tests/emu_callers.c
@@ -224,6 +224,7 @@
 	struct emu *emu;
 	struct emu_job_state *state;
 	bool accepted_before;
+	bool succeeded_before;
 };
 
 static void succeeded_check(struct emu *emu, struct emu_job_state *state)
@@ -273,6 +274,11 @@
 		state->state = answer->state;
 		if (answer->state == JOB_SUCCEEDED)
 			succeeded_check(emu, state);
+		if (answer->state <= JOB_RUNNING && request->succeeded_before)
+			emu_fail(emu, EMU_RULE_STATE,
+				 "%s was reported as open after it was "
+				 "reported as succeeded",
+				 state->id);
 		if (answer->state == JOB_CANCELLED && !state->cancel_sent)
 			emu_fail(emu, EMU_RULE_STATE,
 				 "%s was reported as cancelled "
@@ -297,6 +303,7 @@
 	request->emu = emu;
 	request->state = g_ptr_array_index(emu->jobs, job);
 	request->accepted_before = request->state->accepted;
+	request->succeeded_before = request->state->success_seen;
 	call_send(emu, node, JOBS_STATE, request->state, on_state, request);
 }
 
--- a/packages/jobs/tests/test_takeover.c
+++ b/packages/jobs/tests/test_takeover.c
@@ -280,6 +280,35 @@
 }
 END_TEST
 
+/* A caller that was told of the end of a job asks an owner that stood still
+ * meanwhile and does not know its successor. */
+START_TEST(test_paused_owner_reports_no_ended_job_as_open)
+{
+	struct emu_config config = two_pools;
+	struct emu *emu;
+	uint32_t old_owner;
+	uint32_t job;
+
+	config.pausable = true;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	job = tasks_submit(emu, 0, 0, 1, 3000);
+	emu_advance(emu, 1000);
+	old_owner = emu_owner(emu);
+	emu_store_set_mode(emu, old_owner, EMU_STORE_UNAVAILABLE);
+	emu_node_pause(emu, old_owner, 5000, _i > 0);
+	emu_advance(emu, 4900);
+	emu_state_query(emu, 1 - old_owner, job);
+	emu_advance(emu, 101);
+	for (uint32_t i = 0; i < 100; i++) {
+		emu_state_query(emu, old_owner, job);
+		emu_advance(emu, 1 + i);
+	}
+	emu_store_set_mode(emu, old_owner, EMU_STORE_OK);
+	job_finish(emu, 0);
+}
+END_TEST
+
 /* An operation ends a worker, which an earlier owner would take for a loss as
  * long as it believes in its lease, whose time-to-live the store may raise. */
 START_TEST(test_vm_operations_wait_for_revoked_owner)
@@ -467,6 +496,8 @@
 			    MOMENTS);
 	tcase_add_loop_test(tests, test_paused_owner_does_nothing_more, 0,
 			    2 * MOMENTS);
+	tcase_add_loop_test(
+		tests, test_paused_owner_reports_no_ended_job_as_open, 0, 2);
 	tcase_add_loop_test(tests, test_vm_operations_wait_for_revoked_owner, 0,
 			    2);
 	tcase_add_loop_test(tests, test_late_vm_order_follows_no_newer_one, 0,
