--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -36,6 +36,10 @@
  * cancel.
  */
 #define CHAOS_OWNERS_SEED 11000000
+/* From this seed on, beside all faults of the seeds before CHAOS_OWNERS_SEED,
+ * open connections to workers go silent, requests to VMs are lost or carried
+ * out late, and the configuration drops a queue. */
+#define CHAOS_SILENCE_SEED 12000000
 /* A process with a share of a core is paused for up to this part of each step.
  */
 #define CHAOS_SHARE_PAUSE_MS 90
@@ -87,7 +91,8 @@
 
 static bool only_owners_fail(const struct chaos *chaos)
 {
-	return chaos->config.seed >= CHAOS_OWNERS_SEED;
+	return chaos->config.seed >= CHAOS_OWNERS_SEED &&
+	       chaos->config.seed < CHAOS_SILENCE_SEED;
 }
 
 static void job_submit(struct chaos *chaos)
@@ -201,6 +206,30 @@
 	}
 }
 
+static void silence_inject(struct chaos *chaos, uint32_t node)
+{
+	struct emu *emu = chaos->emu;
+
+	switch (emu_random(emu, 8)) {
+	case 0:
+	case 1:
+		emu_connections_silence(emu);
+		break;
+	case 2:
+		emu_vm_requests_set_lost(emu, emu_random(emu, 2) * 500);
+		break;
+	case 3:
+		emu_vm_requests_set_held(emu, node, emu_random(emu, 3000));
+		break;
+	case 4:
+		if (chaos->config.pools > 1)
+			emu_queue_drop(emu, chaos->config.pools - 1);
+		break;
+	default:
+		break;
+	}
+}
+
 static void fault_inject(struct chaos *chaos)
 {
 	struct emu *emu = chaos->emu;
@@ -245,6 +274,8 @@
 	if (chaos->config.seed >= CHAOS_PAUSES_SEED && emu_random(emu, 4) == 0)
 		emu_node_pause(emu, node, emu_random(emu, CHAOS_PAUSE_MAX_MS),
 			       emu_random(emu, 2));
+	if (chaos->config.seed >= CHAOS_SILENCE_SEED)
+		silence_inject(chaos, node);
 	switch (emu_random(emu, 13)) {
 	case 0:
 		emu_node_kill(emu, node);
@@ -336,6 +367,9 @@
 	emu_store_set_slowdown(emu, 1);
 	emu_orders_set_delayed(emu, 0);
 	emu_answers_set_slow(emu, 0);
+	emu_vm_requests_set_lost(emu, 0);
+	for (uint32_t i = 0; i < chaos->config.nodes; i++)
+		emu_vm_requests_set_held(emu, i, 0);
 }
 
 /* Some callers leave before they cancel, others still wait for the answer to
@@ -389,7 +423,8 @@
 			.attempts = 3,
 			.unguarded = seed >= CHAOS_CRASHES_SEED && seed % 2,
 			.uneven_vms = seed >= CHAOS_SHAPES_SEED &&
-				      seed < CHAOS_OWNERS_SEED,
+				      (seed < CHAOS_OWNERS_SEED ||
+				       seed >= CHAOS_SILENCE_SEED),
 			.pausable = seed >= CHAOS_PAUSES_SEED,
 		},
 	};
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -162,6 +162,7 @@
 		emu->last_owner_fault_ms = loop_now_ms();
 	for (uint32_t i = 0; i < emu->vm_count; i++)
 		any |= emu->vms[i].partitioned || emu->vms[i].cut_nodes != 0 ||
+		       emu->vms[i].silent_connections > 0 ||
 		       emu->vms[i].draining || emu->vms[i].fails_all_runs ||
 		       emu->vms[i].state == ADAPTER_VM_DOWN;
 	if (any)
