Let owners settle in the soak before they are turned away

(2) An owner that has lost it hears of its successor within 0.3 s from a spare VM that was moved into a busy pool and runs tasks, so it does nothing more.

Change: with 2 as the argument for owners in a row most owners have 9 to 14 s before they are turned away, VMs are not moved, and one more pool gets no jobs. Its workers answer all processes. So an owner and its successor share workers, as on a deployment with a quiet service, but the owner has to ask them to hear of the other. With 1 the faults are as before.

--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -82,6 +82,13 @@
   table.insert(process.settings, {name, value})
 end
 
+-- Removes a setting of a process for the next write of its node file.
+function jobfleet.unset(process, name)
+  for i, setting in ipairs(process.settings) do
+    if setting[1] == name then return table.remove(process.settings, i) end
+  end
+end
+
 -- Adds a process whose calls to the platform go to platform_port. It is not started.
 function jobfleet:add_process(platform_port)
   local index = #self.processes + 1
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -9,7 +9,8 @@
 -- their answers are delayed, or they drain; 2: their orders are delayed too), VMs of each pool,
 -- milliseconds between jobs, milliseconds between faults, callers that cancel (0: none; N: one in
 -- N jobs is cancelled, sometimes twice), owners in a row (1: see soak_owners.lua, and processes
--- lose the store alone; some jobs run for seconds), share of a core of each process in thousandths
+-- lose the store alone; some jobs run for seconds; 2: most owners settle first, VMs do not move,
+-- and one more pool gets no jobs), share of a core of each process in thousandths
 -- (0: no limit).
 local fleet = require("fleet")
 local jobfleet = require("jobfleet")
@@ -33,6 +34,9 @@
 local CANCELLED_OF_LAST = 15
 local POOLS, VMS_PER_POOL = 2, tonumber(ARGUMENTS[5]) or 4
 local LAST_VM = POOLS * VMS_PER_POOL - 1
+-- An owner does not call the workers of a pool without tasks, so they tell it of its successor
+-- only if it asks them. Without moves of VMs the pool stays so.
+local IDLE_POOLS = OWNER_FAULTS > 1 and 1 or 0
 -- Callers on kept connections of each process, and the share of their requests that submit:
 -- workers do not increase with the processes, so neither does the load.
 local KEPT_CALLERS, SUBMIT_SHARE = 4, 0.9 / PROCESSES
@@ -52,7 +56,7 @@
 math.randomseed(SEED)
 local random = math.random
 
-local platform = jobfleet.new(SEED, nil, {pools = POOLS, vms_per_pool = VMS_PER_POOL,
+local platform = jobfleet.new(SEED, nil, {pools = POOLS + IDLE_POOLS, vms_per_pool = VMS_PER_POOL,
                                           spare_vms = VMS_PER_POOL // 2,
                                           processes = OWNER_FAULTS > 0 and PROCESSES or nil})
 
@@ -74,10 +78,14 @@
 local function schedule(ms, callback) table.insert(scheduled, {now_ms() + ms, callback}) end
 
 local runs = soak_processes.new(processes, schedule, SHARE_PERMILLE)
-local owners = soak_owners.new(platform, runs, schedule, LAST_VM + 1)
+local owners = soak_owners.new(platform, runs, schedule, LAST_VM + 1, OWNER_FAULTS > 1)
 for i = 1, PROCESSES do
   local process = platform:add_process(relay_to(platform.process_ports[i] or platform.port,
                                                 "vm-entry-" .. i .. "-platform"))
+  if OWNER_FAULTS > 1 then
+    jobfleet.unset(process, "cloud.address")
+    jobfleet.write_node_file(process)
+  end
   process.callers = relay_to(process.front, process.name .. "-callers")
   process.descriptors_max = i % 2 == 1 and DESCRIPTORS_MAX or nil
   runs:start(process)
--- a/tests/scenarios/soak_owners.lua
+++ b/tests/scenarios/soak_owners.lua
@@ -1,7 +1,8 @@
 -- Owners in a row for the soak: the store turns the present owner away and takes its keys
 -- without notice, then its successor, while some workers are cut off from some processes,
 -- owners are paused and configurations change. An owner that is turned away and its successors
--- always share the spare workers. See docs/incidents/inc-owners-in-a-row.md.
+-- always share the workers on the VMs that are not cut off, the spare ones among them. See
+-- docs/incidents/inc-owners-in-a-row.md.
 local soak_processes = require("soak_processes")
 
 local soak_owners = {}
@@ -16,14 +17,18 @@
 -- From one owner to the next, so that it has taken over or is about to.
 local NEXT_MIN_MS, NEXT_MAX_MS = 500, 4000
 local SERIES_MIN_MS, SERIES_MAX_MS = 3000, 7000
+-- From one owner to the next that has taken over and whose tasks are under way.
+local SETTLED_MIN_MS, SETTLED_MAX_MS = 9000, 14000
 local CUT_ONE_IN = 5
 -- Longer than a successor waits for the leases of workers.
 local SPLIT_MIN_MS, SPLIT_MAX_MS = 10000, 16000
 local CONFIG_EVERY_MS, MORE_QUEUES_MAX = 3000, 2
 
--- schedule(ms, callback) runs a callback later.
-function soak_owners.new(platform, runs, schedule, vms)
+-- schedule(ms, callback) runs a callback later. Most owners settle before they are turned away
+-- if settles is true. VMs from number vms on are never cut off.
+function soak_owners.new(platform, runs, schedule, vms, settles)
   return setmetatable({platform = platform, runs = runs, schedule = schedule, vms = vms, away = {},
+                       settles = settles, pause_one_in = settles and 3 or 2,
                        turned_away = 0, next_series_ms = 0, next_config_ms = 0}, soak_owners)
 end
 
@@ -54,7 +59,7 @@
   end
 end
 
--- Some workers are reached only by a process, some only by the others; all reach the spare ones.
+-- Some workers are reached only by a process, some only by the others; all reach the rest.
 function soak_owners:split(index, ms)
   local shares_more = random(4) == 1
   for vm = 0, self.vms - 1 do
@@ -71,7 +76,9 @@
   if self.ended then return end
   local owner = self.platform:owner()
   if owner and not self.away[owner.index] then
-    if random(2) == 1 then self.runs:stop_for(owner.run, random(PAUSE_MIN_MS, PAUSE_MAX_MS)) end
+    if random(self.pause_one_in) == 1 then
+      self.runs:stop_for(owner.run, random(PAUSE_MIN_MS, PAUSE_MAX_MS))
+    end
     if random(4) > 1 then
       local ms = random(SPLIT_MIN_MS, SPLIT_MAX_MS)
       self:turn_away(owner, ms)
@@ -89,7 +96,11 @@
 
 -- Begins what is due; called while faults are wanted.
 function soak_owners:step()
-  if now_ms() >= self.next_series_ms then
+  if now_ms() >= self.next_series_ms and self.settles then
+    self.next_series_ms = now_ms() + (random(3) == 1 and random(NEXT_MIN_MS, NEXT_MAX_MS)
+                                      or random(SETTLED_MIN_MS, SETTLED_MAX_MS))
+    self:turn_away_next(1)
+  elseif now_ms() >= self.next_series_ms then
     self.next_series_ms = now_ms() + random(SERIES_MIN_MS, SERIES_MAX_MS)
     self:turn_away_next(random(2, IN_A_ROW_MAX))
   end
