--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -428,6 +428,8 @@
 	run.awaits_gang = state->job.gang;
 	emu_task_get(emu, job, row, parts.index)->active_runs++;
 	emu_task_get(emu, job, row, parts.index)->last_start_ms = loop_now_ms();
+	emu_task_get(emu, job, row, parts.index)->last_start_fence =
+		order->fence;
 	emu_task_get(emu, job, row, parts.index)->stopped_by_owner = false;
 	log_debug("emu-start", "%s run %u at %s fence %" G_GUINT64_FORMAT,
 		  order->task, order->run, vm->worker, order->fence);
