Serve each size of task that is too large for its pool

Callers saw jobs that never ended: a task needed more CPU than any VM of its pool has, and idle VMs of another pool were large enough.

Cause: owner_pools.c kept one size for each pool, that of the largest task that waits and fits none of its VMs. While a gang waited that no VM at all can run (9000 milli-CPU, the largest VM has 8000), no VM counted as large enough, also not for tasks of 5000.

Change: the sizes that wait are kept as a list, and the largest one for which there is an idle VM gets it.

The test of test_stranded has a second case, with a hopeless job beside. Its sizes and durations are such that the pool is not enlarged for the sum of the work, which would bring a larger VM, too; the first case asks for the same as before (a task larger than each VM of its pool).

build/packages/jobs/tests/test_stranded: 1 of 22 fails before, 0 after.

--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -17,10 +17,10 @@
 struct pool_view {
 	const char *name;
 	struct capacity_pool pool;
-	/* CPU of its largest VM, and of the largest task that waits and that is
-	 * too large for that, 0 for none */
+	/* CPU of its largest VM */
 	int64_t largest_cpu_milli;
-	int64_t oversized_cpu_milli;
+	/* CPU of the waiting tasks that are too large for that, int64_t */
+	GArray *oversized;
 	/* struct owner_vm * that may be moved */
 	GPtrArray *idle;
 };
@@ -29,6 +29,7 @@
 {
 	struct pool_view *view = data;
 
+	g_array_unref(view->oversized);
 	g_ptr_array_unref(view->idle);
 }
 
@@ -55,6 +56,7 @@
 		struct pool_view view = {
 			.name = service->name,
 			.pool.is_spare = service->is_spare,
+			.oversized = g_array_new(FALSE, FALSE, sizeof(int64_t)),
 			.idle = g_ptr_array_new(),
 		};
 
@@ -183,6 +185,16 @@
 	}
 }
 
+/* Records the size of a waiting task that is too large for its pool. */
+static void oversized_add(struct pool_view *view, int64_t cpu_milli)
+{
+	for (guint i = 0; i < view->oversized->len; i++) {
+		if (g_array_index(view->oversized, int64_t, i) == cpu_milli)
+			return;
+	}
+	g_array_append_val(view->oversized, cpu_milli);
+}
+
 /* Further VMs that the waiting tasks of a group need if they fit on no worker.
  */
 static uint32_t unplaced_vms(const struct job_group *group)
@@ -222,8 +234,7 @@
 			continue;
 		view->pool.waiting_milli += group->tasks_waiting * cpu_milli;
 		if (!group->step->label && cpu_milli > view->largest_cpu_milli)
-			view->oversized_cpu_milli =
-				MAX(view->oversized_cpu_milli, cpu_milli);
+			oversized_add(view, cpu_milli);
 	}
 }
 
@@ -245,11 +256,12 @@
 	return best;
 }
 
-/* Returns the idle VM of a pool that is to run an oversized task of another
- * one: the smallest that is large enough, NULL for none. A VM that has had no
- * worker counts as large as the largest one. */
+/* Returns the idle VM of a pool that is to run a task of another one: the
+ * smallest that is large enough, NULL for none. A VM that has had no worker
+ * counts as large as the largest one. */
 static struct owner_vm *large_vm_find(const struct pool_view *from,
 				      const struct pool_view *to,
+				      int64_t need_cpu_milli,
 				      int64_t largest_cpu_milli)
 {
 	struct owner_vm *best = NULL;
@@ -260,8 +272,7 @@
 		int64_t cpu_milli =
 			vm->cpu_milli > 0 ? vm->cpu_milli : largest_cpu_milli;
 
-		if (cpu_milli < to->oversized_cpu_milli ||
-		    cpu_milli >= best_cpu_milli ||
+		if (cpu_milli < need_cpu_milli || cpu_milli >= best_cpu_milli ||
 		    g_strcmp0(vm->rejecting_pool, to->name) == 0)
 			continue;
 		best = vm;
@@ -270,10 +281,11 @@
 	return best;
 }
 
-/* Moves an idle VM to a pool in which a task waits that is too large for all
- * VMs there, at most one at a time. */
-static void large_vm_move(struct owner_fleet *fleet, GArray *views,
-			  struct pool_view *to, int64_t largest_cpu_milli)
+/* Moves an idle VM that is large enough for a task to its pool. Returns whether
+ * there is one. */
+static bool large_vm_move(struct owner_fleet *fleet, GArray *views,
+			  struct pool_view *to, int64_t need_cpu_milli,
+			  int64_t largest_cpu_milli)
 {
 	struct pool_view *donor = NULL;
 	struct owner_vm *vm = NULL;
@@ -283,7 +295,8 @@
 			&g_array_index(views, struct pool_view, i);
 		struct owner_vm *found =
 			from == to ? NULL
-				   : large_vm_find(from, to, largest_cpu_milli);
+				   : large_vm_find(from, to, need_cpu_milli,
+						   largest_cpu_milli);
 
 		if (found && (!vm || from->pool.is_spare)) {
 			vm = found;
@@ -291,12 +304,12 @@
 		}
 	}
 	if (!vm)
-		return;
+		return false;
 	log_info("pool-gets-larger-vm",
 		 "pool %s gets VM %s of pool %s: a task that waits needs "
 		 "%" G_GINT64_FORMAT
 		 " milli-CPU, its largest VM has %" G_GINT64_FORMAT,
-		 to->name, vm->name, donor->name, to->oversized_cpu_milli,
+		 to->name, vm->name, donor->name, need_cpu_milli,
 		 to->largest_cpu_milli);
 	g_ptr_array_remove_fast(donor->idle, vm);
 	donor->pool.up--;
@@ -304,6 +317,30 @@
 	donor->pool.idle_long = MIN(donor->pool.idle_long, donor->pool.idle);
 	to->pool.arriving++;
 	owner_vm_drain(fleet, vm, NULL, to->name);
+	return true;
+}
+
+static gint cpu_compare_descending(gconstpointer a, gconstpointer b)
+{
+	const int64_t left = *(const int64_t *)a;
+	const int64_t right = *(const int64_t *)b;
+
+	return (left < right) - (left > right);
+}
+
+/* Moves an idle VM to a pool in which tasks wait that are too large for all VMs
+ * there. A task for which there is no such VM does not hold back smaller ones.
+ */
+static void oversized_serve(struct owner_fleet *fleet, GArray *views,
+			    struct pool_view *to, int64_t largest_cpu_milli)
+{
+	g_array_sort(to->oversized, cpu_compare_descending);
+	for (guint i = 0; i < to->oversized->len; i++) {
+		if (large_vm_move(fleet, views, to,
+				  g_array_index(to->oversized, int64_t, i),
+				  largest_cpu_milli))
+			return;
+	}
 }
 
 /* Pools are sized by their CPU as a whole, whatever the sizes of VMs and tasks.
@@ -315,9 +352,9 @@
 		struct pool_view *view =
 			&g_array_index(views, struct pool_view, i);
 
-		if (view->oversized_cpu_milli > 0 && view->pool.arriving == 0 &&
-		    view->largest_cpu_milli > 0)
-			large_vm_move(fleet, views, view, largest_cpu_milli);
+		/* One at a time. */
+		if (view->pool.arriving == 0 && view->largest_cpu_milli > 0)
+			oversized_serve(fleet, views, view, largest_cpu_milli);
 	}
 }
 
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -338,23 +338,32 @@
 END_TEST
 
 /* No VM of the pool is large enough for a task, though all together are, and
- * the idle ones of another pool are. */
+ * the idle ones of another pool are, also while a job waits that is too large
+ * for any VM. */
 START_TEST(test_task_too_large_for_its_pool)
 {
 	struct emu_config config = fleet;
 	struct emu_job job = batch;
+	struct emu_job hopeless;
+	uint32_t jobs = 0;
 	struct emu *emu;
 
 	config.fixed_pools = false;
 	config.pools = 2;
 	emu = emu_create(&config);
 	for (uint32_t i = 0; i < config.vms_per_pool; i++)
-		emu_worker_set_cpu(emu, i, 4000);
+		emu_worker_set_cpu(emu, i, 7000);
 	emu_advance(emu, 3000);
 	job.tasks_per_step = 1;
-	job.cpu_milli = 5000;
-	emu_submit(emu, 0, &job);
-	expect_finished(emu, 1, 10000);
+	job.cpu_milli = 7500;
+	job.task_ms = 100;
+	hopeless = job;
+	hopeless.cpu_milli = 9000;
+	hopeless.fits_nowhere = true;
+	if (_i == 1)
+		emu_submit(emu, jobs++, &hopeless);
+	emu_submit(emu, jobs++, &job);
+	expect_finished(emu, jobs, 10000);
 }
 END_TEST
 
@@ -398,7 +407,7 @@
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
-	tcase_add_test(tests, test_task_too_large_for_its_pool);
+	tcase_add_loop_test(tests, test_task_too_large_for_its_pool, 0, 2);
 	tcase_add_test(tests, test_hopeless_job_beside_long_running_tasks);
 	tcase_add_test(tests, test_long_running_tasks_close_breaker);
 	tcase_add_test(tests, test_failed_task_with_one_suitable_worker);
