Give idle VMs on trial to pools that have no other VM for a task

Callers saw jobs that never ended although VMs were idle.

Cause: a VM on which three tasks have failed in a row stays on trial (its breaker is half open) until a task succeeds there. If its pool has no work, none ever does, and such a VM counted as one that must not be moved. In the test, a pool with failing tasks draws all VMs of the other one, which has none left for good.

Change: if no other idle VM is large enough for a task that is too large for its pool, one on trial is moved. That also holds for a pool without any VM, in whatever state; one whose workers are not known yet still waits for them. The VM stays on trial in its new pool, so that it gets one task at a time there.

build/packages/jobs/tests/test_stranded with the third case of test_task_too_large_for_its_pool: 1 of 23 fails before, 0 after.

--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -17,12 +17,18 @@
 struct pool_view {
 	const char *name;
 	struct capacity_pool pool;
-	/* CPU of its largest VM */
+	/* number of its VMs and those that are being moved to it, in any state
+	 */
+	uint32_t vm_count;
+	/* CPU of its largest VM, 0 if no worker is known */
 	int64_t largest_cpu_milli;
 	/* CPU of the waiting tasks that are too large for that, int64_t */
 	GArray *oversized;
 	/* struct owner_vm * that may be moved */
 	GPtrArray *idle;
+	/* the same of workers whose breaker is half open; not counted in pool
+	 */
+	GPtrArray *on_trial;
 };
 
 static void view_clear(gpointer data)
@@ -31,6 +37,7 @@
 
 	g_array_unref(view->oversized);
 	g_ptr_array_unref(view->idle);
+	g_ptr_array_unref(view->on_trial);
 }
 
 static struct pool_view *view_find_by_name(GArray *views, const char *name)
@@ -58,6 +65,7 @@
 			.pool.is_spare = service->is_spare,
 			.oversized = g_array_new(FALSE, FALSE, sizeof(int64_t)),
 			.idle = g_ptr_array_new(),
+			.on_trial = g_ptr_array_new(),
 		};
 
 		g_array_append_val(views, view);
@@ -127,25 +135,40 @@
 	return sum;
 }
 
+/* Returns whether the VM of a worker may be moved now. */
+static bool is_movable(struct owner_fleet *fleet, const struct worker *worker,
+		       const struct owner_vm *vm)
+{
+	return worker->tasks->len == 0 && worker->has_reported && vm &&
+	       vm->phase == OWNER_VM_STEADY && vm->state == ADAPTER_VM_UP &&
+	       owner_intents_allow_operation(fleet, vm);
+}
+
 static void worker_add(struct owner_fleet *fleet, GArray *views,
 		       struct worker *worker)
 {
 	struct pool_view *view = view_find_by_name(views, worker->service);
+	enum breaker_state health =
+		breaker_state_at(&worker->health, loop_now_ms());
 	struct owner_vm *vm;
 
 	vm = worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm) : NULL;
 	if (vm && worker->listed && !worker->ended)
 		vm->cpu_milli = worker->capacity.cpu_milli;
-	if (view && worker->listed && !worker->ended && !worker->draining)
-		view->largest_cpu_milli = MAX(view->largest_cpu_milli,
-					      worker->capacity.cpu_milli);
+	if (!view || worker->ended || !worker->listed || worker->draining)
+		return;
+	view->largest_cpu_milli =
+		MAX(view->largest_cpu_milli, worker->capacity.cpu_milli);
+	if (worker->cordoned)
+		return;
 	/* A quarantined worker adds no capacity, and its VM would make tasks of
 	 * another pool fail as well. */
-	if (!view || worker->ended || !worker->listed ||
-	    breaker_state_at(&worker->health, loop_now_ms()) !=
-		    BREAKER_CLOSED ||
-	    worker->draining || worker->cordoned)
+	if (health != BREAKER_CLOSED) {
+		if (health == BREAKER_HALF_OPEN &&
+		    is_movable(fleet, worker, vm))
+			g_ptr_array_add(view->on_trial, vm);
 		return;
+	}
 	view->pool.up++;
 	view->pool.vm_cpu_milli =
 		MAX(view->pool.vm_cpu_milli, worker->capacity.cpu_milli);
@@ -153,9 +176,7 @@
 	view->pool.long_running_milli += long_running_cpu_milli(worker);
 	if (vm && worker->tasks->len > 0)
 		vm->idle_since_ms = 0;
-	if (worker->tasks->len > 0 || !worker->has_reported || !vm ||
-	    vm->phase != OWNER_VM_STEADY || vm->state != ADAPTER_VM_UP ||
-	    !owner_intents_allow_operation(fleet, vm))
+	if (!is_movable(fleet, worker, vm))
 		return;
 	if (vm->idle_since_ms == 0)
 		vm->idle_since_ms = loop_now_ms();
@@ -173,6 +194,7 @@
 
 	if (!view)
 		return;
+	view->vm_count++;
 	if (vm->target_pool) {
 		view->pool.arriving++;
 	} else if (view->pool.is_spare && vm->phase == OWNER_VM_STEADY &&
@@ -256,10 +278,10 @@
 	return best;
 }
 
-/* Returns the idle VM of a pool that is to run a task of another one: the
+/* Returns the one of some VMs that is to run a task of another pool: the
  * smallest that is large enough, NULL for none. A VM that has had no worker
  * counts as large as the largest one. */
-static struct owner_vm *large_vm_find(const struct pool_view *from,
+static struct owner_vm *large_vm_find(const GPtrArray *vms,
 				      const struct pool_view *to,
 				      int64_t need_cpu_milli,
 				      int64_t largest_cpu_milli)
@@ -267,8 +289,8 @@
 	struct owner_vm *best = NULL;
 	int64_t best_cpu_milli = INT64_MAX;
 
-	for (guint i = 0; i < from->idle->len; i++) {
-		struct owner_vm *vm = g_ptr_array_index(from->idle, i);
+	for (guint i = 0; i < vms->len; i++) {
+		struct owner_vm *vm = g_ptr_array_index(vms, i);
 		int64_t cpu_milli =
 			vm->cpu_milli > 0 ? vm->cpu_milli : largest_cpu_milli;
 
@@ -281,11 +303,33 @@
 	return best;
 }
 
-/* Moves an idle VM that is large enough for a task to its pool. Returns whether
- * there is one. */
+static void large_vm_move_begin(struct owner_fleet *fleet,
+				struct pool_view *from, struct pool_view *to,
+				struct owner_vm *vm, int64_t need_cpu_milli)
+{
+	log_info("pool-gets-larger-vm",
+		 "pool %s gets VM %s of pool %s: a task that waits needs "
+		 "%" G_GINT64_FORMAT
+		 " milli-CPU, its largest VM has %" G_GINT64_FORMAT,
+		 to->name, vm->name, from->name, need_cpu_milli,
+		 to->largest_cpu_milli);
+	if (g_ptr_array_remove_fast(from->idle, vm)) {
+		from->pool.up--;
+		from->pool.idle--;
+		from->pool.idle_long =
+			MIN(from->pool.idle_long, from->pool.idle);
+	} else {
+		g_ptr_array_remove_fast(from->on_trial, vm);
+	}
+	to->pool.arriving++;
+	owner_vm_drain(fleet, vm, NULL, to->name);
+}
+
+/* Moves an idle VM that is large enough for a task to its pool, one whose
+ * worker is on trial or one of the others. Returns whether there is one. */
 static bool large_vm_move(struct owner_fleet *fleet, GArray *views,
 			  struct pool_view *to, int64_t need_cpu_milli,
-			  int64_t largest_cpu_milli)
+			  int64_t largest_cpu_milli, bool on_trial)
 {
 	struct pool_view *donor = NULL;
 	struct owner_vm *vm = NULL;
@@ -293,9 +337,10 @@
 	for (guint i = 0; i < views->len; i++) {
 		struct pool_view *from =
 			&g_array_index(views, struct pool_view, i);
+		const GPtrArray *vms = on_trial ? from->on_trial : from->idle;
 		struct owner_vm *found =
 			from == to ? NULL
-				   : large_vm_find(from, to, need_cpu_milli,
+				   : large_vm_find(vms, to, need_cpu_milli,
 						   largest_cpu_milli);
 
 		if (found && (!vm || from->pool.is_spare)) {
@@ -303,21 +348,9 @@
 			donor = from;
 		}
 	}
-	if (!vm)
-		return false;
-	log_info("pool-gets-larger-vm",
-		 "pool %s gets VM %s of pool %s: a task that waits needs "
-		 "%" G_GINT64_FORMAT
-		 " milli-CPU, its largest VM has %" G_GINT64_FORMAT,
-		 to->name, vm->name, donor->name, need_cpu_milli,
-		 to->largest_cpu_milli);
-	g_ptr_array_remove_fast(donor->idle, vm);
-	donor->pool.up--;
-	donor->pool.idle--;
-	donor->pool.idle_long = MIN(donor->pool.idle_long, donor->pool.idle);
-	to->pool.arriving++;
-	owner_vm_drain(fleet, vm, NULL, to->name);
-	return true;
+	if (vm)
+		large_vm_move_begin(fleet, donor, to, vm, need_cpu_milli);
+	return vm != NULL;
 }
 
 static gint cpu_compare_descending(gconstpointer a, gconstpointer b)
@@ -336,9 +369,12 @@
 {
 	g_array_sort(to->oversized, cpu_compare_descending);
 	for (guint i = 0; i < to->oversized->len; i++) {
-		if (large_vm_move(fleet, views, to,
-				  g_array_index(to->oversized, int64_t, i),
-				  largest_cpu_milli))
+		int64_t cpu_milli = g_array_index(to->oversized, int64_t, i);
+
+		if (large_vm_move(fleet, views, to, cpu_milli,
+				  largest_cpu_milli, false) ||
+		    large_vm_move(fleet, views, to, cpu_milli,
+				  largest_cpu_milli, true))
 			return;
 	}
 }
@@ -352,8 +388,9 @@
 		struct pool_view *view =
 			&g_array_index(views, struct pool_view, i);
 
-		/* One at a time. */
-		if (view->pool.arriving == 0 && view->largest_cpu_milli > 0)
+		/* One at a time, and only if the workers are known. */
+		if (view->pool.arriving == 0 &&
+		    (view->largest_cpu_milli > 0 || view->vm_count == 0))
 			oversized_serve(fleet, views, view, largest_cpu_milli);
 	}
 }
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -339,11 +339,12 @@
 
 /* No VM of the pool is large enough for a task, though all together are, and
  * the idle ones of another pool are, also while a job waits that is too large
- * for any VM. */
+ * for any VM, and after tasks have failed on all of them. */
 START_TEST(test_task_too_large_for_its_pool)
 {
 	struct emu_config config = fleet;
 	struct emu_job job = batch;
+	struct emu_job failing = batch;
 	struct emu_job hopeless;
 	uint32_t jobs = 0;
 	struct emu *emu;
@@ -362,7 +363,15 @@
 	hopeless.fits_nowhere = true;
 	if (_i == 1)
 		emu_submit(emu, jobs++, &hopeless);
-	emu_submit(emu, jobs++, &job);
+	failing.pool = 1;
+	failing.tasks_per_step = 16;
+	failing.always_fails = true;
+	failing.cpu_milli = 2500;
+	failing.task_ms = 100;
+	for (uint32_t i = 0; _i == 2 && i < 4; i++)
+		emu_submit(emu, jobs++ % config.nodes, &failing);
+	emu_advance(emu, 10000);
+	emu_submit(emu, jobs++ % config.nodes, &job);
 	expect_finished(emu, jobs, 10000);
 }
 END_TEST
@@ -407,7 +416,7 @@
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
-	tcase_add_loop_test(tests, test_task_too_large_for_its_pool, 0, 2);
+	tcase_add_loop_test(tests, test_task_too_large_for_its_pool, 0, 3);
 	tcase_add_test(tests, test_hopeless_job_beside_long_running_tasks);
 	tcase_add_test(tests, test_long_running_tasks_close_breaker);
 	tcase_add_test(tests, test_failed_task_with_one_suitable_worker);
