Give long-running tasks the smallest idle VM that fits them

Cause: a pool whose long-running tasks fit on no worker gets the VM of another pool that has been idle for longest, whatever its size. At 103 s, vm-6 and vm-9, the two VMs of 8000 milli-CPU of pool-1, go to pool-0 for tasks of 300, while smaller ones are idle. 8 of the 16 tasks of that step have no VM, so none of the others may be stopped (AVAIL), and the large VMs never return. Jobs 38 and 55 need 5000 in pool-1, whose largest VM has 4000.

Change: such a pool gets the smallest idle VM that is large enough for its largest unplaced task; all other moves are chosen as before.

build/packages/jobs/tests/test_stranded, with test_long_running_tasks_take_large_vm for each place of the large VM: 2 of 27 fail before, 0 after.

--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -22,6 +22,8 @@
 	uint32_t vm_count;
 	/* CPU of its largest VM, 0 if no worker is known */
 	int64_t largest_cpu_milli;
+	/* CPU of the largest long-running task that fits on no worker */
+	int64_t unplaced_cpu_milli;
 	/* CPU of the waiting tasks that are too large for that, int64_t */
 	GArray *oversized;
 	/* struct owner_vm * that may be moved */
@@ -249,6 +251,9 @@
 
 		if (group->tasks_waiting == 0)
 			continue;
+		if (unplaced_vms(group) > 0)
+			view->unplaced_cpu_milli =
+				MAX(view->unplaced_cpu_milli, cpu_milli);
 		view->pool.unplaced_vms =
 			MAX(view->pool.unplaced_vms, unplaced_vms(group));
 		if (group->step->is_best_effort || group->held_by_limit ||
@@ -260,17 +265,35 @@
 	}
 }
 
-/* Removes and returns the VM that has been idle for the longest time and for
- * which a move to the pool has not been rejected, NULL for none. */
-static struct owner_vm *idle_vm_pop(struct pool_view *from, const char *to_pool)
+/* Returns whether a pool gets one idle VM rather than another. Its long-running
+ * tasks keep a VM for good, so they get the smallest one that is large enough.
+ */
+static bool suits_better(const struct owner_vm *vm,
+			 const struct owner_vm *other,
+			 const struct pool_view *to)
+{
+	bool fits = vm->cpu_milli >= to->unplaced_cpu_milli;
+	bool other_fits = other->cpu_milli >= to->unplaced_cpu_milli;
+
+	if (to->unplaced_cpu_milli > 0 && fits != other_fits)
+		return fits;
+	if (to->unplaced_cpu_milli > 0 && vm->cpu_milli != other->cpu_milli)
+		return vm->cpu_milli < other->cpu_milli;
+	return vm->idle_since_ms < other->idle_since_ms;
+}
+
+/* Removes and returns the idle VM that suits a pool best, and for which a move
+ * there has not been rejected, NULL for none. */
+static struct owner_vm *idle_vm_pop(struct pool_view *from,
+				    const struct pool_view *to)
 {
 	struct owner_vm *best = NULL;
 
 	for (guint i = 0; i < from->idle->len; i++) {
 		struct owner_vm *vm = g_ptr_array_index(from->idle, i);
 
-		if (g_strcmp0(vm->rejecting_pool, to_pool) != 0 &&
-		    (!best || vm->idle_since_ms < best->idle_since_ms))
+		if (g_strcmp0(vm->rejecting_pool, to->name) != 0 &&
+		    (!best || suits_better(vm, best, to)))
 			best = vm;
 	}
 	if (best)
@@ -436,7 +459,7 @@
 			&g_array_index(views, struct pool_view, moves[i].from);
 		struct pool_view *to =
 			&g_array_index(views, struct pool_view, moves[i].to);
-		struct owner_vm *vm = idle_vm_pop(from, to->name);
+		struct owner_vm *vm = idle_vm_pop(from, to);
 
 		scale_up_log(moves, count, i, views);
 		if (vm)
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -376,6 +376,34 @@
 }
 END_TEST
 
+/* Long-running tasks must not take the only VM of another pool that is large
+ * enough for its work, while smaller ones fit them. */
+START_TEST(test_long_running_tasks_take_large_vm)
+{
+	struct emu_config config = fleet;
+	struct emu_job kept = wide_long_running;
+	struct emu_job job = batch;
+	struct emu *emu;
+
+	config.fixed_pools = false;
+	config.pools = 2;
+	emu = emu_create(&config);
+	for (uint32_t i = 0; i < 2 * config.vms_per_pool; i++)
+		if (i != config.vms_per_pool + (uint32_t)_i)
+			emu_worker_set_cpu(emu, i, 4000);
+	emu_advance(emu, 3000);
+	kept.tasks_per_step = 6;
+	kept.cpu_milli = 300;
+	emu_submit(emu, 0, &kept);
+	emu_advance(emu, 8000);
+	ck_assert_uint_eq(emu_active_run_count(emu), 6);
+	job.pool = 1;
+	job.cpu_milli = 5000;
+	emu_submit(emu, 0, &job);
+	expect_finished(emu, 2, 10000);
+}
+END_TEST
+
 /* A drain for maintenance must not keep its room for long while others need it:
  * it waits for a task that lasts, and that may not be stopped since another one
  * of its step fits nowhere, or for a task that takes long. */
@@ -429,6 +457,8 @@
 	tcase_add_test(tests, test_gang_before_small_jobs);
 	tcase_add_loop_test(tests, test_jobs_of_dropped_queue, 0,
 			    G_N_ELEMENTS(queue_drops));
+	tcase_add_loop_test(tests, test_long_running_tasks_take_large_vm, 0,
+			    (int)fleet.vms_per_pool);
 	tcase_add_loop_test(tests, test_drain_keeps_room_from_others, 0, 2);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
