Keep no VMs for tasks that are larger than every VM

Cause: the size of a pool follows from all CPU that waits in it. A job of 8 members of 9000 that fits no VM held all 11 VMs of its pool (72000 waiting), another one those of the next pool, so neither had any to give.

Change: a task that is larger than each VM of all pools does not count for the size of its pool. While a VM has had no worker its size is not known, and all tasks count as before.

build/packages/jobs/tests/test_stranded, with test_hopeless_job_keeps_idle_vms: 1 of 28 fails before, 0 after.

--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -230,8 +230,35 @@
 	return per_vm == 0 ? 1 : (group->tasks_waiting + per_vm - 1) / per_vm;
 }
 
+/* Returns the CPU of the largest VM of all pools, INT64_MAX if that is not
+ * known since a VM has had no worker. */
+static int64_t largest_vm_cpu_milli(const struct owner_fleet *fleet,
+				    const GArray *views)
+{
+	int64_t largest_milli = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < views->len; i++)
+		largest_milli = MAX(largest_milli,
+				    g_array_index(views, struct pool_view, i)
+					    .largest_cpu_milli);
+	g_hash_table_iter_init(&iter, fleet->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct owner_vm *vm = value;
+
+		if (vm->cpu_milli == 0)
+			return INT64_MAX;
+		largest_milli = MAX(largest_milli, vm->cpu_milli);
+	}
+	return largest_milli;
+}
+
+/* Adds the waiting tasks of an occurrence. @param largest_cpu_milli CPU
+ * of the largest VM */
 static void waiting_add(struct owner *owner, GArray *views,
-			const struct job_occurrence *occurrence)
+			const struct job_occurrence *occurrence,
+			int64_t largest_cpu_milli)
 {
 	const struct catalogue_queue *queue =
 		owner_job_queue(owner, occurrence->job);
@@ -249,7 +276,8 @@
 		const struct job_group *group = &occurrence->groups[i];
 		int64_t cpu_milli = group->step->need.cpu_milli;
 
-		if (group->tasks_waiting == 0)
+		/* No number of VMs helps a task that is larger than each. */
+		if (group->tasks_waiting == 0 || cpu_milli > largest_cpu_milli)
 			continue;
 		if (unplaced_vms(group) > 0)
 			view->unplaced_cpu_milli =
@@ -472,6 +500,7 @@
 	struct owner *owner = fleet->owner;
 	g_autoptr(GArray) views = views_create(owner->catalogue);
 	int64_t vm_cpu_max = 0;
+	int64_t largest_cpu_milli;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -482,9 +511,11 @@
 	g_hash_table_iter_init(&iter, fleet->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		vm_add(fleet, views, value);
+	largest_cpu_milli = largest_vm_cpu_milli(fleet, views);
 	for (guint i = 0; i < owner->live_occurrences->len; i++)
 		waiting_add(owner, views,
-			    g_ptr_array_index(owner->live_occurrences, i));
+			    g_ptr_array_index(owner->live_occurrences, i),
+			    largest_cpu_milli);
 	for (guint i = 0; i < views->len; i++)
 		vm_cpu_max = MAX(vm_cpu_max,
 				 g_array_index(views, struct pool_view, i)
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -376,6 +376,33 @@
 }
 END_TEST
 
+/* Idle VMs must not be kept for tasks that no VM is large enough for. */
+START_TEST(test_hopeless_job_keeps_idle_vms)
+{
+	struct emu_config config = fleet;
+	struct emu_job hopeless = batch;
+	struct emu_job gang = batch;
+	struct emu *emu;
+
+	config.fixed_pools = false;
+	config.pools = 2;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	hopeless.pool = 1;
+	hopeless.tasks_per_step = 16;
+	hopeless.cpu_milli = 9000;
+	hopeless.fits_nowhere = true;
+	emu_submit(emu, 0, &hopeless);
+	emu_submit(emu, 0, &wide_long_running);
+	emu_advance(emu, 5000);
+	gang.gang = true;
+	gang.tasks_per_step = 4;
+	gang.cpu_milli = 4000;
+	emu_submit(emu, 0, &gang);
+	expect_finished(emu, 3, 20000);
+}
+END_TEST
+
 /* Long-running tasks must not take the only VM of another pool that is large
  * enough for its work, while smaller ones fit them. */
 START_TEST(test_long_running_tasks_take_large_vm)
@@ -457,6 +484,7 @@
 	tcase_add_test(tests, test_gang_before_small_jobs);
 	tcase_add_loop_test(tests, test_jobs_of_dropped_queue, 0,
 			    G_N_ELEMENTS(queue_drops));
+	tcase_add_test(tests, test_hopeless_job_keeps_idle_vms);
 	tcase_add_loop_test(tests, test_long_running_tasks_take_large_vm, 0,
 			    (int)fleet.vms_per_pool);
 	tcase_add_loop_test(tests, test_drain_keeps_room_from_others, 0, 2);
