Start a task beside the probe of a worker in quarantine after 2.5 s

Cause: a worker whose tasks fail gets one task each 1.5 s if no other worker has room, and that one goes to the most urgent job. In the trace, w-7-8 is the only worker of its pool; job 46 gets its turns at 156614 and 158321 ms and fails at both, while jobs 45 and 55 wait since 155121 ms. Their waiting time was even forgotten in each pass in which the breaker was half open and another task took the turn.

Change: a task that only such workers have had room for during 2.5 s starts there, beside the one whose outcome decides, one of each step at a time; the time that it has waited counts on while the breaker is half open. Suspects are left out. As before, nothing yields in a pool with less than 40% free.

build/packages/jobs/tests/test_stranded, with test_jobs_behind_failing_ones_in_quarantine: 1 of 29 fails before, 0 after.

--- a/packages/jobs/src/owner_hold.c
+++ b/packages/jobs/src/owner_hold.c
@@ -1,5 +1,9 @@
+#include "owner_advice.h"
 #include "owner_schedule.h"
 
+/* A task that waits for the quarantine of workers for this long starts beside
+ * the one that decides whether the quarantine ends. */
+#define OWNER_QUARANTINE_WAIT_MAX_MS 2500
 /* Share of a pool's CPU from which on room is no longer kept free for long. */
 #define OWNER_YIELD_FREE_PERCENT 40
 
@@ -57,57 +61,124 @@
 		same_group < request->max_per_worker);
 }
 
-/* Returns the first worker in quarantine that has room for a task of a group,
- * from an index on. */
-static struct worker *quarantined_next(const struct schedule_pool *pool,
-				       const struct job_group *group,
-				       const struct binpack_request *need,
-				       guint *index)
+/* Returns the worker at an index of those whose tasks fail: in quarantine, or
+ * candidates for a single task; NULL for another candidate. */
+static struct worker *failing_worker(const struct schedule_pool *pool,
+				     guint index)
 {
-	while (*index < pool->quarantined->len) {
-		struct worker *worker =
-			g_ptr_array_index(pool->quarantined, (*index)++);
+	guint at = index - pool->quarantined->len;
 
-		if (has_room(worker, group, need))
+	if (index < pool->quarantined->len)
+		return g_ptr_array_index(pool->quarantined, index);
+	return g_array_index(pool->candidates, struct binpack_candidate, at)
+			       .single_task_only
+		       ? g_ptr_array_index(pool->workers, at)
+		       : NULL;
+}
+
+/* Returns the first worker whose tasks fail that has room for a task of a
+ * group, from an index on. */
+static struct worker *failing_next(const struct schedule_pool *pool,
+				   const struct job_group *group,
+				   const struct binpack_request *need,
+				   guint *index)
+{
+	while (*index < pool->quarantined->len + pool->workers->len) {
+		struct worker *worker = failing_worker(pool, (*index)++);
+
+		if (worker && has_room(worker, group, need))
 			return worker;
 	}
 	return NULL;
 }
 
-/* Ends the quarantine of a worker for a task that no other one has had room for
- * for some time, or requests a pass for when it may end. Returns whether the
- * task is held back only by quarantine. */
-static bool quarantine_yield(struct owner *owner, struct schedule_pool *pool,
-			     struct job_group *group,
-			     const struct binpack_request *need,
-			     uint64_t now_ms)
+/* Lets the next workers in quarantine that have room for a task take one, if
+ * they have been without for some time. */
+static void quarantine_end(struct owner *owner, struct schedule_pool *pool,
+			   const struct job_group *group,
+			   const struct binpack_request *need, uint64_t now_ms)
 {
 	uint32_t yields_after_ms =
 		hold_row(HOLD_WORKER_BREAKER)->yields_after_ms;
 	struct worker *worker;
-	uint64_t until_ms;
 	guint index = 0;
 
-	worker = quarantined_next(pool, group, need, &index);
-	if (!worker || !owner_holds_may_yield(pool, group))
-		return false;
-	if (group->held_since_ms == 0)
-		group->held_since_ms = now_ms;
-	until_ms = group->held_since_ms + yields_after_ms;
-	if (now_ms < until_ms) {
-		owner_schedule_request_within(owner,
-					      (uint32_t)(until_ms - now_ms));
-		return true;
-	}
-	for (; worker && !pool->quarantine_yields;
-	     worker = quarantined_next(pool, group, need, &index)) {
+	while (!pool->quarantine_yields &&
+	       (worker = failing_next(pool, group, need, &index))) {
 		uint32_t wait_ms =
 			owner_health_yield(worker, yields_after_ms, now_ms);
 
 		owner_schedule_request_within(owner, wait_ms);
 		pool->quarantine_yields = wait_ms == 0;
 	}
-	return true;
+}
+
+/* Adds a worker in quarantine to the candidates, for one task. Returns its
+ * index, -1 if a group has no ticket for it. */
+static int32_t quarantined_add(struct owner *owner, struct schedule_pool *pool,
+			       const struct job_group *group,
+			       struct worker *worker)
+{
+	const struct catalogue_queue *queue =
+		owner_job_queue(owner, group->occurrence->job);
+	struct binpack_candidate candidate = {
+		.cpu_free_milli =
+			worker->capacity.cpu_milli - worker->used.cpu_milli,
+		.memory_free_mb =
+			worker->capacity.memory_mb - worker->used.memory_mb,
+		.accelerators_free = worker->capacity.accelerators -
+				     worker->used.accelerators,
+		.capacity = worker->capacity,
+		.single_task_only = true,
+	};
+
+	if (queue && queue->needs_advice && !owner_advice_ticket(group, worker))
+		return -1;
+	g_ptr_array_add(pool->workers, worker);
+	g_array_append_val(pool->candidates, candidate);
+	return (int32_t)pool->workers->len - 1;
+}
+
+/* Handles a task that no worker has room for but those in quarantine, if any:
+ * ends a quarantine, chooses a worker in quarantine, or requests a pass for
+ * when that may be. Returns the index of the worker, -1 for none. */
+static int32_t quarantine_yield(struct owner *owner, struct schedule_pool *pool,
+				struct job_group *group,
+				const struct binpack_request *need,
+				uint64_t now_ms)
+{
+	uint32_t yields_after_ms =
+		hold_row(HOLD_WORKER_BREAKER)->yields_after_ms;
+	struct worker *worker;
+	int32_t chosen = -1;
+	uint64_t held_ms;
+	guint index = 0;
+
+	worker = failing_next(pool, group, need, &index);
+	if (!worker || !owner_holds_may_yield(pool, group)) {
+		group->held_since_ms = 0;
+		return -1;
+	}
+	if (group->held_since_ms == 0)
+		group->held_since_ms = now_ms;
+	held_ms = now_ms - group->held_since_ms;
+	if (held_ms < yields_after_ms) {
+		owner_schedule_request_within(owner, yields_after_ms -
+							     (uint32_t)held_ms);
+		return -1;
+	}
+	if (held_ms >= OWNER_QUARANTINE_WAIT_MAX_MS && !need->may_crash) {
+		chosen = quarantined_add(owner, pool, group, worker);
+	} else {
+		quarantine_end(owner, pool, group, need, now_ms);
+		if (held_ms < OWNER_QUARANTINE_WAIT_MAX_MS)
+			owner_schedule_request_within(
+				owner, OWNER_QUARANTINE_WAIT_MAX_MS -
+					       (uint32_t)held_ms);
+	}
+	if (chosen >= 0)
+		group->held_since_ms = 0;
+	return chosen;
 }
 
 void owner_cordoned_room_want(struct schedule_pool *pool,
@@ -146,9 +217,7 @@
 	group->held_by_plan = false;
 	if (chosen < 0) {
 		owner_cordoned_room_want(pool, group, need, now_ms);
-		if (!quarantine_yield(owner, pool, group, need, now_ms))
-			group->held_since_ms = 0;
-		return -1;
+		return quarantine_yield(owner, pool, group, need, now_ms);
 	}
 	if (!any.ignores_plans) {
 		group->held_since_ms = 0;
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -177,6 +177,33 @@
 }
 END_TEST
 
+/* Nor for others that wait for it, too, and that fail there one by one. */
+START_TEST(test_jobs_behind_failing_ones_in_quarantine)
+{
+	struct emu *emu = uneven_fleet_start();
+	struct emu_job hopeless = large;
+	struct emu_job sound = large;
+	uint32_t jobs = 0;
+
+	hopeless.always_fails = true;
+	hopeless.task_ms = 200;
+	hopeless.cpu_milli = sound.cpu_milli = 600;
+	sound.task_ms = 30000;
+	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
+		emu_worker_set_cpu(emu, vm, 500);
+	emu_advance(emu, 2000);
+	while (jobs < 4)
+		emu_submit(emu, jobs++ % fleet.nodes, &hopeless);
+	emu_advance(emu, 1000);
+	while (jobs < 8)
+		emu_submit(emu, jobs++ % fleet.nodes, &sound);
+	emu_advance(emu, 3000);
+	for (uint32_t job = 4; job < jobs; job++)
+		ck_assert_uint_eq(emu_vm_running(emu, job), 0);
+	expect_finished(emu, jobs, 60000);
+}
+END_TEST
+
 /* Nor must it wait for the others for ever if these have no room. */
 START_TEST(test_failed_task_beside_busy_workers)
 {
@@ -477,6 +504,7 @@
 	tcase_add_test(tests, test_failed_task_with_one_suitable_worker);
 	tcase_add_loop_test(tests, test_quarantine_of_the_only_suitable_worker,
 			    0, G_N_ELEMENTS(quarantined_ms));
+	tcase_add_test(tests, test_jobs_behind_failing_ones_in_quarantine);
 	tcase_add_test(tests, test_failed_task_beside_busy_workers);
 	tcase_add_test(tests, test_suspect_with_one_suitable_vm);
 	tcase_add_loop_test(tests, test_jobs_behind_waiting_gang, 0,
