Expect no end of a job that no owner could run

RULES.md, AVAIL: no stop or move may end a task of such a step "while so many others of its step are away"; and LOST asks for a job to run only if "there is capacity for it twice over".

The check of jobs that have not ended leaves out a job only if, in each look during the last 60 s, the VMs of its pool, cleared of all that ends or that AVAIL lets an owner stop, and all VMs of other pools that can be cleared wholly had no place for one of its tasks (for all members of a gang). It stays as strict otherwise: jobs with a task that runs, that has used up its attempts, or whose tasks are all done, and confirmed cancellations, are judged as before, and so is a job that fits once the tasks that may be stopped are.

test_stranded shows both sides (test_job_that_cannot_run_need_not_end): a job beside five tasks on four workers is left out after 60 s, not after 50 s, and one beside four, which may be stopped one by one, is not.

--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -494,7 +494,8 @@
 					state->job.fail_permille == 0;
 		out->cancelled += state->state == JOB_CANCELLED;
 		if (!state->accepted || state->state > JOB_RUNNING ||
-		    state->job.long_running || state->job.fits_nowhere)
+		    state->job.long_running || state->job.fits_nowhere ||
+		    emu_job_need_not_end(state))
 			continue;
 		out->unfinished++;
 		if (!out->first_unfinished)
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -254,6 +254,8 @@
 	bool started;
 	/* since when it has waited although it could run, 0 if it does not */
 	uint64_t waiting_since_ms;
+	/* since when nothing that the owner may do lets it run, 0 otherwise */
+	uint64_t impossible_since_ms;
 	/* state that a caller saw last */
 	enum job_state state;
 	bool success_seen;
@@ -507,6 +509,10 @@
 /* emu_waiting.c */
 /** @brief Checks that no job waits that could run. */
 void emu_waiting_check(struct emu *emu);
+/** @brief Returns whether a job that waits has been impossible to run for so
+ *  long that it need not have ended, since long-running tasks that must not be
+ *  stopped take the room. */
+bool emu_job_need_not_end(const struct emu_job_state *state);
 
 /* emu_crash.c */
 /** @brief Crashes the worker if one of its tasks does so now. */
--- a/packages/jobs/tests/emu_waiting.c
+++ b/packages/jobs/tests/emu_waiting.c
@@ -9,6 +9,9 @@
 /* A job is only expected to run if there is room for it this many times. */
 #define WAITING_ROOM_FACTOR 2
 
+/* A job that has been impossible to run for this long need not have ended. */
+#define WAITING_IMPOSSIBLE_MS 60000
+
 static uint64_t last_disturbance_ms(const struct emu *emu)
 {
 	uint64_t last_ms =
@@ -171,6 +174,91 @@
 	return false;
 }
 
+/* Returns whether EMU_RULE_AVAIL forbids to stop a run for good, since too many
+ * others of its step have none. */
+static bool run_must_stay(struct emu *emu, const struct emu_task_run *run)
+{
+	const struct emu_job_state *state =
+		g_ptr_array_index(emu->jobs, run->job);
+	int32_t others_away = 0;
+
+	if (!state->job.long_running || state->cancel_sent ||
+	    state->job.max_unavailable < 0)
+		return false;
+	for (uint32_t i = 0; i < state->job.tasks_per_step; i++)
+		others_away += i != run->index &&
+			       emu_task_get(emu, run->job, run->step, i)
+					       ->active_runs == 0;
+	return others_away >= MAX(state->job.max_unavailable, 1);
+}
+
+/* Returns how many tasks of a job would fit on a VM without all runs that end
+ * or may be stopped; a VM of another pool has to be moved, which ends all. */
+static uint32_t places_count(struct emu *emu, const struct emu_vm *vm,
+			     const struct emu_job *job)
+{
+	int64_t room_milli = vm->cpu_milli;
+
+	for (guint i = 0; i < vm->runs->len; i++) {
+		const struct emu_task_run *run =
+			&g_array_index(vm->runs, struct emu_task_run, i);
+		const struct emu_job_state *state =
+			g_ptr_array_index(emu->jobs, run->job);
+
+		if (!run_must_stay(emu, run))
+			continue;
+		if (vm->pool != job->pool)
+			return 0;
+		room_milli -= state->job.cpu_milli;
+	}
+	return (uint32_t)(MAX(room_milli, 0) / job->cpu_milli);
+}
+
+/* Returns whether a job that waits could not run whatever the owner did, since
+ * long-running tasks that must stay leave no room for one more of its tasks, or
+ * for all members of its gang. */
+static bool job_is_impossible(struct emu *emu,
+			      const struct emu_job_state *state)
+{
+	uint32_t need = state->job.gang ? state->job.tasks_per_step : 1;
+	uint32_t places = 0;
+	bool completed = true;
+
+	for (uint32_t i = 0; i < state->task_count; i++) {
+		const struct emu_task *task = &state->tasks[i];
+
+		if (task->active_runs > 0 ||
+		    task->failures >= emu->config.attempts)
+			return false;
+		completed &= task->completed;
+	}
+	if (completed || state->cancel_confirmed)
+		return false;
+	for (uint32_t i = 0; i < emu->vm_count; i++) {
+		if (!emu->vms[i].removed)
+			places += places_count(emu, &emu->vms[i], &state->job);
+	}
+	return places < need;
+}
+
+static void impossible_update(struct emu *emu, struct emu_job_state *state)
+{
+	if (!state->accepted || state->state > JOB_RUNNING ||
+	    state->job.long_running)
+		return;
+	if (!job_is_impossible(emu, state))
+		state->impossible_since_ms = 0;
+	else if (state->impossible_since_ms == 0)
+		state->impossible_since_ms = loop_now_ms();
+}
+
+bool emu_job_need_not_end(const struct emu_job_state *state)
+{
+	return state->impossible_since_ms != 0 &&
+	       loop_now_ms() - state->impossible_since_ms >=
+		       WAITING_IMPOSSIBLE_MS;
+}
+
 /* Logs what the owner says about a job that waits. */
 static void waiting_explain(const struct emu *emu,
 			    const struct emu_job_state *state)
@@ -194,6 +282,7 @@
 	for (guint i = 0; i < emu->jobs->len; i++) {
 		struct emu_job_state *state = g_ptr_array_index(emu->jobs, i);
 
+		impossible_update(emu, state);
 		if (!calm || !job_could_run(emu, state, i, half_free))
 			state->waiting_since_ms = 0;
 		else if (state->waiting_since_ms == 0)
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -496,6 +496,39 @@
 }
 END_TEST
 
+/* The number of tasks of a long-running step on four workers, one on each, and
+ * how long another job waits that has no room beside them. */
+static const struct {
+	uint32_t tasks;
+	uint32_t waits_ms;
+	uint32_t unfinished;
+} taken_fleets[] = {
+	/* None of five may be stopped while one has no worker. */
+	{ 5, 70000, 0 },
+	{ 5, 50000, 1 },
+	{ 4, 70000, 1 },
+};
+
+/* The emulator expects each job to end that could. */
+START_TEST(test_job_that_cannot_run_need_not_end)
+{
+	struct emu *emu = fleet_start();
+	struct emu_job kept = wide_long_running;
+	struct emu_job job = batch;
+	struct emu_stats stats;
+
+	kept.tasks_per_step = taken_fleets[_i].tasks;
+	job.cpu_milli = 4000;
+	emu_submit(emu, 0, &kept);
+	emu_advance(emu, 2000);
+	emu_submit(emu, 0, &job);
+	emu_settle(emu, 2, taken_fleets[_i].waits_ms);
+	emu_stats(emu, &stats);
+	ck_assert_uint_eq(stats.unfinished, taken_fleets[_i].unfinished);
+	emu_destroy(emu);
+}
+END_TEST
+
 /* A drain for maintenance must not keep its room for long while others need it:
  * it waits for a task that lasts, and that may not be stopped since another one
  * of its step fits nowhere, or for a task that takes long. */
@@ -554,6 +587,8 @@
 	tcase_add_test(tests, test_hopeless_job_keeps_idle_vms);
 	tcase_add_loop_test(tests, test_long_running_tasks_take_large_vm, 0,
 			    (int)fleet.vms_per_pool);
+	tcase_add_loop_test(tests, test_job_that_cannot_run_need_not_end, 0,
+			    G_N_ELEMENTS(taken_fleets));
 	tcase_add_loop_test(tests, test_drain_keeps_room_from_others, 0, 2);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
