--- a/packages/core/src/hold.c
+++ b/packages/core/src/hold.c
@@ -79,9 +79,9 @@
 				  1500 },
 	[HOLD_WORKER_ISOLATES] = { "it runs a task that may crash it",
 				   "owner_crash",
-				   "that task has run past its probation, has "
-				   "ended, or it yields",
-				   2500 },
+				   "that task has run past its probation, or "
+				   "has ended",
+				   0 },
 	[HOLD_LABEL] = { "it lacks a label or ticket", "owner_schedule",
 			 "advice gives a ticket", 0 },
 	[HOLD_MEMORY] = { "too little memory is free", "binpack", "tasks end",
--- a/packages/jobs/src/owner_hold.c
+++ b/packages/jobs/src/owner_hold.c
@@ -1,9 +1,9 @@
 #include "owner_advice.h"
 #include "owner_schedule.h"
 
-/* A task that only workers in quarantine or with a suspect in isolation have
- * had room for during this time starts beside the one on trial there. */
-#define OWNER_KEPT_ROOM_WAIT_MAX_MS 2500
+/* A task that waits for the quarantine of workers for this long starts beside
+ * the one that decides whether the quarantine ends. */
+#define OWNER_QUARANTINE_WAIT_MAX_MS 2500
 /* Share of a pool's CPU from which on room is no longer kept free for long. */
 #define OWNER_YIELD_FREE_PERCENT 40
 
@@ -61,37 +61,30 @@
 		same_group < request->max_per_worker);
 }
 
-/* Returns the worker at an index of those that are kept from a task: in
- * quarantine, with a suspect in isolation, or candidates for a single task;
- * NULL for another candidate. */
-static struct worker *kept_worker(const struct schedule_pool *pool, guint index)
+/* Returns the worker at an index of those whose tasks fail: in quarantine, or
+ * candidates for a single task; NULL for another candidate. */
+static struct worker *failing_worker(const struct schedule_pool *pool,
+				     guint index)
 {
-	guint at = index;
+	guint at = index - pool->quarantined->len;
 
-	if (at < pool->quarantined->len)
-		return g_ptr_array_index(pool->quarantined, at);
-	at -= pool->quarantined->len;
-	if (at < pool->isolated->len)
-		return g_ptr_array_index(pool->isolated, at);
-	at -= pool->isolated->len;
+	if (index < pool->quarantined->len)
+		return g_ptr_array_index(pool->quarantined, index);
 	return g_array_index(pool->candidates, struct binpack_candidate, at)
 			       .single_task_only
 		       ? g_ptr_array_index(pool->workers, at)
 		       : NULL;
 }
 
-/* Returns the first worker that is kept from a task of a group, but has room
- * for it, from an index on. */
-static struct worker *kept_next(const struct schedule_pool *pool,
-				const struct job_group *group,
-				const struct binpack_request *need,
-				guint *index)
+/* Returns the first worker whose tasks fail that has room for a task of a
+ * group, from an index on. */
+static struct worker *failing_next(const struct schedule_pool *pool,
+				   const struct job_group *group,
+				   const struct binpack_request *need,
+				   guint *index)
 {
-	guint count = pool->quarantined->len + pool->isolated->len +
-		      pool->workers->len;
-
-	while (*index < count) {
-		struct worker *worker = kept_worker(pool, (*index)++);
+	while (*index < pool->quarantined->len + pool->workers->len) {
+		struct worker *worker = failing_worker(pool, (*index)++);
 
 		if (worker && has_room(worker, group, need))
 			return worker;
@@ -111,21 +104,20 @@
 	guint index = 0;
 
 	while (!pool->quarantine_yields &&
-	       (worker = kept_next(pool, group, need, &index))) {
-		uint32_t wait_ms;
+	       (worker = failing_next(pool, group, need, &index))) {
+		uint32_t wait_ms =
+			owner_health_yield(worker, yields_after_ms, now_ms);
 
-		if (breaker_state_at(&worker->health, now_ms) == BREAKER_CLOSED)
-			continue;
-		wait_ms = owner_health_yield(worker, yields_after_ms, now_ms);
 		owner_schedule_request_within(owner, wait_ms);
 		pool->quarantine_yields = wait_ms == 0;
 	}
 }
 
-/* Adds a worker that is kept from a task to the candidates, for one task.
- * Returns its index, -1 if a group has no ticket for it. */
-static int32_t kept_add(struct owner *owner, struct schedule_pool *pool,
-			const struct job_group *group, struct worker *worker)
+/* Adds a worker in quarantine to the candidates, for one task. Returns its
+ * index, -1 if a group has no ticket for it. */
+static int32_t quarantined_add(struct owner *owner, struct schedule_pool *pool,
+			       const struct job_group *group,
+			       struct worker *worker)
 {
 	const struct catalogue_queue *queue =
 		owner_job_queue(owner, group->occurrence->job);
@@ -147,13 +139,13 @@
 	return (int32_t)pool->workers->len - 1;
 }
 
-/* Handles a task that no worker has room for but those that are kept from it,
- * if any: ends a quarantine, chooses one of them, or requests a pass for when
- * that may be. Returns the index of the worker, -1 for none. */
-static int32_t kept_room_yield(struct owner *owner, struct schedule_pool *pool,
-			       struct job_group *group,
-			       const struct binpack_request *need,
-			       uint64_t now_ms)
+/* Handles a task that no worker has room for but those in quarantine, if any:
+ * ends a quarantine, chooses a worker in quarantine, or requests a pass for
+ * when that may be. Returns the index of the worker, -1 for none. */
+static int32_t quarantine_yield(struct owner *owner, struct schedule_pool *pool,
+				struct job_group *group,
+				const struct binpack_request *need,
+				uint64_t now_ms)
 {
 	uint32_t yields_after_ms =
 		hold_row(HOLD_WORKER_BREAKER)->yields_after_ms;
@@ -162,7 +154,7 @@
 	uint64_t held_ms;
 	guint index = 0;
 
-	worker = kept_next(pool, group, need, &index);
+	worker = failing_next(pool, group, need, &index);
 	if (!worker || !owner_holds_may_yield(pool, group)) {
 		group->held_since_ms = 0;
 		return -1;
@@ -175,13 +167,13 @@
 							     (uint32_t)held_ms);
 		return -1;
 	}
-	if (held_ms >= OWNER_KEPT_ROOM_WAIT_MAX_MS && !need->may_crash) {
-		chosen = kept_add(owner, pool, group, worker);
+	if (held_ms >= OWNER_QUARANTINE_WAIT_MAX_MS && !need->may_crash) {
+		chosen = quarantined_add(owner, pool, group, worker);
 	} else {
 		quarantine_end(owner, pool, group, need, now_ms);
-		if (held_ms < OWNER_KEPT_ROOM_WAIT_MAX_MS)
+		if (held_ms < OWNER_QUARANTINE_WAIT_MAX_MS)
 			owner_schedule_request_within(
-				owner, OWNER_KEPT_ROOM_WAIT_MAX_MS -
+				owner, OWNER_QUARANTINE_WAIT_MAX_MS -
 					       (uint32_t)held_ms);
 	}
 	if (chosen >= 0)
@@ -225,7 +217,7 @@
 	group->held_by_plan = false;
 	if (chosen < 0) {
 		owner_cordoned_room_want(pool, group, need, now_ms);
-		return kept_room_yield(owner, pool, group, need, now_ms);
+		return quarantine_yield(owner, pool, group, need, now_ms);
 	}
 	if (!any.ignores_plans) {
 		group->held_since_ms = 0;
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -14,7 +14,6 @@
 	g_ptr_array_unref(pool->workers);
 	g_ptr_array_unref(pool->quarantined);
 	g_ptr_array_unref(pool->cordoned);
-	g_ptr_array_unref(pool->isolated);
 	g_array_unref(pool->candidates);
 	g_ptr_array_unref(pool->pending);
 	owner_shares_destroy(pool->shares);
@@ -47,7 +46,6 @@
 	pool->workers = g_ptr_array_new();
 	pool->quarantined = g_ptr_array_new();
 	pool->cordoned = g_ptr_array_new();
-	pool->isolated = g_ptr_array_new();
 	pool->candidates =
 		g_array_new(FALSE, TRUE, sizeof(struct binpack_candidate));
 	pool->pending = g_ptr_array_new();
@@ -517,8 +515,6 @@
 		if (!pool)
 			continue;
 		hold = owner_worker_refusal(owner, worker, now_ms);
-		if (hold == HOLD_WORKER_ISOLATES)
-			held_add(pool, pool->isolated, worker);
 		if (owner_crash_has_isolated(worker, now_ms))
 			pool->isolating += !worker->ended;
 		else if (hold == HOLD_NONE)
@@ -553,7 +549,7 @@
 		((struct worker *)g_ptr_array_index(pool->cordoned, i))
 			->room_is_wanted = false;
 	if (pool->workers->len > 0 || pool->quarantined->len > 0 ||
-	    pool->cordoned->len > 0 || pool->isolated->len > 0)
+	    pool->cordoned->len > 0)
 		pool_start(owner, pool, now_ms);
 	for (guint i = 0; i < pool->cordoned->len; i++) {
 		struct worker *worker = g_ptr_array_index(pool->cordoned, i);
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -26,11 +26,8 @@
 	/** struct worker * that get no task because of a move or maintenance,
 	 *  neither */
 	GPtrArray *cordoned;
-	/** a worker in quarantine takes a task in the next pass */
+	/** one of them takes a task in the next pass */
 	bool quarantine_yields;
-	/** struct worker * that get no task because of a suspect in isolation,
-	 *  neither */
-	GPtrArray *isolated;
 	/** workers with a suspect in isolation, which are not among those
 	 *  above */
 	uint32_t isolating;
@@ -41,7 +38,7 @@
 	 *  beginning of the pass */
 	int64_t cpu_milli;
 	int64_t cpu_free_milli;
-	/** the same for those in quarantine, cordoned or isolated */
+	/** the same for those in quarantine or cordoned */
 	int64_t held_milli;
 	int64_t held_free_milli;
 	/** memory of the workers that get tasks */
