--- a/packages/jobs/src/owner_pools.c
+++ b/packages/jobs/src/owner_pools.c
@@ -17,19 +17,29 @@
 struct pool_view {
 	const char *name;
 	struct capacity_pool pool;
-	/* CPU of its largest VM, and of the largest task that waits and that is
-	 * too large for that, 0 for none */
+	/* number of its VMs and those that are being moved to it, in any state
+	 */
+	uint32_t vm_count;
+	/* CPU of its largest VM, 0 if no worker is known */
 	int64_t largest_cpu_milli;
-	int64_t oversized_cpu_milli;
+	/* CPU of the largest long-running task that fits on no worker */
+	int64_t unplaced_cpu_milli;
+	/* CPU of the waiting tasks that are too large for that, int64_t */
+	GArray *oversized;
 	/* struct owner_vm * that may be moved */
 	GPtrArray *idle;
+	/* the same of workers whose breaker is half open; not counted in pool
+	 */
+	GPtrArray *on_trial;
 };
 
 static void view_clear(gpointer data)
 {
 	struct pool_view *view = data;
 
+	g_array_unref(view->oversized);
 	g_ptr_array_unref(view->idle);
+	g_ptr_array_unref(view->on_trial);
 }
 
 static struct pool_view *view_find_by_name(GArray *views, const char *name)
@@ -55,7 +65,9 @@
 		struct pool_view view = {
 			.name = service->name,
 			.pool.is_spare = service->is_spare,
+			.oversized = g_array_new(FALSE, FALSE, sizeof(int64_t)),
 			.idle = g_ptr_array_new(),
+			.on_trial = g_ptr_array_new(),
 		};
 
 		g_array_append_val(views, view);
@@ -125,25 +137,40 @@
 	return sum;
 }
 
+/* Returns whether the VM of a worker may be moved now. */
+static bool is_movable(struct owner_fleet *fleet, const struct worker *worker,
+		       const struct owner_vm *vm)
+{
+	return worker->tasks->len == 0 && worker->has_reported && vm &&
+	       vm->phase == OWNER_VM_STEADY && vm->state == ADAPTER_VM_UP &&
+	       owner_intents_allow_operation(fleet, vm);
+}
+
 static void worker_add(struct owner_fleet *fleet, GArray *views,
 		       struct worker *worker)
 {
 	struct pool_view *view = view_find_by_name(views, worker->service);
+	enum breaker_state health =
+		breaker_state_at(&worker->health, loop_now_ms());
 	struct owner_vm *vm;
 
 	vm = worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm) : NULL;
 	if (vm && worker->listed && !worker->ended)
 		vm->cpu_milli = worker->capacity.cpu_milli;
-	if (view && worker->listed && !worker->ended && !worker->draining)
-		view->largest_cpu_milli = MAX(view->largest_cpu_milli,
-					      worker->capacity.cpu_milli);
+	if (!view || worker->ended || !worker->listed || worker->draining)
+		return;
+	view->largest_cpu_milli =
+		MAX(view->largest_cpu_milli, worker->capacity.cpu_milli);
+	if (worker->cordoned)
+		return;
 	/* A quarantined worker adds no capacity, and its VM would make tasks of
 	 * another pool fail as well. */
-	if (!view || worker->ended || !worker->listed ||
-	    breaker_state_at(&worker->health, loop_now_ms()) !=
-		    BREAKER_CLOSED ||
-	    worker->draining || worker->cordoned)
+	if (health != BREAKER_CLOSED) {
+		if (health == BREAKER_HALF_OPEN &&
+		    is_movable(fleet, worker, vm))
+			g_ptr_array_add(view->on_trial, vm);
 		return;
+	}
 	view->pool.up++;
 	view->pool.vm_cpu_milli =
 		MAX(view->pool.vm_cpu_milli, worker->capacity.cpu_milli);
@@ -151,9 +178,7 @@
 	view->pool.long_running_milli += long_running_cpu_milli(worker);
 	if (vm && worker->tasks->len > 0)
 		vm->idle_since_ms = 0;
-	if (worker->tasks->len > 0 || !worker->has_reported || !vm ||
-	    vm->phase != OWNER_VM_STEADY || vm->state != ADAPTER_VM_UP ||
-	    !owner_intents_allow_operation(fleet, vm))
+	if (!is_movable(fleet, worker, vm))
 		return;
 	if (vm->idle_since_ms == 0)
 		vm->idle_since_ms = loop_now_ms();
@@ -171,6 +196,7 @@
 
 	if (!view)
 		return;
+	view->vm_count++;
 	if (vm->target_pool) {
 		view->pool.arriving++;
 	} else if (view->pool.is_spare && vm->phase == OWNER_VM_STEADY &&
@@ -183,6 +209,16 @@
 	}
 }
 
+/* Records the size of a waiting task that is too large for its pool. */
+static void oversized_add(struct pool_view *view, int64_t cpu_milli)
+{
+	for (guint i = 0; i < view->oversized->len; i++) {
+		if (g_array_index(view->oversized, int64_t, i) == cpu_milli)
+			return;
+	}
+	g_array_append_val(view->oversized, cpu_milli);
+}
+
 /* Further VMs that the waiting tasks of a group need if they fit on no worker.
  */
 static uint32_t unplaced_vms(const struct job_group *group)
@@ -194,8 +230,35 @@
 	return per_vm == 0 ? 1 : (group->tasks_waiting + per_vm - 1) / per_vm;
 }
 
+/* Returns the CPU of the largest VM of all pools, INT64_MAX if that is not
+ * known since a VM has had no worker. */
+static int64_t largest_vm_cpu_milli(const struct owner_fleet *fleet,
+				    const GArray *views)
+{
+	int64_t largest_milli = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < views->len; i++)
+		largest_milli = MAX(largest_milli,
+				    g_array_index(views, struct pool_view, i)
+					    .largest_cpu_milli);
+	g_hash_table_iter_init(&iter, fleet->vms);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct owner_vm *vm = value;
+
+		if (vm->cpu_milli == 0)
+			return INT64_MAX;
+		largest_milli = MAX(largest_milli, vm->cpu_milli);
+	}
+	return largest_milli;
+}
+
+/* Adds the waiting tasks of an occurrence. @param largest_cpu_milli CPU
+ * of the largest VM */
 static void waiting_add(struct owner *owner, GArray *views,
-			const struct job_occurrence *occurrence)
+			const struct job_occurrence *occurrence,
+			int64_t largest_cpu_milli)
 {
 	const struct catalogue_queue *queue =
 		owner_job_queue(owner, occurrence->job);
@@ -213,8 +276,12 @@
 		const struct job_group *group = &occurrence->groups[i];
 		int64_t cpu_milli = group->step->need.cpu_milli;
 
-		if (group->tasks_waiting == 0)
+		/* No number of VMs helps a task that is larger than each. */
+		if (group->tasks_waiting == 0 || cpu_milli > largest_cpu_milli)
 			continue;
+		if (unplaced_vms(group) > 0)
+			view->unplaced_cpu_milli =
+				MAX(view->unplaced_cpu_milli, cpu_milli);
 		view->pool.unplaced_vms =
 			MAX(view->pool.unplaced_vms, unplaced_vms(group));
 		if (group->step->is_best_effort || group->held_by_limit ||
@@ -222,22 +289,39 @@
 			continue;
 		view->pool.waiting_milli += group->tasks_waiting * cpu_milli;
 		if (!group->step->label && cpu_milli > view->largest_cpu_milli)
-			view->oversized_cpu_milli =
-				MAX(view->oversized_cpu_milli, cpu_milli);
+			oversized_add(view, cpu_milli);
 	}
 }
 
-/* Removes and returns the VM that has been idle for the longest time and for
- * which a move to the pool has not been rejected, NULL for none. */
-static struct owner_vm *idle_vm_pop(struct pool_view *from, const char *to_pool)
+/* Returns whether a pool gets one idle VM rather than another. Its long-running
+ * tasks keep a VM for good, so they get the smallest one that is large enough.
+ */
+static bool suits_better(const struct owner_vm *vm,
+			 const struct owner_vm *other,
+			 const struct pool_view *to)
+{
+	bool fits = vm->cpu_milli >= to->unplaced_cpu_milli;
+	bool other_fits = other->cpu_milli >= to->unplaced_cpu_milli;
+
+	if (to->unplaced_cpu_milli > 0 && fits != other_fits)
+		return fits;
+	if (to->unplaced_cpu_milli > 0 && vm->cpu_milli != other->cpu_milli)
+		return vm->cpu_milli < other->cpu_milli;
+	return vm->idle_since_ms < other->idle_since_ms;
+}
+
+/* Removes and returns the idle VM that suits a pool best, and for which a move
+ * there has not been rejected, NULL for none. */
+static struct owner_vm *idle_vm_pop(struct pool_view *from,
+				    const struct pool_view *to)
 {
 	struct owner_vm *best = NULL;
 
 	for (guint i = 0; i < from->idle->len; i++) {
 		struct owner_vm *vm = g_ptr_array_index(from->idle, i);
 
-		if (g_strcmp0(vm->rejecting_pool, to_pool) != 0 &&
-		    (!best || vm->idle_since_ms < best->idle_since_ms))
+		if (g_strcmp0(vm->rejecting_pool, to->name) != 0 &&
+		    (!best || suits_better(vm, best, to)))
 			best = vm;
 	}
 	if (best)
@@ -245,23 +329,23 @@
 	return best;
 }
 
-/* Returns the idle VM of a pool that is to run an oversized task of another
- * one: the smallest that is large enough, NULL for none. A VM that has had no
- * worker counts as large as the largest one. */
-static struct owner_vm *large_vm_find(const struct pool_view *from,
+/* Returns the one of some VMs that is to run a task of another pool: the
+ * smallest that is large enough, NULL for none. A VM that has had no worker
+ * counts as large as the largest one. */
+static struct owner_vm *large_vm_find(const GPtrArray *vms,
 				      const struct pool_view *to,
+				      int64_t need_cpu_milli,
 				      int64_t largest_cpu_milli)
 {
 	struct owner_vm *best = NULL;
 	int64_t best_cpu_milli = INT64_MAX;
 
-	for (guint i = 0; i < from->idle->len; i++) {
-		struct owner_vm *vm = g_ptr_array_index(from->idle, i);
+	for (guint i = 0; i < vms->len; i++) {
+		struct owner_vm *vm = g_ptr_array_index(vms, i);
 		int64_t cpu_milli =
 			vm->cpu_milli > 0 ? vm->cpu_milli : largest_cpu_milli;
 
-		if (cpu_milli < to->oversized_cpu_milli ||
-		    cpu_milli >= best_cpu_milli ||
+		if (cpu_milli < need_cpu_milli || cpu_milli >= best_cpu_milli ||
 		    g_strcmp0(vm->rejecting_pool, to->name) == 0)
 			continue;
 		best = vm;
@@ -270,10 +354,33 @@
 	return best;
 }
 
-/* Moves an idle VM to a pool in which a task waits that is too large for all
- * VMs there, at most one at a time. */
-static void large_vm_move(struct owner_fleet *fleet, GArray *views,
-			  struct pool_view *to, int64_t largest_cpu_milli)
+static void large_vm_move_begin(struct owner_fleet *fleet,
+				struct pool_view *from, struct pool_view *to,
+				struct owner_vm *vm, int64_t need_cpu_milli)
+{
+	log_info("pool-gets-larger-vm",
+		 "pool %s gets VM %s of pool %s: a task that waits needs "
+		 "%" G_GINT64_FORMAT
+		 " milli-CPU, its largest VM has %" G_GINT64_FORMAT,
+		 to->name, vm->name, from->name, need_cpu_milli,
+		 to->largest_cpu_milli);
+	if (g_ptr_array_remove_fast(from->idle, vm)) {
+		from->pool.up--;
+		from->pool.idle--;
+		from->pool.idle_long =
+			MIN(from->pool.idle_long, from->pool.idle);
+	} else {
+		g_ptr_array_remove_fast(from->on_trial, vm);
+	}
+	to->pool.arriving++;
+	owner_vm_drain(fleet, vm, NULL, to->name);
+}
+
+/* Moves an idle VM that is large enough for a task to its pool, one whose
+ * worker is on trial or one of the others. Returns whether there is one. */
+static bool large_vm_move(struct owner_fleet *fleet, GArray *views,
+			  struct pool_view *to, int64_t need_cpu_milli,
+			  int64_t largest_cpu_milli, bool on_trial)
 {
 	struct pool_view *donor = NULL;
 	struct owner_vm *vm = NULL;
@@ -281,29 +388,46 @@
 	for (guint i = 0; i < views->len; i++) {
 		struct pool_view *from =
 			&g_array_index(views, struct pool_view, i);
+		const GPtrArray *vms = on_trial ? from->on_trial : from->idle;
 		struct owner_vm *found =
 			from == to ? NULL
-				   : large_vm_find(from, to, largest_cpu_milli);
+				   : large_vm_find(vms, to, need_cpu_milli,
+						   largest_cpu_milli);
 
 		if (found && (!vm || from->pool.is_spare)) {
 			vm = found;
 			donor = from;
 		}
 	}
-	if (!vm)
-		return;
-	log_info("pool-gets-larger-vm",
-		 "pool %s gets VM %s of pool %s: a task that waits needs "
-		 "%" G_GINT64_FORMAT
-		 " milli-CPU, its largest VM has %" G_GINT64_FORMAT,
-		 to->name, vm->name, donor->name, to->oversized_cpu_milli,
-		 to->largest_cpu_milli);
-	g_ptr_array_remove_fast(donor->idle, vm);
-	donor->pool.up--;
-	donor->pool.idle--;
-	donor->pool.idle_long = MIN(donor->pool.idle_long, donor->pool.idle);
-	to->pool.arriving++;
-	owner_vm_drain(fleet, vm, NULL, to->name);
+	if (vm)
+		large_vm_move_begin(fleet, donor, to, vm, need_cpu_milli);
+	return vm != NULL;
+}
+
+static gint cpu_compare_descending(gconstpointer a, gconstpointer b)
+{
+	const int64_t left = *(const int64_t *)a;
+	const int64_t right = *(const int64_t *)b;
+
+	return (left < right) - (left > right);
+}
+
+/* Moves an idle VM to a pool in which tasks wait that are too large for all VMs
+ * there. A task for which there is no such VM does not hold back smaller ones.
+ */
+static void oversized_serve(struct owner_fleet *fleet, GArray *views,
+			    struct pool_view *to, int64_t largest_cpu_milli)
+{
+	g_array_sort(to->oversized, cpu_compare_descending);
+	for (guint i = 0; i < to->oversized->len; i++) {
+		int64_t cpu_milli = g_array_index(to->oversized, int64_t, i);
+
+		if (large_vm_move(fleet, views, to, cpu_milli,
+				  largest_cpu_milli, false) ||
+		    large_vm_move(fleet, views, to, cpu_milli,
+				  largest_cpu_milli, true))
+			return;
+	}
 }
 
 /* Pools are sized by their CPU as a whole, whatever the sizes of VMs and tasks.
@@ -315,9 +439,10 @@
 		struct pool_view *view =
 			&g_array_index(views, struct pool_view, i);
 
-		if (view->oversized_cpu_milli > 0 && view->pool.arriving == 0 &&
-		    view->largest_cpu_milli > 0)
-			large_vm_move(fleet, views, view, largest_cpu_milli);
+		/* One at a time, and only if the workers are known. */
+		if (view->pool.arriving == 0 &&
+		    (view->largest_cpu_milli > 0 || view->vm_count == 0))
+			oversized_serve(fleet, views, view, largest_cpu_milli);
 	}
 }
 
@@ -362,7 +487,7 @@
 			&g_array_index(views, struct pool_view, moves[i].from);
 		struct pool_view *to =
 			&g_array_index(views, struct pool_view, moves[i].to);
-		struct owner_vm *vm = idle_vm_pop(from, to->name);
+		struct owner_vm *vm = idle_vm_pop(from, to);
 
 		scale_up_log(moves, count, i, views);
 		if (vm)
@@ -375,6 +500,7 @@
 	struct owner *owner = fleet->owner;
 	g_autoptr(GArray) views = views_create(owner->catalogue);
 	int64_t vm_cpu_max = 0;
+	int64_t largest_cpu_milli;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -385,9 +511,11 @@
 	g_hash_table_iter_init(&iter, fleet->vms);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		vm_add(fleet, views, value);
+	largest_cpu_milli = largest_vm_cpu_milli(fleet, views);
 	for (guint i = 0; i < owner->live_occurrences->len; i++)
 		waiting_add(owner, views,
-			    g_ptr_array_index(owner->live_occurrences, i));
+			    g_ptr_array_index(owner->live_occurrences, i),
+			    largest_cpu_milli);
 	for (guint i = 0; i < views->len; i++)
 		vm_cpu_max = MAX(vm_cpu_max,
 				 g_array_index(views, struct pool_view, i)
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -177,6 +177,33 @@
 }
 END_TEST
 
+/* Nor for others that wait for it, too, and that fail there one by one. */
+START_TEST(test_jobs_behind_failing_ones_in_quarantine)
+{
+	struct emu *emu = uneven_fleet_start();
+	struct emu_job hopeless = large;
+	struct emu_job sound = large;
+	uint32_t jobs = 0;
+
+	hopeless.always_fails = true;
+	hopeless.task_ms = 200;
+	hopeless.cpu_milli = sound.cpu_milli = 600;
+	sound.task_ms = 30000;
+	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
+		emu_worker_set_cpu(emu, vm, 500);
+	emu_advance(emu, 2000);
+	while (jobs < 4)
+		emu_submit(emu, jobs++ % fleet.nodes, &hopeless);
+	emu_advance(emu, 1000);
+	while (jobs < 8)
+		emu_submit(emu, jobs++ % fleet.nodes, &sound);
+	emu_advance(emu, 3000);
+	for (uint32_t job = 4; job < jobs; job++)
+		ck_assert_uint_eq(emu_vm_running(emu, job), 0);
+	expect_finished(emu, jobs, 60000);
+}
+END_TEST
+
 /* Nor must it wait for the others for ever if these have no room. */
 START_TEST(test_failed_task_beside_busy_workers)
 {
@@ -338,23 +365,129 @@
 END_TEST
 
 /* No VM of the pool is large enough for a task, though all together are, and
- * the idle ones of another pool are. */
+ * the idle ones of another pool are, also while a job waits that is too large
+ * for any VM, and after tasks have failed on all of them. */
 START_TEST(test_task_too_large_for_its_pool)
 {
 	struct emu_config config = fleet;
 	struct emu_job job = batch;
+	struct emu_job failing = batch;
+	struct emu_job hopeless;
+	uint32_t jobs = 0;
 	struct emu *emu;
 
 	config.fixed_pools = false;
 	config.pools = 2;
 	emu = emu_create(&config);
 	for (uint32_t i = 0; i < config.vms_per_pool; i++)
-		emu_worker_set_cpu(emu, i, 4000);
+		emu_worker_set_cpu(emu, i, 7000);
 	emu_advance(emu, 3000);
 	job.tasks_per_step = 1;
+	job.cpu_milli = 7500;
+	job.task_ms = 100;
+	hopeless = job;
+	hopeless.cpu_milli = 9000;
+	hopeless.fits_nowhere = true;
+	if (_i == 1)
+		emu_submit(emu, jobs++, &hopeless);
+	failing.pool = 1;
+	failing.tasks_per_step = 16;
+	failing.always_fails = true;
+	failing.cpu_milli = 2500;
+	failing.task_ms = 100;
+	for (uint32_t i = 0; _i == 2 && i < 4; i++)
+		emu_submit(emu, jobs++ % config.nodes, &failing);
+	emu_advance(emu, 10000);
+	emu_submit(emu, jobs++ % config.nodes, &job);
+	expect_finished(emu, jobs, 10000);
+}
+END_TEST
+
+/* Idle VMs must not be kept for tasks that no VM is large enough for. */
+START_TEST(test_hopeless_job_keeps_idle_vms)
+{
+	struct emu_config config = fleet;
+	struct emu_job hopeless = batch;
+	struct emu_job gang = batch;
+	struct emu *emu;
+
+	config.fixed_pools = false;
+	config.pools = 2;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	hopeless.pool = 1;
+	hopeless.tasks_per_step = 16;
+	hopeless.cpu_milli = 9000;
+	hopeless.fits_nowhere = true;
+	emu_submit(emu, 0, &hopeless);
+	emu_submit(emu, 0, &wide_long_running);
+	emu_advance(emu, 5000);
+	gang.gang = true;
+	gang.tasks_per_step = 4;
+	gang.cpu_milli = 4000;
+	emu_submit(emu, 0, &gang);
+	expect_finished(emu, 3, 20000);
+}
+END_TEST
+
+/* Long-running tasks must not take the only VM of another pool that is large
+ * enough for its work, while smaller ones fit them. */
+START_TEST(test_long_running_tasks_take_large_vm)
+{
+	struct emu_config config = fleet;
+	struct emu_job kept = wide_long_running;
+	struct emu_job job = batch;
+	struct emu *emu;
+
+	config.fixed_pools = false;
+	config.pools = 2;
+	emu = emu_create(&config);
+	for (uint32_t i = 0; i < 2 * config.vms_per_pool; i++)
+		if (i != config.vms_per_pool + (uint32_t)_i)
+			emu_worker_set_cpu(emu, i, 4000);
+	emu_advance(emu, 3000);
+	kept.tasks_per_step = 6;
+	kept.cpu_milli = 300;
+	emu_submit(emu, 0, &kept);
+	emu_advance(emu, 8000);
+	ck_assert_uint_eq(emu_active_run_count(emu), 6);
+	job.pool = 1;
 	job.cpu_milli = 5000;
 	emu_submit(emu, 0, &job);
-	expect_finished(emu, 1, 10000);
+	expect_finished(emu, 2, 10000);
+}
+END_TEST
+
+/* The number of tasks of a long-running step on four workers, one on each, and
+ * how long another job waits that has no room beside them. */
+static const struct {
+	uint32_t tasks;
+	uint32_t waits_ms;
+	uint32_t unfinished;
+} taken_fleets[] = {
+	/* None of five may be stopped while one has no worker. */
+	{ 5, 70000, 0 },
+	{ 5, 50000, 1 },
+	{ 4, 70000, 1 },
+};
+
+/* The emulator expects each job to end that could. */
+START_TEST(test_job_that_cannot_run_need_not_end)
+{
+	struct emu *emu = fleet_start();
+	struct emu_job kept = wide_long_running;
+	struct emu_job job = batch;
+	struct emu_stats stats;
+
+	kept.tasks_per_step = taken_fleets[_i].tasks;
+	job.cpu_milli = 4000;
+	emu_submit(emu, 0, &kept);
+	emu_advance(emu, 2000);
+	emu_submit(emu, 0, &job);
+	emu_settle(emu, 2, taken_fleets[_i].waits_ms);
+	emu_stats(emu, &stats);
+	ck_assert_uint_eq(stats.unfinished, taken_fleets[_i].unfinished);
+	emu_destroy(emu);
 }
 END_TEST
 
@@ -398,12 +531,13 @@
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
-	tcase_add_test(tests, test_task_too_large_for_its_pool);
+	tcase_add_loop_test(tests, test_task_too_large_for_its_pool, 0, 3);
 	tcase_add_test(tests, test_hopeless_job_beside_long_running_tasks);
 	tcase_add_test(tests, test_long_running_tasks_close_breaker);
 	tcase_add_test(tests, test_failed_task_with_one_suitable_worker);
 	tcase_add_loop_test(tests, test_quarantine_of_the_only_suitable_worker,
 			    0, G_N_ELEMENTS(quarantined_ms));
+	tcase_add_test(tests, test_jobs_behind_failing_ones_in_quarantine);
 	tcase_add_test(tests, test_failed_task_beside_busy_workers);
 	tcase_add_test(tests, test_suspect_with_one_suitable_vm);
 	tcase_add_loop_test(tests, test_jobs_behind_waiting_gang, 0,
@@ -411,6 +545,11 @@
 	tcase_add_test(tests, test_gang_before_small_jobs);
 	tcase_add_loop_test(tests, test_jobs_of_dropped_queue, 0,
 			    G_N_ELEMENTS(queue_drops));
+	tcase_add_test(tests, test_hopeless_job_keeps_idle_vms);
+	tcase_add_loop_test(tests, test_long_running_tasks_take_large_vm, 0,
+			    (int)fleet.vms_per_pool);
+	tcase_add_loop_test(tests, test_job_that_cannot_run_need_not_end, 0,
+			    G_N_ELEMENTS(taken_fleets));
 	tcase_add_loop_test(tests, test_drain_keeps_room_from_others, 0, 2);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
