Let owners without a lease and their successors share a worker

Cause: an owner without a valid lease acts while all workers that answer it know of no successor. Nothing tells it of one that reaches only other workers, while the successor counts its leases as bounded by the first reports of any workers.

Change: both need votes of the workers in the stored roster. An owner without a lease acts only while at least half of them vouch for it, for the stored roster and for one that is being written; a successor counts earlier leases only once more than half have reported, without those that have certainly ended. Workers that an owner discovers before its takeover has settled are stored as learners, which do not vote: in the soak a third owner would otherwise have counted workers that the first one could not know. Workers that have restarted since the lease ended do not vouch; no test shows that rule by itself. Rosters are written one at a time, and not before the list of workers was read, so the one right after the old roster was read falls away; the one that makes learners voters is new.

Open: cancellations that a successor without a majority confirms.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -217,6 +217,12 @@
 	bool in_roster;
 	/** owner: part of the newest roster, which may not be stored yet */
 	bool in_sent_roster;
+	/** owner: no voter in the rosters that it writes: earlier owners, which
+	 *  may still act, do not know the worker */
+	bool is_learner;
+	/** owner: voter of the stored roster, and of the newest one */
+	bool is_voter;
+	bool is_sent_voter;
 	/** owner: gets no new tasks, because of maintenance or a move */
 	bool cordoned;
 	/** owner: local time since which a task waits that has room nowhere
--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -1,3 +1,4 @@
+#include "log.h"
 #include "owner_private.h"
 
 /* Interval at which an owner without a valid lease polls all workers: 2 ms per
@@ -35,11 +36,14 @@
 uint64_t owner_earlier_leases_expired_ms(const struct owner *owner)
 {
 	uint64_t reached_ms =
-		MAX(owner->polled_since_ms, owner->witness_reported_ms);
+		MAX(MAX(owner->polled_since_ms, owner->witness_reported_ms),
+		    owner->majority_ms);
 	uint64_t detected_ms =
 		MAX(owner_previous_acts_until_ms(owner), reached_ms) +
 		answer_age_max_ms(owner);
 
+	if (owner->majority_ms == 0)
+		return UINT64_MAX;
 	return detected_ms + owner->env.lease_ms + OWNER_LEASE_MARGIN_MS;
 }
 
@@ -54,6 +58,54 @@
 		owner->witness_reported_ms = loop_now_ms();
 }
 
+static void minority_log(struct owner *owner, uint32_t reported,
+			 uint32_t voters)
+{
+	if (owner->minority_logged)
+		return;
+	owner->minority_logged = true;
+	log_warning("takeover-minority",
+		    "%u of %u workers that earlier owners knew have reported: "
+		    "what may run on the others is not started again before "
+		    "more than half have, epoch %" G_GUINT64_FORMAT,
+		    reported, voters, owner->epoch);
+}
+
+void owner_majority_update(struct owner *owner)
+{
+	uint64_t now_ms = loop_now_ms();
+	uint64_t gone_ms = 0;
+	uint32_t reported = 0;
+	uint32_t voters = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (owner->majority_ms != 0)
+		return;
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct worker *worker = value;
+
+		if (worker->is_learner)
+			continue;
+		if (worker->is_witness) {
+			reported++;
+			voters++;
+		} else if (owner_worker_is_gone(worker, now_ms)) {
+			gone_ms =
+				MAX(gone_ms,
+				    worker->ended ? now_ms
+						  : worker->unlisted_since_ms);
+		} else {
+			voters++;
+		}
+	}
+	if (reported > voters / 2 || voters == 0)
+		owner->majority_ms = MAX(gone_ms, owner->polled_since_ms);
+	else if (now_ms >= owner->polled_since_ms + answer_age_max_ms(owner))
+		minority_log(owner, reported, voters);
+}
+
 void owner_worker_check_ownership(const struct owner *owner,
 				  struct worker *worker)
 {
@@ -68,18 +120,20 @@
 {
 	if (!worker->has_reported || worker->ended ||
 	    !worker->last_poll_reported || !worker_is_reachable(worker) ||
+	    worker->discovered_without_lease ||
 	    worker->answered_poll_sent_ms < owner->verifying_since_ms)
 		return 0;
 	return worker->answered_poll_sent_ms + answer_age_max_ms(owner);
 }
 
-/* Returns whether the silence of a worker says nothing: it has not answered a
- * poll that was sent while others did. If it has not been polled since, it may
- * know of a successor. */
+/* Returns whether a worker says nothing: it has not answered a poll that was
+ * sent while others did, or it may have lost the token of a successor. If it
+ * has not been polled since, it may know of a successor. */
 static bool worker_is_left_out(const struct owner *owner,
 			       const struct worker *worker)
 {
 	return !worker->has_reported || worker->ended ||
+	       worker->discovered_without_lease ||
 	       !worker->last_poll_reported ||
 	       (!worker_is_reachable(worker) &&
 		worker->failed_poll_sent_ms >= owner->contact_since_ms);
@@ -102,9 +156,45 @@
 	owner->contact_since_ms = 0;
 }
 
+static gint times_compare(gconstpointer a, gconstpointer b)
+{
+	uint64_t left = *(const uint64_t *)a;
+	uint64_t right = *(const uint64_t *)b;
+
+	return (left < right) - (left > right);
+}
+
+/* Time up to which at least half of the voters of a roster, the newest one or
+ * the stored one, have shown that no successor had reached them. Voters that
+ * are not known any more count among those that have not. */
+static uint64_t half_vouches_until_ms(const struct owner *owner, bool sent)
+{
+	uint32_t voters = sent ? owner->sent_voters : owner->voters;
+	guint needed = (voters + 1) / 2;
+	g_autoptr(GArray) times = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct worker *worker = value;
+		uint64_t until_ms = worker_vouches_until_ms(owner, worker);
+
+		if (sent ? worker->is_sent_voter : worker->is_voter)
+			g_array_append_val(times, until_ms);
+	}
+	if (needed == 0 || times->len < needed)
+		return 0;
+	g_array_sort(times, times_compare);
+	return g_array_index(times, uint64_t, needed - 1);
+}
+
+/* A successor reads either roster, and takes over from the majority of its
+ * voters. */
 static uint64_t unchallenged_until_ms(const struct owner *owner)
 {
-	uint64_t until_ms = UINT64_MAX;
+	uint64_t until_ms = MIN(half_vouches_until_ms(owner, false),
+				half_vouches_until_ms(owner, true));
 	GHashTableIter iter;
 	gpointer value;
 
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -98,6 +98,13 @@
 	 *  from that one */
 	uint64_t polled_since_ms;
 	uint64_t witness_reported_ms;
+	/** local time at which a majority of the workers that earlier owners
+	 *  knew had reported, 0 before */
+	uint64_t majority_ms;
+	/** no earlier owner acts any more */
+	bool predecessors_excluded;
+	/** the lack of that majority was logged */
+	bool minority_logged;
 	/** local time at which all workers are polled next because its lease is
 	 *  not valid, 0 while it is */
 	uint64_t verify_due_ms;
@@ -160,6 +167,11 @@
 	struct owner_lease_trace *lease_trace;
 	/** workers were added or removed since the roster was last written */
 	bool roster_dirty;
+	/** a roster is being written */
+	bool roster_in_flight;
+	/** number of voters of the stored roster, and of the newest one */
+	uint32_t voters;
+	uint32_t sent_voters;
 	/** number of workers that the roster has no room for */
 	uint32_t roster_left_out;
 	bool workers_list_in_flight;
@@ -314,6 +326,9 @@
 /* owner_roster.c: discovery of workers and the stored roster. */
 void owner_roster_load(struct owner *owner);
 void owner_workers_list(struct owner *owner);
+/* Returns whether a worker has certainly ended: it was replaced, or its entry
+ * is gone for longer than that of a live worker can be. */
+bool owner_worker_is_gone(const struct worker *worker, uint64_t now_ms);
 
 /* Returns whether a worker may have less capacity than its entry says, and does
  * not guard it. */
@@ -329,9 +344,13 @@
  * revoke the lease early and without notice; that owner then goes on until its
  * own record of the lease ends. */
 uint64_t owner_previous_acts_until_ms(const struct owner *owner);
-/* Time by which all leases that earlier owners granted have expired, if at
- * least one worker was reached by both. */
+/* Time by which all leases that earlier owners granted have expired, UINT64_MAX
+ * while that is not known. */
 uint64_t owner_earlier_leases_expired_ms(const struct owner *owner);
+/* Records whether a majority of the workers that earlier owners knew has
+ * reported. An earlier owner without a valid lease needs the answers of half of
+ * them, so one that has reported here refuses it. */
+void owner_majority_update(struct owner *owner);
 /* Records that a worker has reported, so that it refuses earlier owners. */
 void owner_witness_record(struct owner *owner, struct worker *worker);
 /* Records whether a worker was discovered, or has restarted, while the lease of
@@ -340,10 +359,11 @@
 void owner_worker_check_ownership(const struct owner *owner,
 				  struct worker *worker);
 /* Returns whether the owner may start tasks and renew the leases of workers:
- * its lease is valid, or all workers that answer have shown since it ended, and
- * recently, that no successor had reached them. One of them would not do: a
- * successor may not reach that one, and takes its leases for expired while this
- * owner, which was paused, has not heard from the others. */
+ * its lease is valid, or all workers that answer, and at least half of the
+ * voters of the roster, have shown since it ended, and recently, that no
+ * successor had reached them. One of them would not do: a successor may not
+ * reach that one, and takes its leases for expired while this owner, which was
+ * paused, has not heard from the others. */
 bool owner_is_unchallenged(const struct owner *owner, uint64_t now_ms);
 /* Returns whether a worker may get tasks although the lease of this owner may
  * not be valid: the owner is unchallenged, and the worker is among those that
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -39,28 +39,39 @@
 
 static json_t *roster_item_encode(const struct worker *worker)
 {
-	return json_pack("{s:s, s:s, s:i, s:s, s:s, s:s*}", "id", worker->id,
-			 "ip", worker->ip, "port", (int)worker->port, "service",
-			 worker->service, "availability_zone",
-			 worker->availability_zone, "vm", worker->vm);
+	json_t *item =
+		json_pack("{s:s, s:s, s:i, s:s, s:s, s:s*}", "id", worker->id,
+			  "ip", worker->ip, "port", (int)worker->port,
+			  "service", worker->service, "availability_zone",
+			  worker->availability_zone, "vm", worker->vm);
+
+	if (worker->is_learner)
+		json_object_set_new(item, "learner", json_true());
+	return item;
 }
 
+static void roster_write(struct owner *owner);
+
 static void on_roster_stored(void *data, enum err_kind err)
 {
 	struct owner *owner = data;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (err != ERR_NONE)
+	owner->roster_in_flight = false;
+	if (err != ERR_NONE) {
 		owner->roster_dirty = true;
-	if (owner->roster_dirty)
 		return;
+	}
+	owner->voters = owner->sent_voters;
 	g_hash_table_iter_init(&iter, owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct worker *worker = value;
 
 		worker->in_roster = worker->in_sent_roster;
+		worker->is_voter = worker->is_sent_voter;
 	}
+	roster_write(owner);
 	owner_schedule_request(owner);
 }
 
@@ -103,8 +114,11 @@
 	size_t i;
 
 	g_hash_table_iter_init(&iter, owner->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		((struct worker *)value)->in_sent_roster = false;
+		((struct worker *)value)->is_sent_voter = false;
+	}
+	owner->sent_voters = 0;
 	json_array_foreach((json_t *)items, i, item)
 	{
 		struct worker *worker = g_hash_table_lookup(
@@ -112,6 +126,8 @@
 			json_string_value(json_object_get(item, "id")));
 
 		worker->in_sent_roster = true;
+		worker->is_sent_voter = !worker->is_learner;
+		owner->sent_voters += worker->is_sent_voter;
 	}
 }
 
@@ -126,9 +142,11 @@
 	json_t *items;
 	char *text;
 
-	if (!owner->roster_dirty || !owner->roster_read)
+	if (!owner->roster_dirty || !owner->roster_read ||
+	    !owner->workers_read || owner->roster_in_flight)
 		return;
 	owner->roster_dirty = false;
+	owner->roster_in_flight = true;
 	items = json_array();
 	room -= MIN(room, strlen("[]"));
 	left_out = roster_items_add(owner, items, true, &room);
@@ -152,6 +170,7 @@
 
 	owner_health_restore(owner, worker);
 	owner_worker_check_ownership(owner, worker);
+	worker->is_learner = !owner->predecessors_excluded;
 	g_hash_table_insert(owner->workers, worker->id, worker);
 	owner->roster_dirty = true;
 	return worker;
@@ -182,6 +201,13 @@
 	worker_update(worker, entry);
 }
 
+bool owner_worker_is_gone(const struct worker *worker, uint64_t now_ms)
+{
+	return worker->ended ||
+	       (!worker->listed && worker->unlisted_since_ms != 0 &&
+		now_ms - worker->unlisted_since_ms >= OWNER_UNLISTED_TTL_MS);
+}
+
 static void unlisted_workers_remove(struct owner *owner)
 {
 	uint64_t now_ms = loop_now_ms();
@@ -357,16 +383,36 @@
 	if (!id || !ip || !entry.service)
 		return;
 	worker = g_hash_table_lookup(owner->workers, id);
-	if (worker) {
-		worker->in_sent_roster = true;
-		return;
+	if (!worker) {
+		g_strlcpy(entry.ip, ip, sizeof(entry.ip));
+		worker = worker_add(owner, &entry);
+		worker->listed = false;
+		worker->has_entry = false;
+		worker->unlisted_since_ms = loop_now_ms();
 	}
-	g_strlcpy(entry.ip, ip, sizeof(entry.ip));
-	worker = worker_add(owner, &entry);
 	worker->in_sent_roster = true;
-	worker->listed = false;
-	worker->has_entry = false;
-	worker->unlisted_since_ms = loop_now_ms();
+	worker->is_learner = json_is_true(json_object_get(item, "learner"));
+	worker->is_voter = !worker->is_learner;
+	worker->is_sent_voter = worker->is_voter;
+	owner->voters += worker->is_voter;
+	owner->sent_voters += worker->is_voter;
+}
+
+/* Lets all workers vote, those listed later included: no earlier owner acts any
+ * more. */
+static void learners_promote(struct owner *owner)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	owner->predecessors_excluded = true;
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		owner->roster_dirty |= worker->is_learner;
+		worker->is_learner = false;
+	}
 }
 
 static void on_roster_read(void *data, enum err_kind err,
@@ -392,6 +438,9 @@
 			roster_item_restore(owner, item);
 		json_decref(items);
 	}
+	/* Without voters no earlier owner acts that has no valid lease. */
+	if (owner->voters == 0)
+		learners_promote(owner);
 	owner->roster_dirty = true;
 	roster_write(owner);
 }
@@ -412,6 +461,8 @@
 	owner_crash_presume(owner);
 	released = owner_unknown_tasks_release(owner, all_reported);
 	owner->has_unknown_tasks = false;
+	learners_promote(owner);
+	roster_write(owner);
 	owner_ended_jobs_trim(owner);
 	owner_lease_trace_settled(owner, released, all_reported);
 	owner_schedule_request(owner);
@@ -441,6 +492,7 @@
 		return;
 	if (owner->polled_since_ms == 0)
 		owner->polled_since_ms = loop_now_ms();
+	owner_majority_update(owner);
 	leases_expired =
 		loop_now_ms() >= owner_earlier_leases_expired_ms(owner);
 	g_hash_table_iter_init(&iter, owner->workers);
--- a/packages/jobs/tests/test_succession.c
+++ b/packages/jobs/tests/test_succession.c
@@ -187,6 +187,198 @@
 }
 END_TEST
 
+/* A fleet of one pool whose workers the owner and the other process share out:
+ * the owner, which loses the store, keeps some from the first one on. */
+struct split {
+	struct emu *emu;
+	uint32_t owner;
+	uint32_t other;
+	uint32_t vms;
+	uint32_t first;
+	uint32_t kept;
+};
+
+#define SPLIT_VMS 5
+#define SPLIT_SEEDS 10
+
+static struct split split_create(uint32_t seed, uint32_t vms, uint32_t kept)
+{
+	struct emu_config config = fleet;
+	struct split split = { .vms = vms, .kept = kept };
+
+	config.seed = seed;
+	config.pools = 1;
+	config.vms_per_pool = vms;
+	split.emu = emu_create(&config);
+	emu_advance(split.emu, 3000);
+	split.owner = emu_owner(split.emu);
+	ck_assert_uint_lt(split.owner, fleet.nodes);
+	split.other = 1 - split.owner;
+	return split;
+}
+
+static void split_links_set_cut(const struct split *split, bool cut)
+{
+	for (uint32_t i = 0; i < split->vms; i++)
+		emu_link_set_cut(split->emu,
+				 i < split->kept ? split->other : split->owner,
+				 (split->first + i) % split->vms, cut);
+}
+
+static void split_set(const struct split *split, bool cut)
+{
+	split_links_set_cut(split, cut);
+	emu_store_set_mode(split->emu, split->owner,
+			   cut ? EMU_STORE_UNAVAILABLE : EMU_STORE_OK);
+}
+
+static uint32_t split_submit(const struct split *split, uint32_t node,
+			     uint32_t tasks, uint32_t cpu_milli,
+			     uint32_t task_ms)
+{
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = tasks,
+		.cpu_milli = cpu_milli,
+		.task_ms = task_ms,
+	};
+	uint32_t number = emu_submit(split->emu, node, &job);
+
+	emu_advance(split->emu, 1000);
+	return number;
+}
+
+static uint32_t split_runs(const struct split *split)
+{
+	struct emu_stats stats;
+
+	emu_stats(split->emu, &stats);
+	return stats.runs;
+}
+
+static void split_finish(struct split *split, uint32_t jobs)
+{
+	split_set(split, false);
+	emu_settle(split->emu, jobs, 60000);
+	emu_destroy(split->emu);
+}
+
+/* The successor starts again what runs on workers that it does not reach. */
+START_TEST(test_split_fleet_runs_no_task_twice)
+{
+	struct split split =
+		split_create(100 + (uint32_t)_i, SPLIT_VMS, 1 + _i % 2);
+
+	split_submit(&split, 0, SPLIT_VMS, 8000, 30000);
+	split_set(&split, true);
+	emu_advance(split.emu, 45000);
+	split_finish(&split, 1);
+}
+END_TEST
+
+/* What waits at the old owner has ended at its successor, which has room for it
+ * but not for what runs on the other workers. */
+START_TEST(test_split_fleet_starts_no_ended_task)
+{
+	struct split split =
+		split_create(200 + (uint32_t)_i, SPLIT_VMS, 1 + _i % 2);
+	uint32_t small = split_submit(&split, 0, 1, 4000, 60000);
+
+	split_submit(&split, 0, 1, 4000, 60000);
+	split_submit(&split, 0, SPLIT_VMS - 1, 8000, 14000);
+	split.first = emu_vm_running(split.emu, small) + 1;
+	split_links_set_cut(&split, true);
+	emu_advance(split.emu, 1000);
+	split_submit(&split, split.owner, 1, 4000, 300);
+	split_set(&split, true);
+	emu_advance(split.emu, 3000);
+	emu_cancel(split.emu, split.other, small);
+	emu_advance(split.emu, 30000);
+	split_finish(&split, 4);
+}
+END_TEST
+
+/* What waits at the old owner is cancelled at its successor. */
+START_TEST(test_split_fleet_starts_no_cancelled_task)
+{
+	struct split split =
+		split_create(300 + (uint32_t)_i, SPLIT_VMS, 1 + _i % 2);
+	uint32_t job;
+
+	split_submit(&split, 0, SPLIT_VMS, 8000, 8000);
+	job = split_submit(&split, 0, SPLIT_VMS, 8000, 300);
+	split_set(&split, true);
+	emu_advance(split.emu, 2000);
+	emu_cancel(split.emu, split.other, job);
+	emu_advance(split.emu, 30000);
+	split_finish(&split, 2);
+}
+END_TEST
+
+/* The store is away for all processes, and the owner reaches few workers more
+ * than half. What runs there goes on. */
+START_TEST(test_store_outage_ends_nothing_beside_half_of_workers)
+{
+	struct split split = split_create(400 + (uint32_t)_i, SPLIT_VMS, 3);
+	uint32_t vm;
+
+	split_submit(&split, 0, 1, 8000, 40000);
+	vm = emu_vm_running(split.emu, 0);
+	ck_assert_uint_lt(vm, SPLIT_VMS);
+	for (uint32_t i = 0; i < fleet.nodes; i++)
+		emu_store_set_mode(split.emu, i, EMU_STORE_UNAVAILABLE);
+	for (uint32_t i = 1; i <= SPLIT_VMS - split.kept; i++)
+		emu_link_set_cut(split.emu, split.owner, (vm + i) % SPLIT_VMS,
+				 true);
+	emu_advance(split.emu, 25000);
+	ck_assert_uint_eq(emu_vm_running(split.emu, 0), vm);
+	for (uint32_t i = 0; i < SPLIT_VMS; i++)
+		emu_link_set_cut(split.emu, split.owner, i, false);
+	emu_store_set_mode(split.emu, split.other, EMU_STORE_OK);
+	split_set(&split, false);
+	emu_advance(split.emu, 10000);
+	ck_assert_uint_eq(split_runs(&split), 1);
+	split_finish(&split, 1);
+}
+END_TEST
+
+/* A successor that reaches few workers starts new jobs there, and does not
+ * start again what may run on the others. */
+START_TEST(test_successor_without_majority_starts_new_jobs)
+{
+	struct split split = split_create(500 + (uint32_t)_i, SPLIT_VMS, 3);
+
+	split_submit(&split, 0, 1, 8000, 20000);
+	split_set(&split, true);
+	emu_advance(split.emu, 4000);
+	ck_assert_uint_eq(emu_store_key_owner(split.emu), split.other);
+	split_submit(&split, split.other, 1, 8000, 300);
+	ck_assert_uint_eq(split_runs(&split), 2);
+	emu_advance(split.emu, 30000);
+	split_finish(&split, 2);
+}
+END_TEST
+
+/* The next owners store the roster before they reach most of the workers that
+ * the first one knew, beside workers that only they know. */
+START_TEST(test_new_workers_do_not_outvote_those_of_earlier_owner)
+{
+	struct split split = split_create(600 + (uint32_t)_i, 9, 3);
+
+	for (uint32_t i = SPLIT_VMS; i < split.vms; i++)
+		emu_vm_crash(split.emu, i, 14000);
+	emu_advance(split.emu, 10000);
+	split_submit(&split, 0, 3, 8000, 40000);
+	split_set(&split, true);
+	emu_advance(split.emu, 6000);
+	emu_node_kill(split.emu, split.other);
+	emu_advance(split.emu, 100);
+	emu_node_start(split.emu, split.other);
+	emu_advance(split.emu, 30000);
+	split_finish(&split, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("succession");
@@ -207,6 +399,21 @@
 	tcase_add_loop_test(tests,
 			    test_store_outage_ends_nothing_beside_slow_answers,
 			    0, 10);
+	tcase_add_loop_test(tests, test_split_fleet_runs_no_task_twice, 0,
+			    SPLIT_SEEDS);
+	tcase_add_loop_test(tests, test_split_fleet_starts_no_ended_task, 0,
+			    SPLIT_SEEDS);
+	tcase_add_loop_test(tests, test_split_fleet_starts_no_cancelled_task, 0,
+			    SPLIT_SEEDS);
+	tcase_add_loop_test(
+		tests, test_store_outage_ends_nothing_beside_half_of_workers, 0,
+		SPLIT_SEEDS);
+	tcase_add_loop_test(tests,
+			    test_successor_without_majority_starts_new_jobs, 0,
+			    SPLIT_SEEDS);
+	tcase_add_loop_test(
+		tests, test_new_workers_do_not_outvote_those_of_earlier_owner,
+		0, SPLIT_SEEDS);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
