Convict a task of crashes after the same time beside one after another

The task crashes its workers after the same time again and again, is the only suspect of the last crashes, and is started a sixth time nevertheless.

Cause: one crash after another time, be it of another cause or one whose time is known only in part, made the ages differ.

Change: three crashes after the same time convict, the last of them as the only suspect, by the chance of these alone and at the same bound, beside crashes after another time.

Test: test_crash_after_another_time_hides_no_others fails before.

--- a/packages/core/src/suspect.c
+++ b/packages/core/src/suspect.c
@@ -219,6 +219,26 @@
 			      1e9);
 }
 
+/* Copies the crashes at which the task had run for about as long as at one of
+ * them, and no less, to evidence of their own. */
+static void same_age_copy(const struct suspect *evidence, uint32_t shortest_ms,
+			  struct suspect *out)
+{
+	*out = (struct suspect){ .rate_ppb = evidence->rate_ppb };
+	for (uint32_t i = 0; i < evidence->crashes; i++) {
+		const struct suspect_event *event = &evidence->events[i];
+		uint32_t same_age_ms =
+			MAX(SUSPECT_SAME_AGE_MS,
+			    event->age_ms / SUSPECT_SAME_AGE_DIVISOR);
+
+		if (event->age_ms < shortest_ms ||
+		    event->age_ms - shortest_ms > same_age_ms)
+			continue;
+		out->events[out->crashes++] = *event;
+		out->longest_ms = MAX(out->longest_ms, event->age_ms);
+	}
+}
+
 /* Returns the time within which a crash would have ended a run of the task
  * after about the same time as the others. */
 static double same_age_window_ms(const struct suspect *evidence)
@@ -378,6 +398,27 @@
 				    SUSPECT_EXHAUSTED_CHANCE_MAX_PPB;
 }
 
+/* Returns whether the last crash and at least two others, all after the same
+ * time, suffice without the crashes after another time. Those may have had
+ * another cause, or the time may be known only in part. */
+static bool same_ages_convict(const struct suspect *evidence)
+{
+	uint32_t last_ms = evidence->events[evidence->crashes - 1].age_ms;
+
+	for (uint32_t i = 0; i < evidence->crashes; i++) {
+		uint32_t shortest = evidence->events[i].age_ms;
+		struct suspect same;
+
+		same_age_copy(evidence, shortest, &same);
+		if (same.crashes >= SUSPECT_CRASHES && last_ms >= shortest &&
+		    last_ms <= same.longest_ms &&
+		    certain_crashes(&same) >= SUSPECT_CERTAIN_MIN &&
+		    suspect_chance_ppb(&same) <= SUSPECT_CHANCE_MAX_PPB)
+			return true;
+	}
+	return false;
+}
+
 bool suspect_is_convicted(const struct suspect_task *task)
 {
 	const struct suspect *evidence = task->evidence;
@@ -388,6 +429,8 @@
 		return false;
 	if (is_exhausted(task))
 		return true;
+	if (task->verdict == SUSPECT_SOLE && same_ages_convict(evidence))
+		return true;
 	return task->verdict == SUSPECT_SOLE && evidence->crashes >= needed &&
 	       (needed < SUSPECT_CRASHES_ANY_AGE ||
 		evidence->sole >= SUSPECT_SOLE_ANY_AGE) &&
--- a/packages/core/tests/test_suspect.c
+++ b/packages/core/tests/test_suspect.c
@@ -89,6 +89,28 @@
 }
 END_TEST
 
+/* A crash of another cause before the others, or a time that is known only in
+ * part, does not keep a task from being convicted. */
+START_TEST(test_crash_after_another_time_hides_no_others)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+
+	crash(&fleet, 0, 2, (uint32_t[]){ 424, 400 }, false);
+	crash(&fleet, 0, 2, (uint32_t[]){ 17, 10 }, false);
+	crash(&fleet, 0, 1, (uint32_t[]){ 17 }, false);
+	ck_assert(!suspect_is_convicted(&fleet.tasks[0]));
+	crash(&fleet, 0, 1, (uint32_t[]){ 17 }, false);
+	ck_assert(suspect_is_convicted(&fleet.tasks[0]));
+	/* two at one time, and two at others */
+	fleet = (struct fleet){ .now_ms = 100000 };
+	crash(&fleet, 0, 1, (uint32_t[]){ 424 }, false);
+	crash(&fleet, 0, 2, (uint32_t[]){ 17, 10 }, false);
+	crash(&fleet, 0, 2, (uint32_t[]){ 900, 10 }, false);
+	crash(&fleet, 0, 1, (uint32_t[]){ 17 }, false);
+	ck_assert(!suspect_is_convicted(&fleet.tasks[0]));
+}
+END_TEST
+
 /* Each of these leaves open whether the task is the cause. */
 START_TEST(test_ambiguous_crashes_do_not_convict)
 {
@@ -197,6 +219,7 @@
 	tcase_add_test(tests,
 		       test_task_that_crashes_two_workers_at_once_is_convicted);
 	tcase_add_test(tests, test_late_crashes_need_a_third);
+	tcase_add_test(tests, test_crash_after_another_time_hides_no_others);
 	tcase_add_test(tests, test_ambiguous_crashes_do_not_convict);
 	tcase_add_test(tests, test_workers_without_suspects_crash_as_often);
 	tcase_add_test(tests, test_crashes_are_bounded);
