Count the time of a run by its worker's clock if an answer is late

Cause: a run that a report lists was taken to have run until the report arrived. The worker may have made it long before, when answers are slow or the process is held up.

Change: the reading of the worker's steady clock by which a run had begun is kept with the task, from the answer to the order or the first report that lists it. A run is as old as the clock in the newest answer says, at most as old as before. Where the connection was cut, nothing changes.

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -186,6 +186,9 @@
 	 *  fencing token */
 	uint64_t ordered_ms;
 	uint64_t fence;
+	/** clock of the worker by which the newest run had begun, 0 if unknown
+	 */
+	uint64_t started_clock_ms;
 	/** the call that orders the newest run is in flight, or has timed out,
 	 *  so that the run may never have begun */
 	bool start_in_flight;
--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -202,9 +202,10 @@
 	bool end_judged;
 	/** owner: an incarnation has ended by itself, which is judged once a
 	 *  report shows which orders the next one has received; and the local
-	 *  time until which it certainly ran */
+	 *  time until which it certainly ran, with its clock then */
 	bool crash_pending;
 	uint64_t crash_until_ms;
+	uint64_t crash_clock_ms;
 	/** it ran without a likely suspect when that was last observed */
 	bool unsuspected;
 
--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -19,17 +19,36 @@
 	return names[cause];
 }
 
+/* Time that the newest run of a task had lasted at a local time at which its
+ * worker answered. The answer may have been late, which the worker's clock in
+ * it tells, if known. */
+static uint64_t age_at_answer_ms(const struct job_task *task,
+				 uint64_t answered_ms, uint64_t clock_ms)
+{
+	uint64_t begun_clock_ms = task->started_clock_ms;
+	uint64_t age_ms = answered_ms > task->ordered_ms
+				  ? answered_ms - task->ordered_ms
+				  : 0;
+
+	if (begun_clock_ms == 0 || clock_ms == 0)
+		return age_ms;
+	return MIN(age_ms, clock_ms - MIN(begun_clock_ms, clock_ms));
+}
+
 /* Time that a task had certainly run when its worker ended. */
 static uint64_t task_age_ms(const struct worker *worker,
 			    const struct job_task *task)
 {
-	uint64_t until_ms = worker->ran_until_ms ? worker->ran_until_ms
-						 : worker->clock_at_ms;
+	uint64_t until_ms = worker->ran_until_ms;
 
 	if (worker->crash_pending)
-		until_ms = worker->crash_until_ms;
-
-	return until_ms > task->ordered_ms ? until_ms - task->ordered_ms : 0;
+		return age_at_answer_ms(task, worker->crash_until_ms,
+					worker->crash_clock_ms);
+	/* Its connection was cut. */
+	if (until_ms > worker->clock_at_ms)
+		return until_ms > task->ordered_ms ? until_ms - task->ordered_ms
+						   : 0;
+	return age_at_answer_ms(task, worker->clock_at_ms, worker->clock_ms);
 }
 
 /* Logs the tasks of a worker that has ended for another cause than a crash. */
@@ -376,6 +395,7 @@
 		return;
 	}
 	worker->crash_until_ms = worker->clock_at_ms;
+	worker->crash_clock_ms = worker->clock_ms;
 	worker->crash_pending = true;
 }
 
@@ -411,17 +431,20 @@
 {
 	uint32_t crashes = task->suspect ? task->suspect->crashes : 0;
 	char name[JOB_TASK_NAME_BYTES];
+	uint64_t age_ms;
 
-	if (task->state != JOB_TASK_RUNNING ||
-	    !suspect_try_clear(task->suspect, run_age_ms(task, loop_now_ms())))
+	if (task->state != JOB_TASK_RUNNING)
+		return;
+	age_ms = age_at_answer_ms(task, loop_now_ms(),
+				  task->worker->report_clock_ms);
+	if (!suspect_try_clear(task->suspect, age_ms))
 		return;
 	job_task_name(task, name);
 	owner->counters.tasks_cleared++;
 	log_info("task-cleared",
 		 "task %s run %u at worker %s has run for %" G_GUINT64_FORMAT
 		 " ms and is no suspect of %u crashes any more",
-		 name, task->run, task->worker->id,
-		 run_age_ms(task, loop_now_ms()), crashes);
+		 name, task->run, task->worker->id, age_ms, crashes);
 	/* A successor may take up an old suspicion, but not an old verdict. */
 	if (crashes > 1)
 		commit_mark_dirty(owner->log, task->group->occurrence->job);
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -110,6 +110,7 @@
 		task->group->occurrence->has_started = true;
 		task->group->occurrence->job->has_started = true;
 		task->ordered_ms = loop_now_ms();
+		task->started_clock_ms = worker->report_clock_ms;
 		task->speed_changed_ms = task->ordered_ms;
 		task->adopted = true;
 		task->requeue.cause = JOB_REQUEUE_NONE;
@@ -132,6 +133,8 @@
 		return;
 	}
 	task->seen_in_report = owner->report_serial;
+	if (task->started_clock_ms == 0)
+		task->started_clock_ms = worker->report_clock_ms;
 	if (task->state == JOB_TASK_STARTING)
 		job_task_set_state(task, JOB_TASK_RUNNING);
 	task->last_seen_poll = MAX(task->last_seen_poll, poll->serial);
@@ -343,6 +346,10 @@
 		return;
 	task->start_in_flight = false;
 	task->start_timed_out = reply->err == ERR_TIMEOUT;
+	if (reply->err == ERR_NONE && reply->verdict == ADAPTER_ACCEPTED &&
+	    (task->started_clock_ms == 0 ||
+	     reply->clock_ms < task->started_clock_ms))
+		task->started_clock_ms = reply->clock_ms;
 	if (task->state != JOB_TASK_STARTING)
 		return;
 	if (reply->err == ERR_NONE && reply->verdict == ADAPTER_ACCEPTED) {
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -195,6 +195,7 @@
 	owner_trace_start(owner, task, worker, run);
 	task->run = run;
 	task->ordered_ms = loop_now_ms();
+	task->started_clock_ms = 0;
 	task->speed_changed_ms = task->ordered_ms;
 	task->seen_in_report = 0;
 	task->adopted = false;
--- a/packages/jobs/tests/test_crashes.c
+++ b/packages/jobs/tests/test_crashes.c
@@ -297,8 +297,20 @@
 	emu_node_start(emu, owner);
 }
 
-/* Suspicions of the log. */
+/* Suspicions of the log, and how often it clears a task of some jobs. */
+#define WATCHED_JOBS 4
 static uint32_t suspected_logged;
+static uint32_t cleared_logged;
+static const char *watched_jobs[WATCHED_JOBS];
+
+static bool log_names_watched_job(const char *text)
+{
+	for (uint32_t i = 0; i < WATCHED_JOBS; i++) {
+		if (watched_jobs[i] && strstr(text, watched_jobs[i]))
+			return true;
+	}
+	return false;
+}
 
 static GLogWriterOutput log_observe(GLogLevelFlags level,
 				    const GLogField *fields, gsize count,
@@ -306,10 +318,14 @@
 {
 	(void)level;
 	(void)data;
-	for (gsize i = 0; i < count; i++)
+	for (gsize i = 0; i < count; i++) {
+		cleared_logged += strcmp(fields[i].key, "MESSAGE") == 0 &&
+				  log_names_watched_job(fields[i].value) &&
+				  strstr(fields[i].value, "is no suspect of");
 		suspected_logged += strcmp(fields[i].key, "MESSAGE") == 0 &&
 				    strstr(fields[i].value, "suspect") &&
 				    strstr(fields[i].value, " ended with ");
+	}
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -342,6 +358,40 @@
 }
 END_TEST
 
+/* Answers that workers gave before a task crashed them arrive up to 0.8 s late.
+ * They do not show that the task has run until then. */
+START_TEST(test_late_answer_clears_no_suspect)
+{
+	struct emu_config config = fleet;
+	struct emu_job others = harmless;
+	struct emu_job job = crashing;
+	struct emu *emu;
+
+	g_unsetenv("EMU_LOG");
+	g_log_set_writer_func(log_observe, NULL, NULL);
+	config.seed = 1 + _i;
+	config.nodes = 1;
+	others.task_ms = 50;
+	job.tasks_per_step = 1;
+	job.crashing_tasks = 1;
+	job.crash_after_ms = 80;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	emu_answers_set_slow(emu, 800);
+	for (uint32_t i = 0; i < WATCHED_JOBS; i++) {
+		emu_submit(emu, 0, &job);
+		watched_jobs[i] = emu_job_id(emu, i);
+	}
+	for (uint32_t ms = 0; ms < 10000; ms += 10) {
+		emu_submit(emu, 0, &others);
+		emu_advance(emu, 10);
+	}
+	ck_assert_uint_gt(suspected_logged, 0);
+	ck_assert_uint_eq(cleared_logged, 0);
+	emu_destroy(emu);
+}
+END_TEST
+
 /* A long-running job of which a task is given up: the others are on sound
  * workers and may be stopped only within their disruption budget, until the job
  * is cancelled, also by the next owners. */
@@ -398,6 +448,7 @@
 		test_run_that_a_restarted_worker_has_received_is_no_suspect, 0,
 		4);
 	tcase_add_loop_test(tests, test_refused_run_is_no_suspect, 0, 2);
+	tcase_add_loop_test(tests, test_late_answer_clears_no_suspect, 0, 8);
 	tcase_add_loop_test(
 		tests, test_budget_holds_when_a_long_running_job_is_given_up, 0,
 		4);
