Convict a task of three crashes shortly after its starts if the times vary

Cause: crashes at most 250 ms after the start were taken for crashes after different times if these differed by more than 40 ms. Then four crashes were needed, three of them as the only suspect, where two are enough otherwise. The workers of the soak end in silence, so that the time is that of their last answer.

Change: three such crashes convict, the last as the only suspect, whatever their times. The chance, whose bound is unchanged, allows for the spread.

Test: test_prompt_crashes_that_vary_need_a_third fails before.

--- a/packages/core/src/suspect.c
+++ b/packages/core/src/suspect.c
@@ -366,11 +366,12 @@
 
 static uint32_t crashes_needed(const struct suspect *evidence)
 {
+	bool all_prompt = suspect_prompt_crashes(evidence) == evidence->crashes;
+
+	/* So soon, the times differ by how late the last answers were. */
 	if (!ages_are_same(evidence))
-		return SUSPECT_CRASHES_ANY_AGE;
-	return suspect_prompt_crashes(evidence) == evidence->crashes
-		       ? SUSPECT_CRASHES_PROMPT
-		       : SUSPECT_CRASHES;
+		return all_prompt ? SUSPECT_CRASHES : SUSPECT_CRASHES_ANY_AGE;
+	return all_prompt ? SUSPECT_CRASHES_PROMPT : SUSPECT_CRASHES;
 }
 
 /* Returns whether a task was on so many crashed workers that it must not be
--- a/packages/core/tests/test_suspect.c
+++ b/packages/core/tests/test_suspect.c
@@ -76,6 +76,18 @@
 }
 END_TEST
 
+START_TEST(test_prompt_crashes_that_vary_need_a_third)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+
+	crash(&fleet, 0, 2, (uint32_t[]){ 5, 10 }, false);
+	crash(&fleet, 0, 1, (uint32_t[]){ 51 }, false);
+	ck_assert(!suspect_is_convicted(&fleet.tasks[0]));
+	crash(&fleet, 0, 1, (uint32_t[]){ 7 }, false);
+	ck_assert(suspect_is_convicted(&fleet.tasks[0]));
+}
+END_TEST
+
 START_TEST(test_late_crashes_need_a_third)
 {
 	struct fleet fleet = { .now_ms = 100000 };
@@ -218,6 +230,7 @@
 
 	tcase_add_test(tests,
 		       test_task_that_crashes_two_workers_at_once_is_convicted);
+	tcase_add_test(tests, test_prompt_crashes_that_vary_need_a_third);
 	tcase_add_test(tests, test_late_crashes_need_a_third);
 	tcase_add_test(tests, test_crash_after_another_time_hides_no_others);
 	tcase_add_test(tests, test_ambiguous_crashes_do_not_convict);
