Read the rate of crashes only from records that have it

A chance that is read as a rate is too low, 0 for a task that was never the only suspect: two crashes then have a quarter of their chance, and a harmless job is given up sooner.

Change: records name the version of the evidence. Without it the rate is unknown, and that of the next crash stands for all.

--- a/packages/core/include/suspect.h
+++ b/packages/core/include/suspect.h
@@ -49,7 +49,8 @@
 	/** those of them for which no other task was a suspect */
 	uint32_t sole;
 	/** mean rate at which workers crashed by themselves at the times of the
-	 *  crashes: chance for each millisecond, in parts per billion */
+	 *  crashes: chance for each millisecond, in parts per billion; 0 if
+	 *  unknown */
 	uint32_t rate_ppb;
 	/** earlier crashes that are no longer among the events */
 	uint32_t dropped;
--- a/packages/core/src/suspect.c
+++ b/packages/core/src/suspect.c
@@ -285,11 +285,14 @@
 	return false;
 }
 
-/* Returns the mean rate at the crashes in the evidence and at one more. */
+/* Returns the mean rate at the crashes in the evidence and at one more, whose
+ * rate stands for all if theirs is unknown. */
 static uint32_t rate_mean_ppb(const struct suspect *evidence, uint32_t rate_ppb)
 {
 	uint64_t before = evidence->crashes + evidence->dropped;
 
+	if (evidence->rate_ppb == 0)
+		return rate_ppb;
 	return (uint32_t)((before * evidence->rate_ppb + rate_ppb) /
 			  (before + 1));
 }
--- a/packages/core/tests/test_suspect.c
+++ b/packages/core/tests/test_suspect.c
@@ -197,6 +197,24 @@
 }
 END_TEST
 
+START_TEST(test_unknown_rate_makes_no_evidence_stronger)
+{
+	static const struct suspect_event event = { .age_ms = 10,
+						    .prompt = true,
+						    .certain = true };
+	struct fleet fleet = { .now_ms = 100000 };
+	struct fleet known = fleet;
+
+	crash(&known, 0, 1, (uint32_t[]){ 10 }, false);
+	fleet.evidence[0].crashes = 1;
+	fleet.evidence[0].longest_ms = event.age_ms;
+	fleet.evidence[0].events[0] = event;
+	crash(&fleet, 0, 1, (uint32_t[]){ 10 }, false);
+	ck_assert_uint_eq(fleet.evidence[0].rate_ppb,
+			  known.evidence[0].rate_ppb);
+}
+END_TEST
+
 START_TEST(test_other_tasks_are_exonerated)
 {
 	struct fleet fleet = { .now_ms = 100000 };
@@ -236,6 +254,7 @@
 	tcase_add_test(tests, test_ambiguous_crashes_do_not_convict);
 	tcase_add_test(tests, test_workers_without_suspects_crash_as_often);
 	tcase_add_test(tests, test_crashes_are_bounded);
+	tcase_add_test(tests, test_unknown_rate_makes_no_evidence_stronger);
 	tcase_add_test(tests, test_other_tasks_are_exonerated);
 	tcase_add_test(tests, test_task_is_cleared_after_probation);
 	suite_add_tcase(suite, tests);
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -198,6 +198,10 @@
 	}
 }
 
+/* Version of the evidence in records. In records without it, the second number
+ * may be a chance in parts per million. */
+#define RECORD_CRASHES_VERSION 2
+
 /* Encodes the evidence that a task crashes its workers as an array: five
  * numbers, then an array for each crash. */
 static json_t *suspect_encode(const struct suspect *suspect)
@@ -249,8 +253,11 @@
 	json_object_set_new(out, "tasks", groups);
 	json_object_set_new(out, "checkpoints", json_object());
 	json_object_set_new(out, "failed_runs", failed_runs);
-	if (json_object_size(suspects) > 0)
+	if (json_object_size(suspects) > 0) {
 		json_object_set(out, "crashes", suspects);
+		json_object_set_new(out, "crashes_version",
+				    json_integer(RECORD_CRASHES_VERSION));
+	}
 	json_decref(suspects);
 	return out;
 }
@@ -383,7 +390,8 @@
 	out->sole = MIN(out->sole, out->crashes);
 }
 
-static bool suspects_decode(struct job_occurrence *occurrence, json_t *suspects)
+static bool suspects_decode(struct job_occurrence *occurrence, json_t *suspects,
+			    uint32_t version)
 {
 	const char *key;
 	json_t *value;
@@ -395,6 +403,8 @@
 		if (!task)
 			return false;
 		suspect_decode(value, job_task_suspect(task));
+		if (version != RECORD_CRASHES_VERSION)
+			job_task_suspect(task)->rate_ppb = 0;
 	}
 	return true;
 }
@@ -417,7 +427,8 @@
 	}
 	return tasks_decode(occurrence, json_object_get(json, "checkpoints"),
 			    json_object_get(json, "failed_runs")) &&
-	       suspects_decode(occurrence, json_object_get(json, "crashes"));
+	       suspects_decode(occurrence, json_object_get(json, "crashes"),
+			       number_get(json, "crashes_version"));
 }
 
 enum err_kind job_record_progress_apply(struct job *job, const json_t *record,
--- a/packages/jobs/tests/test_segment.c
+++ b/packages/jobs/tests/test_segment.c
@@ -169,6 +169,46 @@
 }
 END_TEST
 
+/* The number at the place of the rate had another meaning in records of an
+ * earlier version, which has no version. */
+START_TEST(test_rate_of_crashes_is_read_from_its_own_version_only)
+{
+	static const struct suspect evidence = { .crashes = 1,
+						 .sole = 1,
+						 .rate_ppb = 5000 };
+	json_t *records = json_object();
+
+	for (uint32_t i = 0; i < 2; i++) {
+		struct job *job = pending_job_create(ID_A);
+		struct job *read = pending_job_create(ID_A);
+		struct job_occurrence *occurrence =
+			job_occurrence_begin(job, 1, 1);
+		json_t *record;
+
+		*job_task_suspect(&occurrence->groups[0].tasks[0]) = evidence;
+		job_record_progress_add(records, job, SIZE_MAX);
+		record = json_object_get(records, ID_A);
+		if (i > 0)
+			json_object_del(
+				json_array_get(
+					json_object_get(record, "occurrences"),
+					0),
+				"crashes_version");
+		ck_assert_int_eq(job_record_progress_apply(read, record, 1, 1),
+				 ERR_NONE);
+		occurrence = g_ptr_array_index(read->occurrences, 0);
+		ck_assert_uint_eq(occurrence->groups[0].tasks[0].suspect->sole,
+				  1);
+		ck_assert_uint_eq(
+			occurrence->groups[0].tasks[0].suspect->rate_ppb,
+			i > 0 ? 0 : evidence.rate_ppb);
+		job_destroy(read);
+		job_destroy(job);
+	}
+	json_decref(records);
+}
+END_TEST
+
 START_TEST(test_malformed_records_are_rejected)
 {
 	static const char *const texts[] = { "", "[]", "7", "{\"a\"", "null" };
@@ -256,6 +296,8 @@
 	tcase_add_test(tests, test_end_record_round_trip);
 	tcase_add_test(tests, test_cancel_record_is_no_end_of_its_identity);
 	tcase_add_test(tests, test_progress_record_round_trip);
+	tcase_add_test(tests,
+		       test_rate_of_crashes_is_read_from_its_own_version_only);
 	tcase_add_test(tests, test_malformed_records_are_rejected);
 	tcase_add_test(tests, test_too_large_specification_is_refused);
 	tcase_add_test(tests,
