--- a/packages/core/src/suspect.c
+++ b/packages/core/src/suspect.c
@@ -219,6 +219,26 @@
 			      1e9);
 }
 
+/* Copies the crashes at which the task had run for about as long as at one of
+ * them, and no less, to evidence of their own. */
+static void same_age_copy(const struct suspect *evidence, uint32_t shortest_ms,
+			  struct suspect *out)
+{
+	*out = (struct suspect){ .rate_ppb = evidence->rate_ppb };
+	for (uint32_t i = 0; i < evidence->crashes; i++) {
+		const struct suspect_event *event = &evidence->events[i];
+		uint32_t same_age_ms =
+			MAX(SUSPECT_SAME_AGE_MS,
+			    event->age_ms / SUSPECT_SAME_AGE_DIVISOR);
+
+		if (event->age_ms < shortest_ms ||
+		    event->age_ms - shortest_ms > same_age_ms)
+			continue;
+		out->events[out->crashes++] = *event;
+		out->longest_ms = MAX(out->longest_ms, event->age_ms);
+	}
+}
+
 /* Returns the time within which a crash would have ended a run of the task
  * after about the same time as the others. */
 static double same_age_window_ms(const struct suspect *evidence)
@@ -265,11 +285,14 @@
 	return false;
 }
 
-/* Returns the mean rate at the crashes in the evidence and at one more. */
+/* Returns the mean rate at the crashes in the evidence and at one more, whose
+ * rate stands for all if theirs is unknown. */
 static uint32_t rate_mean_ppb(const struct suspect *evidence, uint32_t rate_ppb)
 {
 	uint64_t before = evidence->crashes + evidence->dropped;
 
+	if (evidence->rate_ppb == 0)
+		return rate_ppb;
 	return (uint32_t)((before * evidence->rate_ppb + rate_ppb) /
 			  (before + 1));
 }
@@ -346,11 +369,12 @@
 
 static uint32_t crashes_needed(const struct suspect *evidence)
 {
+	bool all_prompt = suspect_prompt_crashes(evidence) == evidence->crashes;
+
+	/* So soon, the times differ by how late the last answers were. */
 	if (!ages_are_same(evidence))
-		return SUSPECT_CRASHES_ANY_AGE;
-	return suspect_prompt_crashes(evidence) == evidence->crashes
-		       ? SUSPECT_CRASHES_PROMPT
-		       : SUSPECT_CRASHES;
+		return all_prompt ? SUSPECT_CRASHES : SUSPECT_CRASHES_ANY_AGE;
+	return all_prompt ? SUSPECT_CRASHES_PROMPT : SUSPECT_CRASHES;
 }
 
 /* Returns whether a task was on so many crashed workers that it must not be
@@ -378,6 +402,27 @@
 				    SUSPECT_EXHAUSTED_CHANCE_MAX_PPB;
 }
 
+/* Returns whether the last crash and at least two others, all after the same
+ * time, suffice without the crashes after another time. Those may have had
+ * another cause, or the time may be known only in part. */
+static bool same_ages_convict(const struct suspect *evidence)
+{
+	uint32_t last_ms = evidence->events[evidence->crashes - 1].age_ms;
+
+	for (uint32_t i = 0; i < evidence->crashes; i++) {
+		uint32_t shortest = evidence->events[i].age_ms;
+		struct suspect same;
+
+		same_age_copy(evidence, shortest, &same);
+		if (same.crashes >= SUSPECT_CRASHES && last_ms >= shortest &&
+		    last_ms <= same.longest_ms &&
+		    certain_crashes(&same) >= SUSPECT_CERTAIN_MIN &&
+		    suspect_chance_ppb(&same) <= SUSPECT_CHANCE_MAX_PPB)
+			return true;
+	}
+	return false;
+}
+
 bool suspect_is_convicted(const struct suspect_task *task)
 {
 	const struct suspect *evidence = task->evidence;
@@ -388,6 +433,8 @@
 		return false;
 	if (is_exhausted(task))
 		return true;
+	if (task->verdict == SUSPECT_SOLE && same_ages_convict(evidence))
+		return true;
 	return task->verdict == SUSPECT_SOLE && evidence->crashes >= needed &&
 	       (needed < SUSPECT_CRASHES_ANY_AGE ||
 		evidence->sole >= SUSPECT_SOLE_ANY_AGE) &&
--- a/packages/core/tests/test_suspect.c
+++ b/packages/core/tests/test_suspect.c
@@ -76,6 +76,18 @@
 }
 END_TEST
 
+START_TEST(test_prompt_crashes_that_vary_need_a_third)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+
+	crash(&fleet, 0, 2, (uint32_t[]){ 5, 10 }, false);
+	crash(&fleet, 0, 1, (uint32_t[]){ 51 }, false);
+	ck_assert(!suspect_is_convicted(&fleet.tasks[0]));
+	crash(&fleet, 0, 1, (uint32_t[]){ 7 }, false);
+	ck_assert(suspect_is_convicted(&fleet.tasks[0]));
+}
+END_TEST
+
 START_TEST(test_late_crashes_need_a_third)
 {
 	struct fleet fleet = { .now_ms = 100000 };
@@ -89,6 +101,28 @@
 }
 END_TEST
 
+/* A crash of another cause before the others, or a time that is known only in
+ * part, does not keep a task from being convicted. */
+START_TEST(test_crash_after_another_time_hides_no_others)
+{
+	struct fleet fleet = { .now_ms = 100000 };
+
+	crash(&fleet, 0, 2, (uint32_t[]){ 424, 400 }, false);
+	crash(&fleet, 0, 2, (uint32_t[]){ 17, 10 }, false);
+	crash(&fleet, 0, 1, (uint32_t[]){ 17 }, false);
+	ck_assert(!suspect_is_convicted(&fleet.tasks[0]));
+	crash(&fleet, 0, 1, (uint32_t[]){ 17 }, false);
+	ck_assert(suspect_is_convicted(&fleet.tasks[0]));
+	/* two at one time, and two at others */
+	fleet = (struct fleet){ .now_ms = 100000 };
+	crash(&fleet, 0, 1, (uint32_t[]){ 424 }, false);
+	crash(&fleet, 0, 2, (uint32_t[]){ 17, 10 }, false);
+	crash(&fleet, 0, 2, (uint32_t[]){ 900, 10 }, false);
+	crash(&fleet, 0, 1, (uint32_t[]){ 17 }, false);
+	ck_assert(!suspect_is_convicted(&fleet.tasks[0]));
+}
+END_TEST
+
 /* Each of these leaves open whether the task is the cause. */
 START_TEST(test_ambiguous_crashes_do_not_convict)
 {
@@ -163,6 +197,24 @@
 }
 END_TEST
 
+START_TEST(test_unknown_rate_makes_no_evidence_stronger)
+{
+	static const struct suspect_event event = { .age_ms = 10,
+						    .prompt = true,
+						    .certain = true };
+	struct fleet fleet = { .now_ms = 100000 };
+	struct fleet known = fleet;
+
+	crash(&known, 0, 1, (uint32_t[]){ 10 }, false);
+	fleet.evidence[0].crashes = 1;
+	fleet.evidence[0].longest_ms = event.age_ms;
+	fleet.evidence[0].events[0] = event;
+	crash(&fleet, 0, 1, (uint32_t[]){ 10 }, false);
+	ck_assert_uint_eq(fleet.evidence[0].rate_ppb,
+			  known.evidence[0].rate_ppb);
+}
+END_TEST
+
 START_TEST(test_other_tasks_are_exonerated)
 {
 	struct fleet fleet = { .now_ms = 100000 };
@@ -196,10 +248,13 @@
 
 	tcase_add_test(tests,
 		       test_task_that_crashes_two_workers_at_once_is_convicted);
+	tcase_add_test(tests, test_prompt_crashes_that_vary_need_a_third);
 	tcase_add_test(tests, test_late_crashes_need_a_third);
+	tcase_add_test(tests, test_crash_after_another_time_hides_no_others);
 	tcase_add_test(tests, test_ambiguous_crashes_do_not_convict);
 	tcase_add_test(tests, test_workers_without_suspects_crash_as_often);
 	tcase_add_test(tests, test_crashes_are_bounded);
+	tcase_add_test(tests, test_unknown_rate_makes_no_evidence_stronger);
 	tcase_add_test(tests, test_other_tasks_are_exonerated);
 	tcase_add_test(tests, test_task_is_cleared_after_probation);
 	suite_add_tcase(suite, tests);
