Let no worker vote that never reports

They write entries of another writer that name workers which do not exist. These were voters of the roster, more than half of it, so the successor waited 30 s more for its votes.

Change: a worker that has not reported to an owner within 5 s, once no earlier owner acts any more, is stored as a learner until it does.

Ruled out: a vote from the first report on, which takes one more write of the roster at each start.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -218,8 +218,8 @@
 	bool in_roster;
 	/** owner: part of the newest roster, which may not be stored yet */
 	bool in_sent_roster;
-	/** owner: no voter in the rosters that it writes: earlier owners, which
-	 *  may still act, do not know the worker */
+	/** owner: no voter in the rosters that it writes: it does not report,
+	 *  or earlier owners that may still act do not know it */
 	bool is_learner;
 	/** owner: voter of the stored roster, and of the newest one */
 	bool is_voter;
--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -56,6 +56,7 @@
 	if (worker->is_witness)
 		return;
 	worker->is_witness = true;
+	owner_roster_on_first_report(owner, worker);
 	/* It may have restarted since an earlier owner stored it. */
 	owner_worker_check_ownership(owner, worker);
 	/* Earlier owners did not know workers that were listed later. */
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -328,6 +328,8 @@
 /* owner_roster.c: discovery of workers and the stored roster. */
 void owner_roster_load(struct owner *owner);
 void owner_workers_list(struct owner *owner);
+/* Lets a worker vote that has reported to this owner for the first time. */
+void owner_roster_on_first_report(struct owner *owner, struct worker *worker);
 /* Returns whether a worker has certainly ended: it was replaced, or its entry
  * is gone for longer than that of a live worker can be. */
 bool owner_worker_is_gone(const struct worker *worker, uint64_t now_ms);
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -20,6 +20,9 @@
 /* A worker that is missing from the list is removed after this time, unless it
  * may have tasks. Entries of live workers reappear sooner. */
 #define OWNER_UNLISTED_TTL_MS 3000
+/* A worker that has not reported to the owner for so long does not vote: an
+ * entry may name one that never answers. */
+#define OWNER_FIRST_REPORT_MAX_MS 5000
 
 /* A worker that does not guard its capacity gets no more tasks once the list
  * that it was read from is this old. */
@@ -239,6 +242,27 @@
 	}
 }
 
+/* Takes the vote from workers that have never reported to this owner. */
+static void silent_workers_demote(struct owner *owner)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!owner->predecessors_excluded)
+		return;
+	g_hash_table_iter_init(&iter, owner->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct worker *worker = value;
+
+		if (worker->is_witness || worker->is_learner ||
+		    loop_now_ms() - worker->discovered_ms <
+			    OWNER_FIRST_REPORT_MAX_MS)
+			continue;
+		worker->is_learner = true;
+		owner->roster_dirty = true;
+	}
+}
+
 /* Requeues the tasks of unreachable workers whose leases have expired. */
 static void expired_workers_release(struct owner *owner)
 {
@@ -348,6 +372,7 @@
 	owner->workers_read = true;
 	owner->workers_listed_ms = owner->workers_list_requested_ms;
 	unlisted_workers_remove(owner);
+	silent_workers_demote(owner);
 	roster_write(owner);
 	owner_schedule_request(owner);
 }
@@ -415,6 +440,15 @@
 	}
 }
 
+void owner_roster_on_first_report(struct owner *owner, struct worker *worker)
+{
+	if (!owner->predecessors_excluded || !worker->is_learner)
+		return;
+	worker->is_learner = false;
+	owner->roster_dirty = true;
+	roster_write(owner);
+}
+
 static void on_roster_read(void *data, enum err_kind err,
 			   const struct platform_result *result)
 {
