--- a/packages/jobs/tests/test_late_reports.c
+++ b/packages/jobs/tests/test_late_reports.c
@@ -228,18 +228,21 @@
 {
 	Suite *suite = suite_create("late_reports");
 	TCase *tests = tcase_create("late_reports");
+	TCase *planned = tcase_create("planned_ends");
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
 	tcase_set_timeout(tests, 60);
+	tcase_set_timeout(planned, 60);
 	tcase_add_loop_test(tests,
 			    test_report_of_earlier_incarnation_loses_no_task, 0,
 			    RESTART_SEEDS);
-	tcase_add_loop_test(tests, test_maintenance_restarts_no_listed_success,
-			    0, PLANNED_SEEDS);
-	tcase_add_loop_test(tests, test_drain_restarts_no_listed_success, 0,
+	tcase_add_loop_test(planned,
+			    test_maintenance_restarts_no_listed_success, 0,
 			    PLANNED_SEEDS);
-	tcase_add_loop_test(tests, test_drain_restarts_no_listed_success,
+	tcase_add_loop_test(planned, test_drain_restarts_no_listed_success, 0,
+			    PLANNED_SEEDS);
+	tcase_add_loop_test(planned, test_drain_restarts_no_listed_success,
 			    POLL_BEFORE_DRAIN_SEED - 1, POLL_BEFORE_DRAIN_SEED);
 	tcase_add_test(tests, test_takeover_awaits_all_ends);
 	tcase_add_test(tests,
@@ -247,6 +250,7 @@
 	tcase_add_loop_test(
 		tests, test_tasks_of_a_restarted_worker_are_unavailable, 0, 8);
 	suite_add_tcase(suite, tests);
+	suite_add_tcase(suite, planned);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
--- a/packages/jobs/tests/test_succession.c
+++ b/packages/jobs/tests/test_succession.c
@@ -489,6 +489,7 @@
 {
 	Suite *suite = suite_create("succession");
 	TCase *tests = tcase_create("succession");
+	TCase *votes = tcase_create("votes");
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
@@ -505,34 +506,35 @@
 	tcase_add_loop_test(tests,
 			    test_store_outage_ends_nothing_beside_slow_answers,
 			    0, 10);
-	tcase_add_loop_test(tests, test_split_fleet_runs_no_task_twice, 0,
+	tcase_add_loop_test(votes, test_split_fleet_runs_no_task_twice, 0,
 			    SPLIT_SEEDS);
-	tcase_add_loop_test(tests, test_split_fleet_starts_no_ended_task, 0,
+	tcase_add_loop_test(votes, test_split_fleet_starts_no_ended_task, 0,
 			    SPLIT_SEEDS);
-	tcase_add_loop_test(tests, test_split_fleet_starts_no_cancelled_task, 0,
+	tcase_add_loop_test(votes, test_split_fleet_starts_no_cancelled_task, 0,
 			    SPLIT_SEEDS);
 	tcase_add_loop_test(
-		tests, test_store_outage_ends_nothing_beside_half_of_workers, 0,
+		votes, test_store_outage_ends_nothing_beside_half_of_workers, 0,
 		SPLIT_SEEDS);
-	tcase_add_loop_test(tests,
+	tcase_add_loop_test(votes,
 			    test_successor_without_majority_starts_new_jobs, 0,
 			    SPLIT_SEEDS);
 	tcase_add_loop_test(
-		tests, test_new_workers_do_not_outvote_those_of_earlier_owner,
+		votes, test_new_workers_do_not_outvote_those_of_earlier_owner,
 		0, SPLIT_SEEDS);
 	tcase_add_loop_test(
-		tests,
+		votes,
 		test_dead_owner_and_silent_workers_hold_back_no_job_for_good, 0,
 		4);
-	tcase_add_loop_test(tests,
+	tcase_add_loop_test(votes,
 			    test_split_fleet_runs_no_task_twice_in_the_end, 0,
 			    SPLIT_SEEDS);
-	tcase_add_loop_test(tests,
+	tcase_add_loop_test(votes,
 			    test_restarted_worker_never_reached_does_not_vouch,
 			    0, SPLIT_SEEDS);
-	tcase_add_loop_test(tests, test_workers_of_earlier_outage_vouch_again,
+	tcase_add_loop_test(votes, test_workers_of_earlier_outage_vouch_again,
 			    0, 4);
 	suite_add_tcase(suite, tests);
+	suite_add_tcase(suite, votes);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
