Write the free capacity of a worker, and whose answers count, once

The free CPU, memory and accelerators of a worker were computed in three places, two of them candidates for bin packing; and the conditions under which a worker may vouch for an owner stood twice in owner_ownership.c, in the same words.

--- a/packages/jobs/src/owner_hold.c
+++ b/packages/jobs/src/owner_hold.c
@@ -42,6 +42,7 @@
 		     const struct binpack_request *request)
 {
 	const struct resources need = binpack_reserved(request);
+	const struct binpack_candidate room = owner_worker_candidate(worker);
 	uint32_t same_group = 0;
 
 	for (guint i = 0; i < worker->tasks->len; i++) {
@@ -51,12 +52,9 @@
 		same_group += task->group == group;
 	}
 	return worker_has_label(worker, group->step->label) &&
-	       worker->capacity.cpu_milli - worker->used.cpu_milli >=
-		       need.cpu_milli &&
-	       worker->capacity.memory_mb - worker->used.memory_mb >=
-		       need.memory_mb &&
-	       worker->capacity.accelerators - worker->used.accelerators >=
-		       need.accelerators &&
+	       room.cpu_free_milli >= need.cpu_milli &&
+	       room.memory_free_mb >= need.memory_mb &&
+	       room.accelerators_free >= need.accelerators &&
 	       (request->max_per_worker == 0 ||
 		same_group < request->max_per_worker);
 }
@@ -121,19 +119,11 @@
 {
 	const struct catalogue_queue *queue =
 		owner_job_queue(owner, group->occurrence->job);
-	struct binpack_candidate candidate = {
-		.cpu_free_milli =
-			worker->capacity.cpu_milli - worker->used.cpu_milli,
-		.memory_free_mb =
-			worker->capacity.memory_mb - worker->used.memory_mb,
-		.accelerators_free = worker->capacity.accelerators -
-				     worker->used.accelerators,
-		.capacity = worker->capacity,
-		.single_task_only = true,
-	};
+	struct binpack_candidate candidate = owner_worker_candidate(worker);
 
 	if (queue && queue->needs_advice && !owner_advice_ticket(group, worker))
 		return -1;
+	candidate.single_task_only = true;
 	g_ptr_array_add(pool->workers, worker);
 	g_array_append_val(pool->candidates, candidate);
 	return (int32_t)pool->workers->len - 1;
--- a/packages/jobs/src/owner_ownership.c
+++ b/packages/jobs/src/owner_ownership.c
@@ -124,28 +124,32 @@
 		!owner->ops->lease_is_valid(owner->data);
 }
 
+/* Returns whether answers of a worker count. One that was discovered or has
+ * restarted without a valid lease may have lost the token of a successor. */
+static bool worker_can_vouch(const struct worker *worker)
+{
+	return worker->has_reported && !worker->ended &&
+	       worker->last_poll_reported && !worker->discovered_without_lease;
+}
+
 /* Time up to which a worker has shown that no successor had reached it; 0 if it
  * has not answered since the lease ended. */
 static uint64_t worker_vouches_until_ms(const struct owner *owner,
 					const struct worker *worker)
 {
-	if (!worker->has_reported || worker->ended ||
-	    !worker->last_poll_reported || !worker_is_reachable(worker) ||
-	    worker->discovered_without_lease ||
+	if (!worker_can_vouch(worker) || !worker_is_reachable(worker) ||
 	    worker->answered_poll_sent_ms < owner->verifying_since_ms)
 		return 0;
 	return worker->answered_poll_sent_ms + answer_age_max_ms(owner);
 }
 
-/* Returns whether a worker says nothing: it has not answered a poll that was
- * sent while others did, or it may have lost the token of a successor. If it
- * has not been polled since, it may know of a successor. */
+/* Returns whether a worker says nothing: its answers do not count, or it has
+ * not answered a poll that was sent while others did. If it has not been polled
+ * since, it may know of a successor. */
 static bool worker_is_left_out(const struct owner *owner,
 			       const struct worker *worker)
 {
-	return !worker->has_reported || worker->ended ||
-	       worker->discovered_without_lease ||
-	       !worker->last_poll_reported ||
+	return !worker_can_vouch(worker) ||
 	       (!worker_is_reachable(worker) &&
 		worker->failed_poll_sent_ms >= owner->contact_since_ms);
 }
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -89,10 +89,9 @@
 	return HOLD_NONE;
 }
 
-static void candidate_add(const struct owner *owner, struct schedule_pool *pool,
-			  struct worker *worker, uint64_t now_ms)
+struct binpack_candidate owner_worker_candidate(const struct worker *worker)
 {
-	struct binpack_candidate candidate = {
+	return (struct binpack_candidate){
 		.cpu_free_milli =
 			worker->capacity.cpu_milli - worker->used.cpu_milli,
 		.memory_free_mb =
@@ -101,6 +100,12 @@
 				     worker->used.accelerators,
 		.capacity = worker->capacity,
 	};
+}
+
+static void candidate_add(const struct owner *owner, struct schedule_pool *pool,
+			  struct worker *worker, uint64_t now_ms)
+{
+	struct binpack_candidate candidate = owner_worker_candidate(worker);
 
 	candidate.crash_loss =
 		owner_crash_loss(worker, now_ms, &candidate.has_suspects);
--- a/packages/jobs/src/owner_schedule.h
+++ b/packages/jobs/src/owner_schedule.h
@@ -77,6 +77,10 @@
 owner_occurrence_work(const struct job_occurrence *occurrence,
 		      const struct catalogue_queue *queue);
 
+/** @brief Returns a candidate that has the free capacity of a worker, and none
+ *  of what ranks it among others. */
+struct binpack_candidate owner_worker_candidate(const struct worker *worker);
+
 /** @brief Returns why a worker gets no tasks, HOLD_NONE if it may get some. */
 enum hold owner_worker_refusal(const struct owner *owner, struct worker *worker,
 			       uint64_t now_ms);
