--- a/review/standin-2/given_up.c
+++ b/review/standin-2/given_up.c
@@ -10,7 +10,7 @@
 
 #define WORKERS 12
 #define RACK 4
-#define JOBS 3
+#define JOBS 1
 #define DOWN_MS 400
 #define ENTRY_MS 1400
 /* finish_s, and the time that the work takes. */
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -35,7 +35,7 @@
 
 /* Writes a key as the operator. */
 void world_operator_write(const char *name, const char *value);
-/* Delays each answer of the store but those to watches. */
+/* Delays each call to the store but watches; 0: no delay. */
 void world_store_slow(uint32_t ms);
 
 /* Adds a worker; returns its index. */
@@ -48,6 +48,14 @@
  */
 void world_worker_crash_dark(size_t index, uint32_t down_ms, uint32_t entry_ms);
 
+/* The same, but its connections are reset at once. */
+void world_worker_crash(size_t index, uint32_t down_ms, uint32_t entry_ms);
+/* The channel of the next order to start goes silent for good once the order
+ * has arrived and been carried out. */
+void world_worker_silence_next(size_t index);
+/* Number of starts after an acknowledged end `done` of the work item. */
+uint32_t world_twice_count(void);
+
 /* Makes one call; returns the status, 0 for no answer. */
 int world_call(uint16_t port, const char *method, const char *path,
 	       const char *host, const char *body, uint32_t timeout_ms,
