--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,6 @@
 for case in review/standin-2/*.c; do
 	name=$(basename "$case" .c)
 	[ "$name" = world ] && continue
-	gcc -std=gnu11 -O2 -Wall -Wextra -o "$out/$name" "$case" \
+	gcc -std=gnu11 -O2 -Wall -Wextra -Wno-format-truncation -o "$out/$name" "$case" \
 		review/standin-2/world.c -ljansson -lpthread
 done
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <sys/types.h>
 
 #define WORLD_WORKERS_MAX 64
@@ -29,8 +30,14 @@
 bool world_trouble(void);
 uint64_t world_now_ms(void);
 void world_pause(uint32_t ms);
-void world_record(const char *format, ...)
-	__attribute__((format(printf, 1, 2)));
+void world_record_line(const char *text);
+#define world_record(...)                                                      \
+	do {                                                                   \
+		char line_[512];                                               \
+                                                                               \
+		snprintf(line_, sizeof(line_), __VA_ARGS__);                   \
+		world_record_line(line_);                                      \
+	} while (0)
 uint16_t world_free_port(void);
 
 /* Writes a key as the operator. */
