--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -29,6 +29,7 @@
 #define EVENTS_MAX 65536
 #define RUNS_MAX 512
 #define ENDS_MAX 1024
+#define FDS_MAX (CONNS_MAX + WORLD_WORKERS_MAX + WORLD_PROCESSES_MAX + 1)
 #define BODY_MAX (4 * 1024 * 1024)
 #define NOTED_MAX 1024
 #define STOP_MS 50
@@ -61,6 +62,8 @@
 	int64_t id;
 	uint32_t ttl_ms;
 	uint64_t until_ms;
+	/* index of the process that it was granted to */
+	int process;
 };
 
 struct run {
@@ -116,6 +119,7 @@
 struct conn {
 	int fd;
 	enum role role;
+	/* index of the worker, or for the store of the process that calls */
 	int worker;
 	/* of a worker's earlier lifetime: what arrives is answered by a reset
 	 */
@@ -147,8 +151,12 @@
 static size_t worker_count;
 static struct conn conns[CONNS_MAX];
 static size_t conn_count;
-static int store_listener, cloud_listener;
-static uint16_t store_port, cloud_port;
+static int store_listeners[WORLD_PROCESSES_MAX];
+static uint16_t store_ports[WORLD_PROCESSES_MAX];
+static bool store_refuses[WORLD_PROCESSES_MAX];
+static size_t process_count;
+static int cloud_listener;
+static uint16_t cloud_port;
 static uint32_t store_slow_ms;
 static char noted[NOTED_MAX][80];
 static size_t noted_count;
@@ -187,13 +195,16 @@
 		;
 }
 
-static int listen_any(uint16_t *port)
+static int listen_at(uint16_t *port)
 {
-	struct sockaddr_in addr = { .sin_family = AF_INET };
+	struct sockaddr_in addr = { .sin_family = AF_INET,
+				    .sin_port = htons(*port) };
 	socklen_t len = sizeof(addr);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
 
 	inet_pton(AF_INET, "127.0.0.1", &addr.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (fd < 0 || bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
 	    listen(fd, 512) != 0 ||
 	    getsockname(fd, (struct sockaddr *)&addr, &len) != 0)
@@ -202,6 +213,12 @@
 	return fd;
 }
 
+static int listen_any(uint16_t *port)
+{
+	*port = 0;
+	return listen_at(port);
+}
+
 uint16_t world_free_port(void)
 {
 	uint16_t port;
@@ -576,8 +593,12 @@
 
 	if (lease_count == LEASES_MAX)
 		exit(2);
-	leases[lease_count++] =
-		(struct lease){ ++next_lease, ttl_ms, world_now_ms() + ttl_ms };
+	leases[lease_count++] = (struct lease){
+		.id = ++next_lease,
+		.ttl_ms = ttl_ms,
+		.until_ms = world_now_ms() + ttl_ms,
+		.process = conn->worker,
+	};
 	respond(conn, 200,
 		json_pack("{s:I,s:i}", "lease", (json_int_t)next_lease,
 			  "ttl_ms", (int)ttl_ms));
@@ -597,7 +618,9 @@
 
 static void store_serve(struct conn *conn, const char *path, const json_t *body)
 {
-	if (strncmp(path, "/-/kv-key?", 10) == 0) {
+	if (store_refuses[conn->worker]) {
+		respond(conn, 503, NULL);
+	} else if (strncmp(path, "/-/kv-key?", 10) == 0) {
 		char *name = query_get(path, "key");
 		struct key *key = key_find(name ? name : "");
 		json_t *out = key ? key_json(key) : json_object();
@@ -660,7 +683,8 @@
 			json_pack("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:i,s:i,s:i},"
 				  "s:s}",
 				  "machine", worker->machine, "pool",
-				  worker->pool, "state", "up", "zone", "z1",
+				  worker->pool, "state",
+				  worker->dark ? "down" : "up", "zone", "z1",
 				  "labels", "a", worker->rack, "capacity",
 				  "cpu", (int)worker->cpu, "mem_mb", 65536,
 				  "gpu", 0, "id", worker->id));
@@ -833,8 +857,19 @@
 		memcpy(noted[noted_count++], end->task, sizeof(noted[0]));
 }
 
-static void start_check(const char *task, uint32_t run)
+static void start_check(const struct worker *worker, const char *task,
+			uint32_t run)
 {
+	for (size_t i = 0; i < worker_count; i++) {
+		const struct run *other = run_find(&workers[i], task);
+
+		if (!other || &workers[i] == worker || workers[i].dark)
+			continue;
+		world_record("TWICE: work item %s run %u starts at worker %s "
+			     "while run %u is at worker %s",
+			     task, run, worker->id, other->run, workers[i].id);
+		twice_count++;
+	}
 	for (size_t i = 0; i < noted_count; i++) {
 		if (strcmp(noted[i], task) != 0)
 			continue;
@@ -885,7 +920,7 @@
 	world_record("worker %s: work item %s run %u starts%s", worker->id,
 		     task, number,
 		     worker->silences ? ", its channel goes silent" : "");
-	start_check(task, number);
+	start_check(worker, task, number);
 	if (worker->silences)
 		conn->silent = true;
 	else
@@ -974,6 +1009,8 @@
 
 		if (worker->dark && now_ms >= worker->restart_ms) {
 			worker->dark = false;
+			if (worker->listener < 0)
+				worker->listener = listen_at(&worker->port);
 			lifetime_begin(worker);
 			world_record("worker %s starts again under its id",
 				     worker->id);
@@ -1137,11 +1174,11 @@
 
 static void iteration(void)
 {
-	static struct pollfd fds[CONNS_MAX + WORLD_WORKERS_MAX + 2];
+	static struct pollfd fds[FDS_MAX];
 	static struct {
 		int conn;
 		int worker;
-	} what[CONNS_MAX + WORLD_WORKERS_MAX + 2];
+	} what[FDS_MAX];
 	size_t count = 0;
 	uint64_t now_ms;
 
@@ -1151,7 +1188,8 @@
 		what[count].conn = conn_index;                                 \
 		what[count++].worker = worker_index;                           \
 	} while (0)
-	WATCH(store_listener, -1, -1);
+	for (size_t i = 0; i < process_count; i++)
+		WATCH(store_listeners[i], -1, WORLD_WORKERS_MAX + (int)i);
 	WATCH(cloud_listener, -1, -2);
 	for (size_t i = 0; i < worker_count; i++) {
 		if (!workers[i].dark)
@@ -1171,13 +1209,14 @@
 		if (!fds[i].revents)
 			continue;
 		if (what[i].conn < 0) {
-			if (what[i].worker >= 0 && workers[what[i].worker].dark)
-				continue;
-			conn_accept(fds[i].fd,
-				    what[i].worker == -1   ? ROLE_STORE
-				    : what[i].worker == -2 ? ROLE_CLOUD
-							   : ROLE_WORKER,
-				    what[i].worker);
+			if (what[i].worker >= WORLD_WORKERS_MAX)
+				conn_accept(fds[i].fd, ROLE_STORE,
+					    what[i].worker - WORLD_WORKERS_MAX);
+			else if (what[i].worker == -2)
+				conn_accept(fds[i].fd, ROLE_CLOUD, 0);
+			else if (!workers[what[i].worker].dark)
+				conn_accept(fds[i].fd, ROLE_WORKER,
+					    what[i].worker);
 			continue;
 		}
 		conn = &conns[what[i].conn];
@@ -1216,6 +1255,8 @@
 {
 	world_worker_crash_dark(index, down_ms, entry_ms);
 	pthread_mutex_lock(&lock);
+	close(workers[index].listener);
+	workers[index].listener = -1;
 	for (size_t i = 0; i < conn_count; i++) {
 		if (conns[i].fd >= 0 && conns[i].stale &&
 		    conns[i].worker == (int)index)
@@ -1229,6 +1270,28 @@
 	workers[index].silences = true;
 }
 
+void world_store_turn_away(const struct world_process *process, bool refuses)
+{
+	int index = (int)process->index;
+
+	pthread_mutex_lock(&lock);
+	store_refuses[index] = refuses;
+	for (size_t i = 0; refuses && i < conn_count; i++) {
+		if (conns[i].fd >= 0 && conns[i].role == ROLE_STORE &&
+		    conns[i].worker == index && conns[i].waits)
+			conn_reset(&conns[i]);
+	}
+	for (size_t i = lease_count; refuses && i-- > 0;) {
+		if (leases[i].process == index)
+			lease_end(&leases[i]);
+	}
+	world_record("the store %s %s",
+		     refuses ? "turns away, and takes the keys of,"
+			     : "serves again",
+		     process->name);
+	pthread_mutex_unlock(&lock);
+}
+
 uint32_t world_twice_count(void)
 {
 	return twice_count;
@@ -1357,6 +1420,12 @@
 	uint16_t peer = world_free_port();
 	FILE *file;
 
+	pthread_mutex_lock(&lock);
+	snprintf(process->name, sizeof(process->name), "%s", name);
+	process->index = process_count++;
+	store_listeners[process->index] =
+		listen_any(&store_ports[process->index]);
+	pthread_mutex_unlock(&lock);
 	process->front = world_free_port();
 	process->ready = world_free_port();
 	snprintf(process->metrics, sizeof(process->metrics), "%u",
@@ -1371,7 +1440,7 @@
 		"ip=127.0.0.1\nzone=z1\nregion=r1\nzones.z1=r1\n"
 		"listen.front=127.0.0.1:%u\nlisten.ready=127.0.0.1:%u\n"
 		"port_range=%u,%u\nseeds=\nbootstrap=true\n"
-		"limits.cpu_share=0.25\nlimits.cores=1\nlimits.memory_mb=260\n"
+		"limits.cpu_share=%s\nlimits.cores=1\nlimits.memory_mb=260\n"
 		"limits.max_fds=4100\nlimits.link_mbps=1000.0\n"
 		"discovery=platform\nentry=vip\nheartbeat_ms=%u\n"
 		"contracts=base,drain,config,cost,recover,sched,platform,"
@@ -1393,8 +1462,10 @@
 		"cloud.duty_per_s=64.0\n",
 		name, (unsigned int)process->front,
 		(unsigned int)process->ready, (unsigned int)peer,
-		(unsigned int)peer, HEARTBEAT_MS, WORLD_MAX_HOLD_MS,
-		(unsigned int)store_port, (unsigned int)cloud_port);
+		(unsigned int)peer, process->index == 0 ? "0.5" : "0.25",
+		HEARTBEAT_MS, WORLD_MAX_HOLD_MS,
+		(unsigned int)store_ports[process->index],
+		(unsigned int)cloud_port);
 	fclose(file);
 }
 
@@ -1437,7 +1508,6 @@
 	record_file = fopen(record, "w");
 	if (!record_file)
 		exit(2);
-	store_listener = listen_any(&store_port);
 	cloud_listener = listen_any(&cloud_port);
 	pthread_create(&thread, NULL, loop_run, NULL);
 }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -13,12 +13,15 @@
 #include <sys/types.h>
 
 #define WORLD_WORKERS_MAX 64
+#define WORLD_PROCESSES_MAX 4
 #define WORLD_MAX_HOLD_MS 6000
 
 /* A process of the system. */
 struct world_process {
+	char name[24];
 	char file[256];
 	char metrics[8];
+	size_t index;
 	uint16_t front;
 	uint16_t ready;
 	pid_t pid;
@@ -45,6 +48,9 @@
 /* Delays each call to the store but watches; 0: no delay. */
 void world_store_slow(uint32_t ms);
 
+/* The store answers a process with 503 and takes its keys, or serves it. */
+void world_store_turn_away(const struct world_process *process, bool refuses);
+
 /* Adds a worker; returns its index. */
 size_t world_worker_add(const char *pool, const char *rack, uint32_t cpu);
 const char *world_worker_id(size_t index);
@@ -60,7 +66,7 @@
 /* The channel of the next order to start goes silent for good once the order
  * has arrived and been carried out. */
 void world_worker_silence_next(size_t index);
-/* Number of starts after an acknowledged end `done` of the work item. */
+/* Number of starts beside another run, or after an acknowledged end `done`. */
 uint32_t world_twice_count(void);
 
 /* Makes one call; returns the status, 0 for no answer. */
