Log the last acknowledgement to a worker that has restarted

The log says that the worker had restarted and that its run was missing, but not whether an acknowledgement had reached the new incarnation.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -165,6 +165,9 @@
 	uint64_t acked;
 	uint64_t ends_seen;
 	GArray *ends;
+	/** highest acknowledgement that was sent, and the local time of that */
+	uint64_t ack_sent;
+	uint64_t ack_sent_ms;
 	/** highest acknowledgement that the worker has received */
 	uint64_t acks_received;
 	/** consecutive reports that arrived late */
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -86,6 +86,8 @@
 	worker->acks_received = 0;
 	worker->late_reports = 0;
 	worker->ends_seen = 0;
+	worker->ack_sent = 0;
+	worker->ack_sent_ms = 0;
 	worker->has_reported = false;
 	worker->has_more_ends = false;
 	worker->stray_runs = 0;
@@ -104,10 +106,16 @@
  */
 static void incarnation_replace(struct worker *worker, uint64_t started_unix_ms)
 {
-	log_info("worker-restarted",
-		 "worker %s has a new incarnation, service %s, tasks of the "
-		 "earlier one %u",
-		 worker->id, worker->service, worker->tasks->len);
+	log_info(
+		"worker-restarted",
+		"worker %s has a new incarnation, service %s, tasks of the "
+		"earlier one %u; of %" G_GUINT64_FORMAT
+		" ends of it that were reported, %" G_GUINT64_FORMAT
+		" were acknowledged, by a poll that was sent %" G_GUINT64_FORMAT
+		" ms ago",
+		worker->id, worker->service, worker->tasks->len,
+		worker->ends_seen, worker->ack_sent,
+		loop_now_ms() - worker->ack_sent_ms);
 	worker->started_unix_ms = started_unix_ms;
 	worker->restarted_ms = loop_now_ms();
 	worker->ended = false;
@@ -163,6 +171,10 @@
 	call->serial = ++worker->poll_serial;
 	call->acked_upto = poll->acked_upto;
 	call->resolves_orders = worker->resolving;
+	if (poll->acked_upto > worker->ack_sent) {
+		worker->ack_sent = poll->acked_upto;
+		worker->ack_sent_ms = call->sent_ms;
+	}
 	worker->polling = true;
 	worker->poll_at_once = false;
 	worker->may_ack = false;
