Keep a connection whose response arrives before its write is reported

What callers saw: nothing directly; connections to workers and to the store were opened anew more often than needed.

Cause: h2o runs the callback of a write after that of a read in the same iteration. A response that arrives within one iteration, as from a server on the same machine or after a pause of the process, was complete while its request still counted as being written, so the connection was closed.

Change: a complete response waits for the report of the write, for 5 ms at most; after that the server has responded early and the connection is closed as before.

--- a/packages/runtime/src/http_conn.c
+++ b/packages/runtime/src/http_conn.c
@@ -6,7 +6,13 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/* The loop reports that a request was written in the same iteration as a
+ * response that arrives at once. A server that has not read the request by then
+ * has responded early. */
+#define HTTP_CONN_WRITE_REPORT_MS 5
+
 struct http_conn {
+	struct loop *loop;
 	h2o_socket_t *sock;
 	const struct http_conn_ops *ops;
 	void *data;
@@ -23,6 +29,8 @@
 	bool body_rejected;
 	bool is_complete;
 	bool keep_alive;
+	/* for the report that the request of a complete response was written */
+	struct timer write_timer;
 };
 
 static struct http_conn *conn_from_parser(http_parser *parser)
@@ -115,11 +123,24 @@
 static void exchange_complete(struct http_conn *conn, enum err_kind err,
 			      bool reusable)
 {
+	timer_cancel(&conn->write_timer);
 	conn->in_exchange = false;
 	conn->ops->on_complete(conn->data, err,
 			       (uint16_t)conn->parser.status_code, reusable);
 }
 
+static void response_complete(struct http_conn *conn)
+{
+	exchange_complete(conn, conn->is_delimited ? ERR_NONE : ERR_CUT,
+			  conn->keep_alive &&
+				  !h2o_socket_is_writing(conn->sock));
+}
+
+static void on_write_report_due(void *data)
+{
+	response_complete(data);
+}
+
 /* Parses received bytes. A response delimited only by the close of the
  * connection may be truncated, so it ends with ERR_CUT. */
 static void input_parse(struct http_conn *conn, bool closed)
@@ -127,7 +148,6 @@
 	h2o_buffer_t **input = &conn->sock->input;
 	size_t size = (*input)->size;
 	size_t used;
-	bool reusable;
 
 	used = http_parser_execute(&conn->parser, &parser_settings,
 				   (*input)->bytes, size);
@@ -135,10 +155,12 @@
 	if (conn->body_rejected) {
 		exchange_complete(conn, ERR_TOO_LARGE, false);
 	} else if (conn->is_complete) {
-		reusable = conn->keep_alive && used == size && !closed &&
-			   !h2o_socket_is_writing(conn->sock);
-		exchange_complete(conn, conn->is_delimited ? ERR_NONE : ERR_CUT,
-				  reusable);
+		conn->keep_alive &= used == size && !closed;
+		if (conn->keep_alive && h2o_socket_is_writing(conn->sock))
+			loop_timer_set(conn->loop, &conn->write_timer,
+				       HTTP_CONN_WRITE_REPORT_MS);
+		else
+			response_complete(conn);
 	} else if (closed || used != size) {
 		exchange_complete(conn, ERR_CUT, false);
 	}
@@ -148,15 +170,24 @@
 {
 	struct http_conn *conn = sock->data;
 
-	if (!conn->in_exchange)
+	if (!conn->in_exchange) {
 		conn->ops->on_idle_close(conn->data);
-	else
+	} else if (conn->is_complete) {
+		/* Closed, or bytes without a request. */
+		conn->keep_alive = false;
+		response_complete(conn);
+	} else {
 		input_parse(conn, err != NULL);
+	}
 }
 
+/* A write error also fails the read, and on_read() reports it. */
 static void on_written(h2o_socket_t *sock, const char *err)
 {
-	/* A write error also fails the read, and on_read() reports it. */
+	struct http_conn *conn = sock->data;
+
+	if (timer_is_set(&conn->write_timer))
+		response_complete(conn);
 }
 
 static void on_connected(h2o_socket_t *sock, const char *err)
@@ -184,6 +215,9 @@
 	if (!sock)
 		return NULL;
 	conn = g_new0(struct http_conn, 1);
+	conn->loop = loop;
+	conn->write_timer.cb = on_write_report_due;
+	conn->write_timer.data = conn;
 	conn->sock = sock;
 	sock->data = conn;
 	conn->ops = ops;
@@ -210,6 +244,7 @@
 		return;
 	if (conn->in_exchange)
 		unsent_bytes_discard(conn);
+	timer_cancel(&conn->write_timer);
 	h2o_socket_close(conn->sock);
 	g_string_free(conn->header_name, TRUE);
 	g_string_free(conn->header_value, TRUE);
