Let a call name the connection that has to carry it

What is sent over a connection that has carried a response reaches the process that gave that response, or none. A caller that must not reach the next process at the address had no way to ask for that.

Change: each connection has a number, which a response gives and a request can name; if that connection is not idle any more, the call ends with ERR_CONNECT and nothing is sent. Calls with a channel keep their connections for each other. The reusable connections of an address move to http_host.

test_named_connection_carries_the_call covers both.

--- a/packages/runtime/include/http_client.h
+++ b/packages/runtime/include/http_client.h
@@ -71,8 +71,16 @@
 	bool (*may_send)(void *may_send_data);
 	void *may_send_data;
 	/** limit of reusable connections to the address; concurrent calls
-	 *  beyond the limit use connections that are closed after the call */
+	 *  beyond the limit use connections that are closed after the call,
+	 *  unless they have a channel */
 	uint32_t reuse_max;
+	/** calls with the same channel reuse each other's connections and no
+	 *  others; 0 for the calls without one */
+	uint64_t channel;
+	/** the only connection that may carry the call, see
+	 *  http_client_response.connection; if it is not idle any more, the
+	 *  call ends with ERR_CONNECT. 0 for any */
+	uint64_t connection;
 	/** how long the server may wait before it responds, part of
 	 *  timeout_ms */
 	uint32_t server_wait_ms;
@@ -93,6 +101,10 @@
 	size_t header_count;
 	const void *body;
 	size_t body_len;
+	/** number of the connection that carried the response, if it is kept
+	 *  for reuse, else 0. All that it carries goes to the same process of
+	 *  the server. */
+	uint64_t connection;
 };
 
 /**
--- a/packages/runtime/src/http_client.c
+++ b/packages/runtime/src/http_client.c
@@ -3,51 +3,30 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-#include "http_conn.h"
+#include "http_host.h"
 #include "http_request.h"
 
 /* The state of an address is dropped this long after its last call. */
 #define HTTP_CLIENT_HOST_TTL_MS 10000
 /* Interval at which expired idle connections are closed. */
 #define HTTP_CLIENT_EVICT_INTERVAL_MS 1000
-/* A connection idle for less than this is reused without a check by recv():
- * idle timeouts of servers are far longer, and the loop reports a close. */
-#define HTTP_CLIENT_CHECK_AFTER_IDLE_MS 50
-
-/* An address with reusable connections. */
-struct http_client_host {
-	struct http_client *client;
-	uint64_t key;
-	/* list of struct http_client_idle_conn, most recently used first */
-	GQueue idle;
-	/* list of struct http_client_call, in flight over reusable
-	 * connections */
-	GQueue calls;
-	uint64_t last_used_ms;
-};
-
-/* An idle connection that can be reused. */
-struct http_client_idle_conn {
-	struct http_client_host *host;
-	struct http_conn *conn;
-	uint64_t idle_since_ms;
-	GList link;
-};
 
 struct http_client {
 	struct loop *loop;
-	/* address to struct http_client_host */
+	/* address to struct http_host */
 	GHashTable *hosts;
 	struct timer evict_timer;
 	uint32_t idle_max_ms;
+	/* number of the newest connection */
+	uint64_t connections;
 	struct http_client_counts counts;
 };
 
 /* One sending of a call's request. */
 struct http_client_try {
 	struct http_client_call *call;
-	/* NULL if it has not begun or has failed */
-	struct http_conn *conn;
+	/* its conn is NULL if it has not begun or has failed */
+	struct http_host_conn via;
 };
 
 struct http_client_call {
@@ -55,7 +34,7 @@
 	char ip[INET_ADDRSTRLEN];
 	uint16_t port;
 	/* NULL if the connection is not reusable */
-	struct http_client_host *host;
+	struct http_host *host;
 	GList link;
 	struct http_client_try first;
 	struct http_client_try repeat;
@@ -68,6 +47,9 @@
 	uint32_t connect_timeout_ms;
 	uint32_t server_wait_ms;
 	uint32_t repeat_after_ms;
+	uint64_t channel;
+	/* number of the connection that is kept for reuse, 0 for none */
+	uint64_t kept_connection;
 	/* the first connection was idle before, not opened for the call */
 	bool reused;
 	bool repeated;
@@ -86,119 +68,34 @@
 	GStringChunk *strings;
 };
 
-static uint64_t host_key(const char *ip, uint16_t port)
+static struct http_host *host_find(const struct http_client *client,
+				   const char *ip, uint16_t port)
 {
-	struct in_addr addr = { 0 };
-
-	inet_pton(AF_INET, ip, &addr);
-	return (uint64_t)addr.s_addr << 16 | port;
-}
-
-static struct http_client_host *host_find(const struct http_client *client,
-					  const char *ip, uint16_t port)
-{
-	uint64_t key = host_key(ip, port);
+	uint64_t key = http_host_key(ip, port);
 
 	return g_hash_table_lookup(client->hosts, &key);
 }
 
-static void idle_conn_close(struct http_client_idle_conn *idle)
-{
-	g_queue_unlink(&idle->host->idle, &idle->link);
-	http_conn_close(idle->conn);
-	g_free(idle);
-}
-
 static void host_free(gpointer data)
 {
-	struct http_client_host *host = data;
-
-	while (host->idle.head)
-		idle_conn_close(host->idle.head->data);
-	g_free(host);
-}
-
-static void host_add(struct http_client *client, const char *ip, uint16_t port)
-{
-	struct http_client_host *host = g_new0(struct http_client_host, 1);
-
-	host->client = client;
-	host->key = host_key(ip, port);
-	host->last_used_ms = loop_now_ms();
-	g_queue_init(&host->idle);
-	g_queue_init(&host->calls);
-	g_hash_table_insert(client->hosts, &host->key, host);
-}
-
-static void idle_conn_add(struct http_client_host *host, struct http_conn *conn)
-{
-	struct http_client_idle_conn *idle =
-		g_new0(struct http_client_idle_conn, 1);
-
-	idle->host = host;
-	idle->conn = conn;
-	idle->idle_since_ms = loop_now_ms();
-	idle->link.data = idle;
-	http_conn_set_callback_data(conn, idle);
-	g_queue_push_head_link(&host->idle, &idle->link);
-}
-
-/* Takes the most recently used connection that is open, NULL for none. */
-static struct http_conn *idle_conn_acquire(struct http_client_host *host)
-{
-	while (host->idle.head) {
-		struct http_client_idle_conn *idle = host->idle.head->data;
-		uint64_t idle_ms = loop_now_ms() - idle->idle_since_ms;
-		struct http_conn *conn = idle->conn;
-
-		if (idle_ms <= host->client->idle_max_ms &&
-		    (idle_ms <= HTTP_CLIENT_CHECK_AFTER_IDLE_MS ||
-		     http_conn_is_open(conn))) {
-			g_queue_unlink(&host->idle, &idle->link);
-			g_free(idle);
-			return conn;
-		}
-		idle_conn_close(idle);
-	}
-	return NULL;
-}
-
-/* Closes the idle connections that have carried nothing since a time. */
-static void idle_conns_close(struct http_client_host *host, uint64_t since_ms)
-{
-	GList *next;
-
-	for (GList *at = host->idle.head; at; at = next) {
-		struct http_client_idle_conn *idle = at->data;
-
-		next = at->next;
-		if (idle->idle_since_ms <= since_ms)
-			idle_conn_close(idle);
-	}
+	http_host_destroy(data);
 }
 
 static gboolean host_evict_idle(gpointer key, gpointer value, gpointer data)
 {
-	struct http_client_host *host = value;
-	const uint64_t *now_ms = data;
-
-	while (host->idle.tail) {
-		struct http_client_idle_conn *idle = host->idle.tail->data;
+	struct http_host *host = value;
+	const struct http_client *client = data;
 
-		if (*now_ms - idle->idle_since_ms <= host->client->idle_max_ms)
-			break;
-		idle_conn_close(idle);
-	}
+	http_host_idle_evict(host, client->idle_max_ms);
 	return host->calls.length == 0 && host->idle.length == 0 &&
-	       *now_ms - host->last_used_ms > HTTP_CLIENT_HOST_TTL_MS;
+	       loop_now_ms() - host->last_used_ms > HTTP_CLIENT_HOST_TTL_MS;
 }
 
 static void on_evict_due(void *data)
 {
 	struct http_client *client = data;
-	uint64_t now_ms = loop_now_ms();
 
-	g_hash_table_foreach_remove(client->hosts, host_evict_idle, &now_ms);
+	g_hash_table_foreach_remove(client->hosts, host_evict_idle, client);
 	if (g_hash_table_size(client->hosts) > 0)
 		loop_timer_set(client->loop, &client->evict_timer,
 			       HTTP_CLIENT_EVICT_INTERVAL_MS);
@@ -207,10 +104,11 @@
 void http_client_set_reuse(struct http_client *client, const char *ip,
 			   uint16_t port, bool reuse)
 {
-	struct http_client_host *host = host_find(client, ip, port);
+	struct http_host *host = host_find(client, ip, port);
 
 	if (reuse && !host) {
-		host_add(client, ip, port);
+		host = http_host_create(http_host_key(ip, port));
+		g_hash_table_insert(client->hosts, &host->key, host);
 		if (!timer_is_set(&client->evict_timer))
 			loop_timer_set(client->loop, &client->evict_timer,
 				       HTTP_CLIENT_EVICT_INTERVAL_MS);
@@ -277,6 +175,7 @@
 		.header_count = call->headers->len,
 		.body = call->body->data,
 		.body_len = call->body->len,
+		.connection = call->kept_connection,
 	};
 
 	timer_cancel(&call->timer);
@@ -288,7 +187,7 @@
 
 static void try_close(struct http_client_try *try)
 {
-	http_conn_close(g_steal_pointer(&try->conn));
+	http_conn_close(g_steal_pointer(&try->via.conn));
 }
 
 static struct http_client_try *other_try(const struct http_client_try *try)
@@ -307,7 +206,7 @@
 
 static bool is_sent_twice(const struct http_client_call *call)
 {
-	return call->first.conn && call->repeat.conn;
+	return call->first.via.conn && call->repeat.via.conn;
 }
 
 /* Returns whether the connection may have become silent. The server answers
@@ -321,11 +220,11 @@
 
 /* Gives up the connections to the address that have carried nothing since a
  * response was due. */
-static void host_distrust(struct http_client_host *host, uint64_t due_ms)
+static void host_distrust(struct http_host *host, uint64_t due_ms)
 {
 	GList *next;
 
-	idle_conns_close(host, due_ms);
+	http_host_idle_close(host, due_ms);
 	for (GList *at = host->calls.head; at; at = next) {
 		struct http_client_call *call = at->data;
 
@@ -343,7 +242,7 @@
 	if (call->repeated) {
 		try_close(&call->repeat);
 		/* The server may have closed the first one meanwhile. */
-		if (!call->first.conn)
+		if (!call->first.via.conn)
 			call_complete(call, ERR_CUT);
 		return;
 	}
@@ -404,19 +303,17 @@
 		return;
 	}
 	try_prevail(try);
-	if (reusable && call->host)
-		idle_conn_add(call->host, g_steal_pointer(&try->conn));
-	else
+	if (reusable && call->host) {
+		call->kept_connection = try->via.number;
+		http_host_idle_add(call->host, &try->via);
+		try->via.conn = NULL;
+	} else {
 		try_close(try);
+	}
 	call->status = status;
 	call_complete(call, err);
 }
 
-static void on_idle_close(void *data)
-{
-	idle_conn_close(data);
-}
-
 /* Sends the request, or closes the connection if the deadline has passed or
  * may_send() no longer allows it: the process may have been paused since the
  * call was started. */
@@ -443,7 +340,7 @@
 	timer_set(timers, &call->timer, call->deadline_ms);
 	call->client->counts.calls++;
 	call->client->counts.bytes_sent += call->request->len;
-	http_conn_send(try->conn, call->request, call->is_head);
+	http_conn_send(try->via.conn, call->request, call->is_head);
 	return true;
 }
 
@@ -455,7 +352,7 @@
 	if (open && request_send(try))
 		return;
 	try_close(try);
-	if (!other_try(try)->conn)
+	if (!other_try(try)->via.conn)
 		call_complete(call, call->sent ? ERR_CUT : ERR_CONNECT);
 }
 
@@ -464,15 +361,19 @@
 	.on_header = on_header,
 	.on_body = on_body,
 	.on_complete = on_complete,
-	.on_idle_close = on_idle_close,
+	.on_idle_close = http_host_on_idle_close,
 };
 
 static void try_connect(struct http_client_try *try)
 {
 	struct http_client_call *call = try->call;
 
-	try->conn = http_conn_open(call->client->loop, call->ip, call->port,
-				   &conn_ops, try);
+	try->via = (struct http_host_conn){
+		.conn = http_conn_open(call->client->loop, call->ip, call->port,
+				       &conn_ops, try),
+		.number = ++call->client->connections,
+		.channel = call->channel,
+	};
 }
 
 /* Sends the request once more, unless that has been done or the response has
@@ -489,22 +390,26 @@
 }
 
 /* Reuses an idle connection or opens a new one. */
-static void conn_acquire(struct http_client_call *call, bool fresh)
+static void conn_acquire(struct http_client_call *call, uint64_t number,
+			 bool fresh)
 {
 	struct http_client_try *try = &call->first;
 
 	if (call->host && fresh)
-		idle_conns_close(call->host, loop_now_ms());
-	try->conn = call->host ? idle_conn_acquire(call->host) : NULL;
-	call->reused = try->conn != NULL;
+		http_host_idle_close(call->host, loop_now_ms());
+	if (call->host)
+		try->via = http_host_idle_acquire(call->host, call->channel,
+						  number,
+						  call->client->idle_max_ms);
+	call->reused = try->via.conn != NULL;
 	if (call->reused) {
-		http_conn_set_callback_data(try->conn, try);
+		http_conn_set_callback_data(try->via.conn, try);
 		request_send(try);
-	} else {
+	} else if (number == 0) {
 		try_connect(try);
 	}
 	/* A failure to start is reported from the loop, never from here. */
-	if (!try->conn)
+	if (!try->via.conn)
 		loop_timer_set(call->client->loop, &call->timer, 0);
 }
 
@@ -537,8 +442,10 @@
 	call->server_wait_ms = request->server_wait_ms;
 	call->repeat_after_ms = request->repeat_after_ms;
 	call->host = host_find(client, request->ip, request->port);
+	call->channel = request->channel;
 	/* Each reusable connection is idle or used by a listed call. */
-	if (call->host && call->host->calls.length >= request->reuse_max)
+	if (call->host && call->channel == 0 &&
+	    call->host->calls.length >= request->reuse_max)
 		call->host = NULL;
 	if (call->host)
 		g_queue_push_tail_link(&call->host->calls, &call->link);
@@ -555,7 +462,7 @@
 	call->connect_timeout_ms = connect_timeout_ms(request);
 	call->deadline_ms = loop_now_ms() + request->timeout_ms;
 	loop_timer_set(client->loop, &call->timer, call->connect_timeout_ms);
-	conn_acquire(call, request->fresh_connection);
+	conn_acquire(call, request->connection, request->fresh_connection);
 	return call;
 }
 
--- a/packages/runtime/tests/test_http_reuse.c
+++ b/packages/runtime/tests/test_http_reuse.c
@@ -11,6 +11,7 @@
 #include "http_client.h"
 
 #define CALLS 100
+#define CHANNEL 7
 
 static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
 
@@ -78,6 +79,7 @@
 	struct loop *loop;
 	enum err_kind err;
 	bool sent;
+	uint64_t connection;
 };
 
 static void on_end(void *data, enum err_kind err, bool sent,
@@ -87,6 +89,7 @@
 
 	end->err = err;
 	end->sent = sent;
+	end->connection = response ? response->connection : 0;
 	loop_stop(end->loop);
 }
 
@@ -118,10 +121,13 @@
 }
 
 /* The server responds before the loop runs. */
-static struct call_end call(struct fixture *fixture)
+static struct call_end call(struct fixture *fixture, uint64_t channel,
+			    uint64_t connection)
 {
 	struct call_end end = { .loop = fixture->loop };
 
+	fixture->request.channel = channel;
+	fixture->request.connection = connection;
 	http_client_call_start(fixture->client, &fixture->request, on_end,
 			       &end);
 	g_usleep(2000);
@@ -142,11 +148,34 @@
 
 	fixture_open(&fixture, CALLS);
 	for (int i = 0; i < CALLS; i++)
-		ck_assert_int_eq(call(&fixture).err, ERR_NONE);
+		ck_assert_uint_ne(call(&fixture, 0, 0).connection, 0);
 	ck_assert_int_eq(connections(&fixture), 1);
 }
 END_TEST
 
+/* A call that names a connection goes over it or over none, and a call without
+ * its channel does not take it. */
+START_TEST(test_named_connection_carries_the_call)
+{
+	static struct fixture fixture;
+	struct call_end end;
+	uint64_t named;
+
+	fixture_open(&fixture, 3);
+	named = call(&fixture, CHANNEL, 0).connection;
+	ck_assert_uint_ne(named, 0);
+	ck_assert_uint_ne(call(&fixture, 0, 0).connection, named);
+	ck_assert_uint_eq(call(&fixture, CHANNEL, named).connection, named);
+	/* The server closes it after this response. */
+	ck_assert_int_eq(call(&fixture, CHANNEL, named).err, ERR_NONE);
+	ck_assert_int_eq(call(&fixture, 0, 0).err, ERR_NONE);
+	end = call(&fixture, CHANNEL, named);
+	ck_assert_int_eq(end.err, ERR_CONNECT);
+	ck_assert(!end.sent);
+	ck_assert_int_eq(connections(&fixture), 2);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("http_reuse");
@@ -155,6 +184,7 @@
 	int failed;
 
 	tcase_add_test(tcase, test_prompt_response_keeps_the_connection);
+	tcase_add_test(tcase, test_named_connection_carries_the_call);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
