Acknowledge ends only over the connection of their report

Cause: an end is acknowledged once it is stored. While the store is slow that is long enough for the worker to crash, restart under its identity and run another task to its end; the acknowledgement then made the new incarnation forget an end that it had not listed. The poll names the worker's identity, which both incarnations share, and a new one knows no fencing token.

Change: a poll that acknowledges ends or renews the lease names the connection that carried the last report. A connection ends with the process that accepted it, so such a poll reaches that incarnation or none. Without that connection a poll over a new one asks for a report first.

The emulator and the stand-in end the connection of a poll with its incarnation; orders still reach the next one. Chaos from on and the fourth argument 3 of the soak restart workers while the store is slow.

--- a/packages/jobs/include/adapter.h
+++ b/packages/jobs/include/adapter.h
@@ -109,6 +109,9 @@
 	enum adapter_verdict verdict;
 	/** reading of the worker's steady clock, 0 if unknown */
 	uint64_t clock_ms;
+	/** of a poll: the connection that carried the answer, 0 if it is closed
+	 */
+	uint64_t connection;
 	/** report of an accepted poll, else NULL */
 	const struct adapter_report *report;
 };
@@ -131,8 +134,17 @@
 	const char *ticket;
 };
 
-/** A poll of a worker, which also renews its lease and acknowledges ends. */
+/**
+ * A poll of a worker, which also renews its lease and acknowledges ends.
+ *
+ * A connection ends with the incarnation of the worker that accepted it. So a
+ * poll over the connection of an earlier answer reaches the incarnation that
+ * gave that answer, or none; any other poll may reach the next incarnation.
+ */
 struct adapter_poll {
+	/** the only connection that may carry the poll, which fails with
+	 *  ERR_CONNECT if it is closed; 0 for any */
+	uint64_t connection;
 	/** end of the lease on the worker's clock; 0 does not renew it */
 	uint64_t lease_until_ms;
 	uint64_t fence;
--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -170,11 +170,9 @@
 	uint64_t ack_sent_ms;
 	/** highest acknowledgement that the worker has received */
 	uint64_t acks_received;
-	/** consecutive reports that arrived late */
-	uint32_t late_reports;
-	/** the last poll was answered, so the incarnation that reported the
-	 * ends certainly still ran then */
-	bool may_ack;
+	/** connection that carried the newest report, so that it reaches the
+	 *  same incarnation or none, see struct adapter_poll; 0 for none */
+	uint64_t connection;
 	/** unanswered orders wait to be resolved by a poll */
 	bool resolving;
 	/** the next poll does not wait for an end */
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -10,9 +10,6 @@
 #define WORKER_ORDER_TIMEOUT_MS 700
 /* The answer of a draining worker may be its last one. */
 #define WORKER_LAST_ANSWER_TIMEOUT_MS 2000
-/* A report that arrives later than this may be of an incarnation that has ended
- * meanwhile. */
-#define WORKER_REPORT_LATE_MS 100
 /* Delay before an unanswered or refused poll is repeated. */
 #define WORKER_POLL_RETRY_MS 250
 /* While an unanswered order may still arrive, a worker that restarts has not
@@ -29,6 +26,8 @@
 	struct worker_order order;
 	uint64_t serial;
 	uint64_t sent_ms;
+	/* see struct adapter_poll */
+	uint64_t connection;
 	uint64_t acked_upto;
 	bool resolves_orders;
 	/* set when it ends: another poll was answered while it was in flight */
@@ -64,9 +63,11 @@
 		MAX(env->fence_offset_max, worker->fence_offset);
 }
 
-/* Ignores the answers to the polls in flight. */
+/* Ignores the answers to the polls in flight, which use their connections for
+ * as long as they last. */
 static void polls_ignore(struct worker *worker)
 {
+	worker->connection = 0;
 	worker->poll_serial++;
 	worker->late_poll_serial = 0;
 	worker->late_poll_answered = false;
@@ -84,7 +85,6 @@
 	worker->lease_expired_ms = 0;
 	worker->acked = 0;
 	worker->acks_received = 0;
-	worker->late_reports = 0;
 	worker->ends_seen = 0;
 	worker->ack_sent = 0;
 	worker->ack_sent_ms = 0;
@@ -165,10 +165,10 @@
 	struct adapter_target target = worker_target(worker);
 	struct worker_call *call = call_create(worker);
 
-	poll->acked_upto = worker_unconfirmed_ack(worker);
 	poll->fence = worker_fence(worker);
 	call->order.fence = poll->fence;
 	call->serial = ++worker->poll_serial;
+	call->connection = poll->connection;
 	call->acked_upto = poll->acked_upto;
 	call->resolves_orders = worker->resolving;
 	if (poll->acked_upto > worker->ack_sent) {
@@ -177,22 +177,30 @@
 	}
 	worker->polling = true;
 	worker->poll_at_once = false;
-	worker->may_ack = false;
 	worker->late_poll_answered = false;
 	timer_cancel(&worker->poll_timer);
 	worker->env->platform->poll(worker->env->platform_self, &target, poll,
 				    timeout_ms, on_polled, call);
 }
 
+/*
+ * Ends are numbered and leases are measured from the start of an incarnation. A
+ * restarted worker would forget ends that it has not reported, so only a poll
+ * that cannot reach it acknowledges ends and renews the lease. Any other poll
+ * only asks for a report, reads the clock and raises the token.
+ */
 static void poll_start(struct worker *worker, uint32_t wait_ms)
 {
-	struct adapter_poll poll = { .wait_ms = wait_ms };
+	struct adapter_poll poll = { .wait_ms = wait_ms,
+				     .connection = worker->connection };
 	uint64_t now_ms = loop_now_ms();
 
-	/* The first poll only reads the clock and raises the token. The lease
-	 * of an unreachable worker is left to expire, so that its tasks can
-	 * continue elsewhere. */
-	if (worker->has_reported && worker->unanswered_calls == 0 &&
+	if (poll.connection != 0)
+		poll.acked_upto = worker->acked;
+	/* The lease of an unreachable worker is left to expire, so that its
+	 * tasks can continue elsewhere. */
+	if (poll.connection != 0 && worker->has_reported &&
+	    worker->unanswered_calls == 0 &&
 	    worker->env->ops->may_renew(worker->env->data))
 		poll.lease_until_ms = worker_lease_grant(worker, now_ms);
 	poll_send(worker, &poll, wait_ms + poll_timeout_ms(worker));
@@ -201,9 +209,7 @@
 }
 
 /* The connection of the poll in flight may carry nothing any more: polls on a
- * new one, until the timeout of the first poll. Acknowledges nothing, because
- * the worker may have restarted, and renews no lease, because the worker may be
- * unreachable. */
+ * new one, until the timeout of the first poll. */
 static void on_poll_late(void *data)
 {
 	struct worker *worker = data;
@@ -245,7 +251,8 @@
 {
 	struct worker *worker = data;
 	bool immediate = worker->resolving || !worker->has_reported ||
-			 worker->poll_at_once || !worker_is_reachable(worker) ||
+			 worker->connection == 0 || worker->poll_at_once ||
+			 !worker_is_reachable(worker) ||
 			 has_unstored_ends(worker);
 	uint32_t wait_ms = worker->env->poll_wait_max_ms;
 
@@ -266,9 +273,12 @@
 	if (unstored)
 		poll_schedule(worker, WORKER_POLL_UNSTORED_MS);
 	else if (worker->resolving || worker->tasks->len > 0 ||
-		 worker->stray_runs > 0 || worker->acked < worker->ends_seen ||
+		 worker->stray_runs > 0 ||
+		 worker->acks_received < worker->ends_seen ||
 		 worker->env->poll_idle || worker_may_get_late_orders(worker))
-		poll_schedule(worker, 0);
+		poll_schedule(worker, worker->connection != 0
+					      ? 0
+					      : WORKER_POLL_RETRY_MS);
 }
 
 /* Of a late poll and its repetition, the report that arrives last may have been
@@ -280,28 +290,41 @@
 	return call->overlapped && report->clock_ms < worker->report_clock_ms;
 }
 
+/* The connection of a report reaches the incarnation that made it. */
+static void connection_keep(struct worker *worker,
+			    const struct adapter_reply *reply)
+{
+	worker->connection = reply->connection;
+	if (reply->connection == 0)
+		log_info("poll-connection-closed",
+			 "worker %s closed the connection after a report; its "
+			 "lease is not renewed and %" G_GUINT64_FORMAT
+			 " of %" G_GUINT64_FORMAT
+			 " ends are not acknowledged before the next report",
+			 worker->id, worker->ends_seen - worker->ack_sent,
+			 worker->ends_seen);
+}
+
 static void report_apply(struct worker *worker, const struct worker_call *call,
-			 const struct adapter_report *report)
+			 const struct adapter_reply *reply)
 {
 	const struct worker_poll poll = { call->order.fence, call->serial };
+	const struct adapter_report *report = reply->report;
 
 	if (report->started_unix_ms != 0 && worker->started_unix_ms != 0 &&
 	    report->started_unix_ms != worker->started_unix_ms) {
 		incarnation_replace(worker, report->started_unix_ms);
+		connection_keep(worker, reply);
 		return;
 	}
 	if (report->started_unix_ms != 0)
 		worker->started_unix_ms = report->started_unix_ms;
+	connection_keep(worker, reply);
 	if (report_is_outdated(worker, call, report)) {
 		poll_schedule_next(worker);
 		return;
 	}
 	worker->report_clock_ms = report->clock_ms;
-	if (worker_clock_age_ms(worker, report->clock_ms) >
-	    WORKER_REPORT_LATE_MS)
-		worker->late_reports++;
-	else
-		worker->late_reports = 0;
 	worker_clock_update(worker, report->clock_ms);
 	if (call->resolves_orders && call->order.fence == worker_fence(worker))
 		worker->resolving = false;
@@ -311,8 +334,6 @@
 	worker->answered_poll_sent_ms = call->sent_ms;
 	worker->last_poll_reported = true;
 	worker->acks_received = MAX(worker->acks_received, call->acked_upto);
-	if (call->serial == worker->poll_serial)
-		worker->may_ack = true;
 	worker->env->ops->on_report(worker->env->data, worker, report, &poll);
 	if (!worker->dropped)
 		poll_schedule_next(worker);
@@ -356,6 +377,7 @@
 			enum err_kind err)
 {
 	worker->failed_poll_sent_ms = call->sent_ms;
+	worker->connection = 0;
 	/* The poll repeated one that was answered meanwhile. */
 	if (!worker->late_poll_answered)
 		worker_poll_unanswered(worker, err);
@@ -364,6 +386,21 @@
 				      : WORKER_POLL_RETRY_MS);
 }
 
+/* Returns whether the poll was not sent, because the one connection that could
+ * carry it was closed. */
+static bool connection_was_closed(const struct worker_call *call,
+				  const struct adapter_reply *reply)
+{
+	return call->connection != 0 && reply->err == ERR_CONNECT;
+}
+
+static void poll_reconnect(struct worker *worker)
+{
+	worker->connection = 0;
+	worker->ack_sent = worker->acks_received;
+	poll_schedule(worker, 0);
+}
+
 static void poll_answered(struct worker *worker, struct worker_call *call,
 			  const struct adapter_reply *reply)
 {
@@ -373,7 +410,7 @@
 	call->overlapped = !newest || worker->late_poll_answered;
 	worker->late_poll_answered = !newest;
 	if (reply->verdict == ADAPTER_ACCEPTED)
-		report_apply(worker, call, reply->report);
+		report_apply(worker, call, reply);
 	else
 		poll_refused(worker, call, reply);
 }
@@ -400,6 +437,8 @@
 			poll_finish(worker);
 		if (reply->err == ERR_NONE)
 			poll_answered(worker, call, reply);
+		else if (last && connection_was_closed(call, reply))
+			poll_reconnect(worker);
 		else if (last && !worker->polling)
 			poll_failed(worker, call, reply->err);
 	}
@@ -586,8 +625,10 @@
 		 * may be of another writer. */
 		if (worker->ended)
 			incarnation_replace(worker, entry->started_unix_ms);
-		else
+		else {
+			worker->connection = 0;
 			worker_poll_again(worker);
+		}
 		return;
 	}
 	starts_draining = entry->draining && !worker->draining;
--- a/packages/jobs/src/worker_private.h
+++ b/packages/jobs/src/worker_private.h
@@ -32,25 +32,10 @@
 /** @brief Returns whether an unanswered order may still be executed. */
 bool worker_may_get_late_orders(const struct worker *worker);
 
-/** @brief Returns how long ago the worker's clock had a reading, by the last
- * one that was taken; 0 if that is not known. */
-uint64_t worker_clock_age_ms(const struct worker *worker, uint64_t clock_ms);
-
 /** @brief Takes a reading of the worker's clock, unless it is older than the
  *  last one. */
 void worker_clock_update(struct worker *worker, uint64_t clock_ms);
 
-/**
- * @brief Returns the number up to which ends are to be acknowledged, 0 for
- *        none.
- *
- * A restarted worker counts its ends anew, and an acknowledgement to its
- * earlier incarnation would make it forget ends that it has not reported. So
- * none is repeated once it was received, and a report that was late needs a
- * second one.
- */
-uint64_t worker_unconfirmed_ack(const struct worker *worker);
-
 /** @brief Records that a poll was not answered. */
 void worker_poll_unanswered(struct worker *worker, enum err_kind err);
 
--- a/packages/jobs/src/worker_state.c
+++ b/packages/jobs/src/worker_state.c
@@ -78,16 +78,6 @@
 	return loop_now_ms() < worker->late_orders_until_ms;
 }
 
-uint64_t worker_clock_age_ms(const struct worker *worker, uint64_t clock_ms)
-{
-	uint64_t now_clock_ms =
-		worker->clock_ms + (loop_now_ms() - worker->clock_at_ms);
-
-	if (worker->clock_ms == 0 || clock_ms >= now_clock_ms)
-		return 0;
-	return now_clock_ms - clock_ms;
-}
-
 void worker_clock_update(struct worker *worker, uint64_t clock_ms)
 {
 	if (clock_ms < worker->clock_ms)
@@ -96,14 +86,6 @@
 	worker->clock_at_ms = loop_now_ms();
 }
 
-uint64_t worker_unconfirmed_ack(const struct worker *worker)
-{
-	return worker->may_ack && worker->late_reports != 1 &&
-			       worker->acked > worker->acks_received
-		       ? worker->acked
-		       : 0;
-}
-
 void worker_poll_unanswered(struct worker *worker, enum err_kind err)
 {
 	if (worker->unanswered_calls++ > 0)
--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -40,6 +40,10 @@
  * open connections to workers go silent, requests to VMs are lost or carried
  * out late, and the configuration drops a queue. */
 #define CHAOS_SILENCE_SEED 12000000
+/* From this seed on, jobs are plain and short, and nothing happens but that the
+ * store is slow, that workers restart under their identities meanwhile, and
+ * that answers and orders are late. */
+#define CHAOS_RESTARTS_SEED 13000000
 /* A process with a share of a core is paused for up to this part of each step.
  */
 #define CHAOS_SHARE_PAUSE_MS 90
@@ -62,6 +66,8 @@
 	uint64_t node_stop_ms[EMU_NODES_MAX];
 	uint64_t partition_heal_ms[EMU_VMS_MAX];
 	uint64_t link_heal_ms[EMU_VMS_MAX];
+	/* workers restart until then */
+	uint64_t restarts_end_ms;
 	/* number of jobs submitted */
 	uint32_t jobs;
 };
@@ -89,10 +95,17 @@
 	}
 }
 
-static bool only_owners_fail(const struct chaos *chaos)
+static bool only_workers_fail(const struct chaos *chaos)
 {
-	return chaos->config.seed >= CHAOS_OWNERS_SEED &&
-	       chaos->config.seed < CHAOS_SILENCE_SEED;
+	return chaos->config.seed >= CHAOS_RESTARTS_SEED;
+}
+
+/* Returns whether one kind of faults is played, with plain jobs. */
+static bool jobs_are_plain(const struct chaos *chaos)
+{
+	return (chaos->config.seed >= CHAOS_OWNERS_SEED &&
+		chaos->config.seed < CHAOS_SILENCE_SEED) ||
+	       only_workers_fail(chaos);
 }
 
 static void job_submit(struct chaos *chaos)
@@ -110,6 +123,8 @@
 	uint32_t node = emu_random(emu, chaos->config.nodes);
 	uint32_t number;
 
+	if (only_workers_fail(chaos))
+		job.task_ms = 20 + emu_random(emu, 400);
 	if (emu_random(emu, 40) == 0) {
 		job.long_running = true;
 		job.always_fails = false;
@@ -118,13 +133,13 @@
 		job.tasks_per_step = 1 + emu_random(emu, 3);
 		job.max_unavailable = 1;
 	}
-	if (!job.long_running && !only_owners_fail(chaos) &&
+	if (!job.long_running && !jobs_are_plain(chaos) &&
 	    emu_random(emu, 10) == 0) {
 		job.gang = true;
 		job.fail_permille = 0;
 	}
 	if (chaos->config.seed >= CHAOS_CRASHES_SEED &&
-	    !only_owners_fail(chaos) && chaos->config.accounts == 0 &&
+	    !jobs_are_plain(chaos) && chaos->config.accounts == 0 &&
 	    emu_random(emu, 15) == 0) {
 		job.crashing_tasks = 1 + emu_random(emu, 2);
 		job.crash_after_ms =
@@ -138,12 +153,12 @@
 			job.cpu_milli += 3000;
 	}
 	if (chaos->config.seed >= CHAOS_SCHEDULES_SEED && !job.long_running &&
-	    !only_owners_fail(chaos) && emu_random(emu, 4) == 0) {
+	    !jobs_are_plain(chaos) && emu_random(emu, 4) == 0) {
 		job.occurrences = 1 + emu_random(emu, 3);
 		job.first_run_ms = emu_random(emu, 3000);
 		job.interval_ms = 500 + emu_random(emu, 5000);
 	}
-	if (chaos->config.seed >= CHAOS_SHAPES_SEED && !only_owners_fail(chaos))
+	if (chaos->config.seed >= CHAOS_SHAPES_SEED && !jobs_are_plain(chaos))
 		job_shape(chaos, &job);
 	number = emu_submit(emu, node, &job);
 	chaos->jobs = number + 1;
@@ -206,6 +221,32 @@
 	}
 }
 
+/* The ends that workers have reported are stored late, and acknowledged after
+ * some of the workers have restarted and run other tasks. */
+static void workers_disturb(struct chaos *chaos, uint32_t duration_ms)
+{
+	struct emu *emu = chaos->emu;
+	uint32_t slowdown = 1 + emu_random(emu, 3) * 45;
+	uint32_t slow_ms = emu_random(emu, 3) * 300;
+
+	emu_store_set_slowdown(emu, slowdown);
+	emu_answers_set_slow(emu, slow_ms);
+	emu_orders_set_delayed(emu, emu_random(emu, 3) * 50);
+	chaos->restarts_end_ms = emu_time_ms(emu) + duration_ms;
+}
+
+static void workers_restart(struct chaos *chaos)
+{
+	struct emu *emu = chaos->emu;
+
+	if (emu_time_ms(emu) >= chaos->restarts_end_ms)
+		return;
+	for (uint32_t i = 0; i < emu_vm_count(emu); i++) {
+		if (emu_random(emu, 20) == 0)
+			emu_worker_restart(emu, i);
+	}
+}
+
 static void silence_inject(struct chaos *chaos, uint32_t node)
 {
 	struct emu *emu = chaos->emu;
@@ -241,7 +282,11 @@
 
 	if (owner < EMU_NODES_MAX && emu_random(emu, 2) == 0)
 		node = owner;
-	if (only_owners_fail(chaos)) {
+	if (only_workers_fail(chaos)) {
+		workers_disturb(chaos, duration_ms);
+		return;
+	}
+	if (jobs_are_plain(chaos)) {
 		owner_disturb(chaos, owner, node, duration_ms);
 		return;
 	}
@@ -328,7 +373,7 @@
 	struct emu *emu = chaos->emu;
 
 	if (chaos->config.seed < CHAOS_PAUSES_SEED ||
-	    chaos->config.seed % 2 == 0)
+	    only_workers_fail(chaos) || chaos->config.seed % 2 == 0)
 		return;
 	for (uint32_t i = 0; i < chaos->config.nodes; i++)
 		emu_node_pause(emu, i, emu_random(emu, CHAOS_SHARE_PAUSE_MS),
@@ -391,7 +436,10 @@
 		faults_clear(chaos, !faults);
 		if (faults)
 			shares_limit(chaos);
-		if (faults && emu_random(emu, 4) == 0)
+		if (faults)
+			workers_restart(chaos);
+		if (faults &&
+		    (only_workers_fail(chaos) || emu_random(emu, 4) == 0))
 			job_submit(chaos);
 		if (faults && emu_random(emu, 12) == 0)
 			fault_inject(chaos);
@@ -424,14 +472,16 @@
 			.unguarded = seed >= CHAOS_CRASHES_SEED && seed % 2,
 			.uneven_vms = seed >= CHAOS_SHAPES_SEED &&
 				      (seed < CHAOS_OWNERS_SEED ||
-				       seed >= CHAOS_SILENCE_SEED),
-			.pausable = seed >= CHAOS_PAUSES_SEED,
+				       seed >= CHAOS_SILENCE_SEED) &&
+				      seed < CHAOS_RESTARTS_SEED,
+			.pausable = seed >= CHAOS_PAUSES_SEED &&
+				    seed < CHAOS_RESTARTS_SEED,
 		},
 	};
 	struct emu_stats stats;
 
 	/* Limits of accounts also explain why a job waits. */
-	if (seed >= CHAOS_ACCOUNTS_SEED && !only_owners_fail(&chaos) &&
+	if (seed >= CHAOS_ACCOUNTS_SEED && !jobs_are_plain(&chaos) &&
 	    (seed < CHAOS_SHAPES_SEED || seed % 4 == 0)) {
 		chaos.config.lookahead_plans = 8;
 		chaos.config.accounts = CHAOS_ACCOUNTS;
--- a/packages/jobs/tests/emu_orders.c
+++ b/packages/jobs/tests/emu_orders.c
@@ -103,6 +103,12 @@
 		emu_order_reply(order);
 		return;
 	}
+	/* The connection ended with the earlier incarnation. */
+	if (order->connection != 0 && order->connection != vm->incarnation) {
+		order->reply.err = ERR_CUT;
+		emu_order_reply(order);
+		return;
+	}
 	if (!emu_order_matches_worker(order)) {
 		order->reply.verdict = ADAPTER_REFUSED_INCARNATION;
 		emu_order_reply(order);
@@ -122,6 +128,7 @@
 		return;
 	}
 	order->reply.clock_ms = emu_worker_clock_ms(vm);
+	order->reply.connection = vm->incarnation;
 	if (order->fence < vm->fence) {
 		order->reply.verdict = ADAPTER_REFUSED_FENCE;
 		emu_order_reply(order);
@@ -212,6 +219,7 @@
 	order->acked_upto = poll->acked_upto;
 	order->wait_ms = poll->wait_ms;
 	order->fresh_connection = poll->fresh_connection;
+	order->connection = poll->connection;
 }
 
 static void worker_set_speed(void *self, const struct adapter_target *target,
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -447,6 +447,9 @@
 	uint64_t acked_upto;
 	uint32_t wait_ms;
 	bool fresh_connection;
+	/* of a poll: the connection that has to carry it, see struct
+	 * adapter_poll. The connections to an incarnation have its number. */
+	uint64_t connection;
 	uint32_t percent;
 	uint32_t timeout_ms;
 	uint64_t sent_ms;
--- a/packages/jobs/tests/test_late_reports.c
+++ b/packages/jobs/tests/test_late_reports.c
@@ -15,8 +15,13 @@
 #define RESTART_RUN_MS 20000
 #define RESTART_STEP_MS 20
 
-/* Restarts workers under their identities while answers are slow. */
-static void restarts_run(uint32_t seed)
+/* Makes the store take this much longer, some hundreds of milliseconds. */
+#define SLOW_STORE_FACTOR 95
+
+/* Restarts workers under their identities while answers are slow, and with a
+ * slowdown above 1 the store as well. */
+static void restarts_run(uint32_t seed, uint32_t store_slowdown,
+			 uint32_t task_ms)
 {
 	const struct emu_config config = {
 		.seed = seed,
@@ -30,12 +35,13 @@
 		.steps = 1,
 		.tasks_per_step = 2,
 		.cpu_milli = 500,
-		.task_ms = 300,
+		.task_ms = task_ms,
 	};
 	struct emu *emu = emu_create(&config);
 
 	emu_advance(emu, 2000);
 	emu_answers_set_slow(emu, 600);
+	emu_store_set_slowdown(emu, store_slowdown);
 	for (uint32_t ms = 0; ms < RESTART_RUN_MS; ms += RESTART_STEP_MS) {
 		if (ms % 60 == 0)
 			emu_submit(emu, 0, &job);
@@ -51,7 +57,15 @@
 
 START_TEST(test_report_of_earlier_incarnation_loses_no_task)
 {
-	restarts_run((uint32_t)_i + 1);
+	restarts_run((uint32_t)_i + 1, 1, 300);
+}
+END_TEST
+
+/* An end is acknowledged once it is stored. The worker may have restarted
+ * meanwhile, and must not forget an end that it has not reported. */
+START_TEST(test_late_acknowledgement_spares_the_next_incarnation)
+{
+	restarts_run((uint32_t)_i + 1, SLOW_STORE_FACTOR, 50);
 }
 END_TEST
 
@@ -237,6 +251,9 @@
 	tcase_add_loop_test(tests,
 			    test_report_of_earlier_incarnation_loses_no_task, 0,
 			    RESTART_SEEDS);
+	tcase_add_loop_test(
+		tests, test_late_acknowledgement_spares_the_next_incarnation, 0,
+		RESTART_SEEDS);
 	tcase_add_loop_test(planned,
 			    test_maintenance_restarts_no_listed_success, 0,
 			    PLANNED_SEEDS);
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -6,7 +6,8 @@
 -- its process was killed, and every accepted job must end once the faults are over.
 -- Optional arguments after the seed: count of processes, seconds of faults, one job in how many
 -- has a task that crashes its workers, faults of workers (1: they restart under their identity,
--- their answers are delayed, or they drain; 2: their orders are delayed too), VMs of each pool,
+-- their answers are delayed, or they drain; 2: their orders are delayed too; 3: restarts come in
+-- series while the store is slow, and runs are short), VMs of each pool,
 -- milliseconds between jobs, milliseconds between faults, callers that cancel (0: none; N: one in
 -- N jobs is cancelled, sometimes twice), owners in a row (1: see soak_owners.lua, and processes
 -- lose the store alone; some jobs run for seconds; 2: most owners settle first, VMs do not move,
@@ -23,6 +24,7 @@
 local JOB_EVERY_MS = tonumber(ARGUMENTS[6]) or 60
 local FAULT_EVERY_MS = tonumber(ARGUMENTS[7]) or 1200 // PROCESSES
 local WORKER_FAULTS = tonumber(ARGUMENTS[4]) or 0
+local RUN_MS = WORKER_FAULTS > 2 and 10 or 50
 local CANCEL_ONE_IN = tonumber(ARGUMENTS[8]) or 0
 local OWNER_FAULTS = tonumber(ARGUMENTS[9]) or 0
 local SHARE_PERMILLE = tonumber(ARGUMENTS[10]) or 0
@@ -133,7 +135,7 @@
   local pool = random(0, 1)
   local lasts = OWNER_FAULTS > 0 and random(LASTING_JOB_ONE_IN) == 1
   local job = platform:create_job{pool = pool, steps = lasts and 1 or random(3), width = random(3), cpu = 500 * random(3),
-                                  work_ms = lasts and LASTING_MS * random(6) or 50 * random(12), poison = random(30) == 1,
+                                  work_ms = lasts and LASTING_MS * random(6) or RUN_MS * random(12), poison = random(30) == 1,
                                   crash_after_ms = CRASHING_JOB_EVERY > 0 and #jobs % CRASHING_JOB_EVERY == 0 and 10 or 0}
   table.insert(jobs, job)
   return job
@@ -255,6 +257,26 @@
   function() fault("drain", random(0, LAST_VM), random(500, 3000)) end,
   WORKER_FAULTS > 1 and function() delay("late", random(1, 100)) end or nil,
 }
+-- Some workers restart, again and again, while the ends that they have reported are being stored
+-- and the answers to the orders that reach their next incarnations are on the way.
+local SERIES_MS, SERIES_STEP_MS, SERIES_SLOWDOWN = 4200, 700, 90
+local RESTARTING_ONE_IN, ANSWERS_HELD_MS = 3, 450
+local function restart_some()
+  fault("hold", 0, jobfleet.HELD_ORDERS)
+  for vm = 0, LAST_VM do
+    if random(RESTARTING_ONE_IN) == 1 then fault("restart", vm, random(0, 1500)) end
+  end
+  schedule(ANSWERS_HELD_MS, function() fault("hold", 0, 0) end)
+end
+local function restart_series()
+  fault("slow", 0, SERIES_SLOWDOWN)
+  for at_ms = 0, SERIES_MS, SERIES_STEP_MS do schedule(at_ms, restart_some) end
+  schedule(SERIES_MS + SERIES_STEP_MS, function() fault("slow", 0, 0) end)
+end
+if WORKER_FAULTS > 2 then
+  worker_faults = {restart_series}
+  for _ = 1, #faults // 2 do table.insert(worker_faults, restart_series) end
+end
 if WORKER_FAULTS > 0 then table.move(worker_faults, 1, #worker_faults, #faults + 1, faults) end
 
 -- Tells the stand-in, which does not see these faults, whether any acts on a process or on its
