Notice a worker that restarted and does not answer

Cause: while the list of workers shows a later start than the last report, each read of the list polled the worker again and ignored the poll in flight. The list is read every 200 to 700 ms, so no poll of a worker that does not answer ever ended, and its tasks counted as running for as long as it was silent. A stop was allowed on what the reports of the earlier incarnation had proved.

Change: a listed start is asked for once.

--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -614,6 +614,7 @@
 
 void worker_update(struct worker *worker, const struct adapter_entry *entry)
 {
+	bool is_new = entry->started_unix_ms != worker->described_unix_ms;
 	bool starts_draining;
 
 	/* Reports show a new incarnation earlier than the store entry, which
@@ -622,10 +623,11 @@
 	    worker->started_unix_ms != 0) {
 		worker_entry_copy(worker, entry);
 		/* Only the worker itself is sure to know its start: the entry
-		 * may be of another writer. */
+		 * may be of another writer. It is asked once, so that it is
+		 * noticed if it does not answer. */
 		if (worker->ended)
 			incarnation_replace(worker, entry->started_unix_ms);
-		else {
+		else if (is_new) {
 			worker->connection = 0;
 			worker_poll_again(worker);
 		}
--- a/packages/jobs/tests/test_late_reports.c
+++ b/packages/jobs/tests/test_late_reports.c
@@ -238,6 +238,44 @@
 }
 END_TEST
 
+/* A worker loses power, restarts and is cut off, and the list of workers with
+ * its new entry is read again and again. That must not hide that the worker
+ * does not answer, so that another task of the step is stopped. */
+START_TEST(test_listed_restart_hides_no_silence)
+{
+	const struct emu_config config = {
+		.seed = 1 + _i,
+		.nodes = 3,
+		.pools = 1,
+		.vms_per_pool = 2,
+		.vm_cpu_milli = 8000,
+		.attempts = 3,
+		.fixed_pools = true,
+		.silent_crashes = true,
+	};
+	const struct emu_job job = {
+		.steps = 1,
+		.tasks_per_step = 2,
+		.cpu_milli = 5000,
+		.long_running = true,
+		.max_unavailable = 1,
+	};
+	struct emu *emu = emu_create(&config);
+
+	emu_advance(emu, 3000);
+	emu_submit(emu, 0, &job);
+	emu_advance(emu, 3000);
+	emu_worker_restart(emu, 0);
+	emu_worker_set_partitioned(emu, 0, true);
+	emu_advance(emu, 5000);
+	emu_wave_request(emu, 0, 1, 30000);
+	emu_operator_write(emu, "waves/1", "1 30000 1 vm-1");
+	emu_advance(emu, 3000);
+	emu_expect_no_violation(emu);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("late_reports");
@@ -266,6 +304,7 @@
 		       test_worker_that_is_listed_again_deposes_no_owner);
 	tcase_add_loop_test(
 		tests, test_tasks_of_a_restarted_worker_are_unavailable, 0, 8);
+	tcase_add_loop_test(tests, test_listed_restart_hides_no_silence, 0, 8);
 	suite_add_tcase(suite, tests);
 	suite_add_tcase(suite, planned);
 	srunner_run_all(runner, CK_NORMAL);
