Log an acknowledgement before a restart only if one was sent

The line of worker-restarted gave the age of an acknowledgement also where none had been sent; that is a line of its own now, ends-acknowledged.

--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -106,16 +106,19 @@
  */
 static void incarnation_replace(struct worker *worker, uint64_t started_unix_ms)
 {
-	log_info(
-		"worker-restarted",
-		"worker %s has a new incarnation, service %s, tasks of the "
-		"earlier one %u; of %" G_GUINT64_FORMAT
-		" ends of it that were reported, %" G_GUINT64_FORMAT
-		" were acknowledged, by a poll that was sent %" G_GUINT64_FORMAT
-		" ms ago",
-		worker->id, worker->service, worker->tasks->len,
-		worker->ends_seen, worker->ack_sent,
-		loop_now_ms() - worker->ack_sent_ms);
+	log_info("worker-restarted",
+		 "worker %s has a new incarnation, service %s, tasks of the "
+		 "earlier one %u, ends that it reported %" G_GUINT64_FORMAT
+		 ", of them acknowledged %" G_GUINT64_FORMAT,
+		 worker->id, worker->service, worker->tasks->len,
+		 worker->ends_seen, worker->ack_sent);
+	if (worker->ack_sent > 0)
+		log_info("ends-acknowledged",
+			 "worker %s was sent the last acknowledgement of its "
+			 "earlier incarnation %" G_GUINT64_FORMAT " ms ago, "
+			 "and answered up to %" G_GUINT64_FORMAT,
+			 worker->id, loop_now_ms() - worker->ack_sent_ms,
+			 worker->acks_received);
 	worker->started_unix_ms = started_unix_ms;
 	worker->restarted_ms = loop_now_ms();
 	worker->ended = false;
--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -247,6 +247,15 @@
 	}
 }
 
+static void plain_fault_inject(struct chaos *chaos, uint32_t owner,
+			       uint32_t node, uint32_t duration_ms)
+{
+	if (only_workers_fail(chaos))
+		workers_disturb(chaos, duration_ms);
+	else
+		owner_disturb(chaos, owner, node, duration_ms);
+}
+
 static void silence_inject(struct chaos *chaos, uint32_t node)
 {
 	struct emu *emu = chaos->emu;
@@ -282,12 +291,8 @@
 
 	if (owner < EMU_NODES_MAX && emu_random(emu, 2) == 0)
 		node = owner;
-	if (only_workers_fail(chaos)) {
-		workers_disturb(chaos, duration_ms);
-		return;
-	}
 	if (jobs_are_plain(chaos)) {
-		owner_disturb(chaos, owner, node, duration_ms);
+		plain_fault_inject(chaos, owner, node, duration_ms);
 		return;
 	}
 	if (chaos->config.seed >= CHAOS_CRASHES_SEED && emu_random(emu, 8) == 0)
