Blame no crash on a task whose start was not answered

Cause: an order that was cut by the reset of a connection from before the loss of power counted as a certain start, and so did the next one, in isolation on another worker of the rack. Only a timeout counted as uncertain.

Change: a start that ended without any answer is uncertain for the search for tasks that crash their workers.

--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -151,7 +151,7 @@
 			.age_known = !task->adopted,
 			.certain = task->state != JOB_TASK_STARTING ||
 				   (!task->start_in_flight &&
-				    !task->start_timed_out),
+				    !task->start_unanswered),
 			.unit = suspect_unit(task),
 			.place = owner_vm_hash(worker),
 			.long_running = task->group->step->is_long_running,
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -360,6 +360,14 @@
 uint32_t emu_vm_requests_late(const struct emu *emu);
 /** @brief Returns how many runs have not ended on workers that are up. */
 uint32_t emu_active_run_count(const struct emu *emu);
+/**
+ * @brief Lets a VM lose power for a time; its worker restarts under the same
+ * identity.
+ *
+ * Nothing is answered meanwhile. The connections that were open are reset when
+ * they are used after it, so that orders over them are cut.
+ */
+void emu_worker_lose_power(struct emu *emu, uint32_t vm, uint32_t down_ms);
 /** @brief Restarts a VM's worker at once, under the same identity. */
 void emu_worker_restart(struct emu *emu, uint32_t vm);
 /** @brief Restarts a VM's worker at once, under the same identity and address
--- a/packages/jobs/tests/emu_orders.c
+++ b/packages/jobs/tests/emu_orders.c
@@ -98,6 +98,8 @@
 		emu_order_time_out(order);
 		return;
 	}
+	if (emu_power_answer(order))
+		return;
 	if (!vm->up) {
 		order->reply.err = ERR_CONNECT;
 		emu_order_reply(order);
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -132,6 +132,11 @@
 	/* when its CPU last changed */
 	uint64_t cpu_changed_ms;
 	bool partitioned;
+	/* it answers nothing, and restarts under its identity */
+	bool without_power;
+	/* connections of each process that ended when it lost power, which
+	 * orders use before new ones */
+	uint32_t stale_connections[EMU_NODES_MAX];
 	/* open connections that carry nothing any more */
 	uint32_t silent_connections;
 	/* bit mask of the processes that it is cut off from */
@@ -481,6 +486,13 @@
 	GList link;
 };
 
+/* emu_power.c */
+/** @brief Starts the worker of a VM that was without power. */
+void emu_vm_power_on(struct emu_vm *vm);
+/** @brief Handles an order that a loss of power affects. @return whether it
+ *  does */
+bool emu_power_answer(struct emu_order *order);
+
 /* emu_worker.c, shared with emu_orders.c and emu_vms.c */
 uint64_t emu_worker_clock_ms(const struct emu_vm *vm);
 /** Connections of a process to a worker. */
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -337,7 +337,7 @@
 		struct emu_order *order = vm->pending_polls.head->data;
 
 		g_queue_unlink(&vm->pending_polls, &order->link);
-		if (vm->emu->config.silent_crashes) {
+		if (vm->emu->config.silent_crashes || vm->without_power) {
 			emu_order_time_out(order);
 			continue;
 		}
@@ -560,6 +560,8 @@
 		vm->state = ADAPTER_VM_DOWN;
 		vm->transition_ms = now_ms + 2000;
 	}
+	if (vm->without_power && now_ms >= vm->transition_ms)
+		emu_vm_power_on(vm);
 	if (!vm->up && vm->transition_ms != 0 && now_ms >= vm->transition_ms) {
 		entry_remove(vm);
 		emu_vm_start(vm, vm->pool);
--- a/packages/jobs/tests/test_crashes.c
+++ b/packages/jobs/tests/test_crashes.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "emu_expect.h"
 #include "emu_private.h"
 
 /* Number of harmless jobs, one every 100 ms; the first job that crashes workers
@@ -428,6 +429,36 @@
 }
 END_TEST
 
+#define RACK_VMS 4
+#define POWER_SEEDS 40
+
+/* A rack loses power for a moment. The order to start the task of a job that
+ * is submitted then is cut by the reset of a connection from before, so no
+ * worker has started the task, and it has crashed none. */
+START_TEST(test_loss_of_power_fails_no_job)
+{
+	struct emu_config config = fleet;
+	struct emu_job job = harmless;
+	struct emu_stats stats;
+	struct emu *emu;
+
+	config.seed = (uint32_t)_i + 1;
+	config.spare_vms = 0;
+	emu = emu_create(&config);
+	job.tasks_per_step = 1;
+	emu_advance(emu, 10000);
+	for (uint32_t i = 1; i <= RACK_VMS; i++)
+		emu_worker_lose_power(emu, config.vms_per_pool - i,
+				      200 + emu_random(emu, 400));
+	emu_advance(emu, 30);
+	emu_submit(emu, 0, &job);
+	emu_settle(emu, 1, SETTLE_MS);
+	emu_stats(emu, &stats);
+	ck_assert_uint_eq(stats.succeeded, 1);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("crashes");
@@ -452,6 +483,8 @@
 	tcase_add_loop_test(
 		tests, test_budget_holds_when_a_long_running_job_is_given_up, 0,
 		4);
+	tcase_add_loop_test(tests, test_loss_of_power_fails_no_job, 0,
+			    POWER_SEEDS);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
