Await a worker that was down while its owner was replaced

Cause: the store had taken the owner's key away, and its lease was valid by its own clock for up to 1 s more. The successor settled its takeover without a worker whose VM was listed as down; when that was back, under its identity and without a fencing token, it obeyed the old owner.

Change: until a takeover is settled, a VM that is down ends its worker only after a poll has failed that was sent after the earlier lease must have ended.

--- a/packages/jobs/src/owner_vm_list.c
+++ b/packages/jobs/src/owner_vm_list.c
@@ -54,6 +54,19 @@
 	vm->missing_lists = 0;
 }
 
+/* Returns whether a worker may start what the previous owner orders, once it is
+ * back. That owner acts until its lease ends by its own clock, even if its key
+ * was taken away, and a worker that was down has not seen this owner's token.
+ * Until a poll fails that was sent after that time, the worker counts as one
+ * whose report the takeover awaits. */
+static bool may_obey_previous_owner(const struct owner *owner,
+				    const struct worker *worker)
+{
+	return owner->has_unknown_tasks &&
+	       worker->failed_poll_sent_ms <
+		       owner_previous_acts_until_ms(owner);
+}
+
 /* Returns why the list of VMs proves that a worker has ended, NULL if it does
  * not, and sets the cause. A worker that still answers takes precedence over
  * the list. */
@@ -81,7 +94,8 @@
 			    vm->state == ADAPTER_VM_MAINTENANCE))
 		return "its VM is moved or maintained";
 	*cause = WORKER_CRASHED;
-	if (maybe_ended && vm->state != ADAPTER_VM_UP)
+	if (maybe_ended && vm->state != ADAPTER_VM_UP &&
+	    !may_obey_previous_owner(fleet->owner, worker))
 		return "its VM is not up";
 	if (maybe_ended && vm->worker && strcmp(vm->worker, worker->id) != 0)
 		return "its VM has another worker";
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -49,6 +49,8 @@
 	/** a worker that crashes does not reset its connections: calls to it
 	 *  time out */
 	bool silent_crashes;
+	/** the store also ends the watches of a process that it turns away */
+	bool cuts_watches;
 	/** VMs have different sizes, see emu_vm_cpu_milli() */
 	bool uneven_vms;
 	/** a success counts as acknowledged soon after its worker has listed
@@ -360,6 +362,9 @@
 uint32_t emu_vm_requests_late(const struct emu *emu);
 /** @brief Returns how many runs have not ended on workers that are up. */
 uint32_t emu_active_run_count(const struct emu *emu);
+/** @brief Crashes a worker, which restarts after a time under the same
+ *  identity. Meanwhile it refuses connections. */
+void emu_worker_crash(struct emu *emu, uint32_t vm, uint32_t down_ms);
 /**
  * @brief Lets a VM lose power for a time; its worker restarts under the same
  * identity.
--- a/packages/jobs/tests/emu_power.c
+++ b/packages/jobs/tests/emu_power.c
@@ -4,8 +4,25 @@
 
 /* Connections of each process to a worker that are idle when it loses power. */
 #define EMU_STALE_CONNECTIONS 2
-/* Time from the start of a worker that was without power to its entry. */
-#define EMU_POWER_ENTRY_DELAY_MS 1400
+/* Time from the start of a worker that was down to its entry. */
+#define EMU_UP_ENTRY_DELAY_MS 1400
+
+static void worker_go_down(struct emu_vm *vm, uint32_t down_ms)
+{
+	vm->emu->last_fault_ms = loop_now_ms();
+	emu_vm_stop(vm);
+	vm->keeps_identity = true;
+	vm->state = ADAPTER_VM_DOWN;
+	vm->transition_ms = loop_now_ms() + down_ms;
+}
+
+void emu_worker_crash(struct emu *emu, uint32_t number, uint32_t down_ms)
+{
+	struct emu_vm *vm = &emu->vms[number];
+
+	if (vm->up)
+		worker_go_down(vm, down_ms);
+}
 
 void emu_worker_lose_power(struct emu *emu, uint32_t number, uint32_t down_ms)
 {
@@ -13,24 +30,22 @@
 
 	if (!vm->up)
 		return;
-	emu->last_fault_ms = loop_now_ms();
 	vm->without_power = true;
-	emu_vm_stop(vm);
-	vm->state = ADAPTER_VM_DOWN;
-	vm->transition_ms = loop_now_ms() + down_ms;
+	worker_go_down(vm, down_ms);
 	for (uint32_t i = 0; i < EMU_NODES_MAX; i++)
 		vm->stale_connections[i] = EMU_STALE_CONNECTIONS;
 }
 
-void emu_vm_power_on(struct emu_vm *vm)
+void emu_vm_bring_up(struct emu_vm *vm)
 {
 	char worker[sizeof(vm->worker)];
 
 	memcpy(worker, vm->worker, sizeof(worker));
 	vm->without_power = false;
+	vm->keeps_identity = false;
 	emu_vm_start(vm, vm->pool);
 	memcpy(vm->worker, worker, sizeof(worker));
-	emu_worker_entry_delay(vm->emu, vm->number, EMU_POWER_ENTRY_DELAY_MS);
+	emu_worker_entry_delay(vm->emu, vm->number, EMU_UP_ENTRY_DELAY_MS);
 }
 
 /* A machine resets the connections of which it knows nothing. */
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -132,8 +132,10 @@
 	/* when its CPU last changed */
 	uint64_t cpu_changed_ms;
 	bool partitioned;
-	/* it answers nothing, and restarts under its identity */
+	/* it is down and answers nothing */
 	bool without_power;
+	/* it is down, and restarts under its identity */
+	bool keeps_identity;
 	/* connections of each process that ended when it lost power, which
 	 * orders use before new ones */
 	uint32_t stale_connections[EMU_NODES_MAX];
@@ -487,8 +489,8 @@
 };
 
 /* emu_power.c */
-/** @brief Starts the worker of a VM that was without power. */
-void emu_vm_power_on(struct emu_vm *vm);
+/** @brief Starts the worker of a VM that was down, under its identity. */
+void emu_vm_bring_up(struct emu_vm *vm);
 /** @brief Handles an order that a loss of power affects. @return whether it
  *  does */
 bool emu_power_answer(struct emu_order *order);
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -205,7 +205,10 @@
 		struct emu_call *call = at->data;
 
 		next = at->next;
-		if (call->after_revision < emu->compacted_revision)
+		if (emu->config.cuts_watches &&
+		    call->node->store_mode != EMU_STORE_OK)
+			call->err = ERR_UNAVAILABLE;
+		else if (call->after_revision < emu->compacted_revision)
 			call->err = ERR_STALE;
 		else
 			watch_fill(emu, call);
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -560,8 +560,8 @@
 		vm->state = ADAPTER_VM_DOWN;
 		vm->transition_ms = now_ms + 2000;
 	}
-	if (vm->without_power && now_ms >= vm->transition_ms)
-		emu_vm_power_on(vm);
+	if (vm->keeps_identity && now_ms >= vm->transition_ms)
+		emu_vm_bring_up(vm);
 	if (!vm->up && vm->transition_ms != 0 && now_ms >= vm->transition_ms) {
 		entry_remove(vm);
 		emu_vm_start(vm, vm->pool);
--- a/packages/jobs/tests/test_takeover.c
+++ b/packages/jobs/tests/test_takeover.c
@@ -248,6 +248,43 @@
 }
 END_TEST
 
+#define DOWN_VMS 4
+
+/* The store takes the owner's key away while a worker is down, and a job
+ * becomes due for the owner as well as for its successor. The worker is back
+ * before the owner's lease has ended by its own clock, and has not seen the
+ * successor's token. */
+START_TEST(test_worker_down_in_takeover_obeys_no_earlier_owner)
+{
+	const uint32_t vm = (uint32_t)_i % DOWN_VMS;
+	const uint32_t due_ms = 1100 + 50 * ((uint32_t)_i / DOWN_VMS);
+	struct emu_config config = fleet;
+	struct emu_job job = nightly;
+	struct emu *emu;
+	uint32_t owner;
+
+	config.nodes = 2;
+	config.vms_per_pool = DOWN_VMS;
+	config.cuts_watches = true;
+	job.tasks_per_step = 1;
+	job.task_ms = 1500;
+	job.occurrences = 1;
+	job.first_run_ms = due_ms;
+	emu = emu_create(&config);
+	emu_advance(emu, 3000);
+	owner = emu_owner(emu);
+	emu_submit(emu, 0, &job);
+	emu_advance(emu, 250);
+	emu_worker_crash(emu, vm, 750);
+	emu_advance(emu, 250);
+	emu_store_set_mode(emu, owner, EMU_STORE_UNAVAILABLE);
+	emu_store_revoke_ownership(emu, owner);
+	emu_advance(emu, 4500);
+	emu_store_set_mode(emu, owner, EMU_STORE_OK);
+	job_finish(emu, 1);
+}
+END_TEST
+
 /* The owner is paused while another process replaces it. A worker with a task
  * reaches only the old one, which must not renew the lease there once it goes
  * on, nor start what waits: its successor takes the lease for expired then. */
@@ -494,6 +531,9 @@
 			    2 * MOMENTS);
 	tcase_add_loop_test(tests, test_deposed_owner_renews_no_leases, 0,
 			    MOMENTS);
+	tcase_add_loop_test(tests,
+			    test_worker_down_in_takeover_obeys_no_earlier_owner,
+			    0, DOWN_VMS * MOMENTS);
 	tcase_add_loop_test(tests, test_paused_owner_does_nothing_more, 0,
 			    2 * MOMENTS);
 	tcase_add_loop_test(
