Draw the faults of a seed in one order on all machines

Cause: two random draws were arguments of one call, or members of one initializer, whose order C leaves to the compiler: gcc evaluates arguments from right to left on x86-64 and from left to right on arm64.

Change: draws go into variables first, in the order of x86-64 (and the members of the job in the order of the structure, as gcc does on both).

--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -111,18 +111,18 @@
 static void job_submit(struct chaos *chaos)
 {
 	struct emu *emu = chaos->emu;
-	struct emu_job job = {
-		.pool = emu_random(emu, chaos->config.pools),
-		.steps = 1 + emu_random(emu, 3),
-		.tasks_per_step = 1 + emu_random(emu, 4),
-		.cpu_milli = 300 + emu_random(emu, 1500),
-		.task_ms = 200 + emu_random(emu, 1200),
-		.fail_permille = emu_random(emu, 4) == 0 ? 100 : 0,
-		.always_fails = emu_random(emu, 30) == 0,
-	};
-	uint32_t node = emu_random(emu, chaos->config.nodes);
+	struct emu_job job = { 0 };
 	uint32_t number;
-
+	uint32_t node;
+
+	job.pool = emu_random(emu, chaos->config.pools);
+	job.steps = 1 + emu_random(emu, 3);
+	job.tasks_per_step = 1 + emu_random(emu, 4);
+	job.cpu_milli = 300 + emu_random(emu, 1500);
+	job.task_ms = 200 + emu_random(emu, 1200);
+	job.always_fails = emu_random(emu, 30) == 0;
+	job.fail_permille = emu_random(emu, 4) == 0 ? 100 : 0;
+	node = emu_random(emu, chaos->config.nodes);
 	if (only_workers_fail(chaos))
 		job.task_ms = 20 + emu_random(emu, 400);
 	if (emu_random(emu, 40) == 0) {
@@ -166,6 +166,38 @@
 		emu_resubmit(emu, emu_random(emu, chaos->config.nodes), number);
 }
 
+/* The order of a call's arguments is the compiler's choice, so that no two of
+ * them draw. */
+static void node_pause(struct emu *emu, uint32_t node, uint32_t max_ms)
+{
+	bool timers_first = emu_random(emu, 2);
+	uint32_t ms = emu_random(emu, max_ms);
+
+	emu_node_pause(emu, node, ms, timers_first);
+}
+
+static void account_change(struct emu *emu)
+{
+	uint32_t weight = 1 + emu_random(emu, 4);
+	int64_t cpu_limit_milli = emu_random(emu, 4) * 5000;
+	uint32_t account = 1 + emu_random(emu, CHAOS_ACCOUNTS);
+
+	emu_account_set(emu, account,
+			(struct emu_account_config){ .weight = weight,
+						     .cpu_limit_milli =
+							     cpu_limit_milli });
+}
+
+static void random_job_call(struct chaos *chaos,
+			    void (*call)(struct emu *emu, uint32_t node,
+					 uint32_t job))
+{
+	uint32_t job = emu_random(chaos->emu, chaos->jobs);
+	uint32_t node = emu_random(chaos->emu, chaos->config.nodes);
+
+	call(chaos->emu, node, job);
+}
+
 /* The store turns the owner away and takes its key, the owner may stand still,
  * and its successors do not reach some of the workers. */
 static void owner_turn_away(struct chaos *chaos, uint32_t owner,
@@ -179,8 +211,7 @@
 	if (emu_random(emu, 2))
 		emu_store_revoke_ownership(emu, owner);
 	if (emu_random(emu, 2))
-		emu_node_pause(emu, owner, emu_random(emu, CHAOS_PAUSE_MAX_MS),
-			       emu_random(emu, 2));
+		node_pause(emu, owner, CHAOS_PAUSE_MAX_MS);
 	for (uint32_t i = 0; i < emu_vm_count(emu); i++) {
 		if (emu_random(emu, 4) != 0)
 			continue;
@@ -298,11 +329,7 @@
 	if (chaos->config.seed >= CHAOS_CRASHES_SEED && emu_random(emu, 8) == 0)
 		emu_worker_set_cpu(emu, vm, emu_random(emu, 3) * 4000);
 	if (chaos->config.accounts > 0 && emu_random(emu, 6) == 0)
-		emu_account_set(
-			emu, 1 + emu_random(emu, CHAOS_ACCOUNTS),
-			(struct emu_account_config){
-				.weight = 1 + emu_random(emu, 4),
-				.cpu_limit_milli = emu_random(emu, 4) * 5000 });
+		account_change(emu);
 	if (chaos->config.seed >= CHAOS_LINKS_SEED && emu_random(emu, 2) == 0) {
 		emu_link_set_cut(emu, node, vm, true);
 		chaos->link_heal_ms[vm] = now_ms + 2 * duration_ms;
@@ -322,8 +349,7 @@
 	    emu_random(emu, 4) == 0)
 		owner_turn_away(chaos, owner, duration_ms);
 	if (chaos->config.seed >= CHAOS_PAUSES_SEED && emu_random(emu, 4) == 0)
-		emu_node_pause(emu, node, emu_random(emu, CHAOS_PAUSE_MAX_MS),
-			       emu_random(emu, 2));
+		node_pause(emu, node, CHAOS_PAUSE_MAX_MS);
 	if (chaos->config.seed >= CHAOS_SILENCE_SEED)
 		silence_inject(chaos, node);
 	switch (emu_random(emu, 13)) {
@@ -381,8 +407,7 @@
 	    only_workers_fail(chaos) || chaos->config.seed % 2 == 0)
 		return;
 	for (uint32_t i = 0; i < chaos->config.nodes; i++)
-		emu_node_pause(emu, i, emu_random(emu, CHAOS_SHARE_PAUSE_MS),
-			       emu_random(emu, 2));
+		node_pause(emu, i, CHAOS_SHARE_PAUSE_MS);
 }
 
 static void faults_clear(struct chaos *chaos, bool all)
@@ -451,15 +476,12 @@
 		if (faults && emu_random(emu, 150) == 0)
 			emu_wave_request(emu, 40, 2, 30000);
 		if (chaos->jobs > 0 && emu_random(emu, 2) == 0)
-			emu_state_query(emu,
-					emu_random(emu, chaos->config.nodes),
-					emu_random(emu, chaos->jobs));
+			random_job_call(chaos, emu_state_query);
 		if (faults && chaos->jobs > 0 &&
 		    emu_random(emu, chaos->config.seed >= CHAOS_PAUSES_SEED
 					    ? 12
 					    : 40) == 0)
-			job_cancel(emu, emu_random(emu, chaos->config.nodes),
-				   emu_random(emu, chaos->jobs));
+			random_job_call(chaos, job_cancel);
 	}
 }
 
--- a/packages/jobs/tests/test_capacity_moves.c
+++ b/packages/jobs/tests/test_capacity_moves.c
@@ -79,8 +79,10 @@
 {
 	static const int64_t sizes[] = { 0, 1500, 4000, 8000, 8000 };
 
-	emu_worker_set_cpu(emu, emu_random(emu, emu_vm_count(emu)),
-			   sizes[emu_random(emu, G_N_ELEMENTS(sizes))]);
+	int64_t cpu_milli = sizes[emu_random(emu, G_N_ELEMENTS(sizes))];
+	uint32_t vm = emu_random(emu, emu_vm_count(emu));
+
+	emu_worker_set_cpu(emu, vm, cpu_milli);
 }
 
 START_TEST(test_no_start_exceeds_the_capacity)
--- a/packages/jobs/tests/test_late_reports.c
+++ b/packages/jobs/tests/test_late_reports.c
@@ -76,6 +76,16 @@
 #define PLANNED_JOBS 150
 #define PLANNED_JOB_INTERVAL_MS 200
 
+/* The order of a call's arguments is the compiler's choice, so that no two of
+ * them draw. */
+static void random_worker_drain(struct emu *emu)
+{
+	uint32_t vm = emu_random(emu, 10);
+	uint32_t after_ms = 2000 + emu_random(emu, 3000);
+
+	emu_worker_drain(emu, vm, after_ms);
+}
+
 /* Runs jobs beside a maintenance wave, or beside workers that drain and leave,
  * while some answers of workers take longer. Nothing fails. */
 static void planned_work_run(uint32_t seed, bool wave, uint32_t slow_ms)
@@ -107,8 +117,7 @@
 
 		emu_submit(emu, 0, &job);
 		if (!wave && i % 20 == 0)
-			emu_worker_drain(emu, emu_random(emu, 10),
-					 2000 + emu_random(emu, 3000));
+			random_worker_drain(emu);
 		emu_advance(emu, PLANNED_JOB_INTERVAL_MS);
 	}
 	emu_settle(emu, PLANNED_JOBS, 20000);
