--- a/packages/jobs/src/worker_private.h
+++ b/packages/jobs/src/worker_private.h
@@ -11,6 +11,40 @@
  *  connection. */
 #define WORKER_POLL_LATE_MS 300
 
+/** Orders are answered within milliseconds; an order without an answer after
+ * this time is resolved by a poll. */
+#define WORKER_ORDER_TIMEOUT_MS 700
+
+/** A call in flight; holds a reference to the worker. */
+struct worker_call {
+	struct worker *worker;
+	struct worker_order order;
+	uint64_t serial;
+	uint64_t sent_ms;
+	/** see struct adapter_poll */
+	uint64_t connection;
+	uint64_t acked_upto;
+	bool resolves_orders;
+	/** set when it ends: another poll was answered while it was in flight
+	 */
+	bool overlapped;
+};
+
+/* worker_orders.c */
+/** @brief Creates a call to a worker, which keeps it; freed by
+ *  worker_call_free(). */
+struct worker_call *worker_call_create(struct worker *worker);
+/** @brief Frees a call and releases its worker. */
+void worker_call_free(struct worker_call *call);
+
+/** @brief Returns the address of the worker and the identity expected there. */
+struct adapter_target worker_target(const struct worker *worker);
+
+/** @brief Returns whether an order carried the current token. If the worker
+ *  refused such an order because of the token, there is another owner. */
+bool worker_fence_is_current(const struct worker *worker, uint64_t fence);
+
+/* worker_state.c */
 /** @brief Releases a reference; the last one frees the worker. */
 void worker_unref(struct worker *worker);
 
