Derive whether a start was answered, and restart emulated workers in one place

A task whose start has been answered is not in the state JOB_TASK_STARTING any more, so the flag start_unanswered said nothing that its state does not say; it is gone. emu_worker_restart() and the return of a worker that was down share emu_vm_start_again(), and a worker goes down by emu_vm_crash().

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -189,10 +189,10 @@
 	/** clock of the worker by which the newest run had begun, 0 if unknown
 	 */
 	uint64_t started_clock_ms;
-	/** the call that orders the newest run is in flight, or has ended
-	 *  without an answer, so that the run may never have begun */
+	/** the call that orders the newest run is in flight; once it has ended,
+	 *  JOB_TASK_STARTING means that it was not answered, so that the run
+	 *  may never have begun */
 	bool start_in_flight;
-	bool start_unanswered;
 	/** number of the newest poll of the worker that had been sent when the
 	 *  worker accepted the order or last listed the run; only a later poll
 	 *  can show that the run has ended */
--- a/packages/jobs/src/owner_crash.c
+++ b/packages/jobs/src/owner_crash.c
@@ -149,9 +149,10 @@
 			.age_ms = (uint32_t)MIN(task_age_ms(worker, task),
 						UINT32_MAX),
 			.age_known = !task->adopted,
-			.certain = task->state != JOB_TASK_STARTING ||
-				   (!task->start_in_flight &&
-				    !task->start_unanswered),
+			/* An order without an answer may have gone over a
+			 * connection that had ended with an earlier
+			 * incarnation. */
+			.certain = task->state != JOB_TASK_STARTING,
 			.unit = suspect_unit(task),
 			.place = owner_vm_hash(worker),
 			.long_running = task->group->step->is_long_running,
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -345,9 +345,6 @@
 	if (!task || task->worker != worker || task->run != order->run)
 		return;
 	task->start_in_flight = false;
-	/* An order that is cut may have gone over a connection that had ended
-	 * with an earlier incarnation. */
-	task->start_unanswered = reply->err != ERR_NONE;
 	if (reply->err == ERR_NONE && reply->verdict == ADAPTER_ACCEPTED &&
 	    (task->started_clock_ms == 0 ||
 	     reply->clock_ms < task->started_clock_ms))
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -205,7 +205,6 @@
 	task->seen_in_report = 0;
 	task->adopted = false;
 	task->start_in_flight = true;
-	task->start_unanswered = false;
 	owner_task_assign(owner, task, worker);
 	job_task_set_state(task, JOB_TASK_STARTING);
 	if (!occurrence->has_started)
--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -348,15 +348,12 @@
 void emu_worker_restart(struct emu *emu, uint32_t number)
 {
 	struct emu_vm *vm = &emu->vms[number];
-	char worker[sizeof(vm->worker)];
 
 	if (!vm->up)
 		return;
 	emu->last_fault_ms = loop_now_ms();
-	memcpy(worker, vm->worker, sizeof(worker));
 	emu_vm_stop(vm);
-	emu_vm_start(vm, vm->pool);
-	memcpy(vm->worker, worker, sizeof(worker));
+	emu_vm_start_again(vm);
 }
 
 void emu_worker_restart_as(struct emu *emu, uint32_t vm, int64_t cpu_milli)
--- a/packages/jobs/tests/emu_power.c
+++ b/packages/jobs/tests/emu_power.c
@@ -10,10 +10,8 @@
 static void worker_go_down(struct emu_vm *vm, uint32_t down_ms)
 {
 	vm->emu->last_fault_ms = loop_now_ms();
-	emu_vm_stop(vm);
+	emu_vm_crash(vm->emu, vm->number, down_ms);
 	vm->keeps_identity = true;
-	vm->state = ADAPTER_VM_DOWN;
-	vm->transition_ms = loop_now_ms() + down_ms;
 }
 
 void emu_worker_crash(struct emu *emu, uint32_t number, uint32_t down_ms)
@@ -36,15 +34,20 @@
 		vm->stale_connections[i] = EMU_STALE_CONNECTIONS;
 }
 
-void emu_vm_bring_up(struct emu_vm *vm)
+void emu_vm_start_again(struct emu_vm *vm)
 {
 	char worker[sizeof(vm->worker)];
 
 	memcpy(worker, vm->worker, sizeof(worker));
-	vm->without_power = false;
-	vm->keeps_identity = false;
 	emu_vm_start(vm, vm->pool);
 	memcpy(vm->worker, worker, sizeof(worker));
+}
+
+void emu_vm_bring_up(struct emu_vm *vm)
+{
+	vm->without_power = false;
+	vm->keeps_identity = false;
+	emu_vm_start_again(vm);
 	emu_worker_entry_delay(vm->emu, vm->number, EMU_UP_ENTRY_DELAY_MS);
 }
 
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -489,6 +489,8 @@
 };
 
 /* emu_power.c */
+/** @brief Starts a worker on a VM under the identity of the one before. */
+void emu_vm_start_again(struct emu_vm *vm);
 /** @brief Starts the worker of a VM that was down, under its identity. */
 void emu_vm_bring_up(struct emu_vm *vm);
 /** @brief Handles an order that a loss of power affects. @return whether it
