--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -1010,13 +1010,14 @@
 	world_lock();
 	worker->down = false;
 	worker->born_ms = now_ms();
-	worker->born_unix_ms = clock_ms(CLOCK_REALTIME);
+	worker->born_unix_ms = clock_ms(CLOCK_REALTIME) + worker->ahead_ms;
 	worker->end_number = 0;
 	worker->fence = 0;
 	worker->until_ms = 0;
 	worker->seq = 0;
 	worker_announce(worker);
-	record("worker %s has started again", worker->id);
+	record("worker %s has started again, born %llu", worker->id,
+	       (unsigned long long)worker->born_unix_ms);
 	world_unlock();
 	thread_start(server_run, server);
 }
@@ -1103,13 +1104,28 @@
 
 	snprintf(body, sizeof(body),
 		 "{\"spec\":\"%d %u 0\",\"steps\":[{\"count\":%d,"
-		 "\"cpu\":%d,\"mem_mb\":100,\"estimate_ms\":%u}]}",
-		 cpu, work_ms, count, cpu, work_ms);
+		 "\"cpu\":%d,\"mem_mb\":100,\"estimate_ms\":%u%s}]}",
+		 cpu, work_ms, count, cpu, work_ms ? work_ms : 500,
+		 work_ms ? "" : ",\"daemon\":true");
 	answer = node_call(node, "POST", HOST, path, body, 3000);
 	json_decref(answer.body);
 	return answer.status / 100 == 2;
 }
 
+size_t job_running(const char *id)
+{
+	size_t count = 0;
+
+	world_lock();
+	for (size_t i = 0; i < worker_count; i++) {
+		for (size_t j = 0; j < workers[i].run_count; j++)
+			count += strncmp(workers[i].runs[j].task, id,
+					 strlen(id)) == 0;
+	}
+	world_unlock();
+	return count;
+}
+
 size_t job_starts(const char *id)
 {
 	size_t count = 0;
@@ -1277,7 +1293,7 @@
 	fclose(file);
 }
 
-static void node_start(size_t node)
+void node_start(size_t node)
 {
 	char settings[320];
 	char output[320];
@@ -1304,6 +1320,14 @@
 	record("platform: node %zu is started", node + 1);
 }
 
+void node_kill(size_t node)
+{
+	record("disruption: node %zu is killed", node + 1);
+	kill(node_pids[node], SIGKILL);
+	waitpid(node_pids[node], NULL, 0);
+	node_pids[node] = 0;
+}
+
 void nodes_start(void)
 {
 	for (size_t i = 0; i < NODES; i++)
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -44,6 +44,8 @@
 	int64_t cpu;
 	uint64_t born_unix_ms;
 	uint64_t born_ms;
+	/* how far the time of day of its machine is ahead */
+	uint64_t ahead_ms;
 	uint64_t fence;
 	uint64_t until_ms;
 	enum worker_mode mode;
@@ -87,6 +89,8 @@
 
 /* Starts of tasks of a job that workers have begun; takes the lock. */
 size_t job_starts(const char *id);
+/* Tasks of a job that run now; takes the lock. */
+size_t job_running(const char *id);
 
 struct worker *worker_add(const char *service, int64_t cpu);
 /* The worker crashes; it starts again under its identity, with nothing. */
@@ -97,6 +101,8 @@
 
 void world_open(const char *program, const char *folder);
 void nodes_start(void);
+void node_kill(size_t node);
+void node_start(size_t node);
 /* Waits until each node says that it is ready. */
 bool nodes_wait(uint64_t timeout_ms);
 void world_close(void);
