Show a worker left out for good after a crash beside a takeover

If the next owner reads the roster before the list of workers, it never calls that worker again; a lasting task that has room nowhere else does not run again.

--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -53,6 +53,8 @@
 struct server {
 	struct answer (*serve)(struct server *server, struct request *request);
 	struct worker *worker;
+	/* the node that calls the store here */
+	size_t node;
 	int fd;
 };
 
@@ -86,7 +88,8 @@
 static char tmp_folder[256];
 static const char *node_program;
 static uint32_t net;
-static uint16_t store_port;
+static uint16_t store_ports[NODES];
+static size_t last_writer;
 static uint16_t cloud_port;
 static uint16_t front_port;
 static uint16_t ready_port;
@@ -391,7 +394,7 @@
 	return json_integer_value(json_object_get(object, key));
 }
 
-static struct answer txn_serve(const json_t *body)
+static struct answer txn_serve(size_t node, const json_t *body)
 {
 	json_t *current = json_array();
 	bool holds = true;
@@ -418,6 +421,8 @@
 		if (lease != 0 && !lease_find(lease))
 			return (struct answer){ 404, json_object() };
 	}
+	if (json_array_size(json_object_get(body, "expected_rev")) > 0)
+		last_writer = node;
 	revision++;
 	json_array_foreach(json_object_get(body, "puts"), i, row)
 		item_put(text_of(row, "key"), text_of(row, "value"),
@@ -465,7 +470,6 @@
 	const struct item *item;
 	char key[256];
 
-	(void)server;
 	if (strncmp(request->path, "/-/kv-key", 9) == 0) {
 		query_get(request->path, "key", key, sizeof(key));
 		item = item_find(key);
@@ -478,7 +482,7 @@
 	} else if (strncmp(request->path, "/-/kv-watch", 11) == 0) {
 		answer = watch_serve(request->path);
 	} else if (strcmp(request->path, "/-/kv-txn") == 0) {
-		answer = txn_serve(body);
+		answer = txn_serve(server->node, body);
 	} else if (strncmp(request->path, "/-/kv-lease", 11) == 0 ||
 		   strncmp(request->path, "/-/kv-keep/", 11) == 0) {
 		answer = lease_serve(request, body);
@@ -807,15 +811,14 @@
 {
 	char *body = answer->body ? json_dumps(answer->body, JSON_COMPACT)
 				  : strdup("");
-	char head[160];
-	bool sent;
-
-	snprintf(head, sizeof(head),
-		 "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-		 "Content-Length: %zu\r\n\r\n",
-		 answer->status, strlen(body));
-	sent = bytes_send(fd, head, strlen(head)) &&
-	       bytes_send(fd, body, strlen(body));
+	char *text = NULL;
+	int len = asprintf(&text,
+			   "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+			   "Content-Length: %zu\r\n\r\n%s",
+			   answer->status, strlen(body), body);
+	bool sent = len > 0 && bytes_send(fd, text, (size_t)len);
+
+	free(text);
 	free(body);
 	return sent;
 }
@@ -919,6 +922,7 @@
 	char key[64];
 
 	worker->seq++;
+	worker->beat_ms = now_ms();
 	if (asprintf(&text,
 		     "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":"
 		     "\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
@@ -960,13 +964,14 @@
 static uint16_t server_start(const char *ip,
 			     struct answer (*serve)(struct server *server,
 						    struct request *request),
-			     struct worker *worker)
+			     struct worker *worker, size_t node)
 {
 	struct server *server = calloc(1, sizeof(*server));
 	uint16_t port = 0;
 
 	server->serve = serve;
 	server->worker = worker;
+	server->node = node;
 	server->fd = socket_bind(ip, &port);
 	if (listen(server->fd, 128) != 0)
 		exit(2);
@@ -1153,7 +1158,7 @@
 	worker->born_ms = now_ms();
 	worker->born_unix_ms = clock_ms(CLOCK_REALTIME);
 	worker->ended = json_array();
-	worker->port = server_start(worker->ip, worker_serve, worker);
+	worker->port = server_start(worker->ip, worker_serve, worker, 0);
 	world_lock();
 	worker_announce(worker);
 	world_unlock();
@@ -1197,6 +1202,21 @@
 	json_decref(config);
 }
 
+/* An entry is removed after three ping intervals of silence. */
+static void entry_expire(const struct worker *worker)
+{
+	char key[64];
+
+	if (!worker->down || now_ms() < worker->beat_ms + 3 * HEARTBEAT_MS)
+		return;
+	snprintf(key, sizeof(key), "servers/%.31s", worker->id);
+	if (!item_find(key))
+		return;
+	revision++;
+	item_delete(key);
+	record("store: the entry of worker %s is removed", worker->id);
+}
+
 static void *platform_run(void *data)
 {
 	uint64_t beat_ms = 0;
@@ -1211,6 +1231,8 @@
 		}
 		for (size_t i = 0; i < worker_count; i++)
 			worker_tick(&workers[i]);
+		for (size_t i = 0; i < worker_count; i++)
+			entry_expire(&workers[i]);
 		if (now_ms() >= beat_ms) {
 			beat_ms = now_ms() + HEARTBEAT_MS;
 			for (size_t i = 0; i < worker_count; i++) {
@@ -1240,8 +1262,9 @@
 	if (!record_file || !mkdtemp(tmp_folder))
 		exit(2);
 	ip_of(7, ip, sizeof(ip));
-	store_port = server_start(ip, store_serve, NULL);
-	cloud_port = server_start(ip, cloud_serve, NULL);
+	for (size_t i = 0; i < NODES; i++)
+		store_ports[i] = server_start(ip, store_serve, NULL, i);
+	cloud_port = server_start(ip, cloud_serve, NULL, 0);
 	ip_of(10, ip, sizeof(ip));
 	for (size_t i = 0; i < sizeof(ports) / sizeof(ports[0]); i++)
 		fds[i] = socket_bind(ip, ports[i]);
@@ -1289,7 +1312,7 @@
 		"platform.address=%s:%u\ncloud.address=%s:%u\n"
 		"cloud.rate_per_s=64.0\ncloud.duties=\n"
 		"cloud.duty_per_s=64.0\n",
-		platform, store_port, platform, cloud_port);
+		platform, store_ports[node], platform, cloud_port);
 	fclose(file);
 }
 
@@ -1320,6 +1343,16 @@
 	record("platform: node %zu is started", node + 1);
 }
 
+size_t node_last_writer(void)
+{
+	size_t node;
+
+	world_lock();
+	node = last_writer;
+	world_unlock();
+	return node;
+}
+
 void node_kill(size_t node)
 {
 	record("disruption: node %zu is killed", node + 1);
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -58,6 +58,7 @@
 	uint64_t end_number;
 	uint32_t refused;
 	uint64_t seq;
+	uint64_t beat_ms;
 	struct server *server;
 };
 
@@ -101,6 +102,8 @@
 
 void world_open(const char *program, const char *folder);
 void nodes_start(void);
+/* The node that last wrote to the store under a condition. */
+size_t node_last_writer(void);
 void node_kill(size_t node);
 void node_start(size_t node);
 /* Waits until each node says that it is ready. */
