--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -1331,6 +1332,7 @@
 	node_file_write(node, settings);
 	pid = fork();
 	if (pid == 0) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		if (!freopen(output, "a", stdout) ||
 		    !freopen(output, "a", stderr))
 			_exit(2);
