Emulate lists in any order, steps of a VM's clock and prevented starts

Two checks are new. A worker that is up and listed for 3 s while nothing is disturbed must have been called by the present owner; the number of waiting jobs that a process tells is compared with the jobs that no worker has begun 5 s after they were accepted (rule MIXED).

--- a/packages/jobs/tests/emu.c
+++ b/packages/jobs/tests/emu.c
@@ -149,7 +149,8 @@
 {
 	bool any = emu->lost_permille || emu->late_permille ||
 		   emu->slowdown > 1 || emu->delayed_order_permille ||
-		   emu->slow_answers_max_ms || emu->processes_disturbed;
+		   emu->slow_answers_max_ms || emu->processes_disturbed ||
+		   emu_lists_are_delayed(emu);
 
 	for (uint32_t i = 0; i < emu->config.nodes; i++)
 		any |= !emu->nodes[i].alive ||
@@ -160,10 +161,13 @@
 		any |= emu->nodes[i].store_mode != EMU_STORE_OK;
 	if (any)
 		emu->last_owner_fault_ms = loop_now_ms();
+	any |= emu->lost_start_permille > 0;
 	for (uint32_t i = 0; i < emu->vm_count; i++)
 		any |= emu->vms[i].partitioned || emu->vms[i].cut_nodes != 0 ||
 		       emu->vms[i].silent_connections > 0 ||
 		       emu->vms[i].draining || emu->vms[i].fails_all_runs ||
+		       emu->vms[i].refuses_starts ||
+		       emu->vms[i].clock_ahead_ms != 0 ||
 		       emu->vms[i].state == ADAPTER_VM_DOWN;
 	if (any)
 		emu->last_fault_ms = loop_now_ms();
@@ -529,7 +533,7 @@
 		.vm = vm->name,
 		.pool = vm->pool,
 		.draining = vm->draining,
-		.started_ms = vm->started_ms,
+		.started_ms = vm->born_ms,
 		.clock_ms = emu_worker_clock_ms(vm),
 		.cpu_milli = vm->cpu_milli,
 	};
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -116,6 +116,16 @@
 	EMU_RULE_COUNT
 };
 
+/** Lists from which an owner learns of workers. */
+enum emu_list {
+	/** the roster that earlier owners have stored */
+	EMU_LIST_ROSTER,
+	/** the entries of the workers */
+	EMU_LIST_WORKERS,
+	EMU_LIST_VMS,
+	EMU_LIST_COUNT
+};
+
 /** How the store handles the calls of a process. */
 enum emu_store_mode {
 	EMU_STORE_OK,
@@ -199,6 +209,10 @@
 	uint32_t worker_crashes;
 	/** failed jobs whose tasks neither fail nor crash workers */
 	uint32_t harmless_failed;
+	/** answers of emu_backlog_query() that were checked, and the highest
+	 *  number of jobs that waited then */
+	uint32_t backlogs_told;
+	uint32_t backlog_max;
 };
 
 /** Format of the workers' entries in the store, if not the emulator's own. */
@@ -285,6 +299,9 @@
 void emu_cancel(struct emu *emu, uint32_t node, uint32_t job);
 /** @brief Queries a job's state; the answer is checked when it arrives. */
 void emu_state_query(struct emu *emu, uint32_t node, uint32_t job);
+/** @brief Queries how many jobs of a pool's queue wait; the answer is checked
+ *  when it arrives. */
+void emu_backlog_query(struct emu *emu, uint32_t node, uint32_t pool);
 /** @brief Requests a maintenance wave of a random share of the VMs, with at
  *  most max_parallel of them in maintenance at once. */
 void emu_wave_request(struct emu *emu, uint32_t percent, uint32_t max_parallel,
@@ -322,6 +339,9 @@
 void emu_store_set_slowdown(struct emu *emu, uint32_t factor);
 /** @brief Sets how often a range of the store has each item. */
 void emu_store_set_range_copies(struct emu *emu, uint32_t copies);
+/** @brief Makes the reads of a list take longer, so that it arrives after
+ * others that were read later. */
+void emu_list_set_delay(struct emu *emu, enum emu_list list, uint32_t ms);
 /** @brief Compacts the store's history, so that watches must read again. */
 void emu_store_compact(struct emu *emu);
 /** @brief Revokes the ownership lease if the process holds it, without
@@ -381,6 +401,9 @@
 /** @brief Lets a worker write its entry in the store only after a time, which
  *  is at most the interval of its heartbeats. */
 void emu_worker_entry_delay(struct emu *emu, uint32_t vm, uint32_t ms);
+/** @brief Sets by how much the time of day of a VM is ahead, which its next
+ *  workers take for the time of their start. */
+void emu_worker_set_clock(struct emu *emu, uint32_t vm, int32_t ahead_ms);
 /** @brief Lets a worker announce that it drains, and stop after a time. */
 void emu_worker_drain(struct emu *emu, uint32_t vm, uint32_t after_ms);
 /**
@@ -425,6 +448,10 @@
 int64_t emu_vm_cpu_milli(const struct emu *emu, uint32_t vm);
 /** @brief Makes a worker fail every run that it starts. */
 void emu_worker_set_failing(struct emu *emu, uint32_t vm, bool failing);
+/** @brief Makes a worker refuse every start as an unhealthy one does. */
+void emu_worker_set_refusing(struct emu *emu, uint32_t vm, bool refusing);
+/** @brief Sets the share of starts that are lost on their way to a worker. */
+void emu_starts_set_lost(struct emu *emu, uint32_t permille);
 /** @brief Returns the number of VMs, in whatever state. */
 uint32_t emu_vm_count(const struct emu *emu);
 
--- a/packages/jobs/tests/emu_callers.c
+++ b/packages/jobs/tests/emu_callers.c
@@ -2,9 +2,6 @@
 
 #include "emu_private.h"
 
-/* Time that a caller waits for an answer. */
-#define EMU_CALL_DEADLINE_MS 3000
-
 static void step_add(struct job_spec *spec, const struct emu_job *job,
 		     uint32_t index)
 {
@@ -36,6 +33,8 @@
 	if (answer->outcome == JOBS_OK) {
 		if (state->started && state->refused && !state->accepted)
 			state->outcome_unknown = true;
+		if (!state->accepted)
+			state->accepted_ms = loop_now_ms();
 		state->accepted = true;
 	} else if (answer->outcome == JOBS_REFUSED) {
 		state->refused = true;
@@ -52,7 +51,7 @@
 }
 
 /* Callers whose process is down reach the next one that is alive. */
-static struct emu_node *node_next_alive(struct emu *emu, uint32_t first)
+struct emu_node *emu_node_next_alive(struct emu *emu, uint32_t first)
 {
 	for (uint32_t i = 0; i < emu->config.nodes; i++) {
 		struct emu_node *node =
@@ -89,8 +88,8 @@
 	g_free(caller);
 }
 
-static void call_deliver(struct emu_node *node, const struct jobs_call *call,
-			 jobs_cb cb, void *data)
+void emu_call_deliver(struct emu_node *node, const struct jobs_call *call,
+		      jobs_cb cb, void *data)
 {
 	struct emu_caller_call *caller;
 
@@ -129,7 +128,7 @@
 			verb == JOBS_SUBMIT ? submission_is_awaited : NULL,
 	};
 
-	call_deliver(node_next_alive(emu, node), &call, cb, data);
+	emu_call_deliver(emu_node_next_alive(emu, node), &call, cb, data);
 }
 
 uint32_t emu_job_register(struct emu *emu, const struct emu_job *job)
@@ -187,7 +186,7 @@
 {
 	struct emu_job_state *state = g_ptr_array_index(emu->jobs, job);
 
-	if (!node_next_alive(emu, node))
+	if (!emu_node_next_alive(emu, node))
 		return;
 	state->submissions_in_flight++;
 	call_send(emu, node, JOBS_SUBMIT, state, on_submitted, state);
@@ -214,7 +213,7 @@
 {
 	struct emu_job_state *state = g_ptr_array_index(emu->jobs, job);
 
-	if (!node_next_alive(emu, node))
+	if (!emu_node_next_alive(emu, node))
 		return;
 	state->cancel_sent = true;
 	call_send(emu, node, JOBS_CANCEL, state, on_cancelled, state);
@@ -301,7 +300,7 @@
 {
 	struct emu_state_request *request;
 
-	if (!node_next_alive(emu, node))
+	if (!emu_node_next_alive(emu, node))
 		return;
 	request = g_new0(struct emu_state_request, 1);
 	request->emu = emu;
--- a/packages/jobs/tests/emu_orders.c
+++ b/packages/jobs/tests/emu_orders.c
@@ -116,6 +116,8 @@
 		emu_order_reply(order);
 		return;
 	}
+	if (emu_start_is_prevented(order))
+		return;
 	if (order->kind == EMU_ORDER_START &&
 	    emu_random(emu, 1000) < emu->delayed_order_permille) {
 		struct emu_order *delayed = g_memdup2(order, sizeof(*order));
--- a/packages/jobs/tests/emu_private.h
+++ b/packages/jobs/tests/emu_private.h
@@ -57,6 +57,10 @@
 #define EMU_SLOW_ANSWER_ONE_IN 4
 /** Interval at which EMU_RULE_LOST is checked. */
 #define EMU_WAITING_CHECK_MS 100
+/** Time within which the owner must have called a worker that is listed. */
+#define EMU_UNASKED_MAX_MS 3000
+/** Time that a caller waits for an answer. */
+#define EMU_CALL_DEADLINE_MS 3000
 /** Time that a gang member waits for the other members to start. */
 #define EMU_GANG_TIMEOUT_MS 3000
 
@@ -144,6 +148,13 @@
 	/* bit mask of the processes that it is cut off from */
 	uint32_t cut_nodes;
 	bool fails_all_runs;
+	bool refuses_starts;
+	/* by how much its time of day is ahead, and the time of day at which
+	 * the worker has started */
+	int32_t clock_ahead_ms;
+	uint64_t born_ms;
+	/* since when the owner has not called it, 0 if it has or need not */
+	uint64_t unasked_since_ms;
 	bool draining;
 	/* fencing token of the last VM action, and when it arrived */
 	uint64_t last_order_fence;
@@ -243,6 +254,8 @@
 	char *spec_text;
 	struct job_spec *spec;
 	uint64_t submitted_ms;
+	/* when a caller was first told that it is accepted */
+	uint64_t accepted_ms;
 	/* time from submission within which the job should succeed */
 	uint64_t objective_ms;
 	/* when a caller first saw the job as succeeded */
@@ -322,6 +335,9 @@
 	uint32_t refused_permille;
 	uint32_t refusals;
 	uint32_t delayed_order_permille;
+	uint32_t lost_start_permille;
+	/* by how much the reads of each list take longer */
+	uint32_t list_delays_ms[EMU_LIST_COUNT];
 	/* some answers of workers take up to this time more, 0 for none */
 	uint32_t slow_answers_max_ms;
 	/* delayed orders survive the restart of the worker that holds them */
@@ -423,6 +439,8 @@
 void emu_vm_start(struct emu_vm *vm, uint32_t pool);
 /** @brief Answers the pending polls and frees the runs and their ends. */
 void emu_vm_clear(struct emu_vm *vm);
+/** @brief Returns the key of a worker's entry; the caller frees it. */
+char *emu_entry_key(const struct emu_vm *vm);
 /** @brief Advances the worker's runs, its heartbeat and its pending polls. */
 void emu_vm_tick(struct emu_vm *vm);
 /** @brief Stops the worker; its runs and their ends are lost without a report.
@@ -527,6 +545,25 @@
 		     uint32_t job, uint32_t step,
 		     const struct job_task_id *parts);
 
+/* emu_callers.c */
+/** @brief Returns the first process that is alive, from a number on, NULL if
+ *  none is. */
+struct emu_node *emu_node_next_alive(struct emu *emu, uint32_t first);
+/** @brief Passes a call to a process once it is not paused. */
+void emu_call_deliver(struct emu_node *node, const struct jobs_call *call,
+		      jobs_cb cb, void *data);
+
+/* emu_backlog.c */
+/** @brief Handles a start that is lost or refused. @return whether it is */
+bool emu_start_is_prevented(struct emu_order *order);
+
+/* emu_lists.c */
+/** @brief Returns by how much the read of a key or prefix takes longer. */
+uint32_t emu_range_delay_ms(const struct emu *emu, const char *key);
+bool emu_lists_are_delayed(const struct emu *emu);
+/** @brief Checks that the owner has called each worker that is listed. */
+void emu_unasked_check(struct emu *emu, bool calm);
+
 /* emu_waiting.c */
 /** @brief Checks that no job waits that could run. */
 void emu_waiting_check(struct emu *emu);
--- a/packages/jobs/tests/emu_store.c
+++ b/packages/jobs/tests/emu_store.c
@@ -176,6 +176,8 @@
 
 	if (call->answer_lost)
 		due_ms = loop_now_ms() + EMU_STORE_TIMEOUT_MS;
+	if (call->kind == EMU_CALL_RANGE)
+		due_ms += emu_range_delay_ms(emu, call->key);
 	due_ms = MAX(due_ms, call->node->stalled_until_ms);
 	emu_schedule_at(call->node, (uint32_t)(due_ms - loop_now_ms()),
 			call_reply, call);
--- a/packages/jobs/tests/emu_vms.c
+++ b/packages/jobs/tests/emu_vms.c
@@ -27,6 +27,7 @@
 	struct emu_order *order = data;
 	struct emu *emu = order->node->emu;
 	struct vm_list *list = g_new0(struct vm_list, 1);
+	uint32_t delay_ms;
 
 	list->order = order;
 	list->rows = g_array_new(FALSE, TRUE, sizeof(struct adapter_vm));
@@ -52,14 +53,15 @@
 				g_string_chunk_insert(list->names, vm->worker);
 		g_array_append_val(list->rows, row);
 	}
-	if (!emu_answers_are_slow(order->node)) {
+	delay_ms = emu->list_delays_ms[EMU_LIST_VMS];
+	if (emu_answers_are_slow(order->node))
+		delay_ms += (uint32_t)(emu_answer_arrival_ms(order->node) -
+				       loop_now_ms());
+	else if (delay_ms == 0) {
 		vm_list_deliver(list);
 		return;
 	}
-	emu_schedule_at(
-		order->node,
-		(uint32_t)(emu_answer_arrival_ms(order->node) - loop_now_ms()),
-		vm_list_deliver, list);
+	emu_schedule_at(order->node, delay_ms, vm_list_deliver, list);
 }
 
 void emu_vm_list(void *self, uint32_t timeout_ms, adapter_vms_cb cb, void *data)
--- a/packages/jobs/tests/emu_waiting.c
+++ b/packages/jobs/tests/emu_waiting.c
@@ -277,6 +277,7 @@
 	bool calm = loop_now_ms() - last_disturbance_ms(emu) >= WAITING_CALM_MS;
 	bool half_free[EMU_POOLS_MAX];
 
+	emu_unasked_check(emu, calm);
 	for (uint32_t i = 0; i < emu->config.pools; i++)
 		half_free[i] = calm && pool_is_half_free(emu, i);
 	for (guint i = 0; i < emu->jobs->len; i++) {
--- a/packages/jobs/tests/emu_worker.c
+++ b/packages/jobs/tests/emu_worker.c
@@ -23,6 +23,7 @@
 	g_snprintf(vm->worker, sizeof(vm->worker), "w-%u-%u", vm->number,
 		   vm->incarnation);
 	vm->started_ms = loop_now_ms();
+	vm->born_ms = vm->started_ms + (uint64_t)(int64_t)vm->clock_ahead_ms;
 	vm->cpu_milli = emu_vm_cpu_milli(vm->emu, vm->number);
 	vm->fence = 0;
 	vm->lease_until_ms = 0;
@@ -205,7 +206,7 @@
 	order->reply.clock_ms = emu_worker_clock_ms(vm);
 	order->report = (struct adapter_report){
 		.clock_ms = order->reply.clock_ms,
-		.started_unix_ms = vm->started_ms,
+		.started_unix_ms = vm->born_ms,
 	};
 
 	for (guint i = 0; i < vm->runs->len; i++) {
@@ -516,7 +517,7 @@
 	}
 }
 
-static char *entry_key(const struct emu_vm *vm)
+char *emu_entry_key(const struct emu_vm *vm)
 {
 	const struct emu_entry_format *format = vm->emu->entry_format;
 
@@ -527,13 +528,13 @@
 static void heartbeat_write(struct emu_vm *vm)
 {
 	const struct emu_entry_format *format = vm->emu->entry_format;
-	g_autofree char *key = entry_key(vm);
+	g_autofree char *key = emu_entry_key(vm);
 	g_autofree char *value =
 		format ? format->encode(vm->emu, vm->number)
 		       : g_strdup_printf("%u %u %u %d %" G_GUINT64_FORMAT
 					 " %" G_GINT64_FORMAT,
 					 vm->entry_vm, vm->pool, vm->port,
-					 vm->draining, vm->started_ms,
+					 vm->draining, vm->born_ms,
 					 vm->cpu_milli);
 
 	vm->heartbeat_ms = loop_now_ms();
@@ -544,7 +545,7 @@
  * intervals. The next worker on the VM has another key. */
 static void entry_remove(struct emu_vm *vm)
 {
-	g_autofree char *key = entry_key(vm);
+	g_autofree char *key = emu_entry_key(vm);
 
 	if (emu_store_get(vm->emu, key))
 		emu_store_put(vm->emu, key, NULL, 0);
