Call each listed worker until it answers, whatever its entry says

Cause: a worker whose incarnation had ended was not polled, and only an entry with a later start than the known one brought it back. The start is unknown of a worker that was restored from the roster, lower after the clock of a VM was set back, and the same of a worker that never stopped. An idle worker with a lower start in its entry was neither used nor polled.

Change: worker_poll_reason() alone decides whether a worker is polled after an answer or the lack of one. One that has ended is polled each second until it answers or leaves the list, and so is one whose entry and last report show different starts, whichever is lower. An entry with another start only brings the poll forward: it may have been written late or by another writer. A list of VMs does not end a worker that has answered since the list was requested. The log line worker-out-of-touch and the metric workers_out_of_touch show listed workers that get no tasks.

Ruled out: to let each unseen entry bring a worker back. One that was read before the list of VMs shows the VM as down is not new afterwards.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -197,8 +197,11 @@
 	struct timer poll_timer;
 	/** worker_drop() was called */
 	bool dropped;
-	/** this incarnation has ended; its entry may still be listed */
+	/** this incarnation has ended, and local time of that; the worker is
+	 *  polled until it answers or is dropped, since it may restart under
+	 *  its identity at any time */
 	bool ended;
+	uint64_t ended_ms;
 	/** what ended the last incarnation has been judged */
 	bool end_judged;
 	/** owner: an incarnation has ended by itself, which is judged once a
@@ -250,12 +253,45 @@
 	bool discovered_without_lease;
 	/** name of its VM, NULL if unknown */
 	char *vm;
+	/** owner: local time since which it is listed but can get no task, 0
+	 *  for none; and whether that has been logged */
+	uint64_t out_of_touch_since_ms;
+	bool out_of_touch_logged;
 	/** owner: number of successive lists of VMs that lacked its VM */
 	uint32_t vm_unlisted_count;
 	/** owner: how long a poll waits for an end, 0 for the maximum */
 	uint32_t poll_wait_ms;
 };
 
+/** Reasons to poll a worker again, the first that applies. */
+enum worker_poll_reason {
+	/** idle: the next order shows whether it runs */
+	WORKER_POLL_NONE,
+	/** its incarnation has ended; it may restart under its identity at any
+	 *  time, and neither its entry nor the list of VMs need show that */
+	WORKER_POLL_ENDED,
+	WORKER_POLL_REFUSED,
+	WORKER_POLL_SILENT,
+	/** the same while it may execute an unanswered order */
+	WORKER_POLL_SILENT_LATE,
+	WORKER_POLL_UNSTORED,
+	/** it has tasks, or something that it has not reported yet */
+	WORKER_POLL_BUSY,
+	/** the same, without a connection that reaches its incarnation only */
+	WORKER_POLL_CLOSED,
+	/** idle, but its entry shows another start than its last report */
+	WORKER_POLL_OUTDATED,
+};
+
+/** What one reason to poll a worker stands for. */
+struct worker_poll_row {
+	/** constant text for the log */
+	const char *text;
+	/** whether it is polled at all, and the delay before the poll */
+	bool is_due;
+	uint32_t delay_ms;
+};
+
 /**
  * @brief Returns how long a poll may wait at a worker.
  *
@@ -309,10 +345,21 @@
 void worker_end_incarnation(struct worker *worker, enum worker_end_cause cause,
 			    const char *why);
 
-/** @brief Returns whether the entry that was read last is of an earlier
- *  incarnation, which may have had other labels and another capacity. */
+/** @brief Returns whether the entry that was read last is of another
+ * incarnation than the last report, which may have other labels and another
+ * capacity. */
 bool worker_entry_is_outdated(const struct worker *worker);
 
+/**
+ * @brief Returns why the worker is to be polled after its last answer, or the
+ * lack of one. Nothing else decides that; orders, and entries of another
+ * incarnation, bring the next poll forward.
+ */
+enum worker_poll_reason worker_poll_reason(const struct worker *worker);
+
+/** @brief Returns what a reason to poll a worker stands for. */
+const struct worker_poll_row *worker_poll_row(enum worker_poll_reason reason);
+
 /** @brief Returns the current fencing token for orders to the worker. */
 uint64_t worker_fence(const struct worker *worker);
 
--- a/packages/jobs/src/owner.c
+++ b/packages/jobs/src/owner.c
@@ -303,6 +303,7 @@
 		{ "vm_maintenances_total", counters->maintenances },
 		{ "jobs", g_hash_table_size(owner->jobs) },
 		{ "workers", g_hash_table_size(owner->workers) },
+		{ "workers_out_of_touch", owner->workers_out_of_touch },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -176,6 +176,9 @@
 	uint32_t sent_voters;
 	/** number of workers that the roster has no room for */
 	uint32_t roster_left_out;
+	/** listed workers that this owner has been out of touch with for long
+	 */
+	uint32_t workers_out_of_touch;
 	bool workers_list_in_flight;
 	/* local time at which the read in flight, and the last one that
 	 * succeeded, was requested, 0 for none */
@@ -342,6 +345,11 @@
 /* Releases tasks of earlier owners once no worker can still hold them. */
 void owner_takeover_try_finish(struct owner *owner);
 
+/* owner_touch.c: workers that are listed but get no tasks, because the owner is
+ * not in touch with the incarnation that the entry describes. */
+/* Counts those that have been so for long, and logs each once. */
+void owner_out_of_touch_report(struct owner *owner);
+
 /* owner_ownership.c: what an owner does that cannot prove its ownership, and
  * for how long its successor has to expect it. */
 /* Time until which the previous owner may act on its lease. The platform may
--- a/packages/jobs/src/owner_roster.c
+++ b/packages/jobs/src/owner_roster.c
@@ -372,6 +372,7 @@
 	owner->workers_read = true;
 	owner->workers_listed_ms = owner->workers_list_requested_ms;
 	unlisted_workers_remove(owner);
+	owner_out_of_touch_report(owner);
 	silent_workers_demote(owner);
 	roster_write(owner);
 	owner_schedule_request(owner);
--- a/packages/jobs/src/owner_vm_list.c
+++ b/packages/jobs/src/owner_vm_list.c
@@ -82,7 +82,8 @@
 		(!worker_is_reachable(worker) &&
 		 worker->unanswered_since_ms < fleet->list_requested_ms) ||
 		(!worker->has_reported &&
-		 worker->discovered_ms < fleet->list_requested_ms);
+		 MAX(worker->discovered_ms, worker->restarted_ms) <
+			 fleet->list_requested_ms);
 
 	*cause = WORKER_REMOVED;
 	if (is_operated_on && vm->drained_worker &&
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -7,15 +7,6 @@
 
 /* The answer of a draining worker may be its last one. */
 #define WORKER_LAST_ANSWER_TIMEOUT_MS 2000
-/* Delay before an unanswered or refused poll is repeated. */
-#define WORKER_POLL_RETRY_MS 250
-/* While an unanswered order may still arrive, a worker that restarts has not
- * seen the higher fencing token and would accept the order, so it is polled
- * more often. */
-#define WORKER_POLL_RETRY_LATE_MS 40
-/* Poll interval of a worker with ends that are not stored yet, so that its
- * lease does not expire while the store is unavailable. */
-#define WORKER_POLL_UNSTORED_MS 1000
 
 static void fence_raise(struct worker *worker)
 {
@@ -61,6 +52,7 @@
 }
 
 static void poll_schedule(struct worker *worker, uint32_t delay_ms);
+static void poll_schedule_next(struct worker *worker);
 
 /*
  * A restarted worker may have received orders that were meant for its earlier
@@ -82,7 +74,8 @@
 			 "and answered up to %" G_GUINT64_FORMAT,
 			 worker->id, loop_now_ms() - worker->ack_sent_ms,
 			 worker->acks_received);
-	worker->started_unix_ms = started_unix_ms;
+	if (started_unix_ms != 0)
+		worker->started_unix_ms = started_unix_ms;
 	worker->restarted_ms = loop_now_ms();
 	worker->ended = false;
 	worker->env->ops->on_restarted(worker->env->data, worker);
@@ -107,7 +100,9 @@
 	worker->env->ops->on_ended(worker->env->data, worker, cause);
 	incarnation_reset(worker);
 	worker->ended = true;
+	worker->ended_ms = loop_now_ms();
 	timer_cancel(&worker->poll_timer);
+	poll_schedule_next(worker);
 }
 
 static void on_polled(void *data, const struct adapter_reply *reply);
@@ -174,7 +169,7 @@
 	struct worker *worker = data;
 	struct adapter_poll poll = { .fresh_connection = true };
 
-	if (!worker_is_reachable(worker))
+	if (!worker_is_reachable(worker) || worker->ended)
 		return;
 	log_info("poll-late",
 		 "worker %s has not answered a poll %u ms after it was due, "
@@ -188,7 +183,7 @@
 {
 	uint64_t due_ms = loop_now_ms() + delay_ms;
 
-	if (worker->dropped || worker->ended || worker->polling)
+	if (worker->dropped || worker->polling)
 		return;
 	if (timer_is_set(&worker->poll_timer) &&
 	    worker->poll_timer.due_ms <= due_ms)
@@ -198,12 +193,8 @@
 
 void worker_poll_within(struct worker *worker, uint32_t delay_ms)
 {
-	poll_schedule(worker, delay_ms);
-}
-
-static bool has_unstored_ends(const struct worker *worker)
-{
-	return worker->ends->len > 0;
+	if (!worker->ended)
+		poll_schedule(worker, delay_ms);
 }
 
 static void on_poll_timer(void *data)
@@ -211,11 +202,10 @@
 	struct worker *worker = data;
 	bool immediate = worker->resolving || !worker->has_reported ||
 			 worker->connection == 0 || worker->poll_at_once ||
-			 !worker_is_reachable(worker) ||
-			 has_unstored_ends(worker);
+			 !worker_is_reachable(worker) || worker->ends->len > 0;
 	uint32_t wait_ms = worker->env->poll_wait_max_ms;
 
-	if (worker->dropped || worker->ended || worker->polling)
+	if (worker->dropped || worker->polling)
 		return;
 	if (immediate)
 		wait_ms = 0;
@@ -224,20 +214,15 @@
 	poll_start(worker, wait_ms);
 }
 
-/* Schedules the next poll after a report, if one is needed. */
+/* Schedules the next poll after an answer, or the lack of one, if it is needed.
+ */
 static void poll_schedule_next(struct worker *worker)
 {
-	bool unstored = has_unstored_ends(worker) && !worker->resolving;
-
-	if (unstored)
-		poll_schedule(worker, WORKER_POLL_UNSTORED_MS);
-	else if (worker->resolving || worker->tasks->len > 0 ||
-		 worker->stray_runs > 0 ||
-		 worker->acks_received < worker->ends_seen ||
-		 worker->env->poll_idle || worker_may_get_late_orders(worker))
-		poll_schedule(worker, worker->connection != 0
-					      ? 0
-					      : WORKER_POLL_RETRY_MS);
+	const struct worker_poll_row *row =
+		worker_poll_row(worker_poll_reason(worker));
+
+	if (row->is_due)
+		poll_schedule(worker, row->delay_ms);
 }
 
 /* Of a late poll and its repetition, the report that arrives last may have been
@@ -249,6 +234,19 @@
 	return call->overlapped && report->clock_ms < worker->report_clock_ms;
 }
 
+static void return_log(const struct worker *worker,
+		       const struct adapter_report *report)
+{
+	log_info("worker-returned",
+		 "worker %s answers %" G_GUINT64_FORMAT
+		 " ms after its incarnation had ended: started at "
+		 "%" G_GUINT64_FORMAT ", before at %" G_GUINT64_FORMAT
+		 ", as listed at %" G_GUINT64_FORMAT ", runs %zu",
+		 worker->id, loop_now_ms() - worker->ended_ms,
+		 report->started_unix_ms, worker->started_unix_ms,
+		 worker->described_unix_ms, report->run_count);
+}
+
 /* The connection of a report reaches the incarnation that made it. */
 static void connection_keep(struct worker *worker,
 			    const struct adapter_reply *reply)
@@ -270,8 +268,13 @@
 	const struct worker_poll poll = { call->order.fence, call->serial };
 	const struct adapter_report *report = reply->report;
 
-	if (report->started_unix_ms != 0 && worker->started_unix_ms != 0 &&
-	    report->started_unix_ms != worker->started_unix_ms) {
+	/* Whatever answers after the end of an incarnation is taken for a new
+	 * one, since its tasks have been requeued. */
+	if (worker->ended)
+		return_log(worker, report);
+	if (worker->ended ||
+	    (report->started_unix_ms != 0 && worker->started_unix_ms != 0 &&
+	     report->started_unix_ms != worker->started_unix_ms)) {
 		incarnation_replace(worker, report->started_unix_ms);
 		connection_keep(worker, reply);
 		return;
@@ -313,13 +316,14 @@
 		worker_end_incarnation(
 			worker, WORKER_REPLACED,
 			"another incarnation answers at its address");
+		poll_schedule_next(worker);
 		break;
 	default:
 		worker->last_poll_reported = false;
 		log_warning("poll-refused",
 			    "worker %s refused a poll, which is repeated: %s",
 			    worker->id, adapter_verdict_name(reply->verdict));
-		poll_schedule(worker, WORKER_POLL_RETRY_MS);
+		poll_schedule_next(worker);
 		break;
 	}
 }
@@ -337,12 +341,11 @@
 {
 	worker->failed_poll_sent_ms = call->sent_ms;
 	worker->connection = 0;
-	/* The poll repeated one that was answered meanwhile. */
-	if (!worker->late_poll_answered)
+	/* It has ended, or the poll repeated one that was answered meanwhile.
+	 */
+	if (!worker->ended && !worker->late_poll_answered)
 		worker_poll_unanswered(worker, err);
-	poll_schedule(worker, worker_may_get_late_orders(worker)
-				      ? WORKER_POLL_RETRY_LATE_MS
-				      : WORKER_POLL_RETRY_MS);
+	poll_schedule_next(worker);
 }
 
 /* Returns whether the poll was not sent, because the one connection that could
@@ -404,7 +407,7 @@
 	worker_call_free(call);
 }
 
-void worker_poll_again(struct worker *worker)
+static void poll_at_once(struct worker *worker)
 {
 	if (worker->polling)
 		polls_ignore(worker);
@@ -412,6 +415,12 @@
 	poll_schedule(worker, 0);
 }
 
+void worker_poll_again(struct worker *worker)
+{
+	if (!worker->ended)
+		poll_at_once(worker);
+}
+
 void worker_resolve_orders(struct worker *worker)
 {
 	fence_raise(worker);
@@ -445,31 +454,20 @@
 void worker_update(struct worker *worker, const struct adapter_entry *entry)
 {
 	bool is_new = entry->started_unix_ms != worker->described_unix_ms;
-	bool starts_draining;
-
-	/* Reports show a new incarnation earlier than the store entry, which
-	 * may still describe the previous one. */
-	if (entry->started_unix_ms > worker->started_unix_ms &&
-	    worker->started_unix_ms != 0) {
-		worker_entry_copy(worker, entry);
-		/* Only the worker itself is sure to know its start: the entry
-		 * may be of another writer. It is asked once, so that it is
-		 * noticed if it does not answer. */
-		if (worker->ended)
-			incarnation_replace(worker, entry->started_unix_ms);
-		else if (is_new) {
-			/* It may have ended with the earlier incarnation. */
-			worker->connection = 0;
-			worker_poll_again(worker);
-		}
-		return;
-	}
-	starts_draining = entry->draining && !worker->draining;
+	bool starts_draining = entry->draining && !worker->draining;
+
 	worker_entry_copy(worker, entry);
-	/* The poll in flight has the time-out of a worker that stays, and there
-	 * may be no time to repeat it. */
-	if (starts_draining && !worker->ended)
+	/* Only the worker itself is sure to know its start: the entry may be of
+	 * another writer, or may have been read late. */
+	if (is_new && (worker->ended || worker_entry_is_outdated(worker))) {
+		/* It may have ended with the earlier incarnation. */
+		worker->connection = 0;
+		poll_at_once(worker);
+	} else if (starts_draining) {
+		/* The poll in flight has the time-out of a worker that stays,
+		 * and there may be no time to repeat it. */
 		worker_poll_again(worker);
+	}
 }
 
 void worker_drop(struct worker *worker)
--- a/packages/jobs/src/worker_state.c
+++ b/packages/jobs/src/worker_state.c
@@ -10,6 +10,17 @@
 #define WORKER_POLL_WAIT_MIN_MS 100
 /* Maximum time that a poll waits for an end; the platform allows no more. */
 #define WORKER_POLL_WAIT_MAX_MS 2000
+/* Delay before an unanswered or refused poll is repeated. */
+#define WORKER_POLL_RETRY_MS 250
+/* While an unanswered order may still arrive, a worker that restarts has not
+ * seen the higher fencing token and would accept the order, so it is polled
+ * more often. */
+#define WORKER_POLL_RETRY_LATE_MS 40
+/* Poll interval of a worker with ends that are not stored yet, so that its
+ * lease does not expire while the store is unavailable. */
+#define WORKER_POLL_UNSTORED_MS 1000
+/* Poll interval of a worker that may have restarted unnoticed. */
+#define WORKER_POLL_RESTART_MS 1000
 /* Time between two polls, and for the poll on a new connection and for the one
  * after it, which renews the lease. */
 #define WORKER_RENEWAL_MS 1200
@@ -150,8 +161,65 @@
 
 bool worker_entry_is_outdated(const struct worker *worker)
 {
-	return worker->described_unix_ms < worker->started_unix_ms &&
-	       worker->described_unix_ms != 0;
+	/* The clock of its VM may have been set back between two incarnations,
+	 * so neither of them is known to be the later one. */
+	return worker->described_unix_ms != worker->started_unix_ms &&
+	       worker->described_unix_ms != 0 && worker->started_unix_ms != 0;
+}
+
+static const struct worker_poll_row poll_rows[] = {
+	[WORKER_POLL_NONE] = { "nothing is asked of it", false, 0 },
+	[WORKER_POLL_ENDED] = { "its incarnation has ended", true,
+				WORKER_POLL_RESTART_MS },
+	[WORKER_POLL_REFUSED] = { "it refused the last poll", true,
+				  WORKER_POLL_RETRY_MS },
+	[WORKER_POLL_SILENT] = { "it did not answer the last poll", true,
+				 WORKER_POLL_RETRY_MS },
+	[WORKER_POLL_SILENT_LATE] = { "it may get a late order", true,
+				      WORKER_POLL_RETRY_LATE_MS },
+	[WORKER_POLL_UNSTORED] = { "its ends are not stored yet", true,
+				   WORKER_POLL_UNSTORED_MS },
+	[WORKER_POLL_BUSY] = { "it has more to report", true, 0 },
+	[WORKER_POLL_CLOSED] = { "its connection was closed", true,
+				 WORKER_POLL_RETRY_MS },
+	[WORKER_POLL_OUTDATED] = { "its entry is of another incarnation", true,
+				   WORKER_POLL_RESTART_MS },
+};
+
+const struct worker_poll_row *worker_poll_row(enum worker_poll_reason reason)
+{
+	return &poll_rows[reason];
+}
+
+/* Returns whether a worker has, or may get, something that a report shows. */
+static bool has_more_to_report(const struct worker *worker)
+{
+	return worker->resolving || worker->tasks->len > 0 ||
+	       worker->stray_runs > 0 ||
+	       worker->acks_received < worker->ends_seen ||
+	       worker->env->poll_idle || worker_may_get_late_orders(worker);
+}
+
+enum worker_poll_reason worker_poll_reason(const struct worker *worker)
+{
+	if (worker->dropped)
+		return WORKER_POLL_NONE;
+	if (worker->ended)
+		return WORKER_POLL_ENDED;
+	if (worker_is_reachable(worker) && !worker->last_poll_reported)
+		return WORKER_POLL_REFUSED;
+	/* The last poll may have repeated one that was answered meanwhile. */
+	if (worker->failed_poll_sent_ms > worker->answered_poll_sent_ms)
+		return worker_may_get_late_orders(worker)
+			       ? WORKER_POLL_SILENT_LATE
+			       : WORKER_POLL_SILENT;
+	if (worker->ends->len > 0 && !worker->resolving)
+		return WORKER_POLL_UNSTORED;
+	if (has_more_to_report(worker))
+		return worker->connection != 0 ? WORKER_POLL_BUSY
+					       : WORKER_POLL_CLOSED;
+	return worker_entry_is_outdated(worker) ? WORKER_POLL_OUTDATED
+						: WORKER_POLL_NONE;
 }
 
 void worker_entry_copy(struct worker *worker, const struct adapter_entry *entry)
