Count a job as begun once a worker has begun it

Cause: a job was noted as begun when its first start was sent. The worker may refuse the start, which may also get lost or be executed too late.

Evidence: job-begun was logged for 16 jobs, each beside its start-refused; the number stays the same for seconds, far longer than a pause after a refusal. The record of a job whose queue is dropped said the same to the next owner.

Change: owner_task_mark_begun() is called for an accepted start, a reported run and a reported end. Progress is stored whenever something has changed since the definition was written, no longer from the first order on: an unanswered start is evidence if its worker crashes, and has to outlast the owner.

--- a/packages/jobs/include/job.h
+++ b/packages/jobs/include/job.h
@@ -274,7 +274,8 @@
 	/** one per step of the job */
 	struct job_group *groups;
 	uint32_t groups_done;
-	bool has_started;
+	/** a worker has begun one of its tasks, as the owner knows */
+	bool has_begun;
 	/** index in the owner's array of live occurrences */
 	uint32_t live_slot;
 	/** valid only within a scheduling pass */
@@ -328,8 +329,9 @@
 	GPtrArray *occurrences;
 	uint32_t occurrences_begun;
 	uint32_t occurrences_done;
-	/** a worker has run one of its tasks */
-	bool has_started;
+	/** a worker has begun one of its tasks, as the owner or an earlier one
+	 *  knows */
+	bool has_begun;
 	/** its queue has changed since it was accepted and was then dropped, so
 	 *  that its records contain the queue */
 	bool records_queue;
--- a/packages/jobs/src/commit_txn.c
+++ b/packages/jobs/src/commit_txn.c
@@ -145,8 +145,11 @@
 
 	item.has_end = job->state > JOB_RUNNING;
 	item.defines = !job->is_sent && !item.has_end;
-	item.has_progress =
-		!item.has_end && (job->has_started || job->records_queue);
+	/* What changes after the definition was written is progress, also of a
+	 * job that no worker is known to have begun: its start may have been
+	 * the last order to a worker that has crashed. */
+	item.has_progress = !item.has_end && (!item.defines || job->has_begun ||
+					      job->records_queue);
 	if (item.defines)
 		definition = job_record_job_encode(job);
 	if (item.has_end)
--- a/packages/jobs/src/job_record.c
+++ b/packages/jobs/src/job_record.c
@@ -290,7 +290,7 @@
 	json_object_set_new(json, "begun",
 			    json_integer(job->occurrences_begun));
 	json_object_set_new(json, "occurrences", occurrences);
-	flag_set(json, "unstarted", !job->has_started);
+	flag_set(json, "unstarted", !job->has_begun);
 	if (job->records_queue)
 		json_object_set_new(json, "queue",
 				    job_record_queue_to_json(job->spec->queue));
@@ -417,7 +417,7 @@
 
 	job->occurrences_begun = number_get(json, "number");
 	occurrence = job_occurrence_begin(job, now_ms, now_unix_ms);
-	occurrence->has_started = job->has_started;
+	occurrence->has_begun = job->has_begun;
 	if (json_array_size(groups) != job->spec->steps->len)
 		return false;
 	for (guint i = 0; i < job->spec->steps->len; i++) {
@@ -444,7 +444,7 @@
 	if (queue)
 		job_set_queue(job, queue);
 	catalogue_queue_free(queue);
-	job->has_started = !flag_get(record, "unstarted");
+	job->has_begun = !flag_get(record, "unstarted");
 	json_array_foreach((json_t *)occurrences, i, item)
 	{
 		if (valid)
--- a/packages/jobs/src/owner_accounts.c
+++ b/packages/jobs/src/owner_accounts.c
@@ -178,7 +178,7 @@
 		const struct job_occurrence *occurrence =
 			g_ptr_array_index(owner->live_occurrences, i);
 
-		if (occurrence->job->account_use && !occurrence->has_started)
+		if (occurrence->job->account_use && !occurrence->has_begun)
 			occurrence->job->account_use->waiting_jobs++;
 		if (owner->has_unknown_tasks)
 			unknown_tasks_add(occurrence);
--- a/packages/jobs/src/owner_calls.c
+++ b/packages/jobs/src/owner_calls.c
@@ -411,7 +411,7 @@
 		call_answer(cb, data, JOBS_UNKNOWN, "ownership is not proved");
 		return;
 	}
-	answer.state = job->has_started ? JOB_RUNNING : JOB_PENDING;
+	answer.state = job->has_begun ? JOB_RUNNING : JOB_PENDING;
 	cb(data, &answer);
 }
 
@@ -472,7 +472,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct job *job = value;
 
-		if (!job->has_started && owner_job_is_live(job) &&
+		if (!job->has_begun && owner_job_is_live(job) &&
 		    strcmp(job->queue, call->queue) == 0)
 			answer.waiting++;
 	}
--- a/packages/jobs/src/owner_private.h
+++ b/packages/jobs/src/owner_private.h
@@ -216,6 +216,10 @@
 bool owner_task_may_start(const struct owner *owner,
 			  const struct job_task *task);
 void owner_task_complete(struct owner *owner, struct job_task *task);
+/* Records that a worker has begun a run of a task: it has accepted the start,
+ * or has reported the run or its end. That the start was sent does not show
+ * it. */
+void owner_task_mark_begun(struct owner *owner, const struct job_task *task);
 void owner_gang_complete(struct owner *owner, struct job_group *group);
 void owner_task_handle_failure(struct owner *owner, struct worker *worker,
 			       struct job_task *task,
--- a/packages/jobs/src/owner_report.c
+++ b/packages/jobs/src/owner_report.c
@@ -42,6 +42,7 @@
 		owner_trace_unknown_end(owner, worker, end);
 		return;
 	}
+	owner_task_mark_begun(owner, task);
 	if (task->state == JOB_TASK_DONE) {
 		owner_trace_superseded(owner, worker, task, end);
 		return;
@@ -101,14 +102,14 @@
 	bool wanted = task && task->state != JOB_TASK_DONE &&
 		      owner_job_is_live(task->group->occurrence->job);
 
+	if (task)
+		owner_task_mark_begun(owner, task);
 	if ((wanted || (task && owner_task_may_outlive_job(task))) &&
 	    !task->worker && running->run >= task->run) {
 		owner->counters.tasks_adopted++;
 		task->run = running->run;
 		owner_task_assign(owner, task, worker);
 		job_task_set_state(task, JOB_TASK_RUNNING);
-		task->group->occurrence->has_started = true;
-		task->group->occurrence->job->has_started = true;
 		task->ordered_ms = loop_now_ms();
 		task->started_clock_ms = worker->report_clock_ms;
 		task->speed_changed_ms = task->ordered_ms;
@@ -342,6 +343,9 @@
 	struct owner *owner = data;
 	struct job_task *task = owner_task_find_by_name(owner, order->task);
 
+	if (task && reply->err == ERR_NONE &&
+	    reply->verdict == ADAPTER_ACCEPTED)
+		owner_task_mark_begun(owner, task);
 	if (!task || task->worker != worker || task->run != order->run)
 		return;
 	task->start_in_flight = false;
--- a/packages/jobs/src/owner_schedule.c
+++ b/packages/jobs/src/owner_schedule.c
@@ -207,19 +207,6 @@
 	task->start_in_flight = true;
 	owner_task_assign(owner, task, worker);
 	job_task_set_state(task, JOB_TASK_STARTING);
-	if (!occurrence->has_started)
-		log_info("job-begun",
-			 "job %s occurrence %u of queue %s began after "
-			 "%" G_GUINT64_FORMAT
-			 " ms, configuration version %" G_GUINT64_FORMAT
-			 ", expected critical path %u ms",
-			 occurrence->job->id, occurrence->number,
-			 occurrence->job->queue,
-			 loop_now_ms() - occurrence->due_ms,
-			 owner->catalogue->version,
-			 occurrence->critical_path_ms);
-	occurrence->has_started = true;
-	occurrence->job->has_started = true;
 	owner->counters.starts++;
 	log_debug("task-start",
 		  "task %s.%u.%u.%u run %u is started at worker %s, milli-CPU "
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -449,6 +449,26 @@
 		(uint32_t)(group->total_duration_ms / group->timed_tasks);
 }
 
+void owner_task_mark_begun(struct owner *owner, const struct job_task *task)
+{
+	struct job_occurrence *occurrence = task->group->occurrence;
+
+	/* Of a run that an earlier owner has ordered, that owner logged it. */
+	if (!occurrence->has_begun && task->ordered_ms != 0)
+		log_info("job-begun",
+			 "job %s occurrence %u of queue %s began after "
+			 "%" G_GUINT64_FORMAT
+			 " ms, configuration version %" G_GUINT64_FORMAT
+			 ", expected critical path %u ms",
+			 occurrence->job->id, occurrence->number,
+			 occurrence->job->queue,
+			 loop_now_ms() - occurrence->due_ms,
+			 owner->catalogue->version,
+			 occurrence->critical_path_ms);
+	occurrence->has_begun = true;
+	occurrence->job->has_begun = true;
+}
+
 /* Marks a task as done. If another run of it is still on a worker, the next
  * report of that worker causes it to be stopped. */
 void owner_task_complete(struct owner *owner, struct job_task *task)
@@ -459,7 +479,7 @@
 		return;
 	owner_task_unassign(owner, task);
 	job_task_set_state(task, JOB_TASK_DONE);
-	occurrence->job->has_started = true;
+	owner_task_mark_begun(owner, task);
 	if (occurrence->groups_done == occurrence->job->spec->steps->len)
 		occurrence_finish(owner, occurrence);
 	else
@@ -493,7 +513,6 @@
 	bool is_long_running = task->group->step->is_long_running;
 	uint32_t pause_ms = OWNER_RESTART_DELAY_MS;
 
-	job->has_started = true;
 	owner_health_record_failure(owner, worker);
 	if (!is_long_running && job_task_count_failure(task, end->run)) {
 		commit_mark_dirty(owner->log, job);
--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -210,9 +210,10 @@
 	/** failed jobs whose tasks neither fail nor crash workers */
 	uint32_t harmless_failed;
 	/** answers of emu_backlog_query() that were checked, and the highest
-	 *  number of jobs that waited then */
+	 *  number of jobs that waited then; and what the last answer told */
 	uint32_t backlogs_told;
 	uint32_t backlog_max;
+	uint32_t backlog_told;
 };
 
 /** Format of the workers' entries in the store, if not the emulator's own. */
--- a/packages/jobs/tests/emu_backlog.c
+++ b/packages/jobs/tests/emu_backlog.c
@@ -29,6 +29,8 @@
 	for (guint i = 0; i < emu->jobs->len; i++)
 		count += job_has_waited(g_ptr_array_index(emu->jobs, i),
 					request->pool);
+	if (answer->outcome == JOBS_OK)
+		emu->stats.backlog_told = answer->waiting;
 	if (answer->outcome == JOBS_OK &&
 	    loop_now_ms() - disturbed_ms >= BACKLOG_CALM_MS) {
 		emu->stats.backlogs_told++;
--- a/packages/jobs/tests/test_commit_log.c
+++ b/packages/jobs/tests/test_commit_log.c
@@ -408,7 +408,7 @@
 
 	emu_advance(&at->emu, 100);
 	occurrence = job_occurrence_begin(job, 1, 1);
-	job->has_started = true;
+	job->has_begun = true;
 	job_task_set_state(&occurrence->groups[0].tasks[0], JOB_TASK_DONE);
 	for (uint32_t i = 1; i < tasks; i++)
 		job_task_set_checkpoint(&occurrence->groups[0].tasks[i],
@@ -435,6 +435,27 @@
 }
 END_TEST
 
+/* The start that a crashed worker did not answer may have crashed it. */
+START_TEST(test_evidence_against_a_job_that_has_not_begun_is_stored)
+{
+	struct fixture at;
+	struct job_occurrence *occurrence;
+	struct job *job;
+
+	fixture_open(&at);
+	job = job_add(&at, ID_A, 1, "");
+	emu_advance(&at.emu, 500);
+	occurrence = job_occurrence_begin(job, 1, 1);
+	job_task_suspect(&occurrence->groups[0].tasks[0])->crashes = 1;
+	commit_mark_dirty(at.log, job);
+	emu_advance(&at.emu, 500);
+	ck_assert(is_stored(&at, JOB_RECORD_PREFIX_PROGRESS, "crashes"));
+	ck_assert(is_stored(&at, JOB_RECORD_PREFIX_PROGRESS, "unstarted"));
+	job_destroy(job);
+	fixture_close(&at);
+}
+END_TEST
+
 START_TEST(test_refused_progress_keeps_the_state_stored_before)
 {
 	struct fixture at;
@@ -579,6 +600,9 @@
 	tcase_add_test(tests, test_executed_attempt_is_not_refused);
 	tcase_add_test(tests, test_refused_job_is_not_stored_late);
 	tcase_add_test(tests, test_refused_checkpoint_does_not_lose_the_state);
+	tcase_add_test(
+		tests,
+		test_evidence_against_a_job_that_has_not_begun_is_stored);
 	tcase_add_test(tests,
 		       test_refused_progress_keeps_the_state_stored_before);
 	tcase_add_test(tests, test_end_of_a_held_job_is_stored_at_once);
--- a/packages/jobs/tests/test_segment.c
+++ b/packages/jobs/tests/test_segment.c
@@ -156,7 +156,7 @@
 				 read, json_object_get(records, ID_A), 1, 1),
 			 ERR_NONE);
 	ck_assert(!job_set_queue(read, &queue));
-	ck_assert(!read->has_started);
+	ck_assert(!read->has_begun);
 	ck_assert_uint_eq(read->occurrences->len, 1);
 	occurrence = g_ptr_array_index(read->occurrences, 0);
 	ck_assert_int_eq(occurrence->groups[0].tasks[1].state, JOB_TASK_DONE);
