Draw lists in any order, set clocks and starts that no worker begins

The functions of the emulator for these had no caller but the tests of single faults, and emu_unasked_check() was red on no seed.

--- a/packages/jobs/tests/chaos.c
+++ b/packages/jobs/tests/chaos.c
@@ -8,7 +8,7 @@
 #include <check.h>
 #include <stdlib.h>
 
-#include "emu.h"
+#include "chaos_private.h"
 
 /* From this seed on, some jobs have tasks that crash their workers, and the
  * capacity of workers changes; earlier seeds are kept as they ran before. */
@@ -44,6 +44,11 @@
  * store is slow, that workers restart under their identities meanwhile, and
  * that answers and orders are late. */
 #define CHAOS_RESTARTS_SEED 13000000
+/* From this seed on, jobs are plain, and nothing happens but that workers go
+ * down and return under their identities, with clocks that are set, while
+ * owners are replaced and read lists in any order, and that starts are refused
+ * or lost. */
+#define CHAOS_LISTS_SEED 14000000
 /* A process with a share of a core is paused for up to this part of each step.
  */
 #define CHAOS_SHARE_PAUSE_MS 90
@@ -56,22 +61,6 @@
 #define CHAOS_STALLS_RECOVERY_MS 120000
 #define CHAOS_STEP_MS 100
 
-struct chaos {
-	struct emu *emu;
-	struct emu_config config;
-	/* when each store fault, process outage and partition ends */
-	uint64_t store_heal_ms[EMU_NODES_MAX];
-	uint64_t node_restart_ms[EMU_NODES_MAX];
-	/* when a process that stops as planned ends, 0 for never */
-	uint64_t node_stop_ms[EMU_NODES_MAX];
-	uint64_t partition_heal_ms[EMU_VMS_MAX];
-	uint64_t link_heal_ms[EMU_VMS_MAX];
-	/* workers restart until then */
-	uint64_t restarts_end_ms;
-	/* number of jobs submitted */
-	uint32_t jobs;
-};
-
 /* Changes a job to one that few workers can run, or none. */
 static void job_shape(struct chaos *chaos, struct emu_job *job)
 {
@@ -97,7 +86,13 @@
 
 static bool only_workers_fail(const struct chaos *chaos)
 {
-	return chaos->config.seed >= CHAOS_RESTARTS_SEED;
+	return chaos->config.seed >= CHAOS_RESTARTS_SEED &&
+	       chaos->config.seed < CHAOS_LISTS_SEED;
+}
+
+static bool lists_vary(const struct chaos *chaos)
+{
+	return chaos->config.seed >= CHAOS_LISTS_SEED;
 }
 
 /* Returns whether one kind of faults is played, with plain jobs. */
@@ -105,7 +100,7 @@
 {
 	return (chaos->config.seed >= CHAOS_OWNERS_SEED &&
 		chaos->config.seed < CHAOS_SILENCE_SEED) ||
-	       only_workers_fail(chaos);
+	       only_workers_fail(chaos) || lists_vary(chaos);
 }
 
 static void job_submit(struct chaos *chaos)
@@ -125,6 +120,8 @@
 	node = emu_random(emu, chaos->config.nodes);
 	if (only_workers_fail(chaos))
 		job.task_ms = 20 + emu_random(emu, 400);
+	if (lists_vary(chaos))
+		job.task_ms = 1000 + emu_random(emu, 5000);
 	if (emu_random(emu, 40) == 0) {
 		job.long_running = true;
 		job.always_fails = false;
@@ -281,7 +278,9 @@
 static void plain_fault_inject(struct chaos *chaos, uint32_t owner,
 			       uint32_t node, uint32_t duration_ms)
 {
-	if (only_workers_fail(chaos))
+	if (lists_vary(chaos))
+		chaos_lists_disturb(chaos, owner, duration_ms);
+	else if (only_workers_fail(chaos))
 		workers_disturb(chaos, duration_ms);
 	else
 		owner_disturb(chaos, owner, node, duration_ms);
@@ -403,8 +402,7 @@
 {
 	struct emu *emu = chaos->emu;
 
-	if (chaos->config.seed < CHAOS_PAUSES_SEED ||
-	    only_workers_fail(chaos) || chaos->config.seed % 2 == 0)
+	if (!chaos->config.pausable || chaos->config.seed % 2 == 0)
 		return;
 	for (uint32_t i = 0; i < chaos->config.nodes; i++)
 		node_pause(emu, i, CHAOS_SHARE_PAUSE_MS);
@@ -415,6 +413,7 @@
 	struct emu *emu = chaos->emu;
 	uint64_t now_ms = emu_time_ms(emu);
 
+	chaos_lists_heal(chaos, all);
 	for (uint32_t i = 0; i < chaos->config.nodes; i++) {
 		if (all || now_ms >= chaos->store_heal_ms[i])
 			emu_store_set_mode(emu, i, EMU_STORE_OK);
@@ -471,8 +470,10 @@
 		if (faults &&
 		    (only_workers_fail(chaos) || emu_random(emu, 4) == 0))
 			job_submit(chaos);
-		if (faults && emu_random(emu, 12) == 0)
+		if (faults && emu_random(emu, lists_vary(chaos) ? 30 : 12) == 0)
 			fault_inject(chaos);
+		if (lists_vary(chaos))
+			chaos_backlog_query(chaos);
 		if (faults && emu_random(emu, 150) == 0)
 			emu_wave_request(emu, 40, 2, 30000);
 		if (chaos->jobs > 0 && emu_random(emu, 2) == 0)
