Let a worker that ended in a drain get tasks again

What callers saw: nothing yet; a worker that was up, listed and called got no tasks for good, so that what needs its room would wait (LOST).

Cause: a worker is marked while its VM is drained, and the mark is taken from the VM's worker once the operation has ended or was refused. A VM whose worker has ended has none then, and the worker returns under its identity with it.

Evidence: after chaos the owner passes w-4-4 over, as its VM is to be moved. Its log: the drain begins while the worker is down, the worker is found to have ended, the move is refused as the VM is not up, and the worker returns.

Change: each tick derives the mark from the state of the VM.

--- a/packages/core/src/hold.c
+++ b/packages/core/src/hold.c
@@ -50,7 +50,7 @@
 				     "is valid",
 				     0 },
 	[HOLD_WORKER_ENDED] = { "it has ended or is not listed", "owner_roster",
-				"it is listed", 0 },
+				"it is listed and answers a poll", 0 },
 	[HOLD_WORKER_UNREPORTED] = { "it has not reported to this owner",
 				     "owner_report", "it answers a poll", 0 },
 	[HOLD_WORKER_OUTDATED] = { "it has restarted, its new entry has not "
--- a/packages/jobs/src/owner_fleet.c
+++ b/packages/jobs/src/owner_fleet.c
@@ -50,6 +50,18 @@
 	return id ? g_hash_table_lookup(fleet->owner->workers, id) : NULL;
 }
 
+/* Returns whether the VM of a worker is drained or operated on. An incarnation
+ * that comes after the operation has another identity. */
+static bool is_operated_on(const struct owner_fleet *fleet,
+			   const struct worker *worker)
+{
+	const struct owner_vm *vm =
+		worker->vm ? g_hash_table_lookup(fleet->vms, worker->vm) : NULL;
+
+	return vm && vm->phase != OWNER_VM_STEADY &&
+	       g_strcmp0(vm->drained_worker, worker->id) == 0;
+}
+
 void owner_vm_workers_update(struct owner_fleet *fleet)
 {
 	GHashTableIter iter;
@@ -58,9 +70,11 @@
 	g_hash_table_remove_all(fleet->worker_id_by_vm);
 	g_hash_table_iter_init(&iter, fleet->owner->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct worker *worker = value;
+		struct worker *worker = value;
 		const struct worker *other;
 
+		/* Its operation may have ended while its incarnation had. */
+		worker->cordoned = is_operated_on(fleet, worker);
 		if (worker->ended || !worker->vm)
 			continue;
 		other = worker_of_vm(fleet, worker->vm);
@@ -333,7 +347,6 @@
 			vm_operation_request(fleet, vm);
 		return;
 	}
-	worker->cordoned = true;
 	if (vm->target_pool) {
 		if (elapsed_ms > OWNER_MOVE_DRAIN_TIMEOUT_MS)
 			vm_operation_end(fleet, vm);
--- a/packages/jobs/tests/test_ended_workers.c
+++ b/packages/jobs/tests/test_ended_workers.c
@@ -7,12 +7,17 @@
  */
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "emu_expect.h"
+#include "emu_private.h"
+#include "hold.h"
 
 /* Time within which a long-running task must run again. */
 #define RESTART_MAX_MS 9000
 #define STEP_MS 50
+/* Moments at which workers end beside a move, by STEP_MS. */
+#define DRAIN_ROWS 40
 
 static const struct emu_config fleet = {
 	.seed = 12,
@@ -154,6 +159,55 @@
 }
 END_TEST
 
+/* Returns whether the owner gives no tasks to a worker of a pool because an
+ * operation on its VM is under way. */
+static bool is_cordoned(const struct emu *emu, const char *queue)
+{
+	g_autoptr(GString) out = g_string_new(NULL);
+
+	jobs_explain(emu->nodes[emu_owner(emu)].service, JOBS_EXPLAIN_REQUEST,
+		     queue, out);
+	return strstr(out->str, hold_row(HOLD_WORKER_CORDONED)->text) != NULL;
+}
+
+/* A worker that ends while its VM is drained for a move, which is refused then,
+ * must get tasks again once it is back under its identity. */
+START_TEST(test_worker_that_ends_in_a_drain_gets_tasks_again)
+{
+	static const struct emu_config two_pools = {
+		.seed = 14,
+		.nodes = 1,
+		.pools = 2,
+		.vms_per_pool = 4,
+		.vm_cpu_milli = 8000,
+		.attempts = 3,
+	};
+	static const struct emu_job batch = {
+		.steps = 1,
+		.tasks_per_step = 4,
+		.cpu_milli = 2000,
+		.task_ms = 400,
+	};
+	struct emu *emu = emu_create(&two_pools);
+	struct emu_job wanted = batch;
+
+	emu_advance(emu, 3000);
+	for (uint32_t i = 0; i < 4; i++)
+		emu_submit(emu, 0, &batch);
+	emu_advance(emu, 200 + (uint32_t)_i * STEP_MS);
+	wanted.pool = 1;
+	for (uint32_t i = 0; i < 60; i++)
+		emu_submit(emu, 0, &wanted);
+	emu_advance(emu, (uint32_t)_i % 5 * STEP_MS);
+	for (uint32_t vm = 0; vm < two_pools.vms_per_pool; vm++)
+		emu_worker_crash(emu, vm, 2000);
+	emu_advance(emu, 30000);
+	ck_assert(!is_cordoned(emu, "queue-0"));
+	emu_expect_no_violation(emu);
+	emu_destroy(emu);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("ended workers");
@@ -166,6 +220,9 @@
 	tcase_add_loop_test(tests, test_idle_worker_that_restarts_is_called, 0,
 			    (int)G_N_ELEMENTS(events));
 	tcase_add_test(tests, test_worker_that_never_stopped_is_called);
+	tcase_add_loop_test(tests,
+			    test_worker_that_ends_in_a_drain_gets_tasks_again,
+			    0, DRAIN_ROWS);
 	suite_add_tcase(suite, tests);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
