Let the soak vary what owners read of workers and what workers begin

With 4 as its fourth argument the soak lets workers go down and return under their identities while owners end, delays each list by a time of its own, sets clocks of VMs, lets workers refuse starts and loses starts. It asks the processes for the numbers of waiting jobs and passes the answers to the stand-in, whose check is that of the emulator.

--- a/packages/jobs/tests/emu.h
+++ b/packages/jobs/tests/emu.h
@@ -303,6 +303,10 @@
 /** @brief Queries how many jobs of a pool's queue wait; the answer is checked
  *  when it arrives. */
 void emu_backlog_query(struct emu *emu, uint32_t node, uint32_t pool);
+/** @brief Records and checks how many jobs of a pool's queue wait, as a process
+ *  has told that was asked for it some time ago. */
+void emu_backlog_observe(struct emu *emu, uint32_t pool, uint32_t asked_ms_ago,
+			 uint32_t waiting);
 /** @brief Requests a maintenance wave of a random share of the VMs, with at
  *  most max_parallel of them in maintenance at once. */
 void emu_wave_request(struct emu *emu, uint32_t percent, uint32_t max_parallel,
--- a/packages/jobs/tests/emu_backlog.c
+++ b/packages/jobs/tests/emu_backlog.c
@@ -8,39 +8,49 @@
 struct backlog_request {
 	struct emu *emu;
 	uint32_t pool;
+	uint64_t asked_ms;
 };
 
-static bool job_has_waited(const struct emu_job_state *state, uint32_t pool)
+static bool job_had_waited(const struct emu_job_state *state, uint32_t pool,
+			   uint64_t asked_ms)
 {
 	return state->job.pool == pool && state->job.occurrences == 0 &&
 	       state->accepted && !state->started && !state->cancel_sent &&
 	       state->state <= JOB_RUNNING &&
-	       loop_now_ms() - state->accepted_ms >= BACKLOG_VISIBLE_MS;
+	       asked_ms >= state->accepted_ms + BACKLOG_VISIBLE_MS;
 }
 
-static void on_waiting(void *data, const struct jobs_answer *answer)
+void emu_backlog_observe(struct emu *emu, uint32_t pool, uint32_t asked_ms_ago,
+			 uint32_t waiting)
 {
-	struct backlog_request *request = data;
-	struct emu *emu = request->emu;
 	uint64_t disturbed_ms =
 		MAX(emu->last_owner_fault_ms, emu->last_change_ms);
+	uint64_t asked_ms = loop_now_ms() - asked_ms_ago;
 	uint32_t count = 0;
 
+	emu->stats.backlog_told = waiting;
 	for (guint i = 0; i < emu->jobs->len; i++)
-		count += job_has_waited(g_ptr_array_index(emu->jobs, i),
-					request->pool);
+		count += job_had_waited(g_ptr_array_index(emu->jobs, i), pool,
+					asked_ms);
+	if (asked_ms < disturbed_ms + BACKLOG_CALM_MS)
+		return;
+	emu->stats.backlogs_told++;
+	emu->stats.backlog_max = MAX(emu->stats.backlog_max, count);
+	if (2 * waiting < count)
+		emu_fail(emu, EMU_RULE_STATE,
+			 "%u jobs of pool %u were reported to wait, %u have",
+			 waiting, pool, count);
+}
+
+static void on_waiting(void *data, const struct jobs_answer *answer)
+{
+	struct backlog_request *request = data;
+	uint64_t now_ms = loop_now_ms();
+
 	if (answer->outcome == JOBS_OK)
-		emu->stats.backlog_told = answer->waiting;
-	if (answer->outcome == JOBS_OK &&
-	    loop_now_ms() - disturbed_ms >= BACKLOG_CALM_MS) {
-		emu->stats.backlogs_told++;
-		emu->stats.backlog_max = MAX(emu->stats.backlog_max, count);
-		if (2 * answer->waiting < count)
-			emu_fail(emu, EMU_RULE_STATE,
-				 "%u jobs of pool %u were reported to wait, "
-				 "%u have",
-				 answer->waiting, request->pool, count);
-	}
+		emu_backlog_observe(request->emu, request->pool,
+				    (uint32_t)(now_ms - request->asked_ms),
+				    answer->waiting);
 	g_free(request);
 }
 
@@ -60,6 +70,7 @@
 	request = g_new0(struct backlog_request, 1);
 	request->emu = emu;
 	request->pool = pool;
+	request->asked_ms = loop_now_ms();
 	emu_call_deliver(alive, &call, on_waiting, request);
 }
 
--- a/packages/jobs/tests/emu_lists.c
+++ b/packages/jobs/tests/emu_lists.c
@@ -1,10 +1,8 @@
+#include <string.h>
+
 #include "emu_private.h"
 
-/* Prefixes of the lists that the store holds. */
-static const char *const list_prefixes[EMU_LIST_COUNT] = {
-	[EMU_LIST_ROSTER] = "/sassafrascart/worker-roster",
-	[EMU_LIST_WORKERS] = "workers/",
-};
+#define LIST_ROSTER_KEY "/sassafrascart/worker-roster"
 
 void emu_list_set_delay(struct emu *emu, enum emu_list list, uint32_t ms)
 {
@@ -22,11 +20,13 @@
 
 uint32_t emu_range_delay_ms(const struct emu *emu, const char *key)
 {
-	for (size_t i = 0; i < EMU_LIST_COUNT; i++) {
-		if (g_strcmp0(list_prefixes[i], key) == 0)
-			return emu->list_delays_ms[i];
-	}
-	return 0;
+	const char *workers =
+		emu->entry_format ? emu->entry_format->prefix : "workers/";
+
+	if (strcmp(key, LIST_ROSTER_KEY) == 0)
+		return emu->list_delays_ms[EMU_LIST_ROSTER];
+	return strcmp(key, workers) == 0 ? emu->list_delays_ms[EMU_LIST_WORKERS]
+					 : 0;
 }
 
 void emu_worker_set_clock(struct emu *emu, uint32_t vm, int32_t ahead_ms)
--- a/tests/scenarios/jobfleet.lua
+++ b/tests/scenarios/jobfleet.lua
@@ -187,6 +187,13 @@
                                               job.number, verb, status, state or ""))
 end
 
+-- Reports how many jobs of a pool's queue wait, as a process has told that was asked for it some
+-- time ago; the stand-in checks it.
+function jobfleet:waiting_told(pool, asked_ms_ago, waiting)
+  self:control("/control/waiting", string.format('{"pool":%d,"asked_ms_ago":%d,"waiting":%d}', pool,
+                                                 asked_ms_ago, waiting))
+end
+
 -- Injects a fault into a VM or, depending on its kind, into the whole platform or what a
 -- process sees of it.
 function jobfleet:fault(kind, vm, value, process)
--- a/tests/scenarios/soak.lua
+++ b/tests/scenarios/soak.lua
@@ -7,7 +7,8 @@
 -- Optional arguments after the seed: count of processes, seconds of faults, one job in how many
 -- has a task that crashes its workers, faults of workers (1: they restart under their identity,
 -- their answers are delayed, or they drain; 2: their orders are delayed too; 3: restarts come in
--- series while the store is slow, and runs are short), VMs of each pool,
+-- series while the store is slow, and runs are short; 4: see soak_lists.lua, and runs are long),
+-- VMs of each pool,
 -- milliseconds between jobs, milliseconds between faults, callers that cancel (0: none; N: one in
 -- N jobs is cancelled, sometimes twice), owners in a row (1: see soak_owners.lua, and processes
 -- lose the store alone; some jobs run for seconds; 2: most owners settle first, VMs do not move,
@@ -16,6 +17,7 @@
 local fleet = require("fleet")
 local jobfleet = require("jobfleet")
 local soak_callers = require("soak_callers")
+local soak_lists = require("soak_lists")
 local soak_owners = require("soak_owners")
 local soak_processes = require("soak_processes")
 
@@ -24,7 +26,8 @@
 local JOB_EVERY_MS = tonumber(ARGUMENTS[6]) or 60
 local FAULT_EVERY_MS = tonumber(ARGUMENTS[7]) or 1200 // PROCESSES
 local WORKER_FAULTS = tonumber(ARGUMENTS[4]) or 0
-local RUN_MS = WORKER_FAULTS > 2 and 10 or 50
+local LISTS_VARY = WORKER_FAULTS == 4
+local RUN_MS = LISTS_VARY and 200 or WORKER_FAULTS > 2 and 10 or 50
 local CANCEL_ONE_IN = tonumber(ARGUMENTS[8]) or 0
 local OWNER_FAULTS = tonumber(ARGUMENTS[9]) or 0
 local SHARE_PERMILLE = tonumber(ARGUMENTS[10]) or 0
@@ -60,7 +63,7 @@
 
 local platform = jobfleet.new(SEED, nil, {pools = POOLS + IDLE_POOLS, vms_per_pool = VMS_PER_POOL,
                                           spare_vms = VMS_PER_POOL // 2,
-                                          processes = OWNER_FAULTS > 0 and PROCESSES or nil})
+                                          processes = (OWNER_FAULTS > 0 or LISTS_VARY) and PROCESSES or nil})
 
 local processes, relays = platform.processes, {}
 
@@ -273,10 +276,12 @@
   for at_ms = 0, SERIES_MS, SERIES_STEP_MS do schedule(at_ms, restart_some) end
   schedule(SERIES_MS + SERIES_STEP_MS, function() fault("slow", 0, 0) end)
 end
-if WORKER_FAULTS > 2 then
+if WORKER_FAULTS == 3 then
   worker_faults = {restart_series}
   for _ = 1, #faults // 2 do table.insert(worker_faults, restart_series) end
 end
+local lists = soak_lists.new(platform, runs, schedule, LAST_VM, POOLS, fault)
+if LISTS_VARY then worker_faults, faults = {}, lists:faults() end
 if WORKER_FAULTS > 0 then table.move(worker_faults, 1, #worker_faults, #faults + 1, faults) end
 
 -- Tells the stand-in, which does not see these faults, whether any acts on a process or on its
@@ -295,6 +300,7 @@
   tell_disturbed()
   complete_calls()
   callers:step(traffic)
+  if LISTS_VARY then lists:step() end
   runs:step()
   for i = #scheduled, 1, -1 do
     if scheduled[i][1] <= now_ms() then
@@ -370,6 +376,7 @@
 for _, job in ipairs(jobs) do if job.accepted then accepted = accepted + 1 end end
 print(string.format("%d of %d jobs accepted, %d runs, %d moves, %d maintained, settled %d ms after the faults",
                     accepted, #jobs, final.runs, final.moves, final.maintained, settled_ms))
+if LISTS_VARY then print(lists.told .. " answers told how many jobs wait") end
 if OWNER_FAULTS > 0 then print(owners.turned_away .. " owners were turned away") end
 print(string.format("kept connections: %d requests answered, %d not read at an exit, %d of killed "
                     .. "processes, %d not sent; %d connections ended while idle", callers.answered,
