Share a set-up of tests, and derive what the poll rows and a marking repeated

Found on reading the change once more; no behaviour changes.

- Whether a worker is polled follows from the reason: is_due is gone.
- A task is completed only by a reported end, which has marked it as begun, so owner_task_complete() need not mark it again.
- test_ended_workers and test_stranded start their uneven fleets alike.

--- a/packages/jobs/include/worker.h
+++ b/packages/jobs/include/worker.h
@@ -287,8 +287,7 @@
 struct worker_poll_row {
 	/** constant text for the log */
 	const char *text;
-	/** whether it is polled at all, and the delay before the poll */
-	bool is_due;
+	/** delay before the poll; 0 for WORKER_POLL_NONE, too */
 	uint32_t delay_ms;
 };
 
--- a/packages/jobs/src/owner_task.c
+++ b/packages/jobs/src/owner_task.c
@@ -479,7 +479,6 @@
 		return;
 	owner_task_unassign(owner, task);
 	job_task_set_state(task, JOB_TASK_DONE);
-	owner_task_mark_begun(owner, task);
 	if (occurrence->groups_done == occurrence->job->spec->steps->len)
 		occurrence_finish(owner, occurrence);
 	else
--- a/packages/jobs/src/worker.c
+++ b/packages/jobs/src/worker.c
@@ -218,11 +218,10 @@
  */
 static void poll_schedule_next(struct worker *worker)
 {
-	const struct worker_poll_row *row =
-		worker_poll_row(worker_poll_reason(worker));
+	enum worker_poll_reason reason = worker_poll_reason(worker);
 
-	if (row->is_due)
-		poll_schedule(worker, row->delay_ms);
+	if (reason != WORKER_POLL_NONE)
+		poll_schedule(worker, worker_poll_row(reason)->delay_ms);
 }
 
 /* Of a late poll and its repetition, the report that arrives last may have been
--- a/packages/jobs/src/worker_state.c
+++ b/packages/jobs/src/worker_state.c
@@ -168,21 +168,21 @@
 }
 
 static const struct worker_poll_row poll_rows[] = {
-	[WORKER_POLL_NONE] = { "nothing is asked of it", false, 0 },
-	[WORKER_POLL_ENDED] = { "its incarnation has ended", true,
+	[WORKER_POLL_NONE] = { "nothing is asked of it", 0 },
+	[WORKER_POLL_ENDED] = { "its incarnation has ended",
 				WORKER_POLL_RESTART_MS },
-	[WORKER_POLL_REFUSED] = { "it refused the last poll", true,
+	[WORKER_POLL_REFUSED] = { "it refused the last poll",
 				  WORKER_POLL_RETRY_MS },
-	[WORKER_POLL_SILENT] = { "it did not answer the last poll", true,
+	[WORKER_POLL_SILENT] = { "it did not answer the last poll",
 				 WORKER_POLL_RETRY_MS },
-	[WORKER_POLL_SILENT_LATE] = { "it may get a late order", true,
+	[WORKER_POLL_SILENT_LATE] = { "it may get a late order",
 				      WORKER_POLL_RETRY_LATE_MS },
-	[WORKER_POLL_UNSTORED] = { "its ends are not stored yet", true,
+	[WORKER_POLL_UNSTORED] = { "its ends are not stored yet",
 				   WORKER_POLL_UNSTORED_MS },
-	[WORKER_POLL_BUSY] = { "it has more to report", true, 0 },
-	[WORKER_POLL_CLOSED] = { "its connection was closed", true,
+	[WORKER_POLL_BUSY] = { "it has more to report", 0 },
+	[WORKER_POLL_CLOSED] = { "its connection was closed",
 				 WORKER_POLL_RETRY_MS },
-	[WORKER_POLL_OUTDATED] = { "its entry is of another incarnation", true,
+	[WORKER_POLL_OUTDATED] = { "its entry is of another incarnation",
 				   WORKER_POLL_RESTART_MS },
 };
 
--- a/packages/jobs/tests/emu_expect.h
+++ b/packages/jobs/tests/emu_expect.h
@@ -26,4 +26,16 @@
 	emu_expect_no_violation(emu);
 }
 
+/** @brief Creates a deployment of one pool in which only the first worker has
+ *  the capacity for a large task. */
+static inline struct emu *emu_uneven_start(const struct emu_config *config)
+{
+	struct emu *emu = emu_create(config);
+
+	for (uint32_t vm = 1; vm < config->vms_per_pool; vm++)
+		emu_worker_set_cpu(emu, vm, 4000);
+	emu_advance(emu, 3000);
+	return emu;
+}
+
 #endif
--- a/packages/jobs/tests/test_ended_workers.c
+++ b/packages/jobs/tests/test_ended_workers.c
@@ -59,16 +59,6 @@
 
 #define ROWS ((int)(G_N_ELEMENTS(delays_ms) * G_N_ELEMENTS(events)))
 
-static struct emu *fleet_start(void)
-{
-	struct emu *emu = emu_create(&fleet);
-
-	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
-		emu_worker_set_cpu(emu, vm, 4000);
-	emu_advance(emu, 3000);
-	return emu;
-}
-
 static void lists_delay(struct emu *emu, const uint32_t *ms)
 {
 	for (uint32_t i = 0; i < EMU_LIST_COUNT; i++)
@@ -91,7 +81,7 @@
 START_TEST(test_restarted_worker_is_called)
 {
 	const int event = _i / (int)G_N_ELEMENTS(delays_ms);
-	struct emu *emu = fleet_start();
+	struct emu *emu = emu_uneven_start(&fleet);
 	uint32_t job = emu_submit(emu, 0, &large);
 	uint32_t owner;
 
@@ -122,7 +112,7 @@
  * tasks is not polled. */
 START_TEST(test_idle_worker_that_restarts_is_called)
 {
-	struct emu *emu = fleet_start();
+	struct emu *emu = emu_uneven_start(&fleet);
 	uint32_t job;
 
 	emu_worker_set_clock(emu, 0, events[_i].ahead_ms);
@@ -142,7 +132,7 @@
  * is the same incarnation as before: nothing that it writes changes. */
 START_TEST(test_worker_that_never_stopped_is_called)
 {
-	struct emu *emu = fleet_start();
+	struct emu *emu = emu_uneven_start(&fleet);
 	uint32_t job = emu_submit(emu, 0, &large);
 
 	expect_running(emu, job);
--- a/packages/jobs/tests/test_stranded.c
+++ b/packages/jobs/tests/test_stranded.c
@@ -45,17 +45,6 @@
 	return emu;
 }
 
-/* Only the first worker has the capacity for a large task. */
-static struct emu *uneven_fleet_start(void)
-{
-	struct emu *emu = emu_create(&fleet);
-
-	for (uint32_t vm = 1; vm < fleet.vms_per_pool; vm++)
-		emu_worker_set_cpu(emu, vm, 4000);
-	emu_advance(emu, 3000);
-	return emu;
-}
-
 /* Advances time, expects that all jobs that end have, and ends the test. */
 static void expect_finished(struct emu *emu, uint32_t jobs, uint32_t ms)
 {
@@ -132,7 +121,7 @@
  * other one can run it. */
 START_TEST(test_failed_task_with_one_suitable_worker)
 {
-	struct emu *emu = uneven_fleet_start();
+	struct emu *emu = emu_uneven_start(&fleet);
 
 	large_task_fail_once(emu);
 	expect_finished(emu, 1, 2000);
@@ -145,7 +134,7 @@
  * for them and has become sound, nor for the end of the first one there. */
 START_TEST(test_quarantine_of_the_only_suitable_worker)
 {
-	struct emu *emu = uneven_fleet_start();
+	struct emu *emu = emu_uneven_start(&fleet);
 	struct emu_job hopeless = large;
 	struct emu_job sound = large;
 	uint32_t jobs[3];
@@ -180,7 +169,7 @@
 /* Nor for others that wait for it, too, and that fail there one by one. */
 START_TEST(test_jobs_behind_failing_ones_in_quarantine)
 {
-	struct emu *emu = uneven_fleet_start();
+	struct emu *emu = emu_uneven_start(&fleet);
 	struct emu_job hopeless = large;
 	struct emu_job sound = large;
 	uint32_t jobs = 0;
@@ -227,7 +216,7 @@
  * run it. */
 START_TEST(test_suspect_with_one_suitable_vm)
 {
-	struct emu *emu = uneven_fleet_start();
+	struct emu *emu = emu_uneven_start(&fleet);
 
 	emu_submit(emu, 0, &large);
 	emu_advance(emu, 130);
